--- /dev/null
+++ b/internal/agent/core.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"time"
+
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/queue"
+)
+
+const (
+	// reportInterval is how often entries are told of the load.
+	reportInterval = 250 * time.Millisecond
+	// busyRetryAfter is what callers are told when the queue is full.
+	busyRetryAfter = time.Second
+	// queuePerSlot bounds the calls that wait for each slot.
+	queuePerSlot = 4
+)
+
+// Core is the reducer of an agent.
+type Core struct {
+	incarnation uint64
+	plain       bool
+	slots       int
+
+	waiting  *queue.Queue[uint64]
+	calls    map[uint64]Call
+	running  map[uint64]bool
+	report   plat.Report
+	reportAt time.Time
+
+	sequence uint64
+	toldAt   time.Time
+	leaving  bool
+}
+
+// CoreSettings are the constants of a reducer.
+type CoreSettings struct {
+	Incarnation uint64
+	// Plain says that the endpoint is a plain service, not an engine.
+	Plain bool
+	// Slots is how many calls run at once at the endpoint.
+	Slots int
+}
+
+// NewCore returns the reducer of a fresh agent.
+func NewCore(s CoreSettings) *Core {
+	return &Core{
+		incarnation: s.Incarnation,
+		plain:       s.Plain,
+		slots:       s.Slots,
+		waiting:     queue.New[uint64](s.Slots * queuePerSlot),
+		calls:       make(map[uint64]Call),
+		running:     make(map[uint64]bool),
+	}
+}
+
+// Apply implements loop.Reducer.
+func (c *Core) Apply(now time.Time, event Event) []Effect {
+	switch e := event.(type) {
+	case Arrived:
+		return c.arrived(now, e.Call)
+	case Ended:
+		return c.ended(now, e.Key)
+	case Abandoned:
+		return c.abandoned(now, e.Key)
+	case Reported:
+		c.report, c.reportAt = e.Report, e.TookOff
+		return c.tell(now)
+	case Linked:
+		return []Effect{Tell{
+			Session: e.Session,
+			Message: c.load(now),
+		}}
+	case Stopping:
+		return c.stopping(now)
+	case Tick:
+		return c.tick(now)
+	default:
+		return nil
+	}
+}
+
+// stopping refuses new work and tells the entries at once.
+func (c *Core) stopping(now time.Time) []Effect {
+	c.leaving = true
+	return append(c.tell(now), c.finish()...)
+}
+
+// finish ends a graceful shutdown once no call is left.
+func (c *Core) finish() []Effect {
+	if c.leaving && len(c.calls) == 0 {
+		return []Effect{Finished{}}
+	}
+	return nil
+}
+
+func (c *Core) tick(now time.Time) []Effect {
+	effects := c.expire(now)
+	if now.Sub(c.toldAt) >= reportInterval {
+		effects = append(effects, c.tell(now)...)
+	}
+	return append(effects, c.finish()...)
+}
--- /dev/null
+++ b/internal/agent/event.go
@@ -0,0 +1,122 @@
+package agent
+
+import (
+	"time"
+
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/wire/wirepb"
+)
+
+// Event is something that happened to an agent.
+type Event interface{ isEvent() }
+
+// Call names one attempt of a call at this agent.
+type Call struct {
+	// Key is unique among the calls of this process.
+	Key     uint64
+	Request *wirepb.CallRequest
+}
+
+// Events.
+type (
+	// Arrived says that an entry sent a call.
+	Arrived struct{ Call Call }
+	// Ended says that a started call is over.
+	Ended struct {
+		Key uint64
+	}
+	// Abandoned says that the entry closed a call before its end.
+	Abandoned struct{ Key uint64 }
+	// Reported brings the endpoint's own report.
+	Reported struct {
+		Report plat.Report
+		// TookOff is when the report was asked for.
+		TookOff time.Time
+	}
+	// Linked says that an entry has connected.
+	Linked struct {
+		Session uint64
+		Hello   *wirepb.Hello
+	}
+	// Unlinked says that an entry's session has ended.
+	Unlinked struct{ Session uint64 }
+	// Received brings a control message.
+	Received struct {
+		Session uint64
+		Message *wirepb.Envelope
+	}
+	// HostsRead brings the platform's list of hosts.
+	HostsRead struct{ Hosts []plat.Host }
+	// LogRead brings a page of a stream of the log.
+	LogRead struct {
+		Stream string
+		Page   plat.Page
+	}
+	// LogFailed says that a stream could not be read.
+	LogFailed struct {
+		Stream string
+		Err    error
+	}
+	// Appended says how an append has ended. After an error the record may
+	// be in the log all the same.
+	Appended struct {
+		Tag    string
+		Offset uint64
+		Err    error
+	}
+	// Stopping asks for a graceful shutdown.
+	Stopping struct{}
+	// Tick passes time.
+	Tick struct{}
+)
+
+func (Arrived) isEvent()   {}
+func (Ended) isEvent()     {}
+func (Abandoned) isEvent() {}
+func (Reported) isEvent()  {}
+func (Linked) isEvent()    {}
+func (Unlinked) isEvent()  {}
+func (Received) isEvent()  {}
+func (HostsRead) isEvent() {}
+func (LogRead) isEvent()   {}
+func (LogFailed) isEvent() {}
+func (Appended) isEvent()  {}
+func (Stopping) isEvent()  {}
+func (Tick) isEvent()      {}
+
+// Effect is something that an agent's reducer wants done.
+type Effect interface{ isEffect() }
+
+// Effects.
+type (
+	// Start forwards a call to the endpoint.
+	Start struct{ Key uint64 }
+	// Refuse answers a call with an error.
+	Refuse struct {
+		Key uint64
+		Err error
+	}
+	// Tell sends a control message to one entry.
+	Tell struct {
+		Session uint64
+		Message *wirepb.Envelope
+	}
+	// Broadcast sends a control message to every entry.
+	Broadcast struct{ Message *wirepb.Envelope }
+	// Append adds a record to a stream of the log; Tag comes back with
+	// Appended.
+	Append struct {
+		Tag    string
+		Stream string
+		Data   []byte
+	}
+	// Finished says that a graceful shutdown has nothing left to wait for.
+	Finished struct{}
+)
+
+func (Start) isEffect()     {}
+func (Refuse) isEffect()    {}
+func (Tell) isEffect()      {}
+func (Broadcast) isEffect() {}
+func (Append) isEffect()    {}
+func (Finished) isEffect()  {}
--- /dev/null
+++ b/internal/agent/platform.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"dogwoodfold/internal/plat"
+)
+
+const hostsInterval = time.Second
+
+// readHosts follows the platform's list of hosts.
+func (s *Server) readHosts(ctx context.Context) {
+	every(ctx, hostsInterval, func() {
+		hosts, err := s.options.Hosts.List(ctx)
+		if err != nil {
+			s.options.Out.Warn().Err(err).Msg("agent: host list can't be read")
+			return
+		}
+		s.loop.Post(HostsRead{Hosts: hosts})
+	})
+}
+
+// readClaims follows the stream of claims.
+func (s *Server) readClaims(ctx context.Context) {
+	plat.Follow(ctx, s.options.Log, plat.StreamClaims, 1,
+		func(page plat.Page) {
+			s.loop.Post(LogRead{
+				Stream: plat.StreamClaims,
+				Page:   page,
+			})
+		},
+		func(err error) {
+			s.options.Out.Warn().Err(err).Msg("agent: log can't be read")
+			s.loop.Post(LogFailed{
+				Stream: plat.StreamClaims,
+				Err:    err,
+			})
+		})
+}
+
+// append adds a record to the log without holding up the loop.
+func (s *Server) append(e Append) {
+	s.appends.Go(func() {
+		offset, err := s.options.Log.Append(s.base, e.Stream, e.Data)
+		s.loop.Post(Appended{
+			Tag:    e.Tag,
+			Offset: offset,
+			Err:    err,
+		})
+	})
+}
--- /dev/null
+++ b/internal/cmds/fake.go
@@ -0,0 +1,125 @@
+package cmds
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/fakes"
+	"dogwoodfold/internal/plat"
+)
+
+// fakeFlags are the flags that all fakes share.
+type fakeFlags struct {
+	listen string
+}
+
+// newFake returns the commands that run stand-ins for tests and trials.
+func newFake() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "fake",
+		Short: "Run a stand-in for the platform or an endpoint",
+	}
+	flags := &fakeFlags{}
+	cmd.PersistentFlags().StringVar(&flags.listen, "listen", "127.0.0.1:0", "address to listen on")
+	cmd.AddCommand(newFakeLog(flags), newFakeHosts(flags), newFakeEngine(flags), newFakeService(flags))
+	return cmd
+}
+
+func newFakeLog(flags *fakeFlags) *cobra.Command {
+	var retention time.Duration
+	cmd := &cobra.Command{
+		Use:   "log",
+		Short: "Run a log",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return flags.serve(cmd, fakes.NewLog(retention).Handler())
+		},
+	}
+	cmd.Flags().DurationVar(&retention, "retention", 0, "how long records are kept, 0 for ever")
+	return cmd
+}
+
+func newFakeHosts(flags *fakeFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:   "hosts",
+		Short: "Run a host list",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return flags.serve(cmd, fakes.NewHosts().Handler())
+		},
+	}
+}
+
+func newFakeEngine(flags *fakeFlags) *cobra.Command {
+	settings := fakes.EngineSettings{}
+	var models []string
+	cmd := &cobra.Command{
+		Use:   "engine",
+		Short: "Run a model engine",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, m := range models {
+				r, err := parseResident(m)
+				if err != nil {
+					return err
+				}
+				settings.Residents = append(settings.Residents, r)
+			}
+			return flags.serve(cmd, fakes.NewEngine(settings).Handler())
+		},
+	}
+	cmd.Flags().Int64Var(&settings.MemoryBytes, "memory", 80<<30, "accelerator memory in bytes")
+	cmd.Flags().IntVar(&settings.Slots, "slots", 32, "requests that run at once")
+	cmd.Flags().BoolVar(&settings.ChecksFence, "checks-fence", false, "refuse orders with an old fencing number")
+	cmd.Flags().DurationVar(&settings.LoadTime, "load-time", 0, "how long weights take to load")
+	cmd.Flags().StringSliceVar(&models, "model", nil, "MODEL/VERSION[:ADAPTER] loaded from the start")
+	return cmd
+}
+
+// parseResident reads MODEL/VERSION[:ADAPTER].
+func parseResident(text string) (plat.Resident, error) {
+	rest, adapter, _ := strings.Cut(text, ":")
+	model, version, ok := strings.Cut(rest, "/")
+	if !ok || model == "" || version == "" {
+		return plat.Resident{}, fmt.Errorf("%q is not MODEL/VERSION[:ADAPTER]", text)
+	}
+	return plat.Resident{
+		Model:   model,
+		Version: version,
+		Adapter: adapter,
+		Ready:   true,
+	}, nil
+}
+
+func newFakeService(flags *fakeFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:   "service",
+		Short: "Run a plain service",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return flags.serve(cmd, fakes.NewService().Handler())
+		},
+	}
+}
+
+// serve runs a fake until the process is ended.
+func (f *fakeFlags) serve(cmd *cobra.Command, handler fasthttp.RequestHandler) error {
+	listener, err := net.Listen("tcp", f.listen)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(cmd.OutOrStdout(), "listen", listener.Addr()); err != nil {
+		return err
+	}
+	server := &fasthttp.Server{
+		Handler:               handler,
+		Name:                  "fake",
+		NoDefaultServerHeader: true,
+	}
+	return server.Serve(listener)
+}
--- /dev/null
+++ b/internal/cmds/key.go
@@ -0,0 +1,29 @@
+package cmds
+
+import (
+	"crypto/rand"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"dogwoodfold/pkg/config"
+)
+
+// newKey returns the commands for callers' keys.
+func newKey() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "key",
+		Short: "Make keys for customers",
+	}
+	cmd.AddCommand(&cobra.Command{
+		Use:   "new",
+		Short: "Print a new key once, and the digest for the text",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			key := "dwf-" + rand.Text()
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "key %s\nentry {\"sha256\": %q}\n", key, config.DigestKey([]byte(key)))
+			return err
+		},
+	})
+	return cmd
+}
--- /dev/null
+++ b/internal/cmds/root.go
@@ -0,0 +1,83 @@
+// Package cmds holds the program's commands.
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+)
+
+// New returns the root command.
+func New() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "dogwoodfold",
+		Short:         "Serve many models on few accelerators",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newEntry(), newAgent(), newConfig(), newKey(), newFake())
+	return root
+}
+
+// newLogger returns the logger of a process.
+func newLogger(out io.Writer, host string) zerolog.Logger {
+	return zerolog.New(out).With().Timestamp().Str("host", host).Logger()
+}
+
+// server is a process that can be stopped gracefully.
+type server interface {
+	Stop()
+	Finished() <-chan struct{}
+	Done() <-chan struct{}
+}
+
+// stopLimit bounds a graceful shutdown.
+const stopLimit = 10 * time.Minute
+
+// listen opens a listener and prints its name and address.
+func listen(cmd *cobra.Command, name string, address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	_, err = fmt.Fprintln(cmd.OutOrStdout(), name, listener.Addr())
+	return listener, err
+}
+
+// serve runs a server until a signal. The first signal begins a graceful
+// shutdown, the second one or the limit ends it.
+func serve(cmd *cobra.Command, s server, run func(context.Context) error) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(cmd.Context())
+	defer cancel()
+	go stopOnSignal(cancel, s, signals)
+	return run(ctx)
+}
+
+// stopOnSignal cancels a server once its graceful shutdown is over.
+func stopOnSignal(cancel context.CancelFunc, s server, signals <-chan os.Signal) {
+	defer cancel()
+	select {
+	case <-signals:
+		s.Stop()
+	case <-s.Done():
+		return
+	}
+	select {
+	case <-signals:
+	case <-s.Finished():
+	case <-s.Done():
+	case <-time.After(stopLimit):
+	}
+}
--- /dev/null
+++ b/internal/cmds/serve.go
@@ -0,0 +1,148 @@
+package cmds
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"dogwoodfold/internal/agent"
+	"dogwoodfold/internal/entry"
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/wire/wirepb"
+)
+
+// newEntry returns the command that runs an entry.
+func newEntry() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "entry",
+		Short: "Take callers' requests and send them to agents",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var s EntrySettings
+			if err := readSettings(file, &s); err != nil {
+				return err
+			}
+			return s.run(cmd)
+		},
+	}
+	addSettings(cmd, &file)
+	return cmd
+}
+
+// options returns the dependencies that the settings name.
+func (s *EntrySettings) options() (entry.Options, error) {
+	secure, err := s.TLS.load()
+	if err != nil {
+		return entry.Options{}, err
+	}
+	incarnation := newIncarnation()
+	return entry.Options{
+		Core: entry.CoreSettings{
+			Host:  s.Host,
+			Share: s.StaticShare,
+			Seed:  rand.Uint64(),
+		},
+		Hello: &wirepb.Hello{
+			Host:        s.Host,
+			Role:        plat.RoleEntry,
+			Zone:        s.Zone,
+			Incarnation: incarnation,
+		},
+		Log:   plat.NewHTTPLog(s.Log),
+		Hosts: plat.NewHTTPHosts(s.Hosts),
+		TLS:   secure,
+		Out:   newLogger(os.Stderr, s.Host),
+	}, nil
+}
+
+func (s *EntrySettings) run(cmd *cobra.Command) error {
+	options, err := s.options()
+	if err != nil {
+		return err
+	}
+	callers, err := listen(cmd, "listen", s.Listen)
+	if err != nil {
+		return err
+	}
+	peers, err := listen(cmd, "peers", s.Peers)
+	if err != nil {
+		return err
+	}
+	server := entry.New(options)
+	return serve(cmd, server, func(ctx context.Context) error { return server.Run(ctx, callers, peers) })
+}
+
+// newAgent returns the command that runs an agent.
+func newAgent() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "agent",
+		Short: "Run beside an endpoint as the sole path to it",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var s AgentSettings
+			if err := readSettings(file, &s); err != nil {
+				return err
+			}
+			return s.run(cmd)
+		},
+	}
+	addSettings(cmd, &file)
+	return cmd
+}
+
+// options returns the dependencies that the settings name.
+func (s *AgentSettings) options() (agent.Options, error) {
+	secure, err := s.TLS.load()
+	if err != nil {
+		return agent.Options{}, err
+	}
+	incarnation := newIncarnation()
+	options := agent.Options{
+		Core: agent.CoreSettings{
+			Incarnation: incarnation,
+			Plain:       s.Kind == kindService,
+			Slots:       s.Slots,
+		},
+		Hello: &wirepb.Hello{
+			Host:        s.Host,
+			Role:        plat.RoleAgent,
+			Zone:        s.Zone,
+			Service:     s.Service,
+			Incarnation: incarnation,
+		},
+		Endpoint: s.Endpoint,
+		Log:      plat.NewHTTPLog(s.Log),
+		Hosts:    plat.NewHTTPHosts(s.Hosts),
+		TLS:      secure,
+		Out:      newLogger(os.Stderr, s.Host),
+	}
+	if s.Kind == kindEngine {
+		options.Engine = plat.NewHTTPEngine("http://" + s.Endpoint.String())
+	}
+	return options, nil
+}
+
+func (s *AgentSettings) run(cmd *cobra.Command) error {
+	options, err := s.options()
+	if err != nil {
+		return err
+	}
+	listener, err := listen(cmd, "listen", s.Listen)
+	if err != nil {
+		return err
+	}
+	server := agent.New(options)
+	return serve(cmd, server, func(ctx context.Context) error { return server.Run(ctx, listener) })
+}
+
+// newIncarnation returns a random number that names a process; 0 is none.
+func newIncarnation() uint64 { return rand.Uint64() | 1 }
+
+func addSettings(cmd *cobra.Command, file *string) {
+	cmd.Flags().StringVar(file, "settings", "", "settings file (JSON)")
+	_ = cmd.MarkFlagRequired("settings") // fails only for an unknown flag
+}
--- /dev/null
+++ b/internal/cmds/settings.go
@@ -0,0 +1,188 @@
+package cmds
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net/netip"
+	"net/url"
+	"os"
+
+	"dogwoodfold/internal/strict"
+)
+
+// TLSFiles names the certificates for mutual TLS between processes. All three
+// are given or none.
+type TLSFiles struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+// EntrySettings is the settings file of an entry.
+type EntrySettings struct {
+	Host string `json:"host"`
+	Zone string `json:"zone"`
+	// Listen takes callers, Peers other entries, Admin operators' read-only
+	// requests.
+	Listen netip.AddrPort `json:"listen"`
+	Peers  netip.AddrPort `json:"peers"`
+	Admin  netip.AddrPort `json:"admin"`
+	// Log and Hosts are base URLs of the platform's services.
+	Log   string `json:"log"`
+	Hosts string `json:"hosts"`
+	// StaticShare is a fixed share of every customer's rate and burst.
+	StaticShare float64  `json:"staticShare"`
+	TLS         TLSFiles `json:"tls"`
+}
+
+// AgentSettings is the settings file of an agent.
+type AgentSettings struct {
+	Host    string `json:"host"`
+	Zone    string `json:"zone"`
+	Service string `json:"service"`
+	// Kind is "engine" or "service".
+	Kind   string         `json:"kind"`
+	Listen netip.AddrPort `json:"listen"`
+	Admin  netip.AddrPort `json:"admin"`
+	// Endpoint is the address of the endpoint beside the agent.
+	Endpoint netip.AddrPort `json:"endpoint"`
+	// Log and Hosts are base URLs of the platform's services.
+	Log   string `json:"log"`
+	Hosts string `json:"hosts"`
+	// Slots is how many calls run at once at the endpoint.
+	Slots int      `json:"slots"`
+	TLS   TLSFiles `json:"tls"`
+}
+
+// The kinds of endpoints.
+const (
+	kindEngine  = "engine"
+	kindService = "service"
+)
+
+// readSettings decodes and checks a settings file; all faults come at once.
+func readSettings(file string, out interface{ check(*strict.Faults) }) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var faults strict.Faults
+	if err := strict.Decode(text, out); err != nil && !errors.As(err, &faults) {
+		return err
+	}
+	out.check(&faults)
+	return faults.Err()
+}
+
+func (s *EntrySettings) check(faults *strict.Faults) {
+	checkName("host", s.Host, faults)
+	checkName("zone", s.Zone, faults)
+	checkAddress("listen", s.Listen, faults)
+	checkAddress("peers", s.Peers, faults)
+	checkAddress("admin", s.Admin, faults)
+	checkURL("log", s.Log, faults)
+	checkURL("hosts", s.Hosts, faults)
+	if s.StaticShare < 0 || s.StaticShare > 1 {
+		faults.Add("staticShare", "is %v, want 0 to 1", s.StaticShare)
+	}
+	s.TLS.check(faults)
+}
+
+func (s *AgentSettings) check(faults *strict.Faults) {
+	checkName("host", s.Host, faults)
+	checkName("zone", s.Zone, faults)
+	checkName("service", s.Service, faults)
+	checkAddress("listen", s.Listen, faults)
+	checkAddress("admin", s.Admin, faults)
+	checkAddress("endpoint", s.Endpoint, faults)
+	checkURL("log", s.Log, faults)
+	checkURL("hosts", s.Hosts, faults)
+	if s.Kind != kindEngine && s.Kind != kindService {
+		faults.Add("kind", "is %q, want %q or %q", s.Kind, kindEngine, kindService)
+	}
+	if s.Slots < 1 {
+		faults.Add("slots", "must be 1 or more")
+	}
+	s.TLS.check(faults)
+}
+
+func checkName(path, name string, faults *strict.Faults) {
+	if name == "" {
+		faults.Add(path, "is missing")
+	}
+}
+
+func checkAddress(path string, address netip.AddrPort, faults *strict.Faults) {
+	if !address.IsValid() {
+		faults.Add(path, "is missing or not an address such as 10.0.0.1:8080")
+	}
+}
+
+func checkURL(path, text string, faults *strict.Faults) {
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		faults.Add(path, "%q is not a URL such as http://10.0.0.1:8080", text)
+	}
+}
+
+func (f *TLSFiles) check(faults *strict.Faults) {
+	given := 0
+	for _, name := range []string{f.Certificate, f.Key, f.Authority} {
+		if name != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		faults.Add("tls", "needs certificate, key and authority, or none of them")
+	}
+}
+
+// load returns the configuration for mutual TLS, nil if no files are named.
+// Peers are checked against the authority; their addresses are not, since
+// processes know each other by IP numbers that change.
+func (f *TLSFiles) load() (*tls.Config, error) {
+	if f.Certificate == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, err
+	}
+	authority, err := os.ReadFile(f.Authority)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, errors.New("no certificate in " + f.Authority)
+	}
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		Certificates:           []tls.Certificate{pair},
+		ClientAuth:             tls.RequireAndVerifyClientCert,
+		ClientCAs:              pool,
+		InsecureSkipVerify:     true, // VerifyConnection checks the chain instead
+		VerifyConnection:       verifyChain(pool),
+		SessionTicketsDisabled: true,
+	}, nil
+}
+
+// verifyChain accepts peers whose certificate the authority has signed.
+func verifyChain(pool *x509.CertPool) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		if len(state.PeerCertificates) == 0 {
+			return errors.New("peer has no certificate")
+		}
+		intermediates := x509.NewCertPool()
+		for _, c := range state.PeerCertificates[1:] {
+			intermediates.AddCert(c)
+		}
+		_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+			Roots:         pool,
+			Intermediates: intermediates,
+			KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+		})
+		return err
+	}
+}
--- /dev/null
+++ b/internal/e2e/harness_test.go
@@ -0,0 +1,307 @@
+// Package e2e drives the program as separate processes through real sockets.
+package e2e
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	_ "dogwoodfold/internal/cmds" // results are cached by the program's sources
+	"dogwoodfold/internal/fakes"
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/pkg/config"
+)
+
+// program is the path of the binary under test.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+// run builds the program once for all tests.
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "dogwoodfold")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program = filepath.Join(dir, "dogwoodfold")
+	build := exec.Command("go", "build", "-o", program, "dogwoodfold/cmd/dogwoodfold")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return 1
+	}
+	return m.Run()
+}
+
+// process is a running part of a fleet.
+type process struct {
+	cmd     *exec.Cmd
+	address netip.AddrPort
+	peers   netip.AddrPort
+	logs    string
+}
+
+// url returns the process's base URL.
+func (p *process) url() string { return "http://" + p.address.String() }
+
+// start runs the program and waits until it listens.
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{
+		cmd:  exec.Command(program, args...),
+		logs: filepath.Join(t.TempDir(), "log"),
+	}
+	logs, err := os.Create(p.logs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stderr = logs
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		_ = logs.Close()
+		if t.Failed() {
+			p.printLogs(t, args)
+		}
+	})
+	lines := bufio.NewReader(out)
+	p.address = address(t, lines, "listen")
+	if args[0] == "entry" {
+		p.peers = address(t, lines, "peers")
+	}
+	go func() { _, _ = io.Copy(io.Discard, out) }()
+	return p
+}
+
+// address reads a line "name address" from a process.
+func address(t *testing.T, lines *bufio.Reader, name string) netip.AddrPort {
+	t.Helper()
+	line, err := lines.ReadString('\n')
+	if err != nil {
+		t.Fatalf("no address %s: %v", name, err)
+	}
+	return netip.MustParseAddrPort(strings.TrimSpace(strings.TrimPrefix(line, name+" ")))
+}
+
+func (p *process) printLogs(t *testing.T, args []string) {
+	text, err := os.ReadFile(p.logs)
+	if err != nil {
+		return
+	}
+	t.Logf("logs of %v:\n%s", args, text)
+}
+
+// settings writes a settings file.
+func settings(t *testing.T, value map[string]any) string {
+	t.Helper()
+	text, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// system is a small fleet of processes.
+type system struct {
+	log, hosts, engine, service *process
+	entries                     []*process
+	agents                      map[string]*process
+}
+
+const (
+	boothKey = "booth-secret-key"
+	otherKey = "other-secret-key"
+)
+
+// text is the configuration that the tests publish.
+func text() string {
+	return fmt.Sprintf(`{"format":1,
+"services":{"lengua":{"kind":"model"},"pedidos":{"kind":"plain"}},
+"models":{"lengua-8b":{"service":"lengua","version":"v1","versions":{"v1":{"memoryBytes":1000}}}},
+"customers":{
+ "booth":{"keys":{"a":{"sha256":"%s"}},"ratePerSecond":100000,"burstTokens":1000000,"services":["lengua","pedidos"]},
+ "other":{"keys":{"a":{"sha256":"%s"}},"ratePerSecond":10,"burstTokens":100,"services":["lengua"]}},
+"routes":{
+ "complete":{"path":"/v1/completions","methods":["POST"],"service":"lengua","access":"keyed","priority":"interactive","idempotent":true},
+ "charge":{"path":"/charge","methods":["POST"],"service":"pedidos","access":"keyed","priority":"interactive","idempotent":false,"tokensPerCall":10,"query":["booth"]}}}`,
+		config.DigestKey([]byte(boothKey)), config.DigestKey([]byte(otherKey)))
+}
+
+// newSystem starts the platform's fakes, an engine, a service, their agents
+// and one entry, publishes the text and waits until calls are served.
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{
+		log:     start(t, "fake", "log"),
+		hosts:   start(t, "fake", "hosts"),
+		engine:  start(t, "fake", "engine", "--model", "lengua-8b/v1"),
+		service: start(t, "fake", "service"),
+		agents:  make(map[string]*process),
+	}
+	s.addAgent(t, "agent-engine", "lengua", "engine", s.engine)
+	s.addAgent(t, "agent-service", "pedidos", "service", s.service)
+	s.addEntry(t, "entry-1", 1)
+	s.publish(t, text())
+	s.await(t)
+	return s
+}
+
+func (s *system) addAgent(t *testing.T, name, service, kind string, endpoint *process) {
+	t.Helper()
+	p := start(t, "agent", "--settings", settings(t, map[string]any{
+		"host": name, "zone": "mx-centro-a", "service": service, "kind": kind,
+		"listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
+		"endpoint": endpoint.address.String(), "slots": 16, "log": s.log.url(), "hosts": s.hosts.url(),
+	}))
+	s.agents[name] = p
+	s.list(t, plat.Host{
+		Name:    name,
+		Role:    plat.RoleAgent,
+		Zone:    "mx-centro-a",
+		Service: service,
+		Address: p.address,
+		State:   plat.HostLive,
+	})
+}
+
+func (s *system) addEntry(t *testing.T, name string, share float64) {
+	t.Helper()
+	p := start(t, "entry", "--settings", settings(t, map[string]any{
+		"host": name, "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+		"log": s.log.url(), "hosts": s.hosts.url(), "staticShare": share,
+	}))
+	s.entries = append(s.entries, p)
+	s.list(t, plat.Host{
+		Name:    name,
+		Role:    plat.RoleEntry,
+		Zone:    "mx-centro-a",
+		Address: p.peers,
+		State:   plat.HostLive,
+	})
+}
+
+// list puts a host on the platform's list.
+func (s *system) list(t *testing.T, host plat.Host) {
+	t.Helper()
+	body, err := json.Marshal(host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a := do(t, "PUT", s.hosts.url()+"/hosts", string(body)); a.status != 200 {
+		t.Fatalf("host list answered %d", a.status)
+	}
+}
+
+// publish publishes a text by the command.
+func (s *system) publish(t *testing.T, text string, flags ...string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "text.json")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	args := append([]string{"config", "publish", file, "--log", s.log.url()}, flags...)
+	if out, err := exec.Command(program, args...).CombinedOutput(); err != nil {
+		t.Fatalf("publish: %v: %s", err, out)
+	}
+}
+
+// await waits until a model call and a plain call are served.
+func (s *system) await(t *testing.T) {
+	t.Helper()
+	eventually(t, "calls are served", func() bool {
+		return s.complete(t, boothKey, 1, false).status == 200 && s.charge(t, "warm-up").status == 200
+	})
+}
+
+// answer is an HTTP answer.
+type answer struct {
+	status  int
+	body    string
+	verdict string
+	err     error
+}
+
+// do sends a request with headers given as name, value pairs.
+func do(t *testing.T, method, url, body string, headers ...string) answer {
+	t.Helper()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(url)
+	request.SetBodyString(body)
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	if err := client.DoTimeout(request, response, 30*time.Second); err != nil {
+		return answer{err: err}
+	}
+	return answer{
+		status:  response.StatusCode(),
+		body:    string(response.Body()),
+		verdict: string(response.Header.Peek("Dogwoodfold-Verdict")),
+	}
+}
+
+// complete asks the first entry for a completion.
+func (s *system) complete(t *testing.T, key string, tokens int, stream bool) answer {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"lengua-8b","prompt":"order of two hoodies","max_tokens":%d,"stream":%v}`, tokens, stream)
+	return do(t, "POST", s.entries[0].url()+"/v1/completions", body, "Authorization", "Bearer "+key)
+}
+
+// charge makes a call that may not be repeated.
+func (s *system) charge(t *testing.T, body string) answer {
+	t.Helper()
+	return do(t, "POST", s.entries[0].url()+"/charge?booth=3&key="+boothKey, body, "X-Api-Key", boothKey, "Cookie", "k="+boothKey)
+}
+
+// faults replaces the faults of a fake.
+func (p *process) faults(t *testing.T, f fakes.Faults) {
+	t.Helper()
+	body, err := json.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a := do(t, "POST", p.url()+"/fake/faults", string(body)); a.status != 200 {
+		t.Fatalf("faults answered %d: %s", a.status, a.body)
+	}
+}
+
+// eventually polls until a condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 30 s: %s", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/entry/calls.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"time"
+
+	"dogwoodfold/internal/route"
+	"dogwoodfold/pkg/fault"
+)
+
+// running is a call that the reducer knows.
+type running struct {
+	Call
+	attempt int
+	host    string
+	tried   map[string]bool
+	// unsure is the failure of an attempt that may have run, nil if none has.
+	unsure error
+}
+
+// final returns the error that ends a call. A later refusal says nothing of an
+// earlier attempt that may have run.
+func (r *running) final(err error) error {
+	if r.unsure != nil && fault.VerdictOf(err) == fault.NotRun {
+		return r.unsure
+	}
+	return err
+}
+
+// arrived admits a call and sends it, or refuses it.
+func (c *Core) arrived(now time.Time, call Call) []Effect {
+	if err := c.admit(now, call); err != nil {
+		return refuse(call.ID, err)
+	}
+	r := &running{
+		Call:  call,
+		tried: make(map[string]bool),
+	}
+	c.calls[call.ID] = r
+	return c.send(now, r)
+}
+
+// admit says why a call can't be taken, nil if its tokens are reserved.
+func (c *Core) admit(now time.Time, call Call) error {
+	if c.leaving {
+		return fault.New(fault.NotRun, fault.CodeLeaving, "this entry is leaving")
+	}
+	if !c.ready {
+		return fault.New(fault.NotRun, fault.CodeNotReady, "this entry has no configuration yet")
+	}
+	if !call.Keyed {
+		return nil
+	}
+	if !c.keyValid(call) {
+		return fault.New(fault.NotRun, fault.CodeWithdrawn, "the key is not valid any more")
+	}
+	wait, ok := c.quota.Reserve(now, call.Customer, call.Tokens)
+	if !ok {
+		err := fault.New(fault.NotRun, fault.CodeRate, "the customer's rate and burst are spent")
+		return fault.WithRetryAfter(err, wait)
+	}
+	return nil
+}
+
+// keyValid reports whether a call's key still belongs to its customer.
+func (c *Core) keyValid(call Call) bool {
+	customer, ok := c.index.Customer(call.Key)
+	return ok && customer == call.Customer
+}
+
+// send makes the next attempt of a call, or gives it up.
+func (c *Core) send(now time.Time, r *running) []Effect {
+	if r.Keyed && !c.keyValid(r.Call) {
+		return c.giveUp(now, r, fault.New(fault.NotRun, fault.CodeWithdrawn, "the key was withdrawn"))
+	}
+	peer := c.router.Pick(now, route.Query{
+		Service: r.Route.Service,
+		Model:   r.Model,
+		Version: r.Version,
+		Adapter: r.Adapter,
+		Tokens:  int(r.Tokens),
+		Tried:   r.tried,
+	})
+	if peer == nil {
+		err := fault.New(fault.NotRun, fault.CodeNoEndpoint, "no endpoint can take the call now")
+		return c.giveUp(now, r, fault.WithRetryAfter(err, noEndpointRetryAfter))
+	}
+	r.attempt++
+	r.host = peer.Host.Name
+	peer.Sent++
+	peer.SentTokens += int(r.Tokens)
+	return []Effect{Send{
+		ID:           r.ID,
+		Attempt:      r.attempt,
+		Host:         peer.Host.Name,
+		Incarnation:  peer.Incarnation,
+		Weight:       c.index.Text.Customers[r.Customer].Weight,
+		ConfigOffset: c.fold.Accepted,
+	}}
+}
+
+// giveUp refuses a call. Its tokens are returned if it is proved not to have
+// run.
+func (c *Core) giveUp(now time.Time, r *running, err error) []Effect {
+	err = r.final(err)
+	used := 0.0
+	if fault.VerdictOf(err) != fault.NotRun {
+		used = r.Tokens
+	}
+	c.settle(now, r, used)
+	return append(refuse(r.ID, err), c.finish()...)
+}
+
+// settle ends a call's reservation and forgets the call.
+func (c *Core) settle(now time.Time, r *running, used float64) {
+	if r.Keyed {
+		c.quota.Settle(now, r.Customer, r.Tokens, used)
+	}
+	delete(c.calls, r.ID)
+}
+
+// answered ends a call, or sends it again where that is safe.
+func (c *Core) answered(now time.Time, e Answered) []Effect {
+	r, known := c.calls[e.ID]
+	if !known || r.attempt != e.Attempt {
+		return nil
+	}
+	if peer := c.fleet.Peer(r.host); peer != nil {
+		peer.Sent = max(0, peer.Sent-1)
+		peer.SentTokens = max(0, peer.SentTokens-int(r.Tokens))
+	}
+	if e.Outcome.Err == nil {
+		c.settle(now, r, e.Outcome.Used)
+		return c.finish()
+	}
+	r.tried[r.host] = true
+	if e.Outcome.Verdict != fault.NotRun {
+		r.unsure = e.Outcome.Err
+	}
+	if c.mayRetry(now, r, e.Outcome) {
+		return c.send(now, r)
+	}
+	return c.giveUp(now, r, e.Outcome.Err)
+}
+
+// mayRetry reports whether a failed attempt may be followed by another one.
+func (c *Core) mayRetry(now time.Time, r *running, o Outcome) bool {
+	if o.Passed || r.attempt >= maxAttempts || !now.Before(r.Deadline) {
+		return false
+	}
+	return o.Verdict == fault.NotRun || (r.Route.Idempotent && o.Verdict == fault.MayHaveRun)
+}
+
+func refuse(id string, err error) []Effect {
+	return []Effect{Refuse{
+		ID:  id,
+		Err: err,
+	}}
+}
--- /dev/null
+++ b/internal/entry/core.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"time"
+
+	"dogwoodfold/internal/fleet"
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/quota"
+	"dogwoodfold/internal/route"
+	"dogwoodfold/pkg/config"
+)
+
+const (
+	// heartbeatInterval is how often peers are told that the entry lives.
+	heartbeatInterval = 500 * time.Millisecond
+	// maxAttempts bounds how often one call is sent.
+	maxAttempts = 4
+	// noEndpointRetryAfter is what callers are told when no agent can serve.
+	noEndpointRetryAfter = time.Second
+)
+
+// CoreSettings are the constants of a reducer.
+type CoreSettings struct {
+	Host string
+	// Share is this entry's fixed share of every customer's rate and burst.
+	Share float64
+	Seed  uint64
+}
+
+// Core is the reducer of an entry.
+type Core struct {
+	fold    *config.Fold
+	index   *config.Index
+	fleet   *fleet.Fleet
+	router  *route.Router
+	quota   *quota.Limiter
+	calls   map[string]*running
+	beatAt  time.Time
+	ready   bool
+	leaving bool
+}
+
+// NewCore returns the reducer of a fresh entry.
+func NewCore(s CoreSettings) *Core {
+	f := fleet.New(s.Host)
+	return &Core{
+		fold:   config.NewFold(),
+		fleet:  f,
+		router: route.New(f, s.Seed),
+		quota:  quota.NewLimiter(s.Share),
+		calls:  make(map[string]*running),
+	}
+}
+
+// Apply implements loop.Reducer.
+func (c *Core) Apply(now time.Time, event Event) []Effect {
+	switch e := event.(type) {
+	case Arrived:
+		return c.arrived(now, e.Call)
+	case Answered:
+		return c.answered(now, e)
+	case HostsRead:
+		return c.listed(e.Hosts)
+	case LogRead:
+		return c.logRead(now, e)
+	case LinkUp:
+		c.fleet.Up(now, e.Host, e.Hello)
+		return nil
+	case LinkDown:
+		c.fleet.Down(e.Host, e.Incarnation)
+		return nil
+	case Received:
+		return c.received(now, e)
+	case Stopping:
+		return c.stopping()
+	case Tick:
+		return c.tick(now)
+	default:
+		return nil
+	}
+}
+
+// logRead passes a page to the part that its stream belongs to.
+func (c *Core) logRead(now time.Time, e LogRead) []Effect {
+	switch e.Stream {
+	case plat.StreamConfig:
+		return c.configRead(now, e.Page)
+	default:
+		return nil
+	}
+}
+
+// stopping fails readiness at once; running calls go on.
+func (c *Core) stopping() []Effect {
+	c.leaving = true
+	return append([]Effect{Ready{Ready: false}}, c.finish()...)
+}
+
+// finish ends a graceful shutdown once no call is left.
+func (c *Core) finish() []Effect {
+	if c.leaving && len(c.calls) == 0 {
+		return []Effect{Finished{}}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/models.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/pkg/config"
+	"dogwoodfold/pkg/fault"
+)
+
+// listModels returns the models, with their adapters, that a presented key
+// may use.
+func listModels(x *config.Index, key []byte) (modelList, error) {
+	list := modelList{
+		Object: "list",
+		Data:   []modelItem{},
+	}
+	customer, ok := x.Customer(config.DigestKey(key))
+	if !ok {
+		return list, fault.New(fault.NotRun, fault.CodeBadKey, "the key is not valid")
+	}
+	c := x.Text.Customers[customer]
+	for _, name := range slices.Sorted(maps.Keys(x.Text.Models)) {
+		model := x.Text.Models[name]
+		if !c.MayCall(model.Service) || !c.MayUse(name) {
+			continue
+		}
+		list.add(name, model.Service)
+		for _, adapter := range slices.Sorted(maps.Keys(model.Adapters)) {
+			list.add(name+":"+adapter, model.Service)
+		}
+	}
+	return list, nil
+}
+
+func (l *modelList) add(id, service string) {
+	l.Data = append(l.Data, modelItem{
+		ID:      id,
+		Object:  "model",
+		OwnedBy: service,
+	})
+}
+
+// writeJSON answers with a value as JSON.
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		writeError(ctx, fault.Wrap(err, fault.NotRun, fault.CodeInternal))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/internal/fakes/engine.go
@@ -0,0 +1,365 @@
+package fakes
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/plat"
+)
+
+// EngineSettings are the constants of a fake engine.
+type EngineSettings struct {
+	MemoryBytes int64
+	Slots       int
+	ChecksFence bool
+	// Residents are loaded from the start.
+	Residents []plat.Resident
+	// LoadTime is how long weights take to load.
+	LoadTime time.Duration
+}
+
+// Engine is a stand-in for a model engine. Its answer to a prompt depends only
+// on the model and the prompt.
+type Engine struct {
+	base
+	settings EngineSettings
+
+	state     sync.Mutex
+	residents []plat.Resident
+	running   int
+	sequence  uint64
+	fence     uint64
+}
+
+// NewEngine returns an engine.
+func NewEngine(s EngineSettings) *Engine {
+	return &Engine{
+		settings:  s,
+		residents: s.Residents,
+	}
+}
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() fasthttp.RequestHandler {
+	control := func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/engine/report":
+			writeJSON(ctx, e.Report())
+		case "/engine/orders":
+			e.order(ctx)
+		case "/v1/completions", "/v1/chat/completions":
+			e.note(ctx)
+			e.complete(ctx)
+		default:
+			ctx.NotFound()
+		}
+	}
+	return e.wrap(control)
+}
+
+// Report returns what the engine says of itself.
+func (e *Engine) Report() plat.Report {
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.sequence++
+	return plat.Report{
+		AsOf:             time.Now(),
+		Sequence:         e.sequence,
+		MemoryBytes:      e.settings.MemoryBytes,
+		Residents:        append([]plat.Resident{}, e.residents...),
+		Running:          e.running,
+		Slots:            e.settings.Slots,
+		Fence:            e.fence,
+		ChecksFence:      e.settings.ChecksFence,
+		PrefillPerSecond: 20_000,
+		DecodePerSecond:  2_000,
+	}
+}
+
+// order takes an order to load or unload.
+func (e *Engine) order(ctx *fasthttp.RequestCtx) {
+	var o plat.Order
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	faults := e.current()
+	if faults.LoseOrders {
+		return
+	}
+	if faults.DelayOrdersMs > 0 {
+		time.AfterFunc(time.Duration(faults.DelayOrdersMs)*time.Millisecond, func() { _ = e.Act(o) })
+		return
+	}
+	if err := e.Act(o); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusConflict)
+	}
+}
+
+// Act carries an order out. Loading beyond the memory is an error that a real
+// engine would die of.
+func (e *Engine) Act(o plat.Order) error {
+	e.state.Lock()
+	defer e.state.Unlock()
+	if e.settings.ChecksFence && o.Fence < e.fence {
+		return fmt.Errorf("fence %d is older than %d", o.Fence, e.fence)
+	}
+	e.fence = max(e.fence, o.Fence)
+	if o.Action == plat.ActionUnload {
+		e.unload(o)
+		return nil
+	}
+	return e.load(o)
+}
+
+func (e *Engine) unload(o plat.Order) {
+	var kept []plat.Resident
+	for _, r := range e.residents {
+		gone := r.Model == o.Model && r.Version == o.Version && (o.Adapter == "" || r.Adapter == o.Adapter)
+		if !gone {
+			kept = append(kept, r)
+		}
+	}
+	e.residents = kept
+}
+
+func (e *Engine) load(o plat.Order) error {
+	total := o.MemoryBytes
+	for _, r := range e.residents {
+		if r.Model == o.Model && r.Version == o.Version && r.Adapter == o.Adapter {
+			return nil
+		}
+		total += r.MemoryBytes
+	}
+	if total > e.settings.MemoryBytes {
+		return fmt.Errorf("out of memory: %d of %d bytes", total, e.settings.MemoryBytes)
+	}
+	resident := plat.Resident{
+		Model:       o.Model,
+		Version:     o.Version,
+		Adapter:     o.Adapter,
+		MemoryBytes: o.MemoryBytes,
+		Ready:       e.settings.LoadTime == 0,
+	}
+	e.residents = append(e.residents, resident)
+	if !resident.Ready {
+		time.AfterFunc(e.settings.LoadTime, func() { e.ready(o) })
+	}
+	return nil
+}
+
+// ready marks a resident as loaded.
+func (e *Engine) ready(o plat.Order) {
+	e.state.Lock()
+	defer e.state.Unlock()
+	for i, r := range e.residents {
+		if r.Model == o.Model && r.Version == o.Version && r.Adapter == o.Adapter {
+			e.residents[i].Ready = true
+		}
+	}
+}
+
+// completionRequest is what the engine reads of a request.
+type completionRequest struct {
+	Model     string          `json:"model"`
+	Prompt    string          `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+// Tokens returns the engine's answer to a request.
+func Tokens(model, prompt string, limit int) []string {
+	words := []string{"hoodie", "tour", "size", "booth", "order", "queue", "venue", "note"}
+	hash := uint32(2166136261)
+	for _, b := range []byte(model + "\x00" + prompt) {
+		hash = (hash ^ uint32(b)) * 16777619
+	}
+	tokens := make([]string, limit)
+	for i := range tokens {
+		hash = hash*1664525 + 1013904223
+		tokens[i] = words[hash>>29] + " "
+	}
+	return tokens
+}
+
+func (e *Engine) complete(ctx *fasthttp.RequestCtx) {
+	var r completionRequest
+	if err := json.Unmarshal(ctx.PostBody(), &r); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if r.MaxTokens <= 0 {
+		r.MaxTokens = 16
+	}
+	if r.Prompt == "" {
+		r.Prompt = string(r.Messages)
+	}
+	faults := e.current()
+	if faults.Fail {
+		ctx.Error(`{"error":{"code":"engine_failed"}}`, fasthttp.StatusInternalServerError)
+		return
+	}
+	if !e.holds(r.Model) {
+		ctx.Response.Header.Set("Endpoint-Not-Run", "1")
+		ctx.Error(`{"error":{"code":"not_loaded"}}`, fasthttp.StatusConflict)
+		return
+	}
+	if r.Stream {
+		e.stream(ctx, r, faults)
+		return
+	}
+	e.whole(ctx, r, faults)
+}
+
+// holds reports whether a model, with an adapter after a colon, is loaded.
+func (e *Engine) holds(name string) bool {
+	model, adapter, _ := strings.Cut(name, ":")
+	e.state.Lock()
+	defer e.state.Unlock()
+	for _, r := range e.residents {
+		if r.Ready && r.Model == model && r.Adapter == adapter {
+			return true
+		}
+	}
+	return false
+}
+
+// wholeAnswer is an answer that is not a stream.
+type wholeAnswer struct {
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   usage    `json:"usage"`
+}
+
+type choice struct {
+	Text string `json:"text"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+func usageOf(r completionRequest) usage {
+	return usage{
+		PromptTokens:     len(strings.Fields(r.Prompt)),
+		CompletionTokens: r.MaxTokens,
+	}
+}
+
+func (e *Engine) whole(ctx *fasthttp.RequestCtx, r completionRequest, faults Faults) {
+	e.add(1)
+	defer e.add(-1)
+	time.Sleep(time.Duration(faults.TokenMs*r.MaxTokens) * time.Millisecond)
+	writeJSON(ctx, wholeAnswer{
+		Model:   r.Model,
+		Choices: []choice{{Text: strings.Join(Tokens(r.Model, r.Prompt, r.MaxTokens), "")}},
+		Usage:   usageOf(r),
+	})
+	if faults.CutAfter > 0 {
+		cut(ctx)
+	}
+}
+
+// cut sends half of the answer and breaks the connection.
+func cut(ctx *fasthttp.RequestCtx) {
+	body := append([]byte{}, ctx.Response.Body()...)
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+			len(body), body[:len(body)/2])
+	})
+}
+
+// streamChunk is one event of a stream.
+type streamChunk struct {
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+func (e *Engine) stream(ctx *fasthttp.RequestCtx, r completionRequest, faults Faults) {
+	e.add(1)
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStream(&tokenReader{
+		engine:  e,
+		request: r,
+		faults:  faults,
+		tokens:  Tokens(r.Model, r.Prompt, r.MaxTokens),
+	}, -1)
+}
+
+// tokenReader is the body of a stream.
+type tokenReader struct {
+	engine  *Engine
+	request completionRequest
+	faults  Faults
+	tokens  []string
+	sent    int
+	pending []byte
+	over    bool
+}
+
+// errCut breaks the connection in the middle of a stream.
+var errCut = errors.New("stream cut by a fault")
+
+// Read implements io.Reader; each event is a read of its own.
+func (t *tokenReader) Read(p []byte) (int, error) {
+	if len(t.pending) == 0 {
+		if err := t.next(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, t.pending)
+	t.pending = t.pending[n:]
+	return n, nil
+}
+
+// next makes the next event.
+func (t *tokenReader) next() error {
+	if t.over {
+		return io.EOF
+	}
+	if t.faults.CutAfter > 0 && t.sent == t.faults.CutAfter {
+		return errCut
+	}
+	if t.sent < len(t.tokens) {
+		time.Sleep(time.Duration(t.faults.TokenMs) * time.Millisecond)
+		t.pending = event(streamChunk{Choices: []choice{{Text: t.tokens[t.sent]}}})
+		t.sent++
+		return nil
+	}
+	u := usageOf(t.request)
+	t.pending = append(event(streamChunk{Usage: &u}), "data: [DONE]\n\n"...)
+	t.over = true
+	return nil
+}
+
+// Close implements io.Closer.
+func (t *tokenReader) Close() error {
+	t.engine.add(-1)
+	return nil
+}
+
+// event returns one event of a stream.
+func event(chunk streamChunk) []byte {
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return nil
+	}
+	return fmt.Appendf(nil, "data: %s\n\n", data)
+}
+
+func (e *Engine) add(n int) {
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.running += n
+}
--- /dev/null
+++ b/internal/fakes/hosts.go
@@ -0,0 +1,70 @@
+package fakes
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/plat"
+)
+
+// Hosts is a stand-in for the platform's host list. PUT /hosts adds or
+// replaces one host, DELETE /hosts?name=N removes one.
+type Hosts struct {
+	base
+	state sync.Mutex
+	hosts map[string]plat.Host
+}
+
+// NewHosts returns an empty host list.
+func NewHosts() *Hosts { return &Hosts{hosts: make(map[string]plat.Host)} }
+
+// Handler returns the list's HTTP interface.
+func (h *Hosts) Handler() fasthttp.RequestHandler { return h.wrap(h.handle) }
+
+func (h *Hosts) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != "/hosts" {
+		ctx.NotFound()
+		return
+	}
+	switch {
+	case ctx.IsPut():
+		var host plat.Host
+		if err := json.Unmarshal(ctx.PostBody(), &host); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		h.Put(host)
+	case ctx.IsDelete():
+		h.Remove(string(ctx.QueryArgs().Peek("name")))
+	default:
+		writeJSON(ctx, h.list())
+	}
+}
+
+// Put adds or replaces a host.
+func (h *Hosts) Put(host plat.Host) {
+	h.state.Lock()
+	defer h.state.Unlock()
+	h.hosts[host.Name] = host
+}
+
+// Remove takes a host off the list.
+func (h *Hosts) Remove(name string) {
+	h.state.Lock()
+	defer h.state.Unlock()
+	delete(h.hosts, name)
+}
+
+func (h *Hosts) list() []plat.Host {
+	h.state.Lock()
+	defer h.state.Unlock()
+	hosts := make([]plat.Host, 0, len(h.hosts))
+	for _, name := range slices.Sorted(maps.Keys(h.hosts)) {
+		hosts = append(hosts, h.hosts[name])
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/fakes/log.go
@@ -0,0 +1,143 @@
+package fakes
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/plat"
+)
+
+// Log is a stand-in for the platform's log.
+type Log struct {
+	base
+	retention time.Duration
+
+	state   sync.Mutex
+	streams map[string]*stream
+}
+
+// stream is the kept part of one stream.
+type stream struct {
+	first   uint64
+	records []plat.Record
+	grown   chan struct{}
+}
+
+const (
+	logPoll   = 5 * time.Second
+	pageLimit = 1000
+)
+
+// NewLog returns an empty log that keeps records for a time, for ever if it is
+// zero.
+func NewLog(retention time.Duration) *Log {
+	return &Log{
+		retention: retention,
+		streams:   make(map[string]*stream),
+	}
+}
+
+// Handler returns the log's HTTP interface.
+func (l *Log) Handler() fasthttp.RequestHandler { return l.wrap(l.handle) }
+
+func (l *Log) handle(ctx *fasthttp.RequestCtx) {
+	name, ok := strings.CutPrefix(string(ctx.Path()), "/streams/")
+	if !ok || name == "" {
+		ctx.NotFound()
+		return
+	}
+	if ctx.IsPost() {
+		l.append(ctx, name)
+		return
+	}
+	l.read(ctx, name)
+}
+
+// offsetAnswer is the answer to an append.
+type offsetAnswer struct {
+	Offset uint64 `json:"offset"`
+}
+
+func (l *Log) append(ctx *fasthttp.RequestCtx, name string) {
+	data := append([]byte{}, ctx.PostBody()...)
+	if !json.Valid(data) {
+		ctx.Error("record is not JSON", fasthttp.StatusBadRequest)
+		return
+	}
+	writeJSON(ctx, offsetAnswer{Offset: l.Append(name, data)})
+}
+
+// Append adds a record and returns its offset.
+func (l *Log) Append(name string, data []byte) uint64 {
+	l.state.Lock()
+	defer l.state.Unlock()
+	s := l.stream(name)
+	offset := s.first + uint64(len(s.records))
+	s.records = append(s.records, plat.Record{
+		Offset: offset,
+		Time:   time.Now(),
+		Data:   data,
+	})
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return offset
+}
+
+// stream returns a stream without its expired records.
+func (l *Log) stream(name string) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{
+			first: 1,
+			grown: make(chan struct{}),
+		}
+		l.streams[name] = s
+	}
+	for l.retention > 0 && len(s.records) > 0 && time.Since(s.records[0].Time) > l.retention {
+		s.records = s.records[1:]
+		s.first++
+	}
+	return s
+}
+
+func (l *Log) read(ctx *fasthttp.RequestCtx, name string) {
+	from, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("from")), 10, 64)
+	if err != nil {
+		ctx.Error("from is not an offset", fasthttp.StatusBadRequest)
+		return
+	}
+	wait := min(time.Duration(ctx.QueryArgs().GetUintOrZero("waitMs"))*time.Millisecond, logPoll)
+	page, grown := l.page(name, from)
+	if len(page.Records) == 0 && wait > 0 {
+		select {
+		case <-grown:
+		case <-time.After(wait):
+		}
+		page, _ = l.page(name, from)
+	}
+	writeJSON(ctx, page)
+}
+
+// page returns the records from an offset on and a channel that is closed when
+// the stream grows.
+func (l *Log) page(name string, from uint64) (plat.Page, <-chan struct{}) {
+	l.state.Lock()
+	defer l.state.Unlock()
+	s := l.stream(name)
+	page := plat.Page{
+		First:   s.first,
+		Next:    s.first + uint64(len(s.records)),
+		Records: []plat.Record{},
+	}
+	for _, r := range s.records {
+		if r.Offset >= from && len(page.Records) < pageLimit {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, s.grown
+}
--- /dev/null
+++ b/internal/link/pool.go
@@ -0,0 +1,147 @@
+// Package link keeps a session open to each of a set of hosts and reconnects
+// with jittered backoff.
+package link
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/wire"
+	"dogwoodfold/internal/wire/wirepb"
+)
+
+const (
+	dialTimeout    = 3 * time.Second
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 2 * time.Second
+)
+
+// Handler learns what happens to the sessions. It must not block.
+type Handler struct {
+	Up       func(plat.Host, *wire.Session)
+	Down     func(plat.Host, *wire.Session)
+	Received func(plat.Host, *wire.Session, *wirepb.Envelope)
+}
+
+// Dial opens a session to a host.
+type Dial func(context.Context, plat.Host) (*wire.Session, error)
+
+// Pool keeps one session for each target.
+type Pool struct {
+	dial    Dial
+	handler Handler
+	targets chan []plat.Host
+	done    chan struct{}
+}
+
+// New returns a pool without targets.
+func New(dial Dial, handler Handler) *Pool {
+	return &Pool{
+		dial:    dial,
+		handler: handler,
+		targets: make(chan []plat.Host, 1),
+		done:    make(chan struct{}),
+	}
+}
+
+// Set replaces the targets. Only the newest set counts.
+func (p *Pool) Set(targets []plat.Host) {
+	select {
+	case <-p.targets:
+	default:
+	}
+	p.targets <- targets
+}
+
+// Done is closed when Run has returned.
+func (p *Pool) Done() <-chan struct{} { return p.done }
+
+// worker keeps the session of one target.
+type worker struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Run serves the pool until ctx ends and all sessions are closed.
+func (p *Pool) Run(ctx context.Context) {
+	defer close(p.done)
+	workers := make(map[plat.Host]worker)
+	for {
+		select {
+		case <-ctx.Done():
+			for _, w := range workers {
+				w.cancel()
+				<-w.done
+			}
+			return
+		case targets := <-p.targets:
+			p.adjust(ctx, workers, targets)
+		}
+	}
+}
+
+// adjust starts and stops workers so that they match the targets.
+func (p *Pool) adjust(ctx context.Context, workers map[plat.Host]worker, targets []plat.Host) {
+	wanted := make(map[plat.Host]bool)
+	for _, host := range targets {
+		host.State = "" // a change of state keeps the session
+		wanted[host] = true
+	}
+	for host, w := range workers {
+		if !wanted[host] {
+			w.cancel()
+			delete(workers, host)
+		}
+	}
+	for host := range wanted {
+		if _, running := workers[host]; !running {
+			workers[host] = p.start(ctx, host)
+		}
+	}
+}
+
+func (p *Pool) start(ctx context.Context, host plat.Host) worker {
+	ctx, cancel := context.WithCancel(ctx)
+	w := worker{
+		cancel: cancel,
+		done:   make(chan struct{}),
+	}
+	go func() {
+		defer close(w.done)
+		p.keep(ctx, host)
+	}()
+	return w
+}
+
+// keep connects to a host again and again until ctx ends.
+func (p *Pool) keep(ctx context.Context, host plat.Host) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = firstBackoff
+	wait.MaxInterval = longestBackoff
+	for ctx.Err() == nil {
+		if p.connect(ctx, host) {
+			wait.Reset()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+// connect runs one session to its end and reports whether it came up.
+func (p *Pool) connect(ctx context.Context, host plat.Host) bool {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	session, err := p.dial(dialCtx, host)
+	if err != nil {
+		return false
+	}
+	p.handler.Up(host, session)
+	_ = session.Run(ctx, func(e *wirepb.Envelope) { p.handler.Received(host, session, e) })
+	p.handler.Down(host, session)
+	return true
+}
--- /dev/null
+++ b/internal/plat/follow.go
@@ -0,0 +1,39 @@
+package plat
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	followWait  = 10 * time.Second
+	followRetry = 500 * time.Millisecond
+)
+
+// Follow reads a stream from an offset on until ctx ends. Each page, empty ones
+// too, goes to read; each failure goes to failed.
+func Follow(ctx context.Context, log Log, stream string, from uint64, read func(Page), failed func(error)) {
+	for ctx.Err() == nil {
+		page, err := log.Read(ctx, stream, from, followWait)
+		if err != nil {
+			if ctx.Err() == nil {
+				failed(err)
+			}
+			pause(ctx, followRetry)
+			continue
+		}
+		from = max(from, page.First)
+		if n := len(page.Records); n > 0 {
+			from = page.Records[n-1].Offset + 1
+		}
+		read(page)
+	}
+}
+
+// pause waits for a time or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/plat/http.go
@@ -0,0 +1,167 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// defaultTimeout bounds a request whose context has no deadline.
+const defaultTimeout = 5 * time.Second
+
+// maxResponseBytes bounds what a client reads of one answer.
+const maxResponseBytes = 64 << 20
+
+// client is the JSON over HTTP that the clients of this package share.
+type client struct {
+	base string
+	http *fasthttp.Client
+}
+
+func newClient(base string) client {
+	return client{
+		base: base,
+		http: &fasthttp.Client{
+			MaxIdemponentCallAttempts: 1,
+			MaxResponseBodySize:       maxResponseBytes,
+			NoDefaultUserAgentHeader:  true,
+		},
+	}
+}
+
+// do sends a request and decodes the answer into out, if out is not nil. It
+// returns early when ctx ends; the request may then still take effect.
+func (c client) do(ctx context.Context, method, path string, body []byte, extra time.Duration, out any) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(defaultTimeout + extra)
+	}
+	done := make(chan answer, 1)
+	go func() { done <- c.exchange(method, path, body, deadline) }()
+	select {
+	case <-ctx.Done():
+		return fmt.Errorf("%s %s: %w", method, path, ctx.Err())
+	case a := <-done:
+		if a.err != nil {
+			return fmt.Errorf("%s %s: %w", method, path, a.err)
+		}
+		if out == nil {
+			return nil
+		}
+		if err := json.Unmarshal(a.body, out); err != nil {
+			return fmt.Errorf("%s %s: %w", method, path, err)
+		}
+		return nil
+	}
+}
+
+// answer is what a request brought.
+type answer struct {
+	body []byte
+	err  error
+}
+
+// exchange sends one request and reads its answer.
+func (c client) exchange(method, path string, body []byte, deadline time.Time) answer {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(c.base + path)
+	if body != nil {
+		request.Header.SetContentType("application/json")
+		request.SetBodyRaw(body)
+	}
+	if err := c.http.DoDeadline(request, response, deadline); err != nil {
+		return answer{err: err}
+	}
+	received := slices.Clone(response.Body())
+	if code := response.StatusCode(); code >= fasthttp.StatusMultipleChoices {
+		return answer{err: &StatusError{
+			Status: code,
+			Body:   string(received),
+		}}
+	}
+	return answer{body: received}
+}
+
+// StatusError is an answer of the platform that is not a success.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error describes the answer.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("platform answered %d: %s", e.Status, e.Body)
+}
+
+// HTTPLog is a client of the log.
+type HTTPLog struct{ client }
+
+// NewHTTPLog returns a client of the log at a base URL.
+func NewHTTPLog(base string) *HTTPLog { return &HTTPLog{client: newClient(base)} }
+
+// appendAnswer is the log's answer to an append.
+type appendAnswer struct {
+	Offset uint64 `json:"offset"`
+}
+
+// Append implements Log.
+func (l *HTTPLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	var answer appendAnswer
+	err := l.do(ctx, fasthttp.MethodPost, "/streams/"+url.PathEscape(stream), data, 0, &answer)
+	return answer.Offset, err
+}
+
+// Read implements Log.
+func (l *HTTPLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Page, error) {
+	query := url.Values{}
+	query.Set("from", strconv.FormatUint(from, 10))
+	query.Set("waitMs", strconv.FormatInt(wait.Milliseconds(), 10))
+	var page Page
+	err := l.do(ctx, fasthttp.MethodGet, "/streams/"+url.PathEscape(stream)+"?"+query.Encode(), nil, wait, &page)
+	return page, err
+}
+
+// HTTPHosts is a client of the host list.
+type HTTPHosts struct{ client }
+
+// NewHTTPHosts returns a client of the host list at a base URL.
+func NewHTTPHosts(base string) *HTTPHosts { return &HTTPHosts{client: newClient(base)} }
+
+// List implements Hosts.
+func (h *HTTPHosts) List(ctx context.Context) ([]Host, error) {
+	var hosts []Host
+	err := h.do(ctx, fasthttp.MethodGet, "/hosts", nil, 0, &hosts)
+	return hosts, err
+}
+
+// HTTPEngine is a client of an engine's control side.
+type HTTPEngine struct{ client }
+
+// NewHTTPEngine returns a client of the engine at a base URL.
+func NewHTTPEngine(base string) *HTTPEngine { return &HTTPEngine{client: newClient(base)} }
+
+// Report implements Engine.
+func (e *HTTPEngine) Report(ctx context.Context) (Report, error) {
+	var report Report
+	err := e.do(ctx, fasthttp.MethodGet, "/engine/report", nil, 0, &report)
+	return report, err
+}
+
+// Order implements Engine.
+func (e *HTTPEngine) Order(ctx context.Context, o Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	return e.do(ctx, fasthttp.MethodPost, "/engine/orders", body, 0, nil)
+}
--- /dev/null
+++ b/internal/strict/strict.go
@@ -0,0 +1,92 @@
+// Package strict decodes JSON into structs and reports every unknown field and
+// every value of the wrong kind at once, each with its path.
+package strict
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/go-viper/mapstructure/v2"
+)
+
+// Faults is a list of faults found in one text.
+type Faults []string
+
+// Error joins the faults, one a line.
+func (f Faults) Error() string { return strings.Join(f, "\n") }
+
+// Add appends a fault at a path.
+func (f *Faults) Add(path, format string, args ...any) {
+	*f = append(*f, path+": "+fmt.Sprintf(format, args...))
+}
+
+// Err returns f as an error with the faults sorted, nil if there are none.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	slices.Sort(f)
+	return f
+}
+
+// Decode fills out, a pointer to a struct with json tags, from a JSON text.
+// Durations and addresses are written as strings, such as "1.2s". The error is
+// a Faults if the text is JSON.
+func Decode(text []byte, out any) error {
+	raw, err := generic(text)
+	if err != nil {
+		return err
+	}
+	decoder, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
+		TagName:     "json",
+		ErrorUnused: true,
+		Result:      out,
+		DecodeHook: mapstructure.ComposeDecodeHookFunc(
+			mapstructure.StringToTimeDurationHookFunc(),
+			mapstructure.TextUnmarshallerHookFunc(),
+		),
+		MatchName: func(key, field string) bool { return key == field },
+	})
+	if err != nil {
+		return err
+	}
+	var faults Faults
+	collect(decoder.Decode(raw), &faults)
+	return faults.Err()
+}
+
+// generic decodes one JSON value and refuses anything after it.
+func generic(text []byte) (any, error) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.UseNumber()
+	var raw any
+	if err := decoder.Decode(&raw); err != nil {
+		return nil, fmt.Errorf("not valid JSON: %w", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("not valid JSON: text after the value")
+	}
+	return raw, nil
+}
+
+// collect flattens a tree of joined errors into faults.
+func collect(err error, faults *Faults) {
+	switch wrapped := err.(type) { //nolint:errorlint // each node is visited
+	case nil:
+	case interface{ Unwrap() []error }:
+		for _, e := range wrapped.Unwrap() {
+			collect(e, faults)
+		}
+	case *mapstructure.DecodeError:
+		faults.Add(wrapped.Name(), "%v", wrapped.Unwrap())
+	case interface{ Unwrap() error }:
+		collect(wrapped.Unwrap(), faults)
+	default:
+		faults.Add("text", "%v", err)
+	}
+}
--- /dev/null
+++ b/internal/strict/strict_test.go
@@ -0,0 +1,50 @@
+package strict_test
+
+import (
+	"errors"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/strict"
+)
+
+type sample struct {
+	Listen  netip.AddrPort `json:"listen"`
+	Timeout time.Duration  `json:"timeout"`
+	Parts   map[string]struct {
+		Count int `json:"count"`
+	} `json:"parts"`
+}
+
+func TestDecode(t *testing.T) {
+	var s sample
+	err := strict.Decode([]byte(`{"listen":"127.0.0.1:80","timeout":"1.2s","parts":{"a":{"count":3}}}`), &s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Timeout != 1200*time.Millisecond || s.Listen.Port() != 80 || s.Parts["a"].Count != 3 {
+		t.Errorf("decoded %+v", s)
+	}
+}
+
+func TestDecodeReportsAllFaults(t *testing.T) {
+	var s sample
+	err := strict.Decode([]byte(`{"listen":"nowhere","timeout":"soon","parts":{"a":{"count":"x","size":1}},"extra":1}`), &s)
+	var faults strict.Faults
+	if !errors.As(err, &faults) {
+		t.Fatalf("error = %v, want Faults", err)
+	}
+	for _, want := range []string{"listen", "timeout", "count", "size", "extra"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no fault names %q in:\n%v", want, err)
+		}
+	}
+}
+
+func TestDecodeRefusesTrailingText(t *testing.T) {
+	if err := strict.Decode([]byte(`{} {}`), &sample{}); err == nil {
+		t.Error("trailing text was accepted")
+	}
+}
--- /dev/null
+++ b/internal/wire/verdict.go
@@ -0,0 +1,31 @@
+package wire
+
+import (
+	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/fault"
+)
+
+// VerdictToWire returns the wire's form of a verdict.
+func VerdictToWire(v fault.Verdict) wirepb.Verdict {
+	switch v {
+	case fault.NotRun:
+		return wirepb.Verdict_VERDICT_NOT_RUN
+	case fault.Ran:
+		return wirepb.Verdict_VERDICT_RAN
+	default:
+		return wirepb.Verdict_VERDICT_MAY_HAVE_RUN
+	}
+}
+
+// VerdictFromWire returns the verdict of a wire's form; an unknown one says
+// the least.
+func VerdictFromWire(v wirepb.Verdict) fault.Verdict {
+	switch v {
+	case wirepb.Verdict_VERDICT_NOT_RUN:
+		return fault.NotRun
+	case wirepb.Verdict_VERDICT_RAN:
+		return fault.Ran
+	default:
+		return fault.MayHaveRun
+	}
+}
--- /dev/null
+++ b/pkg/config/config_test.go
@@ -0,0 +1,100 @@
+package config_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"dogwoodfold/pkg/config"
+)
+
+const small = `{"format":1,
+"services":{"lengua":{"kind":"model"}},
+"models":{"m":{"service":"lengua","version":"v1","versions":{"v1":{"memoryBytes":1}}}},
+"customers":{"booth":{"keys":{"a":{"sha256":"%s"}},"ratePerSecond":10,"burstTokens":100,"services":["lengua"]}},
+"routes":{"chat":{"path":"/v1/chat/completions","service":"lengua","access":"keyed","priority":"interactive","idempotent":true}}}`
+
+func text() string { return fmt.Sprintf(small, config.DigestKey([]byte("secret"))) }
+
+func publish(t *testing.T, base uint64, text, patch string) []byte {
+	t.Helper()
+	data, err := json.Marshal(config.Record{Publish: &config.Publish{
+		Base:  base,
+		Text:  json.RawMessage(text),
+		Patch: json.RawMessage(patch),
+		Nonce: "n",
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestFoldOneWinner(t *testing.T) {
+	f := config.NewFold()
+	if err := f.Apply(1, publish(t, 0, text(), "")); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Apply(2, publish(t, 0, text(), "")); !errors.Is(err, config.ErrStale) {
+		t.Errorf("second publish on the same base: %v, want ErrStale", err)
+	}
+	if f.Accepted != 1 {
+		t.Errorf("accepted = %d, want 1", f.Accepted)
+	}
+}
+
+func TestPatchWithdrawsKey(t *testing.T) {
+	f := config.NewFold()
+	if err := f.Apply(1, publish(t, 0, text(), "")); err != nil {
+		t.Fatal(err)
+	}
+	digest := config.DigestKey([]byte("secret"))
+	if name, ok := config.NewIndex(f.Text).Customer(digest); !ok || name != "booth" {
+		t.Fatalf("customer = %q, %v", name, ok)
+	}
+	if err := f.Apply(2, publish(t, 1, "", `{"customers":{"booth":{"keys":{"a":null}}}}`)); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := config.NewIndex(f.Text).Customer(digest); ok {
+		t.Error("withdrawn key still names a customer")
+	}
+}
+
+func TestInvalidPublishIsRefused(t *testing.T) {
+	f := config.NewFold()
+	if err := f.Apply(1, publish(t, 0, text(), "")); err != nil {
+		t.Fatal(err)
+	}
+	err := f.Apply(2, publish(t, 1, "", `{"routes":{"x":{"path":"nope","service":"none"}}}`))
+	if err == nil || f.Accepted != 1 {
+		t.Fatalf("accepted = %d, err = %v", f.Accepted, err)
+	}
+	for _, want := range []string{"routes.x.path", "routes.x.service", "routes.x.access", "routes.x.priority"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no fault names %s in:\n%v", want, err)
+		}
+	}
+}
+
+func TestSecretHeadersAreNotForwardable(t *testing.T) {
+	bad := strings.Replace(text(), `"idempotent":true`, `"headers":["Cookie"]`, 1)
+	if _, err := config.Parse([]byte(bad)); err == nil {
+		t.Error("a route that forwards cookies was accepted")
+	}
+}
+
+func TestRouteMatchesWholeSegments(t *testing.T) {
+	c, err := config.Parse([]byte(text()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := config.NewIndex(c)
+	if _, ok := x.Route("POST", "/v1/chat/completions"); !ok {
+		t.Error("exact path not matched")
+	}
+	if _, ok := x.Route("POST", "/v1/chat/completionsx"); ok {
+		t.Error("half a segment matched")
+	}
+}
--- /dev/null
+++ b/pkg/fault/fault.go
@@ -0,0 +1,150 @@
+// Package fault gives errors a verdict: whether the request that failed may
+// have run at its endpoint.
+package fault
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Verdict says whether a request may have run. Its zero value is MayHaveRun,
+// so an error without a verdict never claims more than is known.
+type Verdict int
+
+// The verdicts, from the safe default on.
+const (
+	// MayHaveRun means that the request may or may not have run.
+	MayHaveRun Verdict = iota
+	// NotRun means that the request is proved not to have run.
+	NotRun
+	// Ran means that the request ran, though its answer is not whole.
+	Ran
+)
+
+// String returns the verdict as callers see it in Dogwoodfold-Verdict.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Code names the cause of a failure for callers and logs.
+type Code string
+
+// The codes of all failures.
+const (
+	CodeBadRequest    Code = "bad_request"
+	CodeTooLarge      Code = "request_too_large"
+	CodeNoKey         Code = "missing_key"
+	CodeBadKey        Code = "invalid_key"
+	CodeForbidden     Code = "not_permitted"
+	CodeNoRoute       Code = "unknown_route"
+	CodeNoModel       Code = "unknown_model"
+	CodeRate          Code = "rate_limited"
+	CodeNoEndpoint    Code = "no_endpoint"
+	CodeBusy          Code = "overloaded"
+	CodeLeaving       Code = "leaving"
+	CodeNotReady      Code = "not_ready"
+	CodeDeadline      Code = "deadline_exceeded"
+	CodeLink          Code = "link_broken"
+	CodeEndpoint      Code = "endpoint_failed"
+	CodeCut           Code = "answer_cut"
+	CodeConflict      Code = "idempotency_conflict"
+	CodeWithdrawn     Code = "key_withdrawn"
+	CodeFenced        Code = "entry_fenced"
+	CodeUnknownResult Code = "outcome_unknown"
+	CodeInternal      Code = "internal"
+)
+
+type (
+	verdictKey    struct{}
+	codeKey       struct{}
+	retryAfterKey struct{}
+)
+
+// New returns an error with a verdict, a code and a message for the caller.
+func New(v Verdict, c Code, message string) error {
+	return merry.New(message,
+		merry.NoCaptureStack(),
+		merry.WithValue(verdictKey{}, v),
+		merry.WithValue(codeKey{}, c),
+		merry.WithHTTPCode(status(c)))
+}
+
+// Wrap gives err a verdict and a code. It returns nil for a nil err.
+func Wrap(err error, v Verdict, c Code) error {
+	return merry.Wrap(err,
+		merry.NoCaptureStack(),
+		merry.WithValue(verdictKey{}, v),
+		merry.WithValue(codeKey{}, c),
+		merry.WithHTTPCode(status(c)))
+}
+
+// WithRetryAfter adds the time after which the caller may ask again.
+func WithRetryAfter(err error, after time.Duration) error {
+	return merry.Wrap(err, merry.NoCaptureStack(), merry.WithValue(retryAfterKey{}, after))
+}
+
+// VerdictOf returns the verdict of err, MayHaveRun if it has none.
+func VerdictOf(err error) Verdict {
+	v, _ := merry.Value(err, verdictKey{}).(Verdict)
+	return v
+}
+
+// CodeOf returns the code of err, CodeInternal if it has none.
+func CodeOf(err error) Code {
+	c, ok := merry.Value(err, codeKey{}).(Code)
+	if !ok {
+		return CodeInternal
+	}
+	return c
+}
+
+// RetryAfterOf returns the time after which to ask again, zero if unset.
+func RetryAfterOf(err error) time.Duration {
+	d, _ := merry.Value(err, retryAfterKey{}).(time.Duration)
+	return d
+}
+
+// StatusOf returns the HTTP status that err is answered with.
+func StatusOf(err error) int {
+	return merry.HTTPCode(err)
+}
+
+// status maps a code to its HTTP status.
+func status(c Code) int {
+	s, ok := statuses[c]
+	if !ok {
+		return 500
+	}
+	return s
+}
+
+var statuses = map[Code]int{
+	CodeBadRequest:    400,
+	CodeTooLarge:      413,
+	CodeNoKey:         401,
+	CodeBadKey:        401,
+	CodeWithdrawn:     401,
+	CodeForbidden:     403,
+	CodeNoRoute:       404,
+	CodeNoModel:       404,
+	CodeConflict:      409,
+	CodeUnknownResult: 409,
+	CodeRate:          429,
+	CodeNoEndpoint:    503,
+	CodeBusy:          503,
+	CodeLeaving:       503,
+	CodeNotReady:      503,
+	CodeFenced:        503,
+	CodeDeadline:      504,
+	CodeLink:          502,
+	CodeEndpoint:      502,
+	CodeCut:           502,
+}
