Fold the configuration so that no checkpoint or release can bend it

Cause: a checkpoint overruled what a fold had read, a fresh fold went on across expired records, and the validator was tied to the release, so that two releases could have folded one log differently.

Change: publishes alone move a fold that has all records; checkpoints are only verified. A fold that finds records expired unread holds what is kept and resumes from the newest checkpoint that agrees with it, or is not whole. Each format has its own parser; a text of an unknown format stops the fold instead of being refused. Texts are canonical, and a publish may carry the sum of its result, so a wrong base or merge is refused. Since and Adopt pass a state, as patches if they are shorter, between processes; Adopt never lowers a version and never overrules a record that was read.

Shown failing with the mechanism left out: the base check (TestFoldOneWinner: "accepted = 2, want 1"; TestFoldsAgree: "record 2 accepted on base 0 while 1 was in force"), the gap (TestFoldsAgree: "fresh fold 0"), the check against the publish kept and the fold's own history (TestLyingCheckpoint...: "resumed from {"format":1}", "the checkpoint has changed the configuration"), the check of upTo (TestResumeNeedsAllRecords...: "accepted 1, want 2"), the stop at an unknown format ("after it: accepted 3"), Adopt's two guards ("lowered 2 to 1", "a peer overruled a record that was read"), the sum ("accepted 1, want ErrSum").

A first run of TestFoldsAgree failed: a well-formed lie in the newest checkpoint after its publish had expired misled fresh folds.

Conclusion: folds from any start agree under rapid; what a single lie in the moment before its answer does to a fresh process is not excluded.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -1,22 +1,49 @@
 package config
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
 	"strings"
 
 	"dogwoodfold/internal/strict"
 )
 
-// Parse decodes and checks a text. All faults are reported at once, each with
-// its path.
+// ErrFormat reports a text in a format that a later release has brought.
+var ErrFormat = errors.New("the text's format is of a later release")
+
+// parsers hold the decoder and checks of each format. What a format accepts
+// never changes once released, so that two releases can't fold one log to
+// different results; another rule needs another format.
+var parsers = map[int]func([]byte) (*Text, error){
+	1: parse1,
+}
+
+// Parse decodes and checks a text by the rules of its own format. All faults
+// are reported at once, each with its path.
 func Parse(text []byte) (*Text, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return nil, fmt.Errorf("not a text: %w", err)
+	}
+	var format int
+	if err := json.Unmarshal(fields["format"], &format); err != nil || format < 1 {
+		return nil, strict.Faults{"format: is missing or not a version from 1 on"}
+	}
+	parse, known := parsers[format]
+	if !known {
+		return nil, fmt.Errorf("format %d, this release reads up to %d: %w", format, Format, ErrFormat)
+	}
+	return parse(text)
+}
+
+// parse1 decodes and checks format 1.
+func parse1(text []byte) (*Text, error) {
 	var t Text
 	if err := strict.Decode(text, &t); err != nil {
 		return nil, err
 	}
 	var faults strict.Faults
-	if t.Format != Format {
-		faults.Add("format", "is %d, this release reads %d", t.Format, Format)
-	}
 	t.checkServices(&faults)
 	t.checkModels(&faults)
 	t.checkCustomers(&faults)
--- /dev/null
+++ b/pkg/config/checkpoint.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Checkpoint repeats the result of the fold up to an offset, so that a fresh
+// process needs none of the records before it.
+type Checkpoint struct {
+	UpTo     uint64          `json:"upTo"`
+	Accepted uint64          `json:"accepted"`
+	Text     json.RawMessage `json:"text,omitempty"`
+}
+
+// ErrCheckpoint reports a checkpoint that doesn't follow from the records.
+var ErrCheckpoint = errors.New("checkpoint does not follow from the records")
+
+// Checkpoint returns the record that stands for all records before Next.
+func (f *Fold) Checkpoint() Record {
+	return Record{Checkpoint: &Checkpoint{
+		UpTo:     f.Next - 1,
+		Accepted: f.Accepted,
+		Text:     f.Raw,
+	}}
+}
+
+// verify compares a checkpoint with the fold's own history. It never changes
+// the configuration: a fold that has seen the records needs no checkpoint.
+func (f *Fold) verify(offset uint64, c *Checkpoint) error {
+	if c.UpTo >= offset || c.Accepted > c.UpTo {
+		return fmt.Errorf("up to %d: %w", c.UpTo, ErrCheckpoint)
+	}
+	accepted, sum, known := f.acceptedAt(c.UpTo)
+	if !known {
+		return nil
+	}
+	if c.Accepted != accepted {
+		return fmt.Errorf("up to %d: accepted %d, was %d: %w", c.UpTo, c.Accepted, accepted, ErrCheckpoint)
+	}
+	if accepted != 0 && !sameText(c.Text, sum) {
+		return fmt.Errorf("up to %d: another text: %w", c.UpTo, ErrCheckpoint)
+	}
+	f.Checkpointed = max(f.Checkpointed, c.UpTo)
+	return nil
+}
+
+// sameText reports whether a text has a sum.
+func sameText(text json.RawMessage, sum string) bool {
+	raw, err := canonical(text)
+	return err == nil && Sum(raw) == sum
+}
+
+// resume takes the configuration of the newest checkpoint that agrees with the
+// records kept, and folds the records after it. Without one the gap stays.
+func (f *Fold) resume() {
+	for _, h := range slices.Backward(f.held) {
+		r, err := decodeRecord(h.data)
+		if err != nil || r.Checkpoint == nil || !f.consistent(h.offset, r.Checkpoint) {
+			continue
+		}
+		if f.start(r.Checkpoint) {
+			return
+		}
+	}
+}
+
+// consistent reports whether a checkpoint can be resumed from: all records
+// after it are kept, it doesn't lower the version, and the publish that it
+// names, if kept, leads to its text.
+func (f *Fold) consistent(offset uint64, c *Checkpoint) bool {
+	if c.UpTo >= offset || c.Accepted > c.UpTo || c.UpTo+1 < f.gap || c.Accepted < f.Accepted {
+		return false
+	}
+	if c.Accepted == f.Accepted && f.Accepted != 0 {
+		return sameText(c.Text, f.sum)
+	}
+	for _, h := range f.held {
+		if h.offset == c.Accepted {
+			return agrees(h.data, c.Text)
+		}
+	}
+	return true
+}
+
+// agrees reports whether a publish may have led to a text.
+func agrees(data []byte, text json.RawMessage) bool {
+	r, err := decodeRecord(data)
+	if err != nil || r.Publish == nil {
+		return false
+	}
+	raw, err := canonical(text)
+	if err != nil {
+		return false
+	}
+	if r.Publish.Sum != "" && r.Publish.Sum != Sum(raw) {
+		return false
+	}
+	if len(r.Publish.Patch) != 0 {
+		return true
+	}
+	published, err := canonical(r.Publish.Text)
+	return err == nil && string(published) == string(raw)
+}
+
+// start resumes from a checkpoint. It changes nothing if the text is not
+// valid.
+func (f *Fold) start(c *Checkpoint) bool {
+	next := &Fold{Next: c.UpTo + 1}
+	if c.Accepted != 0 && next.set(c.Accepted, c.Text) != nil {
+		return false
+	}
+	for _, h := range f.held {
+		if h.offset >= next.Next {
+			_ = next.Apply(h.offset, h.data) // a refused record changes nothing
+		}
+	}
+	if next.Accepted < f.Accepted {
+		return false
+	}
+	next.Checkpointed = max(next.Checkpointed, c.UpTo)
+	*f = *next
+	return true
+}
+
+// set puts a text in force as the publish at an offset.
+func (f *Fold) set(accepted uint64, text json.RawMessage) error {
+	raw, err := canonical(text)
+	if err != nil {
+		return err
+	}
+	decoded, err := Parse(raw)
+	if err != nil {
+		return err
+	}
+	f.Accepted, f.Raw, f.Text, f.sum = accepted, raw, decoded, Sum(raw)
+	f.steps = []step{{
+		offset: accepted,
+		sum:    f.sum,
+		text:   raw,
+	}}
+	return nil
+}
--- a/pkg/config/fold.go
+++ b/pkg/config/fold.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-
-	jsonpatch "github.com/evanphx/json-patch/v5"
 )
 
 // Record is one record of the configuration stream in the log.
@@ -23,97 +21,175 @@
 	// Text replaces the whole text; Patch is an RFC 7386 merge patch to it.
 	Text  json.RawMessage `json:"text,omitempty"`
 	Patch json.RawMessage `json:"patch,omitempty"`
+	// Sum is the Sum of the text that the publisher worked out. A result with
+	// another sum is refused, none is checked if it is empty.
+	Sum string `json:"sum,omitempty"`
 	// Nonce lets a publisher find its own record after a lost answer.
 	Nonce string `json:"nonce"`
 }
 
-// Checkpoint repeats the result of the fold up to an offset, so that a fresh
-// process needs none of the records before it.
-type Checkpoint struct {
-	UpTo     uint64          `json:"upTo"`
-	Accepted uint64          `json:"accepted"`
-	Text     json.RawMessage `json:"text"`
-}
-
 // Fold is the deterministic fold of the configuration stream. Offsets in the
 // stream start at 1.
+//
+// A fold that starts at the first record follows publishes alone and only
+// checks checkpoints. One that finds records expired before it has read them
+// holds what is kept back until Reached finds a checkpoint to resume from.
 type Fold struct {
 	// Next is the offset of the next record to read.
 	Next uint64
 	// Accepted is the offset of the accepted publish, 0 for none.
 	Accepted uint64
-	// Raw is the accepted text as published, Text the same decoded.
+	// Raw is the accepted text in canonical form, Text the same decoded.
 	Raw  json.RawMessage
 	Text *Text
+	// Checkpointed is the UpTo of the newest checkpoint that the fold has
+	// found right, 0 for none.
+	Checkpointed uint64
+
+	sum   string
+	steps []step
+	// gap is the oldest record kept when others had expired unread, 0 if the
+	// fold has all records; held are the records read since.
+	gap  uint64
+	held []heldRecord
+	// blocked is the offset of a record in a format of a later release, 0 for
+	// none; dropped is the last record that came after it.
+	blocked uint64
+	dropped uint64
+}
+
+// heldRecord is a record that waits for a checkpoint.
+type heldRecord struct {
+	offset uint64
+	data   []byte
 }
 
 // NewFold returns the fold of the empty stream.
 func NewFold() *Fold { return &Fold{Next: 1} }
 
-// ErrStale reports a publish whose base is not the accepted configuration.
-var ErrStale = errors.New("base is not the configuration in force")
+// Errors of the fold.
+var (
+	// ErrStale reports a publish whose base is not the accepted configuration.
+	ErrStale = errors.New("base is not the configuration in force")
+	// ErrSum reports a publish whose result is not what its publisher saw.
+	ErrSum = errors.New("the result differs from the publisher's")
+	// ErrRecord reports a record that is neither a publish nor a checkpoint.
+	ErrRecord = errors.New("not a record of the configuration")
+)
 
 // Apply folds the record at an offset. It reports why a publish was refused;
-// the fold goes on either way. Records before Next are ignored.
+// the fold goes on either way, but for ErrFormat: what a release can't judge
+// stops its fold, since another release may accept it. Records before Next
+// are ignored.
 func (f *Fold) Apply(offset uint64, data []byte) error {
-	if offset < f.Next {
+	switch {
+	case offset < f.Next:
+		return nil
+	case f.blocked != 0:
+		f.dropped = offset
+		return fmt.Errorf("record %d: %w since record %d", offset, ErrFormat, f.blocked)
+	case f.gap != 0:
+		f.held = append(f.held, heldRecord{
+			offset: offset,
+			data:   data,
+		})
+		f.Next = offset + 1
 		return nil
 	}
+	return f.fold(offset, data)
+}
+
+// fold applies a record whose predecessors have all been applied.
+func (f *Fold) fold(offset uint64, data []byte) error {
+	r, err := decodeRecord(data)
+	if err == nil {
+		err = f.take(offset, r)
+	}
+	if errors.Is(err, ErrFormat) {
+		f.blocked, f.dropped = offset, offset
+		return fmt.Errorf("record %d: %w", offset, err)
+	}
 	f.Next = offset + 1
+	if err != nil {
+		return fmt.Errorf("record %d: %w", offset, err)
+	}
+	return nil
+}
+
+// decodeRecord reads a record.
+func decodeRecord(data []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(data, &r); err != nil {
-		return fmt.Errorf("record %d: %w", offset, err)
+		return r, errors.Join(ErrRecord, err)
 	}
-	switch {
-	case r.Publish != nil:
-		return f.publish(offset, r.Publish)
-	case r.Checkpoint != nil:
-		return f.checkpoint(r.Checkpoint)
-	default:
-		return fmt.Errorf("record %d: neither publish nor checkpoint", offset)
+	if (r.Publish == nil) == (r.Checkpoint == nil) {
+		return r, ErrRecord
 	}
+	return r, nil
+}
+
+func (f *Fold) take(offset uint64, r Record) error {
+	if r.Checkpoint != nil {
+		return f.verify(offset, r.Checkpoint)
+	}
+	return f.publish(offset, r.Publish)
 }
 
 func (f *Fold) publish(offset uint64, p *Publish) error {
 	if p.Base != f.Accepted {
-		return fmt.Errorf("record %d: base %d, in force %d: %w", offset, p.Base, f.Accepted, ErrStale)
+		return fmt.Errorf("base %d, in force %d: %w", p.Base, f.Accepted, ErrStale)
 	}
 	raw, err := f.Result(p)
 	if err != nil {
-		return fmt.Errorf("record %d: %w", offset, err)
+		return err
+	}
+	sum := Sum(raw)
+	if p.Sum != "" && p.Sum != sum {
+		return ErrSum
 	}
 	text, err := Parse(raw)
 	if err != nil {
-		return fmt.Errorf("record %d: %w", offset, err)
+		return err
 	}
-	f.Accepted, f.Raw, f.Text = offset, raw, text
+	f.remember(step{
+		offset: offset,
+		sum:    sum,
+		text:   p.Text,
+		patch:  p.Patch,
+	})
+	f.Accepted, f.Raw, f.Text, f.sum = offset, raw, text, sum
 	return nil
 }
 
-// Result returns the text that a publish leads to from the accepted one.
+// Result returns the text, in canonical form, that a publish leads to from the
+// accepted one.
 func (f *Fold) Result(p *Publish) (json.RawMessage, error) {
-	if len(p.Patch) == 0 {
-		return p.Text, nil
-	}
-	if len(p.Text) != 0 {
-		return nil, errors.New("publish has both a text and a patch")
-	}
-	base := f.Raw
-	if len(base) == 0 {
-		base = json.RawMessage("{}")
+	return merge(f.Raw, p.Text, p.Patch)
+}
+
+// Skip tells the fold the oldest record that the log still keeps. If records
+// have expired unread, the fold needs a checkpoint.
+func (f *Fold) Skip(first uint64) {
+	if first <= f.Next || f.blocked != 0 {
+		return
 	}
-	return jsonpatch.MergePatch(base, p.Patch)
+	f.gap, f.held = first, nil
+	f.Next = first
 }
 
-// checkpoint takes over a later state; an earlier one is a duplicate.
-func (f *Fold) checkpoint(c *Checkpoint) error {
-	if c.Accepted <= f.Accepted {
-		return nil
+// Reached reports whether the fold has the result of all records before next,
+// the end of the log. Only then does it look for a checkpoint to resume from,
+// so that it finds the newest.
+func (f *Fold) Reached(next uint64) bool {
+	if f.blocked != 0 || f.Next < next {
+		return false
 	}
-	text, err := Parse(c.Text)
-	if err != nil {
-		return fmt.Errorf("checkpoint up to %d: %w", c.UpTo, err)
+	if f.gap != 0 {
+		f.resume()
 	}
-	f.Accepted, f.Raw, f.Text = c.Accepted, c.Text, text
-	return nil
+	return f.gap == 0 && f.blocked == 0
 }
+
+// Whole reports whether the fold's configuration follows from all records
+// before Next.
+func (f *Fold) Whole() bool { return f.gap == 0 && f.blocked == 0 }
--- /dev/null
+++ b/pkg/config/fold_test.go
@@ -0,0 +1,366 @@
+package config_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dogwoodfold/pkg/config"
+)
+
+// logRecord is a record of a log that a test holds in memory.
+type logRecord struct {
+	offset uint64
+	data   []byte
+}
+
+// memoryLog is a log without faults.
+type memoryLog struct {
+	first   uint64
+	records []logRecord
+}
+
+func (l *memoryLog) next() uint64 { return l.first + uint64(len(l.records)) }
+
+func (l *memoryLog) append(data []byte) uint64 {
+	offset := l.next()
+	l.records = append(l.records, logRecord{offset: offset, data: data})
+	return offset
+}
+
+// expire drops the oldest records.
+func (l *memoryLog) expire(n int) {
+	l.records = l.records[n:]
+	l.first += uint64(n)
+}
+
+// read lets a fold read up to limit records and reports whether it has reached
+// the end.
+func (l *memoryLog) read(f *config.Fold, limit int) bool {
+	f.Skip(l.first)
+	for _, r := range l.records {
+		if r.offset >= f.Next && limit > 0 {
+			_ = f.Apply(r.offset, r.data)
+			limit--
+		}
+	}
+	return f.Reached(l.next())
+}
+
+func marshal(t require, r config.Record) []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+type require interface{ Fatal(args ...any) }
+
+// ratePatch sets the rate of the customer booth.
+func ratePatch(rate int) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"customers":{"booth":{"ratePerSecond":%d}}}`, rate))
+}
+
+// foldMachine drives folds over one log: one that has read all records, one
+// that stops and starts, and fresh ones.
+type foldMachine struct {
+	log     memoryLog
+	full    *config.Fold
+	lagging *config.Fold
+	highest uint64
+	// safe is the offset up to which records may expire.
+	safe uint64
+}
+
+func newFoldMachine(t require) *foldMachine {
+	m := &foldMachine{
+		log:     memoryLog{first: 1},
+		full:    config.NewFold(),
+		lagging: config.NewFold(),
+	}
+	m.log.append(marshal(t, config.Record{Publish: &config.Publish{Text: json.RawMessage(text())}}))
+	return m
+}
+
+// Publish lets an operator publish on what one of the folds has in force.
+func (m *foldMachine) Publish(t *rapid.T) {
+	base := m.full
+	if rapid.Bool().Draw(t, "racing") {
+		base = m.lagging
+	}
+	p := &config.Publish{Base: base.Accepted}
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		p.Text = json.RawMessage(text())
+	case 1:
+		p.Patch = json.RawMessage(`{"routes":{"chat":{"service":"none"}}}`)
+	default:
+		p.Patch = ratePatch(rapid.IntRange(0, 9).Draw(t, "rate"))
+		if result, err := base.Result(p); err == nil {
+			p.Sum = config.Sum(result)
+		}
+	}
+	before := m.full.Accepted
+	offset := m.log.append(marshal(t, config.Record{Publish: p}))
+	m.log.read(m.full, 1<<20)
+	if m.full.Accepted == offset && p.Base != before {
+		t.Fatalf("record %d accepted on base %d while %d was in force", offset, p.Base, before)
+	}
+}
+
+// Malformed appends what is no record.
+func (m *foldMachine) Malformed(t *rapid.T) {
+	m.log.append([]byte(rapid.SampledFrom([]string{
+		`{}`, `7`, `"x"`, `null`, `{"publish":{"base":"x"}}`, `{"publish":{},"checkpoint":{}}`,
+		`{"publish":{"base":1,"text":"x"}}`,
+	}).Draw(t, "record")))
+}
+
+// Checkpoint lets a fold, which may lag, write one; some lie.
+func (m *foldMachine) Checkpoint(t *rapid.T) {
+	writer := m.full
+	if rapid.Bool().Draw(t, "old") {
+		writer = m.lagging
+	}
+	if !writer.Whole() || writer.Accepted == 0 {
+		return
+	}
+	r := writer.Checkpoint()
+	lie := rapid.IntRange(0, 3).Draw(t, "lie")
+	switch lie {
+	case 1:
+		r.Checkpoint.UpTo = m.log.next() + 5
+	case 2:
+		// A running fold sees the lie and answers it by a right one.
+		r.Checkpoint.Text = json.RawMessage(`{"format":1}`)
+		m.log.append(marshal(t, r))
+		m.log.read(m.full, 1<<20)
+		r = m.full.Checkpoint()
+		m.safe = max(m.safe, r.Checkpoint.UpTo)
+	case 3:
+		r.Checkpoint.Text = json.RawMessage(`{"format":7}`)
+	default:
+		m.safe = max(m.safe, r.Checkpoint.UpTo)
+	}
+	m.log.append(marshal(t, r))
+}
+
+// Lag lets the slower fold read a few records, or take over a state.
+func (m *foldMachine) Lag(t *rapid.T) {
+	if rapid.Bool().Draw(t, "pull") {
+		if _, err := m.lagging.Adopt(m.full.Since(m.lagging.Accepted)); err != nil {
+			t.Fatalf("adopt: %v", err)
+		}
+		return
+	}
+	m.log.read(m.lagging, rapid.IntRange(0, 4).Draw(t, "records"))
+}
+
+// PullFromBehind offers the full fold an older state.
+func (m *foldMachine) PullFromBehind(t *rapid.T) {
+	m.log.read(m.full, 1<<20)
+	before := m.full.Accepted
+	if changed, _ := m.full.Adopt(m.lagging.Since(0)); changed || m.full.Accepted != before {
+		t.Fatalf("a state accepted at %d changed the one at %d", m.lagging.Accepted, before)
+	}
+}
+
+// Expire drops records that a checkpoint stands for.
+func (m *foldMachine) Expire(t *rapid.T) {
+	if m.safe < m.log.first {
+		return
+	}
+	m.log.expire(rapid.IntRange(0, int(m.safe-m.log.first)+1).Draw(t, "records"))
+}
+
+// Check never lets a version fall.
+func (m *foldMachine) Check(t *rapid.T) {
+	m.log.read(m.full, 1<<20)
+	if m.full.Accepted < m.highest || m.lagging.Accepted > m.full.Accepted {
+		t.Fatalf("full %d, lagging %d, highest before %d", m.full.Accepted, m.lagging.Accepted, m.highest)
+	}
+	m.highest = m.full.Accepted
+}
+
+// Fresh compares a fold that starts now with the one that has read all.
+func (m *foldMachine) Fresh(t *rapid.T) {
+	m.log.read(m.full, 1<<20)
+	fresh := config.NewFold()
+	if !m.log.read(fresh, 1<<20) {
+		t.Fatalf("a fresh fold finds no start in records %d to %d", m.log.first, m.log.next())
+	}
+	if fresh.Accepted != m.full.Accepted || string(fresh.Raw) != string(m.full.Raw) {
+		t.Fatalf("fresh fold %d %s\nfull fold %d %s", fresh.Accepted, fresh.Raw, m.full.Accepted, m.full.Raw)
+	}
+}
+
+func TestFoldsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newFoldMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"publish":        m.Publish,
+			"malformed":      m.Malformed,
+			"checkpoint":     m.Checkpoint,
+			"lag":            m.Lag,
+			"pullFromBehind": m.PullFromBehind,
+			"expire":         m.Expire,
+			"fresh":          m.Fresh,
+			"":               m.Check,
+		})
+	})
+}
+
+func TestUnknownFormatStopsTheFold(t *testing.T) {
+	f := config.NewFold()
+	apply := func(offset uint64, base uint64, text string) error {
+		return f.Apply(offset, marshal(t, config.Record{Publish: &config.Publish{Base: base, Text: json.RawMessage(text)}}))
+	}
+	if err := apply(1, 0, text()); err != nil {
+		t.Fatal(err)
+	}
+	if err := apply(2, 1, `{"format":2}`); !errors.Is(err, config.ErrFormat) {
+		t.Errorf("text of a later format: %v, want ErrFormat", err)
+	}
+	// Another release may have accepted record 2, so record 3 can't be judged.
+	if err := apply(3, 1, text()); !errors.Is(err, config.ErrFormat) || f.Accepted != 1 {
+		t.Errorf("after it: accepted %d, %v, want 1 and ErrFormat", f.Accepted, err)
+	}
+	if f.Reached(4) {
+		t.Error("the fold claims to have reached the end")
+	}
+	later := config.NewFold()
+	_ = later.Apply(4, marshal(t, config.Record{Publish: &config.Publish{Text: json.RawMessage(text())}}))
+	if changed, err := f.Adopt(later.Since(0)); !changed || err != nil || !f.Reached(5) {
+		t.Errorf("a peer's later text in a known format: %v, %v", changed, err)
+	}
+}
+
+func TestStaleTextOfLaterFormatIsRefused(t *testing.T) {
+	f := config.NewFold()
+	if err := f.Apply(1, publish(t, 0, text(), "")); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Apply(2, publish(t, 0, `{"format":2}`, "")); !errors.Is(err, config.ErrStale) {
+		t.Errorf("error %v, want ErrStale", err)
+	}
+	if !f.Reached(3) {
+		t.Error("a refused text of a later format stops the fold")
+	}
+}
+
+func TestLyingCheckpointIsNotResumedFrom(t *testing.T) {
+	whole, patched := config.NewFold(), config.NewFold()
+	l := memoryLog{first: 1}
+	l.append([]byte(`{}`))
+	l.append(publish(t, 0, text(), ""))
+	if !l.read(whole, 10) {
+		t.Fatal("not reached")
+	}
+	p := &config.Publish{Base: 2, Patch: ratePatch(3)}
+	result, err := whole.Result(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Sum = config.Sum(result)
+	for _, f := range []*config.Fold{whole, patched} {
+		if f == patched {
+			l.append(marshal(t, config.Record{Publish: p}))
+		}
+		l.read(f, 10)
+		l.append(marshal(t, f.Checkpoint()))
+		lie := f.Checkpoint()
+		lie.Checkpoint.Text = json.RawMessage(`{"format":1}`)
+		l.append(marshal(t, lie))
+		kept := l
+		kept.expire(1)
+		fresh := config.NewFold()
+		if !kept.read(fresh, 10) || string(fresh.Raw) != string(f.Raw) {
+			t.Errorf("resumed from %s, want %s", fresh.Raw, f.Raw)
+		}
+	}
+}
+
+func TestGapWithoutCheckpointIsNotReached(t *testing.T) {
+	f := config.NewFold()
+	f.Skip(5)
+	_ = f.Apply(5, publish(t, 0, text(), ""))
+	if f.Reached(6) || f.Accepted != 0 {
+		t.Errorf("accepted %d without the records before it", f.Accepted)
+	}
+}
+
+func TestLyingCheckpointIsReported(t *testing.T) {
+	f := config.NewFold()
+	if err := f.Apply(1, publish(t, 0, text(), "")); err != nil {
+		t.Fatal(err)
+	}
+	lie := f.Checkpoint()
+	lie.Checkpoint.Text = json.RawMessage(`{"format":1}`)
+	if err := f.Apply(2, marshal(t, lie)); !errors.Is(err, config.ErrCheckpoint) {
+		t.Errorf("error %v, want ErrCheckpoint", err)
+	}
+	if f.Text.Customers["booth"].RatePerSecond != 10 {
+		t.Error("the checkpoint has changed the configuration")
+	}
+}
+
+func TestStateOfAnotherFoldIsRefused(t *testing.T) {
+	f, other := config.NewFold(), config.NewFold()
+	for _, fold := range []*config.Fold{f, other} {
+		if err := fold.Apply(1, publish(t, 0, text(), "")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = f.Apply(2, []byte(`{}`))
+	_ = other.Apply(2, publish(t, 1, "", `{"routes":null}`))
+	_ = other.Apply(3, []byte(`{}`))
+	if changed, err := f.Adopt(other.Since(1)); changed || !errors.Is(err, config.ErrState) {
+		t.Errorf("changed %v, %v: a peer overruled a record that was read", changed, err)
+	}
+}
+
+func TestResumeNeedsAllRecordsAfterTheCheckpoint(t *testing.T) {
+	l := memoryLog{first: 1}
+	l.append(publish(t, 0, text(), ""))
+	late := config.NewFold()
+	l.read(late, 10)
+	l.append(marshal(t, config.Record{Publish: &config.Publish{Base: 1, Patch: ratePatch(3)}}))
+	full := config.NewFold()
+	l.read(full, 10)
+	l.append(marshal(t, full.Checkpoint()))
+	l.append(marshal(t, late.Checkpoint())) // newer, but up to record 1 only
+	l.expire(2)
+	fresh := config.NewFold()
+	if !l.read(fresh, 10) || fresh.Accepted != 2 {
+		t.Errorf("accepted %d, want 2", fresh.Accepted)
+	}
+}
+
+func TestResultThatDiffersFromThePublishersIsRefused(t *testing.T) {
+	f := config.NewFold()
+	record := config.Record{Publish: &config.Publish{Text: json.RawMessage(text()), Sum: config.Sum([]byte(`{}`))}}
+	if err := f.Apply(1, marshal(t, record)); !errors.Is(err, config.ErrSum) || f.Accepted != 0 {
+		t.Errorf("accepted %d, %v, want ErrSum", f.Accepted, err)
+	}
+}
+
+func TestStateNeverLowersTheVersion(t *testing.T) {
+	f, old := config.NewFold(), config.NewFold()
+	l := memoryLog{first: 1}
+	l.append(publish(t, 0, text(), ""))
+	l.read(old, 10)
+	l.append(marshal(t, config.Record{Publish: &config.Publish{Base: 1, Patch: ratePatch(3)}}))
+	l.read(f, 10)
+	f.Skip(9) // records have expired unread
+	lower := old.Since(0)
+	lower.Next = 12
+	for _, s := range []config.State{old.Since(0), lower} {
+		if changed, _ := f.Adopt(s); changed || f.Accepted != 2 {
+			t.Errorf("a state accepted at %d lowered 2 to %d", s.Accepted, f.Accepted)
+		}
+	}
+}
