Tell leaving, vanished and silent hosts apart

Cause: a leaving flag from the list stayed with a new process of the host; a host that the list lost was dropped at once, which closed its session and cut its calls; a paused agent was chosen for as long as its connection stood.

Change: what the list says follows the list, what a process says of itself holds until another incarnation is seen. A vanished host keeps its session and running calls and gets new work only if nobody else serves. A linked host that is silent for 3 s is not chosen; the process's own pause does not count as silence. An empty list is taken for a fault of the list.

A list that loses only some live hosts costs their capacity until the next list.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,15 @@
 	"dogwoodfold/internal/wire/wirepb"
 )
 
+const (
+	// suspectAfter is how long a linked host may be silent and still get new
+	// work.
+	suspectAfter = 3 * time.Second
+	// pauseAfter is the time between ticks from which on the process itself
+	// was paused, so that silence says nothing of its peers.
+	pauseAfter = time.Second
+)
+
 // Peer is one known host.
 type Peer struct {
 	Host plat.Host
@@ -18,6 +27,11 @@
 	Incarnation uint64
 	// Leaving is set by the list or by the peer, whichever is first.
 	Leaving bool
+	// Unlisted says that the list has lost the host while it was linked. Its
+	// running calls go on; it gets no new ones unless nobody else can.
+	Unlisted bool
+	// Suspect says that the host is linked, but silent.
+	Suspect bool
 	// HeardAt is when the last message came.
 	HeardAt time.Time
 	// ConfigOffset is the configuration that the peer said it runs.
@@ -29,11 +43,28 @@
 	// reserved tokens.
 	Sent       int
 	SentTokens int
+
+	// told is Leaving as the process named last said of itself.
+	told bool
+	last uint64
 }
 
 // Linked reports whether there is a session to the peer.
 func (p *Peer) Linked() bool { return p.Incarnation != 0 }
 
+// judge works out Leaving from the list and from what the peer said.
+func (p *Peer) judge() {
+	p.Leaving = p.told || p.Host.State == plat.HostLeaving
+}
+
+// heard notes a message.
+func (p *Peer) heard(now time.Time, leaving bool) {
+	p.HeardAt = now
+	p.Suspect = false
+	p.told = p.told || leaving
+	p.judge()
+}
+
 // Serves reports whether the peer's endpoint holds a model.
 func (p *Peer) Serves(model, version, adapter string) bool {
 	for _, held := range p.Load.GetModels() {
@@ -49,8 +80,9 @@
 
 // Fleet is the set of known hosts.
 type Fleet struct {
-	self  string
-	peers map[string]*Peer
+	self   string
+	peers  map[string]*Peer
+	ticked time.Time
 }
 
 // New returns a fleet that knows only the host named self.
@@ -61,8 +93,13 @@
 	}
 }
 
-// Listed takes over the platform's list.
+// Listed takes over the platform's list. An empty one is taken for a fault of
+// the list, and changes nothing. A host that has vanished is kept while it is
+// linked, since a list that lags must not cut calls.
 func (f *Fleet) Listed(hosts []plat.Host) {
+	if len(hosts) == 0 {
+		return
+	}
 	listed := make(map[string]bool)
 	for _, host := range hosts {
 		if host.Name == f.self {
@@ -75,33 +112,53 @@
 			f.peers[host.Name] = p
 		}
 		p.Host = host
-		p.Leaving = p.Leaving || host.State == plat.HostLeaving
+		p.Unlisted = false
+		p.judge()
+	}
+	for name, p := range f.peers {
+		p.Unlisted = !listed[name]
 	}
-	maps.DeleteFunc(f.peers, func(name string, _ *Peer) bool { return !listed[name] })
+	maps.DeleteFunc(f.peers, func(_ string, p *Peer) bool { return p.Unlisted && !p.Linked() })
 }
 
-// Up notes a new session.
+// Up notes a new session. What an earlier process of the host said of itself
+// does not hold for a new one.
 func (f *Fleet) Up(now time.Time, name string, hello *wirepb.Hello) {
 	p, known := f.peers[name]
 	if !known {
 		return
 	}
-	if p.Incarnation != hello.GetIncarnation() {
-		p.Leaving = p.Host.State == plat.HostLeaving
+	if p.last != hello.GetIncarnation() {
+		p.told = false
 		p.Load = nil
 		p.ConfigOffset = 0
 	}
 	p.Incarnation = hello.GetIncarnation()
-	p.HeardAt = now
+	p.last = p.Incarnation
 	p.Sent = 0
 	p.SentTokens = 0
+	p.heard(now, false)
 }
 
-// Down notes the end of a session of an incarnation.
-func (f *Fleet) Down(name string, incarnation uint64) {
-	if p, known := f.peers[name]; known && p.Incarnation == incarnation {
-		p.Incarnation = 0
+// Down notes the end of a session of an incarnation. It reports whether the
+// host is forgotten, as the list has lost it too.
+func (f *Fleet) Down(name string, incarnation uint64) (forgotten bool) {
+	p, known := f.peers[name]
+	if !known || p.Incarnation != incarnation {
+		return false
+	}
+	p.Incarnation = 0
+	if p.Unlisted {
+		delete(f.peers, name)
 	}
+	return p.Unlisted
+}
+
+// Current reports whether a message of an incarnation is of the process that
+// the host now runs, as far as that is known.
+func (f *Fleet) Current(name string, incarnation uint64) bool {
+	p, known := f.peers[name]
+	return known && (incarnation == 0 || p.Incarnation == 0 || p.Incarnation == incarnation)
 }
 
 // Heard takes over a heartbeat.
@@ -110,9 +167,8 @@
 	if !known {
 		return
 	}
-	p.HeardAt = now
 	p.ConfigOffset = max(p.ConfigOffset, beat.GetConfigOffset())
-	p.Leaving = p.Leaving || beat.GetLeaving()
+	p.heard(now, beat.GetLeaving())
 }
 
 // Reported takes over a load report; an older one than the last is dropped.
@@ -121,10 +177,24 @@
 	if !known || report.GetSequence() <= p.Load.GetSequence() {
 		return
 	}
-	p.HeardAt = now
 	p.Load = report
 	p.LoadAt = now
-	p.Leaving = p.Leaving || report.GetLeaving()
+	p.heard(now, report.GetLeaving())
+}
+
+// Tick suspects the hosts that have been silent for too long. After a pause of
+// this process their messages may still wait to be read, so the pause does not
+// count.
+func (f *Fleet) Tick(now time.Time) {
+	pause := now.Sub(f.ticked)
+	if f.ticked.IsZero() || pause < pauseAfter {
+		pause = 0
+	}
+	f.ticked = now
+	for _, p := range f.peers {
+		p.HeardAt = p.HeardAt.Add(pause)
+		p.Suspect = p.Linked() && now.Sub(p.HeardAt) >= suspectAfter
+	}
 }
 
 // Peer returns a known host, nil if there is none of that name.
@@ -141,9 +211,15 @@
 	return peers
 }
 
-// Agents returns the agents of a service that can take new work, by name.
+// Agents returns the agents of a service that can take new work, by name. Ones
+// that the list has lost are named only if there are no others.
 func (f *Fleet) Agents(service string) []*Peer {
-	return slices.DeleteFunc(f.Peers(plat.RoleAgent), func(p *Peer) bool {
-		return p.Host.Service != service || !p.Linked() || p.Leaving
+	able := slices.DeleteFunc(f.Peers(plat.RoleAgent), func(p *Peer) bool {
+		return p.Host.Service != service || !p.Linked() || p.Leaving || p.Suspect
 	})
+	listed := slices.DeleteFunc(slices.Clone(able), func(p *Peer) bool { return p.Unlisted })
+	if len(listed) == 0 {
+		return able
+	}
+	return listed
 }
