Pass the configuration between entries and withdraw keys while calls run

Cause: an entry whose log reads hung kept a withdrawn key for ever, a fresh one could not start without the log, nobody rewrote checkpoints, and a withdrawn call that waited at an agent was answered as may-have-run.

Change: entries ask a few peers a round for their version; an answer counts as of the time of its question, so a late one tells nothing of the present. One that is behind pulls after 300 ms. An entry that for a set time has neither read the log's end nor had an answer, or can't take over a newer version, stops admitting; with the log down for all it serves on. A fresh one is ready at the log's end, or with the newest version of the peers that it reaches 3 s after the first answer. Checkpoints are rewritten after half of the retention with jitter, and a wrong one is answered. Every attempt is checked against the configuration in force. A call that loses its permission is first dropped at its agent, as not run if it waits; model calls and idempotent ones are canceled 0.5 s later, others are left to finish. The log is long-polled for 2 s instead of 10, since each answer also tells that nothing is missing.

Shown failing with the mechanism left out: pull ("b runs the configuration 1, want 2"), isolation ("b ready = true, want false"), serving on by peers, question times ("b ready = true"), the wait for peers ("c ready = true, want false"), readiness at the log's end ("ready with a record of the log unread"), checkpoints ("0 checkpoints in 3 retentions"), the answer to a wrong one, the drop, the cancel, the charge left to finish, and the route that stops being idempotent ("refusal <nil>, want may have run").

An entry alone in its fleet stops admitting when the log is down longer than its limit.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -71,6 +71,8 @@
 			Session: e.Session,
 			Message: c.load(now),
 		}}
+	case Received:
+		return c.received(now, e)
 	case Stopping:
 		return c.stopping(now)
 	case Tick:
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -15,6 +15,10 @@
 	tried   map[string]bool
 	// unsure is the failure of an attempt that may have run, nil if none has.
 	unsure error
+	// withdrawnAt is when the call lost its permission, toldAt when its agent
+	// was last told to drop it.
+	withdrawnAt time.Time
+	toldAt      time.Time
 }
 
 // final returns the error that ends a call. A later refusal says nothing of an
@@ -45,14 +49,14 @@
 		return fault.New(fault.NotRun, fault.CodeLeaving, "this entry is leaving")
 	}
 	if !c.ready {
-		return fault.New(fault.NotRun, fault.CodeNotReady, "this entry has no configuration yet")
+		return fault.New(fault.NotRun, fault.CodeNotReady, "this entry does not know the newest configuration")
+	}
+	if err := c.permitted(call); err != nil {
+		return err
 	}
 	if !call.Keyed {
 		return nil
 	}
-	if !c.keyValid(call) {
-		return fault.New(fault.NotRun, fault.CodeWithdrawn, "the key is not valid any more")
-	}
 	wait, ok := c.quota.Reserve(now, call.Customer, call.Tokens)
 	if !ok {
 		err := fault.New(fault.NotRun, fault.CodeRate, "the customer's rate and burst are spent")
@@ -61,16 +65,10 @@
 	return nil
 }
 
-// keyValid reports whether a call's key still belongs to its customer.
-func (c *Core) keyValid(call Call) bool {
-	customer, ok := c.index.Customer(call.Key)
-	return ok && customer == call.Customer
-}
-
 // send makes the next attempt of a call, or gives it up.
 func (c *Core) send(now time.Time, r *running) []Effect {
-	if r.Keyed && !c.keyValid(r.Call) {
-		return c.giveUp(now, r, fault.New(fault.NotRun, fault.CodeWithdrawn, "the key was withdrawn"))
+	if err := c.permitted(r.Call); err != nil {
+		return c.giveUp(now, r, err)
 	}
 	peer := c.router.Pick(now, route.Query{
 		Service: r.Route.Service,
@@ -147,7 +145,7 @@
 	if o.Passed || r.attempt >= maxAttempts || !now.Before(r.Deadline) {
 		return false
 	}
-	return o.Verdict == fault.NotRun || (r.Route.Idempotent && o.Verdict == fault.MayHaveRun)
+	return o.Verdict == fault.NotRun || (c.repeatable(r.Call) && o.Verdict == fault.MayHaveRun)
 }
 
 func refuse(id string, err error) []Effect {
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -6,6 +6,7 @@
 	"dogwoodfold/internal/fleet"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/quota"
+	"dogwoodfold/internal/relay"
 	"dogwoodfold/internal/route"
 	"dogwoodfold/pkg/config"
 )
@@ -25,19 +26,29 @@
 	// Share is this entry's fixed share of every customer's rate and burst.
 	Share float64
 	Seed  uint64
+	// Retention is how long the log keeps records, 0 for ever.
+	Retention time.Duration
+	// IsolationLimit is how long the entry may be without word from both the
+	// log and its peers until it stops admitting, 0 for ever.
+	IsolationLimit time.Duration
 }
 
 // Core is the reducer of an entry.
 type Core struct {
-	fold    *config.Fold
-	index   *config.Index
-	fleet   *fleet.Fleet
-	router  *route.Router
-	quota   *quota.Limiter
-	calls   map[string]*running
-	beatAt  time.Time
-	ready   bool
-	leaving bool
+	fold   *config.Fold
+	index  *config.Index
+	relay  *relay.Relay
+	points *checkpoints
+	fresh  bool
+	// withdrawn names the running calls that have lost their permission.
+	withdrawn []string
+	fleet     *fleet.Fleet
+	router    *route.Router
+	quota     *quota.Limiter
+	calls     map[string]*running
+	beatAt    time.Time
+	ready     bool
+	leaving   bool
 }
 
 // NewCore returns the reducer of a fresh entry.
@@ -45,6 +56,8 @@
 	f := fleet.New(s.Host)
 	return &Core{
 		fold:   config.NewFold(),
+		relay:  relay.New(s.IsolationLimit, s.Seed),
+		points: newCheckpoints(s.Retention, s.Seed),
 		fleet:  f,
 		router: route.New(f, s.Seed),
 		quota:  quota.NewLimiter(s.Share),
@@ -67,8 +80,7 @@
 		c.fleet.Up(now, e.Host, e.Hello)
 		return nil
 	case LinkDown:
-		c.fleet.Down(e.Host, e.Incarnation)
-		return nil
+		return c.unlinked(e)
 	case Received:
 		return c.received(now, e)
 	case Stopping:
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -10,6 +10,19 @@
 // listed takes over the host list and connects to the agents and entries.
 func (c *Core) listed(hosts []plat.Host) []Effect {
 	c.fleet.Listed(hosts)
+	return c.connect()
+}
+
+// unlinked notes the end of a session.
+func (c *Core) unlinked(e LinkDown) []Effect {
+	if c.fleet.Down(e.Host, e.Incarnation) {
+		return c.connect()
+	}
+	return nil
+}
+
+// connect keeps sessions to all known hosts.
+func (c *Core) connect() []Effect {
 	var targets []plat.Host
 	for _, role := range []string{plat.RoleAgent, plat.RoleEntry} {
 		for _, peer := range c.fleet.Peers(role) {
@@ -21,19 +34,29 @@
 
 func (c *Core) received(now time.Time, e Received) []Effect {
 	switch body := e.Message.GetBody().(type) {
+	case *wirepb.Envelope_Fold:
+		return c.foldMessage(now, e.Host, body.Fold)
 	case *wirepb.Envelope_Load:
+		if !c.fleet.Current(e.Host, e.Incarnation) {
+			return nil
+		}
 		c.fleet.Reported(now, e.Host, body.Load)
 	case *wirepb.Envelope_Heartbeat:
+		if !c.fleet.Current(e.Host, e.Incarnation) {
+			return nil
+		}
 		c.fleet.Heard(now, e.Host, body.Heartbeat)
 	}
 	return nil
 }
 
 func (c *Core) tick(now time.Time) []Effect {
+	c.fleet.Tick(now)
+	effects := c.configTick(now)
 	if now.Sub(c.beatAt) < heartbeatInterval {
-		return nil
+		return effects
 	}
-	return c.beat(now)
+	return append(effects, c.beat(now)...)
 }
 
 // beat sends a heartbeat to all linked peers.
@@ -54,5 +77,5 @@
 			}
 		}
 	}
-	return effects
+	return append(effects, c.tellVersion(now)...)
 }
--- a/internal/plat/follow.go
+++ b/internal/plat/follow.go
@@ -5,16 +5,19 @@
 	"time"
 )
 
-const (
-	followWait  = 10 * time.Second
-	followRetry = 500 * time.Millisecond
-)
+// FollowWait bounds how long the log may hold an answer back. It is short,
+// since each answer, an empty one too, tells that nothing is missing.
+const FollowWait = 2 * time.Second
+
+// followRetry is the pause after a failed read.
+const followRetry = 500 * time.Millisecond
 
 // Follow reads a stream from an offset on until ctx ends. Each page, empty ones
 // too, goes to read; each failure goes to failed.
 func Follow(ctx context.Context, log Log, stream string, from uint64, read func(Page), failed func(error)) {
 	for ctx.Err() == nil {
-		page, err := log.Read(ctx, stream, from, followWait)
+		asked := time.Now()
+		page, err := log.Read(ctx, stream, from, FollowWait)
 		if err != nil {
 			if ctx.Err() == nil {
 				failed(err)
@@ -22,6 +25,7 @@
 			pause(ctx, followRetry)
 			continue
 		}
+		page.AskedAt = asked
 		from = max(from, page.First)
 		if n := len(page.Records); n > 0 {
 			from = page.Records[n-1].Offset + 1
