--- a/cmd/dogwoodfold/main.go
+++ b/cmd/dogwoodfold/main.go
@@ -12,6 +12,6 @@
 func main() {
 	if err := cmds.New().ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "dogwoodfold:", err)
-		os.Exit(1)
+		os.Exit(cmds.ExitStatus(err))
 	}
 }
--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -1,14 +1,13 @@
 package cmds
 
 import (
-	"context"
+	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"time"
 
-	"github.com/google/uuid"
+	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/spf13/cobra"
 
 	"dogwoodfold/internal/plat"
@@ -21,7 +20,7 @@
 		Use:   "config",
 		Short: "Check, publish and show the configuration",
 	}
-	cmd.AddCommand(newCheck(), newPublish(), newShow())
+	cmd.AddCommand(newCheck(), newPublish(), newOutcome(), newShow(), newDiff())
 	return cmd
 }
 
@@ -44,19 +43,49 @@
 	}
 }
 
+// defaultPublishWait is how long a publish waits to learn its outcome.
+const defaultPublishWait = 10 * time.Second
+
 func newPublish() *cobra.Command {
 	var url string
-	var patch bool
+	var p publisher
 	cmd := &cobra.Command{
 		Use:   "publish FILE",
 		Short: "Publish a text, or a merge patch to the one in force",
-		Args:  cobra.ExactArgs(1),
+		Long: `Publish a text, or a merge patch to the one in force.
+
+Exit status 0 says accepted, 1 not published, 3 refused (another publish came
+first, or the result is not valid), 4 not known yet: ask with config outcome.`,
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			data, err := os.ReadFile(args[0])
 			if err != nil {
 				return err
 			}
-			offset, err := publish(cmd.Context(), plat.NewHTTPLog(url), data, patch)
+			p.log = plat.NewHTTPLog(url)
+			offset, err := p.publish(cmd.Context(), data)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), "accepted", offset)
+			return err
+		},
+	}
+	addLog(cmd, &url)
+	cmd.Flags().BoolVar(&p.patch, "patch", false, "FILE is an RFC 7386 merge patch")
+	cmd.Flags().Uint64Var(&p.base, "base", 0, "offset that FILE builds on, that of the text in force if 0")
+	cmd.Flags().DurationVar(&p.wait, "wait", defaultPublishWait, "how long to wait for the outcome")
+	return cmd
+}
+
+func newOutcome() *cobra.Command {
+	var url string
+	cmd := &cobra.Command{
+		Use:   "outcome NONCE",
+		Short: "Tell what became of a publish whose outcome was not known",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			offset, err := outcome(cmd.Context(), plat.NewHTTPLog(url), args[0])
 			if err != nil {
 				return err
 			}
@@ -65,110 +94,83 @@
 		},
 	}
 	addLog(cmd, &url)
-	cmd.Flags().BoolVar(&patch, "patch", false, "FILE is an RFC 7386 merge patch")
 	return cmd
 }
 
 func newShow() *cobra.Command {
 	var url string
+	var at uint64
 	cmd := &cobra.Command{
 		Use:   "show",
-		Short: "Print the text in force",
+		Short: "Print the text in force, and its offset on the error output",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			fold, err := readFold(cmd.Context(), plat.NewHTTPLog(url))
+			fold, err := readFold(cmd.Context(), plat.NewHTTPLog(url), at)
 			if err != nil {
 				return err
 			}
-			_, err = fmt.Fprintln(cmd.OutOrStdout(), string(fold.Raw))
-			return err
+			if _, err := fmt.Fprintln(cmd.ErrOrStderr(), "offset", fold.Accepted); err != nil {
+				return err
+			}
+			return printJSON(cmd, fold.Raw)
 		},
 	}
 	addLog(cmd, &url)
+	cmd.Flags().Uint64Var(&at, "at", 0, "offset up to which the log is read, 0 for its end")
 	return cmd
 }
 
-func addLog(cmd *cobra.Command, url *string) {
-	cmd.Flags().StringVar(url, "log", "", "base URL of the log")
-	_ = cmd.MarkFlagRequired("log") // fails only for an unknown flag
-}
-
-// readFold folds the configuration stream up to its end.
-func readFold(ctx context.Context, log plat.Log) (*config.Fold, error) {
-	fold := config.NewFold()
-	for {
-		page, err := log.Read(ctx, plat.StreamConfig, fold.Next, 0)
-		if err != nil {
-			return nil, err
-		}
-		for _, r := range page.Records {
-			_ = fold.Apply(r.Offset, r.Data) // a refused record changes nothing
-		}
-		if fold.Next >= page.Next || len(page.Records) == 0 {
-			return fold, nil
-		}
+func newDiff() *cobra.Command {
+	var url string
+	var from, to uint64
+	cmd := &cobra.Command{
+		Use:   "diff [FILE]",
+		Short: "Print the merge patch from one text to another",
+		Long: `Print the merge patch that leads from the text in force at one offset to FILE,
+or to the text in force at another offset.`,
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			log := plat.NewHTTPLog(url)
+			old, err := readFold(cmd.Context(), log, from)
+			if err != nil {
+				return err
+			}
+			var text []byte
+			if len(args) == 1 {
+				text, err = os.ReadFile(args[0])
+			} else {
+				var fold *config.Fold
+				if fold, err = readFold(cmd.Context(), log, to); err == nil {
+					text = fold.Raw
+				}
+			}
+			if err != nil {
+				return err
+			}
+			patch, err := jsonpatch.CreateMergePatch(old.Raw, text)
+			if err != nil {
+				return err
+			}
+			return printJSON(cmd, patch)
+		},
 	}
+	addLog(cmd, &url)
+	cmd.Flags().Uint64Var(&from, "from", 0, "offset of the old text, 0 for the one in force")
+	cmd.Flags().Uint64Var(&to, "to", 0, "offset of the new text without FILE, 0 for the one in force")
+	return cmd
 }
 
-// errUnknown reports a publish whose fate the log could not tell.
-var errUnknown = errors.New("the log did not answer: the publish may or may not be accepted")
-
-const (
-	publishTries = 5
-	publishPause = 500 * time.Millisecond
-)
-
-// publish appends a text or patch on the configuration in force and finds out
-// by its nonce what became of it.
-func publish(ctx context.Context, log plat.Log, data []byte, patch bool) (offset uint64, err error) {
-	fold, err := readFold(ctx, log)
-	if err != nil {
-		return 0, err
-	}
-	p := &config.Publish{
-		Base:  fold.Accepted,
-		Nonce: uuid.NewString(),
-	}
-	if patch {
-		p.Patch = data
-	} else {
-		p.Text = data
-	}
-	result, err := fold.Result(p)
-	if err != nil {
-		return 0, err
-	}
-	if _, err := config.Parse(result); err != nil {
-		return 0, err
+// printJSON prints a JSON value with indents.
+func printJSON(cmd *cobra.Command, text []byte) error {
+	var out bytes.Buffer
+	if err := json.Indent(&out, text, "", "  "); err != nil {
+		return err
 	}
-	record, err := json.Marshal(config.Record{Publish: p})
-	if err != nil {
-		return 0, err
-	}
-	_, appendErr := log.Append(ctx, plat.StreamConfig, record)
-	for range publishTries {
-		if offset, known, err := fate(ctx, log, fold, p.Nonce); known {
-			return offset, err
-		}
-		time.Sleep(publishPause)
-	}
-	return 0, errors.Join(errUnknown, appendErr)
+	_, err := fmt.Fprintln(cmd.OutOrStdout(), out.String())
+	return err
 }
 
-// fate looks for a nonce after what was folded so far. known is false if the
-// record is not in the log, or the log can't be read.
-func fate(ctx context.Context, log plat.Log, fold *config.Fold, nonce string) (offset uint64, known bool, err error) {
-	page, err := log.Read(ctx, plat.StreamConfig, fold.Next, 0)
-	if err != nil {
-		return 0, false, err
-	}
-	for _, r := range page.Records {
-		refused := fold.Apply(r.Offset, r.Data)
-		var record config.Record
-		if json.Unmarshal(r.Data, &record) != nil || record.Publish == nil || record.Publish.Nonce != nonce {
-			continue
-		}
-		return r.Offset, true, refused
-	}
-	return 0, false, nil
+func addLog(cmd *cobra.Command, url *string) {
+	cmd.Flags().StringVar(url, "log", "", "base URL of the log")
+	_ = cmd.MarkFlagRequired("log") // fails only for an unknown flag
 }
--- /dev/null
+++ b/internal/cmds/publish.go
@@ -0,0 +1,234 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/pkg/config"
+)
+
+// publishPause is the time between attempts to learn an outcome.
+const publishPause = 500 * time.Millisecond
+
+// Exit statuses of config publish and config outcome.
+const (
+	exitRefused = 3
+	exitUnknown = 4
+)
+
+// ExitError is an error with the exit status that it ends the program with.
+type ExitError struct {
+	Status int
+	Err    error
+}
+
+// Error describes the error.
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// ExitStatus returns the status that an error ends the program with.
+func ExitStatus(err error) int {
+	var exit *ExitError
+	if errors.As(err, &exit) {
+		return exit.Status
+	}
+	return 1
+}
+
+// refused reports a publish that the log holds and that is not accepted.
+func refused(err error) error {
+	return &ExitError{
+		Status: exitRefused,
+		Err:    fmt.Errorf("refused: %w", err),
+	}
+}
+
+// unknown reports a publish that may or may not be accepted yet.
+func unknown(nonce string, cause error) error {
+	return &ExitError{
+		Status: exitUnknown,
+		Err:    errors.Join(fmt.Errorf("unknown: the publish %s may or may not be accepted", nonce), cause),
+	}
+}
+
+// errNoCheckpoint reports a log that has lost the configuration.
+var errNoCheckpoint = errors.New("the log keeps neither all records nor a checkpoint to start from")
+
+// readFold folds the configuration stream up to an offset, to its end if the
+// offset is 0.
+func readFold(ctx context.Context, log plat.Log, last uint64) (*config.Fold, error) {
+	fold := config.NewFold()
+	for {
+		page, err := log.Read(ctx, plat.StreamConfig, fold.Next, 0)
+		if err != nil {
+			return nil, err
+		}
+		end := page.Next
+		if last != 0 {
+			end = min(end, last+1)
+		}
+		fold.Skip(page.First)
+		for _, r := range page.Records {
+			if r.Offset >= end {
+				break
+			}
+			if err := fold.Apply(r.Offset, r.Data); errors.Is(err, config.ErrFormat) {
+				return nil, err
+			} // another refused record changes nothing
+		}
+		switch {
+		case fold.Reached(end):
+			return fold, nil
+		case fold.Next >= end:
+			return nil, errNoCheckpoint
+		case len(page.Records) == 0:
+			return nil, fmt.Errorf("the log has no records from %d to %d", fold.Next, end)
+		}
+	}
+}
+
+// publisher publishes texts or patches.
+type publisher struct {
+	log   plat.Log
+	patch bool
+	// base is the offset that the publish builds on, that of the configuration
+	// in force if 0.
+	base uint64
+	// wait bounds the search for the outcome.
+	wait time.Duration
+}
+
+// publish appends a text or patch and finds out by its nonce what became of
+// it. A lost append is repeated: as all copies have one base, at most one of
+// them is accepted, and the first one in the log tells the outcome.
+func (p *publisher) publish(ctx context.Context, data []byte) (offset uint64, err error) {
+	fold, err := readFold(ctx, p.log, 0)
+	if err != nil {
+		return 0, err
+	}
+	record, nonce, err := p.record(fold, data)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.wait)
+	defer cancel()
+	var cause error
+	appended := false
+	for ctx.Err() == nil {
+		if !appended {
+			_, cause = p.log.Append(ctx, plat.StreamConfig, record)
+			appended = cause == nil
+		}
+		offset, known, err := find(ctx, p.log, fold, nonce)
+		if known {
+			return offset, err
+		}
+		cause = errors.Join(cause, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(publishPause):
+		}
+	}
+	return 0, unknown(nonce, cause)
+}
+
+// record checks what a publish leads to and returns its record and nonce.
+func (p *publisher) record(fold *config.Fold, data []byte) (record []byte, nonce string, err error) {
+	if p.base != 0 && p.base != fold.Accepted {
+		return nil, "", refused(fmt.Errorf("%w: base %d, in force %d", config.ErrStale, p.base, fold.Accepted))
+	}
+	publish := &config.Publish{
+		Base:  fold.Accepted,
+		Nonce: uuid.NewString(),
+	}
+	if p.patch {
+		publish.Patch = data
+	} else {
+		publish.Text = data
+	}
+	result, err := fold.Result(publish)
+	if err != nil {
+		return nil, "", err
+	}
+	if _, err := config.Parse(result); err != nil {
+		return nil, "", err
+	}
+	publish.Sum = config.Sum(result)
+	record, err = json.Marshal(config.Record{Publish: publish})
+	return record, publish.Nonce, err
+}
+
+// find looks for a nonce in all records after those folded so far. known is
+// false if it is not in the log, or the log can't be read to its end.
+func find(ctx context.Context, log plat.Log, fold *config.Fold, nonce string) (offset uint64, known bool, err error) {
+	for {
+		page, err := log.Read(ctx, plat.StreamConfig, fold.Next, 0)
+		if err != nil {
+			return 0, false, err
+		}
+		fold.Skip(page.First)
+		for _, r := range page.Records {
+			err := fold.Apply(r.Offset, r.Data)
+			if !hasNonce(r.Data, nonce) || !fold.Whole() {
+				continue
+			}
+			if err != nil {
+				return 0, true, refused(err)
+			}
+			return r.Offset, true, nil
+		}
+		if fold.Reached(page.Next) || len(page.Records) == 0 {
+			return 0, false, nil
+		}
+	}
+}
+
+func hasNonce(data []byte, nonce string) bool {
+	var r config.Record
+	return json.Unmarshal(data, &r) == nil && r.Publish != nil && r.Publish.Nonce == nonce
+}
+
+// outcome tells what became of a publish of an earlier command.
+func outcome(ctx context.Context, log plat.Log, nonce string) (offset uint64, err error) {
+	offset, err = locate(ctx, log, nonce)
+	if err != nil || offset == 0 {
+		return 0, unknown(nonce, err)
+	}
+	fold, err := readFold(ctx, log, offset)
+	if err != nil {
+		return 0, unknown(nonce, err)
+	}
+	if fold.Accepted != offset {
+		return 0, refused(fmt.Errorf("record %d is not accepted, in force was %d", offset, fold.Accepted))
+	}
+	return offset, nil
+}
+
+// locate returns the offset of the first record with a nonce, 0 if there is
+// none.
+func locate(ctx context.Context, log plat.Log, nonce string) (offset uint64, err error) {
+	next := uint64(1)
+	for {
+		page, err := log.Read(ctx, plat.StreamConfig, next, 0)
+		if err != nil {
+			return 0, err
+		}
+		for _, r := range page.Records {
+			if hasNonce(r.Data, nonce) {
+				return r.Offset, nil
+			}
+			next = r.Offset + 1
+		}
+		if len(page.Records) == 0 || next >= page.Next {
+			return 0, nil
+		}
+	}
+}
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"os"
@@ -44,6 +45,9 @@
 			Host:  s.Host,
 			Share: s.StaticShare,
 			Seed:  rand.Uint64(),
+
+			Retention:      s.LogRetention,
+			IsolationLimit: cmp.Or(s.IsolationLimit, defaultIsolationLimit),
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -7,7 +7,9 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"time"
 
+	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/strict"
 )
 
@@ -31,6 +33,11 @@
 	// Log and Hosts are base URLs of the platform's services.
 	Log   string `json:"log"`
 	Hosts string `json:"hosts"`
+	// LogRetention is how long the log keeps records, 0 for ever.
+	LogRetention time.Duration `json:"logRetention"`
+	// IsolationLimit is how long the entry admits calls without word from the
+	// log or any other entry, defaultIsolationLimit if unset.
+	IsolationLimit time.Duration `json:"isolationLimit"`
 	// StaticShare is a fixed share of every customer's rate and burst.
 	StaticShare float64  `json:"staticShare"`
 	TLS         TLSFiles `json:"tls"`
@@ -61,6 +68,13 @@
 	kindService = "service"
 )
 
+// The bounds on how long a withdrawn key may work at an entry that is cut off.
+const (
+	defaultIsolationLimit = 15 * time.Second
+	// leastIsolationLimit leaves the log time to answer twice.
+	leastIsolationLimit = 2*plat.FollowWait + time.Second
+)
+
 // readSettings decodes and checks a settings file; all faults come at once.
 func readSettings(file string, out interface{ check(*strict.Faults) }) error {
 	text, err := os.ReadFile(file)
@@ -86,6 +100,12 @@
 	if s.StaticShare < 0 || s.StaticShare > 1 {
 		faults.Add("staticShare", "is %v, want 0 to 1", s.StaticShare)
 	}
+	if s.LogRetention < 0 {
+		faults.Add("logRetention", "must not be negative")
+	}
+	if s.IsolationLimit != 0 && s.IsolationLimit < leastIsolationLimit {
+		faults.Add("isolationLimit", "must be %v or more", leastIsolationLimit)
+	}
 	s.TLS.check(faults)
 }
 
--- /dev/null
+++ b/internal/e2e/config_test.go
@@ -0,0 +1,355 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/fakes"
+	"dogwoodfold/internal/plat"
+)
+
+// configCommand runs a config command and returns its exit status and output.
+func (s *system) configCommand(t *testing.T, args ...string) (status int, out string) {
+	t.Helper()
+	cmd := exec.Command(program, append([]string{"config"}, append(args, "--log", s.log.url())...)...)
+	output, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), string(output)
+}
+
+// file writes a file and returns its path.
+func file(t *testing.T, text string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "file.json")
+	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+// gate is a way to the log that can be held up for one entry.
+type gate struct {
+	*httptest.Server
+	held atomic.Bool
+}
+
+func newGate(t *testing.T, target string) *gate {
+	t.Helper()
+	to, err := url.Parse(target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gate{}
+	proxy := httputil.NewSingleHostReverseProxy(to)
+	proxy.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, _ error) { w.WriteHeader(http.StatusBadGateway) }
+	g.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.held.Load() {
+			<-r.Context().Done() // the log does not answer this entry
+			return
+		}
+		proxy.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() {
+		g.CloseClientConnections()
+		g.Close()
+	})
+	return g
+}
+
+// addEntryAt starts an entry with a log of its own and other settings.
+func (s *system) addEntryAt(t *testing.T, name, log string, more map[string]any) *process {
+	t.Helper()
+	values := map[string]any{
+		"host": name, "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+		"log": log, "hosts": s.hosts.url(), "staticShare": 0.5,
+	}
+	for key, value := range more {
+		values[key] = value
+	}
+	p := start(t, "entry", "--settings", settings(t, values))
+	s.entries = append(s.entries, p)
+	s.list(t, plat.Host{
+		Name:    name,
+		Role:    plat.RoleEntry,
+		Zone:    "mx-centro-a",
+		Address: p.peers,
+		State:   plat.HostLive,
+	})
+	return p
+}
+
+// completeAt asks one entry for a completion.
+func completeAt(t *testing.T, p *process) answer {
+	t.Helper()
+	return do(t, "POST", p.url()+"/v1/completions", `{"model":"lengua-8b","prompt":"x","max_tokens":1}`,
+		"Authorization", "Bearer "+boothKey)
+}
+
+func ready(t *testing.T, p *process) bool {
+	t.Helper()
+	return do(t, "GET", p.url()+"/readyz", "").status == 200
+}
+
+func TestRacingOperators(t *testing.T) {
+	s := &system{log: start(t, "fake", "log")}
+	first := file(t, text())
+	if status, out := s.configCommand(t, "publish", first); status != 0 {
+		t.Fatalf("publish: %d %s", status, out)
+	}
+	s.log.faults(t, fakes.Faults{DelayMs: 300}) // both read before either appends
+	const racers = 4
+	statuses := make(chan int, racers)
+	for i := range racers {
+		patch := file(t, fmt.Sprintf(`{"customers":{"booth":{"weight":%d}}}`, i+1))
+		go func() {
+			cmd := exec.Command(program, "config", "publish", patch, "--patch", "--log", s.log.url())
+			_ = cmd.Run()
+			statuses <- cmd.ProcessState.ExitCode()
+		}()
+	}
+	accepted, refused := 0, 0
+	for range racers {
+		switch status := <-statuses; status {
+		case 0:
+			accepted++
+		case 3:
+			refused++
+		default:
+			t.Errorf("exit status %d, want 0 or 3", status)
+		}
+	}
+	if accepted != 1 || refused != racers-1 {
+		t.Errorf("%d accepted, %d refused, want 1 and %d", accepted, refused, racers-1)
+	}
+}
+
+func TestPublishWithLostAnswers(t *testing.T) {
+	s := &system{log: start(t, "fake", "log")}
+	s.log.faults(t, fakes.Faults{LoseAnswers: true})
+	status, out := s.configCommand(t, "publish", file(t, text()), "--wait", "1s")
+	if status != 1 || strings.Contains(out, "accepted") {
+		t.Errorf("with reads lost: %d %s, want 1: nothing was published", status, out)
+	}
+	s.log.faults(t, fakes.Faults{})
+	lossy := newLossyLog(t, s.log.url())
+	cmd := exec.Command(program, "config", "publish", file(t, text()), "--log", lossy.URL)
+	if text, err := cmd.CombinedOutput(); err != nil || !strings.Contains(string(text), "accepted 1") {
+		t.Errorf("with the append's answer lost: %v %s, want accepted 1", err, text)
+	}
+	lossy.down.Store(true)
+	cmd = exec.Command(program, "config", "publish", file(t, `{"customers":{"other":null}}`), "--patch",
+		"--wait", "1500ms", "--log", lossy.URL)
+	text, _ := cmd.CombinedOutput()
+	if cmd.ProcessState.ExitCode() != 4 || !strings.Contains(string(text), "unknown: the publish ") {
+		t.Fatalf("with the log gone after the append: %d %s, want 4", cmd.ProcessState.ExitCode(), text)
+	}
+	_, rest, _ := strings.Cut(string(text), "unknown: the publish ")
+	nonce, _, _ := strings.Cut(rest, " ")
+	if status, out := s.configCommand(t, "outcome", nonce); status != 0 || !strings.Contains(out, "accepted") {
+		t.Errorf("outcome: %d %s, want accepted", status, out)
+	}
+	if status, _ := s.configCommand(t, "outcome", "none"); status != 4 {
+		t.Errorf("outcome of no publish: %d, want 4", status)
+	}
+}
+
+// lossyLog passes requests on and loses the answers of appends; once down, it
+// answers nothing after the next append.
+type lossyLog struct {
+	*httptest.Server
+	down     atomic.Bool
+	appended atomic.Bool
+}
+
+func newLossyLog(t *testing.T, target string) *lossyLog {
+	t.Helper()
+	l := &lossyLog{}
+	l.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.down.Load() && l.appended.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		request, err := http.NewRequestWithContext(r.Context(), r.Method, target+r.URL.String(), r.Body)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		if r.Method == http.MethodPost {
+			l.appended.Store(l.down.Load())
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.Copy(w, response.Body)
+	}))
+	t.Cleanup(l.Close)
+	return l
+}
+
+func TestShowAndDiff(t *testing.T) {
+	s := &system{log: start(t, "fake", "log")}
+	s.publish(t, text())
+	s.publish(t, `{"customers":{"other":{"ratePerSecond":11}}}`, "--patch")
+	if status, out := s.configCommand(t, "show"); status != 0 || !strings.Contains(out, "offset 2") {
+		t.Errorf("show: %d %s, want offset 2", status, out)
+	}
+	status, out := s.configCommand(t, "diff", "--from", "1")
+	if status != 0 || strings.Join(strings.Fields(out), "") != `{"customers":{"other":{"ratePerSecond":11}}}` {
+		t.Errorf("diff of offsets: %d %s", status, out)
+	}
+	status, out = s.configCommand(t, "diff", file(t, text()))
+	if status != 0 || strings.Join(strings.Fields(out), "") != `{"customers":{"other":{"ratePerSecond":10}}}` {
+		t.Errorf("diff to a file: %d %s", status, out)
+	}
+	if status, _ := s.configCommand(t, "publish", file(t, `{}`), "--patch", "--base", "1"); status != 3 {
+		t.Errorf("publish on an old base: %d, want 3", status)
+	}
+}
+
+func TestSlowLogAtOneEntry(t *testing.T) {
+	s := newSystem(t)
+	g := newGate(t, s.log.url())
+	slow := s.addEntryAt(t, "entry-2", g.URL, nil)
+	eventually(t, "the second entry serves", func() bool { return completeAt(t, slow).status == 200 })
+	g.held.Store(true)
+	g.CloseClientConnections()
+	s.publish(t, `{"customers":{"booth":{"keys":{"a":null}}}}`, "--patch")
+	eventually(t, "the withdrawn key is refused where the log can't be read", func() bool {
+		a := completeAt(t, slow)
+		return a.status == 401 && a.verdict == "not-run"
+	})
+}
+
+func TestFreshEntryWhileLogIsDown(t *testing.T) {
+	s := newSystem(t)
+	s.log.faults(t, fakes.Faults{Down: true})
+	alone := s.addEntryAt(t, "entry-2", s.log.url(), nil)
+	eventually(t, "the fresh entry has the peer's configuration", func() bool {
+		return ready(t, alone) && completeAt(t, alone).status == 200
+	})
+	if a := s.complete(t, boothKey, 1, false); a.status != 200 {
+		t.Errorf("the entry that was there: %+v, want 200", a)
+	}
+	s.log.faults(t, fakes.Faults{})
+	s.publish(t, `{"customers":{"booth":{"keys":{"a":null}}}}`, "--patch")
+	for _, p := range s.entries {
+		eventually(t, "the change is in force after the log came back", func() bool {
+			return completeAt(t, p).status == 401
+		})
+	}
+}
+
+func TestIsolatedEntryStopsAdmitting(t *testing.T) {
+	s := newSystem(t)
+	g := newGate(t, s.log.url())
+	cut := s.addEntryAt(t, "entry-2", g.URL, map[string]any{"isolationLimit": "6s"})
+	eventually(t, "the second entry serves", func() bool { return completeAt(t, cut).status == 200 })
+	// The other entry is paused, so neither it nor the log answers.
+	g.held.Store(true)
+	g.CloseClientConnections()
+	pause(t, s.entries[0])
+	eventually(t, "calls are refused as not run", func() bool {
+		a := completeAt(t, cut)
+		return a.status == 503 && a.verdict == "not-run" && !ready(t, cut)
+	})
+	g.held.Store(false)
+	eventually(t, "calls are served again", func() bool { return completeAt(t, cut).status == 200 })
+}
+
+// pause stops a process until the end of the test.
+func pause(t *testing.T, p *process) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.cmd.Process.Signal(syscall.SIGCONT) })
+}
+
+func TestWithdrawnKeyEndsStream(t *testing.T) {
+	s := newSystem(t)
+	s.engine.faults(t, fakes.Faults{TokenMs: 50})
+	conn, err := net.Dial("tcp", s.entries[0].address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	body := `{"model":"lengua-8b","prompt":"x","max_tokens":4000,"stream":true}`
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		boothKey, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 4096)
+	if _, err := conn.Read(buffer); err != nil {
+		t.Fatal(err)
+	}
+	s.publish(t, `{"customers":{"booth":{"keys":{"a":null}}}}`, "--patch")
+	if err := conn.SetReadDeadline(time.Now().Add(30 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	// The whole stream would take 200 s.
+	rest, err := io.ReadAll(conn)
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the stream did not end: %v", err)
+	}
+	if bytes.Contains(rest, []byte("[DONE]")) || bytes.HasSuffix(rest, []byte("\r\n0\r\n\r\n")) {
+		t.Errorf("a canceled stream passed for complete: %q", rest[max(0, len(rest)-400):])
+	}
+	eventually(t, "the engine's request is canceled", func() bool {
+		var report plat.Report
+		_ = json.Unmarshal([]byte(do(t, "GET", s.engine.url()+"/engine/report", "").body), &report)
+		return report.Running == 0
+	})
+}
+
+func TestRetentionWithCheckpoints(t *testing.T) {
+	s := &system{
+		log:   start(t, "fake", "log", "--retention", "2s"),
+		hosts: start(t, "fake", "hosts"),
+	}
+	kept := map[string]any{"logRetention": "2s"}
+	first := s.addEntryAt(t, "entry-1", s.log.url(), kept)
+	s.publish(t, text())
+	eventually(t, "the first entry is ready", func() bool { return ready(t, first) })
+	eventually(t, "the publish has expired", func() bool {
+		var page plat.Page
+		_ = json.Unmarshal([]byte(do(t, "GET", s.log.url()+"/streams/config?from=1", "").body), &page)
+		return page.First > 1
+	})
+	if status, out := s.configCommand(t, "show"); status != 0 || !strings.Contains(out, "lengua-8b") {
+		t.Errorf("show after the retention: %d %s", status, out)
+	}
+	_ = do(t, "DELETE", s.hosts.url()+"/hosts?name=entry-1", "") // nobody to ask
+	second := s.addEntryAt(t, "entry-2", s.log.url(), kept)
+	eventually(t, "a fresh entry starts from the checkpoint", func() bool { return ready(t, second) })
+}
+
+func TestUnknownFormatIsNotPublished(t *testing.T) {
+	s := &system{log: start(t, "fake", "log")}
+	if status, out := s.configCommand(t, "publish", file(t, `{"format":2}`)); status != 1 || !strings.Contains(out, "later release") {
+		t.Errorf("publish: %d %s, want 1", status, out)
+	}
+}
