Reuse a connection to the endpoint only when nothing can cancel it

Cause: BenchmarkPath answered 1 to 4 of about 2,000 calls with 502 and may-have-run. The agent made a connection idle while the goroutine that cancels it on the entry's closing still ran, and before the response was released; the next call took a closed or busy connection. Ruled out: the engine's idle limit (it has none) and the entry's retries (verdicts were not not-run).

Change: forward makes the connection idle after the watcher has ended. Adds the command load, an open-loop driver, and BenchmarkPath.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -226,7 +226,7 @@
 func (s *Server) carryOut(key uint64, d decision, closed <-chan struct{}, call *wire.Call, r *wirepb.CallRequest) {
 	err := d.err
 	if d.start {
-		err = s.forward(closed, call, r)
+		err = s.forward(closed, r, call.SendFrame)
 		s.loop.Post(Ended{Key: key})
 	}
 	if err != nil {
@@ -235,7 +235,7 @@
 }
 
 // forward runs a call at the endpoint; the entry's closing cancels it.
-func (s *Server) forward(closed <-chan struct{}, call *wire.Call, r *wirepb.CallRequest) error {
+func (s *Server) forward(closed <-chan struct{}, r *wirepb.CallRequest, send sink) error {
 	l := s.upstream.take()
 	over := make(chan struct{})
 	watched := make(chan struct{})
@@ -251,9 +251,10 @@
 			l.cancel()
 		}
 	}()
-	err := s.upstream.run(l, r, call.SendFrame)
+	err := s.upstream.run(l, r, send)
 	close(over)
 	<-watched
+	s.upstream.put(l)
 	return err
 }
 
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -99,7 +99,8 @@
 	return newLane(u.address)
 }
 
-// put makes a lane idle after a whole answer.
+// put makes a lane idle. Its request must be over and released, and nothing may
+// cancel it any more.
 func (u *upstream) put(l *lane) {
 	l.mu.Lock()
 	cut := l.cut
@@ -130,14 +131,12 @@
 		return fault.Wrap(err, fault.MayHaveRun, fault.CodeEndpoint)
 	}
 	if err := refusal(response); err != nil {
-		u.put(l)
 		return err
 	}
 	if err := relay(response, r.GetStream(), send); err != nil {
 		l.cancel()
 		return err
 	}
-	u.put(l)
 	return nil
 }
 
--- /dev/null
+++ b/internal/cmds/load.go
@@ -0,0 +1,128 @@
+package cmds
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+
+	"dogwoodfold/internal/load"
+)
+
+// newLoad returns the command that sends requests at a fixed rate.
+func newLoad() *cobra.Command {
+	plan := load.Plan{}
+	var headers []string
+	var file, key string
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "load URL...",
+		Short: "Send requests at a fixed rate and measure the answers",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			plan.URLs = args
+			if plan.RatePerSecond <= 0 || plan.Duration <= 0 {
+				return errors.New("rate and duration must be more than 0")
+			}
+			if err := fillPlan(&plan, headers, file, key); err != nil {
+				return err
+			}
+			report := load.New().Run(cmd.Context(), plan)
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(summarize(report))
+			}
+			return printReport(cmd.OutOrStdout(), report)
+		},
+	}
+	flags := cmd.Flags()
+	flags.Float64Var(&plan.RatePerSecond, "rate", 10, "requests a second")
+	flags.DurationVar(&plan.Duration, "duration", 10*time.Second, "how long to send")
+	flags.DurationVar(&plan.Timeout, "timeout", time.Minute, "bound of one request")
+	flags.StringVar(&plan.Method, "method", "POST", "HTTP method")
+	flags.Uint64Var(&plan.Seed, "seed", 1, "seed of the gaps between requests")
+	flags.StringArrayVar(&headers, "header", nil, "header as NAME: VALUE")
+	flags.StringVar(&file, "body", "", "file with the body")
+	flags.StringVar(&key, "key-file", "", "file with the caller's key")
+	flags.BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
+
+// fillPlan adds headers, body and key to a plan.
+func fillPlan(plan *load.Plan, headers []string, file, key string) error {
+	for _, h := range headers {
+		name, value, ok := strings.Cut(h, ":")
+		if !ok {
+			return fmt.Errorf("header %q is not NAME: VALUE", h)
+		}
+		plan.Headers = append(plan.Headers, [2]string{name, strings.TrimSpace(value)})
+	}
+	if file != "" {
+		body, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		plan.Body = body
+	}
+	if key != "" {
+		secret, err := os.ReadFile(key)
+		if err != nil {
+			return err
+		}
+		plan.Headers = append(plan.Headers, [2]string{"Authorization", "Bearer " + strings.TrimSpace(string(secret))})
+	}
+	return nil
+}
+
+// loadSummary is the JSON form of a report; latencies are in milliseconds.
+type loadSummary struct {
+	*load.Report
+	FirstByteMs percentiles `json:"firstByteMs"`
+	WholeMs     percentiles `json:"wholeMs"`
+	BetweenMs   percentiles `json:"betweenMs"`
+}
+
+type percentiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+func summarize(r *load.Report) loadSummary {
+	return loadSummary{
+		Report:      r,
+		FirstByteMs: percentilesOf(r.FirstByte),
+		WholeMs:     percentilesOf(r.Whole),
+		BetweenMs:   percentilesOf(r.Between),
+	}
+}
+
+func percentilesOf(h *hdrhistogram.Histogram) percentiles {
+	const microsPerMilli = 1000
+	return percentiles{
+		P50: float64(h.ValueAtQuantile(50)) / microsPerMilli,
+		P95: float64(h.ValueAtQuantile(95)) / microsPerMilli,
+		P99: float64(h.ValueAtQuantile(99)) / microsPerMilli,
+		Max: float64(h.Max()) / microsPerMilli,
+	}
+}
+
+func printReport(w io.Writer, r *load.Report) error {
+	s := summarize(r)
+	_, err := fmt.Fprintf(w, "sent      %d in %v\nstatuses  %v\nverdicts  %v\nbroken    %d\nevents    %d\n"+
+		"ms        %8s %8s %8s %8s\n%s%s%s",
+		r.Sent, r.Elapsed.Round(time.Millisecond), r.Statuses, r.Verdicts, r.Broken, r.Events,
+		"p50", "p95", "p99", "max",
+		s.FirstByteMs.line("first"), s.WholeMs.line("whole"), s.BetweenMs.line("between"))
+	return err
+}
+
+func (p percentiles) line(name string) string {
+	return fmt.Sprintf("%-9s %8.2f %8.2f %8.2f %8.2f\n", name, p.P50, p.P95, p.P99, p.Max)
+}
--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -24,7 +24,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntry(), newAgent(), newConfig(), newKey(), newFake())
+	root.AddCommand(newEntry(), newAgent(), newConfig(), newKey(), newFake(), newLoad())
 	return root
 }
 
--- /dev/null
+++ b/internal/e2e/bench_test.go
@@ -0,0 +1,87 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dogwoodfold/internal/fakes"
+	"dogwoodfold/internal/load"
+)
+
+// completionPlan asks for completions of a number of tokens.
+func completionPlan(url string, tokens int, stream bool, rate float64) load.Plan {
+	return load.Plan{
+		URLs:   []string{url + "/v1/completions"},
+		Method: "POST",
+		Headers: [][2]string{
+			{"Authorization", "Bearer " + boothKey},
+			{"Content-Type", "application/json"},
+		},
+		Body: fmt.Appendf(nil,
+			`{"model":"lengua-8b","prompt":"order of two hoodies","max_tokens":%d,"stream":%v}`, tokens, stream),
+		RatePerSecond: rate,
+		Duration:      5 * time.Second,
+		Timeout:       time.Minute,
+		Seed:          1,
+	}
+}
+
+func ms(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / 1000
+}
+
+// cpu ends a process and returns the processor time that it has used.
+func (p *process) cpu(b *testing.B) time.Duration {
+	b.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		b.Fatal(err)
+	}
+	_ = p.cmd.Wait() // ends by the signal
+	return p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
+}
+
+// BenchmarkPath compares calls through entry and agent with calls to the
+// engine itself, and gives the processor time of each role.
+func BenchmarkPath(b *testing.B) {
+	const generous = `{"customers":{"booth":{"ratePerSecond":100000000,"burstTokens":1000000000}}}`
+	cases := []struct {
+		name   string
+		tokens int
+		stream bool
+		rate   float64
+		faults fakes.Faults
+	}{
+		{name: "whole", tokens: 1, rate: 400},
+		{name: "stream", tokens: 64, stream: true, rate: 200, faults: fakes.Faults{TokenMs: 5}},
+		{name: "streamfast", tokens: 330, stream: true, rate: 100},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				s := newSystem(b)
+				s.publish(b, generous, "--patch")
+				s.engine.faults(b, c.faults)
+				direct := load.New().Run(context.Background(), completionPlan(s.engine.url(), c.tokens, c.stream, c.rate))
+				through := load.New().Run(context.Background(), completionPlan(s.entries[0].url(), c.tokens, c.stream, c.rate))
+				if through.Statuses[200] != through.Sent || through.Broken != 0 {
+					b.Fatalf("not all answered: %+v", through)
+				}
+				b.ReportMetric(ms(through.FirstByte, 50)-ms(direct.FirstByte, 50), "added-first-p50-ms")
+				b.ReportMetric(ms(through.FirstByte, 99)-ms(direct.FirstByte, 99), "added-first-p99-ms")
+				b.ReportMetric(ms(through.Whole, 50)-ms(direct.Whole, 50), "added-whole-p50-ms")
+				b.ReportMetric(ms(through.Whole, 99)-ms(direct.Whole, 99), "added-whole-p99-ms")
+				entry, agent := s.entries[0].cpu(b).Seconds(), s.agents["agent-engine"].cpu(b).Seconds()
+				b.ReportMetric(float64(through.Sent)/entry, "entry-requests/core-s")
+				b.ReportMetric(float64(through.Events)/entry, "entry-tokens/core-s")
+				b.ReportMetric(float64(through.Sent)/agent, "agent-requests/core-s")
+				b.ReportMetric(float64(through.Events)/agent, "agent-tokens/core-s")
+				b.ReportMetric(float64(through.Events)/through.Elapsed.Seconds(), "tokens/s")
+			}
+		})
+	}
+}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -58,7 +59,7 @@
 func (p *process) url() string { return "http://" + p.address.String() }
 
 // start runs the program and waits until it listens.
-func start(t *testing.T, args ...string) *process {
+func start(t testing.TB, args ...string) *process {
 	t.Helper()
 	p := &process{
 		cmd:  exec.Command(program, args...),
@@ -94,7 +95,7 @@
 }
 
 // address reads a line "name address" from a process.
-func address(t *testing.T, lines *bufio.Reader, name string) netip.AddrPort {
+func address(t testing.TB, lines *bufio.Reader, name string) netip.AddrPort {
 	t.Helper()
 	line, err := lines.ReadString('\n')
 	if err != nil {
@@ -103,16 +104,24 @@
 	return netip.MustParseAddrPort(strings.TrimSpace(strings.TrimPrefix(line, name+" ")))
 }
 
-func (p *process) printLogs(t *testing.T, args []string) {
+// logLines is how much of a log is printed after a failure.
+const logLines = 30
+
+// printLogs prints the last lines of a process's log, leaving out the calls
+// that were answered.
+func (p *process) printLogs(t testing.TB, args []string) {
 	text, err := os.ReadFile(p.logs)
 	if err != nil {
 		return
 	}
-	t.Logf("logs of %v:\n%s", args, text)
+	lines := slices.DeleteFunc(strings.Split(string(text), "\n"), func(line string) bool {
+		return strings.Contains(line, "call ended") && !strings.Contains(line, `"code"`)
+	})
+	t.Logf("logs of %v:\n%s", args, strings.Join(lines[max(0, len(lines)-logLines):], "\n"))
 }
 
 // settings writes a settings file.
-func settings(t *testing.T, value map[string]any) string {
+func settings(t testing.TB, value map[string]any) string {
 	t.Helper()
 	text, err := json.Marshal(value)
 	if err != nil {
@@ -153,7 +162,7 @@
 
 // newSystem starts the platform's fakes, an engine, a service, their agents
 // and one entry, publishes the text and waits until calls are served.
-func newSystem(t *testing.T) *system {
+func newSystem(t testing.TB) *system {
 	t.Helper()
 	s := &system{
 		log:     start(t, "fake", "log"),
@@ -170,12 +179,12 @@
 	return s
 }
 
-func (s *system) addAgent(t *testing.T, name, service, kind string, endpoint *process) {
+func (s *system) addAgent(t testing.TB, name, service, kind string, endpoint *process) {
 	t.Helper()
 	p := start(t, "agent", "--settings", settings(t, map[string]any{
 		"host": name, "zone": "mx-centro-a", "service": service, "kind": kind,
 		"listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
-		"endpoint": endpoint.address.String(), "slots": 16, "log": s.log.url(), "hosts": s.hosts.url(),
+		"endpoint": endpoint.address.String(), "slots": 512, "log": s.log.url(), "hosts": s.hosts.url(),
 	}))
 	s.agents[name] = p
 	s.list(t, plat.Host{
@@ -188,7 +197,7 @@
 	})
 }
 
-func (s *system) addEntry(t *testing.T, name string, share float64) {
+func (s *system) addEntry(t testing.TB, name string, share float64) {
 	t.Helper()
 	p := start(t, "entry", "--settings", settings(t, map[string]any{
 		"host": name, "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
@@ -205,7 +214,7 @@
 }
 
 // list puts a host on the platform's list.
-func (s *system) list(t *testing.T, host plat.Host) {
+func (s *system) list(t testing.TB, host plat.Host) {
 	t.Helper()
 	body, err := json.Marshal(host)
 	if err != nil {
@@ -217,7 +226,7 @@
 }
 
 // publish publishes a text by the command.
-func (s *system) publish(t *testing.T, text string, flags ...string) {
+func (s *system) publish(t testing.TB, text string, flags ...string) {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "text.json")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
@@ -230,7 +239,7 @@
 }
 
 // await waits until a model call and a plain call are served.
-func (s *system) await(t *testing.T) {
+func (s *system) await(t testing.TB) {
 	t.Helper()
 	eventually(t, "calls are served", func() bool {
 		return s.complete(t, boothKey, 1, false).status == 200 && s.charge(t, "warm-up").status == 200
@@ -246,7 +255,7 @@
 }
 
 // do sends a request with headers given as name, value pairs.
-func do(t *testing.T, method, url, body string, headers ...string) answer {
+func do(t testing.TB, method, url, body string, headers ...string) answer {
 	t.Helper()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
@@ -270,20 +279,20 @@
 }
 
 // complete asks the first entry for a completion.
-func (s *system) complete(t *testing.T, key string, tokens int, stream bool) answer {
+func (s *system) complete(t testing.TB, key string, tokens int, stream bool) answer {
 	t.Helper()
 	body := fmt.Sprintf(`{"model":"lengua-8b","prompt":"order of two hoodies","max_tokens":%d,"stream":%v}`, tokens, stream)
 	return do(t, "POST", s.entries[0].url()+"/v1/completions", body, "Authorization", "Bearer "+key)
 }
 
 // charge makes a call that may not be repeated.
-func (s *system) charge(t *testing.T, body string) answer {
+func (s *system) charge(t testing.TB, body string) answer {
 	t.Helper()
 	return do(t, "POST", s.entries[0].url()+"/charge?booth=3&key="+boothKey, body, "X-Api-Key", boothKey, "Cookie", "k="+boothKey)
 }
 
 // faults replaces the faults of a fake.
-func (p *process) faults(t *testing.T, f fakes.Faults) {
+func (p *process) faults(t testing.TB, f fakes.Faults) {
 	t.Helper()
 	body, err := json.Marshal(f)
 	if err != nil {
@@ -295,7 +304,7 @@
 }
 
 // eventually polls until a condition holds.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(30 * time.Second)
 	for !condition() {
