Serve status, metrics and profiles on a listener for operators

Change: package admin (GET only) with /status, /metrics, /healthz and /debug/pprof; status is asked from the reducer as an event. Writes of a session are gathered while an earlier one is in the kernel.

--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,63 @@
+package admin_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/admin"
+)
+
+// serve runs a server and returns its base URL.
+func serve(t *testing.T, status admin.Status) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry := prometheus.NewRegistry()
+	counter := prometheus.NewCounter(prometheus.CounterOpts{Name: "sample_total"})
+	registry.MustRegister(counter)
+	s := admin.New(status, registry)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		<-s.Done()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return "http://" + listener.Addr().String()
+}
+
+func TestPaths(t *testing.T) {
+	base := serve(t, func(context.Context) (any, error) { return map[string]int{"calls": 3}, nil })
+	for path, want := range map[string]string{
+		"/status":  `"calls": 3`,
+		"/metrics": "sample_total 0",
+		"/healthz": "ok",
+	} {
+		status, body, err := fasthttp.Get(nil, base+path)
+		if err != nil || status != fasthttp.StatusOK || !strings.Contains(string(body), want) {
+			t.Errorf("%s: %d %s, %v; want %q", path, status, body, err, want)
+		}
+	}
+}
+
+func TestOnlyReads(t *testing.T) {
+	base := serve(t, func(context.Context) (any, error) { return nil, errors.New("loop has ended") })
+	status, _, err := fasthttp.Post(nil, base+"/status", nil)
+	if err == nil && status < fasthttp.StatusBadRequest {
+		t.Errorf("POST /status: %d, want a refusal", status)
+	}
+	if status, _, err := fasthttp.Get(nil, base+"/status"); err != nil || status != fasthttp.StatusServiceUnavailable {
+		t.Errorf("status without an answer: %d, %v; want 503", status, err)
+	}
+}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -73,6 +73,8 @@
 		}}
 	case Stopping:
 		return c.stopping(now)
+	case Inspect:
+		return c.inspect(now, e)
 	case Tick:
 		return c.tick(now)
 	default:
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -45,6 +45,7 @@
 	options  Options
 	loop     *loop.Loop[Event, Effect]
 	upstream *upstream
+	metrics  *metrics
 	keys     atomic.Uint64
 
 	// base is the context of Run, which effects' goroutines end with.
@@ -76,6 +77,7 @@
 	s := &Server{
 		options:  o,
 		upstream: newUpstream(o.Endpoint.String()),
+		metrics:  newMetrics(),
 		calls:    make(map[uint64]*served),
 		sessions: make(map[uint64]*wire.Session),
 		finished: make(chan struct{}),
@@ -272,13 +274,17 @@
 func (s *Server) perform(effect Effect) {
 	switch e := effect.(type) {
 	case Start:
+		s.metrics.started.Inc()
 		s.decide(e.Key, decision{start: true})
 	case Refuse:
+		s.metrics.refused.Inc()
 		s.decide(e.Key, decision{err: e.Err})
 	case Tell:
 		s.send(e.Session, e.Message)
 	case Broadcast:
 		s.broadcast(e.Message)
+	case Inspected:
+		e.Reply <- e.Status
 	case Append:
 		s.append(e)
 	case Finished:
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 
 	"github.com/spf13/cobra"
 
+	"dogwoodfold/internal/admin"
 	"dogwoodfold/internal/agent"
 	"dogwoodfold/internal/entry"
 	"dogwoodfold/internal/plat"
@@ -72,7 +75,12 @@
 		return err
 	}
 	server := entry.New(options)
-	return serve(cmd, server, func(ctx context.Context) error { return server.Run(ctx, callers, peers) })
+	operators := admin.New(server.Status, server.Registry())
+	return serve(cmd, server, func(ctx context.Context) error {
+		return runBoth(ctx, s.Admin, cmd, operators, func(ctx context.Context) error {
+			return server.Run(ctx, callers, peers)
+		})
+	})
 }
 
 // newAgent returns the command that runs an agent.
@@ -136,7 +144,30 @@
 		return err
 	}
 	server := agent.New(options)
-	return serve(cmd, server, func(ctx context.Context) error { return server.Run(ctx, listener) })
+	operators := admin.New(server.Status, server.Registry())
+	return serve(cmd, server, func(ctx context.Context) error {
+		return runBoth(ctx, s.Admin, cmd, operators, func(ctx context.Context) error {
+			return server.Run(ctx, listener)
+		})
+	})
+}
+
+// runBoth runs a server and its admin interface until the server ends.
+func runBoth(
+	ctx context.Context, address netip.AddrPort, cmd *cobra.Command,
+	operators *admin.Server, run func(context.Context) error,
+) error {
+	listener, err := listen(cmd, "admin", address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- operators.Run(ctx, listener) }()
+	err = run(ctx)
+	cancel()
+	return errors.Join(err, <-ended)
 }
 
 // newIncarnation returns a random number that names a process; 0 is none.
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -52,6 +52,7 @@
 	cmd     *exec.Cmd
 	address netip.AddrPort
 	peers   netip.AddrPort
+	admin   netip.AddrPort
 	logs    string
 }
 
@@ -90,6 +91,9 @@
 	if args[0] == "entry" {
 		p.peers = address(t, lines, "peers")
 	}
+	if args[0] != "fake" {
+		p.admin = address(t, lines, "admin")
+	}
 	go func() { _, _ = io.Copy(io.Discard, out) }()
 	return p
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -29,6 +29,7 @@
 
 // Core is the reducer of an entry.
 type Core struct {
+	host    string
 	fold    *config.Fold
 	index   *config.Index
 	fleet   *fleet.Fleet
@@ -44,6 +45,7 @@
 func NewCore(s CoreSettings) *Core {
 	f := fleet.New(s.Host)
 	return &Core{
+		host:   s.Host,
 		fold:   config.NewFold(),
 		fleet:  f,
 		router: route.New(f, s.Seed),
@@ -73,6 +75,8 @@
 		return c.received(now, e)
 	case Stopping:
 		return c.stopping()
+	case Inspect:
+		return c.inspect(now, e)
 	case Tick:
 		return c.tick(now)
 	default:
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
@@ -132,6 +133,9 @@
 	return err
 }
 
+// Registry returns the entry's metrics.
+func (s *Server) Registry() *prometheus.Registry { return s.metrics.registry }
+
 // Done is closed when Run has returned.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
@@ -244,6 +248,8 @@
 		}
 	case Connect:
 		s.pool.Set(e.Hosts)
+	case Inspected:
+		e.Reply <- e.Status
 	case Append:
 		s.append(e)
 	case Tell:
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -94,7 +94,7 @@
 	if dialed {
 		open = yamux.Client
 	}
-	mux, err := open(conn, settings)
+	mux, err := open(newCoalescer(conn), settings)
 	if err != nil {
 		return nil, err
 	}
