--- a/internal/e2e/bench_test.go
+++ b/internal/e2e/bench_test.go
@@ -85,3 +85,29 @@
 		})
 	}
 }
+
+// BenchmarkOneCore loads an entry that has one core with more streams than a
+// node's part of the two-year size, and gives the tokens for a core-second.
+func BenchmarkOneCore(b *testing.B) {
+	const generous = `{"customers":{"booth":{"ratePerSecond":100000000,"burstTokens":1000000000}}}`
+	for range b.N {
+		s := newSystem(b)
+		s.publish(b, generous, "--patch")
+		s.addEntry(b, "entry-2", 1, oneCore)
+		eventually(b, "the second entry serves", func() bool {
+			return do(b, "GET", s.entries[1].url()+"/readyz", "").status == 200
+		})
+		s.engine.faults(b, fakes.Faults{TokenMs: 10})
+		time.Sleep(2 * time.Second) // the entry learns of the agent's load
+		report := load.New().Run(context.Background(), completionPlan(s.entries[1].url(), 300, true, 600))
+		if report.Statuses[200] != report.Sent || report.Broken != 0 {
+			b.Fatalf("not all answered: %+v", report)
+		}
+		cpu := s.entries[1].cpu(b)
+		b.ReportMetric(float64(report.Events)/cpu.Seconds(), "tokens/core-s")
+		b.ReportMetric(float64(report.Events)/report.Elapsed.Seconds(), "tokens/s")
+		b.ReportMetric(ms(report.Between, 50), "between-p50-ms")
+		b.ReportMetric(ms(report.Between, 95), "between-p95-ms")
+		b.ReportMetric(ms(report.FirstByte, 95), "first-p95-ms")
+	}
+}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -80,13 +80,23 @@
 // url returns the process's base URL.
 func (p *process) url() string { return "http://" + p.address.String() }
 
+// oneCore limits a process to one core.
+const oneCore = "GOMAXPROCS=1"
+
 // start runs the program and waits until it listens.
 func start(t testing.TB, args ...string) *process {
+	t.Helper()
+	return startWith(t, nil, args...)
+}
+
+// startWith is start with additions to the environment.
+func startWith(t testing.TB, environment []string, args ...string) *process {
 	t.Helper()
 	p := &process{
 		cmd:  exec.Command(program, args...),
 		logs: filepath.Join(t.TempDir(), "log"),
 	}
+	p.cmd.Env = append(os.Environ(), environment...)
 	logs, err := os.Create(p.logs)
 	if err != nil {
 		t.Fatal(err)
@@ -209,7 +219,7 @@
 	p := start(t, "agent", "--settings", settings(t, map[string]any{
 		"host": name, "zone": "mx-centro-a", "service": service, "kind": kind,
 		"listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
-		"endpoint": endpoint.address.String(), "slots": 512, "log": s.log.url(), "hosts": s.hosts.url(),
+		"endpoint": endpoint.address.String(), "slots": 4096, "log": s.log.url(), "hosts": s.hosts.url(),
 	}))
 	s.agents[name] = p
 	s.list(t, plat.Host{
@@ -222,9 +232,9 @@
 	})
 }
 
-func (s *system) addEntry(t testing.TB, name string, share float64) {
+func (s *system) addEntry(t testing.TB, name string, share float64, environment ...string) {
 	t.Helper()
-	p := start(t, "entry", "--settings", settings(t, map[string]any{
+	p := startWith(t, environment, "entry", "--settings", settings(t, map[string]any{
 		"host": name, "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
 		"log": s.log.url(), "hosts": s.hosts.url(), "staticShare": share,
 	}))
