--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,295 @@
+// Package demo runs a complete small fleet in one process and shows what it
+// does: stand-ins of the platform and the endpoints, agents and two entries.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/admin"
+	"dogwoodfold/internal/agent"
+	"dogwoodfold/internal/entry"
+	"dogwoodfold/internal/fakes"
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/config"
+)
+
+const (
+	slots       = 16
+	memoryBytes = 80 << 30
+	entries     = 2
+	// share splits every customer's rate evenly between the entries.
+	share = 1.0 / entries
+)
+
+// Line is a name and a value that demo --hold prints.
+type Line struct {
+	Name  string
+	Value string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Lines   []Line
+	Entries []string
+	LogURL  string
+
+	log      *fakes.Log
+	hosts    *fakes.Hosts
+	engine   *fakes.Engine
+	service  *fakes.Service
+	out      zerolog.Logger
+	hostsURL string
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	parts  sync.WaitGroup
+	mu     sync.Mutex
+	errs   []error
+}
+
+// Start runs a fleet on loopback ports and publishes its configuration.
+func Start(ctx context.Context, out zerolog.Logger) (*Fleet, error) {
+	f := &Fleet{
+		log:     fakes.NewLog(0),
+		hosts:   fakes.NewHosts(),
+		service: fakes.NewService(),
+		out:     out,
+	}
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	if err := f.start(); err != nil {
+		return nil, errors.Join(err, f.Stop())
+	}
+	return f, nil
+}
+
+// Stop ends the fleet and returns what went wrong while it ran.
+func (f *Fleet) Stop() error {
+	f.cancel()
+	f.parts.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return errors.Join(f.errs...)
+}
+
+func (f *Fleet) start() error {
+	text, err := config.Parse(demoText())
+	if err != nil {
+		return err
+	}
+	if f.LogURL, err = f.serveHTTP("log URL", f.log.Handler()); err != nil {
+		return err
+	}
+	if f.hostsURL, err = f.serveHTTP("hosts URL", f.hosts.Handler()); err != nil {
+		return err
+	}
+	f.engine = fakes.NewEngine(fakes.EngineSettings{
+		MemoryBytes: memoryBytes,
+		Slots:       slots,
+		ChecksFence: true,
+		Residents:   residents(text),
+	})
+	engine, err := f.serveHTTP("engine URL", f.engine.Handler())
+	if err != nil {
+		return err
+	}
+	service, err := f.serveHTTP("service URL", f.service.Handler())
+	if err != nil {
+		return err
+	}
+	if err := f.startAgent("agent-lengua", "lengua", engine, true); err != nil {
+		return err
+	}
+	if err := f.startAgent("agent-pedidos", "pedidos", service, false); err != nil {
+		return err
+	}
+	for i := range entries {
+		if err := f.startEntry(fmt.Sprintf("entry-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	return f.publish(config.Publish{Text: demoText()})
+}
+
+// residents returns all models and adapters of a text.
+func residents(text *config.Text) []plat.Resident {
+	var all []plat.Resident
+	for name, m := range text.Models {
+		all = append(all, plat.Resident{
+			Model:       name,
+			Version:     m.Version,
+			MemoryBytes: m.Versions[m.Version].MemoryBytes,
+			Ready:       true,
+		})
+		for adapter, a := range m.Adapters {
+			all = append(all, plat.Resident{
+				Model:       name,
+				Version:     m.Version,
+				Adapter:     adapter,
+				MemoryBytes: a.MemoryBytes,
+				Ready:       true,
+			})
+		}
+	}
+	return all
+}
+
+// publish appends a publish to the configuration stream.
+func (f *Fleet) publish(p config.Publish) error {
+	data, err := json.Marshal(config.Record{Publish: &p})
+	if err != nil {
+		return err
+	}
+	f.log.Append(plat.StreamConfig, data)
+	return nil
+}
+
+// listen opens a listener on a loopback port.
+func listen() (net.Listener, netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, netip.AddrPort{}, err
+	}
+	address, err := netip.ParseAddrPort(listener.Addr().String())
+	return listener, address, err
+}
+
+// run runs a part until the fleet stops and keeps its error.
+func (f *Fleet) run(part func(context.Context) error) {
+	f.parts.Go(func() {
+		err := part(f.ctx)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.errs = append(f.errs, err)
+	})
+}
+
+// serveHTTP runs a stand-in and returns its URL.
+func (f *Fleet) serveHTTP(name string, handler fasthttp.RequestHandler) (string, error) {
+	listener, address, err := listen()
+	if err != nil {
+		return "", err
+	}
+	server := &fasthttp.Server{
+		Handler: handler,
+		Name:    "fake",
+	}
+	f.run(func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+		defer stop()
+		return server.Serve(listener)
+	})
+	url := "http://" + address.String()
+	f.Lines = append(f.Lines, Line{
+		Name:  name,
+		Value: url,
+	})
+	return url, nil
+}
+
+// startAgent runs an agent beside an endpoint and lists it.
+func (f *Fleet) startAgent(name, service, url string, model bool) error {
+	listener, address, err := listen()
+	if err != nil {
+		return err
+	}
+	target, err := netip.ParseAddrPort(url[len("http://"):])
+	if err != nil {
+		return err
+	}
+	incarnation := rand.Uint64() | 1
+	options := agent.Options{
+		Core: agent.CoreSettings{
+			Incarnation: incarnation,
+			Plain:       !model,
+			Slots:       slots,
+		},
+		Hello: &wirepb.Hello{
+			Host:        name,
+			Role:        plat.RoleAgent,
+			Zone:        "mx-centro-a",
+			Service:     service,
+			Incarnation: incarnation,
+		},
+		Endpoint: target,
+		Log:      plat.NewHTTPLog(f.LogURL),
+		Hosts:    plat.NewHTTPHosts(f.hostsURL),
+		Out:      f.out,
+	}
+	if model {
+		options.Engine = plat.NewHTTPEngine(url)
+	}
+	server := agent.New(options)
+	f.run(func(ctx context.Context) error { return server.Run(ctx, listener) })
+	f.hosts.Put(plat.Host{
+		Name:    name,
+		Role:    plat.RoleAgent,
+		Zone:    "mx-centro-a",
+		Service: service,
+		Address: address,
+		State:   plat.HostLive,
+	})
+	return nil
+}
+
+// startEntry runs an entry with its admin interface and lists it.
+func (f *Fleet) startEntry(name string) error {
+	callers, address, err := listen()
+	if err != nil {
+		return err
+	}
+	peers, peerAddress, err := listen()
+	if err != nil {
+		return err
+	}
+	operators, adminAddress, err := listen()
+	if err != nil {
+		return err
+	}
+	server := entry.New(entry.Options{
+		Core: entry.CoreSettings{
+			Host:  name,
+			Share: share,
+			Seed:  rand.Uint64(),
+		},
+		Hello: &wirepb.Hello{
+			Host:        name,
+			Role:        plat.RoleEntry,
+			Zone:        "mx-centro-a",
+			Incarnation: rand.Uint64() | 1,
+		},
+		Log:   plat.NewHTTPLog(f.LogURL),
+		Hosts: plat.NewHTTPHosts(f.hostsURL),
+		Out:   f.out,
+	})
+	f.run(func(ctx context.Context) error { return server.Run(ctx, callers, peers) })
+	f.run(func(ctx context.Context) error {
+		return admin.New(server.Status, server.Registry()).Run(ctx, operators)
+	})
+	f.Entries = append(f.Entries, "http://"+address.String())
+	f.Lines = append(f.Lines, Line{
+		Name:  "entry URL",
+		Value: "http://" + address.String(),
+	}, Line{
+		Name:  "admin URL",
+		Value: "http://" + adminAddress.String(),
+	})
+	f.hosts.Put(plat.Host{
+		Name:    name,
+		Role:    plat.RoleEntry,
+		Zone:    "mx-centro-a",
+		Address: peerAddress,
+		State:   plat.HostLive,
+	})
+	return nil
+}
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 
@@ -98,3 +99,27 @@
 		t.Error("half a segment matched")
 	}
 }
+
+func TestExamples(t *testing.T) {
+	for name, want := range map[string]struct{ models, adapters int }{
+		"taquilla": {models: 20, adapters: 75},
+		"ngoma":    {models: 13, adapters: 55},
+	} {
+		data, err := os.ReadFile("../../examples/" + name + ".json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := config.Parse(data)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		adapters := 0
+		for _, m := range c.Models {
+			adapters += len(m.Adapters)
+		}
+		if len(c.Models) != want.models || adapters != want.adapters {
+			t.Errorf("%s: %d models, %d adapters; want %+v", name, len(c.Models), adapters, want)
+		}
+	}
+}
