--- /dev/null
+++ b/internal/burn/collector.go
@@ -0,0 +1,107 @@
+package burn
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Names of the metrics that a report reads.
+const (
+	metricAttained       = "dogwoodfold_attained_total"
+	metricOffered        = "dogwoodfold_offered_total"
+	metricWindowAttained = "dogwoodfold_window_attained"
+	metricWindowOffered  = "dogwoodfold_window_offered"
+	metricObjective      = "dogwoodfold_objective"
+	metricRefused        = "dogwoodfold_refused_within_rate_total"
+)
+
+const (
+	labelService  = "service"
+	labelCustomer = "customer"
+	labelWindow   = "window"
+)
+
+// Recorder counts calls and refusals and exports them as metrics.
+type Recorder struct {
+	tracker   *Tracker
+	clock     func() time.Time
+	attained  *prometheus.CounterVec
+	offered   *prometheus.CounterVec
+	refused   *prometheus.CounterVec
+	objective *prometheus.GaugeVec
+
+	windowAttained *prometheus.Desc
+	windowOffered  *prometheus.Desc
+}
+
+// NewRecorder returns a recorder and registers its metrics. clock gives the
+// present time when metrics are read.
+func NewRecorder(registry *prometheus.Registry, clock func() time.Time) *Recorder {
+	labels := []string{labelService, labelCustomer}
+	windowLabels := []string{labelService, labelCustomer, labelWindow}
+	r := &Recorder{
+		tracker: NewTracker(),
+		clock:   clock,
+		attained: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: metricAttained,
+			Help: "Calls that attained the service's target.",
+		}, labels),
+		offered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: metricOffered,
+			Help: "Calls that count against the service's objective.",
+		}, labels),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: metricRefused,
+			Help: "Calls refused as not run although within the customer's rate.",
+		}, labels),
+		objective: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: metricObjective,
+			Help: "Share of calls that must attain the target.",
+		}, []string{labelService}),
+		windowAttained: prometheus.NewDesc(metricWindowAttained,
+			"Calls that attained the target, over a sliding window.", windowLabels, nil),
+		windowOffered: prometheus.NewDesc(metricWindowOffered,
+			"Calls that count against the objective, over a sliding window.", windowLabels, nil),
+	}
+	registry.MustRegister(r.attained, r.offered, r.refused, r.objective, r)
+	return r
+}
+
+// Call counts a call that counts against the objective.
+func (r *Recorder) Call(now time.Time, s Series, attained bool) {
+	r.tracker.Record(now, s, attained)
+	r.offered.WithLabelValues(s.Service, s.Customer).Inc()
+	if attained {
+		r.attained.WithLabelValues(s.Service, s.Customer).Inc()
+	}
+}
+
+// Refused counts a call that was refused although within the rate.
+func (r *Recorder) Refused(s Series) {
+	r.refused.WithLabelValues(s.Service, s.Customer).Inc()
+}
+
+// Objective sets the objective of a service.
+func (r *Recorder) Objective(service string, objective float64) {
+	r.objective.WithLabelValues(service).Set(objective)
+}
+
+// Describe implements prometheus.Collector.
+func (r *Recorder) Describe(out chan<- *prometheus.Desc) {
+	out <- r.windowAttained
+	out <- r.windowOffered
+}
+
+// Collect implements prometheus.Collector.
+func (r *Recorder) Collect(out chan<- prometheus.Metric) {
+	now := r.clock()
+	for _, s := range r.tracker.Series() {
+		for _, w := range Windows {
+			c := r.tracker.Sum(now, s, w)
+			labels := []string{s.Service, s.Customer, w.String()}
+			out <- prometheus.MustNewConstMetric(r.windowAttained, prometheus.GaugeValue, c.Attained, labels...)
+			out <- prometheus.MustNewConstMetric(r.windowOffered, prometheus.GaugeValue, c.Offered, labels...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/burn/scrape.go
@@ -0,0 +1,120 @@
+package burn
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// Scrape is what a report reads of one or more entries' metrics.
+type Scrape struct {
+	Total      map[Series]Count
+	Refused    map[Series]float64
+	Windows    map[Series]map[time.Duration]Count
+	Objectives map[string]float64
+}
+
+// NewScrape returns an empty scrape.
+func NewScrape() *Scrape {
+	return &Scrape{
+		Total:      make(map[Series]Count),
+		Refused:    make(map[Series]float64),
+		Windows:    make(map[Series]map[time.Duration]Count),
+		Objectives: make(map[string]float64),
+	}
+}
+
+// Read adds the metrics of one entry, in Prometheus' text format.
+func (s *Scrape) Read(r io.Reader) error {
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(r)
+	if err != nil {
+		return fmt.Errorf("metrics can't be read: %w", err)
+	}
+	for _, m := range families[metricAttained].GetMetric() {
+		s.addTotal(m, Count{Attained: m.GetCounter().GetValue()})
+	}
+	for _, m := range families[metricOffered].GetMetric() {
+		s.addTotal(m, Count{Offered: m.GetCounter().GetValue()})
+	}
+	for _, m := range families[metricRefused].GetMetric() {
+		s.Refused[seriesOf(m)] += m.GetCounter().GetValue()
+	}
+	for _, m := range families[metricObjective].GetMetric() {
+		s.Objectives[label(m, labelService)] = m.GetGauge().GetValue()
+	}
+	for _, m := range families[metricWindowAttained].GetMetric() {
+		if err := s.addWindow(m, Count{Attained: m.GetGauge().GetValue()}); err != nil {
+			return err
+		}
+	}
+	for _, m := range families[metricWindowOffered].GetMetric() {
+		if err := s.addWindow(m, Count{Offered: m.GetGauge().GetValue()}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Scrape) addTotal(m *dto.Metric, c Count) {
+	key := seriesOf(m)
+	s.Total[key] = s.Total[key].Add(c)
+}
+
+func (s *Scrape) addWindow(m *dto.Metric, c Count) error {
+	window, err := time.ParseDuration(label(m, labelWindow))
+	if err != nil {
+		return fmt.Errorf("metrics can't be read: %w", err)
+	}
+	key := seriesOf(m)
+	if s.Windows[key] == nil {
+		s.Windows[key] = make(map[time.Duration]Count)
+	}
+	s.Windows[key][window] = s.Windows[key][window].Add(c)
+	return nil
+}
+
+// Since returns the scrape with the totals of an earlier one taken off. A
+// counter that went down was restarted and counts from zero.
+func (s *Scrape) Since(earlier *Scrape) *Scrape {
+	d := NewScrape()
+	d.Windows, d.Objectives = s.Windows, s.Objectives
+	for key, c := range s.Total {
+		before := earlier.Total[key]
+		if before.Offered > c.Offered {
+			before = Count{}
+		}
+		d.Total[key] = Count{
+			Attained: c.Attained - before.Attained,
+			Offered:  c.Offered - before.Offered,
+		}
+	}
+	for key, n := range s.Refused {
+		before := earlier.Refused[key]
+		if before > n {
+			before = 0
+		}
+		d.Refused[key] = n - before
+	}
+	return d
+}
+
+func seriesOf(m *dto.Metric) Series {
+	return Series{
+		Service:  label(m, labelService),
+		Customer: label(m, labelCustomer),
+	}
+}
+
+func label(m *dto.Metric, name string) string {
+	for _, pair := range m.GetLabel() {
+		if pair.GetName() == name {
+			return pair.GetValue()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/cmds/report.go
@@ -0,0 +1,98 @@
+package cmds
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/burn"
+)
+
+const scrapeTimeout = 5 * time.Second
+
+// newReport returns the commands that report on metrics.
+func newReport() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "report",
+		Short: "Report on a running or recorded fleet",
+	}
+	cmd.AddCommand(newBurn())
+	return cmd
+}
+
+func newBurn() *cobra.Command {
+	var format string
+	var since []string
+	cmd := &cobra.Command{
+		Use:   "burn SOURCE...",
+		Short: "Report how fast services spend their error budgets",
+		Long: "Each SOURCE is the base URL of an entry's admin interface, or a file with\n" +
+			"saved metrics. All sources of one time add up; --since names the files of\n" +
+			"an earlier time, which are taken off the totals.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			scrape, err := readScrape(args)
+			if err != nil {
+				return err
+			}
+			earlier, err := readScrape(since)
+			if err != nil {
+				return err
+			}
+			return writeBurn(cmd.OutOrStdout(), format, burn.NewReport(scrape.Since(earlier)))
+		},
+	}
+	cmd.Flags().StringVar(&format, "format", "text", "text, json or html")
+	cmd.Flags().StringSliceVar(&since, "since", nil, "sources of an earlier time")
+	return cmd
+}
+
+func writeBurn(w io.Writer, format string, report burn.Report) error {
+	switch format {
+	case "text":
+		return burn.Print(w, report)
+	case "json":
+		return json.NewEncoder(w).Encode(report)
+	case "html":
+		return burn.WriteHTML(w, report)
+	default:
+		return fmt.Errorf("format %q is not text, json or html", format)
+	}
+}
+
+// readScrape adds up the metrics of sources.
+func readScrape(sources []string) (*burn.Scrape, error) {
+	scrape := burn.NewScrape()
+	for _, source := range sources {
+		text, err := readSource(source, "/metrics")
+		if err != nil {
+			return nil, err
+		}
+		if err := scrape.Read(bytes.NewReader(text)); err != nil {
+			return nil, fmt.Errorf("%s: %w", source, err)
+		}
+	}
+	return scrape, nil
+}
+
+// readSource reads a file, or a path below the base URL of an admin interface.
+func readSource(source, path string) ([]byte, error) {
+	if !strings.HasPrefix(source, "http://") {
+		return os.ReadFile(source)
+	}
+	status, body, err := fasthttp.GetTimeout(nil, strings.TrimSuffix(source, "/")+path, scrapeTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", source, err)
+	}
+	if status != fasthttp.StatusOK {
+		return nil, fmt.Errorf("%s: answered %d", source, status)
+	}
+	return body, nil
+}
--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -24,7 +24,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntry(), newAgent(), newConfig(), newKey(), newFake(), newLoad(), newDemo())
+	root.AddCommand(newEntry(), newAgent(), newConfig(), newKey(), newFake(), newLoad(), newDemo(), newReport(), newStatus())
 	return root
 }
 
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -9,6 +9,7 @@
 
 	"dogwoodfold/internal/wire"
 	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/config"
 	"dogwoodfold/pkg/fault"
 )
 
@@ -23,6 +24,10 @@
 	commands chan Effect
 	host     string
 	attempts int
+	// target, first and events tell whether the service's target is met.
+	target config.Target
+	first  time.Duration
+	events int
 
 	mu       sync.Mutex
 	open     *wire.Call
@@ -105,6 +110,7 @@
 		ctx:      ctx,
 		started:  started,
 		commands: make(chan Effect, 1),
+		target:   snapshot.Text.Services[r.call.Route.Service].Target,
 	}
 	s.register(x)
 	s.loop.Post(Arrived{Call: r.call})
@@ -241,6 +247,7 @@
 		first:    func() { s.metrics.firstToken(x, time.Since(x.started)) },
 		finish: func(err error, end *wirepb.End, events int) {
 			err = x.cause(err)
+			x.events = events
 			s.loop.Post(Answered{
 				ID:      x.call.ID,
 				Attempt: e.Attempt,
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -5,6 +5,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"dogwoodfold/internal/burn"
+	"dogwoodfold/pkg/config"
 	"dogwoodfold/pkg/fault"
 )
 
@@ -17,6 +19,7 @@
 	firstBytes *prometheus.HistogramVec
 	durations  *prometheus.HistogramVec
 	attempts   prometheus.Counter
+	burn       *burn.Recorder
 }
 
 // latencyBuckets are upper bounds in seconds; 1.2 s is the usual target.
@@ -49,14 +52,23 @@
 		}),
 	}
 	m.registry.MustRegister(m.requests, m.tokens, m.firstBytes, m.durations, m.attempts)
+	m.burn = burn.NewRecorder(m.registry, time.Now)
 	return m
 }
 
 // firstToken notes when the first part of an answer was passed on.
 func (m *metrics) firstToken(x *exchange, after time.Duration) {
+	x.first = after
 	m.firstBytes.WithLabelValues(x.call.Route.Service, x.call.Customer).Observe(after.Seconds())
 }
 
+// configured takes over the services' objectives.
+func (m *metrics) configured(text *config.Text) {
+	for name, service := range text.Services {
+		m.burn.Objective(name, service.Target.Objective)
+	}
+}
+
 // ended notes the end of a request.
 func (m *metrics) ended(x *exchange, err error, now time.Time) {
 	code, verdict := "ok", fault.Ran
@@ -70,4 +82,51 @@
 	if err == nil && !x.request.GetStream() {
 		m.firstToken(x, now.Sub(x.started))
 	}
+	if x.request == nil {
+		return // refused before its service was known
+	}
+	m.level(x, err, now)
+}
+
+// level counts a call against its service's objective.
+func (m *metrics) level(x *exchange, err error, now time.Time) {
+	series := burn.Series{
+		Service:  x.call.Route.Service,
+		Customer: x.call.Customer,
+	}
+	if err != nil && fault.VerdictOf(err) == fault.NotRun && !callersFault[fault.CodeOf(err)] {
+		m.burn.Refused(series)
+	}
+	if err == nil || !callersFault[fault.CodeOf(err)] {
+		m.burn.Call(now, series, err == nil && x.attained(now))
+	}
+}
+
+// callersFault are the failures that don't count against an objective.
+var callersFault = map[fault.Code]bool{
+	fault.CodeBadRequest: true,
+	fault.CodeTooLarge:   true,
+	fault.CodeNoKey:      true,
+	fault.CodeBadKey:     true,
+	fault.CodeForbidden:  true,
+	fault.CodeNoRoute:    true,
+	fault.CodeNoModel:    true,
+	fault.CodeRate:       true,
+	fault.CodeConflict:   true,
+	fault.CodeWithdrawn:  true,
+}
+
+// attained reports whether an answer met its service's target. A bound of zero
+// is none.
+func (x *exchange) attained(now time.Time) bool {
+	bound := x.target.FirstToken
+	if bound > 0 && x.first > bound {
+		return false
+	}
+	bound = x.target.BetweenTokens
+	if bound == 0 || x.events < 2 {
+		return true
+	}
+	gap := (now.Sub(x.started) - x.first) / time.Duration(x.events-1)
+	return gap <= bound
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -257,6 +257,7 @@
 	case Install:
 		s.index.Store(e.Index)
 		s.offset.Store(e.Offset)
+		s.metrics.configured(e.Index.Text)
 		s.options.Out.Info().Uint64("offset", e.Offset).Msg("entry: configuration in force")
 	case Ready:
 		s.ready.Store(e.Ready)
