--- /dev/null
+++ b/internal/e2e/docs_test.go
@@ -0,0 +1,96 @@
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// consoleCommands returns the commands of a page's console blocks. Lines
+// without a prompt are output.
+func consoleCommands(t *testing.T, file string) []string {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var commands []string
+	inside := false
+	for line := range strings.SplitSeq(string(text), "\n") {
+		switch command, prompt := strings.CutPrefix(line, "$ "); {
+		case strings.HasPrefix(line, "```"):
+			inside = line == "```console"
+		case inside && prompt:
+			commands = append(commands, command)
+		}
+	}
+	return commands
+}
+
+// heldDemo starts a demo fleet and returns its addresses as variables.
+func heldDemo(t *testing.T) []string {
+	t.Helper()
+	cmd := exec.Command(program, "demo", "--hold")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	variables := make(map[string][]string)
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		name, rest, _ := strings.Cut(lines.Text(), " ")
+		if name == "curl" {
+			break
+		}
+		_, value, _ := strings.Cut(rest, " ")
+		variables[name] = append(variables[name], value)
+	}
+	environment := []string{}
+	for name, values := range variables {
+		environment = append(environment, fmt.Sprintf("%s=%s", strings.ToUpper(name), values[0]),
+			fmt.Sprintf("%sS=%s", strings.ToUpper(name), strings.Join(values, " ")))
+	}
+	return environment
+}
+
+// TestPagesCommands runs each command that a page tells its reader to run, as
+// its reader would: from the root, with the program on the path and the
+// addresses of a held demo in ENTRY, ADMIN, ADMINS, LOG and KEY.
+func TestPagesCommands(t *testing.T) {
+	var pages []string
+	for _, pattern := range []string{"../../*.md", "../../docs/*.md", "../../docs/*/*.md"} {
+		found, err := filepath.Glob(pattern)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pages = append(pages, found...)
+	}
+	environment := append(os.Environ(), heldDemo(t)...)
+	environment = append(environment, "PATH="+filepath.Dir(program)+":"+os.Getenv("PATH"), "WORK="+t.TempDir())
+	ran := 0
+	for _, page := range pages {
+		for _, command := range consoleCommands(t, page) {
+			cmd := exec.Command("sh", "-ec", command)
+			cmd.Dir = "../.."
+			cmd.Env = environment
+			if out, err := cmd.CombinedOutput(); err != nil {
+				t.Errorf("%s: %s: %v\n%s", filepath.Base(page), command, err, out)
+			}
+			ran++
+		}
+	}
+	if ran == 0 {
+		t.Error("no page has a command")
+	}
+}
