--- /dev/null
+++ b/internal/entry/slope_test.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/config"
+	"dogwoodfold/pkg/fault"
+)
+
+// The slopes below are what docs/CAPACITY.md multiplies by the two-year size.
+
+// slopeText returns a text with a number of models and of customers.
+func slopeText(b *testing.B, models, customers int) []byte {
+	b.Helper()
+	text := map[string]any{
+		"format":   1,
+		"services": map[string]any{"lengua": map[string]any{"kind": "model"}},
+		"routes": map[string]any{"chat": map[string]any{
+			"path": "/v1/chat/completions", "service": "lengua", "access": "keyed",
+			"idempotent": true, "priority": "interactive",
+		}},
+	}
+	listed := make(map[string]any)
+	for i := range models {
+		listed[fmt.Sprintf("model-%03d", i)] = map[string]any{
+			"service": "lengua", "version": "v1",
+			"versions": map[string]any{"v1": map[string]any{"memoryBytes": 1 << 33}},
+			"adapters": map[string]any{
+				"a": map[string]any{"memoryBytes": 1 << 28}, "b": map[string]any{"memoryBytes": 1 << 28},
+				"c": map[string]any{"memoryBytes": 1 << 28}, "d": map[string]any{"memoryBytes": 1 << 28},
+			},
+		}
+	}
+	text["models"] = listed
+	tenants := make(map[string]any)
+	for i := range customers {
+		name := fmt.Sprintf("customer-%03d", i)
+		tenants[name] = map[string]any{
+			"keys":          map[string]any{"first": map[string]any{"sha256": config.DigestKey([]byte(name)).String()}},
+			"ratePerSecond": 1e9, "burstTokens": 1e12, "services": []string{"lengua"},
+		}
+	}
+	text["customers"] = tenants
+	data, err := json.Marshal(text)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return data
+}
+
+// slopeCore returns a ready reducer with a number of linked agents, each with
+// three models.
+func slopeCore(b *testing.B, agents, models, customers int) (*Core, time.Time) {
+	b.Helper()
+	now := time.Unix(1_000_000, 0)
+	c := NewCore(CoreSettings{
+		Host:  "entry",
+		Share: 1,
+		Seed:  1,
+	})
+	data, err := json.Marshal(config.Record{Publish: &config.Publish{Text: slopeText(b, models, customers)}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	c.Apply(now, LogRead{
+		Stream: plat.StreamConfig,
+		Page:   plat.Page{First: 1, Next: 2, Records: []plat.Record{{Offset: 1, Data: data, Time: now}}},
+	})
+	var hosts []plat.Host
+	for i := range agents {
+		hosts = append(hosts, plat.Host{
+			Name: fmt.Sprintf("agent-%04d", i), Role: plat.RoleAgent, Service: "lengua",
+			Zone: fmt.Sprintf("zone-%d", i%19), State: plat.HostLive,
+		})
+	}
+	c.Apply(now, HostsRead{Hosts: hosts})
+	for i, h := range hosts {
+		c.Apply(now, LinkUp{Host: h.Name, Hello: &wirepb.Hello{Host: h.Name, Incarnation: uint64(i + 1)}})
+		c.Apply(now, slopeLoad(h.Name, uint64(i+1), i, models, 1))
+	}
+	return c, now
+}
+
+// slopeLoad is a load report of the agent number i.
+func slopeLoad(host string, incarnation uint64, i, models int, sequence uint64) Received {
+	var held []*wirepb.HeldModel
+	for k := range 3 {
+		held = append(held, &wirepb.HeldModel{
+			Model: fmt.Sprintf("model-%03d", (i*3+k)%models), Version: "v1", Adapters: []string{"a", "b"},
+		})
+	}
+	return Received{
+		Host:        host,
+		Incarnation: incarnation,
+		Message: &wirepb.Envelope{Body: &wirepb.Envelope_Load{Load: &wirepb.LoadReport{
+			Sequence: sequence, Running: 3, Queued: 1, QueuedTokens: 900, Slots: 32, Models: held,
+			AgeMs: 100, PrefillTokensPerSecond: 20_000, DecodeTokensPerSecond: 2_000,
+		}}},
+	}
+}
+
+// BenchmarkSlopeCall gives the reducer's time for a call from its arrival to
+// its end.
+func BenchmarkSlopeCall(b *testing.B) {
+	for _, agents := range []int{12, 64, 588, 4700} {
+		b.Run(fmt.Sprint("agents=", agents), func(b *testing.B) {
+			c, now := slopeCore(b, agents, 36, 5)
+			call := Call{
+				Keyed: true, Key: config.DigestKey([]byte("customer-001")), Customer: "customer-001",
+				Route: c.fold.Text.Routes["chat"], Model: "model-001", Version: "v1", Tokens: 300,
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				call.ID, call.Deadline = fmt.Sprint(i), now.Add(time.Minute)
+				c.Apply(now, Arrived{Call: call})
+				c.Apply(now, Answered{ID: call.ID, Attempt: 1, Outcome: Outcome{Verdict: fault.Ran, Used: 200}})
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeLoad gives the time and the bytes of a load report.
+func BenchmarkSlopeLoad(b *testing.B) {
+	c, now := slopeCore(b, 588, 360, 5)
+	bytes := 0
+	b.ResetTimer()
+	for i := range b.N {
+		e := slopeLoad("agent-0001", 2, 1, 360, uint64(i+2))
+		bytes = proto.Size(e.Message)
+		c.Apply(now, e)
+	}
+	b.ReportMetric(float64(bytes), "bytes/report")
+}
+
+// BenchmarkSlopeTick gives the time of the periodic work with all peers.
+func BenchmarkSlopeTick(b *testing.B) {
+	c, now := slopeCore(b, 588, 360, 5)
+	effects := 0
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(heartbeatInterval)
+		effects = len(c.Apply(now, Tick{}))
+	}
+	b.ReportMetric(float64(effects), "effects/tick")
+}
+
+// BenchmarkSlopeState gives the memory of a peer, a model and a customer.
+func BenchmarkSlopeState(b *testing.B) {
+	for range b.N {
+		base := heapOf(b, 1, 1, 1)
+		b.ReportMetric((heapOf(b, 4701, 1, 1)-base)/4700, "bytes/peer")
+		b.ReportMetric((heapOf(b, 1, 361, 1)-base)/360, "bytes/model")
+		b.ReportMetric((heapOf(b, 1, 1, 401)-base)/400, "bytes/customer")
+	}
+}
+
+// heapOf returns the heap that a reducer of a size holds, in bytes.
+func heapOf(b *testing.B, agents, models, customers int) float64 {
+	b.Helper()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	c, _ := slopeCore(b, agents, models, customers)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(c)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
--- /dev/null
+++ b/internal/link/pool_test.go
@@ -0,0 +1,68 @@
+package link_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	"dogwoodfold/internal/link"
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/wire"
+	"dogwoodfold/internal/wire/wirepb"
+)
+
+// listen accepts sessions and hands them over.
+func listen(t *testing.T) (plat.Host, <-chan *wire.Session) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan *wire.Session, 8)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if s, err := wire.Accept(conn, &wirepb.Hello{Host: "agent"}, nil); err == nil {
+				accepted <- s
+			}
+		}
+	}()
+	return plat.Host{
+		Name:    "agent",
+		Address: netip.MustParseAddrPort(listener.Addr().String()),
+	}, accepted
+}
+
+// TestPoolReconnects closes a session from the other side and waits for the
+// next one, then takes the target away.
+func TestPoolReconnects(t *testing.T) {
+	host, accepted := listen(t)
+	up := make(chan plat.Host, 8)
+	down := make(chan plat.Host, 8)
+	p := link.New(
+		func(ctx context.Context, h plat.Host) (*wire.Session, error) {
+			return wire.Dial(ctx, h.Address, &wirepb.Hello{Host: "entry"}, nil)
+		},
+		link.Handler{
+			Up:       func(h plat.Host, _ *wire.Session) { up <- h },
+			Down:     func(h plat.Host, _ *wire.Session) { down <- h },
+			Received: func(plat.Host, *wire.Session, *wirepb.Envelope) {},
+		})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.Run(ctx)
+	p.Set([]plat.Host{host})
+	<-up
+	(<-accepted).Close()
+	<-down
+	<-up
+	p.Set(nil)
+	<-down
+	cancel()
+	<-p.Done()
+}
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,57 @@
+package loop_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/loop"
+)
+
+// doubler answers each number with two effects.
+type doubler struct{}
+
+func (doubler) Apply(_ time.Time, n int) []int { return []int{n, n} }
+
+func TestEffectsKeepOrder(t *testing.T) {
+	var got []int
+	full := make(chan struct{})
+	l := loop.New(doubler{}, func(n int) {
+		if got = append(got, n); len(got) == 200 {
+			close(full)
+		}
+	}, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	for n := range 100 {
+		l.Post(n)
+	}
+	<-full
+	cancel()
+	<-l.Done()
+	if !slices.IsSorted(got) {
+		t.Errorf("effects out of order: %v", got)
+	}
+}
+
+// TestPostFromEffect checks that an effect may post without a deadlock.
+func TestPostFromEffect(_ *testing.T) {
+	var l *loop.Loop[int, int]
+	over := make(chan struct{})
+	var once sync.Once
+	l = loop.New(doubler{}, func(n int) {
+		if n < 10 {
+			l.Post(n + 1)
+			return
+		}
+		once.Do(func() { close(over) })
+	}, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	l.Post(0)
+	<-over
+	cancel()
+	<-l.Done()
+}
