--- a/internal/engsim/engsim.go
+++ b/internal/engsim/engsim.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 )
 
@@ -165,13 +166,7 @@
 			results = append(results, s.Result)
 		}
 	}
-	kept := e.running[:0]
-	for _, s := range e.running {
-		if s.tokens < max(1, s.Output) {
-			kept = append(kept, s)
-		}
-	}
-	e.running = kept
+	e.running = slices.DeleteFunc(e.running, func(s *sequence) bool { return s.tokens >= max(1, s.Output) })
 	return results
 }
 
