Plan placement from demand and let agents decide

Cause: nothing placed models; engines had to start with them loaded. Change: place.Planner with averages of demand, gains, swaps and limits of the weight store; messages for wishes, pins and memory; the agent follows wishes by its ledger and relays pins through the entry that wished.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -53,7 +53,7 @@
 // holds reports whether the engine has the model, version and adapter ready.
 func (c *Core) holds(r *wirepb.CallRequest) bool {
 	model, adapter := false, r.GetAdapter() == ""
-	for _, resident := range c.report.Residents {
+	for _, resident := range c.serving() {
 		if !resident.Ready || resident.Model != r.GetModel() || resident.Version != r.GetVersion() {
 			continue
 		}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -28,6 +28,8 @@
 	report   plat.Report
 	reportAt time.Time
 
+	placement placement
+
 	sequence uint64
 	toldAt   time.Time
 	leaving  bool
@@ -35,11 +37,15 @@
 
 // CoreSettings are the constants of a reducer.
 type CoreSettings struct {
+	Host        string
 	Incarnation uint64
 	// Plain says that the endpoint is a plain service, not an engine.
 	Plain bool
 	// Slots is how many calls run at once at the endpoint.
 	Slots int
+	// MaxOrderDelay bounds the time from an order's sending to its last
+	// effect, for engines that ignore fencing numbers.
+	MaxOrderDelay time.Duration
 }
 
 // NewCore returns the reducer of a fresh agent.
@@ -51,6 +57,7 @@
 		waiting:     queue.New[uint64](s.Slots * queuePerSlot),
 		calls:       make(map[uint64]Call),
 		running:     make(map[uint64]bool),
+		placement:   newPlacement(s),
 	}
 }
 
@@ -64,13 +71,20 @@
 	case Abandoned:
 		return c.abandoned(now, e.Key)
 	case Reported:
-		c.report, c.reportAt = e.Report, e.TookOff
-		return c.tell(now)
+		return c.reported(now, e)
+	case Received:
+		return c.received(now, e)
 	case Linked:
-		return []Effect{Tell{
-			Session: e.Session,
-			Message: c.load(now),
-		}}
+		return []Effect{
+			Tell{
+				Session: e.Session,
+				Message: c.load(now),
+			},
+			Tell{
+				Session: e.Session,
+				Message: c.placeState(),
+			},
+		}
 	case Stopping:
 		return c.stopping(now)
 	case Tick:
@@ -83,6 +97,7 @@
 // stopping refuses new work and tells the entries at once.
 func (c *Core) stopping(now time.Time) []Effect {
 	c.leaving = true
+	c.placement.holder.Leave()
 	return append(c.tell(now), c.finish()...)
 }
 
@@ -95,7 +110,7 @@
 }
 
 func (c *Core) tick(now time.Time) []Effect {
-	effects := c.expire(now)
+	effects := append(c.expire(now), c.place(now)...)
 	if now.Sub(c.toldAt) >= reportInterval {
 		effects = append(effects, c.tell(now)...)
 	}
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -110,6 +110,8 @@
 		Stream string
 		Data   []byte
 	}
+	// Order sends an order to the engine.
+	Order struct{ Order plat.Order }
 	// Finished says that a graceful shutdown has nothing left to wait for.
 	Finished struct{}
 )
@@ -119,4 +121,5 @@
 func (Tell) isEffect()      {}
 func (Broadcast) isEffect() {}
 func (Append) isEffect()    {}
+func (Order) isEffect()     {}
 func (Finished) isEffect()  {}
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -23,7 +23,7 @@
 		QueuedTokens:           uint64(c.waiting.Cost()),
 		Slots:                  uint32(c.slots),
 		Leaving:                c.leaving,
-		Models:                 held(c.report.Residents),
+		Models:                 held(c.serving()),
 		PrefillTokensPerSecond: c.report.PrefillPerSecond,
 		DecodeTokensPerSecond:  c.report.DecodePerSecond,
 	}
--- a/internal/agent/platform.go
+++ b/internal/agent/platform.go
@@ -7,7 +7,10 @@
 	"dogwoodfold/internal/plat"
 )
 
-const hostsInterval = time.Second
+const (
+	hostsInterval = time.Second
+	orderTimeout  = 2 * time.Second
+)
 
 // readHosts follows the platform's list of hosts.
 func (s *Server) readHosts(ctx context.Context) {
@@ -50,3 +53,19 @@
 		})
 	})
 }
+
+// order sends an order to the engine without holding up the loop. It leaves at
+// once or not at all, since its longest delay counts from now.
+func (s *Server) order(o plat.Order) {
+	s.appends.Go(func() {
+		ctx, cancel := context.WithTimeout(s.base, orderTimeout)
+		defer cancel()
+		if err := s.options.Engine.Order(ctx, o); err != nil {
+			s.options.Out.Warn().Err(err).Str("order", o.ID).Msg("agent: order has no answer or was refused")
+			return
+		}
+		s.options.Out.Info().Str("order", o.ID).Str("action", string(o.Action)).
+			Str("model", o.Model).Str("version", o.Version).Str("adapter", o.Adapter).
+			Msg("agent: order sent")
+	})
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -280,6 +280,8 @@
 		s.broadcast(e.Message)
 	case Append:
 		s.append(e)
+	case Order:
+		s.order(e.Order)
 	case Finished:
 		s.finish.Do(func() { close(s.finished) })
 	}
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -103,9 +103,11 @@
 	incarnation := newIncarnation()
 	options := agent.Options{
 		Core: agent.CoreSettings{
-			Incarnation: incarnation,
-			Plain:       s.Kind == kindService,
-			Slots:       s.Slots,
+			Host:          s.Host,
+			Incarnation:   incarnation,
+			Plain:         s.Kind == kindService,
+			Slots:         s.Slots,
+			MaxOrderDelay: s.MaxOrderDelay,
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"time"
 
 	"dogwoodfold/internal/strict"
 )
@@ -51,8 +52,11 @@
 	Log   string `json:"log"`
 	Hosts string `json:"hosts"`
 	// Slots is how many calls run at once at the endpoint.
-	Slots int      `json:"slots"`
-	TLS   TLSFiles `json:"tls"`
+	Slots int `json:"slots"`
+	// MaxOrderDelay bounds the time from an order's sending to its last
+	// effect at engines that ignore fencing numbers.
+	MaxOrderDelay time.Duration `json:"maxOrderDelay"`
+	TLS           TLSFiles      `json:"tls"`
 }
 
 // The kinds of endpoints.
@@ -61,6 +65,12 @@
 	kindService = "service"
 )
 
+const (
+	defaultMaxOrderDelay = 10 * time.Second
+	// leastMaxOrderDelay leaves time for an order's own request.
+	leastMaxOrderDelay = 3 * time.Second
+)
+
 // readSettings decodes and checks a settings file; all faults come at once.
 func readSettings(file string, out interface{ check(*strict.Faults) }) error {
 	text, err := os.ReadFile(file)
@@ -104,6 +114,12 @@
 	if s.Slots < 1 {
 		faults.Add("slots", "must be 1 or more")
 	}
+	if s.MaxOrderDelay == 0 {
+		s.MaxOrderDelay = defaultMaxOrderDelay
+	}
+	if s.MaxOrderDelay < leastMaxOrderDelay {
+		faults.Add("maxOrderDelay", "must be %v or more", leastMaxOrderDelay)
+	}
 	s.TLS.check(faults)
 }
 
--- a/internal/place/holder.go
+++ b/internal/place/holder.go
@@ -81,9 +81,9 @@
 }
 
 // NewHolder returns the state of a fresh agent named self.
-func NewHolder(now time.Time, self string, incarnation uint64, maxDelay time.Duration) *Holder {
+func NewHolder(self string, incarnation uint64, maxDelay time.Duration) *Holder {
 	return &Holder{
-		Ledger:  NewLedger(now, incarnation, maxDelay),
+		Ledger:  NewLedger(incarnation, maxDelay),
 		self:    self,
 		unloads: make(map[Copy]*unload),
 		kept:    make(map[string]kept),
@@ -109,7 +109,7 @@
 }
 
 // Unload begins to unload a copy. A keeper must first promise to keep the
-// model in the version keep; without a keeper nobody is asked, which is safe
+// model in the version keep, be it this holder in another version; without a keeper nobody is asked, which is safe
 // only for copies that are not listed any more.
 func (h *Holder) Unload(now time.Time, c Copy, keeper, keep string) ([]Action, error) {
 	switch {
@@ -132,7 +132,12 @@
 		started: now,
 	}
 	h.unloads[c] = u
-	if keeper == "" {
+	if keeper == h.self && !h.keeps(u.pin.Copies) {
+		delete(h.unloads, c)
+		return nil, ErrBusy
+	}
+	if keeper == "" || keeper == h.self {
+		u.pin.To = ""
 		u.stage = draining
 		return nil, nil
 	}
@@ -162,10 +167,8 @@
 	if h.leaving || p.To != h.self || p.From == h.self {
 		return false
 	}
-	for _, c := range p.Copies {
-		if !h.Holds(c) || h.unloading(c) != nil {
-			return false
-		}
+	if !h.keeps(p.Copies) {
+		return false
 	}
 	h.kept[p.From] = kept{
 		pin:   p,
@@ -174,6 +177,11 @@
 	return true
 }
 
+// keeps reports whether all of some copies are here and stay.
+func (h *Holder) keeps(copies []Copy) bool {
+	return !slices.ContainsFunc(copies, func(c Copy) bool { return !h.Holds(c) || h.unloading(c) != nil })
+}
+
 // Answered takes a keeper's answer. One to an earlier attempt, or to an earlier
 // agent, is dropped.
 func (h *Holder) Answered(p Pin, granted bool) {
@@ -256,17 +264,6 @@
 	return h.unloads[c.Base()]
 }
 
-// Draining returns the copies that take no new calls, by name.
-func (h *Holder) Draining() []Copy {
-	var copies []Copy
-	for _, c := range slices.SortedFunc(maps.Keys(h.unloads), compareCopies) {
-		if h.unloads[c].stage != asking {
-			copies = append(copies, c)
-		}
-	}
-	return copies
-}
-
 // pinned reports whether a copy, or an adapter on it, is kept for another
 // holder.
 func (h *Holder) pinned(now time.Time, c Copy) bool {
--- a/internal/place/holder_test.go
+++ b/internal/place/holder_test.go
@@ -121,7 +121,7 @@
 
 func (w *world) start(i int) {
 	w.starts++
-	w.nodes[i].holder = NewHolder(w.now, fmt.Sprint(i), w.starts, testDelay)
+	w.nodes[i].holder = NewHolder(fmt.Sprint(i), w.starts, testDelay)
 	w.nodes[i].read = nil
 }
 
--- a/internal/place/ledger.go
+++ b/internal/place/ledger.go
@@ -26,6 +26,7 @@
 	ErrBusy    = errors.New("place: an order for the copy may still act")
 	ErrAbsent  = errors.New("place: the copy is not there")
 	ErrWindow  = errors.New("place: too many orders without a report")
+	ErrStale   = errors.New("place: the wish rests on an older configuration")
 )
 
 // order is an order that may still act.
@@ -60,23 +61,25 @@
 
 // NewLedger returns the ledger of a fresh agent, which presumes that orders of
 // an earlier one may still act.
-func NewLedger(now time.Time, incarnation uint64, maxDelay time.Duration) *Ledger {
+func NewLedger(incarnation uint64, maxDelay time.Duration) *Ledger {
 	return &Ledger{
 		incarnation: incarnation,
 		maxDelay:    maxDelay,
 		presumed:    true,
-		presumedAt:  now,
 	}
 }
 
 // Report takes over an engine's report that was asked for at askedAt.
-func (l *Ledger) Report(now time.Time, askedAt time.Time, r plat.Report) {
+func (l *Ledger) Report(now, askedAt time.Time, r plat.Report) {
 	if l.reported && !askedAt.After(l.askedAt) {
 		return
 	}
 	if l.reported && r.ChecksFence && (r.Sequence <= l.report.Sequence || r.Fence < l.report.Fence) {
 		l.presume(now)
 	}
+	if !l.reported {
+		l.presumedAt = askedAt
+	}
 	l.report, l.askedAt, l.reported = r, askedAt, true
 	if l.presumed {
 		l.settle()
@@ -223,15 +226,26 @@
 	return slices.ContainsFunc(l.report.Residents, func(r plat.Resident) bool { return r.Ready && copyOf(r) == c })
 }
 
-// Pending returns the loads that may still act, by name.
-func (l *Ledger) Pending() []Copy {
-	loads := make(map[Copy]bool)
-	for _, o := range l.orders {
-		if o.Action == plat.ActionLoad {
-			loads[target(o.Order)] = true
-		}
+// Memory returns the bytes that the engine has in all.
+func (l *Ledger) Memory() int64 { return l.report.MemoryBytes }
+
+// Charge is what the ledger charges a copy with.
+type Charge struct {
+	Copy
+	Bytes int64
+}
+
+// Charges returns all copies that are, or may come to be, in memory, by name.
+func (l *Ledger) Charges() []Charge {
+	charges := l.charges()
+	list := make([]Charge, 0, len(charges))
+	for _, c := range slices.SortedFunc(maps.Keys(charges), compareCopies) {
+		list = append(list, Charge{
+			Copy:  c,
+			Bytes: charges[c],
+		})
 	}
-	return slices.SortedFunc(maps.Keys(loads), compareCopies)
+	return list
 }
 
 // resident reports whether the engine has reported a copy, ready or not.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -3,6 +3,8 @@
 // planner that decides what each engine of a service ought to hold.
 package place
 
+import "dogwoodfold/internal/wire/wirepb"
+
 // Copy names one set of weights: a version of a model, or an adapter on it.
 type Copy struct {
 	Model   string
@@ -18,3 +20,21 @@
 		Version: c.Version,
 	}
 }
+
+// ToWire returns the wire's form of a copy.
+func (c Copy) ToWire() *wirepb.Weights {
+	return &wirepb.Weights{
+		Model:   c.Model,
+		Version: c.Version,
+		Adapter: c.Adapter,
+	}
+}
+
+// FromWire returns the copy that a wire's form names.
+func FromWire(w *wirepb.Weights) Copy {
+	return Copy{
+		Model:   w.GetModel(),
+		Version: w.GetVersion(),
+		Adapter: w.GetAdapter(),
+	}
+}
--- /dev/null
+++ b/internal/place/rounds.go
@@ -0,0 +1,294 @@
+package place
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// versions replaces old versions of listed models: the new one is loaded beside
+// the old one where there is room, and the old one goes as soon as another
+// worker, or the same one, keeps the new one.
+func (r *round) versions() {
+	for i := range r.workers {
+		w := &r.workers[i]
+		for _, h := range slices.Clone(w.Held) {
+			m, listed := r.models[h.Model]
+			if !listed || h.Adapter != "" || h.Version == m.Version || !h.Staying {
+				continue
+			}
+			current := m.current(h.Model)
+			if w.holds(current) == nil && w.Free >= m.Bytes && r.load(w, current, m.Bytes) {
+				continue
+			}
+			if own := w.holds(current); own != nil && !own.Ready {
+				continue
+			}
+			r.drop(w, h)
+		}
+	}
+}
+
+// adapt loads adapters on the holders of their models: each adapter on two,
+// and on all where it is wanted.
+func (r *round) adapt() {
+	for _, name := range slices.Sorted(maps.Keys(r.models)) {
+		m := r.models[name]
+		on := holders(r.workers, m.current(name))
+		for _, adapter := range slices.Sorted(maps.Keys(m.Adapters)) {
+			wanted := min(adapterCopies, len(on))
+			if r.demand.Rate(name, adapter) > 0 {
+				wanted = len(on)
+			}
+			r.adaptOne(on[:wanted], Copy{
+				Model:   name,
+				Version: m.Version,
+				Adapter: adapter,
+			}, m.Adapters[adapter])
+		}
+	}
+}
+
+// adapterCopies is on how many holders an adapter is that nobody asks for.
+const adapterCopies = 2
+
+func (r *round) adaptOne(on []*Worker, c Copy, bytes int64) {
+	for _, w := range on {
+		if base := w.holds(c.Base()); base.Staying && w.holds(c) == nil && w.Free >= bytes {
+			r.load(w, c, bytes)
+		}
+	}
+}
+
+// change is a copy to add, with what has to go for it.
+type change struct {
+	worker  *Worker
+	copy    Copy
+	bytes   int64
+	victims []Held
+	gain    float64
+}
+
+// swap is a load that waits for the unloads that make room for it.
+type swap struct {
+	host  string
+	copy  Copy
+	bytes int64
+	until time.Time
+}
+
+// swapLimit is how long a load waits for room.
+const swapLimit = 30 * time.Second
+
+// swap unloads copies and notes the load to follow.
+func (r *round) swap(c *change) {
+	for _, h := range c.victims {
+		r.drop(c.worker, h)
+	}
+	r.swaps[c.copy.Model] = swap{
+		host:  c.worker.Host,
+		copy:  c.copy,
+		bytes: c.bytes,
+		until: r.now.Add(swapLimit),
+	}
+	c.worker.Free -= c.bytes
+	c.worker.Held = append(c.worker.Held, Held{
+		Copy:  c.copy,
+		Bytes: c.bytes,
+	})
+}
+
+// swapped begins the loads whose room has come free, and keeps the room of the
+// others from being used.
+func (r *round) swapped() {
+	for _, name := range slices.Sorted(maps.Keys(r.swaps)) {
+		s := r.swaps[name]
+		i := slices.IndexFunc(r.workers, func(w Worker) bool { return w.Host == s.host })
+		if i < 0 || r.now.After(s.until) || r.models[name].Version != s.copy.Version || r.workers[i].holds(s.copy) != nil {
+			delete(r.swaps, name)
+			continue
+		}
+		w := &r.workers[i]
+		if w.Free >= s.bytes && r.load(w, s.copy, s.bytes) {
+			delete(r.swaps, name)
+			continue
+		}
+		w.Free -= s.bytes
+		w.Held = append(w.Held, Held{
+			Copy:  s.copy,
+			Bytes: s.bytes,
+		})
+	}
+}
+
+const (
+	// hotModels and coolWorkers bound the changes that are weighed.
+	hotModels   = 3
+	coolWorkers = 6
+	// zoneBonus is the gain that a copy in a further zone counts for.
+	zoneBonus = 0.02
+)
+
+// relieve adds copies of the models that make an engine hot, if that lowers
+// its use by enough to be worth a load.
+func (r *round) relieve() {
+	for r.budget >= 1 && r.loading+len(r.swaps) < r.settings.Loads {
+		used, parts := estimate(r.workers, r.models, r.rate)
+		hot := r.hottest(used)
+		if hot == nil || used[hot.Host] < r.settings.High {
+			return
+		}
+		best := r.bestChange(hot, used, parts)
+		if best == nil || best.gain < r.settings.Gain {
+			return
+		}
+		if len(best.victims) > 0 {
+			r.swap(best)
+		} else if !r.load(best.worker, best.copy, best.bytes) {
+			return
+		}
+	}
+}
+
+// hottest returns the worker with the highest use.
+func (r *round) hottest(used usage) *Worker {
+	var hot *Worker
+	for i := range r.workers {
+		if w := &r.workers[i]; hot == nil || used[w.Host] > used[hot.Host] {
+			hot = w
+		}
+	}
+	return hot
+}
+
+// bestChange returns the change that relieves a worker most, nil if there is
+// none.
+func (r *round) bestChange(hot *Worker, used usage, parts map[Copy]usage) *change {
+	models := slices.SortedFunc(maps.Keys(r.models), func(a, b string) int {
+		x, y := r.models[a], r.models[b]
+		return cmp.Or(
+			cmp.Compare(parts[y.current(b)][hot.Host], parts[x.current(a)][hot.Host]),
+			cmp.Compare(a, b),
+		)
+	})
+	var best *change
+	for _, name := range models[:min(hotModels, len(models))] {
+		for _, w := range r.coolest(used) {
+			c := r.weigh(hot, w, name, used)
+			if c != nil && (best == nil || c.gain > best.gain) {
+				best = c
+			}
+		}
+	}
+	return best
+}
+
+// coolest returns the least used workers.
+func (r *round) coolest(used usage) []*Worker {
+	list := make([]*Worker, 0, len(r.workers))
+	for i := range r.workers {
+		list = append(list, &r.workers[i])
+	}
+	slices.SortFunc(list, func(a, b *Worker) int {
+		return cmp.Or(cmp.Compare(used[a.Host], used[b.Host]), cmp.Compare(a.Host, b.Host))
+	})
+	return list[:min(coolWorkers, len(list))]
+}
+
+// weigh returns what a copy of a model at a worker would bring, nil if it can't
+// be had.
+func (r *round) weigh(hot, w *Worker, name string, used usage) *change {
+	m := r.models[name]
+	c := &change{
+		worker: w,
+		copy:   m.current(name),
+		bytes:  m.Bytes,
+	}
+	if _, waits := r.swaps[name]; waits || w.holds(c.copy) != nil || hot.holds(c.copy) == nil {
+		return nil
+	}
+	victims, ok := r.victims(w, m.Bytes, r.settings.Residency)
+	if !ok {
+		return nil
+	}
+	c.victims = victims
+	kept, free := w.Held, w.Free
+	defer func() { w.Held, w.Free = kept, free }()
+	w.Held = slices.DeleteFunc(slices.Clone(kept), func(h Held) bool {
+		return slices.ContainsFunc(victims, func(v Held) bool { return v.Copy == h.Copy })
+	})
+	w.Held = append(w.Held, Held{
+		Copy: c.copy,
+	})
+	after, _ := estimate(r.workers, r.models, r.rate)
+	c.gain = used[hot.Host] - after[r.hottest(after).Host]
+	if c.gain > 0 && !r.inZone(c.copy, w) {
+		c.gain += zoneBonus
+	}
+	return c
+}
+
+// inZone reports whether another worker in a worker's zone holds a copy.
+func (r *round) inZone(c Copy, w *Worker) bool {
+	return slices.ContainsFunc(holders(r.workers, c), func(h *Worker) bool {
+		return h.Host != w.Host && h.Zone == w.Zone
+	})
+}
+
+// second uses memory that is free for a second copy of the models that have
+// one, in another zone if possible, so that no endpoint's death takes a model
+// away.
+func (r *round) second() {
+	if len(r.absent) > 0 {
+		return
+	}
+	names := slices.SortedFunc(maps.Keys(r.models), func(a, b string) int {
+		return cmp.Or(cmp.Compare(r.rate(b), r.rate(a)), cmp.Compare(a, b))
+	})
+	for _, name := range names {
+		m := r.models[name]
+		on := holders(r.workers, m.current(name))
+		if len(on) != 1 || r.now.Sub(r.firstSeen(on[0], m.current(name))) < secondDelay {
+			continue
+		}
+		if w := r.spare(m.Bytes, on[0]); w != nil {
+			r.load(w, m.current(name), m.Bytes)
+		}
+	}
+}
+
+// secondDelay is how long a model has one copy before it gets another one.
+const secondDelay = 5 * time.Second
+
+// firstSeen returns when a worker was seen to get a copy.
+func (r *round) firstSeen(w *Worker, c Copy) time.Time {
+	return r.loaded[seat{
+		host: w.Host,
+		copy: c,
+	}]
+}
+
+// spare returns the worker with the most free memory, preferring zones other
+// than that of the worker which holds the first copy; nil if none has room.
+func (r *round) spare(bytes int64, first *Worker) *Worker {
+	var best *Worker
+	for i := range r.workers {
+		w := &r.workers[i]
+		if w.Free < bytes || w.Host == first.Host {
+			continue
+		}
+		if best == nil || less(best, w, first.Zone) {
+			best = w
+		}
+	}
+	return best
+}
+
+// less reports whether b is a better place for a second copy than a.
+func less(a, b *Worker, zone string) bool {
+	if (a.Zone == zone) != (b.Zone == zone) {
+		return a.Zone == zone
+	}
+	return b.Free > a.Free
+}
