--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -287,6 +287,8 @@
 		e.Reply <- e.Status
 	case Append:
 		s.append(e)
+	case Order:
+		s.order(e.Order)
 	case Finished:
 		s.finish.Do(func() { close(s.finished) })
 	}
