--- a/internal/agent/drop.go
+++ b/internal/agent/drop.go
@@ -8,10 +8,10 @@
 	"dogwoodfold/pkg/fault"
 )
 
-// received handles a control message of an entry.
-func (c *Core) received(now time.Time, e Received) []Effect {
-	if fold, ok := e.Message.GetBody().(*wirepb.Envelope_Fold); ok && fold.Fold.GetDrop() != nil {
-		return c.drop(now, fold.Fold.GetDrop().GetId())
+// foldMessage handles an entry's message about the configuration.
+func (c *Core) foldMessage(now time.Time, m *wirepb.FoldMessage) []Effect {
+	if drop := m.GetDrop(); drop != nil {
+		return c.drop(now, drop.GetId())
 	}
 	return nil
 }
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -58,8 +58,11 @@
 	Log   string `json:"log"`
 	Hosts string `json:"hosts"`
 	// Slots is how many calls run at once at the endpoint.
-	Slots int      `json:"slots"`
-	TLS   TLSFiles `json:"tls"`
+	Slots int `json:"slots"`
+	// MaxOrderDelay bounds the time from an order's sending to its last
+	// effect at engines that ignore fencing numbers.
+	MaxOrderDelay time.Duration `json:"maxOrderDelay"`
+	TLS           TLSFiles      `json:"tls"`
 }
 
 // The kinds of endpoints.
@@ -75,6 +78,12 @@
 	leastIsolationLimit = 2*plat.FollowWait + time.Second
 )
 
+const (
+	defaultMaxOrderDelay = 10 * time.Second
+	// leastMaxOrderDelay leaves time for an order's own request.
+	leastMaxOrderDelay = 3 * time.Second
+)
+
 // readSettings decodes and checks a settings file; all faults come at once.
 func readSettings(file string, out interface{ check(*strict.Faults) }) error {
 	text, err := os.ReadFile(file)
@@ -124,6 +133,12 @@
 	if s.Slots < 1 {
 		faults.Add("slots", "must be 1 or more")
 	}
+	if s.MaxOrderDelay == 0 {
+		s.MaxOrderDelay = defaultMaxOrderDelay
+	}
+	if s.MaxOrderDelay < leastMaxOrderDelay {
+		faults.Add("maxOrderDelay", "must be %v or more", leastMaxOrderDelay)
+	}
 	s.TLS.check(faults)
 }
 
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -35,6 +35,7 @@
 
 // Core is the reducer of an entry.
 type Core struct {
+	host   string
 	fold   *config.Fold
 	index  *config.Index
 	relay  *relay.Relay
@@ -55,6 +56,7 @@
 func NewCore(s CoreSettings) *Core {
 	f := fleet.New(s.Host)
 	return &Core{
+		host:   s.Host,
 		fold:   config.NewFold(),
 		relay:  relay.New(s.IsolationLimit, s.Seed),
 		points: newCheckpoints(s.Retention, s.Seed),
@@ -85,6 +87,8 @@
 		return c.received(now, e)
 	case Stopping:
 		return c.stopping()
+	case Inspect:
+		return c.inspect(now, e)
 	case Tick:
 		return c.tick(now)
 	default:
