Move shares of the rates between entries

Cause: entries with fixed shares refuse customers within their rate, and one with the whole rate doubles it. Change: each entry holds a fraction of each customer's rate and burst; a coordinator, made by a claim in the log, moves them with demand, answers entries that are about to refuse, and takes back a dead entry's share once no agent admits it. Agents admit by view. Messages carry totals, so loss, repetition and order do no harm. An agent's setting rates, shares by default, turns the view off for entries with a staticShare. The end-to-end tests run without staticShare.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -44,6 +44,9 @@
 	if r.GetAgentIncarnation() != c.incarnation {
 		return fault.New(fault.NotRun, fault.CodeLink, "the call was for an earlier agent")
 	}
+	if err := c.checkEntry(r); err != nil {
+		return err
+	}
 	if !c.plain && !c.holds(r) {
 		return fault.New(fault.NotRun, fault.CodeNoEndpoint, "the endpoint does not hold the model")
 	}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -5,6 +5,7 @@
 
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/queue"
+	"dogwoodfold/internal/quota"
 )
 
 const (
@@ -31,6 +32,9 @@
 	sequence uint64
 	toldAt   time.Time
 	leaving  bool
+
+	// guard is nil if the entries' shares are fixed.
+	guard *quota.Guard
 }
 
 // CoreSettings are the constants of a reducer.
@@ -40,6 +44,9 @@
 	Plain bool
 	// Slots is how many calls run at once at the endpoint.
 	Slots int
+	// StaticRates says that the entries' shares of the rates are fixed, so
+	// that no view of them is needed.
+	StaticRates bool
 }
 
 // NewCore returns the reducer of a fresh agent.
@@ -51,6 +58,7 @@
 		waiting:     queue.New[uint64](s.Slots * queuePerSlot),
 		calls:       make(map[uint64]Call),
 		running:     make(map[uint64]bool),
+		guard:       newGuard(s),
 	}
 }
 
@@ -71,6 +79,10 @@
 			Session: e.Session,
 			Message: c.load(now),
 		}}
+	case Received:
+		return c.received(e)
+	case LogRead:
+		return c.logRead(e)
 	case Stopping:
 		return c.stopping(now)
 	case Tick:
--- a/internal/agent/platform.go
+++ b/internal/agent/platform.go
@@ -22,18 +22,24 @@
 }
 
 // readClaims follows the stream of claims.
-func (s *Server) readClaims(ctx context.Context) {
-	plat.Follow(ctx, s.options.Log, plat.StreamClaims, 1,
+func (s *Server) readClaims(ctx context.Context) { s.follow(ctx, plat.StreamClaims) }
+
+// readFleet follows the stream of the fleet.
+func (s *Server) readFleet(ctx context.Context) { s.follow(ctx, plat.StreamFleet) }
+
+// follow reads a stream of the log.
+func (s *Server) follow(ctx context.Context, stream string) {
+	plat.Follow(ctx, s.options.Log, stream, 1,
 		func(page plat.Page) {
 			s.loop.Post(LogRead{
-				Stream: plat.StreamClaims,
+				Stream: stream,
 				Page:   page,
 			})
 		},
 		func(err error) {
 			s.options.Out.Warn().Err(err).Msg("agent: log can't be read")
 			s.loop.Post(LogFailed{
-				Stream: plat.StreamClaims,
+				Stream: stream,
 				Err:    err,
 			})
 		})
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -94,7 +94,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	var parts sync.WaitGroup
-	for _, part := range []func(context.Context){s.loop.Run, s.tick, s.poll, s.readHosts, s.readClaims} {
+	for _, part := range []func(context.Context){s.loop.Run, s.tick, s.poll, s.readHosts, s.readClaims, s.readFleet} {
 		parts.Go(func() { part(ctx) })
 	}
 	err := s.accept(ctx, listener, &parts)
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -41,9 +41,10 @@
 	incarnation := newIncarnation()
 	return entry.Options{
 		Core: entry.CoreSettings{
-			Host:  s.Host,
-			Share: s.StaticShare,
-			Seed:  rand.Uint64(),
+			Host:        s.Host,
+			Incarnation: incarnation,
+			Share:       s.StaticShare,
+			Seed:        rand.Uint64(),
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
@@ -106,6 +107,7 @@
 			Incarnation: incarnation,
 			Plain:       s.Kind == kindService,
 			Slots:       s.Slots,
+			StaticRates: s.Rates == ratesStatic,
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -31,7 +31,8 @@
 	// Log and Hosts are base URLs of the platform's services.
 	Log   string `json:"log"`
 	Hosts string `json:"hosts"`
-	// StaticShare is a fixed share of every customer's rate and burst.
+	// StaticShare is a fixed share of every customer's rate and burst. At 0
+	// shares move between the entries.
 	StaticShare float64  `json:"staticShare"`
 	TLS         TLSFiles `json:"tls"`
 }
@@ -51,7 +52,11 @@
 	Log   string `json:"log"`
 	Hosts string `json:"hosts"`
 	// Slots is how many calls run at once at the endpoint.
-	Slots int      `json:"slots"`
+	Slots int `json:"slots"`
+	// Rates is "shares", the default, or "static". With shares an agent
+	// admits calls only from the entries that the coordinator's view lists;
+	// with static it trusts every entry to keep to its staticShare.
+	Rates string   `json:"rates"`
 	TLS   TLSFiles `json:"tls"`
 }
 
@@ -61,6 +66,12 @@
 	kindService = "service"
 )
 
+// The ways in which entries limit customers.
+const (
+	ratesShares = "shares"
+	ratesStatic = "static"
+)
+
 // readSettings decodes and checks a settings file; all faults come at once.
 func readSettings(file string, out interface{ check(*strict.Faults) }) error {
 	text, err := os.ReadFile(file)
@@ -101,6 +112,9 @@
 	if s.Kind != kindEngine && s.Kind != kindService {
 		faults.Add("kind", "is %q, want %q or %q", s.Kind, kindEngine, kindService)
 	}
+	if s.Rates != "" && s.Rates != ratesShares && s.Rates != ratesStatic {
+		faults.Add("rates", "is %q, want %q or %q", s.Rates, ratesShares, ratesStatic)
+	}
 	if s.Slots < 1 {
 		faults.Add("slots", "must be 1 or more")
 	}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -164,7 +164,7 @@
 	}
 	s.addAgent(t, "agent-engine", "lengua", "engine", s.engine)
 	s.addAgent(t, "agent-service", "pedidos", "service", s.service)
-	s.addEntry(t, "entry-1", 1)
+	s.addEntry(t, "entry-1", 0)
 	s.publish(t, text())
 	s.await(t)
 	return s
--- /dev/null
+++ b/internal/e2e/rates_test.go
@@ -0,0 +1,81 @@
+package e2e
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// ask makes a call through one entry that reserves about 27 tokens more than
+// the limit.
+func (s *system) ask(t *testing.T, entry int, key string, limit int) answer {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"lengua-8b","prompt":"order of two hoodies","max_tokens":%d,"stream":false}`, limit)
+	return do(t, "POST", s.entries[entry].url()+"/v1/completions", body, "Authorization", "Bearer "+key)
+}
+
+// newPair returns a system of two entries that share the rates.
+func newPair(t *testing.T) *system {
+	t.Helper()
+	s := newSystem(t)
+	s.addEntry(t, "entry-2", 0)
+	eventually(t, "both entries serve", func() bool {
+		return s.ask(t, 0, boothKey, 1).status == 200 && s.ask(t, 1, boothKey, 1).status == 200
+	})
+	return s
+}
+
+// TestShareMovesToWhereItIsAsked spends more than half of a burst through
+// either entry in turn.
+func TestShareMovesToWhereItIsAsked(t *testing.T) {
+	t.Parallel()
+	s := newPair(t)
+	for entry := range s.entries {
+		eventually(t, "the share has moved and filled", func() bool {
+			return s.ask(t, entry, otherKey, 55).status == 200
+		})
+	}
+	if a := s.ask(t, 0, otherKey, 55); a.status != 429 || a.verdict != "not-run" {
+		t.Errorf("beyond the burst: %+v, want 429 not-run", a)
+	}
+}
+
+// TestKilledEntrysShareComesBack needs more of the burst at the entry that is
+// left than its own share and the pool can hold.
+func TestKilledEntrysShareComesBack(t *testing.T) {
+	for killed := range 2 {
+		t.Run(fmt.Sprintf("entry-%d", killed+1), func(t *testing.T) {
+			t.Parallel()
+			s := newPair(t)
+			if err := s.entries[killed].cmd.Process.Kill(); err != nil {
+				t.Fatal(err)
+			}
+			eventually(t, "the share is back", func() bool {
+				return s.ask(t, 1-killed, otherKey, 40).status == 200
+			})
+		})
+	}
+}
+
+// TestPausedEntryIsRefusedAndRejoins stops an entry for longer than the others
+// wait for it.
+func TestPausedEntryIsRefusedAndRejoins(t *testing.T) {
+	t.Parallel()
+	s := newPair(t)
+	p := s.entries[1].cmd.Process
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(6 * time.Second)
+	if err := p.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the entry serves again", func() bool {
+		a := s.ask(t, 1, boothKey, 1)
+		if a.status != 200 && a.verdict != "not-run" {
+			t.Errorf("refused with %+v, want not-run", a)
+		}
+		return a.status == 200
+	})
+}
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -28,9 +28,25 @@
 
 // arrived admits a call and sends it, or refuses it.
 func (c *Core) arrived(now time.Time, call Call) []Effect {
-	if err := c.admit(now, call); err != nil {
+	if err := c.admit(call); err != nil {
 		return refuse(call.ID, err)
 	}
+	if !call.Keyed {
+		return c.begin(now, call)
+	}
+	waits, effects, err := c.reserve(now, &call)
+	switch {
+	case err != nil:
+		return append(effects, refuse(call.ID, err)...)
+	case waits:
+		return effects
+	default:
+		return append(effects, c.begin(now, call)...)
+	}
+}
+
+// begin sends a call whose tokens are reserved.
+func (c *Core) begin(now time.Time, call Call) []Effect {
 	r := &running{
 		Call:  call,
 		tried: make(map[string]bool),
@@ -39,25 +55,17 @@
 	return c.send(now, r)
 }
 
-// admit says why a call can't be taken, nil if its tokens are reserved.
-func (c *Core) admit(now time.Time, call Call) error {
+// admit says why a call can't be taken whatever its tokens are.
+func (c *Core) admit(call Call) error {
 	if c.leaving {
 		return fault.New(fault.NotRun, fault.CodeLeaving, "this entry is leaving")
 	}
 	if !c.ready {
 		return fault.New(fault.NotRun, fault.CodeNotReady, "this entry has no configuration yet")
 	}
-	if !call.Keyed {
-		return nil
-	}
-	if !c.keyValid(call) {
+	if call.Keyed && !c.keyValid(call) {
 		return fault.New(fault.NotRun, fault.CodeWithdrawn, "the key is not valid any more")
 	}
-	wait, ok := c.quota.Reserve(now, call.Customer, call.Tokens)
-	if !ok {
-		err := fault.New(fault.NotRun, fault.CodeRate, "the customer's rate and burst are spent")
-		return fault.WithRetryAfter(err, wait)
-	}
 	return nil
 }
 
@@ -95,6 +103,8 @@
 		Incarnation:  peer.Incarnation,
 		Weight:       c.index.Text.Customers[r.Customer].Weight,
 		ConfigOffset: c.fold.Accepted,
+
+		EntryIncarnation: r.EntryIncarnation,
 	}}
 }
 
@@ -113,7 +123,7 @@
 // settle ends a call's reservation and forgets the call.
 func (c *Core) settle(now time.Time, r *running, used float64) {
 	if r.Keyed {
-		c.quota.Settle(now, r.Customer, r.Tokens, used)
+		c.refund(now, r.Call, r.Tokens-used)
 	}
 	delete(c.calls, r.ID)
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -33,11 +33,11 @@
 // install puts the accepted configuration in force, on running calls too.
 func (c *Core) install(now time.Time) []Effect {
 	c.index = config.NewIndex(c.fold.Text)
-	c.quota.Configure(now, c.fold.Text.Customers)
-	effects := []Effect{Install{
+	effects := c.limit(now, c.fold.Text.Customers)
+	effects = append(effects, Install{
 		Index:  c.index,
 		Offset: c.fold.Accepted,
-	}}
+	})
 	for _, r := range c.calls {
 		if !r.Keyed || !r.Route.Idempotent {
 			continue
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -5,7 +5,6 @@
 
 	"dogwoodfold/internal/fleet"
 	"dogwoodfold/internal/plat"
-	"dogwoodfold/internal/quota"
 	"dogwoodfold/internal/route"
 	"dogwoodfold/pkg/config"
 )
@@ -21,8 +20,10 @@
 
 // CoreSettings are the constants of a reducer.
 type CoreSettings struct {
-	Host string
-	// Share is this entry's fixed share of every customer's rate and burst.
+	Host        string
+	Incarnation uint64
+	// Share is this entry's fixed share of every customer's rate and burst;
+	// at 0 shares move between the entries.
 	Share float64
 	Seed  uint64
 }
@@ -33,7 +34,7 @@
 	index   *config.Index
 	fleet   *fleet.Fleet
 	router  *route.Router
-	quota   *quota.Limiter
+	shares  shares
 	calls   map[string]*running
 	beatAt  time.Time
 	ready   bool
@@ -47,7 +48,7 @@
 		fold:   config.NewFold(),
 		fleet:  f,
 		router: route.New(f, s.Seed),
-		quota:  quota.NewLimiter(s.Share),
+		shares: newShares(s),
 		calls:  make(map[string]*running),
 	}
 }
@@ -60,21 +61,22 @@
 	case Answered:
 		return c.answered(now, e)
 	case HostsRead:
-		return c.listed(e.Hosts)
+		return append(c.listed(e.Hosts), c.shareEvent(now, e)...)
 	case LogRead:
 		return c.logRead(now, e)
 	case LinkUp:
 		c.fleet.Up(now, e.Host, e.Hello)
-		return nil
+		return c.shareEvent(now, e)
 	case LinkDown:
 		c.fleet.Down(e.Host, e.Incarnation)
-		return nil
+		return c.shareEvent(now, e)
 	case Received:
-		return c.received(now, e)
+		c.received(now, e)
+		return c.shareEvent(now, e)
 	case Stopping:
-		return c.stopping()
+		return append(c.shareEvent(now, e), c.stopping()...)
 	case Tick:
-		return c.tick(now)
+		return append(c.tick(now), c.shareEvent(now, e)...)
 	default:
 		return nil
 	}
@@ -85,6 +87,8 @@
 	switch e.Stream {
 	case plat.StreamConfig:
 		return c.configRead(now, e.Page)
+	case plat.StreamFleet:
+		return c.shareEvent(now, e)
 	default:
 		return nil
 	}
@@ -98,7 +102,7 @@
 
 // finish ends a graceful shutdown once no call is left.
 func (c *Core) finish() []Effect {
-	if c.leaving && len(c.calls) == 0 {
+	if c.leaving && len(c.calls) == 0 && len(c.shares.asking) == 0 {
 		return []Effect{Finished{}}
 	}
 	return nil
--- a/internal/entry/core_test.go
+++ b/internal/entry/core_test.go
@@ -128,7 +128,7 @@
 	if len(effects) != 1 || effects[0] != (Finished{}) {
 		t.Errorf("effects = %v, want Finished", effects)
 	}
-	if err := c.admit(now, Call{}); fault.CodeOf(err) != fault.CodeLeaving {
+	if err := c.admit(Call{}); fault.CodeOf(err) != fault.CodeLeaving {
 		t.Errorf("admit = %v, want %s", err, fault.CodeLeaving)
 	}
 }
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -25,6 +25,8 @@
 	Adapter  string
 	// Tokens is what the call reserves: prompt and answer.
 	Tokens float64
+	// EntryIncarnation is the one that has reserved the tokens.
+	EntryIncarnation uint64
 	// IdempotencyKey is the caller's own, empty if none was given.
 	IdempotencyKey string
 	Deadline       time.Time
@@ -119,6 +121,9 @@
 		Weight      float64
 		// ConfigOffset is the configuration that the decision rests on.
 		ConfigOffset uint64
+		// EntryIncarnation is the one that has reserved the tokens, 0 if
+		// the entry's share is fixed.
+		EntryIncarnation uint64
 	}
 	// Refuse ends a call with an error.
 	Refuse struct {
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -198,7 +198,7 @@
 	}
 	x.request.Attempt = uint32(e.Attempt)
 	x.request.Entry = s.options.Hello.GetHost()
-	x.request.EntryIncarnation = s.options.Hello.GetIncarnation()
+	x.request.EntryIncarnation = e.EntryIncarnation
 	x.request.AgentIncarnation = e.Incarnation
 	x.request.TimeoutMs = uint32(left.Milliseconds()) + 1
 	x.request.Weight = e.Weight
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -19,14 +19,13 @@
 	return []Effect{Connect{Hosts: targets}}
 }
 
-func (c *Core) received(now time.Time, e Received) []Effect {
+func (c *Core) received(now time.Time, e Received) {
 	switch body := e.Message.GetBody().(type) {
 	case *wirepb.Envelope_Load:
 		c.fleet.Reported(now, e.Host, body.Load)
 	case *wirepb.Envelope_Heartbeat:
 		c.fleet.Heard(now, e.Host, body.Heartbeat)
 	}
-	return nil
 }
 
 func (c *Core) tick(now time.Time) []Effect {
--- /dev/null
+++ b/internal/entry/shares.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/quota"
+	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/config"
+	"dogwoodfold/pkg/fault"
+)
+
+// shares limits the customers: by shares that move between the entries, or by
+// a fixed share of each rate.
+type shares struct {
+	fixed *quota.Limiter
+	node  *quota.Node
+	// asking are the calls that wait for the coordinator's answer.
+	asking map[string]Call
+}
+
+func newShares(s CoreSettings) shares {
+	if s.Share > 0 {
+		return shares{fixed: quota.NewLimiter(s.Share)}
+	}
+	return shares{
+		node:   quota.NewNode(s.Host, s.Incarnation, s.Seed),
+		asking: make(map[string]Call),
+	}
+}
+
+// reserve takes a call's tokens. A call that waits for more is noted; it goes
+// on with a Decide.
+func (c *Core) reserve(now time.Time, call *Call) (waits bool, effects []Effect, err error) {
+	var wait time.Duration
+	decision := quota.Admitted
+	if c.shares.node == nil {
+		var ok bool
+		if wait, ok = c.shares.fixed.Reserve(now, call.Customer, call.Tokens); !ok {
+			decision = quota.Refused
+		}
+	} else {
+		var out []quota.Effect
+		call.EntryIncarnation = c.shares.node.Incarnation()
+		decision, wait, out = c.shares.node.Reserve(now, call.ID, call.Customer, call.Tokens)
+		if decision == quota.Asked {
+			c.shares.asking[call.ID] = *call
+		}
+		effects = c.shared(now, out)
+	}
+	if decision == quota.Refused {
+		return false, effects, rateError(wait)
+	}
+	return decision == quota.Asked, effects, nil
+}
+
+func rateError(wait time.Duration) error {
+	err := fault.New(fault.NotRun, fault.CodeRate, "the customer's rate and burst are spent")
+	return fault.WithRetryAfter(err, wait)
+}
+
+// shared carries out what the node wants.
+func (c *Core) shared(now time.Time, out []quota.Effect) []Effect {
+	var effects []Effect
+	for _, effect := range out {
+		switch e := effect.(type) {
+		case quota.Tell:
+			effects = append(effects, Tell{
+				Host:    e.Host,
+				Message: &wirepb.Envelope{Body: &wirepb.Envelope_Share{Share: e.Message}},
+			})
+		case quota.Append:
+			effects = append(effects, Append{
+				Tag:    "shares",
+				Stream: plat.StreamFleet,
+				Data:   e.Data,
+			})
+		case quota.Decide:
+			effects = append(effects, c.decided(now, e)...)
+		}
+	}
+	return effects
+}
+
+// decided goes on with a call that has waited for tokens.
+func (c *Core) decided(now time.Time, d quota.Decide) []Effect {
+	call, known := c.shares.asking[d.ID]
+	if !known {
+		return nil
+	}
+	delete(c.shares.asking, d.ID)
+	if !d.OK {
+		return append(refuse(call.ID, rateError(d.Wait)), c.finish()...)
+	}
+	call.EntryIncarnation = d.Incarnation
+	return c.begin(now, call)
+}
+
+// refund ends a reservation; a negative rest is what was used beyond it.
+func (c *Core) refund(now time.Time, call Call, rest float64) {
+	if c.shares.node == nil {
+		c.shares.fixed.Settle(now, call.Customer, rest)
+		return
+	}
+	c.shares.node.Settle(now, call.Customer, call.EntryIncarnation, rest)
+}
+
+// limit takes over the customers' rates and bursts.
+func (c *Core) limit(now time.Time, customers map[string]config.Customer) []Effect {
+	limits := quota.Limits(customers)
+	if c.shares.node == nil {
+		c.shares.fixed.Configure(now, limits)
+		return nil
+	}
+	return c.shared(now, c.shares.node.Configure(now, limits))
+}
+
+// shareEvent passes an event to the node.
+func (c *Core) shareEvent(now time.Time, event Event) []Effect {
+	n := c.shares.node
+	if n == nil {
+		return nil
+	}
+	switch e := event.(type) {
+	case HostsRead:
+		n.Listed(now, agentNames(e.Hosts))
+	case LogRead:
+		return c.shared(now, n.LogRead(now, e.Page))
+	case LinkUp:
+		return c.shareLinked(now, e.Host, e.Hello.GetIncarnation())
+	case LinkDown:
+		return c.shareLinked(now, e.Host, 0)
+	case Received:
+		if m := e.Message.GetShare(); m != nil {
+			return c.shared(now, n.Received(now, e.Host, m))
+		}
+	case Stopping:
+		return c.shared(now, n.Leave(now))
+	case Tick:
+		return c.shared(now, n.Tick(now))
+	}
+	return nil
+}
+
+// shareLinked notes a session that came up, or ended if incarnation is 0.
+func (c *Core) shareLinked(now time.Time, host string, incarnation uint64) []Effect {
+	peer := c.fleet.Peer(host)
+	if peer == nil {
+		return nil
+	}
+	if peer.Host.Role == plat.RoleEntry {
+		return c.shared(now, c.shares.node.LinkedEntry(now, host, incarnation != 0))
+	}
+	return c.shared(now, c.shares.node.LinkedAgent(now, host, incarnation))
+}
+
+// agentNames returns the names of the listed agents.
+func agentNames(hosts []plat.Host) []string {
+	var names []string
+	for _, h := range hosts {
+		if h.Role == plat.RoleAgent {
+			names = append(names, h.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -1,9 +1,12 @@
-// Package quota decides how many tokens each customer may spend.
+// Package quota decides how many tokens each customer may spend. The right to
+// spend is conserved: entries hold shares of each customer's rate and burst
+// that never sum to more than the whole, and a coordinator moves them.
 package quota
 
 import "time"
 
-// Bucket is a token bucket.
+// Bucket is a token bucket. It may hold less than nothing after a call used
+// more than it had reserved.
 type Bucket struct {
 	rate   float64
 	burst  float64
@@ -35,7 +38,8 @@
 	return time.Duration((tokens - b.tokens) / b.rate * float64(time.Second)), false
 }
 
-// Put gives back tokens that were taken and not used.
+// Put gives back tokens that were taken and not used. A negative number takes
+// tokens, below zero if need be.
 func (b *Bucket) Put(now time.Time, tokens float64) {
 	b.fill(now)
 	b.tokens = min(b.burst, b.tokens+tokens)
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -21,11 +21,23 @@
 	}
 }
 
-// Configure takes over the customers' rates and bursts. A new customer starts
-// with a full bucket.
-func (l *Limiter) Configure(now time.Time, customers map[string]config.Customer) {
+// Limits returns the limits of a text's customers.
+func Limits(customers map[string]config.Customer) map[string]Limit {
+	limits := make(map[string]Limit)
 	for name, c := range customers {
-		rate, burst := l.share*c.RatePerSecond, l.share*c.BurstTokens
+		limits[name] = Limit{
+			Rate:  c.RatePerSecond,
+			Burst: c.BurstTokens,
+		}
+	}
+	return limits
+}
+
+// Configure takes over the customers' limits. A new customer starts with a full
+// bucket.
+func (l *Limiter) Configure(now time.Time, limits map[string]Limit) {
+	for name, limit := range limits {
+		rate, burst := l.share*limit.Rate, l.share*limit.Burst
 		if b, known := l.buckets[name]; known {
 			b.Resize(now, rate, burst)
 			continue
@@ -33,7 +45,7 @@
 		l.buckets[name] = NewBucket(now, rate, burst, burst)
 	}
 	for name := range l.buckets {
-		if _, known := customers[name]; !known {
+		if _, known := limits[name]; !known {
 			delete(l.buckets, name)
 		}
 	}
@@ -49,9 +61,9 @@
 	return b.Take(now, tokens)
 }
 
-// Settle gives back what a reservation did not use.
-func (l *Limiter) Settle(now time.Time, customer string, reserved, used float64) {
-	if b, known := l.buckets[customer]; known && used < reserved {
-		b.Put(now, reserved-used)
+// Settle ends a reservation. A negative rest is what was used beyond it.
+func (l *Limiter) Settle(now time.Time, customer string, rest float64) {
+	if b, known := l.buckets[customer]; known {
+		b.Put(now, rest)
 	}
 }
