--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -29,6 +29,8 @@
 	report   plat.Report
 	reportAt time.Time
 
+	placement placement
+
 	sequence uint64
 	toldAt   time.Time
 	leaving  bool
@@ -39,6 +41,7 @@
 
 // CoreSettings are the constants of a reducer.
 type CoreSettings struct {
+	Host        string
 	Incarnation uint64
 	// Plain says that the endpoint is a plain service, not an engine.
 	Plain bool
@@ -47,6 +50,9 @@
 	// StaticRates says that the entries' shares of the rates are fixed, so
 	// that no view of them is needed.
 	StaticRates bool
+	// MaxOrderDelay bounds the time from an order's sending to its last
+	// effect, for engines that ignore fencing numbers.
+	MaxOrderDelay time.Duration
 }
 
 // NewCore returns the reducer of a fresh agent.
@@ -59,6 +65,7 @@
 		calls:       make(map[uint64]Call),
 		running:     make(map[uint64]bool),
 		guard:       newGuard(s),
+		placement:   newPlacement(s),
 	}
 }
 
@@ -72,19 +79,26 @@
 	case Abandoned:
 		return c.abandoned(now, e.Key)
 	case Reported:
-		c.report, c.reportAt = e.Report, e.TookOff
-		return c.tell(now)
-	case Linked:
-		return []Effect{Tell{
-			Session: e.Session,
-			Message: c.load(now),
-		}}
+		return c.reported(now, e)
 	case Received:
-		return c.received(e)
+		return c.received(now, e)
+	case Linked:
+		return []Effect{
+			Tell{
+				Session: e.Session,
+				Message: c.load(now),
+			},
+			Tell{
+				Session: e.Session,
+				Message: c.placeState(),
+			},
+		}
 	case LogRead:
 		return c.logRead(e)
 	case Stopping:
 		return c.stopping(now)
+	case Inspect:
+		return c.inspect(now, e)
 	case Tick:
 		return c.tick(now)
 	default:
@@ -95,6 +109,7 @@
 // stopping refuses new work and tells the entries at once.
 func (c *Core) stopping(now time.Time) []Effect {
 	c.leaving = true
+	c.placement.holder.Leave()
 	return append(c.tell(now), c.finish()...)
 }
 
@@ -107,7 +122,7 @@
 }
 
 func (c *Core) tick(now time.Time) []Effect {
-	effects := c.expire(now)
+	effects := append(c.expire(now), c.place(now)...)
 	if now.Sub(c.toldAt) >= reportInterval {
 		effects = append(effects, c.tell(now)...)
 	}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -45,6 +45,7 @@
 	options  Options
 	loop     *loop.Loop[Event, Effect]
 	upstream *upstream
+	metrics  *metrics
 	keys     atomic.Uint64
 
 	// base is the context of Run, which effects' goroutines end with.
@@ -76,6 +77,7 @@
 	s := &Server{
 		options:  o,
 		upstream: newUpstream(o.Endpoint.String()),
+		metrics:  newMetrics(),
 		calls:    make(map[uint64]*served),
 		sessions: make(map[uint64]*wire.Session),
 		finished: make(chan struct{}),
@@ -226,7 +228,7 @@
 func (s *Server) carryOut(key uint64, d decision, closed <-chan struct{}, call *wire.Call, r *wirepb.CallRequest) {
 	err := d.err
 	if d.start {
-		err = s.forward(closed, call, r)
+		err = s.forward(closed, r, call.SendFrame)
 		s.loop.Post(Ended{Key: key})
 	}
 	if err != nil {
@@ -235,7 +237,7 @@
 }
 
 // forward runs a call at the endpoint; the entry's closing cancels it.
-func (s *Server) forward(closed <-chan struct{}, call *wire.Call, r *wirepb.CallRequest) error {
+func (s *Server) forward(closed <-chan struct{}, r *wirepb.CallRequest, send sink) error {
 	l := s.upstream.take()
 	over := make(chan struct{})
 	watched := make(chan struct{})
@@ -251,9 +253,10 @@
 			l.cancel()
 		}
 	}()
-	err := s.upstream.run(l, r, call.SendFrame)
+	err := s.upstream.run(l, r, send)
 	close(over)
 	<-watched
+	s.upstream.put(l)
 	return err
 }
 
@@ -271,15 +274,21 @@
 func (s *Server) perform(effect Effect) {
 	switch e := effect.(type) {
 	case Start:
+		s.metrics.started.Inc()
 		s.decide(e.Key, decision{start: true})
 	case Refuse:
+		s.metrics.refused.Inc()
 		s.decide(e.Key, decision{err: e.Err})
 	case Tell:
 		s.send(e.Session, e.Message)
 	case Broadcast:
 		s.broadcast(e.Message)
+	case Inspected:
+		e.Reply <- e.Status
 	case Append:
 		s.append(e)
+	case Order:
+		s.order(e.Order)
 	case Finished:
 		s.finish.Do(func() { close(s.finished) })
 	}
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -15,8 +15,8 @@
 	return quota.NewGuard()
 }
 
-// received takes over a control message of an entry.
-func (c *Core) received(e Received) []Effect {
+// viewed takes over a view and tells which one is in force.
+func (c *Core) viewed(e Received) []Effect {
 	view := e.Message.GetShare().GetView()
 	if view == nil || c.guard == nil {
 		return nil
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"time"
 
 	"dogwoodfold/internal/strict"
 )
@@ -56,8 +57,11 @@
 	// Rates is "shares", the default, or "static". With shares an agent
 	// admits calls only from the entries that the coordinator's view lists;
 	// with static it trusts every entry to keep to its staticShare.
-	Rates string   `json:"rates"`
-	TLS   TLSFiles `json:"tls"`
+	Rates string `json:"rates"`
+	// MaxOrderDelay bounds the time from an order's sending to its last
+	// effect at engines that ignore fencing numbers.
+	MaxOrderDelay time.Duration `json:"maxOrderDelay"`
+	TLS           TLSFiles      `json:"tls"`
 }
 
 // The kinds of endpoints.
@@ -72,6 +76,12 @@
 	ratesStatic = "static"
 )
 
+const (
+	defaultMaxOrderDelay = 10 * time.Second
+	// leastMaxOrderDelay leaves time for an order's own request.
+	leastMaxOrderDelay = 3 * time.Second
+)
+
 // readSettings decodes and checks a settings file; all faults come at once.
 func readSettings(file string, out interface{ check(*strict.Faults) }) error {
 	text, err := os.ReadFile(file)
@@ -118,6 +128,12 @@
 	if s.Slots < 1 {
 		faults.Add("slots", "must be 1 or more")
 	}
+	if s.MaxOrderDelay == 0 {
+		s.MaxOrderDelay = defaultMaxOrderDelay
+	}
+	if s.MaxOrderDelay < leastMaxOrderDelay {
+		faults.Add("maxOrderDelay", "must be %v or more", leastMaxOrderDelay)
+	}
 	s.TLS.check(faults)
 }
 
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -30,6 +30,7 @@
 
 // Core is the reducer of an entry.
 type Core struct {
+	host    string
 	fold    *config.Fold
 	index   *config.Index
 	fleet   *fleet.Fleet
@@ -45,6 +46,7 @@
 func NewCore(s CoreSettings) *Core {
 	f := fleet.New(s.Host)
 	return &Core{
+		host:   s.Host,
 		fold:   config.NewFold(),
 		fleet:  f,
 		router: route.New(f, s.Seed),
@@ -75,6 +77,8 @@
 		return c.shareEvent(now, e)
 	case Stopping:
 		return append(c.shareEvent(now, e), c.stopping()...)
+	case Inspect:
+		return c.inspect(now, e)
 	case Tick:
 		return append(c.tick(now), c.shareEvent(now, e)...)
 	default:
