--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -5,6 +5,7 @@
 
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/queue"
+	"dogwoodfold/internal/quota"
 )
 
 const (
@@ -33,6 +34,9 @@
 	sequence uint64
 	toldAt   time.Time
 	leaving  bool
+
+	// guard is nil if the entries' shares are fixed.
+	guard *quota.Guard
 }
 
 // CoreSettings are the constants of a reducer.
@@ -43,6 +47,9 @@
 	Plain bool
 	// Slots is how many calls run at once at the endpoint.
 	Slots int
+	// StaticRates says that the entries' shares of the rates are fixed, so
+	// that no view of them is needed.
+	StaticRates bool
 	// MaxOrderDelay bounds the time from an order's sending to its last
 	// effect, for engines that ignore fencing numbers.
 	MaxOrderDelay time.Duration
@@ -57,6 +64,7 @@
 		waiting:     queue.New[uint64](s.Slots * queuePerSlot),
 		calls:       make(map[uint64]Call),
 		running:     make(map[uint64]bool),
+		guard:       newGuard(s),
 		placement:   newPlacement(s),
 	}
 }
@@ -85,6 +93,8 @@
 				Message: c.placeState(),
 			},
 		}
+	case LogRead:
+		return c.logRead(e)
 	case Stopping:
 		return c.stopping(now)
 	case Inspect:
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -45,10 +45,10 @@
 	incarnation := newIncarnation()
 	return entry.Options{
 		Core: entry.CoreSettings{
-			Host:  s.Host,
-			Share: s.StaticShare,
-			Seed:  rand.Uint64(),
-
+			Host:           s.Host,
+			Incarnation:    incarnation,
+			Share:          s.StaticShare,
+			Seed:           rand.Uint64(),
 			Retention:      s.LogRetention,
 			IsolationLimit: cmp.Or(s.IsolationLimit, defaultIsolationLimit),
 		},
@@ -120,6 +120,7 @@
 			Plain:         s.Kind == kindService,
 			Slots:         s.Slots,
 			MaxOrderDelay: s.MaxOrderDelay,
+			StaticRates:   s.Rates == ratesStatic,
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -38,7 +38,8 @@
 	// IsolationLimit is how long the entry admits calls without word from the
 	// log or any other entry, defaultIsolationLimit if unset.
 	IsolationLimit time.Duration `json:"isolationLimit"`
-	// StaticShare is a fixed share of every customer's rate and burst.
+	// StaticShare is a fixed share of every customer's rate and burst. At 0
+	// shares move between the entries.
 	StaticShare float64  `json:"staticShare"`
 	TLS         TLSFiles `json:"tls"`
 }
@@ -59,6 +60,10 @@
 	Hosts string `json:"hosts"`
 	// Slots is how many calls run at once at the endpoint.
 	Slots int `json:"slots"`
+	// Rates is "shares", the default, or "static". With shares an agent
+	// admits calls only from the entries that the coordinator's view lists;
+	// with static it trusts every entry to keep to its staticShare.
+	Rates string `json:"rates"`
 	// MaxOrderDelay bounds the time from an order's sending to its last
 	// effect at engines that ignore fencing numbers.
 	MaxOrderDelay time.Duration `json:"maxOrderDelay"`
@@ -78,6 +83,12 @@
 	leastIsolationLimit = 2*plat.FollowWait + time.Second
 )
 
+// The ways in which entries limit customers.
+const (
+	ratesShares = "shares"
+	ratesStatic = "static"
+)
+
 const (
 	defaultMaxOrderDelay = 10 * time.Second
 	// leastMaxOrderDelay leaves time for an order's own request.
@@ -130,6 +141,9 @@
 	if s.Kind != kindEngine && s.Kind != kindService {
 		faults.Add("kind", "is %q, want %q or %q", s.Kind, kindEngine, kindService)
 	}
+	if s.Rates != "" && s.Rates != ratesShares && s.Rates != ratesStatic {
+		faults.Add("rates", "is %q, want %q or %q", s.Rates, ratesShares, ratesStatic)
+	}
 	if s.Slots < 1 {
 		faults.Add("slots", "must be 1 or more")
 	}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -55,11 +55,11 @@
 // install puts the accepted configuration in force, on running calls too.
 func (c *Core) install(now time.Time) []Effect {
 	c.index = config.NewIndex(c.fold.Text)
-	c.quota.Configure(now, c.fold.Text.Customers)
-	effects := []Effect{Install{
+	effects := c.limit(now, c.fold.Text.Customers)
+	effects = append(effects, Install{
 		Index:  c.index,
 		Offset: c.fold.Accepted,
-	}}
+	})
 	effects = append(effects, c.withdraw(now)...)
 	return append(effects, c.beat(now)...)
 }
