--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/go-viper/mapstructure/v2"
 )
@@ -47,6 +49,7 @@
 		ErrorUnused: true,
 		Result:      out,
 		DecodeHook: mapstructure.ComposeDecodeHookFunc(
+			refuseNumbers,
 			mapstructure.StringToTimeDurationHookFunc(),
 			mapstructure.TextUnmarshallerHookFunc(),
 		),
@@ -60,6 +63,18 @@
 	return faults.Err()
 }
 
+// refuseNumbers refuses a number where a string is wanted, as for durations: to
+// mapstructure, a json.Number is a string, which its own hooks panic at.
+func refuseNumbers(from, to reflect.Type, data any) (any, error) {
+	if from != reflect.TypeFor[json.Number]() {
+		return data, nil
+	}
+	if to.Kind() == reflect.String || to == reflect.TypeFor[time.Duration]() {
+		return nil, errors.New("is a number, want a string")
+	}
+	return data, nil
+}
+
 // generic decodes one JSON value and refuses anything after it.
 func generic(text []byte) (any, error) {
 	decoder := json.NewDecoder(bytes.NewReader(text))
--- a/internal/strict/strict_test.go
+++ b/internal/strict/strict_test.go
@@ -48,3 +48,14 @@
 		t.Error("trailing text was accepted")
 	}
 }
+
+func TestNumberForStringIsAFault(t *testing.T) {
+	var out struct {
+		Name string        `json:"name"`
+		Wait time.Duration `json:"wait"`
+	}
+	err := strict.Decode([]byte(`{"name":5,"wait":7}`), &out)
+	if err == nil || !strings.Contains(err.Error(), "name") || !strings.Contains(err.Error(), "wait") {
+		t.Errorf("error %v, want one that names both fields", err)
+	}
+}
--- a/pkg/config/fold_test.go
+++ b/pkg/config/fold_test.go
@@ -117,9 +117,26 @@
 	m.log.append([]byte(rapid.SampledFrom([]string{
 		`{}`, `7`, `"x"`, `null`, `{"publish":{"base":"x"}}`, `{"publish":{},"checkpoint":{}}`,
 		`{"publish":{"base":1,"text":"x"}}`,
+		`{"publish":{"text":{"format":1,"routes":{"r":{"timeout":5}}}}}`, `{"publish":{"text":{"format":1,"services":[1]}}}`,
 	}).Draw(t, "record")))
 }
 
+// Odd publishes what is JSON, but no text or patch, on the right base.
+func (m *foldMachine) Odd(t *rapid.T) {
+	m.log.read(m.full, 1<<20)
+	field := rapid.SampledFrom([]string{"text", "patch"}).Draw(t, "field")
+	value := rapid.SampledFrom([]string{
+		`7`, `null`, `[]`, `"x"`, `[{"op":"add"}]`, `{"customers":7}`, `{"customers":{"booth":[1]}}`, `{"routes":{"chat":{"timeout":5}}}`,
+		`{"format":1e400}`, `{"format":-1}`, `{"format":"1"}`, `{"format":1,"x":{}}`, `{"customers":{"booth":{"ratePerSecond":1e400}}}`,
+	}).Draw(t, "value")
+	before := m.full.Accepted
+	offset := m.log.append([]byte(fmt.Sprintf(`{"publish":{"base":%d,"%s":%s}}`, before, field, value)))
+	m.log.read(m.full, 1<<20)
+	if m.full.Accepted != before {
+		t.Fatalf("record %d with the %s %s was accepted", offset, field, value)
+	}
+}
+
 // Checkpoint lets a fold, which may lag, write one; some lie.
 func (m *foldMachine) Checkpoint(t *rapid.T) {
 	writer := m.full
@@ -204,6 +221,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"publish":        m.Publish,
 			"malformed":      m.Malformed,
+			"odd":            m.Odd,
 			"checkpoint":     m.Checkpoint,
 			"lag":            m.Lag,
 			"pullFromBehind": m.PullFromBehind,
