Decode only the parts of a text that a change touches

Change: the fold keeps the accepted text in its named parts. A patch is applied, by the same library, to a text of the parts that it names; parts with the same bytes keep their decoded form. Other patches take the old way.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -15,43 +15,46 @@
 // parsers hold the decoder and checks of each format. What a format accepts
 // never changes once released, so that two releases can't fold one log to
 // different results; another rule needs another format.
-var parsers = map[int]func([]byte) (*Text, error){
-	1: parse1,
+var parsers = map[int]func(d *document, old *parsed) (*Text, error){
+	1: decode1,
 }
 
 // Parse decodes and checks a text by the rules of its own format. All faults
 // are reported at once, each with its path.
 func Parse(text []byte) (*Text, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(text, &fields); err != nil {
-		return nil, fmt.Errorf("not a text: %w", err)
+	d, err := split(text)
+	if err != nil {
+		return nil, err
+	}
+	p, err := parse(d, nil)
+	if err != nil {
+		return nil, err
 	}
+	return p.text, nil
+}
+
+// parse decodes and checks a document, with the help of an earlier one of the
+// same format if there is one.
+func parse(d *document, old *parsed) (*parsed, error) {
 	var format int
-	if err := json.Unmarshal(fields["format"], &format); err != nil || format < 1 {
+	if err := json.Unmarshal(d.fields["format"], &format); err != nil || format < 1 {
 		return nil, strict.Faults{"format: is missing or not a version from 1 on"}
 	}
-	parse, known := parsers[format]
+	decode, known := parsers[format]
 	if !known {
 		return nil, fmt.Errorf("format %d, this release reads up to %d: %w", format, Format, ErrFormat)
 	}
-	return parse(text)
-}
-
-// parse1 decodes and checks format 1.
-func parse1(text []byte) (*Text, error) {
-	var t Text
-	if err := strict.Decode(text, &t); err != nil {
-		return nil, err
+	if old != nil && old.text.Format != format {
+		old = nil
 	}
-	var faults strict.Faults
-	t.checkServices(&faults)
-	t.checkModels(&faults)
-	t.checkCustomers(&faults)
-	t.checkRoutes(&faults)
-	if err := faults.Err(); err != nil {
+	text, err := decode(d, old)
+	if err != nil {
 		return nil, err
 	}
-	return &t, nil
+	return &parsed{
+		text: text,
+		doc:  d,
+	}, nil
 }
 
 func (t *Text) checkServices(faults *strict.Faults) {
--- a/pkg/config/checkpoint.go
+++ b/pkg/config/checkpoint.go
@@ -131,11 +131,15 @@
 	if err != nil {
 		return err
 	}
-	decoded, err := Parse(raw)
+	doc, err := split(raw)
 	if err != nil {
 		return err
 	}
-	f.Accepted, f.Raw, f.Text, f.sum = accepted, raw, decoded, Sum(raw)
+	p, err := parse(doc, f.parsed)
+	if err != nil {
+		return err
+	}
+	f.put(accepted, raw, Sum(raw), p)
 	f.steps = []step{{
 		offset: accepted,
 		sum:    f.sum,
--- a/pkg/config/fold.go
+++ b/pkg/config/fold.go
@@ -46,8 +46,9 @@
 	// found right, 0 for none.
 	Checkpointed uint64
 
-	sum   string
-	steps []step
+	sum    string
+	parsed *parsed
+	steps  []step
 	// gap is the oldest record kept when others had expired unread, 0 if the
 	// fold has all records; held are the records read since.
 	gap  uint64
@@ -139,7 +140,7 @@
 	if p.Base != f.Accepted {
 		return fmt.Errorf("base %d, in force %d: %w", p.Base, f.Accepted, ErrStale)
 	}
-	raw, err := f.Result(p)
+	raw, doc, err := f.result(p.Text, p.Patch)
 	if err != nil {
 		return err
 	}
@@ -147,7 +148,7 @@
 	if p.Sum != "" && p.Sum != sum {
 		return ErrSum
 	}
-	text, err := Parse(raw)
+	next, err := parse(doc, f.parsed)
 	if err != nil {
 		return err
 	}
@@ -157,14 +158,37 @@
 		text:   p.Text,
 		patch:  p.Patch,
 	})
-	f.Accepted, f.Raw, f.Text, f.sum = offset, raw, text, sum
+	f.put(offset, raw, sum, next)
 	return nil
 }
 
 // Result returns the text, in canonical form, that a publish leads to from the
 // accepted one.
 func (f *Fold) Result(p *Publish) (json.RawMessage, error) {
-	return merge(f.Raw, p.Text, p.Patch)
+	raw, _, err := f.result(p.Text, p.Patch)
+	return raw, err
+}
+
+// result returns the canonical text, and the same split, that a text or a patch
+// leads to from the accepted text.
+func (f *Fold) result(text, patch json.RawMessage) (json.RawMessage, *document, error) {
+	if len(patch) != 0 && len(text) == 0 && f.parsed != nil {
+		if doc, ok := f.parsed.doc.patched(patch); ok {
+			raw, err := doc.join()
+			return raw, doc, err
+		}
+	}
+	raw, err := merge(f.Raw, text, patch)
+	if err != nil {
+		return nil, nil, err
+	}
+	doc, err := split(raw)
+	return raw, doc, err
+}
+
+// put puts a text in force.
+func (f *Fold) put(accepted uint64, raw json.RawMessage, sum string, p *parsed) {
+	f.Accepted, f.Raw, f.Text, f.sum, f.parsed = accepted, raw, p.text, sum, p
 }
 
 // Skip tells the fold the oldest record that the log still keeps. If records
--- /dev/null
+++ b/pkg/config/fold_internal_test.go
@@ -0,0 +1,80 @@
+package config
+
+import (
+	"encoding/json"
+	"testing"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"pgregory.net/rapid"
+)
+
+// drawJSON draws a value of a few names, so that patches meet what is there.
+func drawJSON(t *rapid.T, depth int) any {
+	if depth == 0 || rapid.IntRange(0, 4).Draw(t, "leaf") == 0 {
+		return rapid.SampledFrom([]any{nil, true, json.Number("1.50"), json.Number("2e3"), "x<y", []any{nil, map[string]any{"a": nil}}}).Draw(t, "value")
+	}
+	return drawObject(t, depth)
+}
+
+func drawObject(t *rapid.T, depth int) map[string]any {
+	object := make(map[string]any)
+	for _, name := range rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c d"}), 0, 3).Draw(t, "names") {
+		object[name] = drawJSON(t, depth-1)
+	}
+	return object
+}
+
+// drawText draws a text, or a patch, with some sections.
+func drawText(t *rapid.T, wild bool) json.RawMessage {
+	text := make(map[string]any)
+	names := append([]string{}, sectionNames...)
+	if wild {
+		names = append(names, "format")
+	}
+	for _, name := range rapid.SliceOfN(rapid.SampledFrom(names), 0, 3).Draw(t, "sections") {
+		if wild {
+			text[name] = drawJSON(t, 3)
+		} else {
+			text[name] = drawObject(t, 3)
+		}
+	}
+	raw, err := json.Marshal(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func TestPatchOfPartsEqualsPatchOfTheWhole(t *testing.T) {
+	fast := 0
+	rapid.Check(t, func(t *rapid.T) {
+		base, err := canonical(drawText(t, false))
+		if err != nil {
+			t.Fatal(err)
+		}
+		patch := drawText(t, rapid.Bool().Draw(t, "wild"))
+		doc, err := split(base)
+		if err != nil {
+			t.Fatal(err)
+		}
+		merged, err := jsonpatch.MergePatch(base, patch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want, err := canonical(merged)
+		if err != nil {
+			t.Fatal(err)
+		}
+		after, ok := doc.patched(patch)
+		if !ok {
+			return
+		}
+		fast++
+		if got, err := after.join(); err != nil || string(got) != string(want) {
+			t.Fatalf("base %s\npatch %s\ngot  %s, %v\nwant %s", base, patch, got, err, want)
+		}
+	})
+	if fast == 0 {
+		t.Error("no patch was applied to parts")
+	}
+}
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -121,6 +121,7 @@
 		Text:         f.Text,
 		Checkpointed: f.Checkpointed,
 		sum:          f.sum,
+		parsed:       f.parsed,
 		steps:        f.steps,
 	}
 	if err := next.advance(s); err != nil {
