Keep a stopped process a second longer, so that its last answers are read

Cause: a new test of a leaving agent saw a running call cut: the agent ended with its last answer written, the entry's next write to the closed connection failed, and its session ended before the answer was read.

Change: a graceful shutdown waits one second between the last answer and the end of the sessions. A stream that the entry cancels ends with the cause that it was canceled for (key_withdrawn) instead of link_broken.

Without the cause, TestWithdrawnKeyEndsStream says "the caller is not told why".

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -43,6 +43,9 @@
 // stopLimit bounds a graceful shutdown.
 const stopLimit = 10 * time.Minute
 
+// lingerTime lets peers read the last answers before their sessions close.
+const lingerTime = time.Second
+
 // listen opens a listener and prints its name and address.
 func listen(cmd *cobra.Command, name string, address netip.AddrPort) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address.String())
@@ -77,6 +80,7 @@
 	select {
 	case <-signals:
 	case <-s.Finished():
+		time.Sleep(lingerTime)
 	case <-s.Done():
 	case <-time.After(stopLimit):
 	}
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -318,6 +318,9 @@
 	if bytes.Contains(rest, []byte("[DONE]")) || bytes.HasSuffix(rest, []byte("\r\n0\r\n\r\n")) {
 		t.Errorf("a canceled stream passed for complete: %q", rest[max(0, len(rest)-400):])
 	}
+	if !bytes.Contains(rest, []byte("key_withdrawn")) {
+		t.Errorf("the caller is not told why: %q", rest[max(0, len(rest)-400):])
+	}
 	eventually(t, "the engine's request is canceled", func() bool {
 		var report plat.Report
 		_ = json.Unmarshal([]byte(do(t, "GET", s.engine.url()+"/engine/report", "").body), &report)
@@ -353,3 +356,38 @@
 		t.Errorf("publish: %d %s, want 1", status, out)
 	}
 }
+
+func TestLeavingAgentLosesNewWorkThoughListed(t *testing.T) {
+	s := newSystem(t)
+	other := start(t, "fake", "service")
+	s.addAgent(t, "agent-other", "pedidos", "service", other)
+	eventually(t, "both endpoints serve", func() bool {
+		s.charge(t, "either")
+		return strings.Contains(do(t, "GET", other.url()+"/fake/requests", "").body, "either")
+	})
+	s.service.faults(t, fakes.Faults{DelayMs: 6000})
+	const running = 8
+	answers := make(chan answer, running)
+	for range running {
+		go func() { answers <- s.charge(t, "old") }()
+	}
+	time.Sleep(500 * time.Millisecond)
+	leaving := s.agents["agent-service"]
+	if err := leaving.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second) // the list still calls it live
+	for range 20 {
+		if a := s.charge(t, "new"); a.status != 200 {
+			t.Errorf("new call: %+v, want 200", a)
+		}
+	}
+	for range running {
+		if a := <-answers; a.status != 200 {
+			t.Errorf("running call: %+v, want 200", a)
+		}
+	}
+	if seen := do(t, "GET", s.service.url()+"/fake/requests", "").body; strings.Contains(seen, `"body":"new"`) || !strings.Contains(seen, `"body":"old"`) {
+		t.Errorf("requests at the leaving endpoint: %s", seen)
+	}
+}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -245,6 +245,7 @@
 		call:     call,
 		deadline: x.call.Deadline,
 		first:    func() { s.metrics.firstToken(x, time.Since(x.started)) },
+		cause:    x.cause,
 		finish: func(err error, end *wirepb.End, events int) {
 			err = x.cause(err)
 			x.events = events
