Restore a configuration that the log has lost

Cause: if no entry runs for as long as the log keeps records, no checkpoint is left, no publish can be accepted and no entry gets ready: operators had the text and no way to use it.

Change: config restore FILE writes a checkpoint of it, only into a log that keeps neither all records nor a checkpoint.

--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -20,7 +20,7 @@
 		Use:   "config",
 		Short: "Check, publish and show the configuration",
 	}
-	cmd.AddCommand(newCheck(), newPublish(), newOutcome(), newShow(), newDiff())
+	cmd.AddCommand(newCheck(), newPublish(), newOutcome(), newRestore(), newShow(), newDiff())
 	return cmd
 }
 
@@ -97,6 +97,32 @@
 	return cmd
 }
 
+func newRestore() *cobra.Command {
+	var url string
+	cmd := &cobra.Command{
+		Use:   "restore FILE",
+		Short: "Start the configuration anew in a log that has lost it",
+		Long: `Start the configuration anew in a log that has lost it, which happens when no
+entry has run for as long as the log keeps records. A log that still has a
+configuration is left alone.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			data, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			offset, err := restore(cmd.Context(), plat.NewHTTPLog(url), data)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), "restored", offset)
+			return err
+		},
+	}
+	addLog(cmd, &url)
+	return cmd
+}
+
 func newShow() *cobra.Command {
 	var url string
 	var at uint64
--- a/internal/cmds/publish.go
+++ b/internal/cmds/publish.go
@@ -232,3 +232,35 @@
 		}
 	}
 }
+
+// errKept reports a log whose configuration needs no restoring.
+var errKept = errors.New("the log has a configuration; publish to change it")
+
+// restore appends a checkpoint of a text to a log that keeps neither all
+// records nor a checkpoint. The text stands as if accepted by the last record
+// that is lost.
+func restore(ctx context.Context, log plat.Log, data []byte) (offset uint64, err error) {
+	if _, err := config.Parse(data); err != nil {
+		return 0, err
+	}
+	if _, err := readFold(ctx, log, 0); !errors.Is(err, errNoCheckpoint) {
+		return 0, errors.Join(errKept, err)
+	}
+	page, err := log.Read(ctx, plat.StreamConfig, 1, 0)
+	if err != nil {
+		return 0, err
+	}
+	last := page.Next - 1
+	record, err := json.Marshal(config.Record{Checkpoint: &config.Checkpoint{
+		UpTo:     last,
+		Accepted: last,
+		Text:     data,
+	}})
+	if err != nil {
+		return 0, err
+	}
+	if _, err := log.Append(ctx, plat.StreamConfig, record); err != nil {
+		return 0, unknown("of the restored text", err)
+	}
+	return last, nil
+}
