Send no heartbeats to agents

Cause: each entry told each agent twice a second that it lives; no agent reads it, and at the two-year size that is 9,400 messages a second from each entry.

Change: heartbeats go to entries. Agents know an entry by its session.

Conclusion: the entries' heartbeats to each other and the agents' reports are left; both grow with the fleet.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -59,7 +59,8 @@
 	return append(effects, c.beat(now)...)
 }
 
-// beat sends a heartbeat to all linked peers.
+// beat sends a heartbeat to the linked entries. Agents need none: their sessions
+// tell them which entries there are.
 func (c *Core) beat(now time.Time) []Effect {
 	c.beatAt = now
 	message := &wirepb.Envelope{Body: &wirepb.Envelope_Heartbeat{Heartbeat: &wirepb.Heartbeat{
@@ -67,14 +68,12 @@
 		Leaving:      c.leaving,
 	}}}
 	var effects []Effect
-	for _, role := range []string{plat.RoleAgent, plat.RoleEntry} {
-		for _, peer := range c.fleet.Peers(role) {
-			if peer.Linked() {
-				effects = append(effects, Tell{
-					Host:    peer.Host.Name,
-					Message: message,
-				})
-			}
+	for _, peer := range c.fleet.Peers(plat.RoleEntry) {
+		if peer.Linked() {
+			effects = append(effects, Tell{
+				Host:    peer.Host.Name,
+				Message: message,
+			})
 		}
 	}
 	return append(effects, c.tellVersion(now)...)
