Refuse at once after a pause longer than the isolation limit

Cause: readiness was judged at ticks, so an entry resumed after a minute admitted the calls that waited in its sockets with the keys of a minute ago.

Change: each call's admission asks whether the entry is isolated.

Seen failing first: TestEntryThatWasPausedRefusesAtOnce "refusal <nil>, want not ready, not run"; now passing.

Conclusion: a withdrawn key works at a paused entry for at most the limit.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -48,7 +48,7 @@
 	if c.leaving {
 		return fault.New(fault.NotRun, fault.CodeLeaving, "this entry is leaving")
 	}
-	if !c.ready {
+	if !c.ready || c.relay.Isolated(now) {
 		return fault.New(fault.NotRun, fault.CodeNotReady, "this entry does not know the newest configuration")
 	}
 	if err := c.permitted(call); err != nil {
--- a/internal/entry/config_test.go
+++ b/internal/entry/config_test.go
@@ -202,6 +202,15 @@
 	n.wantAccepted("b", 2)
 }
 
+func TestEntryThatWasPausedRefusesAtOnce(t *testing.T) {
+	n, c := keyedCore(t)
+	n.now = n.now.Add(time.Minute) // and no tick since
+	n.arrive(c, "late", "charge")
+	if err := n.refusal("late"); fault.CodeOf(err) != fault.CodeNotReady || fault.VerdictOf(err) != fault.NotRun {
+		t.Errorf("refusal %v, want not ready, not run", err)
+	}
+}
+
 func TestLogDownForAllServesOn(t *testing.T) {
 	n := newNetwork(t, "a", "b", "c")
 	n.publish(0, keyedText(), "")
