Pause after a configuration that can't be taken over

Cause: an entry that a peer of a later release is ahead of asked for the whole text again each second, 289 KB at the two-year size.

Change: after an answer that could not be taken over nobody is asked for 10 s.

Figures: 8 asks in 8 s without the pause, none with it (TestPeerOfALaterReleaseIsNotAskedAgainAtOnce, seen failing without it: "asked 1 times, then 8 times more").

Conclusion: a release that lags costs 29 KB a second at worst until its entry stops admitting, and is no storm.

--- a/internal/entry/config_test.go
+++ b/internal/entry/config_test.go
@@ -211,6 +211,41 @@
 	}
 }
 
+func TestPeerOfALaterReleaseIsNotAskedAgainAtOnce(t *testing.T) {
+	n := newNetwork(t, "a")
+	n.publish(0, keyedText(), "")
+	n.run(time.Second)
+	n.apply("a", HostsRead{Hosts: []plat.Host{{Name: "b", Role: plat.RoleEntry, State: plat.HostLive}}})
+	n.apply("a", LinkUp{Host: "b", Hello: &wirepb.Hello{Incarnation: 1}})
+	n.run(time.Second)
+	fold := func(m *wirepb.FoldMessage) {
+		n.apply("a", Received{Host: "b", Message: &wirepb.Envelope{Body: &wirepb.Envelope_Fold{Fold: m}}})
+	}
+	fold(&wirepb.FoldMessage{Body: &wirepb.FoldMessage_Status{Status: &wirepb.FoldStatus{Accepted: 7, Next: 8}}})
+	asks := func() (count int) {
+		for _, effect := range n.effects["a"] {
+			if e, ok := effect.(Tell); ok && e.Message.GetFold().GetAsk() != nil {
+				count++
+			}
+		}
+		return count
+	}
+	n.run(time.Second)
+	later := []byte(`{"format":2}`)
+	fold(&wirepb.FoldMessage{Body: &wirepb.FoldMessage_State{State: &wirepb.FoldState{
+		Accepted: 7,
+		Next:     8,
+		Sum:      config.Sum(later),
+		Steps:    []*wirepb.FoldStep{{Offset: 7, Text: later}},
+	}}})
+	before := asks()
+	n.run(8 * time.Second)
+	if got := asks(); before != 1 || got != before {
+		t.Errorf("asked %d times, then %d times more, want 1 and 0", before, got-before)
+	}
+	n.wantAccepted("a", 1)
+}
+
 func TestLogDownForAllServesOn(t *testing.T) {
 	n := newNetwork(t, "a", "b", "c")
 	n.publish(0, keyedText(), "")
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -67,7 +67,6 @@
 
 // adopt takes over a peer's configuration if it is newer.
 func (c *Core) adopt(now time.Time, host string, m *wirepb.FoldState) []Effect {
-	c.relay.Answered(host)
 	state := config.State{
 		Base:     m.GetBase(),
 		Accepted: m.GetAccepted(),
@@ -83,11 +82,13 @@
 	}
 	before := c.fold.Accepted
 	if _, err := c.fold.Adopt(state); err != nil {
+		c.relay.Refused(now, host)
 		return []Effect{Note{
 			Text: "configuration of " + host + " refused",
 			Err:  err,
 		}}
 	}
+	c.relay.Answered(host)
 	return append(c.folded(now, before), c.judgeReady(now)...)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,9 @@
 	pullDelay = 300 * time.Millisecond
 	// askTimeout is how long one peer has to answer.
 	askTimeout = time.Second
+	// refusedPause is how long no peer is asked after an answer that could not
+	// be taken over.
+	refusedPause = 10 * time.Second
 	// gatherTime is how long a fresh process waits for peers that have not
 	// answered yet.
 	gatherTime = 3 * time.Second
@@ -229,6 +232,14 @@
 	}
 }
 
+// Refused notes that a peer's answer to a pull could not be taken over. Another
+// try may bring a whole text again, so it waits.
+func (r *Relay) Refused(now time.Time, name string) {
+	if name == r.asked {
+		r.askedAt = now.Add(refusedPause)
+	}
+}
+
 // Gathered reports whether a process that can't read the log has the newest
 // version of the peers that it reaches, and has given the others the time to
 // answer after the first one.
