--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -125,7 +125,8 @@
 	err      error
 	// first is called when the first bytes are passed on.
 	first func()
-	// cause replaces the error of a stream that the entry itself has canceled.
+	// cause replaces the error of a stream that the entry itself has canceled,
+	// nil if it never does.
 	cause func(error) error
 	// finish is called once, with nil after a whole stream.
 	finish func(err error, end *wirepb.End, events int)
@@ -177,7 +178,10 @@
 // end finishes the stream, with an error event if it broke.
 func (r *streamReader) end(err error, end *wirepb.End) {
 	r.err = io.EOF
-	if err = r.conclude(r.cause(err), end); err != nil {
+	if r.cause != nil {
+		err = r.cause(err)
+	}
+	if err = r.conclude(err, end); err != nil {
 		r.err = err
 		r.pending = append([]byte("data: "), marshalError(err)...)
 		r.pending = append(r.pending, eventEnd...)
