--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -64,7 +64,7 @@
 	if c.leaving {
 		return fault.New(fault.NotRun, fault.CodeLeaving, "this entry is leaving")
 	}
-	if !c.ready {
+	if !c.ready || c.relay.Isolated(now) {
 		return fault.New(fault.NotRun, fault.CodeNotReady, "this entry does not know the newest configuration")
 	}
 	return c.permitted(call)
