--- a/internal/quota/coord.go
+++ b/internal/quota/coord.go
@@ -72,7 +72,10 @@
 	recorded uint64
 	members  map[string]*member
 	fenced   []fenced
-	pool     map[string]*share
+	// gone are the incarnations that were members. One of them never becomes
+	// a member again, as grants to it may still be on their way.
+	gone map[uint64]bool
+	pool map[string]*share
 	// owner says that everything outside the members is in the pool, owned
 	// for which customers.
 	owner bool
@@ -101,6 +104,7 @@
 		members: make(map[string]*member),
 		pool:    make(map[string]*share),
 		owned:   make(map[string]bool),
+		gone:    make(map[uint64]bool),
 	}
 }
 
@@ -194,6 +198,7 @@
 		parts[customer] = l.held()
 	}
 	delete(c.members, host)
+	c.gone[m.incarnation] = true
 	c.changeView()
 	c.fenced = append(c.fenced, fenced{
 		sequence: c.sequence,
--- a/internal/quota/moves.go
+++ b/internal/quota/moves.go
@@ -63,7 +63,7 @@
 		c.endCensus(now)
 		return standingMember
 	}
-	if holdsAny(r) {
+	if holdsAny(r) || c.gone[r.GetIncarnation()] {
 		return standingFenced
 	}
 	if known {
@@ -173,7 +173,8 @@
 	limit := c.limits[customer]
 	var givers []*ledger
 	total := 0.0
-	for _, m := range c.members {
+	for _, host := range slices.Sorted(maps.Keys(c.members)) {
+		m := c.members[host]
 		l, known := m.ledgers[customer]
 		if !known || l == asker || m.silent(now) {
 			continue
@@ -188,7 +189,7 @@
 		return false
 	}
 	missing = missing*gatherSpare + 1
-	slices.SortFunc(givers, func(a, b *ledger) int {
+	slices.SortStableFunc(givers, func(a, b *ledger) int {
 		return cmp.Compare(b.estimate(now, limit), a.estimate(now, limit))
 	})
 	for _, l := range givers {
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -94,6 +94,8 @@
 	// cut tells which pairs of hosts can't talk.
 	cut        func(a, b string) bool
 	loss, twin float64
+	// spy sees each message, lost ones too.
+	spy func(to string, m *wirepb.ShareMessage)
 	// route names the agent that an entry sends calls to, any if unset.
 	route    map[string]int
 	jitter   time.Duration
@@ -234,6 +236,9 @@
 func (s *sim) send(from *host, to string, m *wirepb.ShareMessage) {
 	from.sent++
 	from.bytes += proto.Size(&wirepb.Envelope{Body: &wirepb.Envelope_Share{Share: m}}) + 2
+	if s.spy != nil {
+		s.spy(to, m)
+	}
 	if s.cut != nil && s.cut(from.name, to) || s.random.Float64() < s.loss {
 		return
 	}
