Measure refusals within the rate, returns and control traffic

Cause: the policy of the shares had no figures. Change: Go benchmarks over a virtual clock that drive the real reducers, each load under shares, shares that do not ask, and an even static split; a refusal is wrong if it is beyond what one bucket that sees all calls refuses.

--- /dev/null
+++ b/internal/quota/measure_test.go
@@ -0,0 +1,172 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/quota"
+)
+
+// scenario is a load and what goes wrong under it.
+type scenario struct {
+	name    string
+	weights []float64
+	// before and after are the load as part of the rate, before and after the
+	// fault.
+	before, after float64
+	fault         func(s *sim)
+	length        time.Duration
+}
+
+var skewed = []float64{0.8, 0.2 / 3, 0.2 / 3, 0.2 / 3}
+
+// follower returns an entry that is not coordinator, leader the one that is.
+func (s *sim) follower() *host {
+	for _, h := range s.entries {
+		if h.node == nil || !h.node.Coordinates() {
+			return h
+		}
+	}
+	return s.entries[0]
+}
+
+func (s *sim) leader() *host {
+	for _, h := range s.entries {
+		if h.node != nil && h.node.Coordinates() {
+			return h
+		}
+	}
+	return s.entries[0]
+}
+
+func pause30(s *sim) {
+	h := s.follower()
+	h.paused = true
+	s.after(30*time.Second, func() { s.resume(h) })
+}
+
+func noLog(s *sim) { s.logDown = true }
+
+func scenarios() []scenario {
+	return []scenario{
+		{"even", even(4), 0.8, 0.8, nil, time.Minute},
+		{"skewed", skewed, 0.8, 0.8, nil, time.Minute},
+		{"jump", even(4), 0.08, 0.8, nil, time.Minute},
+		{"fivefold", even(4), 0.8, 5, nil, time.Minute},
+		{"killed", even(4), 0.8, 0.8, func(s *sim) { s.kill(s.follower()) }, time.Minute},
+		{"killed_coordinator", even(4), 0.8, 0.8, func(s *sim) { s.kill(s.leader()) }, time.Minute},
+		{"paused", even(4), 0.8, 0.8, pause30, time.Minute},
+		{"no_log", even(4), 0.8, 0.8, noLog, time.Hour},
+		{"no_log_skewed", skewed, 0.8, 0.8, noLog, 10 * time.Minute},
+		{"killed_skewed", skewed, 0.8, 0.8, func(s *sim) { s.kill(s.follower()) }, time.Minute},
+		{"killed_no_log", even(4), 0.8, 0.8, func(s *sim) { noLog(s); s.kill(s.follower()) }, time.Minute},
+		{"paused_jump", even(4), 0.08, 0.8, pause30, time.Minute},
+	}
+}
+
+// BenchmarkRefusals measures refusals though within the customer's rate, which
+// are those beyond what one bucket that sees all calls refuses: for booth,
+// whose load changes, and for small, whose load is half of its rate.
+func BenchmarkRefusals(b *testing.B) {
+	limits := map[string]quota.Limit{
+		"booth": {Rate: 10000, Burst: 20000},
+		"small": {Rate: 400, Burst: 2000},
+	}
+	policies := map[string]policy{"shares": asking, "no_asking": notAsking, "static": static}
+	for _, c := range scenarios() {
+		for name, p := range policies {
+			b.Run(c.name+"/"+name, func(b *testing.B) {
+				for range b.N {
+					s := newSim(11, p, 4, 4, limits)
+					s.run(3 * time.Second)
+					s.load("small", 2, 100, c.weights, s.now.Add(24*time.Hour))
+					s.load("booth", c.before*50, 200, c.weights, s.now.Add(27*time.Second))
+					s.run(27 * time.Second)
+					clear(s.offered)
+					clear(s.refused)
+					clear(s.due)
+					if c.fault != nil {
+						c.fault(s)
+					}
+					s.load("booth", c.after*50, 200, c.weights, s.now.Add(c.length))
+					s.run(c.length)
+					if err := s.audit(); err != nil {
+						b.Fatal(err)
+					}
+					for customer := range limits {
+						offered := float64(s.offered[customer])
+						wrong := max(0, s.refused[customer]-s.due[customer])
+						b.ReportMetric(100*float64(wrong)/offered, customer+"_wrong_%")
+						b.ReportMetric(100*float64(s.refused[customer])/offered, customer+"_refused_%")
+					}
+				}
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
+// BenchmarkReturn measures how long a killed entry's share is out of use.
+func BenchmarkReturn(b *testing.B) {
+	kinds := map[string]func(*sim) *host{"follower": (*sim).follower, "coordinator": (*sim).leader}
+	for name, pick := range kinds {
+		b.Run(name, func(b *testing.B) {
+			longest, total, runs := 0.0, 0.0, 0
+			for range b.N {
+				for seed := range uint64(50) {
+					s := newSim(seed, asking, 4, 4, map[string]quota.Limit{"booth": {Rate: 500, Burst: 1000}})
+					s.run(15 * time.Second)
+					s.kill(pick(s))
+					d := s.wait(time.Minute).Seconds()
+					longest, total, runs = max(longest, d), total+d, runs+1
+				}
+			}
+			b.ReportMetric(total/float64(runs), "s_mean")
+			b.ReportMetric(longest, "s_max")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkControl measures messages and bytes that entries send, at five
+// customers whose rates and even load grow with the number of entries.
+func BenchmarkControl(b *testing.B) {
+	for _, n := range []int{4, 16, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				limits := make(map[string]quota.Limit)
+				for i := range 5 {
+					limits[fmt.Sprint("customer-", i)] = quota.Limit{Rate: 2500 * float64(n), Burst: 5000 * float64(n)}
+				}
+				s := newSim(3, asking, n, 4, limits)
+				s.run(5 * time.Second)
+				for customer := range limits {
+					s.load(customer, 10*float64(n), 200, even(n), s.now.Add(time.Minute))
+				}
+				s.run(10 * time.Second)
+				for _, h := range s.entries {
+					h.sent, h.bytes = 0, 0
+				}
+				s.run(50 * time.Second)
+				lead, other := s.leader(), s.follower()
+				b.ReportMetric(float64(lead.sent)/50, "coordinator_msgs/s")
+				b.ReportMetric(float64(lead.bytes)/50, "coordinator_B/s")
+				b.ReportMetric(float64(other.sent)/50, "entry_msgs/s")
+				b.ReportMetric(float64(other.bytes)/50, "entry_B/s")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkDecision measures the processor time of a reservation from the
+// entry's own share.
+func BenchmarkDecision(b *testing.B) {
+	s := newSim(1, asking, 1, 1, map[string]quota.Limit{"booth": {Rate: 1e12, Burst: 1e12}})
+	s.run(3 * time.Second)
+	n := s.entries[0].node
+	for b.Loop() {
+		n.Reserve(s.now, "id", "booth", 1)
+	}
+}
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -100,20 +100,21 @@
 	route    map[string]int
 	jitter   time.Duration
 	admitted map[string][]spent
-	// offered and wrong count calls and refusals within the rate, by customer.
-	offered, refused, wrong map[string]int
-	truth                   map[string]*quota.Bucket
+	// offered, refused and due count calls, refusals, and refusals of one
+	// bucket that sees all calls, by customer.
+	offered, refused, due map[string]int
+	ideal                 map[string]*quota.Bucket
 }
 
 func newSim(seed uint64, p policy, entries, agents int, limits map[string]quota.Limit) *sim {
 	s := &sim{
 		now: time.Unix(1e9, 0), random: rand.New(rand.NewPCG(seed, 1)), policy: p, limits: limits,
 		jitter:   time.Millisecond,
-		admitted: map[string][]spent{}, offered: map[string]int{}, refused: map[string]int{}, wrong: map[string]int{},
-		truth: map[string]*quota.Bucket{},
+		admitted: map[string][]spent{}, offered: map[string]int{}, refused: map[string]int{}, due: map[string]int{},
+		ideal: map[string]*quota.Bucket{},
 	}
 	for name, l := range limits {
-		s.truth[name] = quota.NewBucket(s.now, l.Rate, l.Burst, l.Burst)
+		s.ideal[name] = quota.NewBucket(s.now, l.Rate, l.Burst, l.Burst)
 	}
 	for i := range agents {
 		s.addAgent(fmt.Sprintf("agent-%d", i))
@@ -280,6 +281,9 @@
 		return
 	}
 	s.offered[customer]++
+	if _, ok := s.ideal[customer].Take(s.now, tokens); !ok {
+		s.due[customer]++
+	}
 	a := &attempt{at: s.now, customer: customer, tokens: tokens}
 	switch s.policy {
 	case static:
@@ -310,9 +314,6 @@
 func (s *sim) end(h *host, a *attempt, ok bool, incarnation uint64) {
 	if !ok {
 		s.refused[a.customer]++
-		if s.truth[a.customer].Tokens(s.now) >= a.tokens {
-			s.wrong[a.customer]++
-		}
 		return
 	}
 	reserved := s.now
@@ -323,13 +324,11 @@
 	admit := func() {
 		if agent.guard.Admits(h.name, incarnation) {
 			s.admitted[a.customer] = append(s.admitted[a.customer], spent{at: reserved, tokens: a.tokens})
-			s.truth[a.customer].Take(s.now, a.tokens)
 			return
 		}
 		s.refused[a.customer]++
 	}
 	if s.policy == static {
-		s.truth[a.customer].Take(s.now, a.tokens)
 		return
 	}
 	delay := time.Duration(s.random.Int64N(int64(s.jitter)))
@@ -397,6 +396,9 @@
 		pick := s.random.Float64()
 		for i, w := range weights {
 			if pick -= w; pick < 0 || i == len(weights)-1 {
+				for s.entries[i].dead || s.entries[i].paused {
+					i = (i + 1) % len(weights)
+				}
 				s.call(s.entries[i], customer, tokens)
 				break
 			}
