Give back unused tokens only as far as the bound allows

Change: a bucket counts what would have overflowed had no running call been reserved, and a refund is reduced by it; a reservation is a value that the call keeps.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -102,7 +102,7 @@
 		Weight:       c.index.Text.Customers[r.Customer].Weight,
 		ConfigOffset: c.fold.Accepted,
 
-		EntryIncarnation: r.EntryIncarnation,
+		EntryIncarnation: r.Hold.Incarnation,
 	}}
 }
 
@@ -121,7 +121,7 @@
 // settle ends a call's reservation and forgets the call.
 func (c *Core) settle(now time.Time, r *running, used float64) {
 	if r.Keyed {
-		c.refund(now, r.Call, r.Tokens-used)
+		c.charge(now, r.Call, used)
 	}
 	delete(c.calls, r.ID)
 }
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/quota"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/config"
 	"dogwoodfold/pkg/fault"
@@ -25,8 +26,8 @@
 	Adapter  string
 	// Tokens is what the call reserves: prompt and answer.
 	Tokens float64
-	// EntryIncarnation is the one that has reserved the tokens.
-	EntryIncarnation uint64
+	// Hold is the reservation, once it is made.
+	Hold quota.Hold
 	// IdempotencyKey is the caller's own, empty if none was given.
 	IdempotencyKey string
 	Deadline       time.Time
--- a/internal/entry/shares.go
+++ b/internal/entry/shares.go
@@ -37,13 +37,12 @@
 	decision := quota.Admitted
 	if c.shares.node == nil {
 		var ok bool
-		if wait, ok = c.shares.fixed.Reserve(now, call.Customer, call.Tokens); !ok {
+		if call.Hold, wait, ok = c.shares.fixed.Reserve(now, call.Customer, call.Tokens); !ok {
 			decision = quota.Refused
 		}
 	} else {
 		var out []quota.Effect
-		call.EntryIncarnation = c.shares.node.Incarnation()
-		decision, wait, out = c.shares.node.Reserve(now, call.ID, call.Customer, call.Tokens)
+		decision, call.Hold, wait, out = c.shares.node.Reserve(now, call.ID, call.Customer, call.Tokens)
 		if decision == quota.Asked {
 			c.shares.asking[call.ID] = *call
 		}
@@ -93,17 +92,17 @@
 	if !d.OK {
 		return append(refuse(call.ID, rateError(d.Wait)), c.finish()...)
 	}
-	call.EntryIncarnation = d.Incarnation
+	call.Hold = d.Hold
 	return c.begin(now, call)
 }
 
-// refund ends a reservation; a negative rest is what was used beyond it.
-func (c *Core) refund(now time.Time, call Call, rest float64) {
+// charge ends a reservation, of which less or more was used.
+func (c *Core) charge(now time.Time, call Call, used float64) {
 	if c.shares.node == nil {
-		c.shares.fixed.Settle(now, call.Customer, rest)
+		c.shares.fixed.Settle(now, call.Customer, call.Hold, used)
 		return
 	}
-	c.shares.node.Settle(now, call.Customer, call.EntryIncarnation, rest)
+	c.shares.node.Settle(now, call.Customer, call.Hold, used)
 }
 
 // limit takes over the customers' rates and bursts.
--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -46,10 +46,10 @@
 
 // Reserve takes tokens for a call, or asks the coordinator for more before it
 // refuses. A refusal says after what time to try again, zero if never.
-func (n *Node) Reserve(now time.Time, id, customer string, tokens float64) (Decision, time.Duration, []Effect) {
-	wait, ok := n.Take(now, customer, tokens)
+func (n *Node) Reserve(now time.Time, id, customer string, tokens float64) (Decision, Hold, time.Duration, []Effect) {
+	hold, wait, ok := n.Take(now, customer, tokens)
 	if ok {
-		return Admitted, 0, nil
+		return Admitted, hold, 0, nil
 	}
 	a, known := n.asks[customer]
 	if !known {
@@ -58,7 +58,7 @@
 	}
 	away := n.leader == "" || now.Sub(n.heardAt) > leaderSilence
 	if away || now.Before(a.deniedUntil) || tokens > n.limits[customer].Burst {
-		return Refused, wait, n.finish(now)
+		return Refused, Hold{}, wait, n.finish(now)
 	}
 	a.calls = append(a.calls, waiting{
 		id:     id,
@@ -66,19 +66,18 @@
 		since:  now,
 	})
 	n.ask(now, customer, a)
-	return Asked, 0, n.finish(now)
+	return Asked, Hold{}, 0, n.finish(now)
 }
 
 // Take takes tokens without asking for more.
-func (n *Node) Take(now time.Time, customer string, tokens float64) (wait time.Duration, ok bool) {
+func (n *Node) Take(now time.Time, customer string, tokens float64) (hold Hold, wait time.Duration, ok bool) {
 	n.holder.want(now, customer, tokens)
 	return n.holder.take(now, customer, tokens)
 }
 
-// Settle ends a reservation that was made as an incarnation. A negative rest
-// is what was used beyond it.
-func (n *Node) Settle(now time.Time, customer string, incarnation uint64, rest float64) {
-	n.holder.settle(now, customer, incarnation, rest)
+// Settle ends a reservation, of which less or more was used.
+func (n *Node) Settle(now time.Time, customer string, hold Hold, used float64) {
+	n.holder.settle(now, customer, hold, used)
 }
 
 // ask tells the coordinator what the waiting calls lack. One question for each
@@ -120,16 +119,16 @@
 	a.calls, a.sequence = nil, 0
 	n.holder.account(now, customer).need = 0
 	for _, w := range calls {
-		wait, ok := n.holder.take(now, customer, w.tokens)
+		hold, wait, ok := n.holder.take(now, customer, w.tokens)
 		if !ok && !denied {
 			a.calls = append(a.calls, w)
 			continue
 		}
 		n.out = append(n.out, Decide{
-			ID:          w.id,
-			OK:          ok,
-			Incarnation: n.holder.incarnation,
-			Wait:        wait,
+			ID:   w.id,
+			OK:   ok,
+			Hold: hold,
+			Wait: wait,
 		})
 	}
 	if len(a.calls) > 0 {
--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -74,6 +74,7 @@
 		s := newSim(rapid.Uint64().Draw(t, "seed"), asking, 3, 2, map[string]quota.Limit{"booth": {Rate: 500, Burst: 1000}})
 		s.loss = float64(rapid.IntRange(0, 3).Draw(t, "loss")) / 10
 		s.twin = 0.1
+		s.refunds = rapid.Bool().Draw(t, "refunds")
 		s.jitter = time.Duration(rapid.SampledFrom([]int{1, 30, 900}).Draw(t, "jitter")) * time.Millisecond
 		s.hammer(s.now.Add(time.Hour))
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -5,13 +5,19 @@
 
 import "time"
 
-// Bucket is a token bucket. It may hold less than nothing after a call used
-// more than it had reserved.
+// Bucket is a token bucket from which calls reserve more than they use. It may
+// hold less than nothing after a call used more than it had reserved.
 type Bucket struct {
 	rate   float64
 	burst  float64
 	tokens float64
 	asOf   time.Time
+	// unspent is the level if no running call uses anything, overflow the
+	// total that did not fit below the burst at that level. What a call gives
+	// back after such an overflow would exceed the burst, had it never been
+	// reserved.
+	unspent  float64
+	overflow float64
 }
 
 // NewBucket returns a bucket that holds tokens at a time.
@@ -21,6 +27,8 @@
 		burst:  burst,
 		tokens: min(tokens, burst),
 		asOf:   now,
+
+		unspent: min(tokens, burst),
 	}
 }
 
@@ -38,11 +46,41 @@
 	return time.Duration((tokens - b.tokens) / b.rate * float64(time.Second)), false
 }
 
-// Put gives back tokens that were taken and not used. A negative number takes
-// tokens, below zero if need be.
-func (b *Bucket) Put(now time.Time, tokens float64) {
+// Mark returns what Settle needs to know of the time of a reservation.
+func (b *Bucket) Mark(now time.Time) float64 {
+	b.fill(now)
+	return b.overflow
+}
+
+// Settle ends a reservation. What was not used comes back unless the bucket
+// would have overflowed meanwhile without the reservation; what was used beyond
+// it is taken, below zero if need be.
+func (b *Bucket) Settle(now time.Time, mark, reserved, used float64) {
 	b.fill(now)
+	lost := b.overflow - mark
+	b.unspent -= max(0, used-lost)
+	rest := reserved - used
+	if rest > 0 {
+		rest = max(0, rest-lost)
+	}
+	b.tokens = min(b.burst, b.tokens+rest)
+	b.unspent = max(b.unspent, b.tokens)
+}
+
+// Move adds tokens that came with a part of a share, or takes some.
+func (b *Bucket) Move(now time.Time, tokens float64) {
+	b.fill(now)
+	b.add(tokens)
+}
+
+// add changes both levels; neither exceeds the burst.
+func (b *Bucket) add(tokens float64) {
 	b.tokens = min(b.burst, b.tokens+tokens)
+	b.unspent = max(b.unspent+tokens, b.tokens)
+	if extra := b.unspent - b.burst; extra > 0 {
+		b.overflow += extra
+		b.unspent = b.burst
+	}
 }
 
 // Tokens returns the tokens that it holds at a time.
@@ -56,14 +94,14 @@
 func (b *Bucket) Resize(now time.Time, rate, burst float64) {
 	b.fill(now)
 	b.rate, b.burst = rate, burst
-	b.tokens = min(b.tokens, burst)
+	b.add(0)
 }
 
 // fill adds what the rate brought since the last call. A clock that goes back
 // adds nothing.
 func (b *Bucket) fill(now time.Time) {
 	if elapsed := now.Sub(b.asOf); elapsed > 0 {
-		b.tokens = min(b.burst, b.tokens+b.rate*elapsed.Seconds())
+		b.add(b.rate * elapsed.Seconds())
 		b.asOf = now
 	}
 }
--- a/internal/quota/change_test.go
+++ b/internal/quota/change_test.go
@@ -162,21 +162,39 @@
 func TestRefundOfAnEarlierIncarnation(t *testing.T) {
 	s, c := settled(t, 2)
 	n := s.entries[c].node
-	before := n.Incarnation()
-	if _, ok := n.Take(s.now, "booth", 200); !ok {
+	hold, _, ok := n.Take(s.now, "booth", 200)
+	if !ok {
 		t.Fatal("no tokens to begin with")
 	}
-	n.Settle(s.now, "booth", before+1, 200)
-	if _, ok := n.Take(s.now, "booth", 300); ok {
+	other := hold
+	other.Incarnation++
+	n.Settle(s.now, "booth", other, 0)
+	if _, _, ok := n.Take(s.now, "booth", 300); ok {
 		t.Error("tokens of another incarnation were given back")
 	}
-	n.Settle(s.now, "booth", before, 200)
-	n.Settle(s.now, "booth", before, -400)
-	if _, ok := n.Take(s.now, "booth", 60); ok {
+	n.Settle(s.now, "booth", hold, 600)
+	if _, _, ok := n.Take(s.now, "booth", 10); ok {
 		t.Error("overuse was not charged")
 	}
 }
 
+// TestRefundAfterOverflow has a call end, of which nothing was used, after the
+// bucket has filled again.
+func TestRefundAfterOverflow(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := quota.NewBucket(now, 10, 100, 100)
+	b.Take(now, 80)
+	mark := b.Mark(now)
+	now = now.Add(10 * time.Second)
+	if _, ok := b.Take(now, 100); !ok {
+		t.Fatal("the bucket has not filled")
+	}
+	b.Settle(now, mark, 80, 0)
+	if _, ok := b.Take(now, 1); ok {
+		t.Error("more than the burst was taken at once")
+	}
+}
+
 // TestDuplicateRecordsOfLostAppends checks that a coordinator goes on when its
 // claim reached the log twice.
 func TestDuplicateRecordsOfLostAppends(t *testing.T) {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -78,12 +78,17 @@
 }
 
 // take reserves tokens, or returns when to ask again.
-func (h *Holder) take(now time.Time, customer string, tokens float64) (wait time.Duration, ok bool) {
+func (h *Holder) take(now time.Time, customer string, tokens float64) (hold Hold, wait time.Duration, ok bool) {
 	a, known := h.accounts[customer]
 	if !known {
-		return 0, false
+		return Hold{}, 0, false
 	}
-	return a.share.bucket.Take(now, tokens)
+	wait, ok = a.share.bucket.Take(now, tokens)
+	return Hold{
+		Tokens:      tokens,
+		Incarnation: h.incarnation,
+		mark:        a.share.bucket.Mark(now),
+	}, wait, ok
 }
 
 // want notes that a call asked for tokens.
@@ -102,13 +107,13 @@
 	}
 }
 
-// settle ends a reservation that an incarnation made. What was not used comes
-// back only to the same incarnation, since the share of an earlier one may be
-// at another entry by now; what was used beyond it is charged either way.
-func (h *Holder) settle(now time.Time, customer string, incarnation uint64, rest float64) {
+// settle ends a reservation. What was not used comes back only to the
+// incarnation that reserved, since the share of an earlier one may be at another
+// entry by now; what was used beyond it is charged either way.
+func (h *Holder) settle(now time.Time, customer string, hold Hold, used float64) {
 	a, known := h.accounts[customer]
-	if known && (rest < 0 || incarnation == h.incarnation) {
-		a.share.bucket.Put(now, rest)
+	if known && (used > hold.Tokens || hold.Incarnation == h.incarnation) {
+		a.share.bucket.Settle(now, hold.mark, hold.Tokens, used)
 	}
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -53,17 +53,21 @@
 
 // Reserve takes tokens from a customer's share. If there are too few it
 // returns when to ask again, zero if never.
-func (l *Limiter) Reserve(now time.Time, customer string, tokens float64) (wait time.Duration, ok bool) {
+func (l *Limiter) Reserve(now time.Time, customer string, tokens float64) (hold Hold, wait time.Duration, ok bool) {
 	b, known := l.buckets[customer]
 	if !known {
-		return 0, false
+		return Hold{}, 0, false
 	}
-	return b.Take(now, tokens)
+	wait, ok = b.Take(now, tokens)
+	return Hold{
+		Tokens: tokens,
+		mark:   b.Mark(now),
+	}, wait, ok
 }
 
-// Settle ends a reservation. A negative rest is what was used beyond it.
-func (l *Limiter) Settle(now time.Time, customer string, rest float64) {
+// Settle ends a reservation, of which less or more was used.
+func (l *Limiter) Settle(now time.Time, customer string, hold Hold, used float64) {
 	if b, known := l.buckets[customer]; known {
-		b.Put(now, rest)
+		b.Settle(now, hold.mark, hold.Tokens, used)
 	}
 }
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -44,11 +44,10 @@
 	Append struct{ Data []byte }
 	// Decide ends the wait of a call for tokens.
 	Decide struct {
-		ID string
-		OK bool
-		// Incarnation is the one that the tokens belong to.
-		Incarnation uint64
-		Wait        time.Duration
+		ID   string
+		OK   bool
+		Hold Hold
+		Wait time.Duration
 	}
 )
 
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -26,6 +26,14 @@
 	millis uint64
 }
 
+// Hold is a reservation.
+type Hold struct {
+	Tokens float64
+	// Incarnation is the entry's that reserved.
+	Incarnation uint64
+	mark        float64
+}
+
 // share is a part of a customer's right that fills a bucket.
 type share struct {
 	limit  Limit
@@ -69,7 +77,7 @@
 func (s *share) add(now time.Time, a amount) {
 	s.parts += a.parts
 	s.resize(now)
-	s.bucket.Put(now, float64(a.millis)/milli)
+	s.bucket.Move(now, float64(a.millis)/milli)
 }
 
 // split takes out at most a number of parts. They carry their proportion of
@@ -89,7 +97,7 @@
 		parts:  parts,
 		millis: uint64(math.Floor(moved * milli)),
 	}
-	s.bucket.Put(now, -float64(a.millis)/milli)
+	s.bucket.Move(now, -float64(a.millis)/milli)
 	s.parts -= parts
 	s.resize(now)
 	return a
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -94,6 +94,8 @@
 	// cut tells which pairs of hosts can't talk.
 	cut        func(a, b string) bool
 	loss, twin float64
+	// refunds has calls use less than they reserve.
+	refunds bool
 	// spy sees each message, lost ones too.
 	spy func(to string, m *wirepb.ShareMessage)
 	// route names the agent that an entry sends calls to, any if unset.
@@ -287,18 +289,18 @@
 	a := &attempt{at: s.now, customer: customer, tokens: tokens}
 	switch s.policy {
 	case static:
-		_, ok := h.fixed.Reserve(s.now, customer, tokens)
-		s.end(h, a, ok, 0)
+		hold, _, ok := h.fixed.Reserve(s.now, customer, tokens)
+		s.end(h, a, ok, hold)
 	case notAsking:
-		_, ok := h.node.Take(s.now, customer, tokens)
-		s.end(h, a, ok, h.node.Incarnation())
+		hold, _, ok := h.node.Take(s.now, customer, tokens)
+		s.end(h, a, ok, hold)
 	case asking:
 		id := fmt.Sprint(s.seq, len(h.calls), s.offered[customer])
-		decision, _, effects := h.node.Reserve(s.now, id, customer, tokens)
+		decision, hold, _, effects := h.node.Reserve(s.now, id, customer, tokens)
 		if decision == quota.Asked {
 			h.calls[id] = a
 		} else {
-			s.end(h, a, decision == quota.Admitted, h.node.Incarnation())
+			s.end(h, a, decision == quota.Admitted, hold)
 		}
 		s.do(h, effects)
 	}
@@ -307,11 +309,11 @@
 func (s *sim) decided(h *host, d quota.Decide) {
 	a := h.calls[d.ID]
 	delete(h.calls, d.ID)
-	s.end(h, a, d.OK, d.Incarnation)
+	s.end(h, a, d.OK, d.Hold)
 }
 
 // end counts a refusal, or sends an admitted call to an agent.
-func (s *sim) end(h *host, a *attempt, ok bool, incarnation uint64) {
+func (s *sim) end(h *host, a *attempt, ok bool, hold quota.Hold) {
 	if !ok {
 		s.refused[a.customer]++
 		return
@@ -322,10 +324,16 @@
 		agent = s.agents[i]
 	}
 	admit := func() {
-		if agent.guard.Admits(h.name, incarnation) {
-			s.admitted[a.customer] = append(s.admitted[a.customer], spent{at: reserved, tokens: a.tokens})
+		if agent.guard.Admits(h.name, hold.Incarnation) {
+			used := a.tokens
+			if s.refunds {
+				used *= s.random.Float64()
+			}
+			s.admitted[a.customer] = append(s.admitted[a.customer], spent{at: reserved, tokens: used})
+			s.settle(h, a.customer, hold, used)
 			return
 		}
+		s.settle(h, a.customer, hold, 0)
 		s.refused[a.customer]++
 	}
 	if s.policy == static {
@@ -337,6 +345,16 @@
 	}
 }
 
+// settle ends a reservation after up to three seconds.
+func (s *sim) settle(h *host, customer string, hold quota.Hold, used float64) {
+	if h.node == nil {
+		return
+	}
+	s.after(time.Duration(s.random.IntN(3000))*time.Millisecond, func() {
+		s.at(h, func() { h.node.Settle(s.now, customer, hold, used) })
+	})
+}
+
 func (s *sim) kill(h *host) {
 	h.dead = true
 	s.after(time.Millisecond, func() {
