Share what overflows between the refunds of running calls

Change: a bucket keeps tokens and the credit of running calls within the burst together and takes what does not fit from all of them in proportion.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -3,7 +3,13 @@
 // that never sum to more than the whole, and a coordinator moves them.
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// lostDecay is a decay that leaves nothing of a credit.
+const lostDecay = 1e3
 
 // Bucket is a token bucket from which calls reserve more than they use. It may
 // hold less than nothing after a call used more than it had reserved.
@@ -12,12 +18,13 @@
 	burst  float64
 	tokens float64
 	asOf   time.Time
-	// unspent is the level if no running call uses anything, overflow the
-	// total that did not fit below the burst at that level. What a call gives
-	// back after such an overflow would exceed the burst, had it never been
-	// reserved.
-	unspent  float64
-	overflow float64
+	// credit is what running calls may still give back. Tokens and credit
+	// together never exceed the burst: what does not fit is taken from the
+	// credit of all running calls in proportion, of which decay is the
+	// logarithm. Else a call that ends after the bucket has filled again
+	// would bring more than the burst.
+	credit float64
+	decay  float64
 }
 
 // NewBucket returns a bucket that holds tokens at a time.
@@ -27,8 +34,6 @@
 		burst:  burst,
 		tokens: min(tokens, burst),
 		asOf:   now,
-
-		unspent: min(tokens, burst),
 	}
 }
 
@@ -38,6 +43,7 @@
 	b.fill(now)
 	if tokens <= b.tokens {
 		b.tokens -= tokens
+		b.credit += tokens
 		return 0, true
 	}
 	if tokens > b.burst || b.rate <= 0 {
@@ -47,24 +53,16 @@
 }
 
 // Mark returns what Settle needs to know of the time of a reservation.
-func (b *Bucket) Mark(now time.Time) float64 {
-	b.fill(now)
-	return b.overflow
-}
+func (b *Bucket) Mark() float64 { return b.decay }
 
-// Settle ends a reservation. What was not used comes back unless the bucket
-// would have overflowed meanwhile without the reservation; what was used beyond
-// it is taken, below zero if need be.
+// Settle ends a reservation. What was not used comes back as far as the call
+// has credit left; what was used beyond the reservation is taken, below zero if
+// need be.
 func (b *Bucket) Settle(now time.Time, mark, reserved, used float64) {
 	b.fill(now)
-	lost := b.overflow - mark
-	b.unspent -= max(0, used-lost)
-	rest := reserved - used
-	if rest > 0 {
-		rest = max(0, rest-lost)
-	}
-	b.tokens = min(b.burst, b.tokens+rest)
-	b.unspent = max(b.unspent, b.tokens)
+	credit := reserved * math.Exp(b.decay-mark)
+	b.credit = max(0, b.credit-credit)
+	b.add(max(0, credit-used) - max(0, used-reserved))
 }
 
 // Move adds tokens that came with a part of a share, or takes some.
@@ -73,13 +71,18 @@
 	b.add(tokens)
 }
 
-// add changes both levels; neither exceeds the burst.
+// add changes the tokens and takes from the credit what does not fit.
 func (b *Bucket) add(tokens float64) {
 	b.tokens = min(b.burst, b.tokens+tokens)
-	b.unspent = max(b.unspent+tokens, b.tokens)
-	if extra := b.unspent - b.burst; extra > 0 {
-		b.overflow += extra
-		b.unspent = b.burst
+	extra := b.tokens + b.credit - b.burst
+	switch {
+	case extra <= 0 || b.credit == 0:
+	case extra >= b.credit:
+		b.decay -= lostDecay
+		b.credit = 0
+	default:
+		b.decay += math.Log1p(-extra / b.credit)
+		b.credit -= extra
 	}
 }
 
--- a/internal/quota/change_test.go
+++ b/internal/quota/change_test.go
@@ -184,7 +184,7 @@
 	now := time.Unix(0, 0)
 	b := quota.NewBucket(now, 10, 100, 100)
 	b.Take(now, 80)
-	mark := b.Mark(now)
+	mark := b.Mark()
 	now = now.Add(10 * time.Second)
 	if _, ok := b.Take(now, 100); !ok {
 		t.Fatal("the bucket has not filled")
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -87,7 +87,7 @@
 	return Hold{
 		Tokens:      tokens,
 		Incarnation: h.incarnation,
-		mark:        a.share.bucket.Mark(now),
+		mark:        a.share.bucket.Mark(),
 	}, wait, ok
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -61,7 +61,7 @@
 	wait, ok = b.Take(now, tokens)
 	return Hold{
 		Tokens: tokens,
-		mark:   b.Mark(now),
+		mark:   b.Mark(),
 	}, wait, ok
 }
 
--- a/internal/quota/measure_test.go
+++ b/internal/quota/measure_test.go
@@ -79,7 +79,7 @@
 			b.Run(c.name+"/"+name, func(b *testing.B) {
 				var total tally
 				for range b.N {
-					for seed := range max(1, uint64(5*time.Minute/c.length)) {
+					for seed := range max(1, uint64(20*time.Minute/c.length)) {
 						total.add(c.run(b, seed, p, limits))
 					}
 				}
@@ -133,6 +133,32 @@
 	return s
 }
 
+// BenchmarkRefund measures refusals at even load of 70% of the rate by what is
+// used, which is half of what is reserved, against one bucket that knows it
+// beforehand. The burst is two seconds of the rate.
+func BenchmarkRefund(b *testing.B) {
+	for _, runs := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second} {
+		b.Run(runs.String(), func(b *testing.B) {
+			var total tally
+			for range b.N {
+				for seed := range uint64(5) {
+					s := newSim(seed, asking, 4, 4, map[string]quota.Limit{"booth": {Rate: 10000, Burst: 20000}})
+					s.half, s.runs = true, 2*runs
+					s.run(3 * time.Second)
+					s.load("booth", 70, 200, even(4), s.now.Add(time.Minute))
+					s.run(time.Minute)
+					if err := s.audit(); err != nil {
+						b.Fatal(err)
+					}
+					total.add(s)
+				}
+			}
+			total.report(b)
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
 // BenchmarkReturn measures how long a killed entry's share is out of use.
 func BenchmarkReturn(b *testing.B) {
 	kinds := map[string]func(*sim) *host{"follower": (*sim).follower, "coordinator": (*sim).leader}
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -94,8 +94,10 @@
 	// cut tells which pairs of hosts can't talk.
 	cut        func(a, b string) bool
 	loss, twin float64
-	// refunds has calls use less than they reserve.
-	refunds bool
+	// refunds has calls use less than they reserve, half of it if half is set.
+	refunds, half bool
+	// runs is how long calls run at most.
+	runs time.Duration
 	// spy sees each message, lost ones too.
 	spy func(to string, m *wirepb.ShareMessage)
 	// route names the agent that an entry sends calls to, any if unset.
@@ -112,6 +114,7 @@
 	s := &sim{
 		now: time.Unix(1e9, 0), random: rand.New(rand.NewPCG(seed, 1)), policy: p, limits: limits,
 		jitter:   time.Millisecond,
+		runs:     3 * time.Second,
 		admitted: map[string][]spent{}, offered: map[string]int{}, refused: map[string]int{}, due: map[string]int{},
 		ideal: map[string]*quota.Bucket{},
 	}
@@ -283,7 +286,11 @@
 		return
 	}
 	s.offered[customer]++
-	if _, ok := s.ideal[customer].Take(s.now, tokens); !ok {
+	ideal := tokens
+	if s.half {
+		ideal /= 2 // one bucket that knows what will be used
+	}
+	if _, ok := s.ideal[customer].Take(s.now, ideal); !ok {
 		s.due[customer]++
 	}
 	a := &attempt{at: s.now, customer: customer, tokens: tokens}
@@ -326,7 +333,10 @@
 	admit := func() {
 		if agent.guard.Admits(h.name, hold.Incarnation) {
 			used := a.tokens
-			if s.refunds {
+			switch {
+			case s.half:
+				used /= 2
+			case s.refunds:
 				used *= s.random.Float64()
 			}
 			s.admitted[a.customer] = append(s.admitted[a.customer], spent{at: reserved, tokens: used})
@@ -350,7 +360,7 @@
 	if h.node == nil {
 		return
 	}
-	s.after(time.Duration(s.random.IntN(3000))*time.Millisecond, func() {
+	s.after(time.Duration(s.random.Int64N(int64(s.runs))), func() {
 		s.at(h, func() { h.node.Settle(s.now, customer, hold, used) })
 	})
 }
