Run calls that may not be repeated at most once

Cause: a charge whose link broke ended as may-have-run though its agent knew the answer, and a caller's repeat with an Idempotency-Key ran again. Change: package dedup keeps attempts by id and keys by claims in the log, batched into one append at a time; an agent runs a key only after it has read its claim back as the first one. The entry names the owner of a key by rendezvous hashing, follows a claim to its holder, and asks the same agent process for the outcome after a broken link; an attempt that was not seen is refused from then on. Retries have a budget.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/queue"
 )
@@ -14,6 +15,8 @@
 	busyRetryAfter = time.Second
 	// queuePerSlot bounds the calls that wait for each slot.
 	queuePerSlot = 4
+	// lingerTime is how long a stopping agent stays after its last call.
+	lingerTime = 500 * time.Millisecond
 )
 
 // Core is the reducer of an agent.
@@ -28,9 +31,14 @@
 	report   plat.Report
 	reportAt time.Time
 
+	once    *dedup.Table
+	service string
+
 	sequence uint64
 	toldAt   time.Time
 	leaving  bool
+	// endedAt is when the last call ended or the shutdown began.
+	endedAt time.Time
 }
 
 // CoreSettings are the constants of a reducer.
@@ -40,6 +48,8 @@
 	Plain bool
 	// Slots is how many calls run at once at the endpoint.
 	Slots int
+	// Once is for the calls that may not be repeated.
+	Once dedup.Settings
 }
 
 // NewCore returns the reducer of a fresh agent.
@@ -51,6 +61,8 @@
 		waiting:     queue.New[uint64](s.Slots * queuePerSlot),
 		calls:       make(map[uint64]Call),
 		running:     make(map[uint64]bool),
+		once:        dedup.New(s.Once),
+		service:     s.Once.Service,
 	}
 }
 
@@ -60,7 +72,7 @@
 	case Arrived:
 		return c.arrived(now, e.Call)
 	case Ended:
-		return c.ended(now, e.Key)
+		return c.ended(now, e.Key, e.Outcome)
 	case Abandoned:
 		return c.abandoned(now, e.Key)
 	case Reported:
@@ -71,6 +83,16 @@
 			Session: e.Session,
 			Message: c.load(now),
 		}}
+	case Received:
+		return c.received(now, e)
+	case HostsRead:
+		return c.listed(e.Hosts)
+	case LogRead:
+		return c.logRead(now, e)
+	case LogFailed:
+		return c.logFailed(e)
+	case Appended:
+		return c.appended(now, e)
 	case Stopping:
 		return c.stopping(now)
 	case Tick:
@@ -82,22 +104,23 @@
 
 // stopping refuses new work and tells the entries at once.
 func (c *Core) stopping(now time.Time) []Effect {
-	c.leaving = true
-	return append(c.tell(now), c.finish()...)
+	c.leaving, c.endedAt = true, now
+	return c.tell(now)
 }
 
-// finish ends a graceful shutdown once no call is left.
-func (c *Core) finish() []Effect {
-	if c.leaving && len(c.calls) == 0 {
+// finish ends a graceful shutdown once no call is left and what was sent last
+// had time to arrive.
+func (c *Core) finish(now time.Time) []Effect {
+	if c.leaving && len(c.calls) == 0 && now.Sub(c.endedAt) >= lingerTime {
 		return []Effect{Finished{}}
 	}
 	return nil
 }
 
 func (c *Core) tick(now time.Time) []Effect {
-	effects := c.expire(now)
+	effects := c.onceTick(now)
 	if now.Sub(c.toldAt) >= reportInterval {
 		effects = append(effects, c.tell(now)...)
 	}
-	return append(effects, c.finish()...)
+	return append(effects, c.finish(now)...)
 }
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/wire/wirepb"
 )
@@ -21,9 +22,11 @@
 type (
 	// Arrived says that an entry sent a call.
 	Arrived struct{ Call Call }
-	// Ended says that a started call is over.
+	// Ended says that a started call is over. Its outcome is kept if the call
+	// may not be repeated.
 	Ended struct {
-		Key uint64
+		Key     uint64
+		Outcome dedup.Outcome
 	}
 	// Abandoned says that the entry closed a call before its end.
 	Abandoned struct{ Key uint64 }
@@ -95,7 +98,17 @@
 	Refuse struct {
 		Key uint64
 		Err error
+		// Holder is the process that holds the claim of the call's key, if
+		// that is why.
+		Holder dedup.Holder
+	}
+	// Replay answers a call with the whole answer to another attempt.
+	Replay struct {
+		Key     uint64
+		Outcome dedup.Outcome
 	}
+	// Wake asks for a tick after a time.
+	Wake struct{ After time.Duration }
 	// Tell sends a control message to one entry.
 	Tell struct {
 		Session uint64
@@ -116,6 +129,8 @@
 
 func (Start) isEffect()     {}
 func (Refuse) isEffect()    {}
+func (Replay) isEffect()    {}
+func (Wake) isEffect()      {}
 func (Tell) isEffect()      {}
 func (Broadcast) isEffect() {}
 func (Append) isEffect()    {}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/loop"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/wire"
@@ -24,6 +25,9 @@
 	tickInterval  = 100 * time.Millisecond
 	pollInterval  = 250 * time.Millisecond
 	reportTimeout = 2 * time.Second
+	// finishTime is what a call that may not be repeated gets beyond its
+	// caller's deadline.
+	finishTime = 30 * time.Second
 )
 
 // Options are the explicit dependencies of a server.
@@ -67,8 +71,11 @@
 
 // decision is what the reducer wants done with a call.
 type decision struct {
-	start bool
-	err   error
+	start  bool
+	err    error
+	holder dedup.Holder
+	// replay is the answer to another attempt, nil if there is none.
+	replay *dedup.Outcome
 }
 
 // New returns a server; Run starts it.
@@ -217,31 +224,51 @@
 	select {
 	case d := <-waiter.decision:
 		if d.start {
-			s.loop.Post(Ended{Key: key})
+			s.loop.Post(Ended{
+				Key:     key,
+				Outcome: dedup.Outcome{Err: errAbandoned},
+			})
 		}
 	case <-s.loop.Done():
 	}
 }
 
+// errAbandoned ends a call whose entry has left before the start.
+var errAbandoned = fault.New(fault.NotRun, fault.CodeLink, "the entry had closed the call before its start")
+
 func (s *Server) carryOut(key uint64, d decision, closed <-chan struct{}, call *wire.Call, r *wirepb.CallRequest) {
+	if d.replay != nil {
+		replay(call, d.replay)
+		return
+	}
 	err := d.err
 	if d.start {
-		err = s.forward(closed, call, r)
-		s.loop.Post(Ended{Key: key})
+		k := newKeeper(r, call.SendFrame)
+		err = s.forward(closed, k, r)
+		s.loop.Post(Ended{
+			Key:     key,
+			Outcome: k.outcome(err),
+		})
 	}
 	if err != nil {
-		_ = call.SendFrame(failure(err)) // the entry asks again if this is lost
+		_ = call.SendFrame(failure(err, d.holder)) // the entry asks again if this is lost
 	}
 }
 
-// forward runs a call at the endpoint; the entry's closing cancels it.
-func (s *Server) forward(closed <-chan struct{}, call *wire.Call, r *wirepb.CallRequest) error {
-	l := s.upstream.take()
+// forward runs a call at the endpoint. The entry's closing cancels it if it
+// may be repeated; another one is left to finish, so that its outcome is known.
+func (s *Server) forward(closed <-chan struct{}, k *keeper, r *wirepb.CallRequest) error {
+	l := s.upstream.take(!r.GetIdempotent())
+	limit := time.Duration(r.GetTimeoutMs()) * time.Millisecond
+	if !r.GetIdempotent() {
+		closed = nil
+		limit += finishTime
+	}
 	over := make(chan struct{})
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
-		timeout := time.NewTimer(time.Duration(r.GetTimeoutMs()) * time.Millisecond)
+		timeout := time.NewTimer(limit)
 		defer timeout.Stop()
 		select {
 		case <-over:
@@ -251,20 +278,27 @@
 			l.cancel()
 		}
 	}()
-	err := s.upstream.run(l, r, call.SendFrame)
+	err := s.upstream.run(l, r, k.send)
 	close(over)
 	<-watched
 	return err
 }
 
 // failure turns an error into a frame.
-func failure(err error) *wirepb.CallFrame {
-	return &wirepb.CallFrame{Body: &wirepb.CallFrame_Failure{Failure: &wirepb.Failure{
+func failure(err error, holder dedup.Holder) *wirepb.CallFrame {
+	f := &wirepb.Failure{
 		Verdict:      wire.VerdictToWire(fault.VerdictOf(err)),
 		Code:         string(fault.CodeOf(err)),
 		Message:      err.Error(),
 		RetryAfterMs: uint32(fault.RetryAfterOf(err).Milliseconds()),
-	}}}
+	}
+	if holder.Incarnation != 0 {
+		f.Holder = &wirepb.Holder{
+			Host:        holder.Host,
+			Incarnation: holder.Incarnation,
+		}
+	}
+	return &wirepb.CallFrame{Body: &wirepb.CallFrame_Failure{Failure: f}}
 }
 
 // perform carries out one effect.
@@ -273,7 +307,14 @@
 	case Start:
 		s.decide(e.Key, decision{start: true})
 	case Refuse:
-		s.decide(e.Key, decision{err: e.Err})
+		s.decide(e.Key, decision{
+			err:    e.Err,
+			holder: e.Holder,
+		})
+	case Replay:
+		s.decide(e.Key, decision{replay: &e.Outcome})
+	case Wake:
+		time.AfterFunc(e.After, func() { s.loop.Post(Tick{}) })
 	case Tell:
 		s.send(e.Session, e.Message)
 	case Broadcast:
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -87,11 +87,13 @@
 	}
 }
 
-// take returns an idle lane or a new one.
-func (u *upstream) take() *lane {
+// take returns an idle lane or a new one. A fresh one can't have been closed by
+// the endpoint before the request, so a failure of its dial proves that nothing
+// has run.
+func (u *upstream) take(fresh bool) *lane {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if n := len(u.idle); n > 0 {
+	if n := len(u.idle); n > 0 && !fresh {
 		l := u.idle[n-1]
 		u.idle = u.idle[:n-1]
 		return l
@@ -195,8 +197,8 @@
 	if err != nil {
 		return err
 	}
-	if !tail.whole() {
-		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended early")
+	if err := checkWhole(response, tail, total); err != nil {
+		return err
 	}
 	prompt, completion := tail.usage()
 	end := &wirepb.End{
@@ -210,6 +212,25 @@
 	return nil
 }
 
+// untilClose is what the library says of the length of a body that ends with
+// its connection.
+const untilClose = -2
+
+// checkWhole returns an error if an answer is not proved to be whole.
+func checkWhole(response *fasthttp.Response, tail *tail, total uint64) error {
+	if !tail.whole() {
+		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended early")
+	}
+	length := response.Header.ContentLength()
+	if length >= 0 && uint64(length) != total {
+		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer was cut")
+	}
+	if length == untilClose && !tail.stream {
+		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer has no length, so its end can't be told from a cut")
+	}
+	return nil
+}
+
 func copyBody(body io.Reader, tail *tail, send sink) (total uint64, err error) {
 	buffer := make([]byte, readChunk)
 	for {
--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -2,6 +2,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -40,8 +41,8 @@
 	Done() <-chan struct{}
 }
 
-// stopLimit bounds a graceful shutdown.
-const stopLimit = 10 * time.Minute
+// defaultStopLimit bounds a graceful shutdown if the settings don't.
+const defaultStopLimit = 10 * time.Minute
 
 // listen opens a listener and prints its name and address.
 func listen(cmd *cobra.Command, name string, address netip.AddrPort) (net.Listener, error) {
@@ -55,18 +56,18 @@
 
 // serve runs a server until a signal. The first signal begins a graceful
 // shutdown, the second one or the limit ends it.
-func serve(cmd *cobra.Command, s server, run func(context.Context) error) error {
+func serve(cmd *cobra.Command, s server, limit time.Duration, run func(context.Context) error) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 	ctx, cancel := context.WithCancel(cmd.Context())
 	defer cancel()
-	go stopOnSignal(cancel, s, signals)
+	go stopOnSignal(cancel, s, cmp.Or(limit, defaultStopLimit), signals)
 	return run(ctx)
 }
 
 // stopOnSignal cancels a server once its graceful shutdown is over.
-func stopOnSignal(cancel context.CancelFunc, s server, signals <-chan os.Signal) {
+func stopOnSignal(cancel context.CancelFunc, s server, limit time.Duration, signals <-chan os.Signal) {
 	defer cancel()
 	select {
 	case <-signals:
@@ -78,6 +79,6 @@
 	case <-signals:
 	case <-s.Finished():
 	case <-s.Done():
-	case <-time.After(stopLimit):
+	case <-time.After(limit):
 	}
 }
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"dogwoodfold/internal/agent"
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/entry"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/wire/wirepb"
@@ -44,6 +45,7 @@
 			Host:  s.Host,
 			Share: s.StaticShare,
 			Seed:  rand.Uint64(),
+			Drain: s.DrainDelay,
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
@@ -72,7 +74,7 @@
 		return err
 	}
 	server := entry.New(options)
-	return serve(cmd, server, func(ctx context.Context) error { return server.Run(ctx, callers, peers) })
+	return serve(cmd, server, s.StopLimit, func(ctx context.Context) error { return server.Run(ctx, callers, peers) })
 }
 
 // newAgent returns the command that runs an agent.
@@ -106,6 +108,16 @@
 			Incarnation: incarnation,
 			Plain:       s.Kind == kindService,
 			Slots:       s.Slots,
+			Once: dedup.Settings{
+				Self: dedup.Holder{
+					Host:        s.Host,
+					Incarnation: incarnation,
+				},
+				Service:   s.Service,
+				Window:    s.ClaimWindow,
+				Keep:      s.KeepOutcomes,
+				ClaimWait: s.ClaimWait,
+			},
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
@@ -136,7 +148,7 @@
 		return err
 	}
 	server := agent.New(options)
-	return serve(cmd, server, func(ctx context.Context) error { return server.Run(ctx, listener) })
+	return serve(cmd, server, s.StopLimit, func(ctx context.Context) error { return server.Run(ctx, listener) })
 }
 
 // newIncarnation returns a random number that names a process; 0 is none.
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -1,13 +1,16 @@
 package cmds
 
 import (
+	"cmp"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
 	"net/netip"
 	"net/url"
 	"os"
+	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/strict"
 )
 
@@ -32,8 +35,13 @@
 	Log   string `json:"log"`
 	Hosts string `json:"hosts"`
 	// StaticShare is a fixed share of every customer's rate and burst.
-	StaticShare float64  `json:"staticShare"`
-	TLS         TLSFiles `json:"tls"`
+	StaticShare float64 `json:"staticShare"`
+	// DrainDelay is how long a stopping entry still takes requests after its
+	// readiness has failed, since the balancer lags. None if unset.
+	DrainDelay time.Duration `json:"drainDelay"`
+	// StopLimit bounds a graceful shutdown, 10 minutes if unset.
+	StopLimit time.Duration `json:"stopLimit"`
+	TLS       TLSFiles      `json:"tls"`
 }
 
 // AgentSettings is the settings file of an agent.
@@ -51,8 +59,18 @@
 	Log   string `json:"log"`
 	Hosts string `json:"hosts"`
 	// Slots is how many calls run at once at the endpoint.
-	Slots int      `json:"slots"`
-	TLS   TLSFiles `json:"tls"`
+	Slots int `json:"slots"`
+	// ClaimWindow is how long an idempotency key counts, an hour if unset. The
+	// log must keep records for longer.
+	ClaimWindow time.Duration `json:"claimWindow"`
+	// KeepOutcomes is how long answers are kept for repeats, 10 minutes if
+	// unset.
+	KeepOutcomes time.Duration `json:"keepOutcomes"`
+	// ClaimWait bounds the wait for the log, 2 seconds if unset.
+	ClaimWait time.Duration `json:"claimWait"`
+	// StopLimit bounds a graceful shutdown, 10 minutes if unset.
+	StopLimit time.Duration `json:"stopLimit"`
+	TLS       TLSFiles      `json:"tls"`
 }
 
 // The kinds of endpoints.
@@ -86,6 +104,8 @@
 	if s.StaticShare < 0 || s.StaticShare > 1 {
 		faults.Add("staticShare", "is %v, want 0 to 1", s.StaticShare)
 	}
+	checkDuration("drainDelay", s.DrainDelay, faults)
+	checkDuration("stopLimit", s.StopLimit, faults)
 	s.TLS.check(faults)
 }
 
@@ -104,6 +124,13 @@
 	if s.Slots < 1 {
 		faults.Add("slots", "must be 1 or more")
 	}
+	checkDuration("claimWindow", s.ClaimWindow, faults)
+	checkDuration("keepOutcomes", s.KeepOutcomes, faults)
+	checkDuration("claimWait", s.ClaimWait, faults)
+	checkDuration("stopLimit", s.StopLimit, faults)
+	if s.KeepOutcomes > cmp.Or(s.ClaimWindow, dedup.DefaultWindow) {
+		faults.Add("keepOutcomes", "is longer than claimWindow")
+	}
 	s.TLS.check(faults)
 }
 
@@ -119,6 +146,12 @@
 	}
 }
 
+func checkDuration(path string, d time.Duration, faults *strict.Faults) {
+	if d < 0 {
+		faults.Add(path, "is negative")
+	}
+}
+
 func checkURL(path, text string, faults *strict.Faults) {
 	u, err := url.Parse(text)
 	if err != nil || u.Scheme != "http" || u.Host == "" {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/wire"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
@@ -71,11 +72,38 @@
 		if after := f.GetRetryAfterMs(); after > 0 {
 			err = fault.WithRetryAfter(err, time.Duration(after)*time.Millisecond)
 		}
+		if h := f.GetHolder(); h != nil {
+			err = &claimedError{
+				error: err,
+				holder: dedup.Holder{
+					Host:        h.GetHost(),
+					Incarnation: h.GetIncarnation(),
+				},
+			}
+		}
 		return nil, err
 	}
 	return frame, nil
 }
 
+// claimedError is a refusal that names the holder of a claim.
+type claimedError struct {
+	error
+	holder dedup.Holder
+}
+
+// Unwrap returns the refusal.
+func (e *claimedError) Unwrap() error { return e.error }
+
+// holderOf returns the holder that an error names, if any.
+func holderOf(err error) dedup.Holder {
+	var claimed *claimedError
+	if errors.As(err, &claimed) {
+		return claimed.holder
+	}
+	return dedup.Holder{}
+}
+
 // linkError gives the verdict of an answer that stopped coming.
 func linkError(err error, deadline time.Time) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(deadline) {
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"dogwoodfold/internal/dedup"
+	"dogwoodfold/internal/fleet"
 	"dogwoodfold/internal/route"
 	"dogwoodfold/pkg/fault"
 )
@@ -13,6 +15,13 @@
 	attempt int
 	host    string
 	tried   map[string]bool
+	// holder is the agent process that holds the claim of the call's key, if
+	// one is known.
+	holder dedup.Holder
+	// incarnation is the agent process of the last attempt.
+	incarnation uint64
+	// asked is the question for the last attempt's outcome, nil if none is open.
+	asked *question
 	// unsure is the failure of an attempt that may have run, nil if none has.
 	unsure error
 }
@@ -36,12 +45,13 @@
 		tried: make(map[string]bool),
 	}
 	c.calls[call.ID] = r
+	c.budget.Earn(now)
 	return c.send(now, r)
 }
 
 // admit says why a call can't be taken, nil if its tokens are reserved.
 func (c *Core) admit(now time.Time, call Call) error {
-	if c.leaving {
+	if c.refusing(now) {
 		return fault.New(fault.NotRun, fault.CodeLeaving, "this entry is leaving")
 	}
 	if !c.ready {
@@ -72,20 +82,12 @@
 	if r.Keyed && !c.keyValid(r.Call) {
 		return c.giveUp(now, r, fault.New(fault.NotRun, fault.CodeWithdrawn, "the key was withdrawn"))
 	}
-	peer := c.router.Pick(now, route.Query{
-		Service: r.Route.Service,
-		Model:   r.Model,
-		Version: r.Version,
-		Adapter: r.Adapter,
-		Tokens:  int(r.Tokens),
-		Tried:   r.tried,
-	})
-	if peer == nil {
-		err := fault.New(fault.NotRun, fault.CodeNoEndpoint, "no endpoint can take the call now")
-		return c.giveUp(now, r, fault.WithRetryAfter(err, noEndpointRetryAfter))
+	peer, err := c.pick(now, r)
+	if err != nil {
+		return c.giveUp(now, r, err)
 	}
 	r.attempt++
-	r.host = peer.Host.Name
+	r.host, r.incarnation = peer.Host.Name, peer.Incarnation
 	peer.Sent++
 	peer.SentTokens += int(r.Tokens)
 	return []Effect{Send{
@@ -98,6 +100,35 @@
 	}}
 }
 
+// pick chooses the agent of the next attempt, or says why there is none.
+func (c *Core) pick(now time.Time, r *running) (*fleet.Peer, error) {
+	if r.holder.Incarnation != 0 {
+		return c.holding(r)
+	}
+	if r.Once {
+		if peer := c.owner(r); peer != nil {
+			return peer, nil
+		}
+		return nil, errNoEndpoint
+	}
+	peer := c.router.Pick(now, route.Query{
+		Service: r.Route.Service,
+		Model:   r.Model,
+		Version: r.Version,
+		Adapter: r.Adapter,
+		Tokens:  int(r.Tokens),
+		Tried:   r.tried,
+	})
+	if peer == nil {
+		return nil, errNoEndpoint
+	}
+	return peer, nil
+}
+
+// errNoEndpoint ends a call that no agent can take.
+var errNoEndpoint = fault.WithRetryAfter(
+	fault.New(fault.NotRun, fault.CodeNoEndpoint, "no endpoint can take the call now"), noEndpointRetryAfter)
+
 // giveUp refuses a call. Its tokens are returned if it is proved not to have
 // run.
 func (c *Core) giveUp(now time.Time, r *running, err error) []Effect {
@@ -107,7 +138,7 @@
 		used = r.Tokens
 	}
 	c.settle(now, r, used)
-	return append(refuse(r.ID, err), c.finish()...)
+	return append(refuse(r.ID, err), c.finish(now)...)
 }
 
 // settle ends a call's reservation and forgets the call.
@@ -130,24 +161,63 @@
 	}
 	if e.Outcome.Err == nil {
 		c.settle(now, r, e.Outcome.Used)
-		return c.finish()
+		return c.finish(now)
 	}
+	if c.shouldAsk(now, r, e.Outcome) {
+		return c.askFor(now, r, e.Outcome.Err)
+	}
+	return c.failed(now, r, e.Outcome)
+}
+
+// failed sends a call again where that is safe, or gives it up.
+func (c *Core) failed(now time.Time, r *running, o Outcome) []Effect {
 	r.tried[r.host] = true
-	if e.Outcome.Verdict != fault.NotRun {
-		r.unsure = e.Outcome.Err
+	if o.Verdict != fault.NotRun {
+		r.unsure = o.Err
+	}
+	if o.Holder.Incarnation != 0 && r.Once {
+		r.holder = o.Holder
 	}
-	if c.mayRetry(now, r, e.Outcome) {
+	if c.mayRetry(now, r, o) {
 		return c.send(now, r)
 	}
-	return c.giveUp(now, r, e.Outcome.Err)
+	return c.giveUp(now, r, o.Err)
 }
 
-// mayRetry reports whether a failed attempt may be followed by another one.
+// mayRetry reports whether a failed attempt may be followed by another one. A
+// call that may have run is only repeated if that is safe.
 func (c *Core) mayRetry(now time.Time, r *running, o Outcome) bool {
 	if o.Passed || r.attempt >= maxAttempts || !now.Before(r.Deadline) {
 		return false
 	}
-	return o.Verdict == fault.NotRun || (r.Route.Idempotent && o.Verdict == fault.MayHaveRun)
+	if o.Verdict != fault.NotRun && (!r.Route.Idempotent || o.Verdict != fault.MayHaveRun) {
+		return false
+	}
+	switch fault.CodeOf(o.Err) {
+	case fault.CodeConflict, fault.CodeLogDown:
+		return false // each agent would say the same
+	case fault.CodeClaimed:
+		return r.holder.Incarnation != 0 && r.holder != r.agent()
+	}
+	if r.holder.Incarnation != 0 {
+		return false // no other agent may run it
+	}
+	return freeRetry(o) || c.budget.Spend(now)
+}
+
+// freeRetry reports whether the refusal cost the agent next to nothing, and
+// will not come again from it.
+func freeRetry(o Outcome) bool {
+	code := fault.CodeOf(o.Err)
+	return o.Verdict == fault.NotRun && (code == fault.CodeLeaving || code == fault.CodeLink)
+}
+
+// agent returns the process of the last attempt.
+func (r *running) agent() dedup.Holder {
+	return dedup.Holder{
+		Host:        r.host,
+		Incarnation: r.incarnation,
+	}
 }
 
 func refuse(id string, err error) []Effect {
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/fleet"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/quota"
@@ -25,6 +26,8 @@
 	// Share is this entry's fixed share of every customer's rate and burst.
 	Share float64
 	Seed  uint64
+	// Drain is how long new requests are still taken after readiness failed.
+	Drain time.Duration
 }
 
 // Core is the reducer of an entry.
@@ -35,9 +38,13 @@
 	router  *route.Router
 	quota   *quota.Limiter
 	calls   map[string]*running
+	budget  *dedup.Budget
 	beatAt  time.Time
 	ready   bool
 	leaving bool
+	drain   time.Duration
+	// drained is when a leaving entry begins to refuse.
+	drained time.Time
 }
 
 // NewCore returns the reducer of a fresh entry.
@@ -49,6 +56,8 @@
 		router: route.New(f, s.Seed),
 		quota:  quota.NewLimiter(s.Share),
 		calls:  make(map[string]*running),
+		budget: dedup.NewBudget(),
+		drain:  s.Drain,
 	}
 }
 
@@ -65,16 +74,16 @@
 		return c.logRead(now, e)
 	case LinkUp:
 		c.fleet.Up(now, e.Host, e.Hello)
-		return nil
+		return c.ask(now, true)
 	case LinkDown:
 		c.fleet.Down(e.Host, e.Incarnation)
 		return nil
 	case Received:
 		return c.received(now, e)
 	case Stopping:
-		return c.stopping()
+		return c.stopping(now)
 	case Tick:
-		return c.tick(now)
+		return append(c.tick(now), c.callsTick(now)...)
 	default:
 		return nil
 	}
@@ -90,16 +99,27 @@
 	}
 }
 
-// stopping fails readiness at once; running calls go on.
-func (c *Core) stopping() []Effect {
-	c.leaving = true
-	return append([]Effect{Ready{Ready: false}}, c.finish()...)
+// stopping fails readiness at once; running calls go on, and new ones are taken
+// until the balancer has had time to see it.
+func (c *Core) stopping(now time.Time) []Effect {
+	if !c.leaving {
+		c.leaving, c.drained = true, now.Add(c.drain)
+	}
+	return append([]Effect{Ready{Ready: false}}, c.finish(now)...)
 }
 
+// refusing reports whether a graceful shutdown has come to refuse new calls.
+func (c *Core) refusing(now time.Time) bool { return c.leaving && !now.Before(c.drained) }
+
 // finish ends a graceful shutdown once no call is left.
-func (c *Core) finish() []Effect {
-	if c.leaving && len(c.calls) == 0 {
+func (c *Core) finish(now time.Time) []Effect {
+	if c.refusing(now) && len(c.calls) == 0 {
 		return []Effect{Finished{}}
 	}
 	return nil
 }
+
+// callsTick asks for outcomes once more and ends a shutdown that is due.
+func (c *Core) callsTick(now time.Time) []Effect {
+	return append(c.ask(now, false), c.finish(now)...)
+}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/config"
@@ -25,9 +26,11 @@
 	Adapter  string
 	// Tokens is what the call reserves: prompt and answer.
 	Tokens float64
-	// IdempotencyKey is the caller's own, empty if none was given.
-	IdempotencyKey string
-	Deadline       time.Time
+	// Once says that the caller gave an idempotency key for a call that may
+	// not be repeated; OnceKey is its digest.
+	Once     bool
+	OnceKey  dedup.Key
+	Deadline time.Time
 }
 
 // Outcome is how an attempt, or a whole call, has ended.
@@ -39,6 +42,9 @@
 	Passed bool
 	// Used is the number of tokens that the call has cost.
 	Used float64
+	// Holder is the agent process that holds the claim of the call's key, if
+	// that is why the attempt was refused.
+	Holder dedup.Holder
 }
 
 // Events.
@@ -125,6 +131,12 @@
 		ID  string
 		Err error
 	}
+	// Deliver ends a call with an answer that was asked for after its link
+	// broke.
+	Deliver struct {
+		ID     string
+		Report *wirepb.OutcomeReport
+	}
 	// Cancel ends a running attempt; the caller gets the error.
 	Cancel struct {
 		ID  string
@@ -162,6 +174,7 @@
 
 func (Send) isEffect()     {}
 func (Refuse) isEffect()   {}
+func (Deliver) isEffect()  {}
 func (Cancel) isEffect()   {}
 func (Connect) isEffect()  {}
 func (Append) isEffect()   {}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -59,6 +59,9 @@
 
 // handle serves one request of a caller.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.stopping.Load() {
+		ctx.SetConnectionClose() // the caller's next request goes elsewhere
+	}
 	switch string(ctx.Path()) {
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
@@ -132,6 +135,9 @@
 			if s.attempt(x, e) {
 				return
 			}
+		case Deliver:
+			s.deliver(x, e.Report)
+			return
 		}
 	}
 }
@@ -169,6 +175,19 @@
 	return true
 }
 
+// deliver answers with an outcome that was asked for.
+func (s *Server) deliver(x *exchange, report *wirepb.OutcomeReport) {
+	writeHead(x.ctx, &wirepb.Head{
+		Status: report.GetStatus(),
+		Headers: []*wirepb.Header{{
+			Name:  fasthttp.HeaderContentType,
+			Value: report.GetContentType(),
+		}},
+	})
+	x.ctx.SetBody(report.GetBody())
+	s.end(x, nil)
+}
+
 // open sends the request and waits for the head of the answer.
 func (s *Server) open(x *exchange, e Send) (*wire.Call, *wirepb.Head, error) {
 	session := s.session(e.Host, e.Incarnation)
@@ -228,6 +247,7 @@
 		Outcome: Outcome{
 			Verdict: fault.VerdictOf(err),
 			Err:     err,
+			Holder:  holderOf(err),
 		},
 	})
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -25,6 +25,8 @@
 		c.fleet.Reported(now, e.Host, body.Load)
 	case *wirepb.Envelope_Heartbeat:
 		c.fleet.Heard(now, e.Host, body.Heartbeat)
+	case *wirepb.Envelope_Claim:
+		return c.reported(now, e, body.Claim.GetReport())
 	}
 	return nil
 }
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -54,14 +54,19 @@
 	}
 	r := &resolved{
 		call: Call{
-			ID:             id,
-			Route:          route,
-			IdempotencyKey: string(ctx.Request.Header.Peek(headerIdempotency)),
+			ID:    id,
+			Route: route,
 		},
 	}
+	if err := checkPath(ctx); err != nil {
+		return nil, err
+	}
 	if err := r.authenticate(x, ctx); err != nil {
 		return nil, err
 	}
+	if err := r.once(now, ctx); err != nil {
+		return nil, err
+	}
 	timeout, err := timeoutOf(route, ctx)
 	if err != nil {
 		return nil, err
@@ -73,13 +78,17 @@
 		Service:        route.Service,
 		Method:         string(ctx.Method()),
 		Path:           string(ctx.URI().PathOriginal()),
-		Query:          allowedQuery(route, ctx),
-		Headers:        allowedHeaders(route, ctx),
+		Query:          allowedQuery(x, route, ctx),
+		Headers:        allowedHeaders(x, route, ctx),
 		Body:           ctx.PostBody(),
 		Idempotent:     route.Idempotent,
-		IdempotencyKey: r.call.IdempotencyKey,
+		IdempotencyKey: r.onceKey(),
+		RunWithoutLog:  route.RunWithoutLog,
 		Batch:          route.Priority == config.PriorityBatch,
 	}
+	if err := r.checkSecrets(ctx); err != nil {
+		return nil, err
+	}
 	if x.Text.Services[route.Service].Kind == config.KindPlain {
 		r.call.Tokens = route.TokensPerCall
 		return r, nil
@@ -198,11 +207,11 @@
 // alwaysAllowed are the header fields that each route passes on.
 var alwaysAllowed = []string{"Content-Type", "Accept"}
 
-func allowedHeaders(route config.Route, ctx *fasthttp.RequestCtx) []*wirepb.Header {
+func allowedHeaders(x *config.Index, route config.Route, ctx *fasthttp.RequestCtx) []*wirepb.Header {
 	var headers []*wirepb.Header
 	for _, names := range [][]string{alwaysAllowed, route.Headers} {
 		for _, name := range names {
-			if value := ctx.Request.Header.Peek(name); len(value) > 0 {
+			if value := ctx.Request.Header.Peek(name); len(value) > 0 && !secret(x, ctx, value) {
 				headers = append(headers, &wirepb.Header{
 					Name:  name,
 					Value: string(value),
@@ -213,11 +222,13 @@
 	return headers
 }
 
-func allowedQuery(route config.Route, ctx *fasthttp.RequestCtx) string {
+func allowedQuery(x *config.Index, route config.Route, ctx *fasthttp.RequestCtx) string {
 	query := url.Values{}
 	for _, name := range route.Query {
 		for _, value := range ctx.QueryArgs().PeekMulti(name) {
-			query.Add(name, string(value))
+			if !secret(x, ctx, value) {
+				query.Add(name, string(value))
+			}
 		}
 	}
 	return query.Encode()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -54,6 +54,8 @@
 	index   atomic.Pointer[config.Index]
 	offset  atomic.Uint64
 	ready   atomic.Bool
+	// stopping is set once a graceful shutdown has begun.
+	stopping atomic.Bool
 
 	// base is the context of Run, which effects' goroutines end with.
 	base    context.Context
@@ -136,14 +138,22 @@
 func (s *Server) Done() <-chan struct{} { return s.done }
 
 // Stop begins a graceful shutdown; Finished is closed when no call is left.
-func (s *Server) Stop() { s.loop.Post(Stopping{}) }
+func (s *Server) Stop() {
+	s.stopping.Store(true)
+	s.loop.Post(Stopping{})
+}
 
 // Finished is closed when a graceful shutdown has nothing left to wait for.
 func (s *Server) Finished() <-chan struct{} { return s.finished }
 
 // badRequest answers what the HTTP library could not read.
 func badRequest(ctx *fasthttp.RequestCtx, err error) {
-	writeError(ctx, fault.Wrap(err, fault.NotRun, fault.CodeBadRequest))
+	// The library's error may quote the request, a key included.
+	code, message := fault.CodeBadRequest, "the request can't be read"
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		code, message = fault.CodeTooLarge, "the body is too large"
+	}
+	writeError(ctx, fault.New(fault.NotRun, code, message))
 }
 
 func (s *Server) dial(ctx context.Context, host plat.Host) (*wire.Session, error) {
@@ -238,6 +248,8 @@
 		s.command(e.ID, e)
 	case Refuse:
 		s.command(e.ID, e)
+	case Deliver:
+		s.command(e.ID, e)
 	case Cancel:
 		if x := s.exchange(e.ID); x != nil {
 			x.cancel(e.Err)
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"maps"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -59,6 +60,8 @@
 	CodeWithdrawn     Code = "key_withdrawn"
 	CodeFenced        Code = "entry_fenced"
 	CodeUnknownResult Code = "outcome_unknown"
+	CodeClaimed       Code = "claimed_elsewhere"
+	CodeLogDown       Code = "log_unavailable"
 	CodeInternal      Code = "internal"
 )
 
@@ -112,6 +115,9 @@
 	return d
 }
 
+// CodeStatuses returns the HTTP status of each code that has one of its own.
+func CodeStatuses() map[Code]int { return maps.Clone(statuses) }
+
 // StatusOf returns the HTTP status that err is answered with.
 func StatusOf(err error) int {
 	return merry.HTTPCode(err)
@@ -143,6 +149,8 @@
 	CodeLeaving:       503,
 	CodeNotReady:      503,
 	CodeFenced:        503,
+	CodeClaimed:       503,
+	CodeLogDown:       503,
 	CodeDeadline:      504,
 	CodeLink:          502,
 	CodeEndpoint:      502,
