Keep verdicts, answers and keys true under faults

Cause: tests that provoke the faults found four errors. An entry that closed a call right after its end could cancel the endpoint's connection, which then failed the next call as may-have-run; the HTTP library logged header values, keys included; header fields folded over lines let a second request hide in the first; an answer that ends with its connection passed for whole.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -281,6 +281,7 @@
 	err := s.upstream.run(l, r, k.send)
 	close(over)
 	<-watched
+	s.upstream.put(l)
 	return err
 }
 
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -44,6 +44,8 @@
 	mu     sync.Mutex
 	conn   net.Conn
 	cut    bool
+	// reusable is set by the goroutine that runs a call, after a whole answer.
+	reusable bool
 }
 
 func newLane(address string) *lane {
@@ -101,12 +103,14 @@
 	return newLane(u.address)
 }
 
-// put makes a lane idle after a whole answer.
+// put makes a lane idle if its last answer was whole. Nobody may cancel it any
+// more.
 func (u *upstream) put(l *lane) {
 	l.mu.Lock()
-	cut := l.cut
+	reusable := l.reusable && !l.cut
+	l.reusable = false
 	l.mu.Unlock()
-	if cut {
+	if !reusable {
 		return
 	}
 	u.mu.Lock()
@@ -132,14 +136,14 @@
 		return fault.Wrap(err, fault.MayHaveRun, fault.CodeEndpoint)
 	}
 	if err := refusal(response); err != nil {
-		u.put(l)
+		l.reusable = true
 		return err
 	}
 	if err := relay(response, r.GetStream(), send); err != nil {
 		l.cancel()
 		return err
 	}
-	u.put(l)
+	l.reusable = true
 	return nil
 }
 
--- /dev/null
+++ b/internal/entry/answer_test.go
@@ -0,0 +1,248 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/wire"
+	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/config"
+	"dogwoodfold/pkg/fault"
+)
+
+// callPair returns a call as the entry and as the agent see it.
+func callPair(t *testing.T) (entry, agent *wire.Call) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan *wire.Session, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			accepted <- nil
+			return
+		}
+		session, _ := wire.Accept(conn, &wirepb.Hello{}, nil)
+		accepted <- session
+	}()
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	dialed, err := wire.Dial(context.Background(), address, &wirepb.Hello{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(dialed.Close)
+	served := <-accepted
+	t.Cleanup(served.Close)
+	if entry, err = dialed.OpenCall(); err != nil {
+		t.Fatal(err)
+	}
+	if err := entry.SendRequest(&wirepb.CallRequest{Id: "1"}); err != nil {
+		t.Fatal(err)
+	}
+	if agent, err = served.AcceptCall(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := agent.ReceiveRequest(); err != nil {
+		t.Fatal(err)
+	}
+	return entry, agent
+}
+
+func data(text string) *wirepb.CallFrame {
+	return &wirepb.CallFrame{Body: &wirepb.CallFrame_Data{Data: []byte(text)}}
+}
+
+func end(n uint64) *wirepb.CallFrame {
+	return &wirepb.CallFrame{Body: &wirepb.CallFrame_End{End: &wirepb.End{Bytes: n}}}
+}
+
+func refusalFrame(v fault.Verdict) *wirepb.CallFrame {
+	return &wirepb.CallFrame{Body: &wirepb.CallFrame_Failure{Failure: &wirepb.Failure{
+		Verdict: wire.VerdictToWire(v),
+		Code:    string(fault.CodeEndpoint),
+	}}}
+}
+
+// TestLengthIsChecked sends answers that are not whole.
+func TestLengthIsChecked(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		frames  []*wirepb.CallFrame
+		verdict fault.Verdict
+		code    fault.Code
+	}{
+		{name: "lost bytes", frames: []*wirepb.CallFrame{data("hal"), end(4)}, verdict: fault.Ran, code: fault.CodeCut},
+		{name: "too many bytes", frames: []*wirepb.CallFrame{data("whole"), end(4)}, verdict: fault.Ran, code: fault.CodeCut},
+		{name: "broken link", frames: []*wirepb.CallFrame{data("who")}, verdict: fault.MayHaveRun, code: fault.CodeLink},
+		{name: "too long", frames: []*wirepb.CallFrame{data("whole"), data("and more")}, verdict: fault.Ran, code: fault.CodeCut},
+		{name: "failure", frames: []*wirepb.CallFrame{data("who"), refusalFrame(fault.MayHaveRun)}, verdict: fault.MayHaveRun, code: fault.CodeEndpoint},
+		{name: "not run", frames: []*wirepb.CallFrame{refusalFrame(fault.NotRun)}, verdict: fault.NotRun, code: fault.CodeEndpoint},
+	} {
+		for _, stream := range []bool{false, true} {
+			if stream && test.name == "too long" {
+				continue // a stream has no bound
+			}
+			entry, agent := callPair(t)
+			for _, f := range test.frames {
+				if err := agent.SendFrame(f); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := agent.Close(); err != nil {
+				t.Fatal(err)
+			}
+			err := receiveAll(entry, stream)
+			if fault.VerdictOf(err) != test.verdict || fault.CodeOf(err) != test.code {
+				t.Errorf("%s, stream %v: %v %s, want %v %s", test.name, stream,
+					fault.VerdictOf(err), fault.CodeOf(err), test.verdict, test.code)
+			}
+		}
+	}
+}
+
+// receiveAll reads an answer to its end and returns what the caller is told.
+func receiveAll(call *wire.Call, stream bool) error {
+	deadline := time.Now().Add(5 * time.Second)
+	if !stream {
+		_, _, err := collect(call, deadline, 8)
+		return err
+	}
+	var told error
+	r := &streamReader{
+		call:     call,
+		deadline: deadline,
+		first:    func() {},
+		finish:   func(err error, _ *wirepb.End, _ int) { told = err },
+	}
+	body, err := io.ReadAll(r)
+	if err == nil || !bytes.Contains(body, []byte(`"verdict"`)) {
+		return errors.New("a broken stream passed for whole")
+	}
+	return told
+}
+
+func TestDeadlineEndsAWait(t *testing.T) {
+	entry, _ := callPair(t)
+	deadline := time.Now()
+	if err := entry.SetDeadline(deadline); err != nil {
+		t.Fatal(err)
+	}
+	_, _, err := collect(entry, deadline, 8)
+	if fault.VerdictOf(err) != fault.MayHaveRun || fault.CodeOf(err) != fault.CodeDeadline {
+		t.Errorf("%v %s, want may-have-run %s", fault.VerdictOf(err), fault.CodeOf(err), fault.CodeDeadline)
+	}
+}
+
+const resolveKey = "booth-secret-key"
+
+// resolveIndex returns a configuration with one customer and several routes.
+func resolveIndex(tb testing.TB) *config.Index {
+	tb.Helper()
+	text, err := config.Parse([]byte(`{"format":1,
+"services":{"lengua":{"kind":"model"},"pedidos":{"kind":"plain"},"secret":{"kind":"plain"}},
+"models":{"m":{"service":"lengua","version":"v1","versions":{"v1":{"memoryBytes":1}}},
+ "n":{"service":"lengua","version":"v1","versions":{"v1":{"memoryBytes":1}}}},
+"customers":{"booth":{"keys":{"a":{"sha256":"` + config.DigestKey([]byte(resolveKey)).String() + `"}},
+ "services":["lengua","pedidos"],"models":["m"]}},
+"routes":{
+ "complete":{"path":"/v1/completions","service":"lengua","access":"keyed","priority":"interactive","idempotent":true},
+ "charge":{"path":"/charge","service":"pedidos","access":"keyed","priority":"interactive","query":["q"],"headers":["X-Note"]},
+ "hidden":{"path":"/hidden","service":"secret","access":"keyed","priority":"interactive"},
+ "stock":{"path":"/stock","service":"pedidos","access":"open","priority":"interactive","idempotent":true}}}`))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return config.NewIndex(text)
+}
+
+// resolveRaw resolves a request given as bytes; ok is false if the HTTP library
+// refuses it.
+func resolveRaw(x *config.Index, text string) (r *resolved, err error, ok bool) {
+	ctx := &fasthttp.RequestCtx{}
+	if err := ctx.Request.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
+		return nil, nil, false
+	}
+	r, err = resolve(time.Unix(1000, 0), x, "id", ctx)
+	return r, err, true
+}
+
+func TestResolveRefusals(t *testing.T) {
+	x := resolveIndex(t)
+	const auth = "X-Api-Key: " + resolveKey + "\r\n"
+	post := func(path, headers, body string) string {
+		return "POST " + path + " HTTP/1.1\r\nHost: x\r\n" + headers + "Content-Length: " +
+			string(mustJSON(t, len(body))) + "\r\n\r\n" + body
+	}
+	for _, test := range []struct {
+		text string
+		code fault.Code
+	}{
+		{text: post("/nowhere", auth, ""), code: fault.CodeNoRoute},
+		{text: post("/charge", "", ""), code: fault.CodeNoKey},
+		{text: post("/charge", "X-Api-Key: wrong\r\n", ""), code: fault.CodeBadKey},
+		{text: post("/hidden", auth, ""), code: fault.CodeForbidden},
+		{text: post("/charge/%2e%2e/hidden", auth, ""), code: fault.CodeBadRequest},
+		{text: post("/charge/..%2f", auth, ""), code: fault.CodeNoRoute},
+		{text: post("/charge/a%2fb", auth, ""), code: fault.CodeBadRequest},
+		{text: post("/charge", auth+"X-Request-Timeout: soon\r\n", ""), code: fault.CodeBadRequest},
+		{text: post("/charge", auth, "x"+resolveKey), code: fault.CodeBadRequest},
+		{text: post("/v1/completions", auth, "nonsense"), code: fault.CodeBadRequest},
+		{text: post("/v1/completions", auth, `{"model":"z"}`), code: fault.CodeNoModel},
+		{text: post("/v1/completions", auth, `{"model":"m:z"}`), code: fault.CodeNoModel},
+		{text: post("/v1/completions", auth, `{"model":"n"}`), code: fault.CodeForbidden},
+		{text: post("/v1/completions", auth, `{"model":"m","max_tokens":0}`), code: fault.CodeBadRequest},
+	} {
+		_, err, ok := resolveRaw(x, test.text)
+		if !ok || fault.CodeOf(err) != test.code || fault.VerdictOf(err) != fault.NotRun {
+			t.Errorf("%q: %v %s, want not-run %s", test.text, fault.VerdictOf(err), fault.CodeOf(err), test.code)
+		}
+	}
+}
+
+func mustJSON(t *testing.T, value any) []byte {
+	t.Helper()
+	text, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func FuzzResolve(f *testing.F) {
+	x := resolveIndex(f)
+	f.Add("POST /charge?q=" + resolveKey + " HTTP/1.1\r\nHost: x\r\nX-Api-Key: " + resolveKey + "\r\nX-Note: " + resolveKey + "\r\nContent-Length: 1\r\n\r\nx")
+	f.Add("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + resolveKey + "\r\nContent-Length: 13\r\n\r\n{\"model\":\"m\"}")
+	f.Add("GET /stock/..%2fcharge HTTP/1.1\r\nHost: x\r\nCookie: k=" + resolveKey + "\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err, ok := resolveRaw(x, text)
+		if !ok {
+			return
+		}
+		if err != nil {
+			if fault.VerdictOf(err) != fault.NotRun && fault.CodeOf(err) != fault.CodeUnknownResult {
+				t.Errorf("%q: %v has the verdict %v", text, err, fault.VerdictOf(err))
+			}
+			return
+		}
+		if r.call.Route.Access == config.AccessKeyed && r.call.Customer != "booth" {
+			t.Errorf("%q: passed without a key", text)
+		}
+		if r.call.Keyed && strings.Contains(r.request.String(), resolveKey) {
+			t.Errorf("%q: the key is in %v", text, r.request)
+		}
+	})
+}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -62,6 +62,11 @@
 	if s.stopping.Load() {
 		ctx.SetConnectionClose() // the caller's next request goes elsewhere
 	}
+	if folded(ctx) {
+		ctx.SetConnectionClose() // what follows may be part of this request
+		writeError(ctx, fault.New(fault.NotRun, fault.CodeBadRequest, "a header field goes on in the next line"))
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
--- a/internal/entry/secret.go
+++ b/internal/entry/secret.go
@@ -57,6 +57,13 @@
 	return nil
 }
 
+// folded reports whether a header field goes on in the next line. Two readers
+// may see such a request end in two places.
+func folded(ctx *fasthttp.RequestCtx) bool {
+	head := ctx.Request.Header.RawHeaders()
+	return bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t"))
+}
+
 // checkPath refuses paths that the endpoint might read as another one than the
 // route was chosen by.
 func checkPath(ctx *fasthttp.RequestCtx) error {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -99,6 +99,7 @@
 		NoDefaultServerHeader:        true,
 		SecureErrorLogMessage:        true,
 		ErrorHandler:                 badRequest,
+		Logger:                       quietLogger{out: o.Out},
 	}
 	return s
 }
@@ -146,6 +147,15 @@
 // Finished is closed when a graceful shutdown has nothing left to wait for.
 func (s *Server) Finished() <-chan struct{} { return s.finished }
 
+// quietLogger takes the HTTP library's log. Its lines may quote requests, keys
+// included, so only the fact is written.
+type quietLogger struct{ out zerolog.Logger }
+
+// Printf implements fasthttp.Logger.
+func (l quietLogger) Printf(string, ...any) {
+	l.out.Debug().Msg("entry: a caller's connection has failed")
+}
+
 // badRequest answers what the HTTP library could not read.
 func badRequest(ctx *fasthttp.RequestCtx, err error) {
 	// The library's error may quote the request, a key included.
