--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -31,8 +31,9 @@
 	report   plat.Report
 	reportAt time.Time
 
-	once    *dedup.Table
-	service string
+	once      *dedup.Table
+	service   string
+	placement placement
 
 	sequence uint64
 	toldAt   time.Time
@@ -43,6 +44,7 @@
 
 // CoreSettings are the constants of a reducer.
 type CoreSettings struct {
+	Host        string
 	Incarnation uint64
 	// Plain says that the endpoint is a plain service, not an engine.
 	Plain bool
@@ -50,6 +52,9 @@
 	Slots int
 	// Once is for the calls that may not be repeated.
 	Once dedup.Settings
+	// MaxOrderDelay bounds the time from an order's sending to its last
+	// effect, for engines that ignore fencing numbers.
+	MaxOrderDelay time.Duration
 }
 
 // NewCore returns the reducer of a fresh agent.
@@ -63,6 +68,7 @@
 		running:     make(map[uint64]bool),
 		once:        dedup.New(s.Once),
 		service:     s.Once.Service,
+		placement:   newPlacement(s),
 	}
 }
 
@@ -76,15 +82,23 @@
 	case Abandoned:
 		return c.abandoned(now, e.Key)
 	case Reported:
-		c.report, c.reportAt = e.Report, e.TookOff
-		return c.tell(now)
-	case Linked:
-		return []Effect{Tell{
-			Session: e.Session,
-			Message: c.load(now),
-		}}
+		return c.reported(now, e)
 	case Received:
+		if e.Message.GetClaim() != nil {
+			return c.queried(now, e)
+		}
 		return c.received(now, e)
+	case Linked:
+		return []Effect{
+			Tell{
+				Session: e.Session,
+				Message: c.load(now),
+			},
+			Tell{
+				Session: e.Session,
+				Message: c.placeState(),
+			},
+		}
 	case HostsRead:
 		return c.listed(e.Hosts)
 	case LogRead:
@@ -95,6 +109,8 @@
 		return c.appended(now, e)
 	case Stopping:
 		return c.stopping(now)
+	case Inspect:
+		return c.inspect(now, e)
 	case Tick:
 		return c.tick(now)
 	default:
@@ -105,6 +121,7 @@
 // stopping refuses new work and tells the entries at once.
 func (c *Core) stopping(now time.Time) []Effect {
 	c.leaving, c.endedAt = true, now
+	c.placement.holder.Leave()
 	return c.tell(now)
 }
 
@@ -118,7 +135,7 @@
 }
 
 func (c *Core) tick(now time.Time) []Effect {
-	effects := c.onceTick(now)
+	effects := append(c.onceTick(now), c.place(now)...)
 	if now.Sub(c.toldAt) >= reportInterval {
 		effects = append(effects, c.tell(now)...)
 	}
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -123,6 +123,8 @@
 		Stream string
 		Data   []byte
 	}
+	// Order sends an order to the engine.
+	Order struct{ Order plat.Order }
 	// Finished says that a graceful shutdown has nothing left to wait for.
 	Finished struct{}
 )
@@ -134,4 +136,5 @@
 func (Tell) isEffect()      {}
 func (Broadcast) isEffect() {}
 func (Append) isEffect()    {}
+func (Order) isEffect()     {}
 func (Finished) isEffect()  {}
--- a/internal/agent/once.go
+++ b/internal/agent/once.go
@@ -107,8 +107,8 @@
 	return append(effects, c.start(now)...)
 }
 
-// received answers an entry that asks what became of an attempt.
-func (c *Core) received(now time.Time, e Received) []Effect {
+// queried answers an entry that asks what became of an attempt.
+func (c *Core) queried(now time.Time, e Received) []Effect {
 	query := e.Message.GetClaim().GetQuery()
 	if query == nil || query.GetAgentIncarnation() != c.incarnation {
 		return nil
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -49,6 +49,7 @@
 	options  Options
 	loop     *loop.Loop[Event, Effect]
 	upstream *upstream
+	metrics  *metrics
 	keys     atomic.Uint64
 
 	// base is the context of Run, which effects' goroutines end with.
@@ -83,6 +84,7 @@
 	s := &Server{
 		options:  o,
 		upstream: newUpstream(o.Endpoint.String()),
+		metrics:  newMetrics(),
 		calls:    make(map[uint64]*served),
 		sessions: make(map[uint64]*wire.Session),
 		finished: make(chan struct{}),
@@ -244,7 +246,7 @@
 	err := d.err
 	if d.start {
 		k := newKeeper(r, call.SendFrame)
-		err = s.forward(closed, k, r)
+		err = s.forward(closed, r, k.send)
 		s.loop.Post(Ended{
 			Key:     key,
 			Outcome: k.outcome(err),
@@ -257,7 +259,7 @@
 
 // forward runs a call at the endpoint. The entry's closing cancels it if it
 // may be repeated; another one is left to finish, so that its outcome is known.
-func (s *Server) forward(closed <-chan struct{}, k *keeper, r *wirepb.CallRequest) error {
+func (s *Server) forward(closed <-chan struct{}, r *wirepb.CallRequest, send sink) error {
 	l := s.upstream.take(!r.GetIdempotent())
 	limit := time.Duration(r.GetTimeoutMs()) * time.Millisecond
 	if !r.GetIdempotent() {
@@ -278,7 +280,7 @@
 			l.cancel()
 		}
 	}()
-	err := s.upstream.run(l, r, k.send)
+	err := s.upstream.run(l, r, send)
 	close(over)
 	<-watched
 	s.upstream.put(l)
@@ -306,8 +308,10 @@
 func (s *Server) perform(effect Effect) {
 	switch e := effect.(type) {
 	case Start:
+		s.metrics.started.Inc()
 		s.decide(e.Key, decision{start: true})
 	case Refuse:
+		s.metrics.refused.Inc()
 		s.decide(e.Key, decision{
 			err:    e.Err,
 			holder: e.Holder,
@@ -320,8 +324,12 @@
 		s.send(e.Session, e.Message)
 	case Broadcast:
 		s.broadcast(e.Message)
+	case Inspected:
+		e.Reply <- e.Status
 	case Append:
 		s.append(e)
+	case Order:
+		s.order(e.Order)
 	case Finished:
 		s.finish.Do(func() { close(s.finished) })
 	}
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -103,8 +103,8 @@
 	return newLane(u.address)
 }
 
-// put makes a lane idle if its last answer was whole. Nobody may cancel it any
-// more.
+// put makes a lane idle if its last answer was whole. Its request must be over
+// and released, and nothing may cancel it any more.
 func (u *upstream) put(l *lane) {
 	l.mu.Lock()
 	reusable := l.reusable && !l.cut
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -14,22 +14,22 @@
 	"dogwoodfold/pkg/fault"
 )
 
-// endpoint answers each request with the next script, and closes the
+// scripted answers each request with the next script, and closes the
 // connection after scripts that ask for it.
-type endpoint struct {
+type scripted struct {
 	address  string
 	requests atomic.Int64
 }
 
-// newEndpoint returns an endpoint that answers every request with raw bytes.
-func newEndpoint(t *testing.T, raw string, closes bool) *endpoint {
+// newScripted returns an endpoint that answers every request with raw bytes.
+func newScripted(t *testing.T, raw string, closes bool) *scripted {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	e := &endpoint{address: listener.Addr().String()}
+	e := &scripted{address: listener.Addr().String()}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -42,7 +42,7 @@
 	return e
 }
 
-func (e *endpoint) serve(conn net.Conn, raw string, closes bool) {
+func (e *scripted) serve(conn net.Conn, raw string, closes bool) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
@@ -107,7 +107,7 @@
 		{name: "refused and cut", raw: "HTTP/1.1 409 Conflict\r\nEndpoint-Not-Run: 1\r\nContent-Length: 99\r\n\r\n{", closes: true, verdict: fault.NotRun, code: fault.CodeEndpoint},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			e := newEndpoint(t, test.raw, test.closes)
+			e := newScripted(t, test.raw, test.closes)
 			frames, err := call(newUpstream(e.address), false, test.stream)
 			ended := len(frames) > 0 && frames[len(frames)-1].GetEnd() != nil
 			if test.whole != (err == nil) || ended != test.whole {
@@ -140,7 +140,7 @@
 // TestStaleConnection has an endpoint that closes each connection after its
 // answer, without saying so. A charge must not meet such a connection.
 func TestStaleConnection(t *testing.T) {
-	e := newEndpoint(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true)
+	e := newScripted(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true)
 	u := newUpstream(e.address)
 	for i := range 20 {
 		if _, err := call(u, false, false); err != nil {
@@ -155,7 +155,7 @@
 // TestCutLinkKeepsTheAnswer checks that a charge is read to its end though the
 // entry takes no more frames.
 func TestCutLinkKeepsTheAnswer(t *testing.T) {
-	e := newEndpoint(t, "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\nContent-Length: 7\r\n\r\nreceipt", false)
+	e := newScripted(t, "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\nContent-Length: 7\r\n\r\nreceipt", false)
 	u := newUpstream(e.address)
 	r := &wirepb.CallRequest{
 		Id:     "1",
@@ -192,7 +192,7 @@
 // TestClosingAtTheEndCancelsNothing has entries that close each call as soon as
 // they have its end. The connection to the endpoint must stay fit for the next.
 func TestClosingAtTheEndCancelsNothing(t *testing.T) {
-	e := newEndpoint(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false)
+	e := newScripted(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false)
 	s := &Server{upstream: newUpstream(e.address)}
 	r := &wirepb.CallRequest{
 		Id:         "1",
@@ -203,13 +203,13 @@
 	}
 	for i := range 300 {
 		closed := make(chan struct{})
-		k := newKeeper(r, func(f *wirepb.CallFrame) error {
+		err := s.forward(closed, r, func(f *wirepb.CallFrame) error {
 			if f.GetEnd() != nil {
 				close(closed)
 			}
 			return nil
 		})
-		if err := s.forward(closed, k, r); err != nil {
+		if err != nil {
 			t.Fatalf("call %d: %v", i, err)
 		}
 	}
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -70,7 +70,10 @@
 	ClaimWait time.Duration `json:"claimWait"`
 	// StopLimit bounds a graceful shutdown, 10 minutes if unset.
 	StopLimit time.Duration `json:"stopLimit"`
-	TLS       TLSFiles      `json:"tls"`
+	// MaxOrderDelay bounds the time from an order's sending to its last
+	// effect at engines that ignore fencing numbers.
+	MaxOrderDelay time.Duration `json:"maxOrderDelay"`
+	TLS           TLSFiles      `json:"tls"`
 }
 
 // The kinds of endpoints.
@@ -79,6 +82,12 @@
 	kindService = "service"
 )
 
+const (
+	defaultMaxOrderDelay = 10 * time.Second
+	// leastMaxOrderDelay leaves time for an order's own request.
+	leastMaxOrderDelay = 3 * time.Second
+)
+
 // readSettings decodes and checks a settings file; all faults come at once.
 func readSettings(file string, out interface{ check(*strict.Faults) }) error {
 	text, err := os.ReadFile(file)
@@ -131,6 +140,12 @@
 	if s.KeepOutcomes > cmp.Or(s.ClaimWindow, dedup.DefaultWindow) {
 		faults.Add("keepOutcomes", "is longer than claimWindow")
 	}
+	if s.MaxOrderDelay == 0 {
+		s.MaxOrderDelay = defaultMaxOrderDelay
+	}
+	if s.MaxOrderDelay < leastMaxOrderDelay {
+		faults.Add("maxOrderDelay", "must be %v or more", leastMaxOrderDelay)
+	}
 	s.TLS.check(faults)
 }
 
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -147,7 +147,7 @@
 // service cuts, delays and fails answers.
 func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
 	s := newShop(t, 2, 2)
-	l := &load{}
+	l := &pressure{}
 	l.run(16, func(n int64) answer {
 		body := fmt.Sprint("order-", n)
 		a := s.pay(t, int(n%2), "/charge", body, "")
--- a/internal/e2e/stops_test.go
+++ b/internal/e2e/stops_test.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// load makes calls from several callers until it is told to stop, and collects
+// pressure makes calls from several callers until it is told to stop, and collects
 // the answers that are not 200.
-type load struct {
+type pressure struct {
 	over  atomic.Bool
 	calls atomic.Int64
 	wait  sync.WaitGroup
@@ -60,7 +60,7 @@
 }
 
 // run starts callers that make one call after the other.
-func (l *load) run(callers int, call func(n int64) answer) {
+func (l *pressure) run(callers int, call func(n int64) answer) {
 	for range callers {
 		l.wait.Go(func() {
 			for !l.over.Load() {
@@ -76,7 +76,7 @@
 }
 
 // finish ends the load and fails the test for each call that was cut.
-func (l *load) finish(t *testing.T) {
+func (l *pressure) finish(t *testing.T) {
 	t.Helper()
 	l.over.Store(true)
 	l.wait.Wait()
@@ -91,14 +91,14 @@
 }
 
 // reach waits until the load has made some more calls.
-func (l *load) reach(t *testing.T, more int64) {
+func (l *pressure) reach(t *testing.T, more int64) {
 	t.Helper()
 	target := l.calls.Load() + more
 	eventually(t, "calls go on", func() bool { return l.calls.Load() >= target })
 }
 
 // streams starts callers that each check a whole stream.
-func (s *system) streams(t *testing.T, l *load, callers int) {
+func (s *system) streams(t *testing.T, l *pressure, callers int) {
 	want := strings.Join(fakes.Tokens("lengua-8b", "order of two hoodies", 30), "")
 	l.run(callers, func(int64) answer {
 		a := s.complete(t, boothKey, 30, true)
@@ -123,7 +123,7 @@
 		s.charge(t, "warm-up")
 		return len(requestsWith(t, service, "warm-up")) > 0 && strings.Contains(do(t, "GET", second.url()+"/fake/requests", "").body, "hoodies")
 	})
-	l := &load{}
+	l := &pressure{}
 	s.streams(t, l, 4)
 	l.run(4, func(n int64) answer { return s.charge(t, fmt.Sprint("charge-", n)) })
 	l.reach(t, 20)
@@ -143,7 +143,7 @@
 	}))
 	s.entries[0] = drained
 	s.await(t)
-	l := &load{}
+	l := &pressure{}
 	s.streams(t, l, 4)
 	l.reach(t, 8)
 	ended := stop(t, drained)
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -32,6 +32,7 @@
 
 // Core is the reducer of an entry.
 type Core struct {
+	host    string
 	fold    *config.Fold
 	index   *config.Index
 	fleet   *fleet.Fleet
@@ -51,6 +52,7 @@
 func NewCore(s CoreSettings) *Core {
 	f := fleet.New(s.Host)
 	return &Core{
+		host:   s.Host,
 		fold:   config.NewFold(),
 		fleet:  f,
 		router: route.New(f, s.Seed),
@@ -82,6 +84,8 @@
 		return c.received(now, e)
 	case Stopping:
 		return c.stopping(now)
+	case Inspect:
+		return c.inspect(now, e)
 	case Tick:
 		return append(c.tick(now), c.callsTick(now)...)
 	default:
--- a/internal/wire/call_test.go
+++ b/internal/wire/call_test.go
@@ -14,7 +14,7 @@
 )
 
 // feed returns a call that waits for frames of id "a" and reads bytes.
-func feed(t testing.TB, text []byte) *Call {
+func feed(t *testing.T, text []byte) *Call {
 	t.Helper()
 	near, far := net.Pipe()
 	t.Cleanup(func() { _ = near.Close() })
@@ -31,7 +31,7 @@
 }
 
 // encode returns frames in a row.
-func encode(t testing.TB, frames ...*wirepb.CallFrame) []byte {
+func encode(t *testing.T, frames ...*wirepb.CallFrame) []byte {
 	t.Helper()
 	var b bytes.Buffer
 	for _, f := range frames {
@@ -82,20 +82,3 @@
 		t.Errorf("error = %v, want SizeTooLargeError", err)
 	}
 }
-
-func FuzzReceiveFrame(f *testing.F) {
-	f.Add(encode(f, &wirepb.CallFrame{Id: "a"}))
-	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
-	f.Fuzz(func(t *testing.T, text []byte) {
-		call := feed(t, text)
-		for sequence := uint32(0); ; sequence++ {
-			frame, err := call.ReceiveFrame()
-			if err != nil {
-				return
-			}
-			if frame.GetId() != "a" || frame.GetSequence() != sequence {
-				t.Fatalf("took frame %s/%d as %d", frame.GetId(), frame.GetSequence(), sequence)
-			}
-		}
-	})
-}
