--- a/internal/agent/once_test.go
+++ b/internal/agent/once_test.go
@@ -161,3 +161,37 @@
 		t.Errorf("model not held: %+v, want %s", r, fault.CodeNoEndpoint)
 	}
 }
+
+// ask returns an agent's report on an attempt.
+func ask(c *Core, now time.Time, id string) *wirepb.OutcomeReport {
+	effects := c.Apply(now, Received{Message: &wirepb.Envelope{Body: &wirepb.Envelope_Claim{Claim: &wirepb.ClaimMessage{
+		Body: &wirepb.ClaimMessage_Query{Query: &wirepb.OutcomeQuery{
+			Id:               id,
+			Attempt:          1,
+			AgentIncarnation: 1,
+		}},
+	}}}})
+	tell, _ := find[Tell](effects)
+	return tell.Message.GetClaim().GetReport()
+}
+
+func TestReportsOfOutcomes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := onceCore(2)
+	charge(c, now, 1, "dropped", "")
+	charge(c, now, 2, "abandoned", "")
+	if r := ask(c, now, "dropped"); !r.GetRunning() {
+		t.Errorf("running attempt: %v", r)
+	}
+	c.Apply(now, Ended{Key: 1, Outcome: dedup.Outcome{Status: 200, Dropped: true}})
+	c.Apply(now, Ended{Key: 2, Outcome: dedup.Outcome{Err: errAbandoned}})
+	for id, want := range map[string]fault.Verdict{
+		"dropped":   fault.Ran,
+		"abandoned": fault.NotRun,
+		"unseen":    fault.NotRun,
+	} {
+		if r := ask(c, now, id); fault.Verdict(r.GetVerdict()) != want || r.GetStatus() != 0 {
+			t.Errorf("%s: %v, want the verdict %v", id, r, want)
+		}
+	}
+}
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -214,3 +214,23 @@
 		}
 	}
 }
+
+// TestEntryLeavesAtEachFrame lets the entry go away at each frame of the answer
+// to a call that may be repeated.
+func TestEntryLeavesAtEachFrame(t *testing.T) {
+	e := newScripted(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false)
+	for i, want := range []fault.Verdict{fault.Ran, fault.MayHaveRun, fault.Ran} {
+		u := newUpstream(e.address)
+		frames := 0
+		err := u.run(u.take(true), &wirepb.CallRequest{Method: "GET", Path: "/"}, func(*wirepb.CallFrame) error {
+			frames++
+			if frames > i {
+				return io.ErrClosedPipe
+			}
+			return nil
+		})
+		if fault.VerdictOf(err) != want || fault.CodeOf(err) != fault.CodeLink {
+			t.Errorf("frame %d: %v %s, want %v %s", i, fault.VerdictOf(err), fault.CodeOf(err), want, fault.CodeLink)
+		}
+	}
+}
--- a/internal/dedup/dedup.go
+++ b/internal/dedup/dedup.go
@@ -119,6 +119,8 @@
 	ran   map[Key]time.Time
 	ended []*record
 	bytes int
+	// sweptAt is when the keys were last looked through.
+	sweptAt time.Time
 }
 
 // withDefaults fills the settings that are zero.
--- a/internal/dedup/pending.go
+++ b/internal/dedup/pending.go
@@ -211,12 +211,7 @@
 // forgets keys whose window has passed.
 func (t *Table) Expired(now time.Time) []Decision {
 	t.expire(now)
-	t.claims.expire()
-	for key, started := range t.ran {
-		if now.Sub(started) >= 2*t.settings.Window {
-			delete(t.ran, key)
-		}
-	}
+	t.sweep(now)
 	var decisions []Decision
 	for key, w := range t.pending.claims {
 		if w.call == 0 && now.Sub(w.asked) >= t.settings.Window/2 {
@@ -235,3 +230,21 @@
 	slices.SortFunc(decisions, func(a, b Decision) int { return cmp.Compare(a.Call, b.Call) })
 	return decisions
 }
+
+// sweepsPerWindow is how often the keys are looked through, since that takes
+// time in proportion to their number.
+const sweepsPerWindow = 64
+
+// sweep forgets the keys whose window has passed.
+func (t *Table) sweep(now time.Time) {
+	if now.Sub(t.sweptAt) < t.settings.Window/sweepsPerWindow {
+		return
+	}
+	t.sweptAt = now
+	t.claims.expire()
+	for key, started := range t.ran {
+		if now.Sub(started) >= 2*t.settings.Window {
+			delete(t.ran, key)
+		}
+	}
+}
--- a/internal/e2e/claims_test.go
+++ b/internal/e2e/claims_test.go
@@ -89,11 +89,8 @@
 // requestsWith returns the requests with a body that a fake has received.
 func requestsWith(t *testing.T, p *process, body string) []fakes.Request {
 	t.Helper()
-	var all, matching []fakes.Request
-	if err := json.Unmarshal([]byte(do(t, "GET", p.url()+"/fake/requests", "").body), &all); err != nil {
-		t.Fatal(err)
-	}
-	for _, r := range all {
+	var matching []fakes.Request
+	for _, r := range allRequests(t, p) {
 		if r.Body == body {
 			matching = append(matching, r)
 		}
@@ -101,6 +98,16 @@
 	return matching
 }
 
+// allRequests returns the requests that a fake has received.
+func allRequests(t *testing.T, p *process) []fakes.Request {
+	t.Helper()
+	var all []fakes.Request
+	if err := json.Unmarshal([]byte(do(t, "GET", p.url()+"/fake/requests", "").body), &all); err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
 // slow makes each service take a time for a call.
 func (s *shop) slow(t *testing.T, milliseconds int) {
 	t.Helper()
--- /dev/null
+++ b/internal/e2e/verdicts_test.go
@@ -0,0 +1,199 @@
+package e2e
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"dogwoodfold/pkg/fault"
+)
+
+const repository = "../.."
+
+// failurePoint is where a failure gets its verdict.
+type failurePoint struct {
+	where, verdict, code string
+}
+
+// dynamic stands for a verdict or a code that is taken over from elsewhere.
+const dynamic = "taken over"
+
+// parseGo parses the Go files below a directory that match.
+func parseGo(t *testing.T, match func(path string) bool) map[string]*ast.File {
+	t.Helper()
+	files := make(map[string]*ast.File)
+	err := filepath.WalkDir(repository, func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || !match(path) {
+			return err
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		files[path] = f
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+// failurePoints returns all places of the program that give a verdict.
+func failurePoints(t *testing.T) map[failurePoint]bool {
+	t.Helper()
+	points := make(map[failurePoint]bool)
+	source := func(path string) bool { return !strings.HasSuffix(path, "_test.go") }
+	for path, file := range parseGo(t, source) {
+		where := filepath.Base(filepath.Dir(path))
+		ast.Inspect(file, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			switch name(call.Fun) {
+			case "fault.New":
+				points[failurePoint{where, spoken(call.Args[0]), spoken(call.Args[1])}] = true
+			case "fault.Wrap":
+				points[failurePoint{where, spoken(call.Args[1]), spoken(call.Args[2])}] = true
+			}
+			return true
+		})
+	}
+	return points
+}
+
+// name returns the form PACKAGE.NAME of an expression, empty for others.
+func name(e ast.Expr) string {
+	s, ok := e.(*ast.SelectorExpr)
+	if !ok {
+		return ""
+	}
+	x, ok := s.X.(*ast.Ident)
+	if !ok {
+		return ""
+	}
+	return x.Name + "." + s.Sel.Name
+}
+
+// spoken returns the name of a verdict or a code as the page has it.
+func spoken(e ast.Expr) string {
+	constant, ok := strings.CutPrefix(name(e), "fault.")
+	if !ok {
+		return dynamic
+	}
+	return constant
+}
+
+// table returns the cells of a page's rows that have a number of columns.
+func table(t *testing.T, page string, columns int) [][]string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(repository, page))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows [][]string
+	for line := range strings.SplitSeq(string(text), "\n") {
+		cells := strings.Split(strings.Trim(line, "|"), "|")
+		if !strings.HasPrefix(line, "| ") || len(cells) != columns {
+			continue
+		}
+		for i := range cells {
+			cells[i] = strings.TrimSpace(cells[i])
+		}
+		rows = append(rows, cells)
+	}
+	return rows
+}
+
+// testNames returns the names of all tests.
+func testNames(t *testing.T) map[string]bool {
+	t.Helper()
+	names := make(map[string]bool)
+	tests := func(path string) bool { return strings.HasSuffix(path, "_test.go") }
+	for _, file := range parseGo(t, tests) {
+		for _, d := range file.Decls {
+			if f, ok := d.(*ast.FuncDecl); ok && f.Recv == nil {
+				names[f.Name.Name] = true
+			}
+		}
+	}
+	return names
+}
+
+// TestVerdictsTable checks that docs/VERDICTS.md has a row for each failure
+// point of the program, none besides, and a test that exists for each row.
+func TestVerdictsTable(t *testing.T) {
+	points, tests := failurePoints(t), testNames(t)
+	listed := make(map[failurePoint]bool)
+	for _, row := range table(t, "docs/VERDICTS.md", 5)[1:] {
+		point := failurePoint{row[0], row[1], row[2]}
+		if listed[point] {
+			t.Errorf("%v is listed twice", point)
+		}
+		listed[point] = true
+		if !points[point] {
+			t.Errorf("%v is listed and not in the program", point)
+		}
+		if !tests[row[4]] {
+			t.Errorf("%v names the test %q, which does not exist", point, row[4])
+		}
+	}
+	missing := slices.SortedFunc(maps.Keys(points), func(a, b failurePoint) int {
+		return strings.Compare(fmt.Sprint(a), fmt.Sprint(b))
+	})
+	for _, point := range missing {
+		if !listed[point] {
+			t.Errorf("%v is not listed", point)
+		}
+	}
+}
+
+// TestStatusTable checks the page's table of codes and HTTP statuses.
+func TestStatusTable(t *testing.T) {
+	listed := make(map[fault.Code]int)
+	for _, row := range table(t, "docs/VERDICTS.md", 3)[1:] {
+		status, err := strconv.Atoi(row[1])
+		if err != nil {
+			t.Errorf("row %v: %v", row, err)
+		}
+		listed[fault.Code(strings.Trim(row[0], "`"))] = status
+	}
+	if statuses := fault.CodeStatuses(); !maps.Equal(listed, statuses) {
+		t.Errorf("listed %v, want %v", listed, statuses)
+	}
+}
+
+// testName matches the name of a test inside a cell.
+var testName = regexp.MustCompile(`\bTest[A-Z]\w*`)
+
+// TestFaultsTable checks that each cell of docs/FAULTS.md names tests that
+// exist, says why it can't apply, or says that it is not proved.
+func TestFaultsTable(t *testing.T) {
+	tests := testNames(t)
+	rows := table(t, "docs/FAULTS.md", 3)
+	if len(rows) < 2 {
+		t.Fatal("docs/FAULTS.md has no rows")
+	}
+	for _, row := range rows {
+		if row[2] == "tests" {
+			continue // the head of a table
+		}
+		named := testName.FindAllString(row[2], -1)
+		for _, test := range named {
+			if !tests[test] {
+				t.Errorf("%s × %s names %s, which does not exist", row[0], row[1], test)
+			}
+		}
+		if len(named) == 0 && !strings.HasPrefix(row[2], "not proved") && !strings.HasPrefix(row[2], "can't apply: ") {
+			t.Errorf("%s × %s: %q is no test, no reason and not “not proved”", row[0], row[1], row[2])
+		}
+	}
+}
--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -21,8 +21,8 @@
 	"dogwoodfold/pkg/fault"
 )
 
-// callPair returns a call as the entry and as the agent see it.
-func callPair(t *testing.T) (entry, agent *wire.Call) {
+// sessionPair returns the two ends of a session between an entry and an agent.
+func sessionPair(t *testing.T) (dialed, served *wire.Session) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -40,14 +40,29 @@
 		accepted <- session
 	}()
 	address := netip.MustParseAddrPort(listener.Addr().String())
-	dialed, err := wire.Dial(context.Background(), address, &wirepb.Hello{}, nil)
+	dialed, err = wire.Dial(context.Background(), address, &wirepb.Hello{}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(dialed.Close)
-	served := <-accepted
+	served = <-accepted
 	t.Cleanup(served.Close)
-	if entry, err = dialed.OpenCall(); err != nil {
+	return dialed, served
+}
+
+// sessionTo returns an entry's session to an agent that answers nothing.
+func sessionTo(t *testing.T) *wire.Session {
+	t.Helper()
+	dialed, _ := sessionPair(t)
+	return dialed
+}
+
+// callPair returns a call as the entry and as the agent see it.
+func callPair(t *testing.T) (entry, agent *wire.Call) {
+	t.Helper()
+	dialed, served := sessionPair(t)
+	entry, err := dialed.OpenCall()
+	if err != nil {
 		t.Fatal(err)
 	}
 	if err := entry.SendRequest(&wirepb.CallRequest{Id: "1"}); err != nil {
@@ -246,3 +261,24 @@
 		}
 	})
 }
+
+func TestCallerLeavesDuringAStream(t *testing.T) {
+	entrySide, agentSide := callPair(t)
+	if err := agentSide.SendFrame(data("part")); err != nil {
+		t.Fatal(err)
+	}
+	var told error
+	r := &streamReader{
+		call:     entrySide,
+		deadline: time.Now().Add(time.Minute),
+		first:    func() {},
+		finish:   func(err error, _ *wirepb.End, _ int) { told = err },
+	}
+	if _, err := r.Read(make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Close(); err != nil {
+		t.Fatal(err)
+	}
+	want(t, "stream left", told, fault.MayHaveRun, fault.CodeCut)
+}
