--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -98,14 +98,14 @@
 	var effects []Effect
 	late := c.waiting.Remove(func(i queue.Item[uint64]) bool { return !now.Before(i.Deadline) })
 	for _, item := range late {
-		effects = append(effects, c.drop(now, item.Value,
+		effects = append(effects, c.refuse(now, item.Value,
 			fault.New(fault.NotRun, fault.CodeDeadline, "the deadline passed in the queue"))...)
 	}
 	return effects
 }
 
-// drop refuses a call that has not started.
-func (c *Core) drop(now time.Time, key uint64, err error) []Effect {
+// refuse ends a call that has not started.
+func (c *Core) refuse(now time.Time, key uint64, err error) []Effect {
 	delete(c.running, key)
 	delete(c.calls, key)
 	c.endedAt = now
@@ -140,5 +140,5 @@
 	if len(removed) == 0 {
 		return nil
 	}
-	return append(c.drop(now, key, gone), c.start(now)...)
+	return append(c.refuse(now, key, gone), c.start(now)...)
 }
--- a/internal/agent/once.go
+++ b/internal/agent/once.go
@@ -49,7 +49,7 @@
 		case d.Action == dedup.Admit:
 			effects = append(effects, Start{Key: d.Call})
 		case c.running[d.Call]:
-			refusals := c.drop(now, d.Call, d.Outcome.Err)
+			refusals := c.refuse(now, d.Call, d.Outcome.Err)
 			effects = append(effects, withHolder(refusals, d)...)
 		default:
 			delete(c.calls, d.Call)
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -49,6 +50,9 @@
 			Share: s.StaticShare,
 			Seed:  rand.Uint64(),
 			Drain: s.DrainDelay,
+
+			Retention:      s.LogRetention,
+			IsolationLimit: cmp.Or(s.IsolationLimit, defaultIsolationLimit),
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dogwoodfold/internal/dedup"
+	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/strict"
 )
 
@@ -34,6 +35,11 @@
 	// Log and Hosts are base URLs of the platform's services.
 	Log   string `json:"log"`
 	Hosts string `json:"hosts"`
+	// LogRetention is how long the log keeps records, 0 for ever.
+	LogRetention time.Duration `json:"logRetention"`
+	// IsolationLimit is how long the entry admits calls without word from the
+	// log or any other entry, defaultIsolationLimit if unset.
+	IsolationLimit time.Duration `json:"isolationLimit"`
 	// StaticShare is a fixed share of every customer's rate and burst.
 	StaticShare float64 `json:"staticShare"`
 	// DrainDelay is how long a stopping entry still takes requests after its
@@ -82,6 +88,13 @@
 	kindService = "service"
 )
 
+// The bounds on how long a withdrawn key may work at an entry that is cut off.
+const (
+	defaultIsolationLimit = 15 * time.Second
+	// leastIsolationLimit leaves the log time to answer twice.
+	leastIsolationLimit = 2*plat.FollowWait + time.Second
+)
+
 const (
 	defaultMaxOrderDelay = 10 * time.Second
 	// leastMaxOrderDelay leaves time for an order's own request.
@@ -115,6 +128,12 @@
 	}
 	checkDuration("drainDelay", s.DrainDelay, faults)
 	checkDuration("stopLimit", s.StopLimit, faults)
+	if s.LogRetention < 0 {
+		faults.Add("logRetention", "must not be negative")
+	}
+	if s.IsolationLimit != 0 && s.IsolationLimit < leastIsolationLimit {
+		faults.Add("isolationLimit", "must be %v or more", leastIsolationLimit)
+	}
 	s.TLS.check(faults)
 }
 
--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -81,6 +81,7 @@
 			Records: []plat.Record{{Offset: 2, Data: data}},
 		},
 	})
+	effects = append(effects, c.Apply(now.Add(dropGrace), Tick{})...)
 	canceled := 0
 	for _, effect := range effects {
 		if cancel, ok := effect.(Cancel); ok {
