--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -59,6 +59,10 @@
 		t.Errorf("claims in the log: %s", claims)
 	}
 	for _, p := range []*process{s.entries[0], s.agents["agent-0"]} {
+		metrics := do(t, "GET", "http://"+p.admin.String()+"/metrics", "").body
+		if strings.Contains(metrics, boothKey) || !strings.Contains(metrics, "dogwoodfold_") {
+			t.Errorf("metrics: %s", metrics)
+		}
 		logs, err := os.ReadFile(p.logs)
 		if err != nil || strings.Contains(string(logs), boothKey) || strings.Contains(string(logs), otherKey) {
 			t.Errorf("a log holds a key, or can't be read: %v", err)
--- a/internal/e2e/stops_test.go
+++ b/internal/e2e/stops_test.go
@@ -165,7 +165,7 @@
 func TestSecondSignalEndsWithTrueVerdicts(t *testing.T) {
 	for _, role := range []string{"entry", "agent"} {
 		s := newShop(t, 1, 1)
-		s.slow(t, 3000)
+		s.slow(t, 60_000)
 		first := s.background(t, "hoodie", "")
 		s.holder(t, "hoodie")
 		p := s.entries[0]
@@ -177,17 +177,17 @@
 			eventually(t, "readiness fails", func() bool { return do(t, "GET", p.url()+"/readyz", "").status == 503 })
 		} else {
 			eventually(t, "new calls are refused as not run", func() bool {
-				a := s.pay(t, 0, "/charge", "refused", "")
+				a := s.pay(t, 0, "/charge", "refused", "", "X-Request-Timeout", "200ms")
 				return a.status == 503 && a.verdict == "not-run"
 			})
 		}
 		if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 			t.Fatal(err)
 		}
+		within(t, ended)
 		if a := <-first; a.status == 200 || a.verdict != "may-have-run" {
 			t.Errorf("%s: %+v, want may-have-run", role, a)
 		}
-		within(t, ended)
 	}
 }
 
@@ -239,3 +239,23 @@
 		t.Errorf("the leaving endpoint got %d new calls", n-before)
 	}
 }
+
+// TestAgentStopsWhileTheLogFails stops one of two agents while the log is down,
+// and again while it loses answers.
+func TestAgentStopsWhileTheLogFails(t *testing.T) {
+	for _, f := range []fakes.Faults{{Down: true}, {LoseAnswers: true}} {
+		s := newShop(t, 2, 1)
+		s.slow(t, 700) // longer than an agent stays after its last call
+		s.log.faults(t, f)
+		l := &pressure{}
+		l.run(4, func(n int64) answer { return s.pay(t, 0, "/charge", fmt.Sprint("charge-", n), "") })
+		l.reach(t, 8)
+		within(t, stop(t, s.agents["agent-0"]))
+		before := len(allRequests(t, s.services[0]))
+		l.reach(t, 8)
+		l.finish(t)
+		if n := len(allRequests(t, s.services[0])); n != before {
+			t.Errorf("%+v: the endpoint got %d calls after its agent had left", f, n-before)
+		}
+	}
+}
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -179,6 +179,9 @@
 	if c.mayRetry(now, r, o) {
 		return c.send(now, r)
 	}
+	if fault.CodeOf(o.Err) == fault.CodeClaimed {
+		return c.giveUp(now, r, errUnknown) // this attempt has not run, the claim's may have
+	}
 	return c.giveUp(now, r, o.Err)
 }
 
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -155,6 +155,28 @@
 	}
 }
 
+// TestClaimedAtTheEndMayHaveRun lets agents name each other as the holder until
+// the attempts are used up.
+func TestClaimedAtTheEndMayHaveRun(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := readyCore(t, now, "a", "b")
+	effects := keyed(c, now)
+	for attempt := 1; attempt <= maxAttempts; attempt++ {
+		send, ok := effects[0].(Send)
+		if !ok {
+			break
+		}
+		other := "a"
+		if send.Host == "a" {
+			other = "b"
+		}
+		effects = refusedFor(c, now, attempt, dedup.Holder{Host: other, Incarnation: 1})
+	}
+	if v := verdict(t, effects); v != fault.MayHaveRun {
+		t.Errorf("verdict = %v, want %v", v, fault.MayHaveRun)
+	}
+}
+
 func TestRetryBudget(t *testing.T) {
 	now := time.Unix(0, 0)
 	c := readyCore(t, now, "a", "b")
