Measure pairs of faults with real processes

Cause: the campaign brought one fault at a time, and the table of faults had no pairs of process and log faults.

--- a/internal/e2e/campaign_test.go
+++ b/internal/e2e/campaign_test.go
@@ -15,7 +15,6 @@
 
 const (
 	campaignCallers = 8
-	campaignFaults  = 24
 	campaignRepeats = 4
 	faultTime       = 400 * time.Millisecond
 )
@@ -35,12 +34,13 @@
 	ended    map[string]time.Time
 	killed   [3]time.Time
 	replaced int
+	faults   int
 	// later counts the charges that were unsure and are answered afterwards,
 	// lostKnown the answers that a living agent should know and didn't give.
 	later, lostKnown int
 }
 
-// BenchmarkFaults injects process and log faults one after the other while
+// BenchmarkFaults injects process and log faults, alone and in pairs, while
 // callers charge through both entries and repeat each charge by its key until
 // they have an answer or a final verdict. Run it with -benchtime 1x.
 func BenchmarkFaults(b *testing.B) {
@@ -74,10 +74,7 @@
 	for i := range campaignCallers {
 		c.wait.Go(func() { c.caller(t, i) })
 	}
-	random := rand.New(rand.NewPCG(5, 5))
-	for range campaignFaults {
-		c.fault(t, random.IntN(6), random.IntN(3))
-	}
+	c.inject(t)
 	c.over.Store(true)
 	c.wait.Wait()
 	c.verify(t)
@@ -107,38 +104,75 @@
 	}
 }
 
-// fault injects one fault and takes it back.
-func (c *campaign) fault(t *testing.T, kind, number int) {
-	name := fmt.Sprint("agent-", number)
+// The kinds of faults.
+const (
+	killAgent = iota
+	pauseAgent
+	logDown
+	logLosesAnswers
+	endpointLosesAnswers
+	pauseEntry
+	faultKinds
+)
+
+// inject brings each fault alone and then each two of them at once.
+func (c *campaign) inject(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	for first := range faultKinds {
+		for second := first; second < faultKinds; second++ {
+			number := random.IntN(3)
+			c.begin(t, first, number)
+			if second != first {
+				c.begin(t, second, (number+1)%3)
+				c.faults++
+			}
+			c.faults++
+			time.Sleep(faultTime)
+			c.end(t, first, number)
+			if second != first {
+				c.end(t, second, (number+1)%3)
+			}
+			time.Sleep(faultTime)
+		}
+	}
+}
+
+// begin brings a fault.
+func (c *campaign) begin(t *testing.T, kind, number int) {
+	agent := c.agents[fmt.Sprint("agent-", number)]
 	switch kind {
-	case 0:
-		_ = c.agents[name].cmd.Process.Kill()
+	case killAgent:
+		_ = agent.cmd.Process.Kill()
 		c.killed[number] = time.Now()
-		time.Sleep(faultTime)
+	case pauseAgent:
+		_ = agent.cmd.Process.Signal(syscall.SIGSTOP)
+	case logDown:
+		c.log.faults(t, fakes.Faults{Down: true})
+	case logLosesAnswers:
+		c.log.faults(t, fakes.Faults{LoseAnswers: true})
+	case endpointLosesAnswers:
+		c.services[number].faults(t, fakes.Faults{LoseAnswers: true, TokenMs: 20})
+	case pauseEntry:
+		_ = c.entries[number%2].cmd.Process.Signal(syscall.SIGSTOP)
+	}
+}
+
+// end takes a fault back.
+func (c *campaign) end(t *testing.T, kind, number int) {
+	name := fmt.Sprint("agent-", number)
+	switch kind {
+	case killAgent:
 		c.addAgent(t, name, "pedidos", "service", c.services[number])
 		c.replaced++
-	case 1:
-		_ = c.agents[name].cmd.Process.Signal(syscall.SIGSTOP)
-		time.Sleep(faultTime)
+	case pauseAgent:
 		_ = c.agents[name].cmd.Process.Signal(syscall.SIGCONT)
-	case 2:
-		c.log.faults(t, fakes.Faults{Down: true})
-		time.Sleep(faultTime)
-		c.log.faults(t, fakes.Faults{})
-	case 3:
-		c.log.faults(t, fakes.Faults{LoseAnswers: true})
-		time.Sleep(faultTime)
+	case logDown, logLosesAnswers:
 		c.log.faults(t, fakes.Faults{})
-	case 4:
-		c.services[number].faults(t, fakes.Faults{LoseAnswers: true, TokenMs: 20})
-		time.Sleep(faultTime)
+	case endpointLosesAnswers:
 		c.services[number].faults(t, fakes.Faults{TokenMs: 20})
-	case 5:
-		_ = c.entries[number%2].cmd.Process.Signal(syscall.SIGSTOP)
-		time.Sleep(faultTime)
+	case pauseEntry:
 		_ = c.entries[number%2].cmd.Process.Signal(syscall.SIGCONT)
 	}
-	time.Sleep(faultTime)
 }
 
 // verify finds the charges that ran twice and the untrue verdicts.
@@ -202,7 +236,7 @@
 			unsure++
 		}
 	}
-	b.ReportMetric(campaignFaults, "faults")
+	b.ReportMetric(float64(c.faults), "faults")
 	b.ReportMetric(float64(c.calls.Load()), "calls")
 	b.ReportMetric(float64(len(c.final)), "charges")
 	b.ReportMetric(float64(answered), "answered")
--- a/internal/e2e/verdicts_test.go
+++ b/internal/e2e/verdicts_test.go
@@ -171,8 +171,8 @@
 	}
 }
 
-// testName matches the name of a test inside a cell.
-var testName = regexp.MustCompile(`\bTest[A-Z]\w*`)
+// testName matches the name of a test or a benchmark inside a cell.
+var testName = regexp.MustCompile(`\b(Test|Benchmark)[A-Z]\w*`)
 
 // TestFaultsTable checks that each cell of docs/FAULTS.md names tests that
 // exist, says why it can't apply, or says that it is not proved.
