Charge a repeat by key only once

Cause: each repeat of a charge by its Idempotency-Key spent the route's tokens again, though only the first one ran, and could end as a wrongful refusal. Change: agents mark an answer that is given again with Idempotency-Replayed; the entry gives the reserved tokens back. Figures: none measured; TestRepeatCostsNothing checks 10 tokens for a run and 0 for a repeat.

--- a/internal/agent/keeper.go
+++ b/internal/agent/keeper.go
@@ -71,10 +71,16 @@
 	frames := []*wirepb.CallFrame{
 		{Body: &wirepb.CallFrame_Head{Head: &wirepb.Head{
 			Status: uint32(o.Status),
-			Headers: []*wirepb.Header{{
-				Name:  fasthttp.HeaderContentType,
-				Value: o.ContentType,
-			}},
+			Headers: []*wirepb.Header{
+				{
+					Name:  fasthttp.HeaderContentType,
+					Value: o.ContentType,
+				},
+				{
+					Name:  wire.HeaderReplayed,
+					Value: "true",
+				},
+			},
 		}}},
 		{Body: &wirepb.CallFrame_Data{Data: o.Body}},
 		{Body: &wirepb.CallFrame_End{End: &wirepb.End{Bytes: uint64(len(o.Body))}}},
--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -282,3 +282,18 @@
 	}
 	want(t, "stream left", told, fault.MayHaveRun, fault.CodeCut)
 }
+
+func TestRepeatCostsNothing(t *testing.T) {
+	x := &exchange{resolved: &resolved{
+		call:    Call{Tokens: 10},
+		request: &wirepb.CallRequest{},
+	}}
+	head := &wirepb.Head{}
+	if n := usedBy(x, head, &wirepb.End{}); n != 10 {
+		t.Errorf("a run costs %v tokens, want 10", n)
+	}
+	head.Headers = []*wirepb.Header{{Name: wire.HeaderReplayed, Value: "true"}}
+	if n := usedBy(x, head, &wirepb.End{}); n != 0 {
+		t.Errorf("a repeat costs %v tokens, want 0", n)
+	}
+}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -177,7 +177,7 @@
 		Attempt: e.Attempt,
 		Outcome: Outcome{
 			Verdict: fault.Ran,
-			Used:    used(x, end, 0),
+			Used:    usedBy(x, head, end),
 		},
 	})
 	writeHead(x.ctx, head)
@@ -288,6 +288,17 @@
 	}, -1)
 }
 
+// usedBy returns what a call has cost in tokens, nothing if it did not run
+// again.
+func usedBy(x *exchange, head *wirepb.Head, end *wirepb.End) float64 {
+	for _, h := range head.GetHeaders() {
+		if h.GetName() == wire.HeaderReplayed {
+			return 0
+		}
+	}
+	return used(x, end, 0)
+}
+
 // used returns what a call has cost in tokens.
 func used(x *exchange, end *wirepb.End, events int) float64 {
 	if x.request.GetModel() == "" {
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -16,6 +16,10 @@
 // ErrCrossed reports a frame that belongs to another call or is out of order.
 var ErrCrossed = errors.New("wire: frame of another call or out of order")
 
+// HeaderReplayed marks an answer that was given before, to another request
+// with the same idempotency key.
+const HeaderReplayed = "Idempotency-Replayed"
+
 // Call is the stream of one call. The side that opened it sends a request and
 // receives frames; the other side does the reverse.
 type Call struct {
