Notice the end of a log outage with the first read

Cause: the first read after a failure waited for a record, up to 2 s, and keyed calls were refused as not run until it came back. Change: plat.Follow reads without waiting after a failure.

--- a/internal/plat/follow.go
+++ b/internal/plat/follow.go
@@ -15,16 +15,19 @@
 // Follow reads a stream from an offset on until ctx ends. Each page, empty ones
 // too, goes to read; each failure goes to failed.
 func Follow(ctx context.Context, log Log, stream string, from uint64, read func(Page), failed func(error)) {
+	wait := FollowWait
 	for ctx.Err() == nil {
 		asked := time.Now()
-		page, err := log.Read(ctx, stream, from, FollowWait)
+		page, err := log.Read(ctx, stream, from, wait)
 		if err != nil {
+			wait = 0 // the first answer ends the outage for the reader
 			if ctx.Err() == nil {
 				failed(err)
 			}
 			pause(ctx, followRetry)
 			continue
 		}
+		wait = FollowWait
 		page.AskedAt = asked
 		from = max(from, page.First)
 		if n := len(page.Records); n > 0 {
