--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -9,6 +10,7 @@
 	"os"
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/strict"
 )
@@ -40,8 +42,13 @@
 	IsolationLimit time.Duration `json:"isolationLimit"`
 	// StaticShare is a fixed share of every customer's rate and burst. At 0
 	// shares move between the entries.
-	StaticShare float64  `json:"staticShare"`
-	TLS         TLSFiles `json:"tls"`
+	StaticShare float64 `json:"staticShare"`
+	// DrainDelay is how long a stopping entry still takes requests after its
+	// readiness has failed, since the balancer lags. None if unset.
+	DrainDelay time.Duration `json:"drainDelay"`
+	// StopLimit bounds a graceful shutdown, 10 minutes if unset.
+	StopLimit time.Duration `json:"stopLimit"`
+	TLS       TLSFiles      `json:"tls"`
 }
 
 // AgentSettings is the settings file of an agent.
@@ -64,6 +71,16 @@
 	// admits calls only from the entries that the coordinator's view lists;
 	// with static it trusts every entry to keep to its staticShare.
 	Rates string `json:"rates"`
+	// ClaimWindow is how long an idempotency key counts, an hour if unset. The
+	// log must keep records for longer.
+	ClaimWindow time.Duration `json:"claimWindow"`
+	// KeepOutcomes is how long answers are kept for repeats, 10 minutes if
+	// unset.
+	KeepOutcomes time.Duration `json:"keepOutcomes"`
+	// ClaimWait bounds the wait for the log, 2 seconds if unset.
+	ClaimWait time.Duration `json:"claimWait"`
+	// StopLimit bounds a graceful shutdown, 10 minutes if unset.
+	StopLimit time.Duration `json:"stopLimit"`
 	// MaxOrderDelay bounds the time from an order's sending to its last
 	// effect at engines that ignore fencing numbers.
 	MaxOrderDelay time.Duration `json:"maxOrderDelay"`
@@ -120,6 +137,8 @@
 	if s.StaticShare < 0 || s.StaticShare > 1 {
 		faults.Add("staticShare", "is %v, want 0 to 1", s.StaticShare)
 	}
+	checkDuration("drainDelay", s.DrainDelay, faults)
+	checkDuration("stopLimit", s.StopLimit, faults)
 	if s.LogRetention < 0 {
 		faults.Add("logRetention", "must not be negative")
 	}
@@ -147,6 +166,13 @@
 	if s.Slots < 1 {
 		faults.Add("slots", "must be 1 or more")
 	}
+	checkDuration("claimWindow", s.ClaimWindow, faults)
+	checkDuration("keepOutcomes", s.KeepOutcomes, faults)
+	checkDuration("claimWait", s.ClaimWait, faults)
+	checkDuration("stopLimit", s.StopLimit, faults)
+	if s.KeepOutcomes > cmp.Or(s.ClaimWindow, dedup.DefaultWindow) {
+		faults.Add("keepOutcomes", "is longer than claimWindow")
+	}
 	if s.MaxOrderDelay == 0 {
 		s.MaxOrderDelay = defaultMaxOrderDelay
 	}
@@ -168,6 +194,12 @@
 	}
 }
 
+func checkDuration(path string, d time.Duration, faults *strict.Faults) {
+	if d < 0 {
+		faults.Add(path, "is negative")
+	}
+}
+
 func checkURL(path, text string, faults *strict.Faults) {
 	u, err := url.Parse(text)
 	if err != nil || u.Scheme != "http" || u.Host == "" {
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -64,6 +64,14 @@
 
 // handle serves one request of a caller.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.stopping.Load() {
+		ctx.SetConnectionClose() // the caller's next request goes elsewhere
+	}
+	if folded(ctx) {
+		ctx.SetConnectionClose() // what follows may be part of this request
+		writeError(ctx, fault.New(fault.NotRun, fault.CodeBadRequest, "a header field goes on in the next line"))
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
@@ -138,6 +146,9 @@
 			if s.attempt(x, e) {
 				return
 			}
+		case Deliver:
+			s.deliver(x, e.Report)
+			return
 		}
 	}
 }
@@ -166,7 +177,7 @@
 		Attempt: e.Attempt,
 		Outcome: Outcome{
 			Verdict: fault.Ran,
-			Used:    used(x, end, 0),
+			Used:    usedBy(x, head, end),
 		},
 	})
 	writeHead(x.ctx, head)
@@ -175,6 +186,19 @@
 	return true
 }
 
+// deliver answers with an outcome that was asked for.
+func (s *Server) deliver(x *exchange, report *wirepb.OutcomeReport) {
+	writeHead(x.ctx, &wirepb.Head{
+		Status: report.GetStatus(),
+		Headers: []*wirepb.Header{{
+			Name:  fasthttp.HeaderContentType,
+			Value: report.GetContentType(),
+		}},
+	})
+	x.ctx.SetBody(report.GetBody())
+	s.end(x, nil)
+}
+
 // open sends the request and waits for the head of the answer.
 func (s *Server) open(x *exchange, e Send) (*wire.Call, *wirepb.Head, error) {
 	session := s.session(e.Host, e.Incarnation)
@@ -234,6 +258,7 @@
 		Outcome: Outcome{
 			Verdict: fault.VerdictOf(err),
 			Err:     err,
+			Holder:  holderOf(err),
 		},
 	})
 }
@@ -264,6 +289,17 @@
 	}, -1)
 }
 
+// usedBy returns what a call has cost in tokens, nothing if it did not run
+// again.
+func usedBy(x *exchange, head *wirepb.Head, end *wirepb.End) float64 {
+	for _, h := range head.GetHeaders() {
+		if h.GetName() == wire.HeaderReplayed {
+			return 0
+		}
+	}
+	return used(x, end, 0)
+}
+
 // used returns what a call has cost in tokens.
 func used(x *exchange, end *wirepb.End, events int) float64 {
 	if x.request.GetModel() == "" {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -48,6 +48,8 @@
 		c.fleet.Heard(now, e.Host, body.Heartbeat)
 	case *wirepb.Envelope_Share:
 		return c.shareEvent(now, e)
+	case *wirepb.Envelope_Claim:
+		return c.reported(now, e, body.Claim.GetReport())
 	}
 	return nil
 }
