Plan placement in the entry that rendezvous hashing names

Cause: the planner had no fleet to work on. Change: entries count offered tokens, tell them to the planner of each service, wish moves from agents, relay pins and serve the version that is still held; fakes for a weight store and for orders that go wrong.

--- a/internal/cmds/fake.go
+++ b/internal/cmds/fake.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -26,7 +27,7 @@
 	}
 	flags := &fakeFlags{}
 	cmd.PersistentFlags().StringVar(&flags.listen, "listen", "127.0.0.1:0", "address to listen on")
-	cmd.AddCommand(newFakeLog(flags), newFakeHosts(flags), newFakeEngine(flags), newFakeService(flags))
+	cmd.AddCommand(newFakeLog(flags), newFakeHosts(flags), newFakeEngine(flags), newFakeService(flags), newFakeWeights(flags))
 	return cmd
 }
 
@@ -77,22 +78,32 @@
 	cmd.Flags().IntVar(&settings.Slots, "slots", 32, "requests that run at once")
 	cmd.Flags().BoolVar(&settings.ChecksFence, "checks-fence", false, "refuse orders with an old fencing number")
 	cmd.Flags().DurationVar(&settings.LoadTime, "load-time", 0, "how long weights take to load")
-	cmd.Flags().StringSliceVar(&models, "model", nil, "MODEL/VERSION[:ADAPTER] loaded from the start")
+	cmd.Flags().StringVar(&settings.Weights, "weights", "", "base URL of the weight store")
+	cmd.Flags().StringSliceVar(&models, "model", nil, "MODEL/VERSION[:ADAPTER][=BYTES] loaded from the start")
 	return cmd
 }
 
-// parseResident reads MODEL/VERSION[:ADAPTER].
+// parseResident reads MODEL/VERSION[:ADAPTER][=BYTES].
 func parseResident(text string) (plat.Resident, error) {
-	rest, adapter, _ := strings.Cut(text, ":")
+	name, size, sized := strings.Cut(text, "=")
+	var bytes int64
+	if sized {
+		var err error
+		if bytes, err = strconv.ParseInt(size, 10, 64); err != nil {
+			return plat.Resident{}, err
+		}
+	}
+	rest, adapter, _ := strings.Cut(name, ":")
 	model, version, ok := strings.Cut(rest, "/")
 	if !ok || model == "" || version == "" {
-		return plat.Resident{}, fmt.Errorf("%q is not MODEL/VERSION[:ADAPTER]", text)
+		return plat.Resident{}, fmt.Errorf("%q is not MODEL/VERSION[:ADAPTER][=BYTES]", text)
 	}
 	return plat.Resident{
-		Model:   model,
-		Version: version,
-		Adapter: adapter,
-		Ready:   true,
+		Model:       model,
+		Version:     version,
+		Adapter:     adapter,
+		MemoryBytes: bytes,
+		Ready:       true,
 	}, nil
 }
 
@@ -107,6 +118,22 @@
 	}
 }
 
+func newFakeWeights(flags *fakeFlags) *cobra.Command {
+	settings := fakes.WeightsSettings{}
+	cmd := &cobra.Command{
+		Use:   "weights",
+		Short: "Run a weight store",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return flags.serve(cmd, fakes.NewWeights(settings).Handler())
+		},
+	}
+	cmd.Flags().Float64Var(&settings.LoadsPerSecond, "rate", 1, "loads that begin in a second")
+	cmd.Flags().IntVar(&settings.Slots, "slots", 8, "loads that run at full speed")
+	cmd.Flags().DurationVar(&settings.LoadTime, "load-time", 0, "how long a load takes at full speed")
+	return cmd
+}
+
 // serve runs a fake until the process is ended.
 func (f *fakeFlags) serve(cmd *cobra.Command, handler fasthttp.RequestHandler) error {
 	listener, err := net.Listen("tcp", f.listen)
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -44,9 +44,10 @@
 	incarnation := newIncarnation()
 	return entry.Options{
 		Core: entry.CoreSettings{
-			Host:  s.Host,
-			Share: s.StaticShare,
-			Seed:  rand.Uint64(),
+			Host:      s.Host,
+			Share:     s.StaticShare,
+			Seed:      rand.Uint64(),
+			Placement: s.WeightStore.placement(),
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -9,6 +10,7 @@
 	"os"
 	"time"
 
+	"dogwoodfold/internal/place"
 	"dogwoodfold/internal/strict"
 )
 
@@ -33,8 +35,26 @@
 	Log   string `json:"log"`
 	Hosts string `json:"hosts"`
 	// StaticShare is a fixed share of every customer's rate and burst.
-	StaticShare float64  `json:"staticShare"`
-	TLS         TLSFiles `json:"tls"`
+	StaticShare float64 `json:"staticShare"`
+	// WeightStore is what the planners may ask of the weight store.
+	WeightStore WeightStore `json:"weightStore"`
+	TLS         TLSFiles    `json:"tls"`
+}
+
+// WeightStore holds the limits of the weight store; 0 leaves a default.
+type WeightStore struct {
+	LoadsPerSecond float64 `json:"loadsPerSecond"`
+	Loads          int     `json:"loads"`
+	AdapterLoads   int     `json:"adapterLoads"`
+}
+
+// placement returns the planner's settings.
+func (w *WeightStore) placement() place.Settings {
+	s := place.DefaultSettings()
+	s.LoadsPerSecond = cmp.Or(w.LoadsPerSecond, s.LoadsPerSecond)
+	s.Loads = cmp.Or(w.Loads, s.Loads)
+	s.AdapterLoads = cmp.Or(w.AdapterLoads, s.AdapterLoads)
+	return s
 }
 
 // AgentSettings is the settings file of an agent.
@@ -65,11 +85,8 @@
 	kindService = "service"
 )
 
-const (
-	defaultMaxOrderDelay = 10 * time.Second
-	// leastMaxOrderDelay leaves time for an order's own request.
-	leastMaxOrderDelay = 3 * time.Second
-)
+// leastMaxOrderDelay leaves time for an order's own request.
+const leastMaxOrderDelay = 3 * time.Second
 
 // readSettings decodes and checks a settings file; all faults come at once.
 func readSettings(file string, out interface{ check(*strict.Faults) }) error {
@@ -96,6 +113,9 @@
 	if s.StaticShare < 0 || s.StaticShare > 1 {
 		faults.Add("staticShare", "is %v, want 0 to 1", s.StaticShare)
 	}
+	if s.WeightStore.LoadsPerSecond < 0 || s.WeightStore.Loads < 0 || s.WeightStore.AdapterLoads < 0 {
+		faults.Add("weightStore", "has a negative limit")
+	}
 	s.TLS.check(faults)
 }
 
@@ -115,7 +135,7 @@
 		faults.Add("slots", "must be 1 or more")
 	}
 	if s.MaxOrderDelay == 0 {
-		s.MaxOrderDelay = defaultMaxOrderDelay
+		s.MaxOrderDelay = place.DefaultMaxDelay
 	}
 	if s.MaxOrderDelay < leastMaxOrderDelay {
 		faults.Add("maxOrderDelay", "must be %v or more", leastMaxOrderDelay)
--- /dev/null
+++ b/internal/e2e/place_test.go
@@ -0,0 +1,191 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/fakes"
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/pkg/config"
+)
+
+// placeText lists three models on engines that hold two each.
+func placeText(version string) string {
+	models := make([]string, 0, 3)
+	for _, name := range []string{"lengua-a", "lengua-b", "lengua-c"} {
+		models = append(models, fmt.Sprintf(`"%s":{"service":"lengua","version":"%s",
+"versions":{"v1":{"memoryBytes":400},"v2":{"memoryBytes":400}},"adapters":{"tour":{"memoryBytes":10}}}`, name, version))
+	}
+	return fmt.Sprintf(`{"format":1,"services":{"lengua":{"kind":"model"}},"models":{%s},
+"customers":{"booth":{"keys":{"a":{"sha256":"%s"}},"ratePerSecond":100000,"burstTokens":1000000,"services":["lengua"]}},
+"routes":{"complete":{"path":"/v1/completions","methods":["POST"],"service":"lengua","access":"keyed","priority":"interactive","idempotent":true}}}`,
+		strings.Join(models, ","), config.DigestKey([]byte(boothKey)))
+}
+
+// placed is a fleet whose engines start empty.
+type placed struct {
+	*system
+	engines []*process
+	names   []string
+}
+
+func newPlaced(t *testing.T, engines int, flags ...string) *placed {
+	t.Helper()
+	p := &placed{system: &system{
+		log:    start(t, "fake", "log"),
+		hosts:  start(t, "fake", "hosts"),
+		agents: make(map[string]*process),
+	}}
+	weights := start(t, "fake", "weights", "--rate", "20", "--load-time", "50ms")
+	for i := range engines {
+		args := append([]string{"fake", "engine", "--memory", "1000", "--weights", weights.url()}, flags...)
+		p.engines = append(p.engines, start(t, args...))
+		name := fmt.Sprintf("agent-%d", i)
+		p.names = append(p.names, name)
+		p.addPlacedAgent(t, name, i)
+	}
+	for i := range 2 {
+		p.addEntry(t, fmt.Sprintf("entry-%d", i), 0.5)
+	}
+	p.publish(t, placeText("v1"))
+	return p
+}
+
+func (p *placed) addPlacedAgent(t *testing.T, name string, i int) {
+	t.Helper()
+	agent := start(t, "agent", "--settings", settings(t, map[string]any{
+		"host": name, "zone": []string{"mx-centro-a", "mx-centro-b"}[i%2], "service": "lengua", "kind": "engine",
+		"listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "maxOrderDelay": "3s",
+		"endpoint": p.engines[i].address.String(), "slots": 16, "log": p.log.url(), "hosts": p.hosts.url(),
+	}))
+	p.agents[name] = agent
+	p.list(t, plat.Host{
+		Name: name, Role: plat.RoleAgent, Zone: []string{"mx-centro-a", "mx-centro-b"}[i%2], Service: "lengua",
+		Address: agent.address, State: plat.HostLive,
+	})
+}
+
+// call asks an entry for a completion of a model.
+func (p *placed) call(t *testing.T, entry int, model string, tokens int) answer {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"%s","prompt":"two hoodies","max_tokens":%d}`, model, tokens)
+	return do(t, "POST", p.entries[entry].url()+"/v1/completions", body, "Authorization", "Bearer "+boothKey)
+}
+
+// awaitModels waits until every listed model and adapter answers.
+func (p *placed) awaitModels(t *testing.T) {
+	t.Helper()
+	for _, model := range []string{"lengua-a", "lengua-b", "lengua-c", "lengua-a:tour", "lengua-b:tour", "lengua-c:tour"} {
+		eventually(t, model+" answers", func() bool { return p.call(t, 0, model, 1).status == 200 })
+	}
+}
+
+// checkMemory fails the test if a load ever went beyond an engine's memory.
+func (p *placed) checkMemory(t *testing.T) {
+	t.Helper()
+	for i, e := range p.engines {
+		var m fakes.Memory
+		if err := json.Unmarshal([]byte(do(t, "GET", e.url()+"/fake/memory", "").body), &m); err != nil {
+			t.Fatal(err)
+		}
+		if m.Overcommitted {
+			t.Errorf("engine %d was overcommitted: %+v", i, m)
+		}
+	}
+}
+
+// report returns an engine's report.
+func (p *placed) report(t *testing.T, i int) plat.Report {
+	t.Helper()
+	var r plat.Report
+	if err := json.Unmarshal([]byte(do(t, "GET", p.engines[i].url()+"/engine/report", "").body), &r); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestEmptyEnginesComeToServeAllModels(t *testing.T) {
+	p := newPlaced(t, 2, "--checks-fence")
+	p.awaitModels(t)
+	p.checkMemory(t)
+}
+
+func TestModelsOfDeadAgentComeUpElsewhere(t *testing.T) {
+	p := newPlaced(t, 3, "--checks-fence")
+	p.awaitModels(t)
+	if err := p.agents["agent-0"].cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	p.awaitModels(t)
+	p.checkMemory(t)
+}
+
+func TestVersionChangeLosesNoCall(t *testing.T) {
+	p := newPlaced(t, 2)
+	p.awaitModels(t)
+	stop, failures := make(chan struct{}), make(chan []string)
+	go func() {
+		var failed []string
+		defer func() { failures <- failed }()
+		for i := 0; ; i++ {
+			model := []string{"lengua-a", "lengua-b", "lengua-c"}[i%3]
+			if a := p.call(t, i%2, model, 4); a.status != 200 {
+				failed = append(failed, fmt.Sprintf("%s: %+v", model, a))
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	p.publish(t, placeText("v2"))
+	eventually(t, "only v2 is held", func() bool {
+		for i := range p.engines {
+			for _, r := range p.report(t, i).Residents {
+				if r.Version != "v2" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	close(stop)
+	for _, failed := range <-failures {
+		t.Error(failed)
+	}
+	p.awaitModels(t)
+	p.checkMemory(t)
+}
+
+func TestMemoryHoldsWhenOrdersGoWrong(t *testing.T) {
+	for _, checks := range []string{"--checks-fence=true", "--checks-fence=false"} {
+		t.Run(checks, func(t *testing.T) {
+			p := newPlaced(t, 2, checks)
+			for _, e := range p.engines {
+				e.faults(t, fakes.Faults{LoseOrdersEvery: 5, DelayOrdersEvery: 2, DelayOrdersMs: 800, DoubleOrders: true})
+			}
+			p.awaitModels(t)
+			if err := p.agents["agent-1"].cmd.Process.Kill(); err != nil {
+				t.Fatal(err)
+			}
+			p.addPlacedAgent(t, "agent-1", 1)
+			p.publish(t, placeText("v2"))
+			eventually(t, "v2 is held", func() bool {
+				found := make(map[string]bool)
+				for i := range p.engines {
+					for _, r := range p.report(t, i).Residents {
+						found[r.Model+"/"+r.Version] = r.Ready || found[r.Model+"/"+r.Version]
+					}
+				}
+				return found["lengua-a/v2"] && found["lengua-b/v2"] && found["lengua-c/v2"]
+			})
+			p.awaitModels(t)
+			p.checkMemory(t)
+		})
+	}
+}
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -28,6 +28,7 @@
 
 // arrived admits a call and sends it, or refuses it.
 func (c *Core) arrived(now time.Time, call Call) []Effect {
+	c.offer(call)
 	if err := c.admit(now, call); err != nil {
 		return refuse(call.ID, err)
 	}
@@ -72,10 +73,14 @@
 	if r.Keyed && !c.keyValid(r.Call) {
 		return c.giveUp(now, r, fault.New(fault.NotRun, fault.CodeWithdrawn, "the key was withdrawn"))
 	}
+	version := ""
+	if r.Model != "" {
+		version = c.servedVersion(r)
+	}
 	peer := c.router.Pick(now, route.Query{
 		Service: r.Route.Service,
 		Model:   r.Model,
-		Version: r.Version,
+		Version: version,
 		Adapter: r.Adapter,
 		Tokens:  int(r.Tokens),
 		Tried:   r.tried,
@@ -93,6 +98,7 @@
 		Attempt:      r.attempt,
 		Host:         peer.Host.Name,
 		Incarnation:  peer.Incarnation,
+		Version:      version,
 		Weight:       c.index.Text.Customers[r.Customer].Weight,
 		ConfigOffset: c.fold.Accepted,
 	}}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dogwoodfold/internal/fleet"
+	"dogwoodfold/internal/place"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/quota"
 	"dogwoodfold/internal/route"
@@ -25,32 +26,36 @@
 	// Share is this entry's fixed share of every customer's rate and burst.
 	Share float64
 	Seed  uint64
+	// Placement are the constants of the planner.
+	Placement place.Settings
 }
 
 // Core is the reducer of an entry.
 type Core struct {
-	host    string
-	fold    *config.Fold
-	index   *config.Index
-	fleet   *fleet.Fleet
-	router  *route.Router
-	quota   *quota.Limiter
-	calls   map[string]*running
-	beatAt  time.Time
-	ready   bool
-	leaving bool
+	host      string
+	fold      *config.Fold
+	index     *config.Index
+	fleet     *fleet.Fleet
+	router    *route.Router
+	quota     *quota.Limiter
+	calls     map[string]*running
+	beatAt    time.Time
+	placement placement
+	ready     bool
+	leaving   bool
 }
 
 // NewCore returns the reducer of a fresh entry.
 func NewCore(s CoreSettings) *Core {
 	f := fleet.New(s.Host)
 	return &Core{
-		host:   s.Host,
-		fold:   config.NewFold(),
-		fleet:  f,
-		router: route.New(f, s.Seed),
-		quota:  quota.NewLimiter(s.Share),
-		calls:  make(map[string]*running),
+		host:      s.Host,
+		fold:      config.NewFold(),
+		fleet:     f,
+		router:    route.New(f, s.Seed),
+		quota:     quota.NewLimiter(s.Share),
+		calls:     make(map[string]*running),
+		placement: newPlacement(s.Placement),
 	}
 }
 
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -117,6 +117,8 @@
 		Host        string
 		Incarnation uint64
 		Weight      float64
+		// Version is the version of the model that the agent holds.
+		Version string
 		// ConfigOffset is the configuration that the decision rests on.
 		ConfigOffset uint64
 	}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -209,6 +209,7 @@
 	x.request.TimeoutMs = uint32(left.Milliseconds()) + 1
 	x.request.Weight = e.Weight
 	x.request.ConfigOffset = e.ConfigOffset
+	x.request.Version = e.Version
 	if err := call.SetDeadline(x.call.Deadline); err != nil {
 		return nil, fault.Wrap(err, fault.NotRun, fault.CodeLink)
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -25,15 +25,18 @@
 		c.fleet.Reported(now, e.Host, body.Load)
 	case *wirepb.Envelope_Heartbeat:
 		c.fleet.Heard(now, e.Host, body.Heartbeat)
+	case *wirepb.Envelope_Place:
+		return c.placed(e, body.Place)
 	}
 	return nil
 }
 
 func (c *Core) tick(now time.Time) []Effect {
-	if now.Sub(c.beatAt) < heartbeatInterval {
-		return nil
+	effects := c.plan(now)
+	if now.Sub(c.beatAt) >= heartbeatInterval {
+		effects = append(effects, c.beat(now)...)
 	}
-	return c.beat(now)
+	return effects
 }
 
 // beat sends a heartbeat to all linked peers.
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -22,8 +22,10 @@
 	ChecksFence bool
 	// Residents are loaded from the start.
 	Residents []plat.Resident
-	// LoadTime is how long weights take to load.
+	// LoadTime is how long weights take to load, beside the time of the weight
+	// store at the base URL Weights, if there is one.
 	LoadTime time.Duration
+	Weights  string
 }
 
 // Engine is a stand-in for a model engine. Its answer to a prompt depends only
@@ -37,6 +39,17 @@
 	running   int
 	sequence  uint64
 	fence     uint64
+	orders    int
+	memory    Memory
+}
+
+// Memory is what an engine has seen of its memory.
+type Memory struct {
+	Used int64 `json:"used"`
+	// Peak is the most that was held or asked for at once. Overcommitted says
+	// that a load went beyond the memory, which a real engine would die of.
+	Peak          int64 `json:"peak"`
+	Overcommitted bool  `json:"overcommitted"`
 }
 
 // NewEngine returns an engine.
@@ -55,6 +68,8 @@
 			writeJSON(ctx, e.Report())
 		case "/engine/orders":
 			e.order(ctx)
+		case "/fake/memory":
+			writeJSON(ctx, e.Memory())
 		case "/v1/completions", "/v1/chat/completions":
 			e.note(ctx)
 			e.complete(ctx)
@@ -92,18 +107,44 @@
 		return
 	}
 	faults := e.current()
-	if faults.LoseOrders {
+	number := e.count()
+	if faults.LoseOrders || every(faults.LoseOrdersEvery, number) {
 		return
 	}
-	if faults.DelayOrdersMs > 0 {
+	late := faults.DelayOrdersMs > 0 && (faults.DelayOrdersEvery == 0 || every(faults.DelayOrdersEvery, number))
+	if late {
 		time.AfterFunc(time.Duration(faults.DelayOrdersMs)*time.Millisecond, func() { _ = e.Act(o) })
-		return
+		if !faults.DoubleOrders {
+			return
+		}
 	}
 	if err := e.Act(o); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusConflict)
 	}
 }
 
+// count numbers an order.
+func (e *Engine) count() int {
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.orders++
+	return e.orders
+}
+
+// every reports whether number is a multiple of n; of 0 nothing is.
+func every(n, number int) bool { return n > 0 && number%n == 0 }
+
+// Memory returns what the engine has seen of its memory.
+func (e *Engine) Memory() Memory {
+	e.state.Lock()
+	defer e.state.Unlock()
+	memory := e.memory
+	for _, r := range e.residents {
+		memory.Used += r.MemoryBytes
+	}
+	return memory
+}
+
 // Act carries an order out. Loading beyond the memory is an error that a real
 // engine would die of.
 func (e *Engine) Act(o plat.Order) error {
@@ -139,7 +180,9 @@
 		}
 		total += r.MemoryBytes
 	}
+	e.memory.Peak = max(e.memory.Peak, total)
 	if total > e.settings.MemoryBytes {
+		e.memory.Overcommitted = true
 		return fmt.Errorf("out of memory: %d of %d bytes", total, e.settings.MemoryBytes)
 	}
 	resident := plat.Resident{
@@ -147,15 +190,30 @@
 		Version:     o.Version,
 		Adapter:     o.Adapter,
 		MemoryBytes: o.MemoryBytes,
-		Ready:       e.settings.LoadTime == 0,
+		Ready:       e.settings.LoadTime == 0 && e.settings.Weights == "",
 	}
 	e.residents = append(e.residents, resident)
 	if !resident.Ready {
-		time.AfterFunc(e.settings.LoadTime, func() { e.ready(o) })
+		time.AfterFunc(e.settings.LoadTime, func() { e.fetch(o) })
 	}
 	return nil
 }
 
+// fetchTimeout bounds a load from the weight store.
+const fetchTimeout = 5 * time.Minute
+
+// fetch gets weights from the store, if there is one, until that succeeds.
+func (e *Engine) fetch(o plat.Order) {
+	for e.settings.Weights != "" {
+		status, _, err := fasthttp.GetTimeout(nil, e.settings.Weights+"/weights", fetchTimeout)
+		if err == nil && status == fasthttp.StatusOK {
+			break
+		}
+		time.Sleep(time.Second)
+	}
+	e.ready(o)
+}
+
 // ready marks a resident as loaded.
 func (e *Engine) ready(o plat.Order) {
 	e.state.Lock()
--- a/internal/fakes/fakes.go
+++ b/internal/fakes/fakes.go
@@ -28,6 +28,12 @@
 	// LoseOrders drops orders, DelayOrdersMs makes them act late.
 	LoseOrders    bool `json:"loseOrders"`
 	DelayOrdersMs int  `json:"delayOrdersMs"`
+	// LoseOrdersEvery drops each order whose number is a multiple of it,
+	// DelayOrdersEvery delays only those, so that orders overtake each other.
+	LoseOrdersEvery  int `json:"loseOrdersEvery"`
+	DelayOrdersEvery int `json:"delayOrdersEvery"`
+	// DoubleOrders makes orders act at once and again DelayOrdersMs later.
+	DoubleOrders bool `json:"doubleOrders"`
 }
 
 // Request is one request that a fake has received.
--- a/internal/place/ledger.go
+++ b/internal/place/ledger.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// DefaultMaxDelay is the longest delay of an order if none is set.
+	DefaultMaxDelay = 10 * time.Second
 	// fenceWindow bounds the fencing numbers beyond the highest one that the
 	// engine has reported. A restarted agent starts above the window.
 	fenceWindow = 1 << 16
@@ -62,6 +64,9 @@
 // NewLedger returns the ledger of a fresh agent, which presumes that orders of
 // an earlier one may still act.
 func NewLedger(incarnation uint64, maxDelay time.Duration) *Ledger {
+	if maxDelay == 0 {
+		maxDelay = DefaultMaxDelay
+	}
 	return &Ledger{
 		incarnation: incarnation,
 		maxDelay:    maxDelay,
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -257,7 +257,7 @@
 			host: w.Host,
 			copy: h.Copy,
 		}]) < residency
-		return recent || h.Adapter != "" || !h.Staying || r.keeper(w, h.Copy) == nil
+		return recent || h.Adapter != "" || !h.Staying || !r.surplus(w, h.Copy)
 	})
 	slices.SortFunc(candidates, func(a, b Held) int {
 		return cmp.Or(cmp.Compare(r.perCopy(a.Model), r.perCopy(b.Model)), compareCopies(a.Copy, b.Copy))
@@ -280,16 +280,20 @@
 	return r.rate(model) / float64(max(1, len(holders(r.workers, m.current(model)))-1))
 }
 
-// keeper returns a worker, another one or another version's, that keeps a copy's model in its current
-// version, with all adapters that would go.
-func (r *round) keeper(w *Worker, c Copy) *Worker {
+// surplus reports whether a copy can go: another worker keeps the model in its
+// current version, or in the same old one.
+func (r *round) surplus(w *Worker, c Copy) bool {
 	m, listed := r.models[c.Model]
-	if !listed {
-		return nil
-	}
+	return listed && (r.keeper(w, c, m.Version) != nil || r.keeper(w, c, c.Version) != nil)
+}
+
+// keeper returns a worker that keeps a copy's model in a version, with all
+// adapters that would go, nil if there is none. It may be the same worker if
+// the version is another one.
+func (r *round) keeper(w *Worker, c Copy, version string) *Worker {
 	for i := range r.workers {
 		k := &r.workers[i]
-		if (k.Host != w.Host || c.Version != m.Version) && k.keeps(w, c, m.Version) {
+		if (k.Host != w.Host || c.Version != version) && k.keeps(w, c, version) {
 			return k
 		}
 	}
@@ -312,10 +316,13 @@
 	return true
 }
 
-// drop unloads a copy that another worker keeps.
-func (r *round) drop(w *Worker, h Held) {
-	if k := r.keeper(w, h.Copy); k != nil {
-		r.unload(w, h.Copy, k.Host, r.models[h.Model].Version)
+// drop unloads a copy if a worker keeps the model in one of some versions.
+func (r *round) drop(w *Worker, c Copy, versions ...string) {
+	for _, version := range versions {
+		if k := r.keeper(w, c, version); k != nil {
+			r.unload(w, c, k.Host, version)
+			return
+		}
 	}
 }
 
--- a/internal/place/rounds.go
+++ b/internal/place/rounds.go
@@ -25,7 +25,7 @@
 			if own := w.holds(current); own != nil && !own.Ready {
 				continue
 			}
-			r.drop(w, h)
+			r.drop(w, h.Copy, m.Version)
 		}
 	}
 }
@@ -75,22 +75,30 @@
 	host  string
 	copy  Copy
 	bytes int64
-	until time.Time
+	since time.Time
+	// victims are the copies that are to go.
+	victims []Held
 }
 
-// swapLimit is how long a load waits for room.
-const swapLimit = 30 * time.Second
+const (
+	// swapLimit is how long a load waits for room.
+	swapLimit = 30 * time.Second
+	// swapRetry is how long an unload may take to begin; it was refused or
+	// lost if the copy is not being unloaded then.
+	swapRetry = 5 * time.Second
+)
 
 // swap unloads copies and notes the load to follow.
 func (r *round) swap(c *change) {
 	for _, h := range c.victims {
-		r.drop(c.worker, h)
+		r.drop(c.worker, h.Copy, r.models[h.Model].Version, h.Version)
 	}
 	r.swaps[c.copy.Model] = swap{
-		host:  c.worker.Host,
-		copy:  c.copy,
-		bytes: c.bytes,
-		until: r.now.Add(swapLimit),
+		host:    c.worker.Host,
+		copy:    c.copy,
+		bytes:   c.bytes,
+		since:   r.now,
+		victims: c.victims,
 	}
 	c.worker.Free -= c.bytes
 	c.worker.Held = append(c.worker.Held, Held{
@@ -99,13 +107,25 @@
 	})
 }
 
+// failed reports whether a swap is over, or will not come about.
+func (s *swap) failed(now time.Time, w *Worker) bool {
+	waited := now.Sub(s.since)
+	if waited > swapLimit || w.holds(s.copy) != nil {
+		return true
+	}
+	return waited > swapRetry && slices.ContainsFunc(s.victims, func(h Held) bool {
+		held := w.holds(h.Copy)
+		return held != nil && held.Staying
+	})
+}
+
 // swapped begins the loads whose room has come free, and keeps the room of the
 // others from being used.
 func (r *round) swapped() {
 	for _, name := range slices.Sorted(maps.Keys(r.swaps)) {
 		s := r.swaps[name]
 		i := slices.IndexFunc(r.workers, func(w Worker) bool { return w.Host == s.host })
-		if i < 0 || r.now.After(s.until) || r.models[name].Version != s.copy.Version || r.workers[i].holds(s.copy) != nil {
+		if i < 0 || r.models[name].Version != s.copy.Version || s.failed(r.now, &r.workers[i]) {
 			delete(r.swaps, name)
 			continue
 		}
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -1,5 +1,9 @@
 // Package plat holds the interfaces to what the platform gives, and a client
 // of each in the HTTP and JSON shape that docs/PLATFORM.md describes.
+//
+// There is none to the weight store: engines fetch weights from it by
+// themselves after an order, and need no permission. Planners keep their loads
+// within its rate and slots, which the entries' settings name.
 package plat
 
 import (
