Weigh moves by the strain of all engines

Cause: the fall of the highest use hid every second hot engine behind an equally hot one, and a slow average of five minutes kept copies for demand that was long gone.

--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -14,7 +14,8 @@
 	Fast time.Duration
 	Slow time.Duration
 	// High is the use of an engine, from 0 to 1, from which copies are added,
-	// Gain the least reduction of that use that a copy must bring.
+	// Gain the least reduction of the strain that a copy must bring. Strain is
+	// the sum of the squares of all uses beyond High.
 	High float64
 	Gain float64
 	// Residency is how long a copy stays at least.
@@ -29,11 +30,11 @@
 // DefaultSettings returns the settings for a weight store of eight slots.
 func DefaultSettings() Settings {
 	return Settings{
-		Fast:           15 * time.Second,
-		Slow:           5 * time.Minute,
-		High:           0.6,
-		Gain:           0.1,
-		Residency:      2 * time.Minute,
+		Fast:           4 * time.Second,
+		Slow:           20 * time.Second,
+		High:           0.3,
+		Gain:           0.03,
+		Residency:      20 * time.Second,
 		LoadsPerSecond: 1,
 		Loads:          8,
 		AdapterLoads:   64,
--- a/internal/place/rounds.go
+++ b/internal/place/rounds.go
@@ -143,24 +143,20 @@
 }
 
 const (
-	// hotModels and coolWorkers bound the changes that are weighed.
+	// hotWorkers, hotModels and coolWorkers bound the changes that are weighed.
+	hotWorkers  = 3
 	hotModels   = 3
 	coolWorkers = 6
 	// zoneBonus is the gain that a copy in a further zone counts for.
-	zoneBonus = 0.02
+	zoneBonus = 0.001
 )
 
 // relieve adds copies of the models that make an engine hot, if that lowers
 // its use by enough to be worth a load.
 func (r *round) relieve() {
 	for r.budget >= 1 && r.loading+len(r.swaps) < r.settings.Loads {
-		used, parts := estimate(r.workers, r.models, r.rate)
-		hot := r.hottest(used)
-		if hot == nil || used[hot.Host] < r.settings.High {
-			return
-		}
-		best := r.bestChange(hot, used, parts)
-		if best == nil || best.gain < r.settings.Gain {
+		best := r.relief()
+		if best == nil {
 			return
 		}
 		if len(best.victims) > 0 {
@@ -171,20 +167,37 @@
 	}
 }
 
-// hottest returns the worker with the highest use.
-func (r *round) hottest(used usage) *Worker {
-	var hot *Worker
-	for i := range r.workers {
-		if w := &r.workers[i]; hot == nil || used[w.Host] > used[hot.Host] {
-			hot = w
+// relief returns a change that is worth a load, nil if there is none.
+func (r *round) relief() *change {
+	used, parts := estimate(r.workers, r.models, r.rate)
+	coolest := r.coolest(used)
+	for i := range min(hotWorkers, len(coolest)) {
+		hot := coolest[len(coolest)-1-i]
+		if used[hot.Host] < r.settings.High {
+			return nil
+		}
+		best := r.bestChange(hot, coolest[:min(coolWorkers, len(coolest))], used, parts)
+		if best != nil && best.gain >= r.settings.Gain {
+			return best
 		}
 	}
-	return hot
+	return nil
+}
+
+// strain returns the sum of the squares of the use beyond High: what a change
+// has to lower to be worth its load.
+func (r *round) strain(used usage) float64 {
+	total := 0.0
+	for _, u := range used {
+		excess := max(0, u-r.settings.High)
+		total += excess * excess
+	}
+	return total
 }
 
 // bestChange returns the change that relieves a worker most, nil if there is
 // none.
-func (r *round) bestChange(hot *Worker, used usage, parts map[Copy]usage) *change {
+func (r *round) bestChange(hot *Worker, cool []*Worker, used usage, parts map[Copy]usage) *change {
 	models := slices.SortedFunc(maps.Keys(r.models), func(a, b string) int {
 		x, y := r.models[a], r.models[b]
 		return cmp.Or(
@@ -194,7 +207,7 @@
 	})
 	var best *change
 	for _, name := range models[:min(hotModels, len(models))] {
-		for _, w := range r.coolest(used) {
+		for _, w := range cool {
 			c := r.weigh(hot, w, name, used)
 			if c != nil && (best == nil || c.gain > best.gain) {
 				best = c
@@ -204,7 +217,7 @@
 	return best
 }
 
-// coolest returns the least used workers.
+// coolest returns the workers, the least used first.
 func (r *round) coolest(used usage) []*Worker {
 	list := make([]*Worker, 0, len(r.workers))
 	for i := range r.workers {
@@ -213,7 +226,7 @@
 	slices.SortFunc(list, func(a, b *Worker) int {
 		return cmp.Or(cmp.Compare(used[a.Host], used[b.Host]), cmp.Compare(a.Host, b.Host))
 	})
-	return list[:min(coolWorkers, len(list))]
+	return list
 }
 
 // weigh returns what a copy of a model at a worker would bring, nil if it can't
@@ -242,7 +255,7 @@
 		Copy: c.copy,
 	})
 	after, _ := estimate(r.workers, r.models, r.rate)
-	c.gain = used[hot.Host] - after[r.hottest(after).Host]
+	c.gain = r.strain(used) - r.strain(after)
 	if c.gain > 0 && !r.inZone(c.copy, w) {
 		c.gain += zoneBonus
 	}
