Bring a dead agent's models back within a load and two seconds

Cause: the grace for absent models came on top of the silence of a dead agent, so that a model with one copy was away for 6.4 s at a load time of 4 s.

--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -14,7 +14,10 @@
 )
 
 const (
-	planInterval = time.Second
+	planInterval = 500 * time.Millisecond
+	// agentSilence is how long an agent may say nothing before its copies
+	// count as lost.
+	agentSilence = time.Second
 	// plannerWarmUp is how long a new planner waits for agents that have not
 	// told what they hold.
 	plannerWarmUp = 3 * time.Second
@@ -147,15 +150,16 @@
 
 // planService runs one round of a service's planner.
 func (c *Core) planService(now time.Time, service string, p *planner) []Effect {
-	agents := c.fleet.Agents(service)
 	var workers []place.Worker
+	agents := c.agentsOf(service)
 	for _, agent := range agents {
 		told, known := c.placement.states[agent.Host.Name]
-		if known && told.incarnation == agent.Incarnation {
+		current := known && (told.incarnation == agent.Incarnation || !agent.Linked())
+		if current && now.Sub(agent.HeardAt) <= agentSilence {
 			workers = append(workers, worker(agent, told.state))
 		}
 	}
-	if len(workers) < c.listedAgents(service) && now.Sub(p.since) < plannerWarmUp {
+	if len(workers) < len(agents) && now.Sub(p.since) < plannerWarmUp {
 		return nil
 	}
 	models := make(map[string]place.Model)
@@ -171,15 +175,12 @@
 	return effects
 }
 
-// listedAgents returns how many agents of a service ought to be there.
-func (c *Core) listedAgents(service string) int {
-	n := 0
-	for _, p := range c.fleet.Peers(plat.RoleAgent) {
-		if p.Host.Service == service && !p.Leaving {
-			n++
-		}
-	}
-	return n
+// agentsOf returns the agents of a service that stay, linked or not: a session
+// that breaks and comes back at once moves nothing.
+func (c *Core) agentsOf(service string) []*fleet.Peer {
+	return slices.DeleteFunc(c.fleet.Peers(plat.RoleAgent), func(p *fleet.Peer) bool {
+		return p.Host.Service != service || p.Leaving
+	})
 }
 
 func listedModel(m config.Model) place.Model {
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -41,13 +41,8 @@
 	}
 }
 
-const (
-	// absentGrace is how long a model must have had no copy before it is
-	// loaded, so that a broken session alone moves nothing.
-	absentGrace = time.Second
-	// loadBurst is how many loads may begin at once.
-	loadBurst = 4
-)
+// loadBurst is how many loads may begin at once.
+const loadBurst = 4
 
 // Move is an order to one agent that the planner wishes for.
 type Move struct {
@@ -65,9 +60,7 @@
 type Planner struct {
 	settings Settings
 	demand   *Demand
-	// absent says since when a model has had no copy, loaded when a worker was
-	// seen to get a copy.
-	absent map[string]time.Time
+	// loaded says when a worker was seen to get a copy.
 	loaded map[seat]time.Time
 	// swaps are the loads that wait for unloads, by model.
 	swaps map[string]swap
@@ -87,7 +80,6 @@
 	return &Planner{
 		settings: s,
 		demand:   NewDemand(s.Fast, s.Slow),
-		absent:   make(map[string]time.Time),
 		loaded:   make(map[seat]time.Time),
 		swaps:    make(map[string]swap),
 		budget:   loadBurst,
@@ -106,6 +98,8 @@
 	now     time.Time
 	workers []Worker
 	models  map[string]Model
+	// absent holds the models that have no copy.
+	absent  map[string]bool
 	moves   []Move
 	loading int
 	// adapters counts the adapters that are loading.
@@ -123,6 +117,7 @@
 		Planner: p,
 		now:     now,
 		models:  models,
+		absent:  make(map[string]bool),
 	}
 	for _, w := range workers {
 		w.Held = slices.Clone(w.Held)
@@ -139,7 +134,7 @@
 	return r.moves
 }
 
-// observe notes what is loading and since when copies are there.
+// observe notes what is loading, what is absent and since when copies are there.
 func (r *round) observe() {
 	seen := make(map[seat]bool)
 	for _, w := range r.workers {
@@ -163,16 +158,10 @@
 	}
 	maps.DeleteFunc(r.loaded, func(s seat, _ time.Time) bool { return !seen[s] })
 	for name, m := range r.models {
-		if len(holders(r.workers, m.current(name))) > 0 {
-			delete(r.absent, name)
-		} else if _, known := r.absent[name]; !known {
-			r.absent[name] = r.now
+		if len(holders(r.workers, m.current(name))) == 0 {
+			r.absent[name] = true
 		}
 	}
-	maps.DeleteFunc(r.absent, func(name string, _ time.Time) bool {
-		_, listed := r.models[name]
-		return !listed
-	})
 }
 
 // unlisted unloads what the text does not list any more.
@@ -201,7 +190,7 @@
 		)
 	})
 	for _, name := range names {
-		if _, waits := r.swaps[name]; waits || r.now.Sub(r.absent[name]) < absentGrace {
+		if _, waits := r.swaps[name]; waits {
 			continue
 		}
 		m := r.models[name]
