Flood agents with wishes in the test of orders that go wrong

Cause: with the charge of live loads left out the test still passed, since the entries' planner itself stays within the memory that it sees. Change: a planner that knows no limits wishes for everything at once.

--- a/internal/e2e/place_test.go
+++ b/internal/e2e/place_test.go
@@ -9,6 +9,8 @@
 
 	"dogwoodfold/internal/fakes"
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/wire"
+	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/config"
 )
 
@@ -162,6 +164,34 @@
 	p.checkMemory(t)
 }
 
+// floodWishes plays a planner that knows no limits: for some seconds it wishes
+// for all models in all versions at once.
+func (p *placed) floodWishes(t *testing.T, agent string) {
+	t.Helper()
+	hello := &wirepb.Hello{Host: "flood", Role: plat.RoleEntry, Incarnation: 1}
+	session, err := wire.Dial(t.Context(), p.agents[agent].address, hello, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = session.Run(t.Context(), func(*wirepb.Envelope) {})
+	}()
+	for i := range 200 {
+		weights := &wirepb.Weights{
+			Model:   []string{"lengua-a", "lengua-b", "lengua-c"}[i%3],
+			Version: []string{"v1", "v2"}[i%2],
+		}
+		session.Send(&wirepb.Envelope{Body: &wirepb.Envelope_Place{Place: &wirepb.PlaceMessage{
+			Body: &wirepb.PlaceMessage_Wish{Wish: &wirepb.Wish{Load: true, Weights: weights, Bytes: 400, ConfigOffset: 1}},
+		}}})
+		time.Sleep(20 * time.Millisecond)
+	}
+	session.Close()
+	<-ended
+}
+
 func TestMemoryHoldsWhenOrdersGoWrong(t *testing.T) {
 	for _, checks := range []string{"--checks-fence=true", "--checks-fence=false"} {
 		t.Run(checks, func(t *testing.T) {
@@ -169,11 +199,13 @@
 			for _, e := range p.engines {
 				e.faults(t, fakes.Faults{LoseOrdersEvery: 5, DelayOrdersEvery: 2, DelayOrdersMs: 800, DoubleOrders: true})
 			}
+			p.floodWishes(t, "agent-0")
 			p.awaitModels(t)
 			if err := p.agents["agent-1"].cmd.Process.Kill(); err != nil {
 				t.Fatal(err)
 			}
 			p.addPlacedAgent(t, "agent-1", 1)
+			p.floodWishes(t, "agent-1")
 			p.publish(t, placeText("v2"))
 			eventually(t, "v2 is held", func() bool {
 				found := make(map[string]bool)
