Let the slow average of demand end after 8 s

Cause: demand that is gone kept copies that other models needed. Change: averages of 3 s and 8 s, a gain of 0.04.

--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -403,14 +403,15 @@
 	}},
 }
 
-// benchSeeds are the seeds of the demand; each is one run of simTime.
-var benchSeeds = []uint64{1, 2, 3, 4, 5, 6}
+// benchSeeds are the seeds of the demand; each is one run of simTime. The
+// planner's settings were chosen with the seeds 1 to 6.
+var benchSeeds = []uint64{11, 12, 13, 14, 15, 16}
 
 func BenchmarkAttainment(b *testing.B) {
 	for _, d := range deployments {
-		for _, load := range []float64{0.5, 0.7, 0.8, 0.95} {
+		for _, load := range []float64{0.5, 0.7, 0.8, 0.85, 0.95} {
 			for _, way := range planners {
-				b.Run(fmt.Sprintf("%s/load=%.1f/%s", d.name, load, way.name), func(b *testing.B) {
+				b.Run(fmt.Sprintf("%s/load=%.2f/%s", d.name, load, way.name), func(b *testing.B) {
 					for b.Loop() {
 						var all, worst, moves float64
 						for _, seed := range benchSeeds {
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -30,10 +30,10 @@
 // DefaultSettings returns the settings for a weight store of eight slots.
 func DefaultSettings() Settings {
 	return Settings{
-		Fast:           4 * time.Second,
-		Slow:           20 * time.Second,
+		Fast:           3 * time.Second,
+		Slow:           8 * time.Second,
 		High:           0.3,
-		Gain:           0.03,
+		Gain:           0.04,
 		Residency:      20 * time.Second,
 		LoadsPerSecond: 1,
 		Loads:          8,
