--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -44,10 +45,13 @@
 	incarnation := newIncarnation()
 	return entry.Options{
 		Core: entry.CoreSettings{
-			Host:      s.Host,
-			Share:     s.StaticShare,
-			Seed:      rand.Uint64(),
-			Placement: s.WeightStore.placement(),
+			Host:  s.Host,
+			Share: s.StaticShare,
+			Seed:  rand.Uint64(),
+
+			Retention:      s.LogRetention,
+			IsolationLimit: cmp.Or(s.IsolationLimit, defaultIsolationLimit),
+			Placement:      s.WeightStore.placement(),
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dogwoodfold/internal/place"
+	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/strict"
 )
 
@@ -34,6 +35,11 @@
 	// Log and Hosts are base URLs of the platform's services.
 	Log   string `json:"log"`
 	Hosts string `json:"hosts"`
+	// LogRetention is how long the log keeps records, 0 for ever.
+	LogRetention time.Duration `json:"logRetention"`
+	// IsolationLimit is how long the entry admits calls without word from the
+	// log or any other entry, defaultIsolationLimit if unset.
+	IsolationLimit time.Duration `json:"isolationLimit"`
 	// StaticShare is a fixed share of every customer's rate and burst.
 	StaticShare float64 `json:"staticShare"`
 	// WeightStore is what the planners may ask of the weight store.
@@ -85,6 +91,13 @@
 	kindService = "service"
 )
 
+// The bounds on how long a withdrawn key may work at an entry that is cut off.
+const (
+	defaultIsolationLimit = 15 * time.Second
+	// leastIsolationLimit leaves the log time to answer twice.
+	leastIsolationLimit = 2*plat.FollowWait + time.Second
+)
+
 // leastMaxOrderDelay leaves time for an order's own request.
 const leastMaxOrderDelay = 3 * time.Second
 
@@ -116,6 +129,12 @@
 	if s.WeightStore.LoadsPerSecond < 0 || s.WeightStore.Loads < 0 || s.WeightStore.AdapterLoads < 0 {
 		faults.Add("weightStore", "has a negative limit")
 	}
+	if s.LogRetention < 0 {
+		faults.Add("logRetention", "must not be negative")
+	}
+	if s.IsolationLimit != 0 && s.IsolationLimit < leastIsolationLimit {
+		faults.Add("isolationLimit", "must be %v or more", leastIsolationLimit)
+	}
 	s.TLS.check(faults)
 }
 
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -179,7 +179,7 @@
 // that breaks and comes back at once moves nothing.
 func (c *Core) agentsOf(service string) []*fleet.Peer {
 	return slices.DeleteFunc(c.fleet.Peers(plat.RoleAgent), func(p *fleet.Peer) bool {
-		return p.Host.Service != service || p.Leaving
+		return p.Host.Service != service || p.Leaving || p.Unlisted
 	})
 }
 
@@ -230,6 +230,9 @@
 func (c *Core) placed(e Received, message *wirepb.PlaceMessage) []Effect {
 	switch body := message.GetBody().(type) {
 	case *wirepb.PlaceMessage_State:
+		if !c.fleet.Current(e.Host, e.Incarnation) {
+			return nil
+		}
 		c.placement.states[e.Host] = memoryState{
 			incarnation: e.Incarnation,
 			state:       body.State,
