--- a/internal/engsim/engsim.go
+++ b/internal/engsim/engsim.go
@@ -10,9 +10,8 @@
 
 // Settings are the constants of an engine.
 type Settings struct {
-	// Slots is how many sequences are decoded at once.
-	Slots int
-	// PrefillPerSecond is the rate of prompt tokens.
+	// Slots is how many sequences are in the batch at most.
+	Slots            int
 	PrefillPerSecond float64
 	// ChunkTokens bounds the prompt tokens of one step.
 	ChunkTokens int
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -71,8 +71,12 @@
 	used := make(usage)
 	parts := make(map[Copy]usage)
 	on := make(map[string][]*Worker)
-	for name, m := range models {
-		on[name] = holders(workers, m.current(name))
+	for i := range workers {
+		for _, h := range workers[i].Held {
+			if m, listed := models[h.Model]; listed && h.Copy == m.current(h.Model) {
+				on[h.Model] = append(on[h.Model], &workers[i])
+			}
+		}
 	}
 	names := slices.SortedFunc(maps.Keys(models), func(a, b string) int {
 		return cmp.Or(cmp.Compare(len(on[a]), len(on[b])), strings.Compare(a, b))
--- a/internal/place/planner_test.go
+++ b/internal/place/planner_test.go
@@ -48,9 +48,9 @@
 		}
 		for range 3 {
 			now = now.Add(time.Second)
-			for name := range models {
-				p.Offer(name, "x", rapid.Float64Range(0, 300).Draw(t, "tokens"))
-				p.Offer(name, "", rapid.Float64Range(0, 300).Draw(t, "tokens"))
+			for i := range len(models) {
+				p.Offer(modelName(i), "x", rapid.Float64Range(0, 300).Draw(t, "tokens"))
+				p.Offer(modelName(i), "", rapid.Float64Range(0, 300).Draw(t, "tokens"))
 			}
 			checkMoves(t, p.Plan(now, workers, models), workers, models, max(0, s.Loads-loading), s.AdapterLoads)
 		}
--- a/internal/place/rounds.go
+++ b/internal/place/rounds.go
@@ -188,8 +188,8 @@
 // has to lower to be worth its load.
 func (r *round) strain(used usage) float64 {
 	total := 0.0
-	for _, u := range used {
-		excess := max(0, u-r.settings.High)
+	for i := range r.workers {
+		excess := max(0, used[r.workers[i].Host]-r.settings.High)
 		total += excess * excess
 	}
 	return total
