--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -210,6 +210,7 @@
 	incarnation := rand.Uint64() | 1
 	options := agent.Options{
 		Core: agent.CoreSettings{
+			Host:        name,
 			Incarnation: incarnation,
 			Plain:       !model,
 			Slots:       slots,
