Find each model's holders in one pass over the workers

Cause: half of a round was a search of all workers for each model. Change: one index for each step of a round.

--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -62,14 +62,9 @@
 	}
 }
 
-// pieces is into how many parts a model's demand is split between holders.
-const pieces = 8
-
-// estimate returns the share of its capacity that each worker is expected to
-// use, when calls go to the least used holder, and each model's part of it.
-func estimate(workers []Worker, models map[string]Model, rate func(string) float64) (usage, map[Copy]usage) {
-	used := make(usage)
-	parts := make(map[Copy]usage)
+// currentHolders returns the workers that hold, or are loading, the current
+// version of each model.
+func currentHolders(workers []Worker, models map[string]Model) map[string][]*Worker {
 	on := make(map[string][]*Worker)
 	for i := range workers {
 		for _, h := range workers[i].Held {
@@ -78,6 +73,18 @@
 			}
 		}
 	}
+	return on
+}
+
+// pieces is into how many parts a model's demand is split between holders.
+const pieces = 8
+
+// estimate returns the share of its capacity that each worker is expected to
+// use, when calls go to the least used holder, and each model's part of it.
+func estimate(workers []Worker, models map[string]Model, rate func(string) float64) (usage, map[Copy]usage) {
+	used := make(usage)
+	parts := make(map[Copy]usage)
+	on := currentHolders(workers, models)
 	names := slices.SortedFunc(maps.Keys(models), func(a, b string) int {
 		return cmp.Or(cmp.Compare(len(on[a]), len(on[b])), strings.Compare(a, b))
 	})
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -157,8 +157,9 @@
 		}
 	}
 	maps.DeleteFunc(r.loaded, func(s seat, _ time.Time) bool { return !seen[s] })
-	for name, m := range r.models {
-		if len(holders(r.workers, m.current(name))) == 0 {
+	present := currentHolders(r.workers, r.models)
+	for name := range r.models {
+		if len(present[name]) == 0 {
 			r.absent[name] = true
 		}
 	}
--- a/internal/place/rounds.go
+++ b/internal/place/rounds.go
@@ -33,9 +33,10 @@
 // adapt loads adapters on the holders of their models: each adapter on two,
 // and on all where it is wanted.
 func (r *round) adapt() {
+	present := currentHolders(r.workers, r.models)
 	for _, name := range slices.Sorted(maps.Keys(r.models)) {
 		m := r.models[name]
-		on := holders(r.workers, m.current(name))
+		on := present[name]
 		for _, adapter := range slices.Sorted(maps.Keys(m.Adapters)) {
 			wanted := min(adapterCopies, len(on))
 			if r.demand.Rate(name, adapter) > 0 {
@@ -279,9 +280,10 @@
 	names := slices.SortedFunc(maps.Keys(r.models), func(a, b string) int {
 		return cmp.Or(cmp.Compare(r.rate(b), r.rate(a)), cmp.Compare(a, b))
 	})
+	present := currentHolders(r.workers, r.models)
 	for _, name := range names {
 		m := r.models[name]
-		on := holders(r.workers, m.current(name))
+		on := present[name]
 		if len(on) != 1 || r.now.Sub(r.firstSeen(on[0], m.current(name))) < secondDelay {
 			continue
 		}
