--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -53,6 +53,7 @@
 			Drain:          s.DrainDelay,
 			Retention:      s.LogRetention,
 			IsolationLimit: cmp.Or(s.IsolationLimit, defaultIsolationLimit),
+			Placement:      s.WeightStore.placement(),
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dogwoodfold/internal/dedup"
+	"dogwoodfold/internal/place"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/strict"
 )
@@ -48,7 +49,25 @@
 	DrainDelay time.Duration `json:"drainDelay"`
 	// StopLimit bounds a graceful shutdown, 10 minutes if unset.
 	StopLimit time.Duration `json:"stopLimit"`
-	TLS       TLSFiles      `json:"tls"`
+	// WeightStore is what the planners may ask of the weight store.
+	WeightStore WeightStore `json:"weightStore"`
+	TLS         TLSFiles    `json:"tls"`
+}
+
+// WeightStore holds the limits of the weight store; 0 leaves a default.
+type WeightStore struct {
+	LoadsPerSecond float64 `json:"loadsPerSecond"`
+	Loads          int     `json:"loads"`
+	AdapterLoads   int     `json:"adapterLoads"`
+}
+
+// placement returns the planner's settings.
+func (w *WeightStore) placement() place.Settings {
+	s := place.DefaultSettings()
+	s.LoadsPerSecond = cmp.Or(w.LoadsPerSecond, s.LoadsPerSecond)
+	s.Loads = cmp.Or(w.Loads, s.Loads)
+	s.AdapterLoads = cmp.Or(w.AdapterLoads, s.AdapterLoads)
+	return s
 }
 
 // AgentSettings is the settings file of an agent.
@@ -106,11 +125,8 @@
 	ratesStatic = "static"
 )
 
-const (
-	defaultMaxOrderDelay = 10 * time.Second
-	// leastMaxOrderDelay leaves time for an order's own request.
-	leastMaxOrderDelay = 3 * time.Second
-)
+// leastMaxOrderDelay leaves time for an order's own request.
+const leastMaxOrderDelay = 3 * time.Second
 
 // readSettings decodes and checks a settings file; all faults come at once.
 func readSettings(file string, out interface{ check(*strict.Faults) }) error {
@@ -139,6 +155,9 @@
 	}
 	checkDuration("drainDelay", s.DrainDelay, faults)
 	checkDuration("stopLimit", s.StopLimit, faults)
+	if s.WeightStore.LoadsPerSecond < 0 || s.WeightStore.Loads < 0 || s.WeightStore.AdapterLoads < 0 {
+		faults.Add("weightStore", "has a negative limit")
+	}
 	if s.LogRetention < 0 {
 		faults.Add("logRetention", "must not be negative")
 	}
@@ -174,7 +193,7 @@
 		faults.Add("keepOutcomes", "is longer than claimWindow")
 	}
 	if s.MaxOrderDelay == 0 {
-		s.MaxOrderDelay = defaultMaxOrderDelay
+		s.MaxOrderDelay = place.DefaultMaxDelay
 	}
 	if s.MaxOrderDelay < leastMaxOrderDelay {
 		faults.Add("maxOrderDelay", "must be %v or more", leastMaxOrderDelay)
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -13,8 +13,10 @@
 type running struct {
 	Call
 	attempt int
-	host    string
-	tried   map[string]bool
+	// served is the version of the model that the attempt asks for.
+	served string
+	host   string
+	tried  map[string]bool
 	// holder is the agent process that holds the claim of the call's key, if
 	// one is known.
 	holder dedup.Holder
@@ -41,6 +43,7 @@
 
 // arrived admits a call and sends it, or refuses it.
 func (c *Core) arrived(now time.Time, call Call) []Effect {
+	c.offer(call)
 	if err := c.admit(now, call); err != nil {
 		return refuse(call.ID, err)
 	}
@@ -85,6 +88,9 @@
 	if err := c.permitted(r.Call); err != nil {
 		return c.giveUp(now, r, err)
 	}
+	if r.Model != "" {
+		r.served = c.servedVersion(r)
+	}
 	peer, err := c.pick(now, r)
 	if err != nil {
 		return c.giveUp(now, r, err)
@@ -98,6 +104,7 @@
 		Attempt:      r.attempt,
 		Host:         peer.Host.Name,
 		Incarnation:  peer.Incarnation,
+		Version:      r.served,
 		Weight:       c.index.Text.Customers[r.Customer].Weight,
 		ConfigOffset: c.fold.Accepted,
 
@@ -119,7 +126,7 @@
 	peer := c.router.Pick(now, route.Query{
 		Service: r.Route.Service,
 		Model:   r.Model,
-		Version: r.Version,
+		Version: r.served,
 		Adapter: r.Adapter,
 		Tokens:  int(r.Tokens),
 		Tried:   r.tried,
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -6,6 +6,7 @@
 
 	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/fleet"
+	"dogwoodfold/internal/place"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/relay"
 	"dogwoodfold/internal/route"
@@ -36,6 +37,8 @@
 	// IsolationLimit is how long the entry may be without word from both the
 	// log and its peers until it stops admitting, 0 for ever.
 	IsolationLimit time.Duration
+	// Placement are the constants of the planner.
+	Placement place.Settings
 }
 
 // Core is the reducer of an entry.
@@ -54,6 +57,7 @@
 	calls     map[string]*running
 	budget    *dedup.Budget
 	beatAt    time.Time
+	placement placement
 	ready     bool
 	leaving   bool
 	drain     time.Duration
@@ -65,16 +69,17 @@
 func NewCore(s CoreSettings) *Core {
 	f := fleet.New(s.Host)
 	return &Core{
-		host:   s.Host,
-		fold:   config.NewFold(),
-		relay:  relay.New(s.IsolationLimit, s.Seed),
-		points: newCheckpoints(s.Retention, s.Seed),
-		fleet:  f,
-		router: route.New(f, s.Seed),
-		shares: newShares(s),
-		calls:  make(map[string]*running),
-		budget: dedup.NewBudget(),
-		drain:  s.Drain,
+		host:      s.Host,
+		fold:      config.NewFold(),
+		relay:     relay.New(s.IsolationLimit, s.Seed),
+		points:    newCheckpoints(s.Retention, s.Seed),
+		fleet:     f,
+		router:    route.New(f, s.Seed),
+		shares:    newShares(s),
+		calls:     make(map[string]*running),
+		budget:    dedup.NewBudget(),
+		drain:     s.Drain,
+		placement: newPlacement(s.Placement),
 	}
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -50,13 +50,15 @@
 		return c.shareEvent(now, e)
 	case *wirepb.Envelope_Claim:
 		return c.reported(now, e, body.Claim.GetReport())
+	case *wirepb.Envelope_Place:
+		return c.placed(e, body.Place)
 	}
 	return nil
 }
 
 func (c *Core) tick(now time.Time) []Effect {
 	c.fleet.Tick(now)
-	effects := c.configTick(now)
+	effects := append(c.configTick(now), c.plan(now)...)
 	if now.Sub(c.beatAt) < heartbeatInterval {
 		return effects
 	}
