Queue calls fairly between customers and refuse hopeless ones early

Cause: the agent's queue was first in, first out, so one customer could fill it and batch work stood before interactive work.

Change: two classes, interactive before batch with a tenth of the tokens kept for batch; within a class the customer with the lowest counter of weighted tokens goes next, settled by what was used. A full queue makes room by the newest call of whoever holds most of it for its weight. The agent learns the pace of its endpoint, refuses calls that can't end by their deadline, and tells when to come back.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -17,23 +17,38 @@
 			Err: err,
 		}}
 	}
-	queued := c.waiting.Push(now, queue.Item[uint64]{
-		Value:    call.Key,
-		Customer: r.GetCustomer(),
-		Weight:   r.GetWeight(),
-		Batch:    r.GetBatch(),
-		Cost:     int(r.GetPromptTokens() + r.GetMaxTokens()),
-		Deadline: now.Add(time.Duration(r.GetTimeoutMs()) * time.Millisecond),
-	})
+	item := itemOf(now, call)
+	if c.hopeless(now, item) {
+		err := fault.New(fault.NotRun, fault.CodeBusy, "the queue is longer than the time to the deadline")
+		return []Effect{c.busy(call.Key, err)}
+	}
+	displaced, queued := c.waiting.Push(now, item)
 	if !queued {
-		err := fault.New(fault.NotRun, fault.CodeBusy, "the endpoint's queue is full")
-		return []Effect{Refuse{
-			Key: call.Key,
-			Err: fault.WithRetryAfter(err, busyRetryAfter),
-		}}
+		return []Effect{c.busy(call.Key, fault.New(fault.NotRun, fault.CodeBusy, "the endpoint's queue is full"))}
 	}
 	c.calls[call.Key] = call
-	return c.start(now)
+	var effects []Effect
+	for _, d := range displaced {
+		delete(c.calls, d.Value)
+		err := fault.New(fault.NotRun, fault.CodeBusy, "the queue is full and other customers have less of it")
+		effects = append(effects, c.busy(d.Value, err))
+	}
+	return append(effects, c.start(now)...)
+}
+
+// busy refuses a call that was not started and tells when to come back.
+func (c *Core) busy(key uint64, err error) Effect {
+	return Refuse{
+		Key: key,
+		Err: fault.WithRetryAfter(err, c.pace.retryAfter(c.waiting.Cost())),
+	}
+}
+
+// hopeless reports whether a call that has to wait can't end by its deadline.
+// One that starts at once is never refused, so a wrong pace corrects itself.
+func (c *Core) hopeless(now time.Time, item queue.Item[uint64]) bool {
+	wait := c.pace.wait(c.waiting.Ahead(item))
+	return wait > 0 && now.Add(wait+c.pace.service(item.Cost)).After(item.Deadline)
 }
 
 // admit says why a call can't be taken, nil if it can.
@@ -72,6 +87,7 @@
 			break
 		}
 		c.running[item.Value] = true
+		c.pace.begin(now, item)
 		effects = append(effects, Start{Key: item.Value})
 	}
 	return effects
@@ -91,9 +107,12 @@
 	return effects
 }
 
-func (c *Core) ended(now time.Time, key uint64) []Effect {
-	delete(c.running, key)
-	delete(c.calls, key)
+func (c *Core) ended(now time.Time, e Ended) []Effect {
+	if item, ran := c.pace.end(now, e.Key, e.Used > 0); ran && e.Used > 0 {
+		c.waiting.Settle(item, e.Used)
+	}
+	delete(c.running, e.Key)
+	delete(c.calls, e.Key)
 	return append(c.start(now), c.finish()...)
 }
 
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -10,8 +10,6 @@
 const (
 	// reportInterval is how often entries are told of the load.
 	reportInterval = 250 * time.Millisecond
-	// busyRetryAfter is what callers are told when the queue is full.
-	busyRetryAfter = time.Second
 	// queuePerSlot bounds the calls that wait for each slot.
 	queuePerSlot = 4
 )
@@ -23,6 +21,7 @@
 	slots       int
 
 	waiting  *queue.Queue[uint64]
+	pace     *pace
 	calls    map[uint64]Call
 	running  map[uint64]bool
 	report   plat.Report
@@ -49,6 +48,7 @@
 		plain:       s.Plain,
 		slots:       s.Slots,
 		waiting:     queue.New[uint64](s.Slots * queuePerSlot),
+		pace:        newPace(s.Slots),
 		calls:       make(map[uint64]Call),
 		running:     make(map[uint64]bool),
 	}
@@ -60,7 +60,7 @@
 	case Arrived:
 		return c.arrived(now, e.Call)
 	case Ended:
-		return c.ended(now, e.Key)
+		return c.ended(now, e)
 	case Abandoned:
 		return c.abandoned(now, e.Key)
 	case Reported:
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -24,6 +24,8 @@
 	// Ended says that a started call is over.
 	Ended struct {
 		Key uint64
+		// Used is the work in tokens of a whole answer, 0 without one.
+		Used int
 	}
 	// Abandoned says that the entry closed a call before its end.
 	Abandoned struct{ Key uint64 }
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -226,16 +226,32 @@
 func (s *Server) carryOut(key uint64, d decision, closed <-chan struct{}, call *wire.Call, r *wirepb.CallRequest) {
 	err := d.err
 	if d.start {
-		err = s.forward(closed, call, r)
-		s.loop.Post(Ended{Key: key})
+		used := 0
+		err = s.forward(closed, r, func(f *wirepb.CallFrame) error {
+			used = max(used, usedTokens(r, f.GetEnd()))
+			return call.SendFrame(f)
+		})
+		s.loop.Post(Ended{
+			Key:  key,
+			Used: used,
+		})
 	}
 	if err != nil {
 		_ = call.SendFrame(failure(err)) // the entry asks again if this is lost
 	}
 }
 
+// usedTokens returns the work of a whole answer in tokens, 0 before its end.
+func usedTokens(r *wirepb.CallRequest, end *wirepb.End) int {
+	if end == nil {
+		return 0
+	}
+	prompt := max(end.GetPromptTokens(), r.GetPromptTokens())
+	return max(1, int(prompt+end.GetCompletionTokens()))
+}
+
 // forward runs a call at the endpoint; the entry's closing cancels it.
-func (s *Server) forward(closed <-chan struct{}, call *wire.Call, r *wirepb.CallRequest) error {
+func (s *Server) forward(closed <-chan struct{}, r *wirepb.CallRequest, send sink) error {
 	l := s.upstream.take()
 	over := make(chan struct{})
 	watched := make(chan struct{})
@@ -251,7 +267,7 @@
 			l.cancel()
 		}
 	}()
-	err := s.upstream.run(l, r, call.SendFrame)
+	err := s.upstream.run(l, r, send)
 	close(over)
 	<-watched
 	return err
--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,267 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dogwoodfold/internal/queue"
+)
+
+const (
+	largestCost = 100
+	limit       = 24
+)
+
+var now = time.Unix(0, 0)
+
+// weights are the customers' weights by name.
+var weights = map[string]float64{"a": 1, "b": 1, "c": 2, "d": 4}
+
+func drawItem(t *rapid.T, value int) queue.Item[int] {
+	customer := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "customer")
+	return queue.Item[int]{
+		Value:    value,
+		Customer: customer,
+		Weight:   weights[customer],
+		Batch:    rapid.Bool().Draw(t, "batch"),
+		Cost:     rapid.IntRange(1, largestCost).Draw(t, "cost"),
+	}
+}
+
+// TestNothingLostOrDoubled checks that each call leaves once, the queue stays
+// bounded and its sums are right.
+func TestNothingLostOrDoubled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New[int](limit)
+		waiting := make(map[int]queue.Item[int])
+		leave := func(item queue.Item[int]) {
+			if _, ok := waiting[item.Value]; !ok {
+				t.Fatalf("call %d left, but was not waiting", item.Value)
+			}
+			delete(waiting, item.Value)
+		}
+		for step := range rapid.IntRange(1, 150).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0:
+				if item, ok := q.Pop(now); ok {
+					leave(item)
+					q.Settle(item, rapid.IntRange(0, item.Cost).Draw(t, "used"))
+				}
+			case 1:
+				k := rapid.IntRange(2, 9).Draw(t, "divisor")
+				for _, item := range q.Remove(func(i queue.Item[int]) bool { return i.Value%k == 0 }) {
+					leave(item)
+				}
+			default:
+				item := drawItem(t, step)
+				displaced, ok := q.Push(now, item)
+				for _, d := range displaced {
+					leave(d)
+				}
+				if ok {
+					waiting[item.Value] = item
+				}
+			}
+			cost := 0
+			for _, item := range waiting {
+				cost += item.Cost
+			}
+			if q.Len() != len(waiting) || q.Cost() != cost || q.Len() > limit {
+				t.Fatalf("len %d cost %d, want %d and %d, at most %d", q.Len(), q.Cost(), len(waiting), cost, limit)
+			}
+		}
+	})
+}
+
+// TestFairBetweenBacklogged checks the distance of the weighted tokens of any
+// two customers that always have work. One of them uses less than expected.
+func TestFairBetweenBacklogged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const unsettled = 4
+		q := queue.New[int](limit)
+		served := make(map[string]float64)
+		var running []queue.Item[int]
+		push := func(name string) {
+			q.Push(now, queue.Item[int]{
+				Customer: name,
+				Weight:   weights[name],
+				Cost:     rapid.IntRange(1, largestCost).Draw(t, "cost"),
+			})
+		}
+		for name := range weights {
+			push(name)
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			item, _ := q.Pop(now)
+			push(item.Customer)
+			running = append(running, item)
+			served[item.Customer] += float64(item.Cost) / item.Weight
+			if len(running) > unsettled {
+				done := running[0]
+				running = running[1:]
+				used := done.Cost
+				if done.Customer == "a" {
+					used = rapid.IntRange(1, done.Cost).Draw(t, "used")
+				}
+				q.Settle(done, used)
+				served[done.Customer] -= float64(done.Cost-used) / done.Weight
+			}
+			for a := range weights {
+				for b := range weights {
+					if d := served[a] - served[b]; d > (unsettled+2)*largestCost {
+						t.Fatalf("%s is %v weighted tokens ahead of %s", a, d, b)
+					}
+				}
+			}
+		}
+	})
+}
+
+// TestShareOfQueueIsKept checks that a customer within its weighted share of
+// the queue is never refused and never displaced.
+func TestShareOfQueueIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New[int](limit)
+		total := 0.0
+		for _, w := range weights {
+			total += w
+		}
+		calls := make(map[string]int)
+		within := func(name string, n int) bool { return float64(n) <= limit*weights[name]/total }
+		for step := range rapid.IntRange(1, 150).Draw(t, "steps") {
+			if rapid.IntRange(0, 9).Draw(t, "pop") == 0 {
+				if item, ok := q.Pop(now); ok {
+					calls[item.Customer]--
+				}
+				continue
+			}
+			item := drawItem(t, step)
+			if rapid.Bool().Draw(t, "flood") {
+				item.Customer, item.Weight = "a", weights["a"]
+			}
+			displaced, ok := q.Push(now, item)
+			if !ok && within(item.Customer, calls[item.Customer]+1) {
+				t.Fatalf("%s was refused with %d calls of %d", item.Customer, calls[item.Customer], limit)
+			}
+			if ok {
+				calls[item.Customer]++
+			}
+			for _, d := range displaced {
+				if d.Customer != item.Customer && within(d.Customer, calls[d.Customer]) {
+					t.Fatalf("%s lost a call with %d of %d", d.Customer, calls[d.Customer], limit)
+				}
+				calls[d.Customer]--
+			}
+		}
+	})
+}
+
+// TestBatchFloor checks how much interactive work a batch call can wait for,
+// and that interactive work keeps nine tenths.
+func TestBatchFloor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New[int](limit)
+		push := func(batch bool) {
+			q.Push(now, queue.Item[int]{
+				Customer: fmt.Sprint(batch),
+				Batch:    batch,
+				Cost:     rapid.IntRange(1, largestCost).Draw(t, "cost"),
+			})
+		}
+		push(true)
+		push(false)
+		var interactive, batch, since float64
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			item, _ := q.Pop(now)
+			push(item.Batch)
+			if item.Batch {
+				batch += float64(item.Cost)
+				since = 0
+				if batch > interactive/9+2*largestCost {
+					t.Fatalf("batch got %v of %v tokens", batch, batch+interactive)
+				}
+				continue
+			}
+			interactive += float64(item.Cost)
+			since += float64(item.Cost)
+			if since > 9*largestCost+largestCost {
+				t.Fatalf("batch waits for %v tokens", since)
+			}
+		}
+	})
+}
+
+// TestNoCustomerStarves checks that a call of a small customer is served after
+// a bounded amount of work while large ones keep the queue full.
+func TestNoCustomerStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New[int](limit)
+		flood := func(step int) {
+			for q.Len() < limit {
+				item := drawItem(t, step)
+				if item.Customer == "b" {
+					item.Customer = "a"
+				}
+				item.Weight = weights[item.Customer]
+				item.Batch = false
+				q.Push(now, item)
+			}
+		}
+		flood(0)
+		small := queue.Item[int]{
+			Value:    -1,
+			Customer: "b",
+			Weight:   weights["b"],
+			Cost:     largestCost,
+		}
+		ahead := q.Ahead(small)
+		if _, ok := q.Push(now, small); !ok {
+			t.Fatal("the small customer was refused")
+		}
+		work := 0
+		for step := 1; ; step++ {
+			item, _ := q.Pop(now)
+			if item.Value == small.Value {
+				break
+			}
+			work += item.Cost
+			flood(step)
+			// Each customer may be ahead by one call for its weight.
+			if bound := ahead + 3*largestCost; work > bound {
+				t.Fatalf("waits for %d tokens, bound %d", work, bound)
+			}
+		}
+	})
+}
+
+func TestReturningCustomerHasSavedNothing(t *testing.T) {
+	q := queue.New[int](limit)
+	push := func(name string, value int) {
+		q.Push(now, queue.Item[int]{
+			Value:    value,
+			Customer: name,
+			Cost:     10,
+		})
+	}
+	push("b", 0)
+	q.Pop(now)
+	for range 100 {
+		push("a", 0)
+		q.Pop(now)
+	}
+	got := ""
+	for range 4 {
+		push("a", 0)
+		push("b", 0)
+	}
+	for range 6 {
+		item, _ := q.Pop(now)
+		got += item.Customer
+	}
+	if got != "ababab" && got != "bababa" {
+		t.Errorf("served %s, want turns", got)
+	}
+}
