Route by the expected time to the first token

Cause: the router compared three agents by their last reported call count only; it knew neither prompts, pace, network, failing nor silent agents.

Change: an agent reports its work in tokens, its learned pace and when its prompts are prefilled; an entry corrects this by its own calls sent and answered since, and adds the part of the prompt that is not cached, the network and a learned slowness. Sampled are two agents of the own zone, two of others and the best holder of the prompt. Three failures in a row, or a call overdue without a sign of life, eject an agent, while half of the holders stay; a probe at a time ends it. Prompts are named by a chain of xxhash block hashes, remembered for each agent within a bound, at half their worth after a gap in its cache events. Holders are indexed until the fleet changes. A caller that leaves has a code of its own, so that it does not count as the endpoint's failure.

Seen failing with the mechanism left out (route_test.go, prefix_test.go): - floor: "no agent for m, though map[agent-3:true] are live" - silence, tried: "agent-1 was chosen for m, live are map[]" - holders: "agent-0 was chosen for n, live are map[]" - fleet version: "no agent for m, though map[agent-0:true] are live" - ejection, single probe: "a second call went to an agent ... probed" - overdue calls: "an agent that answers nothing was picked 50 times" - slowness: "a slow agent was picked 50 times" - own calls: "an agent with 12 calls was picked 50 times" - lag: "the agent with the longer queue was picked 50 times" - gap: "341 of 341 tokens are expected, want half" - cache in the cost, bound of the cache: likewise

--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -26,9 +26,9 @@
 		Models:                 held(c.report.Residents),
 		PrefillTokensPerSecond: c.report.PrefillPerSecond,
 		DecodeTokensPerSecond:  c.report.DecodePerSecond,
-	}
-	if !c.reportAt.IsZero() {
-		report.AgeMs = uint32(now.Sub(c.reportAt).Milliseconds())
+		RunningTokens:          uint64(c.pace.cost),
+		NsPerToken:             uint64(c.pace.perToken),
+		PrefillMs:              uint32(max(0, c.pace.prefillFree.Sub(now)).Milliseconds()),
 	}
 	return &wirepb.Envelope{Body: &wirepb.Envelope_Load{Load: report}}
 }
--- a/internal/agent/pace.go
+++ b/internal/agent/pace.go
@@ -23,6 +23,8 @@
 	perToken time.Duration
 	started  map[uint64]start
 	cost     int
+	// prefillFree is when all started prompts will be prefilled.
+	prefillFree time.Time
 }
 
 // start is a running call.
@@ -47,6 +49,18 @@
 	p.cost += item.Cost
 }
 
+// prefill notes a started prompt of tokens that are not cached; rate is the
+// endpoint's in tokens a second, 0 if it is not known.
+func (p *pace) prefill(now time.Time, tokens int, rate float64) {
+	if rate <= 0 || tokens <= 0 {
+		return
+	}
+	if p.prefillFree.Before(now) {
+		p.prefillFree = now
+	}
+	p.prefillFree = p.prefillFree.Add(time.Duration(float64(tokens) / rate * float64(time.Second)))
+}
+
 // end learns from a call that ran. It returns the call's item.
 func (p *pace) end(now time.Time, key uint64, whole bool) (item queue.Item[uint64], ok bool) {
 	s, ok := p.started[key]
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -185,6 +185,6 @@
 // Close implements io.Closer; the server calls it at the end or when the
 // caller has gone.
 func (r *streamReader) Close() error {
-	_ = r.conclude(fault.New(fault.MayHaveRun, fault.CodeCut, "the caller has gone"), nil)
+	_ = r.conclude(fault.New(fault.MayHaveRun, fault.CodeCallerGone, "the caller has gone"), nil)
 	return r.call.Close()
 }
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -12,6 +12,7 @@
 	Call
 	attempt int
 	host    string
+	ticket  *route.Ticket
 	tried   map[string]bool
 	// unsure is the failure of an attempt that may have run, nil if none has.
 	unsure error
@@ -72,22 +73,15 @@
 	if r.Keyed && !c.keyValid(r.Call) {
 		return c.giveUp(now, r, fault.New(fault.NotRun, fault.CodeWithdrawn, "the key was withdrawn"))
 	}
-	peer := c.router.Pick(now, route.Query{
-		Service: r.Route.Service,
-		Model:   r.Model,
-		Version: r.Version,
-		Adapter: r.Adapter,
-		Tokens:  int(r.Tokens),
-		Tried:   r.tried,
-	})
+	query := r.query()
+	peer := c.router.Pick(now, query)
 	if peer == nil {
 		err := fault.New(fault.NotRun, fault.CodeNoEndpoint, "no endpoint can take the call now")
 		return c.giveUp(now, r, fault.WithRetryAfter(err, noEndpointRetryAfter))
 	}
 	r.attempt++
 	r.host = peer.Host.Name
-	peer.Sent++
-	peer.SentTokens += int(r.Tokens)
+	r.ticket = c.router.Sent(now, peer, query)
 	return []Effect{Send{
 		ID:           r.ID,
 		Attempt:      r.attempt,
@@ -95,6 +89,7 @@
 		Incarnation:  peer.Incarnation,
 		Weight:       c.index.Text.Customers[r.Customer].Weight,
 		ConfigOffset: c.fold.Accepted,
+		Cached:       r.ticket.Cached,
 	}}
 }
 
@@ -124,10 +119,7 @@
 	if !known || r.attempt != e.Attempt {
 		return nil
 	}
-	if peer := c.fleet.Peer(r.host); peer != nil {
-		peer.Sent = max(0, peer.Sent-1)
-		peer.SentTokens = max(0, peer.SentTokens-int(r.Tokens))
-	}
+	c.routed(now, r, e.Outcome)
 	if e.Outcome.Err == nil {
 		c.settle(now, r, e.Outcome.Used)
 		return c.finish()
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -25,6 +25,7 @@
 	// Share is this entry's fixed share of every customer's rate and burst.
 	Share float64
 	Seed  uint64
+	Zones route.Zones
 }
 
 // Core is the reducer of an entry.
@@ -46,7 +47,7 @@
 	return &Core{
 		fold:   config.NewFold(),
 		fleet:  f,
-		router: route.New(f, s.Seed),
+		router: route.New(f, s.Zones, s.Seed),
 		quota:  quota.NewLimiter(s.Share),
 		calls:  make(map[string]*running),
 	}
@@ -59,6 +60,8 @@
 		return c.arrived(now, e.Call)
 	case Answered:
 		return c.answered(now, e)
+	case Begun:
+		return c.begun(now, e)
 	case HostsRead:
 		return c.listed(e.Hosts)
 	case LogRead:
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -25,6 +25,11 @@
 	Adapter  string
 	// Tokens is what the call reserves: prompt and answer.
 	Tokens float64
+	// Prompt is the part of Tokens before the answer, Blocks the hashes of the
+	// prompt's blocks.
+	Prompt  int
+	Blocks  []uint64
+	Streams bool
 	// IdempotencyKey is the caller's own, empty if none was given.
 	IdempotencyKey string
 	Deadline       time.Time
@@ -51,6 +56,11 @@
 		Attempt int
 		Outcome Outcome
 	}
+	// Begun says that the first part of a streamed answer has come.
+	Begun struct {
+		ID      string
+		Attempt int
+	}
 	// HostsRead brings the platform's list of hosts.
 	HostsRead struct{ Hosts []plat.Host }
 	// LogRead brings a page of a stream of the log.
@@ -95,6 +105,7 @@
 
 func (Arrived) isEvent()   {}
 func (Answered) isEvent()  {}
+func (Begun) isEvent()     {}
 func (HostsRead) isEvent() {}
 func (LogRead) isEvent()   {}
 func (LogFailed) isEvent() {}
@@ -119,6 +130,8 @@
 		Weight      float64
 		// ConfigOffset is the configuration that the decision rests on.
 		ConfigOffset uint64
+		// Cached is how many tokens of the prompt are expected to be cached.
+		Cached int
 	}
 	// Refuse ends a call with an error.
 	Refuse struct {
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -203,6 +203,7 @@
 	x.request.TimeoutMs = uint32(left.Milliseconds()) + 1
 	x.request.Weight = e.Weight
 	x.request.ConfigOffset = e.ConfigOffset
+	x.request.CachedTokens = uint32(e.Cached)
 	if err := call.SetDeadline(x.call.Deadline); err != nil {
 		return nil, fault.Wrap(err, fault.NotRun, fault.CodeLink)
 	}
@@ -238,7 +239,13 @@
 	x.ctx.SetBodyStream(&streamReader{
 		call:     call,
 		deadline: x.call.Deadline,
-		first:    func() { s.metrics.firstToken(x, time.Since(x.started)) },
+		first: func() {
+			s.metrics.firstToken(x, time.Since(x.started))
+			s.loop.Post(Begun{
+				ID:      x.call.ID,
+				Attempt: e.Attempt,
+			})
+		},
 		finish: func(err error, end *wirepb.End, events int) {
 			err = x.cause(err)
 			s.loop.Post(Answered{
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -10,6 +10,7 @@
 // listed takes over the host list and connects to the agents and entries.
 func (c *Core) listed(hosts []plat.Host) []Effect {
 	c.fleet.Listed(hosts)
+	c.router.Sweep()
 	var targets []plat.Host
 	for _, role := range []string{plat.RoleAgent, plat.RoleEntry} {
 		for _, peer := range c.fleet.Peers(role) {
@@ -23,6 +24,8 @@
 	switch body := e.Message.GetBody().(type) {
 	case *wirepb.Envelope_Load:
 		c.fleet.Reported(now, e.Host, body.Load)
+	case *wirepb.Envelope_Cache:
+		c.router.Cached(e.Host, body.Cache)
 	case *wirepb.Envelope_Heartbeat:
 		c.fleet.Heard(now, e.Host, body.Heartbeat)
 	}
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/prefix"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/config"
 	"dogwoodfold/pkg/fault"
@@ -43,6 +44,9 @@
 	Model     string `json:"model"`
 	Stream    bool   `json:"stream"`
 	MaxTokens *int   `json:"max_tokens"`
+	// Prompt or Messages is the prompt, read only for its blocks.
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages json.RawMessage `json:"messages"`
 }
 
 // resolve checks a request against the configuration and builds what is sent
@@ -170,6 +174,9 @@
 	prompt := len(r.request.GetBody())/bytesPerToken + 1
 	r.call.Model, r.call.Version, r.call.Adapter = model, version, adapter
 	r.call.Tokens = float64(prompt + limit)
+	r.call.Prompt = prompt
+	r.call.Blocks = prefix.Chain(body.Model, append(body.Prompt, body.Messages...))
+	r.call.Streams = body.Stream
 	r.request.Model, r.request.Version, r.request.Adapter = model, version, adapter
 	r.request.Stream = body.Stream
 	r.request.PromptTokens = uint32(prompt)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,10 +25,6 @@
 	// Load is the last load report, nil before the first.
 	Load   *wirepb.LoadReport
 	LoadAt time.Time
-	// Sent counts the calls sent and not yet answered, SentTokens their
-	// reserved tokens.
-	Sent       int
-	SentTokens int
 }
 
 // Linked reports whether there is a session to the peer.
@@ -49,8 +45,10 @@
 
 // Fleet is the set of known hosts.
 type Fleet struct {
-	self  string
-	peers map[string]*Peer
+	self string
+	// version rises with each change of who can take what.
+	version uint64
+	peers   map[string]*Peer
 }
 
 // New returns a fleet that knows only the host named self.
@@ -61,8 +59,12 @@
 	}
 }
 
+// Version changes whenever Agents, or what an agent serves, may have changed.
+func (f *Fleet) Version() uint64 { return f.version }
+
 // Listed takes over the platform's list.
 func (f *Fleet) Listed(hosts []plat.Host) {
+	f.version++
 	listed := make(map[string]bool)
 	for _, host := range hosts {
 		if host.Name == f.self {
@@ -93,14 +95,14 @@
 	}
 	p.Incarnation = hello.GetIncarnation()
 	p.HeardAt = now
-	p.Sent = 0
-	p.SentTokens = 0
+	f.version++
 }
 
 // Down notes the end of a session of an incarnation.
 func (f *Fleet) Down(name string, incarnation uint64) {
 	if p, known := f.peers[name]; known && p.Incarnation == incarnation {
 		p.Incarnation = 0
+		f.version++
 	}
 }
 
@@ -112,7 +114,7 @@
 	}
 	p.HeardAt = now
 	p.ConfigOffset = max(p.ConfigOffset, beat.GetConfigOffset())
-	p.Leaving = p.Leaving || beat.GetLeaving()
+	f.leave(p, beat.GetLeaving())
 }
 
 // Reported takes over a load report; an older one than the last is dropped.
@@ -122,9 +124,28 @@
 		return
 	}
 	p.HeardAt = now
+	if p.Load == nil || !sameModels(p.Load.GetModels(), report.GetModels()) {
+		f.version++
+	}
 	p.Load = report
 	p.LoadAt = now
-	p.Leaving = p.Leaving || report.GetLeaving()
+	f.leave(p, report.GetLeaving())
+}
+
+// leave notes that a peer has said that it leaves.
+func (f *Fleet) leave(p *Peer, leaving bool) {
+	if leaving && !p.Leaving {
+		p.Leaving = true
+		f.version++
+	}
+}
+
+// sameModels reports whether two reports hold the same in the same order.
+func sameModels(a, b []*wirepb.HeldModel) bool {
+	return slices.EqualFunc(a, b, func(x, y *wirepb.HeldModel) bool {
+		return x.GetModel() == y.GetModel() && x.GetVersion() == y.GetVersion() &&
+			slices.Equal(x.GetAdapters(), y.GetAdapters())
+	})
 }
 
 // Peer returns a known host, nil if there is none of that name.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,4 +1,5 @@
-// Package route chooses the endpoint for a call.
+// Package route chooses the endpoint for a call: of a few sampled holders of
+// the model, the one with the lowest expected time to the first token.
 package route
 
 import (
@@ -15,58 +16,172 @@
 	Model   string
 	Version string
 	Adapter string
-	Tokens  int
+	// Tokens is the whole expected work, Prompt the part before the answer.
+	Tokens int
+	Prompt int
+	// Blocks are the hashes of the prompt's blocks.
+	Blocks []uint64
+	// Streams says that the first token comes before the whole answer.
+	Streams bool
 	// Tried names the agents that have refused the call already.
 	Tried map[string]bool
 }
 
-// samples is how many candidates are compared for one call.
-const samples = 3
+// Zones tells what the network costs.
+type Zones struct {
+	// Self is the zone of this entry.
+	Self string
+	// Latency is the one-way latency to other zones, by zone.
+	Latency map[string]time.Duration
+	// Default is the latency to zones that are not listed.
+	Default time.Duration
+}
+
+// samples is how many agents of the own zone, and as many of other zones, are
+// compared for one call.
+const samples = 2
+
+// silence is how long an agent may be unheard and still get calls.
+const silence = 3 * time.Second
+
+// spillMargin is what a call to another zone has to gain beyond the network.
+const spillMargin = 2 * time.Millisecond
 
 // Router chooses among the agents of a fleet.
 type Router struct {
 	fleet  *fleet.Fleet
+	zones  Zones
 	random *rand.Rand
+	tracks map[string]*track
+	index  index
 }
 
 // New returns a router over a fleet with its own seeded random source.
-func New(f *fleet.Fleet, seed uint64) *Router {
+func New(f *fleet.Fleet, zones Zones, seed uint64) *Router {
 	return &Router{
 		fleet:  f,
+		zones:  zones,
 		random: rand.New(rand.NewPCG(seed, 0)),
+		tracks: make(map[string]*track),
 	}
 }
 
 // Pick returns the agent to send a call to, nil if none can take it.
-func (r *Router) Pick(_ time.Time, q Query) *fleet.Peer {
+func (r *Router) Pick(now time.Time, q Query) *fleet.Peer {
 	var best *fleet.Peer
-	candidates := r.candidates(q)
-	r.random.Shuffle(len(candidates), func(i, j int) {
-		candidates[i], candidates[j] = candidates[j], candidates[i]
-	})
-	for _, p := range candidates[:min(samples, len(candidates))] {
-		if best == nil || backlog(p) < backlog(best) {
-			best = p
+	var lowest time.Duration
+	for _, p := range r.sample(r.reachable(now, q), q) {
+		if cost := r.cost(now, p, q); best == nil || cost < lowest {
+			best, lowest = p, cost
 		}
 	}
 	return best
 }
 
-func (r *Router) candidates(q Query) []*fleet.Peer {
-	var candidates []*fleet.Peer
-	for _, p := range r.fleet.Agents(q.Service) {
-		if q.Tried[p.Host.Name] || p.Load == nil {
-			continue
+// reachable returns the holders that may get the call. Ejected ones are left
+// out as long as half of the holders, and at least one, remain.
+func (r *Router) reachable(now time.Time, q Query) []*fleet.Peer {
+	var sound, ejected []*fleet.Peer
+	for _, p := range r.index.holders(r.fleet, q) {
+		switch {
+		case q.Tried[p.Host.Name] || now.Sub(p.HeardAt) > silence:
+		case r.track(p).ejected(now):
+			ejected = append(ejected, p)
+		default:
+			sound = append(sound, p)
+		}
+	}
+	floor := (len(sound) + len(ejected) + 1) / 2
+	for len(sound) < floor {
+		least := 0
+		for i, p := range ejected {
+			if r.track(p).health.until.Before(r.track(ejected[least]).health.until) {
+				least = i
+			}
+		}
+		sound = append(sound, ejected[least])
+		ejected = append(ejected[:least], ejected[least+1:]...)
+	}
+	return sound
+}
+
+// sample returns a few agents of the own zone, a few of others, and the one
+// that is expected to have most of the prompt cached.
+func (r *Router) sample(holders []*fleet.Peer, q Query) []*fleet.Peer {
+	r.random.Shuffle(len(holders), func(i, j int) {
+		holders[i], holders[j] = holders[j], holders[i]
+	})
+	var picked []*fleet.Peer
+	var cached *fleet.Peer
+	var most float64
+	near, far := 0, 0
+	for _, p := range holders {
+		count := &far
+		if p.Host.Zone == r.zones.Self {
+			count = &near
 		}
-		if q.Model == "" || p.Serves(q.Model, q.Version, q.Adapter) {
-			candidates = append(candidates, p)
+		if *count < samples {
+			*count++
+			picked = append(picked, p)
 		}
+		if n := r.track(p).cache.Expected(q.Blocks); n > most {
+			most, cached = n, p
+		}
+	}
+	if cached != nil {
+		picked = append(picked, cached)
 	}
-	return candidates
+	return picked
+}
+
+// cost returns the expected time to the first token at an agent.
+func (r *Router) cost(now time.Time, p *fleet.Peer, q Query) time.Duration {
+	return r.track(p).expected(now, p, q) + r.network(p)
 }
 
-// backlog returns the calls at a peer in relation to its slots.
-func backlog(p *fleet.Peer) float64 {
-	calls := max(p.Sent, int(p.Load.GetRunning()+p.Load.GetQueued()))
-	return float64(calls) / float64(max(1, p.Load.GetSlots()))
+// network returns the cost of the way to an agent and back.
+func (r *Router) network(p *fleet.Peer) time.Duration {
+	if p.Host.Zone == r.zones.Self {
+		return 0
+	}
+	return 2*r.latency(p) + spillMargin
+}
+
+func (r *Router) latency(p *fleet.Peer) time.Duration {
+	if p.Host.Zone == r.zones.Self {
+		return 0
+	}
+	if latency, listed := r.zones.Latency[p.Host.Zone]; listed {
+		return latency
+	}
+	return r.zones.Default
+}
+
+// maxBlocks bounds the blocks remembered for all agents together, maxPerAgent
+// those for one.
+const (
+	maxBlocks   = 1 << 20
+	maxPerAgent = 4 << 10
+)
+
+// track returns what is known of an agent's running process.
+func (r *Router) track(p *fleet.Peer) *track {
+	t, known := r.tracks[p.Host.Name]
+	if !known || t.incarnation != p.Incarnation {
+		t = newTrack(p.Incarnation, min(maxPerAgent, maxBlocks/max(1, len(r.tracks))))
+		r.tracks[p.Host.Name] = t
+	}
+	if sequence := p.Load.GetSequence(); sequence != t.sequence {
+		t.reported(p, p.LoadAt.Add(-r.latency(p)))
+	}
+	return t
+}
+
+// Sweep forgets the agents that have left the fleet.
+func (r *Router) Sweep() {
+	for name := range r.tracks {
+		if r.fleet.Peer(name) == nil {
+			delete(r.tracks, name)
+		}
+	}
 }
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -59,6 +59,7 @@
 	CodeWithdrawn     Code = "key_withdrawn"
 	CodeFenced        Code = "entry_fenced"
 	CodeUnknownResult Code = "outcome_unknown"
+	CodeCallerGone    Code = "caller_gone"
 	CodeInternal      Code = "internal"
 )
 
@@ -138,6 +139,7 @@
 	CodeConflict:      409,
 	CodeUnknownResult: 409,
 	CodeRate:          429,
+	CodeCallerGone:    499,
 	CodeNoEndpoint:    503,
 	CodeBusy:          503,
 	CodeLeaving:       503,
