--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -87,9 +87,8 @@
 			break
 		}
 		c.running[item.Value] = true
-		c.pace.begin(now, item)
 		r := c.calls[item.Value].Request
-		c.pace.prefill(now, int(r.GetPromptTokens())-int(r.GetCachedTokens()), c.report.PrefillPerSecond)
+		c.pace.begin(now, item, int(r.GetPromptTokens())-int(r.GetCachedTokens()))
 		effects = append(effects, Start{Key: item.Value})
 	}
 	return effects
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -66,6 +66,9 @@
 	switch e := event.(type) {
 	case Arrived:
 		return c.arrived(now, e.Call)
+	case Begun:
+		c.pace.first(now, e.Key)
+		return nil
 	case Ended:
 		return c.ended(now, e)
 	case Abandoned:
@@ -78,7 +81,7 @@
 		return []Effect{
 			Tell{
 				Session: e.Session,
-				Message: c.load(now),
+				Message: c.load(),
 			},
 			Tell{
 				Session: e.Session,
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -21,6 +21,8 @@
 type (
 	// Arrived says that an entry sent a call.
 	Arrived struct{ Call Call }
+	// Begun says that the first part of a started call's answer has come.
+	Begun struct{ Key uint64 }
 	// Ended says that a started call is over.
 	Ended struct {
 		Key uint64
@@ -73,6 +75,7 @@
 )
 
 func (Arrived) isEvent()   {}
+func (Begun) isEvent()     {}
 func (Ended) isEvent()     {}
 func (Abandoned) isEvent() {}
 func (Reported) isEvent()  {}
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -10,11 +10,11 @@
 // tell sends the load to all entries.
 func (c *Core) tell(now time.Time) []Effect {
 	c.toldAt = now
-	return []Effect{Broadcast{Message: c.load(now)}}
+	return []Effect{Broadcast{Message: c.load()}}
 }
 
 // load returns the load report of this moment.
-func (c *Core) load(now time.Time) *wirepb.Envelope {
+func (c *Core) load() *wirepb.Envelope {
 	c.sequence++
 	report := &wirepb.LoadReport{
 		Sequence:               c.sequence,
@@ -24,11 +24,11 @@
 		Slots:                  uint32(c.slots),
 		Leaving:                c.leaving,
 		Models:                 held(c.serving()),
-		PrefillTokensPerSecond: c.report.PrefillPerSecond,
+		PrefillTokensPerSecond: c.pace.prefillRate(c.report.PrefillPerSecond),
 		DecodeTokensPerSecond:  c.report.DecodePerSecond,
 		RunningTokens:          uint64(c.pace.cost),
 		NsPerToken:             uint64(c.pace.perToken),
-		PrefillMs:              uint32(max(0, c.pace.prefillFree.Sub(now)).Milliseconds()),
+		PrefillTokens:          uint64(c.pace.prefilling),
 	}
 	return &wirepb.Envelope{Body: &wirepb.Envelope_Load{Load: report}}
 }
--- a/internal/agent/pace.go
+++ b/internal/agent/pace.go
@@ -10,6 +10,10 @@
 const (
 	// paceWeight is the weight of the newest call in the learned pace.
 	paceWeight = 0.1
+	// callPrefill is what a call adds to the work on its prompt, in tokens.
+	callPrefill = 64
+	// leastPrefilled is how many tokens make a sample of the prefill rate.
+	leastPrefilled = 2 << 10
 	// shortestRetryAfter bounds what refused callers are told.
 	shortestRetryAfter = 100 * time.Millisecond
 	longestRetryAfter  = 30 * time.Second
@@ -23,14 +27,23 @@
 	perToken time.Duration
 	started  map[uint64]start
 	cost     int
-	// prefillFree is when all started prompts will be prefilled.
-	prefillFree time.Time
+	// prefilling is the work in prompt tokens of the started calls that have
+	// no first token, since prefillFrom. prefilled is what was done since the
+	// last sample, prefillBusy the time that it took up to prefillFrom.
+	prefilling  int
+	prefilled   int
+	prefillFrom time.Time
+	prefillBusy time.Duration
+	// learned is the rate of prompt tokens a second, 0 if it is not known.
+	learned float64
 }
 
 // start is a running call.
 type start struct {
 	item queue.Item[uint64]
 	at   time.Time
+	// prompt is the prompt's work until its first token, then 0.
+	prompt int
 }
 
 func newPace(slots int) *pace {
@@ -40,25 +53,55 @@
 	}
 }
 
-// begin notes that a call runs.
-func (p *pace) begin(now time.Time, item queue.Item[uint64]) {
+// begin notes that a call runs of whose prompt tokens are not cached.
+func (p *pace) begin(now time.Time, item queue.Item[uint64], prompt int) {
+	prompt = max(0, prompt) + callPrefill
 	p.started[item.Value] = start{
-		item: item,
-		at:   now,
+		item:   item,
+		at:     now,
+		prompt: prompt,
 	}
 	p.cost += item.Cost
+	if p.prefilling == 0 {
+		p.prefillFrom = now
+	}
+	p.prefilling += prompt
 }
 
-// prefill notes a started prompt of tokens that are not cached; rate is the
-// endpoint's in tokens a second, 0 if it is not known.
-func (p *pace) prefill(now time.Time, tokens int, rate float64) {
-	if rate <= 0 || tokens <= 0 {
+// first notes the first token of a call.
+func (p *pace) first(now time.Time, key uint64) {
+	s, ok := p.started[key]
+	if !ok || s.prompt == 0 {
 		return
 	}
-	if p.prefillFree.Before(now) {
-		p.prefillFree = now
+	p.prefilling -= s.prompt
+	p.prefilled += s.prompt
+	s.prompt = 0
+	p.started[key] = s
+	p.prefillBusy += now.Sub(p.prefillFrom)
+	p.prefillFrom = now
+	p.learn()
+}
+
+// learn takes a sample of the rate over the time in which there were prompts.
+func (p *pace) learn() {
+	if p.prefilled < leastPrefilled || p.prefillBusy <= 0 {
+		return
+	}
+	rate := float64(p.prefilled) / p.prefillBusy.Seconds()
+	if p.learned == 0 {
+		p.learned = rate
+	}
+	p.learned += paceWeight * (rate - p.learned)
+	p.prefilled, p.prefillBusy = 0, 0
+}
+
+// prefillRate returns the rate of prompt tokens, told until one is learned.
+func (p *pace) prefillRate(told float64) float64 {
+	if p.learned > 0 {
+		return p.learned
 	}
-	p.prefillFree = p.prefillFree.Add(time.Duration(float64(tokens) / rate * float64(time.Second)))
+	return told
 }
 
 // end learns from a call that ran. It returns the call's item.
@@ -69,6 +112,7 @@
 	}
 	delete(p.started, key)
 	p.cost -= s.item.Cost
+	p.prefilling -= s.prompt
 	if whole {
 		took := now.Sub(s.at) / time.Duration(s.item.Cost)
 		if p.perToken == 0 {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -228,8 +228,12 @@
 func (s *Server) carryOut(key uint64, d decision, closed <-chan struct{}, call *wire.Call, r *wirepb.CallRequest) {
 	err := d.err
 	if d.start {
-		used := 0
+		used, begun := 0, false
 		err = s.forward(closed, r, func(f *wirepb.CallFrame) error {
+			if len(f.GetData()) > 0 && !begun {
+				begun = true
+				s.loop.Post(Begun{Key: key})
+			}
 			used = max(used, usedTokens(r, f.GetEnd()))
 			return call.SendFrame(f)
 		})
--- a/internal/engsim/engsim.go
+++ b/internal/engsim/engsim.go
@@ -3,7 +3,6 @@
 package engsim
 
 import (
-	"container/list"
 	"slices"
 	"time"
 )
@@ -22,6 +21,10 @@
 	SequenceStep time.Duration
 	// CacheTokens is the memory for cached prefixes.
 	CacheTokens int
+	// First, if set, is told of each first token.
+	First func(id int, at time.Time)
+	// Cached, if set, is told of each prefix that is stored or evicted.
+	Cached func(model, prefix string, stored bool)
 }
 
 // Default returns the settings of a middling accelerator.
@@ -80,17 +83,14 @@
 	clock    time.Time
 	waiting  []Request
 	running  []*sequence
-	recent   *list.List
-	cached   map[string]*list.Element
-	size     int
+	cache    cache
 }
 
 // New returns an idle engine.
 func New(s Settings) *Engine {
 	return &Engine{
 		settings: s,
-		recent:   list.New(),
-		cached:   make(map[string]*list.Element),
+		cache:    newCache(s),
 	}
 }
 
@@ -123,7 +123,7 @@
 		r := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		s := &sequence{Result: Result{Request: r}}
-		s.Cached = e.hit(r)
+		s.Cached = e.cache.hit(r)
 		s.prefill = max(1, r.Prompt-s.Cached)
 		e.running = append(e.running, s)
 	}
@@ -160,6 +160,9 @@
 		s.tokens++
 		if s.tokens == 1 {
 			s.First = e.clock
+			if e.settings.First != nil {
+				e.settings.First(s.ID, e.clock)
+			}
 		}
 		s.Last = e.clock
 		if s.tokens >= s.Output {
@@ -169,32 +172,3 @@
 	e.running = slices.DeleteFunc(e.running, func(s *sequence) bool { return s.tokens >= max(1, s.Output) })
 	return results
 }
-
-// hit returns the cached tokens of a request's prefix and caches the prefix.
-func (e *Engine) hit(r Request) int {
-	if r.Prefix == "" {
-		return 0
-	}
-	key := r.Model + "\x00" + r.Prefix
-	if element, ok := e.cached[key]; ok {
-		e.recent.MoveToFront(element)
-		return min(r.PrefixTokens, r.Prompt)
-	}
-	e.cached[key] = e.recent.PushFront(cachedPrefix{
-		key:    key,
-		tokens: r.PrefixTokens,
-	})
-	e.size += r.PrefixTokens
-	for e.size > e.settings.CacheTokens && e.recent.Len() > 1 {
-		last := e.recent.Remove(e.recent.Back()).(cachedPrefix)
-		delete(e.cached, last.key)
-		e.size -= last.tokens
-	}
-	return 0
-}
-
-// cachedPrefix is one prefix in the cache.
-type cachedPrefix struct {
-	key    string
-	tokens int
-}
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -44,8 +44,13 @@
 	slowWeight = 0.2
 	// slowMemory is the time in which the slowness fades.
 	slowMemory = 30 * time.Second
-	mostSlow   = 8.0
-	leastSlow  = 0.5
+	// slowSlack keeps short calls from counting as slow.
+	slowSlack = 100 * time.Millisecond
+	// slowTolerance is the factor up to which an agent counts as not slow.
+	slowTolerance = 2.0
+	// normWeight is the weight of the newest call in what all agents take.
+	normWeight = 0.02
+	mostSlow   = 16.0
 )
 
 // slowness is how much longer an agent takes than expected.
@@ -54,15 +59,18 @@
 	asOf   time.Time
 }
 
-// at returns the factor at a time.
-func (s *slowness) at(now time.Time) float64 {
+// at returns what an agent's expected times are multiplied by.
+func (s *slowness) at(now time.Time) float64 { return max(1, s.faded(now)/slowTolerance) }
+
+func (s *slowness) faded(now time.Time) float64 {
 	return 1 + (s.factor-1)*math.Exp(-float64(now.Sub(s.asOf))/float64(slowMemory))
 }
 
-func (s *slowness) observe(now time.Time, took, expected time.Duration) {
-	ratio := float64(took) / float64(max(expected, baseCost))
-	ratio *= s.at(now)
-	ratio = max(leastSlow, min(mostSlow, ratio))
-	s.factor = s.at(now) + slowWeight*(ratio-s.at(now))
+// observe learns from a call; norm is what the agents take on the whole. It
+// returns the new norm.
+func (s *slowness) observe(now time.Time, took, expected time.Duration, norm float64) float64 {
+	ratio := min(mostSlow, s.at(now)*float64(took+slowSlack)/float64(expected+slowSlack))
+	s.factor = s.faded(now) + slowWeight*(ratio/norm-s.faded(now))
 	s.asOf = now
+	return norm + normWeight*(ratio-norm)
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dogwoodfold/internal/fleet"
 )
 
@@ -37,6 +39,17 @@
 	Default time.Duration
 }
 
+// To returns the one-way latency to a zone.
+func (z Zones) To(zone string) time.Duration {
+	if zone == z.Self {
+		return 0
+	}
+	if latency, listed := z.Latency[zone]; listed {
+		return latency
+	}
+	return z.Default
+}
+
 // samples is how many agents of the own zone, and as many of other zones, are
 // compared for one call.
 const samples = 2
@@ -44,6 +57,10 @@
 // silence is how long an agent may be unheard and still get calls.
 const silence = 3 * time.Second
 
+// homeTrust is the part of a prompt that its home is expected to have cached
+// by what other entries have sent there.
+const homeTrust = 0.9
+
 // spillMargin is what a call to another zone has to gain beyond the network.
 const spillMargin = 2 * time.Millisecond
 
@@ -54,6 +71,8 @@
 	random *rand.Rand
 	tracks map[string]*track
 	index  index
+	// norm is how much longer all agents take than expected.
+	norm float64
 }
 
 // New returns a router over a fleet with its own seeded random source.
@@ -63,6 +82,7 @@
 		zones:  zones,
 		random: rand.New(rand.NewPCG(seed, 0)),
 		tracks: make(map[string]*track),
+		norm:   1,
 	}
 }
 
@@ -70,8 +90,9 @@
 func (r *Router) Pick(now time.Time, q Query) *fleet.Peer {
 	var best *fleet.Peer
 	var lowest time.Duration
-	for _, p := range r.sample(r.reachable(now, q), q) {
-		if cost := r.cost(now, p, q); best == nil || cost < lowest {
+	picked, home := r.sample(r.reachable(now, q), q)
+	for _, p := range picked {
+		if cost := r.cost(now, p, q, p == home); best == nil || cost < lowest {
 			best, lowest = p, cost
 		}
 	}
@@ -105,13 +126,13 @@
 	return sound
 }
 
-// sample returns a few agents of the own zone, a few of others, and the one
-// that is expected to have most of the prompt cached.
-func (r *Router) sample(holders []*fleet.Peer, q Query) []*fleet.Peer {
+// sample returns a few agents of the own zone, a few of others, the one that is
+// expected to have most of the prompt cached, and the prompt's home.
+func (r *Router) sample(holders []*fleet.Peer, q Query) (picked []*fleet.Peer, home *fleet.Peer) {
 	r.random.Shuffle(len(holders), func(i, j int) {
 		holders[i], holders[j] = holders[j], holders[i]
 	})
-	var picked []*fleet.Peer
+	home = homeOf(holders, q)
 	var cached *fleet.Peer
 	var most float64
 	near, far := 0, 0
@@ -128,33 +149,58 @@
 			most, cached = n, p
 		}
 	}
-	if cached != nil {
-		picked = append(picked, cached)
+	for _, p := range []*fleet.Peer{cached, home} {
+		if p != nil {
+			picked = append(picked, p)
+		}
 	}
-	return picked
+	return picked, home
 }
 
-// cost returns the expected time to the first token at an agent.
-func (r *Router) cost(now time.Time, p *fleet.Peer, q Query) time.Duration {
-	return r.track(p).expected(now, p, q) + r.network(p)
+// homeBlock is the block of a prompt, or its last one, that names its home.
+const homeBlock = 3
+
+// homeOf returns the agent that all entries prefer for a prompt of which they
+// know nothing, so that they meet at the same cache; nil without blocks.
+func homeOf(holders []*fleet.Peer, q Query) *fleet.Peer {
+	if len(q.Blocks) == 0 {
+		return nil
+	}
+	var home *fleet.Peer
+	highest := uint64(0)
+	block := q.Blocks[min(homeBlock, len(q.Blocks)-1)]
+	for _, p := range holders {
+		if n := xxhash.Sum64String(p.Host.Name) ^ block; home == nil || mix(n) > highest {
+			home, highest = p, mix(n)
+		}
+	}
+	return home
 }
 
-// network returns the cost of the way to an agent and back.
-func (r *Router) network(p *fleet.Peer) time.Duration {
-	if p.Host.Zone == r.zones.Self {
-		return 0
+// mix spreads the bits of a hash (the finalizer of splitmix64).
+func mix(n uint64) uint64 {
+	n = (n ^ n>>30) * 0xbf58476d1ce4e5b9
+	n = (n ^ n>>27) * 0x94d049bb133111eb
+	return n ^ n>>31
+}
+
+// cost returns the expected time to the first token at an agent.
+func (r *Router) cost(now time.Time, p *fleet.Peer, q Query, home bool) time.Duration {
+	t := r.track(p)
+	cost := t.expected(now, p, q) + r.network(p)
+	if home {
+		unknown := homeTrust*float64(len(q.Blocks))*blockTokens - t.cached(q)
+		cost -= prefillTime(p, max(0, unknown))
 	}
-	return 2*r.latency(p) + spillMargin
+	return cost
 }
 
-func (r *Router) latency(p *fleet.Peer) time.Duration {
+// network returns the cost of the way to an agent and back.
+func (r *Router) network(p *fleet.Peer) time.Duration {
 	if p.Host.Zone == r.zones.Self {
 		return 0
 	}
-	if latency, listed := r.zones.Latency[p.Host.Zone]; listed {
-		return latency
-	}
-	return r.zones.Default
+	return 2*r.zones.To(p.Host.Zone) + spillMargin
 }
 
 // maxBlocks bounds the blocks remembered for all agents together, maxPerAgent
@@ -172,7 +218,7 @@
 		r.tracks[p.Host.Name] = t
 	}
 	if sequence := p.Load.GetSequence(); sequence != t.sequence {
-		t.reported(p, p.LoadAt.Add(-r.latency(p)))
+		t.reported(p, p.LoadAt.Add(-r.zones.To(p.Host.Zone)))
 	}
 	return t
 }
--- a/internal/route/ticket.go
+++ b/internal/route/ticket.go
@@ -81,7 +81,7 @@
 func (r *Router) Begun(now time.Time, k *Ticket) {
 	if !k.seen {
 		k.seen = true
-		k.track.slow.observe(now, now.Sub(k.sentAt), k.expected)
+		r.norm = k.track.slow.observe(now, now.Sub(k.sentAt), k.expected, r.norm)
 	}
 }
 
--- a/internal/route/track.go
+++ b/internal/route/track.go
@@ -66,7 +66,7 @@
 	t.moves = t.moves[kept:]
 	t.calls, t.tokens = 0, 0
 	t.busyUntil = time.Time{}
-	t.prefillFree = at.Add(time.Duration(p.Load.GetPrefillMs()) * time.Millisecond)
+	t.prefillFree = at.Add(prefillTime(p, float64(p.Load.GetPrefillTokens())))
 	for _, m := range t.moves {
 		t.apply(m)
 	}
@@ -116,12 +116,16 @@
 
 // prefill returns the time for the part of a prompt that is not cached.
 func (t *track) prefill(p *fleet.Peer, q Query) time.Duration {
+	return prefillTime(p, max(0, float64(q.Prompt)-t.cached(q)))
+}
+
+// prefillTime returns the time for prompt tokens.
+func prefillTime(p *fleet.Peer, tokens float64) time.Duration {
 	rate := p.Load.GetPrefillTokensPerSecond()
 	if rate <= 0 {
 		rate = defaultPrefill
 	}
-	left := max(0, float64(q.Prompt)-t.cached(q))
-	return time.Duration(left / rate * float64(time.Second))
+	return time.Duration(tokens / rate * float64(time.Second))
 }
 
 // cached returns how many tokens of a prompt are expected to be cached.
