Relay cache events, drop calls whose caller has gone, refuse in time

Cause: entries learned prefixes by their own routing only; a caller that left a waiting call was noticed by nobody, so the engine ran it; a waiting call met its deadline at the agent and the entry at once, and the caller read may-have-run for a call that never ran.

Change: agents poll GET /engine/cache and relay events with gaps and restarts marked; the fake engine publishes them and runs as many calls at once as it has slots. Entries peek at the connections of repeatable calls and cancel those whose caller has gone; a call that may not be repeated goes on. Agents give waiting calls up a little before the deadline, learn the pace by tokens instead of by calls, and pass the priority on (RFC 9218). If no agent is left to ask, the caller reads what the last one said, with its time to come back.

Conclusion: a departed caller costs the engine nothing that had not begun.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -75,6 +75,8 @@
 		return c.abandoned(now, e.Key)
 	case Reported:
 		return c.reported(now, e)
+	case CacheRead:
+		return c.cacheRead(e)
 	case Received:
 		return c.received(now, e)
 	case Linked:
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -37,6 +37,11 @@
 		// TookOff is when the report was asked for.
 		TookOff time.Time
 	}
+	// CacheRead brings events of the engine's prefix cache from a number on.
+	CacheRead struct {
+		From uint64
+		Page plat.CachePage
+	}
 	// Linked says that an entry has connected.
 	Linked struct {
 		Session uint64
@@ -79,6 +84,7 @@
 func (Ended) isEvent()     {}
 func (Abandoned) isEvent() {}
 func (Reported) isEvent()  {}
+func (CacheRead) isEvent() {}
 func (Linked) isEvent()    {}
 func (Unlinked) isEvent()  {}
 func (Received) isEvent()  {}
--- a/internal/agent/pace.go
+++ b/internal/agent/pace.go
@@ -17,6 +17,9 @@
 	// shortestRetryAfter bounds what refused callers are told.
 	shortestRetryAfter = 100 * time.Millisecond
 	longestRetryAfter  = 30 * time.Second
+	// longestMargin is how long before the caller's deadline a waiting call is
+	// given up at most, so that the refusal comes in time.
+	longestMargin = 250 * time.Millisecond
 )
 
 // pace learns how fast an endpoint works and foretells how long calls wait.
@@ -25,8 +28,11 @@
 	// perToken is the time of a slot for each token of cost, 0 before the
 	// first call has ended.
 	perToken time.Duration
-	started  map[uint64]start
-	cost     int
+	// worked and done are the fading sums of the time and the cost of calls.
+	worked  float64
+	done    float64
+	started map[uint64]start
+	cost    int
 	// prefilling is the work in prompt tokens of the started calls that have
 	// no first token, since prefillFrom. prefilled is what was done since the
 	// last sample, prefillBusy the time that it took up to prefillFrom.
@@ -114,11 +120,9 @@
 	p.cost -= s.item.Cost
 	p.prefilling -= s.prompt
 	if whole {
-		took := now.Sub(s.at) / time.Duration(s.item.Cost)
-		if p.perToken == 0 {
-			p.perToken = took
-		}
-		p.perToken += time.Duration(paceWeight * float64(took-p.perToken))
+		p.worked = (1-paceWeight)*p.worked + float64(now.Sub(s.at))
+		p.done = (1-paceWeight)*p.done + float64(s.item.Cost)
+		p.perToken = time.Duration(p.worked / p.done)
 	}
 	return s.item, true
 }
@@ -143,13 +147,14 @@
 // itemOf returns the queue's form of a call.
 func itemOf(now time.Time, call Call) queue.Item[uint64] {
 	r := call.Request
+	timeout := time.Duration(r.GetTimeoutMs()) * time.Millisecond
 	return queue.Item[uint64]{
 		Value:    call.Key,
 		Customer: r.GetCustomer(),
 		Weight:   weightOf(r),
 		Batch:    r.GetBatch(),
 		Cost:     max(1, int(r.GetPromptTokens()+r.GetMaxTokens())),
-		Deadline: now.Add(time.Duration(r.GetTimeoutMs()) * time.Millisecond),
+		Deadline: now.Add(timeout - min(timeout/10, longestMargin)),
 	}
 }
 
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -34,10 +34,12 @@
 	Endpoint netip.AddrPort
 	// Engine is nil for a plain service.
 	Engine plat.Engine
-	Log    plat.Log
-	Hosts  plat.Hosts
-	TLS    *tls.Config
-	Out    zerolog.Logger
+	// Cache is nil if the endpoint publishes no cache events.
+	Cache plat.Cache
+	Log   plat.Log
+	Hosts plat.Hosts
+	TLS   *tls.Config
+	Out   zerolog.Logger
 }
 
 // Server is a running agent.
@@ -96,7 +98,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	var parts sync.WaitGroup
-	for _, part := range []func(context.Context){s.loop.Run, s.tick, s.poll, s.readHosts, s.readClaims} {
+	for _, part := range []func(context.Context){s.loop.Run, s.tick, s.poll, s.readCache, s.readHosts, s.readClaims} {
 		parts.Go(func() { part(ctx) })
 	}
 	err := s.accept(ctx, listener, &parts)
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -150,9 +150,18 @@
 		request.Header.Add(h.GetName(), h.GetValue())
 	}
 	request.Header.Set("X-Request-Id", r.GetId())
+	request.Header.Set("Priority", priorityOf(r))
 	request.SetBodyRaw(r.GetBody())
 }
 
+// priorityOf returns a call's urgency in the form of RFC 9218.
+func priorityOf(r *wirepb.CallRequest) string {
+	if r.GetBatch() {
+		return "u=6"
+	}
+	return "u=2"
+}
+
 // engineRefusal is how an engine says that it has not started a request.
 type engineRefusal struct {
 	Error struct {
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -131,7 +131,9 @@
 		Out:      newLogger(os.Stderr, s.Host),
 	}
 	if s.Kind == kindEngine {
-		options.Engine = plat.NewHTTPEngine("http://" + s.Endpoint.String())
+		engine := plat.NewHTTPEngine("http://" + s.Endpoint.String())
+		options.Engine = engine
+		options.Cache = engine
 	}
 	return options, nil
 }
--- /dev/null
+++ b/internal/e2e/queue_test.go
@@ -0,0 +1,111 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/fakes"
+	"dogwoodfold/internal/plat"
+)
+
+// newNarrowSystem starts a fleet whose engine runs one call at a time.
+func newNarrowSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{
+		log:     start(t, "fake", "log"),
+		hosts:   start(t, "fake", "hosts"),
+		engine:  start(t, "fake", "engine", "--model", "lengua-8b/v1", "--slots", "1"),
+		service: start(t, "fake", "service"),
+		agents:  make(map[string]*process),
+	}
+	s.addAgent(t, "agent-service", "pedidos", "service", s.service)
+	p := start(t, "agent", "--settings", settings(t, map[string]any{
+		"host": "agent-engine", "zone": "mx-centro-a", "service": "lengua", "kind": "engine",
+		"listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
+		"endpoint": s.engine.address.String(), "slots": 1, "log": s.log.url(), "hosts": s.hosts.url(),
+	}))
+	s.agents["agent-engine"] = p
+	s.list(t, plat.Host{
+		Name:    "agent-engine",
+		Role:    plat.RoleAgent,
+		Zone:    "mx-centro-a",
+		Service: "lengua",
+		Address: p.address,
+		State:   plat.HostLive,
+	})
+	s.addEntry(t, "entry-1", 1)
+	s.publish(t, text())
+	s.await(t)
+	return s
+}
+
+// ask sends a completion request on a connection of its own.
+func (s *system) ask(t *testing.T, prompt string, tokens int, stream bool) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.entries[0].address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	body := fmt.Sprintf(`{"model":"lengua-8b","prompt":%q,"max_tokens":%d,"stream":%v}`, prompt, tokens, stream)
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		boothKey, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// running asks the engine how many calls it runs.
+func (s *system) running(t *testing.T) int {
+	t.Helper()
+	var r plat.Report
+	if err := json.Unmarshal([]byte(do(t, "GET", s.engine.url()+"/engine/report", "").body), &r); err != nil {
+		t.Fatal(err)
+	}
+	return r.Running
+}
+
+// TestDepartedCallersFreeTheEngine checks that a stream ends at the engine when
+// its caller goes, and that a call that waits behind it is never run.
+func TestDepartedCallersFreeTheEngine(t *testing.T) {
+	s := newNarrowSystem(t)
+	s.engine.faults(t, fakes.Faults{TokenMs: 50})
+	first := s.ask(t, "first stays a while", 10_000, true)
+	eventually(t, "the stream runs", func() bool { return s.running(t) == 1 })
+	second := s.ask(t, "second waits and goes", 10, false)
+	time.Sleep(300 * time.Millisecond) // it is underway
+	_ = second.Close()
+	time.Sleep(time.Second) // several checks for callers
+	_ = first.Close()
+	eventually(t, "the stream has ended", func() bool { return s.running(t) == 0 })
+	if a := s.complete(t, boothKey, 1, false); a.status != 200 {
+		t.Errorf("a call after them: %+v", a)
+	}
+	seen := do(t, "GET", s.engine.url()+"/fake/requests", "").body
+	if strings.Contains(seen, "second waits") || !strings.Contains(seen, "first stays") {
+		t.Errorf("requests at the engine: %s", seen)
+	}
+}
+
+// TestHopelessCallIsRefusedEarly checks that a call that can't end by its
+// deadline is refused at once, as not run, with a time to come back.
+func TestHopelessCallIsRefusedEarly(t *testing.T) {
+	s := newNarrowSystem(t)
+	s.engine.faults(t, fakes.Faults{TokenMs: 50})
+	if a := s.complete(t, boothKey, 20, false); a.status != 200 {
+		t.Fatalf("the call that sets the pace: %+v", a)
+	}
+	s.ask(t, "runs for ten seconds", 200, false)
+	eventually(t, "the engine is busy", func() bool { return s.running(t) == 1 })
+	body := `{"model":"lengua-8b","prompt":"order of two hoodies","max_tokens":200}`
+	a := do(t, "POST", s.entries[0].url()+"/v1/completions", body,
+		"Authorization", "Bearer "+boothKey, "X-Request-Timeout", "5s")
+	if a.status != 503 || a.verdict != "not-run" || !strings.Contains(a.body, "overloaded") {
+		t.Errorf("answer %+v, want 503 not-run and overloaded", a)
+	}
+}
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -16,6 +16,8 @@
 	tried   map[string]bool
 	// unsure is the failure of an attempt that may have run, nil if none has.
 	unsure error
+	// refused is the last refusal of an agent, nil if there was none.
+	refused error
 }
 
 // final returns the error that ends a call. A later refusal says nothing of an
@@ -27,6 +29,16 @@
 	return err
 }
 
+// unreachable returns why no agent can take a call: what the last one said, if
+// any was asked.
+func (r *running) unreachable() error {
+	if r.refused != nil {
+		return r.refused
+	}
+	err := fault.New(fault.NotRun, fault.CodeNoEndpoint, "no endpoint can take the call now")
+	return fault.WithRetryAfter(err, noEndpointRetryAfter)
+}
+
 // arrived admits a call and sends it, or refuses it.
 func (c *Core) arrived(now time.Time, call Call) []Effect {
 	if err := c.admit(now, call); err != nil {
@@ -76,8 +88,7 @@
 	query := r.query()
 	peer := c.router.Pick(now, query)
 	if peer == nil {
-		err := fault.New(fault.NotRun, fault.CodeNoEndpoint, "no endpoint can take the call now")
-		return c.giveUp(now, r, fault.WithRetryAfter(err, noEndpointRetryAfter))
+		return c.giveUp(now, r, r.unreachable())
 	}
 	r.attempt++
 	r.host = peer.Host.Name
@@ -125,7 +136,9 @@
 		return c.finish()
 	}
 	r.tried[r.host] = true
-	if e.Outcome.Verdict != fault.NotRun {
+	if e.Outcome.Verdict == fault.NotRun {
+		r.refused = e.Outcome.Err
+	} else {
 		r.unsure = e.Outcome.Err
 	}
 	if c.mayRetry(now, r, e.Outcome) {
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 type exchange struct {
 	*resolved
 	ctx      *fasthttp.RequestCtx
+	conn     net.Conn
 	started  time.Time
 	commands chan Effect
 	host     string
@@ -108,6 +110,7 @@
 	x := &exchange{
 		resolved: r,
 		ctx:      ctx,
+		conn:     ctx.Conn(),
 		started:  started,
 		commands: make(chan Effect, 1),
 		target:   snapshot.Text.Services[r.call.Route.Service].Target,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -110,7 +110,7 @@
 	defer cancel()
 	s.base = ctx
 	var parts sync.WaitGroup
-	for _, part := range []func(context.Context){s.loop.Run, s.pool.Run, s.tick, s.readHosts} {
+	for _, part := range []func(context.Context){s.loop.Run, s.pool.Run, s.tick, s.readHosts, s.watchCallers} {
 		parts.Go(func() { part(ctx) })
 	}
 	parts.Go(func() { s.acceptPeers(ctx, peers) })
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -37,14 +37,24 @@
 	running   int
 	sequence  uint64
 	fence     uint64
+	cache     prefixCache
+	// free has an element for each free slot; nil is no limit.
+	free chan struct{}
 }
 
 // NewEngine returns an engine.
 func NewEngine(s EngineSettings) *Engine {
-	return &Engine{
+	e := &Engine{
 		settings:  s,
 		residents: s.Residents,
 	}
+	if s.Slots > 0 {
+		e.free = make(chan struct{}, s.Slots)
+		for range s.Slots {
+			e.free <- struct{}{}
+		}
+	}
+	return e
 }
 
 // Handler returns the engine's HTTP interface.
@@ -53,6 +63,8 @@
 		switch string(ctx.Path()) {
 		case "/engine/report":
 			writeJSON(ctx, e.Report())
+		case "/engine/cache":
+			e.cacheEvents(ctx)
 		case "/engine/orders":
 			e.order(ctx)
 		case "/v1/completions", "/v1/chat/completions":
@@ -213,6 +225,8 @@
 		ctx.Error(`{"error":{"code":"not_loaded"}}`, fasthttp.StatusConflict)
 		return
 	}
+	e.begin()
+	e.cache.use(r.Model, ctx.PostBody())
 	if r.Stream {
 		e.stream(ctx, r, faults)
 		return
@@ -257,8 +271,7 @@
 }
 
 func (e *Engine) whole(ctx *fasthttp.RequestCtx, r completionRequest, faults Faults) {
-	e.add(1)
-	defer e.add(-1)
+	defer e.end()
 	time.Sleep(time.Duration(faults.TokenMs*r.MaxTokens) * time.Millisecond)
 	writeJSON(ctx, wholeAnswer{
 		Model:   r.Model,
@@ -287,7 +300,6 @@
 }
 
 func (e *Engine) stream(ctx *fasthttp.RequestCtx, r completionRequest, faults Faults) {
-	e.add(1)
 	ctx.SetContentType("text/event-stream")
 	ctx.SetBodyStream(&tokenReader{
 		engine:  e,
@@ -345,7 +357,7 @@
 
 // Close implements io.Closer.
 func (t *tokenReader) Close() error {
-	t.engine.add(-1)
+	t.engine.end()
 	return nil
 }
 
@@ -358,8 +370,22 @@
 	return fmt.Appendf(nil, "data: %s\n\n", data)
 }
 
-func (e *Engine) add(n int) {
+// begin waits for a slot.
+func (e *Engine) begin() {
+	if e.free != nil {
+		<-e.free
+	}
 	e.state.Lock()
 	defer e.state.Unlock()
-	e.running += n
+	e.running++
+}
+
+// end frees a slot.
+func (e *Engine) end() {
+	e.state.Lock()
+	e.running--
+	e.state.Unlock()
+	if e.free != nil {
+		e.free <- struct{}{}
+	}
 }
