--- a/internal/route/index.go
+++ b/internal/route/index.go
@@ -13,7 +13,8 @@
 	service, model, version, adapter string
 }
 
-// holders returns the agents that can take a call. The caller must not change
+// holders returns the agents that can take a call; those that the platform's
+// list has lost only if no other holds what the call needs. The caller must not change
 // the slice.
 func (x *index) holders(f *fleet.Fleet, q Query) []*fleet.Peer {
 	if x.byModel == nil || x.version != f.Version() {
@@ -25,11 +26,19 @@
 	if known {
 		return peers
 	}
-	for _, p := range f.Agents(q.Service) {
-		if p.Load != nil && (q.Model == "" || p.Serves(q.Model, q.Version, q.Adapter)) {
+	var unlisted []*fleet.Peer
+	for _, p := range f.Able(q.Service) {
+		switch {
+		case p.Load == nil || (q.Model != "" && !p.Serves(q.Model, q.Version, q.Adapter)):
+		case p.Unlisted:
+			unlisted = append(unlisted, p)
+		default:
 			peers = append(peers, p)
 		}
 	}
+	if len(peers) == 0 {
+		peers = unlisted
+	}
 	x.byModel[key] = peers
 	return peers
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -54,9 +54,6 @@
 // compared for one call.
 const samples = 2
 
-// silence is how long an agent may be unheard and still get calls.
-const silence = 3 * time.Second
-
 // homeTrust is the part of a prompt that its home is expected to have cached
 // by what other entries have sent there.
 const homeTrust = 0.9
@@ -105,7 +102,7 @@
 	var sound, ejected []*fleet.Peer
 	for _, p := range r.index.holders(r.fleet, q) {
 		switch {
-		case q.Tried[p.Host.Name] || now.Sub(p.HeardAt) > silence:
+		case q.Tried[p.Host.Name]:
 		case r.track(p).ejected(now):
 			ejected = append(ejected, p)
 		default:
