Keep slots for small customers, shed calls that can't end, measure both

Change: a customer is charged the part of the cost that calls use on average instead of the whole and refunded later; one that comes back starts at the virtual time of the call served last; a fifth of the slots is not for the customer that runs most for its weight, while others called in the last 30 s. A call whose time is too short by the learned pace is refused when its turn comes, if others wait. Entries read zone latencies from their settings.

Seen failing: reserve left out, "runs 10 calls of 10 slots, want 8".

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -22,6 +22,7 @@
 		err := fault.New(fault.NotRun, fault.CodeBusy, "the queue is longer than the time to the deadline")
 		return []Effect{c.busy(call.Key, err)}
 	}
+	c.shares.seen(now, item)
 	displaced, queued := c.waiting.Push(now, item)
 	if !queued {
 		return []Effect{c.busy(call.Key, fault.New(fault.NotRun, fault.CodeBusy, "the endpoint's queue is full"))}
@@ -82,11 +83,19 @@
 func (c *Core) start(now time.Time) []Effect {
 	effects := c.expire(now)
 	for len(c.running) < c.slots {
-		item, ok := c.waiting.Pop(now)
+		item, ok := c.waiting.PopOf(now, c.shares.may)
 		if !ok {
 			break
 		}
+		if c.waiting.Len() > 0 && now.Add(c.pace.service(item.Cost)).After(item.Deadline) {
+			c.waiting.Settle(item, 0)
+			delete(c.calls, item.Value)
+			err := fault.New(fault.NotRun, fault.CodeBusy, "the call can't end by its deadline any more")
+			effects = append(effects, c.busy(item.Value, err))
+			continue
+		}
 		c.running[item.Value] = true
+		c.shares.begin(item.Customer)
 		r := c.calls[item.Value].Request
 		c.pace.begin(now, item, int(r.GetPromptTokens())-int(r.GetCachedTokens()))
 		effects = append(effects, Start{Key: item.Value})
@@ -109,8 +118,11 @@
 }
 
 func (c *Core) ended(now time.Time, e Ended) []Effect {
-	if item, ran := c.pace.end(now, e.Key, e.Used > 0); ran && e.Used > 0 {
-		c.waiting.Settle(item, e.Used)
+	if item, ran := c.pace.end(now, e.Key, e.Used > 0); ran {
+		c.shares.end(item.Customer)
+		if e.Used > 0 {
+			c.waiting.Settle(item, e.Used)
+		}
 	}
 	delete(c.running, e.Key)
 	delete(c.calls, e.Key)
--- a/internal/agent/admission_test.go
+++ b/internal/agent/admission_test.go
@@ -147,3 +147,39 @@
 		}
 	})
 }
+
+// TestLargestCustomerLeavesSlots checks that a customer that floods an endpoint
+// leaves a fifth of the slots to others that called lately, and only to them.
+func TestLargestCustomerLeavesSlots(t *testing.T) {
+	const slots = 10
+	c, now := newPlain(slots), epoch
+	started := 0
+	send := func(key uint64, customer string) (starts bool) {
+		for _, effect := range arrive(c, now, key, customer, 10, time.Hour) {
+			if e, ok := effect.(agent.Start); ok {
+				started++
+				starts = starts || e.Key == key
+			}
+		}
+		return starts
+	}
+	send(1, "small")
+	c.Apply(now, agent.Ended{Key: 1, Used: 10})
+	started = 0
+	for i := range uint64(2 * slots) {
+		send(100+i, "large")
+	}
+	if want := slots * 8 / 10; started != want {
+		t.Errorf("the large customer runs %d calls of %d slots, want %d", started, slots, want)
+	}
+	if !send(2, "small") {
+		t.Error("the small customer's call has to wait")
+	}
+	c.Apply(now, agent.Ended{Key: 2, Used: 10})
+	now = now.Add(time.Minute)
+	c.Apply(now, agent.Tick{})
+	send(200, "large")
+	if started != slots+1 {
+		t.Errorf("alone, the large customer runs %d calls of %d slots", started-1, slots)
+	}
+}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -22,6 +22,7 @@
 
 	waiting  *queue.Queue[uint64]
 	pace     *pace
+	shares   *shares
 	calls    map[uint64]Call
 	running  map[uint64]bool
 	report   plat.Report
@@ -55,6 +56,7 @@
 		slots:       s.Slots,
 		waiting:     queue.New[uint64](s.Slots * queuePerSlot),
 		pace:        newPace(s.Slots),
+		shares:      newShares(s.Slots),
 		calls:       make(map[uint64]Call),
 		running:     make(map[uint64]bool),
 		placement:   newPlacement(s),
@@ -117,6 +119,7 @@
 }
 
 func (c *Core) tick(now time.Time) []Effect {
+	c.shares.sweep(now)
 	effects := append(c.expire(now), c.place(now)...)
 	if now.Sub(c.toldAt) >= reportInterval {
 		effects = append(effects, c.tell(now)...)
--- a/internal/agent/pace.go
+++ b/internal/agent/pace.go
@@ -9,7 +9,7 @@
 
 const (
 	// paceWeight is the weight of the newest call in the learned pace.
-	paceWeight = 0.1
+	paceWeight = 0.03
 	// callPrefill is what a call adds to the work on its prompt, in tokens.
 	callPrefill = 64
 	// leastPrefilled is how many tokens make a sample of the prefill rate.
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -14,9 +15,13 @@
 	"dogwoodfold/internal/agent"
 	"dogwoodfold/internal/entry"
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/route"
 	"dogwoodfold/internal/wire/wirepb"
 )
 
+// defaultZoneLatency is the latency to zones that the settings don't name.
+const defaultZoneLatency = time.Millisecond
+
 // newEntry returns the command that runs an entry.
 func newEntry() *cobra.Command {
 	var file string
@@ -46,6 +51,11 @@
 	return entry.Options{
 		Core: entry.CoreSettings{
 			Host:  s.Host,
+			Zones: route.Zones{
+				Self:    s.Zone,
+				Latency: s.ZoneLatency,
+				Default: defaultZoneLatency,
+			},
 			Share: s.StaticShare,
 			Seed:  rand.Uint64(),
 
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -38,6 +38,9 @@
 	// IsolationLimit is how long the entry admits calls without word from the
 	// log or any other entry, defaultIsolationLimit if unset.
 	IsolationLimit time.Duration `json:"isolationLimit"`
+	// ZoneLatency is the one-way latency to other availability zones, 1 ms to
+	// those that it does not name.
+	ZoneLatency map[string]time.Duration `json:"zoneLatency"`
 	// StaticShare is a fixed share of every customer's rate and burst.
 	StaticShare float64  `json:"staticShare"`
 	TLS         TLSFiles `json:"tls"`
@@ -106,6 +109,11 @@
 	checkAddress("admin", s.Admin, faults)
 	checkURL("log", s.Log, faults)
 	checkURL("hosts", s.Hosts, faults)
+	for zone, latency := range s.ZoneLatency {
+		if latency < 0 {
+			faults.Add("zoneLatency."+zone, "is %v, want 0 or more", latency)
+		}
+	}
 	if s.StaticShare < 0 || s.StaticShare > 1 {
 		faults.Add("staticShare", "is %v, want 0 to 1", s.StaticShare)
 	}
--- a/internal/queue/class.go
+++ b/internal/queue/class.go
@@ -8,17 +8,23 @@
 // maxIdle is how many customers without waiting calls are remembered.
 const maxIdle = 1024
 
+// usedWeight is the weight of the newest call in the part of the cost used.
+const usedWeight = 0.02
+
 // class is a fair queue over customers. The customer with the lowest counter
 // is served next.
 type class[T any] struct {
 	flows map[string]*flow[T]
 	// active are the flows with waiting calls.
 	active []*flow[T]
-	// level is the counter of the flow that was served last; a customer that
-	// comes back starts from there and has saved nothing up.
+	// level is the counter that the flow served last had before. A customer
+	// that comes back starts from there: it has saved nothing up, and goes
+	// before those that wait for their next turn.
 	level float64
-	len   int
-	cost  int
+	// used is the part of their cost that calls use on average.
+	used float64
+	len  int
+	cost int
 }
 
 // flow is one customer's part of a class.
@@ -32,7 +38,10 @@
 }
 
 func newClass[T any]() *class[T] {
-	return &class[T]{flows: make(map[string]*flow[T])}
+	return &class[T]{
+		flows: make(map[string]*flow[T]),
+		used:  1,
+	}
 }
 
 func (c *class[T]) push(item Item[T]) {
@@ -43,7 +52,7 @@
 		c.flows[item.Customer] = f
 	}
 	if len(f.items) == 0 {
-		f.counter = max(f.counter, c.floor())
+		f.counter = max(f.counter, c.level)
 		c.active = append(c.active, f)
 	}
 	f.weight = item.Weight
@@ -53,14 +62,6 @@
 	c.cost += item.Cost
 }
 
-// floor is the counter that a customer starts from.
-func (c *class[T]) floor() float64 {
-	if f := c.lowest(); f != nil {
-		return f.counter
-	}
-	return c.level
-}
-
 // sweep forgets idle customers, if there are many, that owe nothing.
 func (c *class[T]) sweep() {
 	if len(c.flows)-len(c.active) < maxIdle {
@@ -71,36 +72,36 @@
 	})
 }
 
-// lowest returns the flow to serve next, nil if none waits.
-func (c *class[T]) lowest() *flow[T] {
+// lowest returns the flow to serve next of those that may be served, nil if
+// there is none.
+func (c *class[T]) lowest(may func(customer string) bool) *flow[T] {
 	var best *flow[T]
 	for _, f := range c.active {
-		if best == nil || f.counter < best.counter || (f.counter == best.counter && f.customer < best.customer) {
+		behind := best != nil && (f.counter > best.counter || (f.counter == best.counter && f.customer > best.customer))
+		if !behind && may(f.customer) {
 			best = f
 		}
 	}
 	return best
 }
 
-// head returns the call to serve next; the class must not be empty.
-func (c *class[T]) head() Item[T] { return c.lowest().items[0] }
-
-func (c *class[T]) pop() (item Item[T], ok bool) {
-	f := c.lowest()
-	if f == nil {
-		return item, false
-	}
-	item = f.items[0]
-	c.level = f.counter
+// pop removes the first call of a flow.
+func (c *class[T]) pop(f *flow[T]) Item[T] {
+	item := f.items[0]
+	c.level = max(c.level, f.counter)
 	c.take(f, 0)
-	f.counter += float64(item.Cost) / f.weight
-	return item, true
+	item.charged = c.used * float64(item.Cost)
+	f.counter += item.charged / f.weight
+	return item
 }
 
-// charge adds to a customer's counter.
-func (c *class[T]) charge(customer string, amount float64) {
-	if f, known := c.flows[customer]; known {
-		f.counter += amount
+// settle corrects what a customer was charged for a call by what it has used.
+func (c *class[T]) settle(item Item[T], used float64) {
+	if used > 0 {
+		c.used += usedWeight * (used/float64(item.Cost) - c.used)
+	}
+	if f, known := c.flows[item.Customer]; known {
+		f.counter += (used - item.charged) / item.Weight
 	}
 }
 
@@ -146,7 +147,7 @@
 
 // ahead returns the tokens that the class serves before an item pushed now.
 func (c *class[T]) ahead(item Item[T]) float64 {
-	start, own := c.floor(), 0.0
+	start, own := c.level, 0.0
 	if f, known := c.flows[item.Customer]; known {
 		start, own = max(start, f.counter), float64(f.cost)
 		if len(f.items) > 0 {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -19,6 +19,8 @@
 	// Cost is the expected work in tokens, at least 1.
 	Cost     int
 	Deadline time.Time
+	// charged is what Pop has charged the customer, in tokens.
+	charged float64
 }
 
 // Queue is a bounded fair queue.
@@ -106,39 +108,44 @@
 	return victim, true
 }
 
-// Pop removes the call to serve next and charges its customer for the cost.
-func (q *Queue[T]) Pop(_ time.Time) (item Item[T], ok bool) {
-	contended := q.interactive.len > 0 && q.batch.len > 0
-	from := q.next()
-	item, ok = from.pop()
-	if !ok {
-		return item, false
-	}
-	q.forget(item)
+// Pop removes the call to serve next and charges its customer for the part of
+// the cost that calls use on average.
+func (q *Queue[T]) Pop(now time.Time) (item Item[T], ok bool) {
+	return q.PopOf(now, func(string) bool { return true })
+}
+
+// PopOf is Pop among the customers that may be served now.
+func (q *Queue[T]) PopOf(_ time.Time, may func(customer string) bool) (item Item[T], ok bool) {
+	interactive, batch := q.interactive.lowest(may), q.batch.lowest(may)
 	switch {
-	case !contended:
-	case item.Batch:
-		q.credit = max(0, q.credit-float64(item.Cost))
+	case interactive == nil && batch == nil:
+		return item, false
+	case interactive == nil:
+		item = q.batch.pop(batch)
+	case batch == nil:
+		item = q.interactive.pop(interactive)
 	default:
-		q.credit += float64(item.Cost) * batchFloor / (1 - batchFloor)
+		item = q.contend(interactive, batch)
 	}
+	q.forget(item)
 	return item, true
 }
 
-// next returns the class to serve.
-func (q *Queue[T]) next() *class[T] {
-	if q.interactive.len == 0 {
-		return q.batch
+// contend serves one of two flows of the two classes, by the batch floor.
+func (q *Queue[T]) contend(interactive, batch *flow[T]) Item[T] {
+	if cost := float64(batch.items[0].Cost); q.credit >= cost {
+		q.credit -= cost
+		return q.batch.pop(batch)
 	}
-	if q.batch.len > 0 && q.credit >= float64(q.batch.head().Cost) {
-		return q.batch
-	}
-	return q.interactive
+	item := q.interactive.pop(interactive)
+	q.credit += float64(item.Cost) * batchFloor / (1 - batchFloor)
+	return item
 }
 
-// Settle corrects the charge for a popped item by the tokens that it used.
+// Settle corrects the charge for a popped item by the tokens that it used, 0 if
+// it did not run.
 func (q *Queue[T]) Settle(item Item[T], used int) {
-	q.class(item.Batch).charge(item.Customer, float64(used-item.Cost)/item.Weight)
+	q.class(item.Batch).settle(item, float64(used))
 }
 
 // Remove takes out the calls that match and returns them.
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -265,3 +265,29 @@
 		t.Errorf("served %s, want turns", got)
 	}
 }
+
+// BenchmarkPushPop measures one call's way through a full queue.
+func BenchmarkPushPop(b *testing.B) {
+	for _, customers := range []int{5, 100} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			q := queue.New[int](256)
+			i := 0
+			push := func() {
+				i++
+				q.Push(now, queue.Item[int]{
+					Value:    i,
+					Customer: fmt.Sprint(i % customers),
+					Cost:     100 + i%400,
+				})
+			}
+			for range 255 {
+				push()
+			}
+			for b.Loop() {
+				push()
+				item, _ := q.Pop(now)
+				q.Settle(item, 100)
+			}
+		})
+	}
+}
