Keep slots free by the mean of the last seconds

The customer held back was the one that ran most at that moment, so a burst of a small one was taken for the large one.

Change: the largest is the one with the highest fading mean of running calls for its weight over five seconds; at equal means the one that runs more.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -83,7 +83,7 @@
 func (c *Core) start(now time.Time) []Effect {
 	effects := c.expire(now)
 	for len(c.running) < c.slots {
-		item, ok := c.waiting.PopOf(now, c.shares.may)
+		item, ok := c.waiting.PopOf(now, func(name string) bool { return c.shares.may(now, name) })
 		if !ok {
 			break
 		}
@@ -95,7 +95,7 @@
 			continue
 		}
 		c.running[item.Value] = true
-		c.shares.begin(item.Customer)
+		c.shares.begin(now, item.Customer)
 		r := c.calls[item.Value].Request
 		c.pace.begin(now, item, int(r.GetPromptTokens())-int(r.GetCachedTokens()))
 		effects = append(effects, Start{Key: item.Value})
@@ -119,7 +119,7 @@
 
 func (c *Core) ended(now time.Time, e Ended) []Effect {
 	if item, ran := c.pace.end(now, e.Key, e.Used > 0); ran {
-		c.shares.end(item.Customer)
+		c.shares.end(now, item.Customer)
 		if e.Used > 0 {
 			c.waiting.Settle(item, e.Used)
 		}
--- a/internal/agent/shares.go
+++ b/internal/agent/shares.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"time"
 
 	"dogwoodfold/internal/queue"
@@ -13,6 +14,8 @@
 	// recentFor is how long after its last call a customer counts as one that
 	// others leave slots free for.
 	recentFor = 30 * time.Second
+	// meanOver is the time over which a customer's slots are averaged.
+	meanOver = 5 * time.Second
 )
 
 // shares decides which customers may take the last free slots.
@@ -27,6 +30,22 @@
 	running int
 	weight  float64
 	seenAt  time.Time
+	// mean is the fading mean of running up to a time.
+	mean   float64
+	meanAt time.Time
+}
+
+// average returns the customer's slots over the last while, for its weight.
+func (s *share) average(now time.Time) float64 {
+	faded := math.Exp(-float64(now.Sub(s.meanAt)) / float64(meanOver))
+	return (float64(s.running) + (s.mean-float64(s.running))*faded) / s.weight
+}
+
+// add changes the number of running calls.
+func (s *share) add(now time.Time, calls int) {
+	s.mean = s.average(now) * s.weight
+	s.meanAt = now
+	s.running += calls
 }
 
 func newShares(slots int) *shares {
@@ -57,15 +76,16 @@
 }
 
 // may reports whether a customer may take a free slot. The last ones are not
-// for the customer that has most for its weight.
-func (s *shares) may(customer string) bool {
+// for the customer that had most for its weight over the last while.
+func (s *shares) may(now time.Time, customer string) bool {
 	c, known := s.recent[customer]
 	if !known || len(s.recent) == 1 || s.slots-s.total > int(reservedPart*float64(s.slots)) {
 		return true
 	}
-	own := float64(c.running+1) / c.weight
+	own := c.average(now)
 	for _, other := range s.recent {
-		if other != c && float64(other.running)/other.weight >= own {
+		theirs := other.average(now)
+		if theirs > own || (theirs == own && other.running > c.running) {
 			return true
 		}
 	}
@@ -73,16 +93,16 @@
 }
 
 // begin and end note a customer's running calls.
-func (s *shares) begin(customer string) {
+func (s *shares) begin(now time.Time, customer string) {
 	s.total++
 	if c, known := s.recent[customer]; known {
-		c.running++
+		c.add(now, 1)
 	}
 }
 
-func (s *shares) end(customer string) {
+func (s *shares) end(now time.Time, customer string) {
 	s.total--
 	if c, known := s.recent[customer]; known {
-		c.running--
+		c.add(now, -1)
 	}
 }
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -50,7 +50,7 @@
 	incarnation := newIncarnation()
 	return entry.Options{
 		Core: entry.CoreSettings{
-			Host:  s.Host,
+			Host: s.Host,
 			Zones: route.Zones{
 				Self:    s.Zone,
 				Latency: s.ZoneLatency,
