Tell how old a load report is without common clocks

Change: each side of a session stamps its control messages by its own clock and returns the peer's last stamp with the time since. The age is what has passed since the stamp, without the time held; what an entry sent before that moment was on its way before the report was made, which is the line that the correction needs. Entries take it as the report's age.

Seen failing without the held time: TestAgeNeedsNoCommonClock, "age 820 ms, want 520".

Cost: at most 16 bytes a message.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -41,6 +41,7 @@
 		if !c.fleet.Current(e.Host, e.Incarnation) {
 			return nil
 		}
+		body.Load.AgeMs += e.Message.GetAgeMs()
 		c.fleet.Reported(now, e.Host, body.Load)
 	case *wirepb.Envelope_Cache:
 		if !c.fleet.Current(e.Host, e.Incarnation) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -215,7 +215,7 @@
 		r.tracks[p.Host.Name] = t
 	}
 	if sequence := p.Load.GetSequence(); sequence != t.sequence {
-		t.reported(p, p.LoadAt.Add(-r.zones.To(p.Host.Zone)))
+		t.reported(p)
 	}
 	return t
 }
--- a/internal/route/track.go
+++ b/internal/route/track.go
@@ -55,10 +55,10 @@
 	}
 }
 
-// reported drops the moves that a report taken at a time includes.
-func (t *track) reported(p *fleet.Peer, at time.Time) {
+// reported drops the moves that a report includes.
+func (t *track) reported(p *fleet.Peer) {
 	t.sequence = p.Load.GetSequence()
-	at = at.Add(-time.Duration(p.Load.GetAgeMs()) * time.Millisecond)
+	at := p.LoadAt.Add(-time.Duration(p.Load.GetAgeMs()) * time.Millisecond)
 	kept := 0
 	for kept < len(t.moves) && !t.moves[kept].at.After(at) {
 		kept++
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -46,6 +46,7 @@
 	reader  *bufio.Reader
 	peer    *wirepb.Hello
 	out     chan *wirepb.Envelope
+	ages    *ages
 	done    chan struct{}
 	close   sync.Once
 }
@@ -101,6 +102,7 @@
 	s := &Session{
 		mux:  mux,
 		out:  make(chan *wirepb.Envelope, controlBacklog),
+		ages: newAges(time.Now()),
 		done: make(chan struct{}),
 	}
 	if dialed {
@@ -140,7 +142,7 @@
 // Send queues a control message. A peer that doesn't read loses the session.
 func (s *Session) Send(message *wirepb.Envelope) {
 	select {
-	case s.out <- message:
+	case s.out <- s.ages.stamped(time.Now(), message):
 	case <-s.done:
 	default:
 		s.Close()
@@ -176,6 +178,7 @@
 		if err := decode(s.reader, message); err != nil {
 			return err
 		}
+		s.ages.received(time.Now(), message)
 		handle(message)
 	}
 }
