--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -22,6 +22,8 @@
 	name                       string
 	workers, models, adapters  int
 	betweenZones, callsPerSecs float64
+	// slow makes the first engine that many times slower, if it is set.
+	slow int
 }
 
 var deployments = []deployment{
@@ -117,6 +119,11 @@
 		})
 		s.agents = append(s.agents, agent.NewCore(agent.CoreSettings{Host: s.hosts[i].Name, Incarnation: 1, Slots: 64}))
 		settings := engsim.Default()
+		if i == 0 && d.slow > 0 {
+			settings.PrefillPerSecond /= float64(d.slow)
+			settings.ModelStep *= time.Duration(d.slow)
+			settings.SequenceStep *= time.Duration(d.slow)
+		}
 		settings.Cached = func(_, session string, stored bool) { s.cached(i, session, stored) }
 		settings.First = func(id int, at time.Time) { s.begun(i, uint64(id), at) }
 		s.engines = append(s.engines, engsim.New(settings))
@@ -377,42 +384,57 @@
 	return best
 }
 
-func BenchmarkRouting(b *testing.B) {
-	policies := []struct {
-		name   string
-		choose func(*simEntry, time.Time, route.Query) *fleet.Peer
-	}{
-		{"expectedFirst", expectedFirst},
-		{"roundRobin", roundRobin},
-		{"leastOutstanding", leastOutstanding},
-		{"prefixAffinity", func(e *simEntry, now time.Time, q route.Query) *fleet.Peer {
-			return prefixAffinity(e, now, q, holders(e, q))
-		}},
+// policies are the router and its baselines.
+var policies = []struct {
+	name   string
+	choose func(*simEntry, time.Time, route.Query) *fleet.Peer
+}{
+	{"expectedFirst", expectedFirst},
+	{"roundRobin", roundRobin},
+	{"leastOutstanding", leastOutstanding},
+	{"prefixAffinity", func(e *simEntry, now time.Time, q route.Query) *fleet.Peer {
+		return prefixAffinity(e, now, q, holders(e, q))
+	}},
+}
+
+// BenchmarkSlowEndpoint measures routing with one engine four times slower
+// than the others.
+func BenchmarkSlowEndpoint(b *testing.B) {
+	for _, d := range deployments {
+		d.slow = 4
+		benchmarkRouting(b, d, 500*time.Millisecond)
 	}
+}
+
+func BenchmarkRouting(b *testing.B) {
 	for _, d := range deployments {
 		for _, lag := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second} {
-			for _, policy := range policies {
-				b.Run(fmt.Sprintf("%s/lag=%v/%s", d.name, lag, policy.name), func(b *testing.B) {
-					for range b.N {
-						var firsts []time.Duration
-						hit, all := 0, 0
-						for seed := range uint64(simSeeds) {
-							s := newSim(d, seed, lag, policy.choose)
-							s.run()
-							firsts = append(firsts, s.firsts...)
-							hit += s.hit
-							all += s.prefix
-						}
-						b.ReportMetric(float64(percentile(firsts, 0.95).Milliseconds()), "p95-ms")
-						b.ReportMetric(100*float64(hit)/float64(all), "hit-%")
-						b.ReportMetric(0, "ns/op")
-					}
-				})
-			}
+			benchmarkRouting(b, d, lag)
 		}
 	}
 }
 
+func benchmarkRouting(b *testing.B, d deployment, lag time.Duration) {
+	for _, policy := range policies {
+		b.Run(fmt.Sprintf("%s/lag=%v/%s", d.name, lag, policy.name), func(b *testing.B) {
+			for range b.N {
+				var firsts []time.Duration
+				hit, all := 0, 0
+				for seed := range uint64(simSeeds) {
+					s := newSim(d, seed, lag, policy.choose)
+					s.run()
+					firsts = append(firsts, s.firsts...)
+					hit += s.hit
+					all += s.prefix
+				}
+				b.ReportMetric(float64(percentile(firsts, 0.95).Milliseconds()), "p95-ms")
+				b.ReportMetric(100*float64(hit)/float64(all), "hit-%")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
 // BenchmarkPick measures one decision with its bookkeeping.
 func BenchmarkPick(b *testing.B) {
 	for _, size := range []struct{ workers, models int }{{12, 20}, {590, 360}} {
