Count a prompt as done with its first sign of life

Cause: TestLongPromptStaysWithItsCache, new and end to end, saw twelve calls with one long prompt go six and six times to two engines. An entry kept a prompt's prefill as work ahead for as long as it should have taken, also after the answer had come, so the next call found the agent with the cache busy.

Change: a prompt's work leaves the sums with the first token or the end, as calls and tokens do; the wait is the smaller of that work and of what the time leaves.

--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -181,9 +181,10 @@
 // customer floods.
 var floodShares = []float64{0.4, 0.2, 0.1, 0.06, 0.04}
 
-// flood returns the small customers' p95 of the time to the first token, and
-// the part of the worst one's calls that got it within 1.2 s.
-func flood(full float64, oneQueue bool, factor float64) (p95 []time.Duration, attained float64) {
+// flood returns the small customers' p95 of the time to the first token, the
+// part of the worst one's calls that got it within 1.2 s, and the calls that
+// ended, the large customer's too, for each second.
+func flood(full float64, oneQueue bool, factor float64) (p95 []time.Duration, attained, ended float64) {
 	firsts := make([][]time.Duration, len(floodShares))
 	calls := make([]int, len(floodShares))
 	for seed := range uint64(5) {
@@ -198,6 +199,7 @@
 		for i, f := range flows {
 			firsts[i] = append(firsts[i], f.firsts...)
 			calls[i] += f.calls
+			ended += float64(len(f.ends)) / (5 * s.now.Sub(epoch).Seconds())
 		}
 	}
 	attained = 1
@@ -211,7 +213,7 @@
 		}
 		attained = min(attained, float64(good)/float64(calls[i]))
 	}
-	return p95, attained
+	return p95, attained, ended
 }
 
 // BenchmarkFlood measures the small customers while a large one sends five
@@ -221,8 +223,8 @@
 	for _, policy := range []string{"fair", "firstInFirstOut"} {
 		b.Run(policy, func(b *testing.B) {
 			for range b.N {
-				calm, _ := flood(full, policy != "fair", 1)
-				flooded, attained := flood(full, policy != "fair", 5)
+				calm, _, _ := flood(full, policy != "fair", 1)
+				flooded, attained, ended := flood(full, policy != "fair", 5)
 				ratio := 0.0
 				for i := range calm {
 					ratio = max(ratio, float64(flooded[i])/float64(calm[i]))
@@ -230,6 +232,7 @@
 				b.ReportMetric(float64(slices.Max(calm).Milliseconds()), "calm-worst-p95-ms")
 				b.ReportMetric(float64(slices.Max(flooded).Milliseconds()), "flood-worst-p95-ms")
 				b.ReportMetric(ratio, "worst-ratio")
+				b.ReportMetric(ended, "flood-ended/s")
 				b.ReportMetric(100*attained, "flood-worst-attained-%")
 				b.ReportMetric(0, "ns/op")
 			}
--- a/internal/e2e/queue_test.go
+++ b/internal/e2e/queue_test.go
@@ -109,3 +109,33 @@
 		t.Errorf("answer %+v, want 503 not-run and overloaded", a)
 	}
 }
+
+// TestLongPromptStaysWithItsCache checks that calls with the same long prompt
+// go to the engine that has it cached.
+func TestLongPromptStaysWithItsCache(t *testing.T) {
+	s := newSystem(t)
+	second := start(t, "fake", "engine", "--model", "lengua-8b/v1")
+	s.addAgent(t, "agent-engine-2", "lengua", "engine", second)
+	count := func(p *process, prompt string) int {
+		return strings.Count(do(t, "GET", p.url()+"/fake/requests", "").body, prompt)
+	}
+	s.engine.faults(t, fakes.Faults{TokenMs: 100})
+	eventually(t, "both engines are used", func() bool {
+		s.ask(t, "order of two hoodies", 5, false)
+		return count(second, "two hoodies") > 0
+	})
+	s.engine.faults(t, fakes.Faults{})
+	eventually(t, "the first engine is idle", func() bool { return s.running(t) == 0 })
+	const calls = 12
+	body := fmt.Sprintf(`{"model":"lengua-8b","prompt":%q,"max_tokens":1}`, "the rules "+strings.Repeat("of the house ", 400))
+	for range calls {
+		a := do(t, "POST", s.entries[0].url()+"/v1/completions", body, "Authorization", "Bearer "+boothKey)
+		if a.status != 200 {
+			t.Fatalf("answer %+v", a)
+		}
+	}
+	first, other := count(s.engine, "the rules"), count(second, "the rules")
+	if first+other != calls || min(first, other) != 0 {
+		t.Errorf("the prompt went %d and %d times to the engines, want all to one", first, other)
+	}
+}
--- a/internal/route/ticket.go
+++ b/internal/route/ticket.go
@@ -17,11 +17,14 @@
 // Ticket is a call that was sent to an agent.
 type Ticket struct {
 	track    *track
+	peer     *fleet.Peer
 	sentAt   time.Time
 	due      time.Time
 	expected time.Duration
 	tokens   int
-	blocks   []uint64
+	// prompt is the work on the prompt until the first sign of life.
+	prompt float64
+	blocks []uint64
 	// known is how many of the blocks were there before this call.
 	known int
 	// Cached is how many tokens of the prompt are expected to be cached.
@@ -53,6 +56,7 @@
 	t := r.track(p)
 	k := &Ticket{
 		track:    t,
+		peer:     p,
 		sentAt:   now,
 		expected: t.expected(now, p, q),
 		tokens:   q.Tokens,
@@ -64,15 +68,15 @@
 		whole += time.Duration(q.Tokens) * time.Duration(p.Load.GetNsPerToken())
 	}
 	k.due = now.Add(max(leastStall, stallFactor*whole))
-	prefill := t.prefill(p, q)
+	k.prompt = t.uncached(q)
 	k.known = t.cache.Add(q.Blocks)
 	t.open++
 	t.pending = append(t.pending, k)
-	t.moved(move{
-		at:      now,
-		calls:   1,
-		tokens:  q.Tokens,
-		prefill: prefill,
+	t.moved(p, move{
+		at:     now,
+		calls:  1,
+		tokens: q.Tokens,
+		prompt: k.prompt,
 	})
 	return k
 }
@@ -81,6 +85,11 @@
 func (r *Router) Begun(now time.Time, k *Ticket) {
 	if !k.seen {
 		k.seen = true
+		k.track.moved(k.peer, move{
+			at:     now,
+			prompt: -k.prompt,
+		})
+		k.prompt = 0
 		r.norm = k.track.slow.observe(now, now.Sub(k.sentAt), k.expected, r.norm)
 	}
 }
@@ -93,10 +102,11 @@
 	}
 	k.seen = true
 	t.open--
-	t.moved(move{
+	t.moved(k.peer, move{
 		at:     now,
 		calls:  -1,
 		tokens: -k.tokens,
+		prompt: -k.prompt,
 	})
 	switch o {
 	case Answered:
--- a/internal/route/track.go
+++ b/internal/route/track.go
@@ -28,7 +28,8 @@
 	moves  []move
 	calls  int
 	tokens int
-	// prefillFree is when the endpoint has prefilled all prompts it has.
+	prompt float64
+	// prefillFree is when the endpoint should have prefilled all its prompts.
 	prefillFree time.Time
 	// busyUntil is what the agent said when it refused a call.
 	busyUntil time.Time
@@ -41,10 +42,12 @@
 
 // move is a call that came to an agent or left it.
 type move struct {
-	at      time.Time
-	calls   int
-	tokens  int
-	prefill time.Duration
+	at     time.Time
+	calls  int
+	tokens int
+	// prompt is the work on a prompt in tokens; it leaves with the first sign
+	// of life.
+	prompt float64
 }
 
 func newTrack(incarnation uint64, blocks int) *track {
@@ -64,36 +67,36 @@
 		kept++
 	}
 	t.moves = t.moves[kept:]
-	t.calls, t.tokens = 0, 0
+	t.calls, t.tokens, t.prompt = 0, 0, 0
 	t.busyUntil = time.Time{}
 	t.prefillFree = at.Add(prefillTime(p, float64(p.Load.GetPrefillTokens())))
 	for _, m := range t.moves {
-		t.apply(m)
+		t.apply(p, m)
 	}
 }
 
 // apply adds a move to the sums.
-func (t *track) apply(m move) {
+func (t *track) apply(p *fleet.Peer, m move) {
 	t.calls += m.calls
 	t.tokens += m.tokens
-	if m.prefill > 0 {
-		t.prefillFree = later(t.prefillFree, m.at).Add(m.prefill)
+	t.prompt += m.prompt
+	if m.prompt > 0 {
+		t.prefillFree = later(t.prefillFree, m.at).Add(prefillTime(p, m.prompt))
 	}
 }
 
 // moved notes a move.
-func (t *track) moved(m move) {
+func (t *track) moved(p *fleet.Peer, m move) {
 	if len(t.moves) >= maxMoves {
 		t.moves = t.moves[maxMoves/2:]
 	}
 	t.moves = append(t.moves, m)
-	t.apply(m)
+	t.apply(p, m)
 }
 
 // expected returns the time to the first token of a call, network apart.
 func (t *track) expected(now time.Time, p *fleet.Peer, q Query) time.Duration {
-	cost := baseCost + t.queueWait(p) + t.prefill(p, q)
-	cost += max(0, t.prefillFree.Sub(now))
+	cost := baseCost + t.queueWait(p) + t.promptWait(now, p) + prefillTime(p, t.uncached(q))
 	cost = time.Duration(float64(cost) * t.slow.at(now))
 	cost = max(cost, t.busyUntil.Sub(now))
 	if oldest := t.oldest(); oldest != nil && now.After(oldest.due) {
@@ -114,11 +117,16 @@
 	return time.Duration(tokens/calls*(calls-slots+1)) * perToken / time.Duration(slots)
 }
 
-// prefill returns the time for the part of a prompt that is not cached.
-func (t *track) prefill(p *fleet.Peer, q Query) time.Duration {
-	return prefillTime(p, max(0, float64(q.Prompt)-t.cached(q)))
+// promptWait returns how long the prompts before a call take: no longer than
+// the work takes that has shown no sign of life, nor than it should have taken.
+func (t *track) promptWait(now time.Time, p *fleet.Peer) time.Duration {
+	open := prefillTime(p, max(0, float64(p.Load.GetPrefillTokens())+t.prompt))
+	return max(0, min(open, t.prefillFree.Sub(now)))
 }
 
+// uncached returns how many tokens of a prompt are not expected to be cached.
+func (t *track) uncached(q Query) float64 { return max(0, float64(q.Prompt)-t.cached(q)) }
+
 // prefillTime returns the time for prompt tokens.
 func prefillTime(p *fleet.Peer, tokens float64) time.Duration {
 	rate := p.Load.GetPrefillTokensPerSecond()
