--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -21,36 +21,52 @@
 	if effects, decided := c.known(now, call); decided {
 		return effects
 	}
-	if err := c.enqueue(now, call); err != nil {
+	displaced, err := c.enqueue(now, call)
+	if err != nil {
 		c.once.Undo(call.Key)
 		return []Effect{Refuse{
 			Key: call.Key,
 			Err: err,
 		}}
 	}
-	c.calls[call.Key] = call
-	return c.start(now)
+	return append(displaced, c.start(now)...)
 }
 
-// enqueue puts a call into the queue, or says why it can't be taken.
-func (c *Core) enqueue(now time.Time, call Call) error {
-	r := call.Request
-	if err := c.admit(r); err != nil {
-		return err
+// enqueue puts a call into the queue and refuses those that it displaces, or
+// says why it can't be taken.
+func (c *Core) enqueue(now time.Time, call Call) ([]Effect, error) {
+	if err := c.admit(call.Request); err != nil {
+		return nil, err
 	}
-	queued := c.waiting.Push(now, queue.Item[uint64]{
-		Value:    call.Key,
-		Customer: r.GetCustomer(),
-		Weight:   r.GetWeight(),
-		Batch:    r.GetBatch(),
-		Cost:     int(r.GetPromptTokens() + r.GetMaxTokens()),
-		Deadline: now.Add(time.Duration(r.GetTimeoutMs()) * time.Millisecond),
-	})
+	item := itemOf(now, call)
+	if c.hopeless(now, item) {
+		return nil, c.busy("the queue is longer than the time to the deadline")
+	}
+	c.shares.seen(now, item)
+	displaced, queued := c.waiting.Push(now, item)
 	if !queued {
-		err := fault.New(fault.NotRun, fault.CodeBusy, "the endpoint's queue is full")
-		return fault.WithRetryAfter(err, busyRetryAfter)
+		return nil, c.busy("the endpoint's queue is full")
 	}
-	return nil
+	c.calls[call.Key] = call
+	var effects []Effect
+	for _, d := range displaced {
+		effects = append(effects, c.refuse(now, d.Value, c.busy("the queue is full and other customers have less of it"))...)
+	}
+	return effects, nil
+}
+
+// busy returns the refusal of a call that was not started, with the time after
+// which to come back.
+func (c *Core) busy(message string) error {
+	err := fault.New(fault.NotRun, fault.CodeBusy, message)
+	return fault.WithRetryAfter(err, c.pace.retryAfter(c.waiting.Cost()))
+}
+
+// hopeless reports whether a call that has to wait can't end by its deadline.
+// One that starts at once is never refused, so a wrong pace corrects itself.
+func (c *Core) hopeless(now time.Time, item queue.Item[uint64]) bool {
+	wait := c.pace.wait(c.waiting.Ahead(item))
+	return wait > 0 && now.Add(wait+c.pace.service(item.Cost)).After(item.Deadline)
 }
 
 // admit says why a call can't be taken, nil if it can.
@@ -84,11 +100,19 @@
 func (c *Core) start(now time.Time) []Effect {
 	effects := c.expire(now)
 	for len(c.running) < c.slots {
-		item, ok := c.waiting.Pop(now)
+		item, ok := c.waiting.PopOf(now, func(name string) bool { return c.shares.may(now, name) })
 		if !ok {
 			break
 		}
+		if c.waiting.Len() > 0 && now.Add(c.pace.service(item.Cost)).After(item.Deadline) {
+			c.waiting.Settle(item, 0)
+			effects = append(effects, c.refuse(now, item.Value, c.busy("the call can't end by its deadline any more"))...)
+			continue
+		}
 		c.running[item.Value] = true
+		c.shares.begin(now, item.Customer)
+		r := c.calls[item.Value].Request
+		c.pace.begin(now, item, int(r.GetPromptTokens())-int(r.GetCachedTokens()))
 		if c.once.Start(now, item.Value) {
 			effects = append(effects, Start{Key: item.Value})
 		}
@@ -109,9 +133,7 @@
 
 // refuse ends a call that has not started.
 func (c *Core) refuse(now time.Time, key uint64, err error) []Effect {
-	delete(c.running, key)
-	delete(c.calls, key)
-	c.endedAt = now
+	c.release(now, key, 0)
 	refusal := Refuse{
 		Key: key,
 		Err: err,
@@ -120,11 +142,23 @@
 	return append([]Effect{refusal}, c.settle(now, waiters)...)
 }
 
-func (c *Core) ended(now time.Time, key uint64, o dedup.Outcome) []Effect {
+// release frees what a call has held. used is its work in tokens, 0 without a
+// whole answer.
+func (c *Core) release(now time.Time, key uint64, used int) {
+	if item, ran := c.pace.end(now, key, used > 0); ran {
+		c.shares.end(now, item.Customer)
+		if used > 0 {
+			c.waiting.Settle(item, used)
+		}
+	}
 	delete(c.running, key)
 	delete(c.calls, key)
 	c.endedAt = now
-	effects := c.settle(now, c.once.End(now, key, o))
+}
+
+func (c *Core) ended(now time.Time, e Ended) []Effect {
+	c.release(now, e.Key, e.Used)
+	effects := c.settle(now, c.once.End(now, e.Key, e.Outcome))
 	return append(effects, c.start(now)...)
 }
 
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -12,8 +12,6 @@
 const (
 	// reportInterval is how often entries are told of the load.
 	reportInterval = 250 * time.Millisecond
-	// busyRetryAfter is what callers are told when the queue is full.
-	busyRetryAfter = time.Second
 	// queuePerSlot bounds the calls that wait for each slot.
 	queuePerSlot = 4
 	// lingerTime is how long a stopping agent stays after its last call.
@@ -27,6 +25,8 @@
 	slots       int
 
 	waiting  *queue.Queue[uint64]
+	pace     *pace
+	shares   *shares
 	calls    map[uint64]Call
 	running  map[uint64]bool
 	report   plat.Report
@@ -71,6 +71,8 @@
 		plain:       s.Plain,
 		slots:       s.Slots,
 		waiting:     queue.New[uint64](s.Slots * queuePerSlot),
+		pace:        newPace(s.Slots),
+		shares:      newShares(s.Slots),
 		calls:       make(map[uint64]Call),
 		running:     make(map[uint64]bool),
 		guard:       newGuard(s),
@@ -85,12 +87,17 @@
 	switch e := event.(type) {
 	case Arrived:
 		return c.arrived(now, e.Call)
+	case Begun:
+		c.pace.first(now, e.Key)
+		return nil
 	case Ended:
-		return c.ended(now, e.Key, e.Outcome)
+		return c.ended(now, e)
 	case Abandoned:
 		return c.abandoned(now, e.Key)
 	case Reported:
 		return c.reported(now, e)
+	case CacheRead:
+		return c.cacheRead(e)
 	case Received:
 		if e.Message.GetClaim() != nil {
 			return c.queried(now, e)
@@ -100,7 +107,7 @@
 		return []Effect{
 			Tell{
 				Session: e.Session,
-				Message: c.load(now),
+				Message: c.load(),
 			},
 			Tell{
 				Session: e.Session,
@@ -143,6 +150,7 @@
 }
 
 func (c *Core) tick(now time.Time) []Effect {
+	c.shares.sweep(now)
 	effects := append(c.onceTick(now), c.place(now)...)
 	if now.Sub(c.toldAt) >= reportInterval {
 		effects = append(effects, c.tell(now)...)
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -22,11 +22,15 @@
 type (
 	// Arrived says that an entry sent a call.
 	Arrived struct{ Call Call }
+	// Begun says that the first part of a started call's answer has come.
+	Begun struct{ Key uint64 }
 	// Ended says that a started call is over. Its outcome is kept if the call
 	// may not be repeated.
 	Ended struct {
 		Key     uint64
 		Outcome dedup.Outcome
+		// Used is the work in tokens of a whole answer, 0 without one.
+		Used int
 	}
 	// Abandoned says that the entry closed a call before its end.
 	Abandoned struct{ Key uint64 }
@@ -36,6 +40,11 @@
 		// TookOff is when the report was asked for.
 		TookOff time.Time
 	}
+	// CacheRead brings events of the engine's prefix cache from a number on.
+	CacheRead struct {
+		From uint64
+		Page plat.CachePage
+	}
 	// Linked says that an entry has connected.
 	Linked struct {
 		Session uint64
@@ -74,9 +83,11 @@
 )
 
 func (Arrived) isEvent()   {}
+func (Begun) isEvent()     {}
 func (Ended) isEvent()     {}
 func (Abandoned) isEvent() {}
 func (Reported) isEvent()  {}
+func (CacheRead) isEvent() {}
 func (Linked) isEvent()    {}
 func (Unlinked) isEvent()  {}
 func (Received) isEvent()  {}
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -25,10 +25,19 @@
 	err := d.err
 	if d.start {
 		k := newKeeper(r, call.SendFrame)
-		err = s.forward(closed, r, k.send)
+		used, begun := 0, false
+		err = s.forward(closed, r, func(f *wirepb.CallFrame) error {
+			if len(f.GetData()) > 0 && !begun {
+				begun = true
+				s.loop.Post(Begun{Key: key})
+			}
+			used = max(used, usedTokens(r, f.GetEnd()))
+			return k.send(f)
+		})
 		s.loop.Post(Ended{
 			Key:     key,
 			Outcome: k.outcome(err),
+			Used:    used,
 		})
 	}
 	if err != nil {
@@ -36,6 +45,15 @@
 	}
 }
 
+// usedTokens returns the work of a whole answer in tokens, 0 before its end.
+func usedTokens(r *wirepb.CallRequest, end *wirepb.End) int {
+	if end == nil {
+		return 0
+	}
+	prompt := max(end.GetPromptTokens(), r.GetPromptTokens())
+	return max(1, int(prompt+end.GetCompletionTokens()))
+}
+
 // forward runs a call at the endpoint. The entry's closing cancels it if it
 // may be repeated; another one is left to finish, so that its outcome is known.
 func (s *Server) forward(closed <-chan struct{}, r *wirepb.CallRequest, send sink) error {
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -15,9 +16,13 @@
 	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/entry"
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/route"
 	"dogwoodfold/internal/wire/wirepb"
 )
 
+// defaultZoneLatency is the latency to zones that the settings don't name.
+const defaultZoneLatency = time.Millisecond
+
 // newEntry returns the command that runs an entry.
 func newEntry() *cobra.Command {
 	var file string
@@ -46,11 +51,16 @@
 	incarnation := newIncarnation()
 	return entry.Options{
 		Core: entry.CoreSettings{
-			Host:           s.Host,
-			Incarnation:    incarnation,
-			Share:          s.StaticShare,
-			Seed:           rand.Uint64(),
-			Drain:          s.DrainDelay,
+			Host:        s.Host,
+			Incarnation: incarnation,
+			Share:       s.StaticShare,
+			Seed:        rand.Uint64(),
+			Drain:       s.DrainDelay,
+			Zones: route.Zones{
+				Self:    s.Zone,
+				Latency: s.ZoneLatency,
+				Default: defaultZoneLatency,
+			},
 			Retention:      s.LogRetention,
 			IsolationLimit: cmp.Or(s.IsolationLimit, defaultIsolationLimit),
 			Placement:      s.WeightStore.placement(),
@@ -149,7 +159,9 @@
 		Out:      newLogger(os.Stderr, s.Host),
 	}
 	if s.Kind == kindEngine {
-		options.Engine = plat.NewHTTPEngine("http://" + s.Endpoint.String())
+		engine := plat.NewHTTPEngine("http://" + s.Endpoint.String())
+		options.Engine = engine
+		options.Cache = engine
 	}
 	return options, nil
 }
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -17,9 +17,11 @@
 
 	"dogwoodfold/internal/admin"
 	"dogwoodfold/internal/agent"
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/entry"
 	"dogwoodfold/internal/fakes"
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/route"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/config"
 )
@@ -28,8 +30,6 @@
 	slots       = 16
 	memoryBytes = 80 << 30
 	entries     = 2
-	// share splits every customer's rate evenly between the entries.
-	share = 1.0 / entries
 )
 
 // Line is a name and a value that demo --hold prints.
@@ -214,6 +214,13 @@
 			Incarnation: incarnation,
 			Plain:       !model,
 			Slots:       slots,
+			Once: dedup.Settings{
+				Self: dedup.Holder{
+					Host:        name,
+					Incarnation: incarnation,
+				},
+				Service: service,
+			},
 		},
 		Hello: &wirepb.Hello{
 			Host:        name,
@@ -257,17 +264,19 @@
 	if err != nil {
 		return err
 	}
+	incarnation := rand.Uint64() | 1
 	server := entry.New(entry.Options{
 		Core: entry.CoreSettings{
-			Host:  name,
-			Share: share,
-			Seed:  rand.Uint64(),
+			Host:        name,
+			Incarnation: incarnation,
+			Seed:        rand.Uint64(),
+			Zones:       route.Zones{Self: "mx-centro-a"},
 		},
 		Hello: &wirepb.Hello{
 			Host:        name,
 			Role:        plat.RoleEntry,
 			Zone:        "mx-centro-a",
-			Incarnation: rand.Uint64() | 1,
+			Incarnation: incarnation,
 		},
 		Log:   plat.NewHTTPLog(f.LogURL),
 		Hosts: plat.NewHTTPHosts(f.hostsURL),
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -23,9 +23,12 @@
 	// incarnation is the agent process of the last attempt.
 	incarnation uint64
 	// asked is the question for the last attempt's outcome, nil if none is open.
-	asked *question
+	asked  *question
+	ticket *route.Ticket
 	// unsure is the failure of an attempt that may have run, nil if none has.
 	unsure error
+	// refused is the last refusal of an agent, nil if there was none.
+	refused error
 	// withdrawnAt is when the call lost its permission, toldAt when its agent
 	// was last told to drop it.
 	withdrawnAt time.Time
@@ -41,6 +44,16 @@
 	return err
 }
 
+// unreachable returns why no agent can take a call: what the last one said, if
+// any was asked.
+func (r *running) unreachable() error {
+	if r.refused != nil {
+		return r.refused
+	}
+	err := fault.New(fault.NotRun, fault.CodeNoEndpoint, "no endpoint can take the call now")
+	return fault.WithRetryAfter(err, noEndpointRetryAfter)
+}
+
 // arrived admits a call and sends it, or refuses it.
 func (c *Core) arrived(now time.Time, call Call) []Effect {
 	c.offer(call)
@@ -97,8 +110,7 @@
 	}
 	r.attempt++
 	r.host, r.incarnation = peer.Host.Name, peer.Incarnation
-	peer.Sent++
-	peer.SentTokens += int(r.Tokens)
+	r.ticket = c.router.Sent(now, peer, r.query())
 	return []Effect{Send{
 		ID:           r.ID,
 		Attempt:      r.attempt,
@@ -107,6 +119,7 @@
 		Version:      r.served,
 		Weight:       c.index.Text.Customers[r.Customer].Weight,
 		ConfigOffset: c.fold.Accepted,
+		Cached:       r.ticket.Cached,
 
 		EntryIncarnation: r.Hold.Incarnation,
 	}}
@@ -121,26 +134,15 @@
 		if peer := c.owner(r); peer != nil {
 			return peer, nil
 		}
-		return nil, errNoEndpoint
-	}
-	peer := c.router.Pick(now, route.Query{
-		Service: r.Route.Service,
-		Model:   r.Model,
-		Version: r.served,
-		Adapter: r.Adapter,
-		Tokens:  int(r.Tokens),
-		Tried:   r.tried,
-	})
+		return nil, r.unreachable()
+	}
+	peer := c.router.Pick(now, r.query())
 	if peer == nil {
-		return nil, errNoEndpoint
+		return nil, r.unreachable()
 	}
 	return peer, nil
 }
 
-// errNoEndpoint ends a call that no agent can take.
-var errNoEndpoint = fault.WithRetryAfter(
-	fault.New(fault.NotRun, fault.CodeNoEndpoint, "no endpoint can take the call now"), noEndpointRetryAfter)
-
 // giveUp refuses a call. Its tokens are returned if it is proved not to have
 // run.
 func (c *Core) giveUp(now time.Time, r *running, err error) []Effect {
@@ -167,10 +169,7 @@
 	if !known || r.attempt != e.Attempt {
 		return nil
 	}
-	if peer := c.fleet.Peer(r.host); peer != nil {
-		peer.Sent = max(0, peer.Sent-1)
-		peer.SentTokens = max(0, peer.SentTokens-int(r.Tokens))
-	}
+	c.routed(now, r, e.Outcome)
 	if e.Outcome.Err == nil {
 		c.settle(now, r, e.Outcome.Used)
 		return c.finish(now)
@@ -184,7 +183,9 @@
 // failed sends a call again where that is safe, or gives it up.
 func (c *Core) failed(now time.Time, r *running, o Outcome) []Effect {
 	r.tried[r.host] = true
-	if o.Verdict != fault.NotRun {
+	if o.Verdict == fault.NotRun {
+		r.refused = o.Err
+	} else {
 		r.unsure = o.Err
 	}
 	if o.Holder.Incarnation != 0 && r.Once {
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -32,6 +32,7 @@
 	Seed  uint64
 	// Drain is how long new requests are still taken after readiness failed.
 	Drain time.Duration
+	Zones route.Zones
 	// Retention is how long the log keeps records, 0 for ever.
 	Retention time.Duration
 	// IsolationLimit is how long the entry may be without word from both the
@@ -74,7 +75,7 @@
 		relay:     relay.New(s.IsolationLimit, s.Seed),
 		points:    newCheckpoints(s.Retention, s.Seed),
 		fleet:     f,
-		router:    route.New(f, s.Seed),
+		router:    route.New(f, s.Zones, s.Seed),
 		shares:    newShares(s),
 		calls:     make(map[string]*running),
 		budget:    dedup.NewBudget(),
@@ -90,6 +91,8 @@
 		return c.arrived(now, e.Call)
 	case Answered:
 		return c.answered(now, e)
+	case Begun:
+		return c.begun(now, e)
 	case HostsRead:
 		return append(c.listed(e.Hosts), c.shareEvent(now, e)...)
 	case LogRead:
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -31,8 +31,13 @@
 	Hold quota.Hold
 	// Once says that the caller gave an idempotency key for a call that may
 	// not be repeated; OnceKey is its digest.
-	Once     bool
-	OnceKey  dedup.Key
+	Once    bool
+	OnceKey dedup.Key
+	// Prompt is the part of Tokens before the answer, Blocks the hashes of the
+	// prompt's blocks.
+	Prompt   int
+	Blocks   []uint64
+	Streams  bool
 	Deadline time.Time
 }
 
@@ -60,6 +65,11 @@
 		Attempt int
 		Outcome Outcome
 	}
+	// Begun says that the first part of a streamed answer has come.
+	Begun struct {
+		ID      string
+		Attempt int
+	}
 	// HostsRead brings the platform's list of hosts.
 	HostsRead struct{ Hosts []plat.Host }
 	// LogRead brings a page of a stream of the log.
@@ -104,6 +114,7 @@
 
 func (Arrived) isEvent()   {}
 func (Answered) isEvent()  {}
+func (Begun) isEvent()     {}
 func (HostsRead) isEvent() {}
 func (LogRead) isEvent()   {}
 func (LogFailed) isEvent() {}
@@ -133,6 +144,8 @@
 		// EntryIncarnation is the one that has reserved the tokens, 0 if
 		// the entry's share is fixed.
 		EntryIncarnation uint64
+		// Cached is how many tokens of the prompt are expected to be cached.
+		Cached int
 	}
 	// Refuse ends a call with an error.
 	Refuse struct {
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 type exchange struct {
 	*resolved
 	ctx      *fasthttp.RequestCtx
+	conn     net.Conn
 	started  time.Time
 	commands chan Effect
 	host     string
@@ -116,6 +118,7 @@
 	x := &exchange{
 		resolved: r,
 		ctx:      ctx,
+		conn:     ctx.Conn(),
 		started:  started,
 		commands: make(chan Effect, 1),
 		target:   snapshot.Text.Services[r.call.Route.Service].Target,
@@ -234,6 +237,7 @@
 	x.request.Weight = e.Weight
 	x.request.ConfigOffset = e.ConfigOffset
 	x.request.Version = e.Version
+	x.request.CachedTokens = uint32(e.Cached)
 	if err := call.SetDeadline(x.call.Deadline); err != nil {
 		return nil, fault.Wrap(err, fault.NotRun, fault.CodeLink)
 	}
@@ -270,8 +274,14 @@
 	x.ctx.SetBodyStream(&streamReader{
 		call:     call,
 		deadline: x.call.Deadline,
-		first:    func() { s.metrics.firstToken(x, time.Since(x.started)) },
-		cause:    x.cause,
+		first: func() {
+			s.metrics.firstToken(x, time.Since(x.started))
+			s.loop.Post(Begun{
+				ID:      x.call.ID,
+				Attempt: e.Attempt,
+			})
+		},
+		cause: x.cause,
 		finish: func(err error, end *wirepb.End, events int) {
 			err = x.cause(err)
 			x.events = events
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -10,6 +10,7 @@
 // listed takes over the host list and connects to the agents and entries.
 func (c *Core) listed(hosts []plat.Host) []Effect {
 	c.fleet.Listed(hosts)
+	c.router.Sweep()
 	return c.connect()
 }
 
@@ -40,7 +41,13 @@
 		if !c.fleet.Current(e.Host, e.Incarnation) {
 			return nil
 		}
+		body.Load.AgeMs += e.Message.GetAgeMs()
 		c.fleet.Reported(now, e.Host, body.Load)
+	case *wirepb.Envelope_Cache:
+		if !c.fleet.Current(e.Host, e.Incarnation) {
+			return nil
+		}
+		c.router.Cached(e.Host, body.Cache)
 	case *wirepb.Envelope_Heartbeat:
 		if !c.fleet.Current(e.Host, e.Incarnation) {
 			return nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,10 +39,6 @@
 	// Load is the last load report, nil before the first.
 	Load   *wirepb.LoadReport
 	LoadAt time.Time
-	// Sent counts the calls sent and not yet answered, SentTokens their
-	// reserved tokens.
-	Sent       int
-	SentTokens int
 
 	// told is Leaving as the process named last said of itself.
 	told bool
@@ -80,9 +76,11 @@
 
 // Fleet is the set of known hosts.
 type Fleet struct {
-	self   string
-	peers  map[string]*Peer
-	ticked time.Time
+	// version rises with each change of who can take what.
+	version uint64
+	self    string
+	peers   map[string]*Peer
+	ticked  time.Time
 }
 
 // New returns a fleet that knows only the host named self.
@@ -93,6 +91,9 @@
 	}
 }
 
+// Version changes whenever Able, or what an agent serves, may have changed.
+func (f *Fleet) Version() uint64 { return f.version }
+
 // Listed takes over the platform's list. An empty one is taken for a fault of
 // the list, and changes nothing. A host that has vanished is kept while it is
 // linked, since a list that lags must not cut calls.
@@ -100,6 +101,7 @@
 	if len(hosts) == 0 {
 		return
 	}
+	f.version++
 	listed := make(map[string]bool)
 	for _, host := range hosts {
 		if host.Name == f.self {
@@ -135,8 +137,7 @@
 	}
 	p.Incarnation = hello.GetIncarnation()
 	p.last = p.Incarnation
-	p.Sent = 0
-	p.SentTokens = 0
+	f.version++
 	p.heard(now, false)
 }
 
@@ -148,6 +149,7 @@
 		return false
 	}
 	p.Incarnation = 0
+	f.version++
 	if p.Unlisted {
 		delete(f.peers, name)
 	}
@@ -168,7 +170,7 @@
 		return
 	}
 	p.ConfigOffset = max(p.ConfigOffset, beat.GetConfigOffset())
-	p.heard(now, beat.GetLeaving())
+	f.heard(now, p, beat.GetLeaving())
 }
 
 // Reported takes over a load report; an older one than the last is dropped.
@@ -177,9 +179,29 @@
 	if !known || report.GetSequence() <= p.Load.GetSequence() {
 		return
 	}
+	if p.Load == nil || !sameModels(p.Load.GetModels(), report.GetModels()) {
+		f.version++
+	}
 	p.Load = report
 	p.LoadAt = now
-	p.heard(now, report.GetLeaving())
+	f.heard(now, p, report.GetLeaving())
+}
+
+// heard notes a message of a known host.
+func (f *Fleet) heard(now time.Time, p *Peer, leaving bool) {
+	before := *p
+	p.heard(now, leaving)
+	if before.Leaving != p.Leaving || before.Suspect != p.Suspect {
+		f.version++
+	}
+}
+
+// sameModels reports whether two reports hold the same in the same order.
+func sameModels(a, b []*wirepb.HeldModel) bool {
+	return slices.EqualFunc(a, b, func(x, y *wirepb.HeldModel) bool {
+		return x.GetModel() == y.GetModel() && x.GetVersion() == y.GetVersion() &&
+			slices.Equal(x.GetAdapters(), y.GetAdapters())
+	})
 }
 
 // Tick suspects the hosts that have been silent for too long. After a pause of
@@ -193,7 +215,11 @@
 	f.ticked = now
 	for _, p := range f.peers {
 		p.HeardAt = p.HeardAt.Add(pause)
-		p.Suspect = p.Linked() && now.Sub(p.HeardAt) >= suspectAfter
+		suspect := p.Linked() && now.Sub(p.HeardAt) >= suspectAfter
+		if p.Suspect != suspect {
+			p.Suspect = suspect
+			f.version++
+		}
 	}
 }
 
@@ -214,12 +240,18 @@
 // Agents returns the agents of a service that can take new work, by name. Ones
 // that the list has lost are named only if there are no others.
 func (f *Fleet) Agents(service string) []*Peer {
-	able := slices.DeleteFunc(f.Peers(plat.RoleAgent), func(p *Peer) bool {
-		return p.Host.Service != service || !p.Linked() || p.Leaving || p.Suspect
-	})
+	able := f.Able(service)
 	listed := slices.DeleteFunc(slices.Clone(able), func(p *Peer) bool { return p.Unlisted })
 	if len(listed) == 0 {
 		return able
 	}
 	return listed
 }
+
+// Able returns the agents of a service that can take new work, by name, those
+// that the list has lost too.
+func (f *Fleet) Able(service string) []*Peer {
+	return slices.DeleteFunc(f.Peers(plat.RoleAgent), func(p *Peer) bool {
+		return p.Host.Service != service || !p.Linked() || p.Leaving || p.Suspect
+	})
+}
--- /dev/null
+++ b/internal/route/bench_test.go
@@ -0,0 +1,139 @@
+package route_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/fleet"
+	"dogwoodfold/internal/prefix"
+	"dogwoodfold/internal/route"
+)
+
+// percentile returns a quantile of durations.
+func percentile(all []time.Duration, q float64) time.Duration {
+	slices.Sort(all)
+	return all[int(float64(len(all)-1)*q)]
+}
+
+// holders are the agents that hold what a call needs.
+func holders(e *simEntry, q route.Query) []*fleet.Peer {
+	return slices.DeleteFunc(e.fleet.Agents(q.Service), func(p *fleet.Peer) bool {
+		return p.Load == nil || q.Tried[p.Host.Name] || !p.Serves(q.Model, q.Version, q.Adapter)
+	})
+}
+
+func expectedFirst(e *simEntry, now time.Time, q route.Query) *fleet.Peer {
+	return e.router.Pick(now, q)
+}
+
+func roundRobin(e *simEntry, _ time.Time, q route.Query) *fleet.Peer {
+	peers := holders(e, q)
+	if len(peers) == 0 {
+		return nil
+	}
+	e.turn++
+	return peers[e.turn%len(peers)]
+}
+
+// leastOutstanding counts the reported calls, or this entry's own if more.
+func leastOutstanding(e *simEntry, _ time.Time, q route.Query) *fleet.Peer {
+	var best *fleet.Peer
+	lowest := 0
+	for _, p := range holders(e, q) {
+		n := max(e.open[p.Host.Name], int(p.Load.GetRunning()+p.Load.GetQueued()))
+		if best == nil || n < lowest {
+			best, lowest = p, n
+		}
+	}
+	return best
+}
+
+// prefixAffinity hashes the prompt's first block over the holders.
+func prefixAffinity(_ *simEntry, _ time.Time, q route.Query, peers []*fleet.Peer) *fleet.Peer {
+	var best *fleet.Peer
+	highest := uint64(0)
+	for _, p := range peers {
+		h := fnv.New64a()
+		_, _ = fmt.Fprint(h, q.Blocks[0], p.Host.Name)
+		if n := h.Sum64(); best == nil || n > highest {
+			best, highest = p, n
+		}
+	}
+	return best
+}
+
+// policies are the router and its baselines.
+var policies = []struct {
+	name   string
+	choose func(*simEntry, time.Time, route.Query) *fleet.Peer
+}{
+	{"expectedFirst", expectedFirst},
+	{"roundRobin", roundRobin},
+	{"leastOutstanding", leastOutstanding},
+	{"prefixAffinity", func(e *simEntry, now time.Time, q route.Query) *fleet.Peer {
+		return prefixAffinity(e, now, q, holders(e, q))
+	}},
+}
+
+// BenchmarkSlowEndpoint measures routing with one engine four times slower
+// than the others.
+func BenchmarkSlowEndpoint(b *testing.B) {
+	for _, d := range deployments {
+		d.slow = 4
+		benchmarkRouting(b, d, 500*time.Millisecond)
+	}
+}
+
+func BenchmarkRouting(b *testing.B) {
+	for _, d := range deployments {
+		for _, lag := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second} {
+			benchmarkRouting(b, d, lag)
+		}
+	}
+}
+
+func benchmarkRouting(b *testing.B, d deployment, lag time.Duration) {
+	for _, policy := range policies {
+		b.Run(fmt.Sprintf("%s/lag=%v/%s", d.name, lag, policy.name), func(b *testing.B) {
+			for range b.N {
+				var firsts []time.Duration
+				hit, all := 0, 0
+				for seed := range uint64(simSeeds) {
+					s := newSim(d, seed, lag, policy.choose)
+					s.run()
+					firsts = append(firsts, s.firsts...)
+					hit += s.hit
+					all += s.prefix
+				}
+				b.ReportMetric(float64(percentile(firsts, 0.95).Milliseconds()), "p95-ms")
+				b.ReportMetric(100*float64(hit)/float64(all), "hit-%")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+// BenchmarkPick measures one decision with its bookkeeping.
+func BenchmarkPick(b *testing.B) {
+	for _, size := range []struct{ workers, models int }{{12, 20}, {590, 360}} {
+		b.Run(fmt.Sprintf("workers=%d", size.workers), func(b *testing.B) {
+			s := newSim(deployment{workers: size.workers, models: size.models, adapters: size.models}, 0, 0, expectedFirst)
+			s.advance(epoch.Add(time.Millisecond))
+			e := s.entries[0]
+			chain := prefix.Chain("m", make([]byte, 16*prefix.BlockBytes))
+			i := 0
+			for b.Loop() {
+				q := route.Query{
+					Service: "lengua", Model: modelName(i % size.models), Version: "v1", Tokens: 1500, Prompt: 1400, Blocks: chain,
+				}
+				i++
+				p := e.router.Pick(epoch, q)
+				k := e.router.Sent(epoch, p, q)
+				e.router.Ended(epoch, k, route.Answered, 0)
+			}
+		})
+	}
+}
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -62,6 +62,7 @@
 	CodeUnknownResult Code = "outcome_unknown"
 	CodeClaimed       Code = "claimed_elsewhere"
 	CodeLogDown       Code = "log_unavailable"
+	CodeCallerGone    Code = "caller_gone"
 	CodeInternal      Code = "internal"
 )
 
@@ -144,6 +145,7 @@
 	CodeConflict:      409,
 	CodeUnknownResult: 409,
 	CodeRate:          429,
+	CodeCallerGone:    499,
 	CodeNoEndpoint:    503,
 	CodeBusy:          503,
 	CodeLeaving:       503,
