Hand the shares of a leaving coordinator to the others

Cause: an entry that leaves gave its shares back only if it was not coordinator, and one without a share yet told callers that their rate was spent. Change: a leaving coordinator gives its own share too and keeps the pool only; calls before the first word of a coordinator are refused as not ready. Figures: TestLeavingEntryGivesItsShareBack.

--- a/internal/entry/shares.go
+++ b/internal/entry/shares.go
@@ -11,6 +11,9 @@
 	"dogwoodfold/pkg/fault"
 )
 
+// noShareRetryAfter is what callers are told before an entry has a share.
+const noShareRetryAfter = time.Second
+
 // shares limits the customers: by shares that move between the entries, or by
 // a fixed share of each rate.
 type shares struct {
@@ -49,11 +52,20 @@
 		effects = c.shared(now, out)
 	}
 	if decision == quota.Refused {
-		return false, effects, rateError(wait)
+		return false, effects, c.refusal(wait)
 	}
 	return decision == quota.Asked, effects, nil
 }
 
+// refusal says why a call gets no tokens.
+func (c *Core) refusal(wait time.Duration) error {
+	if c.shares.node != nil && !c.shares.node.Joined() {
+		err := fault.New(fault.NotRun, fault.CodeNotReady, "this entry has no share of the rates yet")
+		return fault.WithRetryAfter(err, noShareRetryAfter)
+	}
+	return rateError(wait)
+}
+
 func rateError(wait time.Duration) error {
 	err := fault.New(fault.NotRun, fault.CodeRate, "the customer's rate and burst are spent")
 	return fault.WithRetryAfter(err, wait)
--- a/internal/quota/change_test.go
+++ b/internal/quota/change_test.go
@@ -291,3 +291,22 @@
 		t.Errorf("%v of the whole can be spent after %d late grants", spendable, len(grants))
 	}
 }
+
+// TestLeavingEntryGivesItsShareBack checks a planned stop, of the coordinator
+// too.
+func TestLeavingEntryGivesItsShareBack(t *testing.T) {
+	s, c := settled(t, 3)
+	for i, h := range s.entries {
+		if i != c {
+			s.do(h, h.node.Leave(s.now))
+			break
+		}
+	}
+	s.do(s.entries[c], s.entries[c].node.Leave(s.now))
+	s.run(3 * time.Second)
+	for _, h := range s.entries {
+		if got := h.node.Held("booth"); h.node.Coordinates() && got > 0.11 || !h.node.Coordinates() && got > 0 && got < 0.85 {
+			t.Errorf("%s holds %v of the whole, want all but the pool at the one that stays", h.name, got)
+		}
+	}
+}
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -97,6 +97,9 @@
 // Coordinates reports whether this node is coordinator.
 func (n *Node) Coordinates() bool { return n.coordinator != nil }
 
+// Joined reports whether the node has heard from a coordinator.
+func (n *Node) Joined() bool { return n.leader != "" }
+
 // Configure takes over the customers' limits.
 func (n *Node) Configure(now time.Time, limits map[string]Limit) []Effect {
 	n.limits = limits
@@ -327,7 +330,7 @@
 // Tick passes time.
 func (n *Node) Tick(now time.Time) []Effect {
 	n.expire(now)
-	if n.leaving && n.coordinator == nil {
+	if n.leaving {
 		n.holder.giveAll(now)
 	}
 	if now.Sub(n.reportAt) >= reportInterval {
