--- a/internal/agent/place.go
+++ b/internal/agent/place.go
@@ -46,12 +46,12 @@
 
 // received passes a control message to the part that it belongs to.
 func (c *Core) received(now time.Time, e Received) []Effect {
-	if e.Message.GetShare() != nil {
-		return c.viewed(e)
-	}
 	if fold := e.Message.GetFold(); fold != nil {
 		return c.foldMessage(now, fold)
 	}
+	if e.Message.GetShare() != nil {
+		return c.viewed(e)
+	}
 	message := e.Message.GetPlace()
 	if message == nil || c.plain {
 		return nil
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -28,12 +28,11 @@
 	}}
 }
 
-// logRead takes over a page of a stream of the log.
-func (c *Core) logRead(e LogRead) []Effect {
-	if e.Stream == plat.StreamFleet && c.guard != nil {
-		c.guard.Read(e.Page)
+// readViews takes over a page of the stream of views.
+func (c *Core) readViews(page plat.Page) {
+	if c.guard != nil {
+		c.guard.Read(page)
 	}
-	return nil
 }
 
 // checkEntry refuses calls that spend a customer's tokens if the entry that
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -140,7 +140,7 @@
 }
 
 // logLines is how much of a log is printed after a failure.
-const logLines = 30
+const logLines = 8
 
 // printLogs prints the last lines of a process's log, leaving out the calls
 // that were answered.
--- a/internal/entry/config_test.go
+++ b/internal/entry/config_test.go
@@ -192,7 +192,7 @@
 	n.publish(1, "", `{"customers":{"booth":{"keys":{"a":null}}}}`)
 	n.run(testLimit + time.Second)
 	n.wantReady("b", false)
-	if err := n.cores["b"].admit(Call{}); fault.CodeOf(err) != fault.CodeNotReady || fault.VerdictOf(err) != fault.NotRun {
+	if err := n.cores["b"].admit(n.now, Call{}); fault.CodeOf(err) != fault.CodeNotReady || fault.VerdictOf(err) != fault.NotRun {
 		t.Errorf("admit: %v, want not ready, not run", err)
 	}
 	n.wantReady("a", true)
@@ -202,6 +202,50 @@
 	n.wantAccepted("b", 2)
 }
 
+func TestEntryThatWasPausedRefusesAtOnce(t *testing.T) {
+	n, c := keyedCore(t)
+	n.now = n.now.Add(time.Minute) // and no tick since
+	n.arrive(c, "late", "charge")
+	if err := n.refusal("late"); fault.CodeOf(err) != fault.CodeNotReady || fault.VerdictOf(err) != fault.NotRun {
+		t.Errorf("refusal %v, want not ready, not run", err)
+	}
+}
+
+func TestPeerOfALaterReleaseIsNotAskedAgainAtOnce(t *testing.T) {
+	n := newNetwork(t, "a")
+	n.publish(0, keyedText(), "")
+	n.run(time.Second)
+	n.apply("a", HostsRead{Hosts: []plat.Host{{Name: "b", Role: plat.RoleEntry, State: plat.HostLive}}})
+	n.apply("a", LinkUp{Host: "b", Hello: &wirepb.Hello{Incarnation: 1}})
+	n.run(time.Second)
+	fold := func(m *wirepb.FoldMessage) {
+		n.apply("a", Received{Host: "b", Message: &wirepb.Envelope{Body: &wirepb.Envelope_Fold{Fold: m}}})
+	}
+	fold(&wirepb.FoldMessage{Body: &wirepb.FoldMessage_Status{Status: &wirepb.FoldStatus{Accepted: 7, Next: 8}}})
+	asks := func() (count int) {
+		for _, effect := range n.effects["a"] {
+			if e, ok := effect.(Tell); ok && e.Message.GetFold().GetAsk() != nil {
+				count++
+			}
+		}
+		return count
+	}
+	n.run(time.Second)
+	later := []byte(`{"format":2}`)
+	fold(&wirepb.FoldMessage{Body: &wirepb.FoldMessage_State{State: &wirepb.FoldState{
+		Accepted: 7,
+		Next:     8,
+		Sum:      config.Sum(later),
+		Steps:    []*wirepb.FoldStep{{Offset: 7, Text: later}},
+	}}})
+	before := asks()
+	n.run(8 * time.Second)
+	if got := asks(); before != 1 || got != before {
+		t.Errorf("asked %d times, then %d times more, want 1 and 0", before, got-before)
+	}
+	n.wantAccepted("a", 1)
+}
+
 func TestLogDownForAllServesOn(t *testing.T) {
 	n := newNetwork(t, "a", "b", "c")
 	n.publish(0, keyedText(), "")
--- a/internal/entry/shares.go
+++ b/internal/entry/shares.go
@@ -21,6 +21,8 @@
 	node  *quota.Node
 	// asking are the calls that wait for the coordinator's answer.
 	asking map[string]Call
+	// left says that the shares were handed back.
+	left bool
 }
 
 func newShares(s CoreSettings) shares {
@@ -102,7 +104,7 @@
 	}
 	delete(c.shares.asking, d.ID)
 	if !d.OK {
-		return append(refuse(call.ID, rateError(d.Wait)), c.finish()...)
+		return append(refuse(call.ID, rateError(d.Wait)), c.finish(now)...)
 	}
 	call.Hold = d.Hold
 	return c.begin(now, call)
@@ -148,14 +150,21 @@
 			return nil // the agent has restarted since, without a view
 		}
 		return c.shared(now, n.Received(now, e.Host, m))
-	case Stopping:
-		return c.shared(now, n.Leave(now))
 	case Tick:
 		return c.shared(now, n.Tick(now))
 	}
 	return nil
 }
 
+// leaveShares hands the shares back once no new call is taken.
+func (c *Core) leaveShares(now time.Time) []Effect {
+	if c.shares.node == nil || c.shares.left || !c.refusing(now) {
+		return nil
+	}
+	c.shares.left = true
+	return c.shared(now, c.shares.node.Leave(now))
+}
+
 // shareLinked notes a session that came up, or ended if incarnation is 0.
 func (c *Core) shareLinked(now time.Time, host string, incarnation uint64) []Effect {
 	peer := c.fleet.Peer(host)
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -62,6 +62,20 @@
 	}
 }
 
+// currentHolders returns the workers that hold, or are loading, the current
+// version of each model.
+func currentHolders(workers []Worker, models map[string]Model) map[string][]*Worker {
+	on := make(map[string][]*Worker)
+	for i := range workers {
+		for _, h := range workers[i].Held {
+			if m, listed := models[h.Model]; listed && h.Copy == m.current(h.Model) {
+				on[h.Model] = append(on[h.Model], &workers[i])
+			}
+		}
+	}
+	return on
+}
+
 // pieces is into how many parts a model's demand is split between holders.
 const pieces = 8
 
@@ -70,10 +84,7 @@
 func estimate(workers []Worker, models map[string]Model, rate func(string) float64) (usage, map[Copy]usage) {
 	used := make(usage)
 	parts := make(map[Copy]usage)
-	on := make(map[string][]*Worker)
-	for name, m := range models {
-		on[name] = holders(workers, m.current(name))
-	}
+	on := currentHolders(workers, models)
 	names := slices.SortedFunc(maps.Keys(models), func(a, b string) int {
 		return cmp.Or(cmp.Compare(len(on[a]), len(on[b])), strings.Compare(a, b))
 	})
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -14,7 +14,8 @@
 	Fast time.Duration
 	Slow time.Duration
 	// High is the use of an engine, from 0 to 1, from which copies are added,
-	// Gain the least reduction of that use that a copy must bring.
+	// Gain the least reduction of the strain that a copy must bring. Strain is
+	// the sum of the squares of all uses beyond High.
 	High float64
 	Gain float64
 	// Residency is how long a copy stays at least.
@@ -29,24 +30,19 @@
 // DefaultSettings returns the settings for a weight store of eight slots.
 func DefaultSettings() Settings {
 	return Settings{
-		Fast:           15 * time.Second,
-		Slow:           5 * time.Minute,
-		High:           0.6,
-		Gain:           0.1,
-		Residency:      2 * time.Minute,
+		Fast:           3 * time.Second,
+		Slow:           8 * time.Second,
+		High:           0.3,
+		Gain:           0.04,
+		Residency:      20 * time.Second,
 		LoadsPerSecond: 1,
 		Loads:          8,
 		AdapterLoads:   64,
 	}
 }
 
-const (
-	// absentGrace is how long a model must have had no copy before it is
-	// loaded, so that a broken session alone moves nothing.
-	absentGrace = time.Second
-	// loadBurst is how many loads may begin at once.
-	loadBurst = 4
-)
+// loadBurst is how many loads may begin at once.
+const loadBurst = 4
 
 // Move is an order to one agent that the planner wishes for.
 type Move struct {
@@ -64,9 +60,7 @@
 type Planner struct {
 	settings Settings
 	demand   *Demand
-	// absent says since when a model has had no copy, loaded when a worker was
-	// seen to get a copy.
-	absent map[string]time.Time
+	// loaded says when a worker was seen to get a copy.
 	loaded map[seat]time.Time
 	// swaps are the loads that wait for unloads, by model.
 	swaps map[string]swap
@@ -86,7 +80,6 @@
 	return &Planner{
 		settings: s,
 		demand:   NewDemand(s.Fast, s.Slow),
-		absent:   make(map[string]time.Time),
 		loaded:   make(map[seat]time.Time),
 		swaps:    make(map[string]swap),
 		budget:   loadBurst,
@@ -105,6 +98,8 @@
 	now     time.Time
 	workers []Worker
 	models  map[string]Model
+	// absent holds the models that have no copy.
+	absent  map[string]bool
 	moves   []Move
 	loading int
 	// adapters counts the adapters that are loading.
@@ -122,6 +117,7 @@
 		Planner: p,
 		now:     now,
 		models:  models,
+		absent:  make(map[string]bool),
 	}
 	for _, w := range workers {
 		w.Held = slices.Clone(w.Held)
@@ -138,7 +134,7 @@
 	return r.moves
 }
 
-// observe notes what is loading and since when copies are there.
+// observe notes what is loading, what is absent and since when copies are there.
 func (r *round) observe() {
 	seen := make(map[seat]bool)
 	for _, w := range r.workers {
@@ -161,17 +157,12 @@
 		}
 	}
 	maps.DeleteFunc(r.loaded, func(s seat, _ time.Time) bool { return !seen[s] })
-	for name, m := range r.models {
-		if len(holders(r.workers, m.current(name))) > 0 {
-			delete(r.absent, name)
-		} else if _, known := r.absent[name]; !known {
-			r.absent[name] = r.now
+	present := currentHolders(r.workers, r.models)
+	for name := range r.models {
+		if len(present[name]) == 0 {
+			r.absent[name] = true
 		}
 	}
-	maps.DeleteFunc(r.absent, func(name string, _ time.Time) bool {
-		_, listed := r.models[name]
-		return !listed
-	})
 }
 
 // unlisted unloads what the text does not list any more.
@@ -200,7 +191,7 @@
 		)
 	})
 	for _, name := range names {
-		if _, waits := r.swaps[name]; waits || r.now.Sub(r.absent[name]) < absentGrace {
+		if _, waits := r.swaps[name]; waits {
 			continue
 		}
 		m := r.models[name]
@@ -257,7 +248,7 @@
 			host: w.Host,
 			copy: h.Copy,
 		}]) < residency
-		return recent || h.Adapter != "" || !h.Staying || r.keeper(w, h.Copy) == nil
+		return recent || h.Adapter != "" || !h.Staying || !r.surplus(w, h.Copy)
 	})
 	slices.SortFunc(candidates, func(a, b Held) int {
 		return cmp.Or(cmp.Compare(r.perCopy(a.Model), r.perCopy(b.Model)), compareCopies(a.Copy, b.Copy))
@@ -280,16 +271,20 @@
 	return r.rate(model) / float64(max(1, len(holders(r.workers, m.current(model)))-1))
 }
 
-// keeper returns a worker, another one or another version's, that keeps a copy's model in its current
-// version, with all adapters that would go.
-func (r *round) keeper(w *Worker, c Copy) *Worker {
+// surplus reports whether a copy can go: another worker keeps the model in its
+// current version, or in the same old one.
+func (r *round) surplus(w *Worker, c Copy) bool {
 	m, listed := r.models[c.Model]
-	if !listed {
-		return nil
-	}
+	return listed && (r.keeper(w, c, m.Version) != nil || r.keeper(w, c, c.Version) != nil)
+}
+
+// keeper returns a worker that keeps a copy's model in a version, with all
+// adapters that would go, nil if there is none. It may be the same worker if
+// the version is another one.
+func (r *round) keeper(w *Worker, c Copy, version string) *Worker {
 	for i := range r.workers {
 		k := &r.workers[i]
-		if (k.Host != w.Host || c.Version != m.Version) && k.keeps(w, c, m.Version) {
+		if (k.Host != w.Host || c.Version != version) && k.keeps(w, c, version) {
 			return k
 		}
 	}
@@ -312,10 +307,13 @@
 	return true
 }
 
-// drop unloads a copy that another worker keeps.
-func (r *round) drop(w *Worker, h Held) {
-	if k := r.keeper(w, h.Copy); k != nil {
-		r.unload(w, h.Copy, k.Host, r.models[h.Model].Version)
+// drop unloads a copy if a worker keeps the model in one of some versions.
+func (r *round) drop(w *Worker, c Copy, versions ...string) {
+	for _, version := range versions {
+		if k := r.keeper(w, c, version); k != nil {
+			r.unload(w, c, k.Host, version)
+			return
+		}
 	}
 }
 
