Tell entries of balanced shares at once and answer with more than asked

Cause: TestRepeatAfterTheEntryDied failed with shares: an entry had only what it had asked for, as the first balancing was told up to half a second later, and the coordinator was killed before. Change: members hear of balancing at once, and an answer moves a hundredth of the right at least. Tests that started entries with a staticShare against agents that want a view share the rates now (claims, place, stops, which also lists its second entry); the one on certificates, whose refused entries can have no coordinator, and the in-process order test have static agents. TestStaticShareNeedsStaticAgents is new.

--- a/internal/e2e/claims_test.go
+++ b/internal/e2e/claims_test.go
@@ -55,7 +55,7 @@
 		s.addAgent(t, fmt.Sprint("agent-", i), "pedidos", "service", service)
 	}
 	for i := range entries {
-		s.addEntry(t, fmt.Sprint("entry-", i), 1)
+		s.addEntry(t, fmt.Sprint("entry-", i), 0)
 	}
 	s.publish(t, shopText())
 	for i := range entries {
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -254,6 +254,7 @@
 		"host": "agent-0", "zone": "mx-centro-a", "service": "pedidos", "kind": "service",
 		"listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "tls": good.files(t, "agent"),
 		"endpoint": service.address.String(), "slots": 16, "log": s.log.url(), "hosts": s.hosts.url(),
+		"rates": "static",
 	}))
 	s.list(t, plat.Host{
 		Name:    "agent-0",
--- a/internal/e2e/order_test.go
+++ b/internal/e2e/order_test.go
@@ -103,6 +103,7 @@
 			Incarnation: n.next,
 			Plain:       true,
 			Slots:       1,
+			StaticRates: true,
 			Once:        dedup.Settings{Self: dedup.Holder{Host: name, Incarnation: n.next}},
 		}),
 		incarnation: n.next,
--- a/internal/e2e/place_test.go
+++ b/internal/e2e/place_test.go
@@ -50,7 +50,7 @@
 		p.addPlacedAgent(t, name, i)
 	}
 	for i := range 2 {
-		p.addEntry(t, fmt.Sprintf("entry-%d", i), 0.5)
+		p.addEntry(t, fmt.Sprintf("entry-%d", i), 0)
 	}
 	p.publish(t, placeText("v1"))
 	return p
--- a/internal/e2e/rates_test.go
+++ b/internal/e2e/rates_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"dogwoodfold/internal/plat"
 )
 
 // ask makes a call through one entry that reserves about 27 tokens more than
@@ -79,3 +82,34 @@
 		return a.status == 200
 	})
 }
+
+// TestStaticShareNeedsStaticAgents runs an entry with a fixed share beside an
+// agent that trusts it and one that wants a view.
+func TestStaticShareNeedsStaticAgents(t *testing.T) {
+	t.Parallel()
+	for rates, want := range map[string]int{"static": 200, "shares": 503} {
+		s := &system{
+			log:    start(t, "fake", "log"),
+			hosts:  start(t, "fake", "hosts"),
+			agents: make(map[string]*process),
+		}
+		agent := start(t, "agent", "--settings", settings(t, map[string]any{
+			"host": "agent-1", "zone": "mx-centro-a", "service": "pedidos", "kind": "service", "rates": rates,
+			"listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "endpoint": start(t, "fake", "service").address.String(),
+			"slots": 16, "log": s.log.url(), "hosts": s.hosts.url(),
+		}))
+		s.list(t, plat.Host{
+			Name:    "agent-1",
+			Role:    plat.RoleAgent,
+			Service: "pedidos",
+			Address: agent.address,
+			State:   plat.HostLive,
+		})
+		s.addEntry(t, "entry-1", 0.5)
+		s.publish(t, shopText())
+		eventually(t, fmt.Sprint(rates, " agent answers"), func() bool {
+			a := do(t, "POST", s.entries[0].url()+"/charge", "hoodie", "X-Api-Key", boothKey)
+			return a.status == want && (want == 200 || a.verdict == "not-run" && strings.Contains(a.body, "entry_fenced"))
+		})
+	}
+}
--- a/internal/e2e/stops_test.go
+++ b/internal/e2e/stops_test.go
@@ -139,8 +139,15 @@
 	s.engine.faults(t, fakes.Faults{TokenMs: 60}) // a stream takes longer than the drain
 	drained := start(t, "entry", "--settings", settings(t, map[string]any{
 		"host": "entry-2", "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
-		"log": s.log.url(), "hosts": s.hosts.url(), "staticShare": 1, "drainDelay": "1s",
+		"log": s.log.url(), "hosts": s.hosts.url(), "drainDelay": "1s",
 	}))
+	s.list(t, plat.Host{
+		Name:    "entry-2",
+		Role:    plat.RoleEntry,
+		Zone:    "mx-centro-a",
+		Address: drained.peers,
+		State:   plat.HostLive,
+	})
 	s.entries[0] = drained
 	s.await(t)
 	l := &pressure{}
--- a/internal/quota/change_test.go
+++ b/internal/quota/change_test.go
@@ -310,3 +310,18 @@
 		}
 	}
 }
+
+// TestSharesAreSpreadAtOnce checks that no entry waits for its first share
+// until the next round of balancing.
+func TestSharesAreSpreadAtOnce(t *testing.T) {
+	for seed := range uint64(10) {
+		s := newSim(seed, asking, 3, 2, map[string]quota.Limit{"booth": {Rate: 500, Burst: 1000}})
+		s.wait(3 * time.Second)
+		s.run(700 * time.Millisecond)
+		for _, h := range s.entries {
+			if got := h.node.Held("booth"); got < 0.2 {
+				t.Errorf("seed %d: %s holds %v, want about a third", seed, h.name, got)
+			}
+		}
+	}
+}
--- a/internal/quota/moves.go
+++ b/internal/quota/moves.go
@@ -22,6 +22,8 @@
 	slackFraction = 0.15
 	// askSpare is what a grant adds to what was asked for.
 	askSpare = 1.25
+	// leastGrant is the least number of parts that an answer moves.
+	leastGrant = Whole / 100
 	// gatherSpare is how much more than what is missing is recalled, as some of
 	// it is spent or rounded away on its way.
 	gatherSpare = 1.1
@@ -149,7 +151,7 @@
 	pool, limit := c.poolOf(now, customer), c.limits[customer]
 	tokens := pool.bucket.Tokens(now)
 	if tokens >= l.need {
-		l.grant(pool.split(now, partsOf(limit, l.need*askSpare), true))
+		l.grant(pool.split(now, max(leastGrant, partsOf(limit, l.need*askSpare)), true))
 		l.need = 0
 		return true
 	}
@@ -244,25 +246,30 @@
 		if total > 0 {
 			target = target*evenFraction + spread*(1-evenFraction)*l.demand/total
 		}
-		c.steer(now, customer, l, target)
+		if c.steer(now, customer, l, target) {
+			c.members[host].urgent = true
+		}
 	}
 }
 
-// steer moves one member's share towards a target.
-func (c *Coordinator) steer(now time.Time, customer string, l *ledger, target float64) {
+// steer moves one member's share towards a target. It reports whether the
+// member has to be told.
+func (c *Coordinator) steer(now time.Time, customer string, l *ledger, target float64) bool {
 	kept := float64(l.kept())
 	if math.Abs(target-kept) < slackFraction*max(target, kept) {
-		return
+		return false
 	}
 	if target < kept {
 		l.recall(uint64(kept-target), false)
-		return
+		return true
 	}
 	pool := c.pool[customer]
 	spare := float64(pool.parts) - poolFraction*Whole/2
-	if spare > 0 {
-		l.grant(pool.split(now, uint64(min(spare, target-kept)), false))
+	if spare <= 0 {
+		return false
 	}
+	l.grant(pool.split(now, uint64(min(spare, target-kept)), false))
+	return true
 }
 
 // silent reports whether a member can't be expected to answer a recall.
