--- a/internal/e2e/queue_test.go
+++ b/internal/e2e/queue_test.go
@@ -37,7 +37,7 @@
 		Address: p.address,
 		State:   plat.HostLive,
 	})
-	s.addEntry(t, "entry-1")
+	s.addEntry(t, "entry-1", 0)
 	s.publish(t, text())
 	s.await(t)
 	return s
--- a/internal/e2e/stops_test.go
+++ b/internal/e2e/stops_test.go
@@ -141,6 +141,13 @@
 		"host": "entry-2", "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
 		"log": s.log.url(), "hosts": s.hosts.url(), "drainDelay": "1s",
 	}))
+	s.list(t, plat.Host{
+		Name:    "entry-2",
+		Role:    plat.RoleEntry,
+		Zone:    "mx-centro-a",
+		Address: drained.peers,
+		State:   plat.HostLive,
+	})
 	s.entries[0] = drained
 	s.await(t)
 	l := &pressure{}
