--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -36,6 +36,22 @@
 	if err := c.admit(now, call); err != nil {
 		return refuse(call.ID, err)
 	}
+	if !call.Keyed {
+		return c.begin(now, call)
+	}
+	waits, effects, err := c.reserve(now, &call)
+	switch {
+	case err != nil:
+		return append(effects, refuse(call.ID, err)...)
+	case waits:
+		return effects
+	default:
+		return append(effects, c.begin(now, call)...)
+	}
+}
+
+// begin sends a call whose tokens are reserved.
+func (c *Core) begin(now time.Time, call Call) []Effect {
 	r := &running{
 		Call:  call,
 		tried: make(map[string]bool),
@@ -44,26 +60,15 @@
 	return c.send(now, r)
 }
 
-// admit says why a call can't be taken, nil if its tokens are reserved.
+// admit says why a call can't be taken whatever its tokens are.
 func (c *Core) admit(now time.Time, call Call) error {
 	if c.leaving {
 		return fault.New(fault.NotRun, fault.CodeLeaving, "this entry is leaving")
 	}
-	if !c.ready {
+	if !c.ready || c.relay.Isolated(now) {
 		return fault.New(fault.NotRun, fault.CodeNotReady, "this entry does not know the newest configuration")
 	}
-	if err := c.permitted(call); err != nil {
-		return err
-	}
-	if !call.Keyed {
-		return nil
-	}
-	wait, ok := c.quota.Reserve(now, call.Customer, call.Tokens)
-	if !ok {
-		err := fault.New(fault.NotRun, fault.CodeRate, "the customer's rate and burst are spent")
-		return fault.WithRetryAfter(err, wait)
-	}
-	return nil
+	return c.permitted(call)
 }
 
 // send makes the next attempt of a call, or gives it up.
@@ -99,6 +104,8 @@
 		Version:      version,
 		Weight:       c.index.Text.Customers[r.Customer].Weight,
 		ConfigOffset: c.fold.Accepted,
+
+		EntryIncarnation: r.Hold.Incarnation,
 	}}
 }
 
@@ -117,7 +124,7 @@
 // settle ends a call's reservation and forgets the call.
 func (c *Core) settle(now time.Time, r *running, used float64) {
 	if r.Keyed {
-		c.quota.Settle(now, r.Customer, r.Tokens, used)
+		c.charge(now, r.Call, used)
 	}
 	delete(c.calls, r.ID)
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -6,7 +6,6 @@
 	"dogwoodfold/internal/fleet"
 	"dogwoodfold/internal/place"
 	"dogwoodfold/internal/plat"
-	"dogwoodfold/internal/quota"
 	"dogwoodfold/internal/relay"
 	"dogwoodfold/internal/route"
 	"dogwoodfold/pkg/config"
@@ -23,8 +22,10 @@
 
 // CoreSettings are the constants of a reducer.
 type CoreSettings struct {
-	Host string
-	// Share is this entry's fixed share of every customer's rate and burst.
+	Host        string
+	Incarnation uint64
+	// Share is this entry's fixed share of every customer's rate and burst;
+	// at 0 shares move between the entries.
 	Share float64
 	Seed  uint64
 	// Retention is how long the log keeps records, 0 for ever.
@@ -48,7 +49,7 @@
 	withdrawn []string
 	fleet     *fleet.Fleet
 	router    *route.Router
-	quota     *quota.Limiter
+	shares    shares
 	calls     map[string]*running
 	beatAt    time.Time
 	placement placement
@@ -66,7 +67,7 @@
 		points:    newCheckpoints(s.Retention, s.Seed),
 		fleet:     f,
 		router:    route.New(f, s.Seed),
-		quota:     quota.NewLimiter(s.Share),
+		shares:    newShares(s),
 		calls:     make(map[string]*running),
 		placement: newPlacement(s.Placement),
 	}
@@ -80,22 +81,22 @@
 	case Answered:
 		return c.answered(now, e)
 	case HostsRead:
-		return c.listed(e.Hosts)
+		return append(c.listed(e.Hosts), c.shareEvent(now, e)...)
 	case LogRead:
 		return c.logRead(now, e)
 	case LinkUp:
 		c.fleet.Up(now, e.Host, e.Hello)
-		return nil
+		return c.shareEvent(now, e)
 	case LinkDown:
-		return c.unlinked(e)
+		return append(c.unlinked(e), c.shareEvent(now, e)...)
 	case Received:
 		return c.received(now, e)
 	case Stopping:
-		return c.stopping()
+		return append(c.shareEvent(now, e), c.stopping()...)
 	case Inspect:
 		return c.inspect(now, e)
 	case Tick:
-		return c.tick(now)
+		return append(c.tick(now), c.shareEvent(now, e)...)
 	default:
 		return nil
 	}
@@ -106,6 +107,8 @@
 	switch e.Stream {
 	case plat.StreamConfig:
 		return c.configRead(now, e.Page)
+	case plat.StreamFleet:
+		return c.shareEvent(now, e)
 	default:
 		return nil
 	}
@@ -119,7 +122,7 @@
 
 // finish ends a graceful shutdown once no call is left.
 func (c *Core) finish() []Effect {
-	if c.leaving && len(c.calls) == 0 {
+	if c.leaving && len(c.calls) == 0 && len(c.shares.asking) == 0 {
 		return []Effect{Finished{}}
 	}
 	return nil
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/quota"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/config"
 	"dogwoodfold/pkg/fault"
@@ -25,6 +26,8 @@
 	Adapter  string
 	// Tokens is what the call reserves: prompt and answer.
 	Tokens float64
+	// Hold is the reservation, once it is made.
+	Hold quota.Hold
 	// IdempotencyKey is the caller's own, empty if none was given.
 	IdempotencyKey string
 	Deadline       time.Time
@@ -121,6 +124,9 @@
 		Version string
 		// ConfigOffset is the configuration that the decision rests on.
 		ConfigOffset uint64
+		// EntryIncarnation is the one that has reserved the tokens, 0 if
+		// the entry's share is fixed.
+		EntryIncarnation uint64
 	}
 	// Refuse ends a call with an error.
 	Refuse struct {
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -204,7 +204,7 @@
 	}
 	x.request.Attempt = uint32(e.Attempt)
 	x.request.Entry = s.options.Hello.GetHost()
-	x.request.EntryIncarnation = s.options.Hello.GetIncarnation()
+	x.request.EntryIncarnation = e.EntryIncarnation
 	x.request.AgentIncarnation = e.Incarnation
 	x.request.TimeoutMs = uint32(left.Milliseconds()) + 1
 	x.request.Weight = e.Weight
@@ -246,6 +246,7 @@
 		call:     call,
 		deadline: x.call.Deadline,
 		first:    func() { s.metrics.firstToken(x, time.Since(x.started)) },
+		cause:    x.cause,
 		finish: func(err error, end *wirepb.End, events int) {
 			err = x.cause(err)
 			x.events = events
