--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/queue"
 	"dogwoodfold/internal/quota"
@@ -15,6 +16,8 @@
 	busyRetryAfter = time.Second
 	// queuePerSlot bounds the calls that wait for each slot.
 	queuePerSlot = 4
+	// lingerTime is how long a stopping agent stays after its last call.
+	lingerTime = 500 * time.Millisecond
 )
 
 // Core is the reducer of an agent.
@@ -29,11 +32,15 @@
 	report   plat.Report
 	reportAt time.Time
 
+	once      *dedup.Table
+	service   string
 	placement placement
 
 	sequence uint64
 	toldAt   time.Time
 	leaving  bool
+	// endedAt is when the last call ended or the shutdown began.
+	endedAt time.Time
 
 	// guard is nil if the entries' shares are fixed.
 	guard *quota.Guard
@@ -50,6 +57,8 @@
 	// StaticRates says that the entries' shares of the rates are fixed, so
 	// that no view of them is needed.
 	StaticRates bool
+	// Once is for the calls that may not be repeated.
+	Once dedup.Settings
 	// MaxOrderDelay bounds the time from an order's sending to its last
 	// effect, for engines that ignore fencing numbers.
 	MaxOrderDelay time.Duration
@@ -65,6 +74,8 @@
 		calls:       make(map[uint64]Call),
 		running:     make(map[uint64]bool),
 		guard:       newGuard(s),
+		once:        dedup.New(s.Once),
+		service:     s.Once.Service,
 		placement:   newPlacement(s),
 	}
 }
@@ -75,12 +86,15 @@
 	case Arrived:
 		return c.arrived(now, e.Call)
 	case Ended:
-		return c.ended(now, e.Key)
+		return c.ended(now, e.Key, e.Outcome)
 	case Abandoned:
 		return c.abandoned(now, e.Key)
 	case Reported:
 		return c.reported(now, e)
 	case Received:
+		if e.Message.GetClaim() != nil {
+			return c.queried(now, e)
+		}
 		return c.received(now, e)
 	case Linked:
 		return []Effect{
@@ -93,8 +107,14 @@
 				Message: c.placeState(),
 			},
 		}
+	case HostsRead:
+		return c.listed(e.Hosts)
 	case LogRead:
-		return c.logRead(e)
+		return c.logRead(now, e)
+	case LogFailed:
+		return c.logFailed(e)
+	case Appended:
+		return c.appended(now, e)
 	case Stopping:
 		return c.stopping(now)
 	case Inspect:
@@ -108,23 +128,24 @@
 
 // stopping refuses new work and tells the entries at once.
 func (c *Core) stopping(now time.Time) []Effect {
-	c.leaving = true
+	c.leaving, c.endedAt = true, now
 	c.placement.holder.Leave()
-	return append(c.tell(now), c.finish()...)
+	return c.tell(now)
 }
 
-// finish ends a graceful shutdown once no call is left.
-func (c *Core) finish() []Effect {
-	if c.leaving && len(c.calls) == 0 {
+// finish ends a graceful shutdown once no call is left and what was sent last
+// had time to arrive.
+func (c *Core) finish(now time.Time) []Effect {
+	if c.leaving && len(c.calls) == 0 && now.Sub(c.endedAt) >= lingerTime {
 		return []Effect{Finished{}}
 	}
 	return nil
 }
 
 func (c *Core) tick(now time.Time) []Effect {
-	effects := append(c.expire(now), c.place(now)...)
+	effects := append(c.onceTick(now), c.place(now)...)
 	if now.Sub(c.toldAt) >= reportInterval {
 		effects = append(effects, c.tell(now)...)
 	}
-	return append(effects, c.finish()...)
+	return append(effects, c.finish(now)...)
 }
--- a/internal/agent/drop.go
+++ b/internal/agent/drop.go
@@ -24,12 +24,8 @@
 	})
 	var effects []Effect
 	for _, item := range removed {
-		delete(c.calls, item.Value)
-		effects = append(effects, Refuse{
-			Key: item.Value,
-			Err: fault.New(fault.NotRun, fault.CodeWithdrawn, "the call lost its permission in the queue"),
-		})
+		err := fault.New(fault.NotRun, fault.CodeWithdrawn, "the call lost its permission in the queue")
+		effects = append(effects, c.refuse(now, item.Value, err)...)
 	}
-	effects = append(effects, c.start(now)...)
-	return append(effects, c.finish()...)
+	return append(effects, c.start(now)...)
 }
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -13,11 +13,11 @@
 
 	"github.com/rs/zerolog"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/loop"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/wire"
 	"dogwoodfold/internal/wire/wirepb"
-	"dogwoodfold/pkg/fault"
 )
 
 const (
@@ -68,8 +68,11 @@
 
 // decision is what the reducer wants done with a call.
 type decision struct {
-	start bool
-	err   error
+	start  bool
+	err    error
+	holder dedup.Holder
+	// replay is the answer to another attempt, nil if there is none.
+	replay *dedup.Outcome
 }
 
 // New returns a server; Run starts it.
@@ -219,57 +222,15 @@
 	select {
 	case d := <-waiter.decision:
 		if d.start {
-			s.loop.Post(Ended{Key: key})
+			s.loop.Post(Ended{
+				Key:     key,
+				Outcome: dedup.Outcome{Err: errAbandoned},
+			})
 		}
 	case <-s.loop.Done():
 	}
 }
 
-func (s *Server) carryOut(key uint64, d decision, closed <-chan struct{}, call *wire.Call, r *wirepb.CallRequest) {
-	err := d.err
-	if d.start {
-		err = s.forward(closed, r, call.SendFrame)
-		s.loop.Post(Ended{Key: key})
-	}
-	if err != nil {
-		_ = call.SendFrame(failure(err)) // the entry asks again if this is lost
-	}
-}
-
-// forward runs a call at the endpoint; the entry's closing cancels it.
-func (s *Server) forward(closed <-chan struct{}, r *wirepb.CallRequest, send sink) error {
-	l := s.upstream.take()
-	over := make(chan struct{})
-	watched := make(chan struct{})
-	go func() {
-		defer close(watched)
-		timeout := time.NewTimer(time.Duration(r.GetTimeoutMs()) * time.Millisecond)
-		defer timeout.Stop()
-		select {
-		case <-over:
-		case <-closed:
-			l.cancel()
-		case <-timeout.C:
-			l.cancel()
-		}
-	}()
-	err := s.upstream.run(l, r, send)
-	close(over)
-	<-watched
-	s.upstream.put(l)
-	return err
-}
-
-// failure turns an error into a frame.
-func failure(err error) *wirepb.CallFrame {
-	return &wirepb.CallFrame{Body: &wirepb.CallFrame_Failure{Failure: &wirepb.Failure{
-		Verdict:      wire.VerdictToWire(fault.VerdictOf(err)),
-		Code:         string(fault.CodeOf(err)),
-		Message:      err.Error(),
-		RetryAfterMs: uint32(fault.RetryAfterOf(err).Milliseconds()),
-	}}}
-}
-
 // perform carries out one effect.
 func (s *Server) perform(effect Effect) {
 	switch e := effect.(type) {
@@ -278,7 +239,14 @@
 		s.decide(e.Key, decision{start: true})
 	case Refuse:
 		s.metrics.refused.Inc()
-		s.decide(e.Key, decision{err: e.Err})
+		s.decide(e.Key, decision{
+			err:    e.Err,
+			holder: e.Holder,
+		})
+	case Replay:
+		s.decide(e.Key, decision{replay: &e.Outcome})
+	case Wake:
+		time.AfterFunc(e.After, func() { s.loop.Post(Tick{}) })
 	case Tell:
 		s.send(e.Session, e.Message)
 	case Broadcast:
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -12,6 +12,7 @@
 
 	"dogwoodfold/internal/admin"
 	"dogwoodfold/internal/agent"
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/entry"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/wire/wirepb"
@@ -49,6 +50,7 @@
 			Incarnation:    incarnation,
 			Share:          s.StaticShare,
 			Seed:           rand.Uint64(),
+			Drain:          s.DrainDelay,
 			Retention:      s.LogRetention,
 			IsolationLimit: cmp.Or(s.IsolationLimit, defaultIsolationLimit),
 			Placement:      s.WeightStore.placement(),
@@ -81,7 +83,7 @@
 	}
 	server := entry.New(options)
 	operators := admin.New(server.Status, server.Registry())
-	return serve(cmd, server, func(ctx context.Context) error {
+	return serve(cmd, server, s.StopLimit, func(ctx context.Context) error {
 		return runBoth(ctx, s.Admin, cmd, operators, func(ctx context.Context) error {
 			return server.Run(ctx, callers, peers)
 		})
@@ -122,6 +124,16 @@
 			Slots:         s.Slots,
 			MaxOrderDelay: s.MaxOrderDelay,
 			StaticRates:   s.Rates == ratesStatic,
+			Once: dedup.Settings{
+				Self: dedup.Holder{
+					Host:        s.Host,
+					Incarnation: incarnation,
+				},
+				Service:   s.Service,
+				Window:    s.ClaimWindow,
+				Keep:      s.KeepOutcomes,
+				ClaimWait: s.ClaimWait,
+			},
 		},
 		Hello: &wirepb.Hello{
 			Host:        s.Host,
@@ -153,7 +165,7 @@
 	}
 	server := agent.New(options)
 	operators := admin.New(server.Status, server.Registry())
-	return serve(cmd, server, func(ctx context.Context) error {
+	return serve(cmd, server, s.StopLimit, func(ctx context.Context) error {
 		return runBoth(ctx, s.Admin, cmd, operators, func(ctx context.Context) error {
 			return server.Run(ctx, listener)
 		})
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/fleet"
 	"dogwoodfold/internal/place"
 	"dogwoodfold/internal/plat"
@@ -28,6 +30,8 @@
 	// at 0 shares move between the entries.
 	Share float64
 	Seed  uint64
+	// Drain is how long new requests are still taken after readiness failed.
+	Drain time.Duration
 	// Retention is how long the log keeps records, 0 for ever.
 	Retention time.Duration
 	// IsolationLimit is how long the entry may be without word from both the
@@ -51,10 +55,14 @@
 	router    *route.Router
 	shares    shares
 	calls     map[string]*running
+	budget    *dedup.Budget
 	beatAt    time.Time
 	placement placement
 	ready     bool
 	leaving   bool
+	drain     time.Duration
+	// drained is when a leaving entry begins to refuse.
+	drained time.Time
 }
 
 // NewCore returns the reducer of a fresh entry.
@@ -69,6 +77,8 @@
 		router:    route.New(f, s.Seed),
 		shares:    newShares(s),
 		calls:     make(map[string]*running),
+		budget:    dedup.NewBudget(),
+		drain:     s.Drain,
 		placement: newPlacement(s.Placement),
 	}
 }
@@ -86,17 +96,17 @@
 		return c.logRead(now, e)
 	case LinkUp:
 		c.fleet.Up(now, e.Host, e.Hello)
-		return c.shareEvent(now, e)
+		return append(c.shareEvent(now, e), c.ask(now, true)...)
 	case LinkDown:
 		return append(c.unlinked(e), c.shareEvent(now, e)...)
 	case Received:
 		return c.received(now, e)
 	case Stopping:
-		return append(c.shareEvent(now, e), c.stopping()...)
+		return c.stopping(now)
 	case Inspect:
 		return c.inspect(now, e)
 	case Tick:
-		return append(c.tick(now), c.shareEvent(now, e)...)
+		return slices.Concat(c.tick(now), c.shareEvent(now, e), c.callsTick(now))
 	default:
 		return nil
 	}
@@ -114,16 +124,27 @@
 	}
 }
 
-// stopping fails readiness at once; running calls go on.
-func (c *Core) stopping() []Effect {
-	c.leaving = true
-	return append([]Effect{Ready{Ready: false}}, c.finish()...)
+// stopping fails readiness at once; running calls go on, and new ones are taken
+// until the balancer has had time to see it.
+func (c *Core) stopping(now time.Time) []Effect {
+	if !c.leaving {
+		c.leaving, c.drained = true, now.Add(c.drain)
+	}
+	return slices.Concat([]Effect{Ready{Ready: false}}, c.leaveShares(now), c.finish(now))
 }
 
+// refusing reports whether a graceful shutdown has come to refuse new calls.
+func (c *Core) refusing(now time.Time) bool { return c.leaving && !now.Before(c.drained) }
+
 // finish ends a graceful shutdown once no call is left.
-func (c *Core) finish() []Effect {
-	if c.leaving && len(c.calls) == 0 && len(c.shares.asking) == 0 {
+func (c *Core) finish(now time.Time) []Effect {
+	if c.refusing(now) && len(c.calls) == 0 && len(c.shares.asking) == 0 {
 		return []Effect{Finished{}}
 	}
 	return nil
 }
+
+// callsTick asks for outcomes once more and ends a shutdown that is due.
+func (c *Core) callsTick(now time.Time) []Effect {
+	return slices.Concat(c.ask(now, false), c.leaveShares(now), c.finish(now))
+}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/quota"
 	"dogwoodfold/internal/wire/wirepb"
@@ -28,9 +29,11 @@
 	Tokens float64
 	// Hold is the reservation, once it is made.
 	Hold quota.Hold
-	// IdempotencyKey is the caller's own, empty if none was given.
-	IdempotencyKey string
-	Deadline       time.Time
+	// Once says that the caller gave an idempotency key for a call that may
+	// not be repeated; OnceKey is its digest.
+	Once     bool
+	OnceKey  dedup.Key
+	Deadline time.Time
 }
 
 // Outcome is how an attempt, or a whole call, has ended.
@@ -42,6 +45,9 @@
 	Passed bool
 	// Used is the number of tokens that the call has cost.
 	Used float64
+	// Holder is the agent process that holds the claim of the call's key, if
+	// that is why the attempt was refused.
+	Holder dedup.Holder
 }
 
 // Events.
@@ -133,6 +139,12 @@
 		ID  string
 		Err error
 	}
+	// Deliver ends a call with an answer that was asked for after its link
+	// broke.
+	Deliver struct {
+		ID     string
+		Report *wirepb.OutcomeReport
+	}
 	// Cancel ends a running attempt; the caller gets the error.
 	Cancel struct {
 		ID  string
@@ -170,6 +182,7 @@
 
 func (Send) isEffect()     {}
 func (Refuse) isEffect()   {}
+func (Deliver) isEffect()  {}
 func (Cancel) isEffect()   {}
 func (Connect) isEffect()  {}
 func (Append) isEffect()   {}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -46,10 +46,12 @@
 			return nil
 		}
 		c.fleet.Heard(now, e.Host, body.Heartbeat)
-	case *wirepb.Envelope_Place:
-		return c.placed(e, body.Place)
 	case *wirepb.Envelope_Share:
 		return c.shareEvent(now, e)
+	case *wirepb.Envelope_Claim:
+		return c.reported(now, e, body.Claim.GetReport())
+	case *wirepb.Envelope_Place:
+		return c.placed(e, body.Place)
 	}
 	return nil
 }
