Measure routing around an engine that answers nothing

Cause: the detection of overdue calls was tested on decisions only.

Change: BenchmarkDeadEndpoint stops the first engine in the middle of its calls while its agent goes on reporting.

--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -87,6 +87,15 @@
 	}
 }
 
+// BenchmarkDeadEndpoint measures how many calls go to an engine that takes them
+// and answers none.
+func BenchmarkDeadEndpoint(b *testing.B) {
+	for _, d := range deployments {
+		d.dead = true
+		benchmarkRouting(b, d, 500*time.Millisecond)
+	}
+}
+
 func BenchmarkRouting(b *testing.B) {
 	for _, d := range deployments {
 		for _, lag := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second} {
@@ -100,16 +109,18 @@
 		b.Run(fmt.Sprintf("%s/lag=%v/%s", d.name, lag, policy.name), func(b *testing.B) {
 			for range b.N {
 				var firsts []time.Duration
-				hit, all := 0, 0
+				hit, all, hung := 0, 0, 0
 				for seed := range uint64(simSeeds) {
 					s := newSim(d, seed, lag, policy.choose)
 					s.run()
 					firsts = append(firsts, s.firsts...)
 					hit += s.hit
 					all += s.prefix
+					hung += s.hung
 				}
 				b.ReportMetric(float64(percentile(firsts, 0.95).Milliseconds()), "p95-ms")
 				b.ReportMetric(100*float64(hit)/float64(all), "hit-%")
+				b.ReportMetric(100*float64(hung)/float64(len(firsts)), "hung-%")
 				b.ReportMetric(0, "ns/op")
 			}
 		})
--- a/internal/route/sim_test.go
+++ b/internal/route/sim_test.go
@@ -23,6 +23,8 @@
 	betweenZones, callsPerSecs float64
 	// slow makes the first engine that many times slower, if it is set.
 	slow int
+	// dead makes the first engine stop in the middle of all its calls.
+	dead bool
 }
 
 var deployments = []deployment{
@@ -96,6 +98,7 @@
 	next    uint64
 	firsts  []time.Duration
 	lost    int
+	hung    int
 	hit     int
 	prefix  int
 	hot     int
@@ -289,6 +292,9 @@
 		s.events = s.events[1:]
 	}
 	for i, engine := range s.engines {
+		if i == 0 && s.dead && now.Sub(epoch) > burstEvery {
+			continue
+		}
 		for _, r := range engine.Run(now) {
 			call := s.calls[uint64(r.ID)]
 			s.over(now, call, route.Answered)
@@ -325,6 +331,7 @@
 		now = now.Add(simStep)
 		s.advance(now)
 	}
+	s.hung = len(s.calls)
 	for range s.calls {
 		s.firsts = append(s.firsts, simPatience)
 	}
