--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/queue"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
@@ -11,38 +12,54 @@
 // arrived queues a call or refuses it.
 func (c *Core) arrived(now time.Time, call Call) []Effect {
 	r := call.Request
-	if err := c.admit(r); err != nil {
+	if r.GetAgentIncarnation() != c.incarnation {
+		return []Effect{Refuse{
+			Key: call.Key,
+			Err: fault.New(fault.NotRun, fault.CodeLink, "the call was for an earlier agent"),
+		}}
+	}
+	if effects, decided := c.known(now, call); decided {
+		return effects
+	}
+	effects, err := c.enqueue(now, call)
+	if err != nil {
+		c.once.Undo(call.Key)
 		return []Effect{Refuse{
 			Key: call.Key,
 			Err: err,
 		}}
 	}
+	c.calls[call.Key] = call
+	return append(effects, c.start(now)...)
+}
+
+// enqueue puts a call into the queue, or says why it can't be taken. Calls that
+// make room for it are refused.
+func (c *Core) enqueue(now time.Time, call Call) ([]Effect, error) {
+	if err := c.admit(call.Request); err != nil {
+		return nil, err
+	}
 	item := itemOf(now, call)
 	if c.hopeless(now, item) {
-		err := fault.New(fault.NotRun, fault.CodeBusy, "the queue is longer than the time to the deadline")
-		return []Effect{c.busy(call.Key, err)}
+		return nil, c.busy("the queue is longer than the time to the deadline")
 	}
 	c.shares.seen(now, item)
 	displaced, queued := c.waiting.Push(now, item)
 	if !queued {
-		return []Effect{c.busy(call.Key, fault.New(fault.NotRun, fault.CodeBusy, "the endpoint's queue is full"))}
+		return nil, c.busy("the endpoint's queue is full")
 	}
-	c.calls[call.Key] = call
 	var effects []Effect
 	for _, d := range displaced {
-		delete(c.calls, d.Value)
-		err := fault.New(fault.NotRun, fault.CodeBusy, "the queue is full and other customers have less of it")
-		effects = append(effects, c.busy(d.Value, err))
+		err := c.busy("the queue is full and other customers have less of it")
+		effects = append(effects, c.refuse(now, d.Value, err)...)
 	}
-	return append(effects, c.start(now)...)
+	return effects, nil
 }
 
-// busy refuses a call that was not started and tells when to come back.
-func (c *Core) busy(key uint64, err error) Effect {
-	return Refuse{
-		Key: key,
-		Err: fault.WithRetryAfter(err, c.pace.retryAfter(c.waiting.Cost())),
-	}
+// busy returns a refusal that tells when to come back.
+func (c *Core) busy(message string) error {
+	err := fault.New(fault.NotRun, fault.CodeBusy, message)
+	return fault.WithRetryAfter(err, c.pace.retryAfter(c.waiting.Cost()))
 }
 
 // hopeless reports whether a call that has to wait can't end by its deadline.
@@ -57,8 +74,8 @@
 	if c.leaving {
 		return fault.New(fault.NotRun, fault.CodeLeaving, "the endpoint is leaving")
 	}
-	if r.GetAgentIncarnation() != c.incarnation {
-		return fault.New(fault.NotRun, fault.CodeLink, "the call was for an earlier agent")
+	if err := c.checkEntry(r); err != nil {
+		return err
 	}
 	if !c.plain && !c.holds(r) {
 		return fault.New(fault.NotRun, fault.CodeNoEndpoint, "the endpoint does not hold the model")
@@ -89,18 +106,19 @@
 		}
 		if c.waiting.Len() > 0 && now.Add(c.pace.service(item.Cost)).After(item.Deadline) {
 			c.waiting.Settle(item, 0)
-			delete(c.calls, item.Value)
-			err := fault.New(fault.NotRun, fault.CodeBusy, "the call can't end by its deadline any more")
-			effects = append(effects, c.busy(item.Value, err))
+			err := c.busy("the call can't end by its deadline any more")
+			effects = append(effects, c.refuse(now, item.Value, err)...)
 			continue
 		}
 		c.running[item.Value] = true
 		c.shares.begin(now, item.Customer)
 		r := c.calls[item.Value].Request
 		c.pace.begin(now, item, int(r.GetPromptTokens())-int(r.GetCachedTokens()))
-		effects = append(effects, Start{Key: item.Value})
+		if c.once.Start(now, item.Value) {
+			effects = append(effects, Start{Key: item.Value})
+		}
 	}
-	return effects
+	return append(effects, c.flush(now)...)
 }
 
 // expire refuses the calls whose deadline has passed.
@@ -108,38 +126,58 @@
 	var effects []Effect
 	late := c.waiting.Remove(func(i queue.Item[uint64]) bool { return !now.Before(i.Deadline) })
 	for _, item := range late {
-		delete(c.calls, item.Value)
-		effects = append(effects, Refuse{
-			Key: item.Value,
-			Err: fault.New(fault.NotRun, fault.CodeDeadline, "the deadline passed in the queue"),
-		})
+		effects = append(effects, c.refuse(now, item.Value,
+			fault.New(fault.NotRun, fault.CodeDeadline, "the deadline passed in the queue"))...)
 	}
 	return effects
 }
 
-func (c *Core) ended(now time.Time, e Ended) []Effect {
-	if item, ran := c.pace.end(now, e.Key, e.Used > 0); ran {
-		c.shares.end(now, item.Customer)
-		if e.Used > 0 {
-			c.waiting.Settle(item, e.Used)
-		}
+// refuse ends a call that has not started.
+func (c *Core) refuse(now time.Time, key uint64, err error) []Effect {
+	c.freed(now, key, 0)
+	delete(c.calls, key)
+	c.endedAt = now
+	refusal := Refuse{
+		Key: key,
+		Err: err,
 	}
-	delete(c.running, e.Key)
+	waiters := c.once.End(now, key, dedup.Outcome{Err: err})
+	return append([]Effect{refusal}, c.settle(now, waiters)...)
+}
+
+func (c *Core) ended(now time.Time, e Ended) []Effect {
+	c.freed(now, e.Key, e.Used)
 	delete(c.calls, e.Key)
-	return append(c.start(now), c.finish()...)
+	c.endedAt = now
+	effects := c.settle(now, c.once.End(now, e.Key, e.Outcome))
+	return append(effects, c.start(now)...)
+}
+
+// freed gives back the slot of a call, if it had one, and settles its work.
+func (c *Core) freed(now time.Time, key uint64, used int) {
+	delete(c.running, key)
+	item, ran := c.pace.end(now, key, used > 0)
+	if !ran {
+		return
+	}
+	c.shares.end(now, item.Customer)
+	c.waiting.Settle(item, used)
 }
 
 // abandoned drops a call that still waits; a running one ends by itself, a
 // refused one is gone.
 func (c *Core) abandoned(now time.Time, key uint64) []Effect {
+	gone := fault.New(fault.NotRun, fault.CodeLink, "the entry has closed the call")
+	if c.once.Leave(key) {
+		delete(c.calls, key)
+		return []Effect{Refuse{
+			Key: key,
+			Err: gone,
+		}}
+	}
 	removed := c.waiting.Remove(func(i queue.Item[uint64]) bool { return i.Value == key })
 	if len(removed) == 0 {
 		return nil
 	}
-	delete(c.calls, key)
-	refusal := Refuse{
-		Key: key,
-		Err: fault.New(fault.NotRun, fault.CodeLink, "the entry has closed the call"),
-	}
-	return append([]Effect{refusal}, append(c.start(now), c.finish()...)...)
+	return append(c.refuse(now, key, gone), c.start(now)...)
 }
--- a/internal/agent/admission_test.go
+++ b/internal/agent/admission_test.go
@@ -17,6 +17,7 @@
 	return agent.NewCore(agent.CoreSettings{
 		Incarnation: 1,
 		Plain:       true,
+		StaticRates: true,
 		Slots:       slots,
 	})
 }
@@ -27,6 +28,7 @@
 		Key: key,
 		Request: &wirepb.CallRequest{
 			AgentIncarnation: 1,
+			Idempotent:       true,
 			Customer:         customer,
 			MaxTokens:        tokens,
 			TimeoutMs:        uint32(timeout.Milliseconds()),
@@ -154,8 +156,8 @@
 	const slots = 10
 	c, now := newPlain(slots), epoch
 	started := 0
-	send := func(key uint64, customer string) (starts bool) {
-		for _, effect := range arrive(c, now, key, customer, 10, time.Hour) {
+	observe := func(effects []agent.Effect, key uint64) (starts bool) {
+		for _, effect := range effects {
 			if e, ok := effect.(agent.Start); ok {
 				started++
 				starts = starts || e.Key == key
@@ -163,6 +165,9 @@
 		}
 		return starts
 	}
+	send := func(key uint64, customer string) (starts bool) {
+		return observe(arrive(c, now, key, customer, 10, time.Hour), key)
+	}
 	send(1, "small")
 	c.Apply(now, agent.Ended{Key: 1, Used: 10})
 	started = 0
@@ -177,7 +182,7 @@
 	}
 	c.Apply(now, agent.Ended{Key: 2, Used: 10})
 	now = now.Add(time.Minute)
-	c.Apply(now, agent.Tick{})
+	observe(c.Apply(now, agent.Tick{}), 0)
 	send(200, "large")
 	if started != slots+1 {
 		t.Errorf("alone, the large customer runs %d calls of %d slots", started-1, slots)
--- a/internal/agent/place.go
+++ b/internal/agent/place.go
@@ -49,6 +49,9 @@
 	if fold := e.Message.GetFold(); fold != nil {
 		return c.foldMessage(now, fold)
 	}
+	if e.Message.GetShare() != nil {
+		return c.viewed(e)
+	}
 	message := e.Message.GetPlace()
 	if message == nil || c.plain {
 		return nil
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -44,6 +44,8 @@
 	mu     sync.Mutex
 	conn   net.Conn
 	cut    bool
+	// reusable is set by the goroutine that runs a call, after a whole answer.
+	reusable bool
 }
 
 func newLane(address string) *lane {
@@ -87,11 +89,13 @@
 	}
 }
 
-// take returns an idle lane or a new one.
-func (u *upstream) take() *lane {
+// take returns an idle lane or a new one. A fresh one can't have been closed by
+// the endpoint before the request, so a failure of its dial proves that nothing
+// has run.
+func (u *upstream) take(fresh bool) *lane {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if n := len(u.idle); n > 0 {
+	if n := len(u.idle); n > 0 && !fresh {
 		l := u.idle[n-1]
 		u.idle = u.idle[:n-1]
 		return l
@@ -99,13 +103,14 @@
 	return newLane(u.address)
 }
 
-// put makes a lane idle. Its request must be over and released, and nothing may
-// cancel it any more.
+// put makes a lane idle if its last answer was whole. Its request must be over
+// and released, and nothing may cancel it any more.
 func (u *upstream) put(l *lane) {
 	l.mu.Lock()
-	cut := l.cut
+	reusable := l.reusable && !l.cut
+	l.reusable = false
 	l.mu.Unlock()
-	if cut {
+	if !reusable {
 		return
 	}
 	u.mu.Lock()
@@ -131,12 +136,14 @@
 		return fault.Wrap(err, fault.MayHaveRun, fault.CodeEndpoint)
 	}
 	if err := refusal(response); err != nil {
+		l.reusable = true
 		return err
 	}
 	if err := relay(response, r.GetStream(), send); err != nil {
 		l.cancel()
 		return err
 	}
+	l.reusable = true
 	return nil
 }
 
@@ -203,8 +210,8 @@
 	if err != nil {
 		return err
 	}
-	if !tail.whole() {
-		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended early")
+	if err := checkWhole(response, tail, total); err != nil {
+		return err
 	}
 	prompt, completion := tail.usage()
 	end := &wirepb.End{
@@ -218,6 +225,25 @@
 	return nil
 }
 
+// untilClose is what the library says of the length of a body that ends with
+// its connection.
+const untilClose = -2
+
+// checkWhole returns an error if an answer is not proved to be whole.
+func checkWhole(response *fasthttp.Response, tail *tail, total uint64) error {
+	if !tail.whole() {
+		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended early")
+	}
+	length := response.Header.ContentLength()
+	if length >= 0 && uint64(length) != total {
+		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer was cut")
+	}
+	if length == untilClose && !tail.stream {
+		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer has no length, so its end can't be told from a cut")
+	}
+	return nil
+}
+
 func copyBody(body io.Reader, tail *tail, send sink) (total uint64, err error) {
 	buffer := make([]byte, readChunk)
 	for {
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -9,6 +10,8 @@
 	"os"
 	"time"
 
+	"dogwoodfold/internal/dedup"
+	"dogwoodfold/internal/place"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/strict"
 )
@@ -41,9 +44,33 @@
 	// ZoneLatency is the one-way latency to other availability zones, 1 ms to
 	// those that it does not name.
 	ZoneLatency map[string]time.Duration `json:"zoneLatency"`
-	// StaticShare is a fixed share of every customer's rate and burst.
-	StaticShare float64  `json:"staticShare"`
-	TLS         TLSFiles `json:"tls"`
+	// StaticShare is a fixed share of every customer's rate and burst. At 0
+	// shares move between the entries.
+	StaticShare float64 `json:"staticShare"`
+	// DrainDelay is how long a stopping entry still takes requests after its
+	// readiness has failed, since the balancer lags. None if unset.
+	DrainDelay time.Duration `json:"drainDelay"`
+	// StopLimit bounds a graceful shutdown, 10 minutes if unset.
+	StopLimit time.Duration `json:"stopLimit"`
+	// WeightStore is what the planners may ask of the weight store.
+	WeightStore WeightStore `json:"weightStore"`
+	TLS         TLSFiles    `json:"tls"`
+}
+
+// WeightStore holds the limits of the weight store; 0 leaves a default.
+type WeightStore struct {
+	LoadsPerSecond float64 `json:"loadsPerSecond"`
+	Loads          int     `json:"loads"`
+	AdapterLoads   int     `json:"adapterLoads"`
+}
+
+// placement returns the planner's settings.
+func (w *WeightStore) placement() place.Settings {
+	s := place.DefaultSettings()
+	s.LoadsPerSecond = cmp.Or(w.LoadsPerSecond, s.LoadsPerSecond)
+	s.Loads = cmp.Or(w.Loads, s.Loads)
+	s.AdapterLoads = cmp.Or(w.AdapterLoads, s.AdapterLoads)
+	return s
 }
 
 // AgentSettings is the settings file of an agent.
@@ -62,6 +89,20 @@
 	Hosts string `json:"hosts"`
 	// Slots is how many calls run at once at the endpoint.
 	Slots int `json:"slots"`
+	// Rates is "shares", the default, or "static". With shares an agent
+	// admits calls only from the entries that the coordinator's view lists;
+	// with static it trusts every entry to keep to its staticShare.
+	Rates string `json:"rates"`
+	// ClaimWindow is how long an idempotency key counts, an hour if unset. The
+	// log must keep records for longer.
+	ClaimWindow time.Duration `json:"claimWindow"`
+	// KeepOutcomes is how long answers are kept for repeats, 10 minutes if
+	// unset.
+	KeepOutcomes time.Duration `json:"keepOutcomes"`
+	// ClaimWait bounds the wait for the log, 2 seconds if unset.
+	ClaimWait time.Duration `json:"claimWait"`
+	// StopLimit bounds a graceful shutdown, 10 minutes if unset.
+	StopLimit time.Duration `json:"stopLimit"`
 	// MaxOrderDelay bounds the time from an order's sending to its last
 	// effect at engines that ignore fencing numbers.
 	MaxOrderDelay time.Duration `json:"maxOrderDelay"`
@@ -81,12 +122,15 @@
 	leastIsolationLimit = 2*plat.FollowWait + time.Second
 )
 
+// The ways in which entries limit customers.
 const (
-	defaultMaxOrderDelay = 10 * time.Second
-	// leastMaxOrderDelay leaves time for an order's own request.
-	leastMaxOrderDelay = 3 * time.Second
+	ratesShares = "shares"
+	ratesStatic = "static"
 )
 
+// leastMaxOrderDelay leaves time for an order's own request.
+const leastMaxOrderDelay = 3 * time.Second
+
 // readSettings decodes and checks a settings file; all faults come at once.
 func readSettings(file string, out interface{ check(*strict.Faults) }) error {
 	text, err := os.ReadFile(file)
@@ -117,6 +161,11 @@
 	if s.StaticShare < 0 || s.StaticShare > 1 {
 		faults.Add("staticShare", "is %v, want 0 to 1", s.StaticShare)
 	}
+	checkDuration("drainDelay", s.DrainDelay, faults)
+	checkDuration("stopLimit", s.StopLimit, faults)
+	if s.WeightStore.LoadsPerSecond < 0 || s.WeightStore.Loads < 0 || s.WeightStore.AdapterLoads < 0 {
+		faults.Add("weightStore", "has a negative limit")
+	}
 	if s.LogRetention < 0 {
 		faults.Add("logRetention", "must not be negative")
 	}
@@ -138,11 +187,21 @@
 	if s.Kind != kindEngine && s.Kind != kindService {
 		faults.Add("kind", "is %q, want %q or %q", s.Kind, kindEngine, kindService)
 	}
+	if s.Rates != "" && s.Rates != ratesShares && s.Rates != ratesStatic {
+		faults.Add("rates", "is %q, want %q or %q", s.Rates, ratesShares, ratesStatic)
+	}
 	if s.Slots < 1 {
 		faults.Add("slots", "must be 1 or more")
 	}
+	checkDuration("claimWindow", s.ClaimWindow, faults)
+	checkDuration("keepOutcomes", s.KeepOutcomes, faults)
+	checkDuration("claimWait", s.ClaimWait, faults)
+	checkDuration("stopLimit", s.StopLimit, faults)
+	if s.KeepOutcomes > cmp.Or(s.ClaimWindow, dedup.DefaultWindow) {
+		faults.Add("keepOutcomes", "is longer than claimWindow")
+	}
 	if s.MaxOrderDelay == 0 {
-		s.MaxOrderDelay = defaultMaxOrderDelay
+		s.MaxOrderDelay = place.DefaultMaxDelay
 	}
 	if s.MaxOrderDelay < leastMaxOrderDelay {
 		faults.Add("maxOrderDelay", "must be %v or more", leastMaxOrderDelay)
@@ -162,6 +221,12 @@
 	}
 }
 
+func checkDuration(path string, d time.Duration, faults *strict.Faults) {
+	if d < 0 {
+		faults.Add(path, "is negative")
+	}
+}
+
 func checkURL(path, text string, faults *strict.Faults) {
 	u, err := url.Parse(text)
 	if err != nil || u.Scheme != "http" || u.Host == "" {
--- a/internal/e2e/bench_test.go
+++ b/internal/e2e/bench_test.go
@@ -93,7 +93,7 @@
 	for range b.N {
 		s := newSystem(b)
 		s.publish(b, generous, "--patch")
-		s.addEntry(b, "entry-2", 1, oneCore)
+		s.addEntry(b, "entry-2", 0, oneCore)
 		eventually(b, "the second entry serves", func() bool {
 			return do(b, "GET", s.entries[1].url()+"/readyz", "").status == 200
 		})
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -63,7 +63,8 @@
 	proxy.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, _ error) { w.WriteHeader(http.StatusBadGateway) }
 	g.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if g.held.Load() {
-			<-r.Context().Done() // the log does not answer this entry
+			_, _ = io.Copy(io.Discard, r.Body) // else a closed append is not noticed
+			<-r.Context().Done()               // the log does not answer this entry
 			return
 		}
 		proxy.ServeHTTP(w, r)
@@ -80,7 +81,7 @@
 	t.Helper()
 	values := map[string]any{
 		"host": name, "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
-		"log": log, "hosts": s.hosts.url(), "staticShare": 0.5,
+		"log": log, "hosts": s.hosts.url(),
 	}
 	for key, value := range more {
 		values[key] = value
@@ -318,6 +319,9 @@
 	if bytes.Contains(rest, []byte("[DONE]")) || bytes.HasSuffix(rest, []byte("\r\n0\r\n\r\n")) {
 		t.Errorf("a canceled stream passed for complete: %q", rest[max(0, len(rest)-400):])
 	}
+	if !bytes.Contains(rest, []byte("key_withdrawn")) {
+		t.Errorf("the caller is not told why: %q", rest[max(0, len(rest)-400):])
+	}
 	eventually(t, "the engine's request is canceled", func() bool {
 		var report plat.Report
 		_ = json.Unmarshal([]byte(do(t, "GET", s.engine.url()+"/engine/report", "").body), &report)
@@ -327,10 +331,10 @@
 
 func TestRetentionWithCheckpoints(t *testing.T) {
 	s := &system{
-		log:   start(t, "fake", "log", "--retention", "2s"),
+		log:   start(t, "fake", "log", "--retention", "4s"),
 		hosts: start(t, "fake", "hosts"),
 	}
-	kept := map[string]any{"logRetention": "2s"}
+	kept := map[string]any{"logRetention": "4s"}
 	first := s.addEntryAt(t, "entry-1", s.log.url(), kept)
 	s.publish(t, text())
 	eventually(t, "the first entry is ready", func() bool { return ready(t, first) })
@@ -353,3 +357,62 @@
 		t.Errorf("publish: %d %s, want 1", status, out)
 	}
 }
+
+func TestLeavingAgentLosesNewWorkThoughListed(t *testing.T) {
+	s := newSystem(t)
+	other := start(t, "fake", "service")
+	s.addAgent(t, "agent-other", "pedidos", "service", other)
+	eventually(t, "both endpoints serve", func() bool {
+		s.charge(t, "either")
+		return strings.Contains(do(t, "GET", other.url()+"/fake/requests", "").body, "either")
+	})
+	s.service.faults(t, fakes.Faults{DelayMs: 6000})
+	const running = 8
+	answers := make(chan answer, running)
+	for range running {
+		go func() { answers <- s.charge(t, "old") }()
+	}
+	time.Sleep(500 * time.Millisecond)
+	leaving := s.agents["agent-service"]
+	if err := leaving.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second) // the list still calls it live
+	for range 20 {
+		if a := s.charge(t, "new"); a.status != 200 {
+			t.Errorf("new call: %+v, want 200", a)
+		}
+	}
+	for range running {
+		if a := <-answers; a.status != 200 {
+			t.Errorf("running call: %+v, want 200", a)
+		}
+	}
+	if seen := do(t, "GET", s.service.url()+"/fake/requests", "").body; strings.Contains(seen, `"body":"new"`) || !strings.Contains(seen, `"body":"old"`) {
+		t.Errorf("requests at the leaving endpoint: %s", seen)
+	}
+}
+
+func TestRestoreInALogThatHasLostTheText(t *testing.T) {
+	s := &system{
+		log:   start(t, "fake", "log", "--retention", "1s"),
+		hosts: start(t, "fake", "hosts"),
+	}
+	s.publish(t, text())
+	whole := file(t, text())
+	if status, out := s.configCommand(t, "restore", whole); status != 1 || !strings.Contains(out, "has a configuration") {
+		t.Errorf("restore while the log has a text: %d %s, want 1", status, out)
+	}
+	eventually(t, "the log has lost the text", func() bool {
+		status, _ := s.configCommand(t, "show")
+		return status == 1
+	})
+	entry := s.addEntryAt(t, "entry-1", s.log.url(), map[string]any{"logRetention": "1s"})
+	if ready(t, entry) {
+		t.Error("an entry is ready without a configuration")
+	}
+	if status, out := s.configCommand(t, "restore", whole); status != 0 {
+		t.Errorf("restore: %d %s", status, out)
+	}
+	eventually(t, "the entry starts from the restored text", func() bool { return ready(t, entry) })
+}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -140,7 +140,7 @@
 }
 
 // logLines is how much of a log is printed after a failure.
-const logLines = 30
+const logLines = 8
 
 // printLogs prints the last lines of a process's log, leaving out the calls
 // that were answered.
@@ -208,7 +208,7 @@
 	}
 	s.addAgent(t, "agent-engine", "lengua", "engine", s.engine)
 	s.addAgent(t, "agent-service", "pedidos", "service", s.service)
-	s.addEntry(t, "entry-1", 1)
+	s.addEntry(t, "entry-1", 0)
 	s.publish(t, text())
 	s.await(t)
 	return s
--- a/internal/e2e/queue_test.go
+++ b/internal/e2e/queue_test.go
@@ -43,8 +43,8 @@
 	return s
 }
 
-// ask sends a completion request on a connection of its own.
-func (s *system) ask(t *testing.T, prompt string, tokens int, stream bool) net.Conn {
+// askAside sends a completion request on a connection of its own.
+func (s *system) askAside(t *testing.T, prompt string, tokens int, stream bool) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", s.entries[0].address.String())
 	if err != nil {
@@ -75,9 +75,9 @@
 func TestDepartedCallersFreeTheEngine(t *testing.T) {
 	s := newNarrowSystem(t)
 	s.engine.faults(t, fakes.Faults{TokenMs: 50})
-	first := s.ask(t, "first stays a while", 10_000, true)
+	first := s.askAside(t, "first stays a while", 10_000, true)
 	eventually(t, "the stream runs", func() bool { return s.running(t) == 1 })
-	second := s.ask(t, "second waits and goes", 10, false)
+	second := s.askAside(t, "second waits and goes", 10, false)
 	time.Sleep(300 * time.Millisecond) // it is underway
 	_ = second.Close()
 	time.Sleep(time.Second) // several checks for callers
@@ -100,7 +100,7 @@
 	if a := s.complete(t, boothKey, 20, false); a.status != 200 {
 		t.Fatalf("the call that sets the pace: %+v", a)
 	}
-	s.ask(t, "runs for ten seconds", 200, false)
+	s.askAside(t, "runs for ten seconds", 200, false)
 	eventually(t, "the engine is busy", func() bool { return s.running(t) == 1 })
 	body := `{"model":"lengua-8b","prompt":"order of two hoodies","max_tokens":200}`
 	a := do(t, "POST", s.entries[0].url()+"/v1/completions", body,
@@ -121,7 +121,7 @@
 	}
 	s.engine.faults(t, fakes.Faults{TokenMs: 100})
 	eventually(t, "both engines are used", func() bool {
-		s.ask(t, "order of two hoodies", 5, false)
+		s.askAside(t, "order of two hoodies", 5, false)
 		return count(second, "two hoodies") > 0
 	})
 	s.engine.faults(t, fakes.Faults{})
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/quota"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/config"
 	"dogwoodfold/pkg/fault"
@@ -30,9 +32,13 @@
 	Prompt  int
 	Blocks  []uint64
 	Streams bool
-	// IdempotencyKey is the caller's own, empty if none was given.
-	IdempotencyKey string
-	Deadline       time.Time
+	// Hold is the reservation, once it is made.
+	Hold quota.Hold
+	// Once says that the caller gave an idempotency key for a call that may
+	// not be repeated; OnceKey is its digest.
+	Once     bool
+	OnceKey  dedup.Key
+	Deadline time.Time
 }
 
 // Outcome is how an attempt, or a whole call, has ended.
@@ -44,6 +50,9 @@
 	Passed bool
 	// Used is the number of tokens that the call has cost.
 	Used float64
+	// Holder is the agent process that holds the claim of the call's key, if
+	// that is why the attempt was refused.
+	Holder dedup.Holder
 }
 
 // Events.
@@ -128,16 +137,27 @@
 		Host        string
 		Incarnation uint64
 		Weight      float64
+		// Version is the version of the model that the agent holds.
+		Version string
 		// ConfigOffset is the configuration that the decision rests on.
 		ConfigOffset uint64
 		// Cached is how many tokens of the prompt are expected to be cached.
 		Cached int
+		// EntryIncarnation is the one that has reserved the tokens, 0 if
+		// the entry's share is fixed.
+		EntryIncarnation uint64
 	}
 	// Refuse ends a call with an error.
 	Refuse struct {
 		ID  string
 		Err error
 	}
+	// Deliver ends a call with an answer that was asked for after its link
+	// broke.
+	Deliver struct {
+		ID     string
+		Report *wirepb.OutcomeReport
+	}
 	// Cancel ends a running attempt; the caller gets the error.
 	Cancel struct {
 		ID  string
@@ -175,6 +195,7 @@
 
 func (Send) isEffect()     {}
 func (Refuse) isEffect()   {}
+func (Deliver) isEffect()  {}
 func (Cancel) isEffect()   {}
 func (Connect) isEffect()  {}
 func (Append) isEffect()   {}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -66,6 +66,14 @@
 
 // handle serves one request of a caller.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.stopping.Load() {
+		ctx.SetConnectionClose() // the caller's next request goes elsewhere
+	}
+	if folded(ctx) {
+		ctx.SetConnectionClose() // what follows may be part of this request
+		writeError(ctx, fault.New(fault.NotRun, fault.CodeBadRequest, "a header field goes on in the next line"))
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
@@ -141,6 +149,9 @@
 			if s.attempt(x, e) {
 				return
 			}
+		case Deliver:
+			s.deliver(x, e.Report)
+			return
 		}
 	}
 }
@@ -169,7 +180,7 @@
 		Attempt: e.Attempt,
 		Outcome: Outcome{
 			Verdict: fault.Ran,
-			Used:    used(x, end, 0),
+			Used:    usedBy(x, head, end),
 		},
 	})
 	writeHead(x.ctx, head)
@@ -178,6 +189,19 @@
 	return true
 }
 
+// deliver answers with an outcome that was asked for.
+func (s *Server) deliver(x *exchange, report *wirepb.OutcomeReport) {
+	writeHead(x.ctx, &wirepb.Head{
+		Status: report.GetStatus(),
+		Headers: []*wirepb.Header{{
+			Name:  fasthttp.HeaderContentType,
+			Value: report.GetContentType(),
+		}},
+	})
+	x.ctx.SetBody(report.GetBody())
+	s.end(x, nil)
+}
+
 // open sends the request and waits for the head of the answer.
 func (s *Server) open(x *exchange, e Send) (*wire.Call, *wirepb.Head, error) {
 	session := s.session(e.Host, e.Incarnation)
@@ -207,12 +231,13 @@
 	}
 	x.request.Attempt = uint32(e.Attempt)
 	x.request.Entry = s.options.Hello.GetHost()
-	x.request.EntryIncarnation = s.options.Hello.GetIncarnation()
+	x.request.EntryIncarnation = e.EntryIncarnation
 	x.request.AgentIncarnation = e.Incarnation
 	x.request.TimeoutMs = uint32(left.Milliseconds()) + 1
 	x.request.Weight = e.Weight
 	x.request.ConfigOffset = e.ConfigOffset
 	x.request.CachedTokens = uint32(e.Cached)
+	x.request.Version = e.Version
 	if err := call.SetDeadline(x.call.Deadline); err != nil {
 		return nil, fault.Wrap(err, fault.NotRun, fault.CodeLink)
 	}
@@ -238,6 +263,7 @@
 		Outcome: Outcome{
 			Verdict: fault.VerdictOf(err),
 			Err:     err,
+			Holder:  holderOf(err),
 		},
 	})
 }
@@ -255,6 +281,7 @@
 				Attempt: e.Attempt,
 			})
 		},
+		cause: x.cause,
 		finish: func(err error, end *wirepb.End, events int) {
 			err = x.cause(err)
 			x.events = events
@@ -273,6 +300,17 @@
 	}, -1)
 }
 
+// usedBy returns what a call has cost in tokens, nothing if it did not run
+// again.
+func usedBy(x *exchange, head *wirepb.Head, end *wirepb.End) float64 {
+	for _, h := range head.GetHeaders() {
+		if h.GetName() == wire.HeaderReplayed {
+			return 0
+		}
+	}
+	return used(x, end, 0)
+}
+
 // used returns what a call has cost in tokens.
 func used(x *exchange, end *wirepb.End, events int) float64 {
 	if x.request.GetModel() == "" {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -53,20 +53,27 @@
 			return nil
 		}
 		c.fleet.Heard(now, e.Host, body.Heartbeat)
+	case *wirepb.Envelope_Share:
+		return c.shareEvent(now, e)
+	case *wirepb.Envelope_Claim:
+		return c.reported(now, e, body.Claim.GetReport())
+	case *wirepb.Envelope_Place:
+		return c.placed(e, body.Place)
 	}
 	return nil
 }
 
 func (c *Core) tick(now time.Time) []Effect {
 	c.fleet.Tick(now)
-	effects := c.configTick(now)
+	effects := append(c.configTick(now), c.plan(now)...)
 	if now.Sub(c.beatAt) < heartbeatInterval {
 		return effects
 	}
 	return append(effects, c.beat(now)...)
 }
 
-// beat sends a heartbeat to all linked peers.
+// beat sends a heartbeat to the linked entries. Agents need none: their sessions
+// tell them which entries there are.
 func (c *Core) beat(now time.Time) []Effect {
 	c.beatAt = now
 	message := &wirepb.Envelope{Body: &wirepb.Envelope_Heartbeat{Heartbeat: &wirepb.Heartbeat{
@@ -74,14 +81,12 @@
 		Leaving:      c.leaving,
 	}}}
 	var effects []Effect
-	for _, role := range []string{plat.RoleAgent, plat.RoleEntry} {
-		for _, peer := range c.fleet.Peers(role) {
-			if peer.Linked() {
-				effects = append(effects, Tell{
-					Host:    peer.Host.Name,
-					Message: message,
-				})
-			}
+	for _, peer := range c.fleet.Peers(plat.RoleEntry) {
+		if peer.Linked() {
+			effects = append(effects, Tell{
+				Host:    peer.Host.Name,
+				Message: message,
+			})
 		}
 	}
 	return append(effects, c.tellVersion(now)...)
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -12,7 +12,7 @@
 	return route.Query{
 		Service: r.Route.Service,
 		Model:   r.Model,
-		Version: r.Version,
+		Version: r.served,
 		Adapter: r.Adapter,
 		Tokens:  int(r.Tokens),
 		Prompt:  r.Prompt,
--- a/internal/place/rounds.go
+++ b/internal/place/rounds.go
@@ -25,7 +25,7 @@
 			if own := w.holds(current); own != nil && !own.Ready {
 				continue
 			}
-			r.drop(w, h)
+			r.drop(w, h.Copy, m.Version)
 		}
 	}
 }
@@ -33,9 +33,10 @@
 // adapt loads adapters on the holders of their models: each adapter on two,
 // and on all where it is wanted.
 func (r *round) adapt() {
+	present := currentHolders(r.workers, r.models)
 	for _, name := range slices.Sorted(maps.Keys(r.models)) {
 		m := r.models[name]
-		on := holders(r.workers, m.current(name))
+		on := present[name]
 		for _, adapter := range slices.Sorted(maps.Keys(m.Adapters)) {
 			wanted := min(adapterCopies, len(on))
 			if r.demand.Rate(name, adapter) > 0 {
@@ -75,22 +76,30 @@
 	host  string
 	copy  Copy
 	bytes int64
-	until time.Time
+	since time.Time
+	// victims are the copies that are to go.
+	victims []Held
 }
 
-// swapLimit is how long a load waits for room.
-const swapLimit = 30 * time.Second
+const (
+	// swapLimit is how long a load waits for room.
+	swapLimit = 30 * time.Second
+	// swapRetry is how long an unload may take to begin; it was refused or
+	// lost if the copy is not being unloaded then.
+	swapRetry = 5 * time.Second
+)
 
 // swap unloads copies and notes the load to follow.
 func (r *round) swap(c *change) {
 	for _, h := range c.victims {
-		r.drop(c.worker, h)
+		r.drop(c.worker, h.Copy, r.models[h.Model].Version, h.Version)
 	}
 	r.swaps[c.copy.Model] = swap{
-		host:  c.worker.Host,
-		copy:  c.copy,
-		bytes: c.bytes,
-		until: r.now.Add(swapLimit),
+		host:    c.worker.Host,
+		copy:    c.copy,
+		bytes:   c.bytes,
+		since:   r.now,
+		victims: c.victims,
 	}
 	c.worker.Free -= c.bytes
 	c.worker.Held = append(c.worker.Held, Held{
@@ -99,13 +108,25 @@
 	})
 }
 
+// failed reports whether a swap is over, or will not come about.
+func (s *swap) failed(now time.Time, w *Worker) bool {
+	waited := now.Sub(s.since)
+	if waited > swapLimit || w.holds(s.copy) != nil {
+		return true
+	}
+	return waited > swapRetry && slices.ContainsFunc(s.victims, func(h Held) bool {
+		held := w.holds(h.Copy)
+		return held != nil && held.Staying
+	})
+}
+
 // swapped begins the loads whose room has come free, and keeps the room of the
 // others from being used.
 func (r *round) swapped() {
 	for _, name := range slices.Sorted(maps.Keys(r.swaps)) {
 		s := r.swaps[name]
 		i := slices.IndexFunc(r.workers, func(w Worker) bool { return w.Host == s.host })
-		if i < 0 || r.now.After(s.until) || r.models[name].Version != s.copy.Version || r.workers[i].holds(s.copy) != nil {
+		if i < 0 || r.models[name].Version != s.copy.Version || s.failed(r.now, &r.workers[i]) {
 			delete(r.swaps, name)
 			continue
 		}
@@ -123,24 +144,20 @@
 }
 
 const (
-	// hotModels and coolWorkers bound the changes that are weighed.
+	// hotWorkers, hotModels and coolWorkers bound the changes that are weighed.
+	hotWorkers  = 3
 	hotModels   = 3
 	coolWorkers = 6
 	// zoneBonus is the gain that a copy in a further zone counts for.
-	zoneBonus = 0.02
+	zoneBonus = 0.001
 )
 
 // relieve adds copies of the models that make an engine hot, if that lowers
 // its use by enough to be worth a load.
 func (r *round) relieve() {
 	for r.budget >= 1 && r.loading+len(r.swaps) < r.settings.Loads {
-		used, parts := estimate(r.workers, r.models, r.rate)
-		hot := r.hottest(used)
-		if hot == nil || used[hot.Host] < r.settings.High {
-			return
-		}
-		best := r.bestChange(hot, used, parts)
-		if best == nil || best.gain < r.settings.Gain {
+		best := r.relief()
+		if best == nil {
 			return
 		}
 		if len(best.victims) > 0 {
@@ -151,20 +168,37 @@
 	}
 }
 
-// hottest returns the worker with the highest use.
-func (r *round) hottest(used usage) *Worker {
-	var hot *Worker
-	for i := range r.workers {
-		if w := &r.workers[i]; hot == nil || used[w.Host] > used[hot.Host] {
-			hot = w
+// relief returns a change that is worth a load, nil if there is none.
+func (r *round) relief() *change {
+	used, parts := estimate(r.workers, r.models, r.rate)
+	coolest := r.coolest(used)
+	for i := range min(hotWorkers, len(coolest)) {
+		hot := coolest[len(coolest)-1-i]
+		if used[hot.Host] < r.settings.High {
+			return nil
 		}
+		best := r.bestChange(hot, coolest[:min(coolWorkers, len(coolest))], used, parts)
+		if best != nil && best.gain >= r.settings.Gain {
+			return best
+		}
+	}
+	return nil
+}
+
+// strain returns the sum of the squares of the use beyond High: what a change
+// has to lower to be worth its load.
+func (r *round) strain(used usage) float64 {
+	total := 0.0
+	for i := range r.workers {
+		excess := max(0, used[r.workers[i].Host]-r.settings.High)
+		total += excess * excess
 	}
-	return hot
+	return total
 }
 
 // bestChange returns the change that relieves a worker most, nil if there is
 // none.
-func (r *round) bestChange(hot *Worker, used usage, parts map[Copy]usage) *change {
+func (r *round) bestChange(hot *Worker, cool []*Worker, used usage, parts map[Copy]usage) *change {
 	models := slices.SortedFunc(maps.Keys(r.models), func(a, b string) int {
 		x, y := r.models[a], r.models[b]
 		return cmp.Or(
@@ -174,7 +208,7 @@
 	})
 	var best *change
 	for _, name := range models[:min(hotModels, len(models))] {
-		for _, w := range r.coolest(used) {
+		for _, w := range cool {
 			c := r.weigh(hot, w, name, used)
 			if c != nil && (best == nil || c.gain > best.gain) {
 				best = c
@@ -184,7 +218,7 @@
 	return best
 }
 
-// coolest returns the least used workers.
+// coolest returns the workers, the least used first.
 func (r *round) coolest(used usage) []*Worker {
 	list := make([]*Worker, 0, len(r.workers))
 	for i := range r.workers {
@@ -193,7 +227,7 @@
 	slices.SortFunc(list, func(a, b *Worker) int {
 		return cmp.Or(cmp.Compare(used[a.Host], used[b.Host]), cmp.Compare(a.Host, b.Host))
 	})
-	return list[:min(coolWorkers, len(list))]
+	return list
 }
 
 // weigh returns what a copy of a model at a worker would bring, nil if it can't
@@ -222,7 +256,7 @@
 		Copy: c.copy,
 	})
 	after, _ := estimate(r.workers, r.models, r.rate)
-	c.gain = used[hot.Host] - after[r.hottest(after).Host]
+	c.gain = r.strain(used) - r.strain(after)
 	if c.gain > 0 && !r.inZone(c.copy, w) {
 		c.gain += zoneBonus
 	}
@@ -246,9 +280,10 @@
 	names := slices.SortedFunc(maps.Keys(r.models), func(a, b string) int {
 		return cmp.Or(cmp.Compare(r.rate(b), r.rate(a)), cmp.Compare(a, b))
 	})
+	present := currentHolders(r.workers, r.models)
 	for _, name := range names {
 		m := r.models[name]
-		on := holders(r.workers, m.current(name))
+		on := present[name]
 		if len(on) != 1 || r.now.Sub(r.firstSeen(on[0], m.current(name))) < secondDelay {
 			continue
 		}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -21,11 +21,23 @@
 	}
 }
 
-// Configure takes over the customers' rates and bursts. A new customer starts
-// with a full bucket.
-func (l *Limiter) Configure(now time.Time, customers map[string]config.Customer) {
+// Limits returns the limits of a text's customers.
+func Limits(customers map[string]config.Customer) map[string]Limit {
+	limits := make(map[string]Limit)
 	for name, c := range customers {
-		rate, burst := l.share*c.RatePerSecond, l.share*c.BurstTokens
+		limits[name] = Limit{
+			Rate:  c.RatePerSecond,
+			Burst: c.BurstTokens,
+		}
+	}
+	return limits
+}
+
+// Configure takes over the customers' limits. A new customer starts with a full
+// bucket.
+func (l *Limiter) Configure(now time.Time, limits map[string]Limit) {
+	for name, limit := range limits {
+		rate, burst := l.share*limit.Rate, l.share*limit.Burst
 		if b, known := l.buckets[name]; known {
 			b.Resize(now, rate, burst)
 			continue
@@ -33,7 +45,7 @@
 		l.buckets[name] = NewBucket(now, rate, burst, burst)
 	}
 	for name := range l.buckets {
-		if _, known := customers[name]; !known {
+		if _, known := limits[name]; !known {
 			delete(l.buckets, name)
 		}
 	}
@@ -41,17 +53,21 @@
 
 // Reserve takes tokens from a customer's share. If there are too few it
 // returns when to ask again, zero if never.
-func (l *Limiter) Reserve(now time.Time, customer string, tokens float64) (wait time.Duration, ok bool) {
+func (l *Limiter) Reserve(now time.Time, customer string, tokens float64) (hold Hold, wait time.Duration, ok bool) {
 	b, known := l.buckets[customer]
 	if !known {
-		return 0, false
+		return Hold{}, 0, false
 	}
-	return b.Take(now, tokens)
+	wait, ok = b.Take(now, tokens)
+	return Hold{
+		Tokens: tokens,
+		mark:   b.Mark(),
+	}, wait, ok
 }
 
-// Settle gives back what a reservation did not use.
-func (l *Limiter) Settle(now time.Time, customer string, reserved, used float64) {
-	if b, known := l.buckets[customer]; known && used < reserved {
-		b.Put(now, reserved-used)
+// Settle ends a reservation, of which less or more was used.
+func (l *Limiter) Settle(now time.Time, customer string, hold Hold, used float64) {
+	if b, known := l.buckets[customer]; known {
+		b.Settle(now, hold.mark, hold.Tokens, used)
 	}
 }
--- a/internal/route/sim_test.go
+++ b/internal/route/sim_test.go
@@ -119,7 +119,7 @@
 			Name: fmt.Sprintf("agent-%02d", i), Role: plat.RoleAgent, Zone: fmt.Sprintf("zone-%d", i%3),
 			Service: "lengua", State: plat.HostLive,
 		})
-		s.agents = append(s.agents, agent.NewCore(agent.CoreSettings{Host: s.hosts[i].Name, Incarnation: 1, Slots: 64}))
+		s.agents = append(s.agents, agent.NewCore(agent.CoreSettings{Host: s.hosts[i].Name, Incarnation: 1, Slots: 64, StaticRates: true}))
 		settings := engsim.Default()
 		if i == 0 && d.slow > 0 {
 			settings.PrefillPerSecond /= float64(d.slow)
@@ -228,7 +228,7 @@
 	s.perform(now, call.agent, s.agents[call.agent].Apply(now, agent.Arrived{Call: agent.Call{
 		Key: key,
 		Request: &wirepb.CallRequest{
-			AgentIncarnation: 1, Customer: "c", Model: call.query.Model, Version: "v1", Adapter: call.query.Adapter,
+			AgentIncarnation: 1, Idempotent: true, Customer: "c", Model: call.query.Model, Version: "v1", Adapter: call.query.Adapter,
 			PromptTokens: uint32(call.query.Prompt), MaxTokens: 256, CachedTokens: uint32(call.ticket.Cached),
 			TimeoutMs: uint32(simPatience.Milliseconds()),
 		},
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"maps"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -60,6 +61,8 @@
 	CodeFenced        Code = "entry_fenced"
 	CodeUnknownResult Code = "outcome_unknown"
 	CodeCallerGone    Code = "caller_gone"
+	CodeClaimed       Code = "claimed_elsewhere"
+	CodeLogDown       Code = "log_unavailable"
 	CodeInternal      Code = "internal"
 )
 
@@ -113,6 +116,9 @@
 	return d
 }
 
+// CodeStatuses returns the HTTP status of each code that has one of its own.
+func CodeStatuses() map[Code]int { return maps.Clone(statuses) }
+
 // StatusOf returns the HTTP status that err is answered with.
 func StatusOf(err error) int {
 	return merry.HTTPCode(err)
@@ -145,6 +151,8 @@
 	CodeLeaving:       503,
 	CodeNotReady:      503,
 	CodeFenced:        503,
+	CodeClaimed:       503,
+	CodeLogDown:       503,
 	CodeDeadline:      504,
 	CodeLink:          502,
 	CodeEndpoint:      502,
