--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -122,7 +122,7 @@
 	b.perform(b.core.Apply(b.now, agent.Arrived{Call: agent.Call{
 		Key: key,
 		Request: &wirepb.CallRequest{
-			AgentIncarnation: 1, Customer: customer, Batch: batch, Weight: 1,
+			AgentIncarnation: 1, Idempotent: true, Customer: customer, Batch: batch, Weight: 1,
 			PromptTokens: uint32(c.request.Prompt), MaxTokens: uint32(max(c.request.Output, 256)),
 			TimeoutMs: uint32(b.timeout.Milliseconds()),
 		},
--- a/internal/route/sim_test.go
+++ b/internal/route/sim_test.go
@@ -23,6 +23,8 @@
 	betweenZones, callsPerSecs float64
 	// slow makes the first engine that many times slower, if it is set.
 	slow int
+	// dead makes the first engine stop in the middle of all its calls.
+	dead bool
 }
 
 var deployments = []deployment{
@@ -96,6 +98,7 @@
 	next    uint64
 	firsts  []time.Duration
 	lost    int
+	hung    int
 	hit     int
 	prefix  int
 	hot     int
@@ -116,7 +119,7 @@
 			Name: fmt.Sprintf("agent-%02d", i), Role: plat.RoleAgent, Zone: fmt.Sprintf("zone-%d", i%3),
 			Service: "lengua", State: plat.HostLive,
 		})
-		s.agents = append(s.agents, agent.NewCore(agent.CoreSettings{Host: s.hosts[i].Name, Incarnation: 1, Slots: 64}))
+		s.agents = append(s.agents, agent.NewCore(agent.CoreSettings{Host: s.hosts[i].Name, Incarnation: 1, Slots: 64, StaticRates: true}))
 		settings := engsim.Default()
 		if i == 0 && d.slow > 0 {
 			settings.PrefillPerSecond /= float64(d.slow)
@@ -225,7 +228,7 @@
 	s.perform(now, call.agent, s.agents[call.agent].Apply(now, agent.Arrived{Call: agent.Call{
 		Key: key,
 		Request: &wirepb.CallRequest{
-			AgentIncarnation: 1, Customer: "c", Model: call.query.Model, Version: "v1", Adapter: call.query.Adapter,
+			AgentIncarnation: 1, Idempotent: true, Customer: "c", Model: call.query.Model, Version: "v1", Adapter: call.query.Adapter,
 			PromptTokens: uint32(call.query.Prompt), MaxTokens: 256, CachedTokens: uint32(call.ticket.Cached),
 			TimeoutMs: uint32(simPatience.Milliseconds()),
 		},
@@ -289,6 +292,9 @@
 		s.events = s.events[1:]
 	}
 	for i, engine := range s.engines {
+		if i == 0 && s.dead && now.Sub(epoch) > burstEvery {
+			continue
+		}
 		for _, r := range engine.Run(now) {
 			call := s.calls[uint64(r.ID)]
 			s.over(now, call, route.Answered)
@@ -325,6 +331,7 @@
 		now = now.Add(simStep)
 		s.advance(now)
 	}
+	s.hung = len(s.calls)
 	for range s.calls {
 		s.firsts = append(s.firsts, simPatience)
 	}
