--- a/internal/agent/forward_test.go
+++ b/internal/agent/forward_test.go
@@ -37,9 +37,10 @@
 	for range 200 {
 		closed := make(chan struct{})
 		err := s.forward(closed, &wirepb.CallRequest{
-			Method:    "POST",
-			Path:      "/charge",
-			TimeoutMs: 10_000,
+			Method:     "POST",
+			Path:       "/charge",
+			TimeoutMs:  10_000,
+			Idempotent: true,
 		}, func(f *wirepb.CallFrame) error {
 			if f.GetEnd() != nil {
 				close(closed)
