Ask a reducer for its status in one place

Cause: entry and agent each had the same wait for a status, with its end of the loop and its time limit.

Change: loop.Ask posts the question and waits; TestAsk holds the answer and the end of the loop.

--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"dogwoodfold/internal/loop"
 	"dogwoodfold/internal/plat"
 )
 
@@ -57,21 +57,9 @@
 	}}
 }
 
-// errEnded reports a question to a loop that has ended.
-var errEnded = errors.New("agent: loop has ended")
-
 // Status asks the reducer for its status.
 func (s *Server) Status(ctx context.Context) (any, error) {
-	reply := make(chan Status, 1)
-	s.loop.Post(Inspect{Reply: reply})
-	select {
-	case status := <-reply:
-		return status, nil
-	case <-s.loop.Done():
-		return nil, errEnded
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return loop.Ask(ctx, s.loop, func(reply chan<- Status) Event { return Inspect{Reply: reply} })
 }
 
 // Registry returns the agent's metrics.
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
 
 	"dogwoodfold/internal/fleet"
+	"dogwoodfold/internal/loop"
 	"dogwoodfold/internal/plat"
 )
 
@@ -113,19 +113,7 @@
 	return s
 }
 
-// errEnded reports a question to a loop that has ended.
-var errEnded = errors.New("entry: loop has ended")
-
 // Status asks the reducer for its status.
 func (s *Server) Status(ctx context.Context) (any, error) {
-	reply := make(chan Status, 1)
-	s.loop.Post(Inspect{Reply: reply})
-	select {
-	case status := <-reply:
-		return status, nil
-	case <-s.loop.Done():
-		return nil, errEnded
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return loop.Ask(ctx, s.loop, func(reply chan<- Status) Event { return Inspect{Reply: reply} })
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -65,6 +66,25 @@
 // Done is closed when Run has returned.
 func (l *Loop[E, F]) Done() <-chan struct{} { return l.done }
 
+// ErrEnded reports a question to a loop that has ended.
+var ErrEnded = errors.New("loop has ended")
+
+// Ask posts the event that question makes of a channel for one reply, and waits
+// for the reply.
+func Ask[S, E, F any](ctx context.Context, l *Loop[E, F], question func(reply chan<- S) E) (S, error) {
+	var none S
+	reply := make(chan S, 1)
+	l.Post(question(reply))
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-l.Done():
+		return none, ErrEnded
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
 // drain applies all queued events.
 func (l *Loop[E, F]) drain() {
 	for {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"testing"
@@ -55,3 +56,23 @@
 	cancel()
 	<-l.Done()
 }
+
+// echo answers each question with itself.
+type echo struct{}
+
+func (echo) Apply(_ time.Time, reply chan<- int) []chan<- int { return []chan<- int{reply} }
+
+func TestAsk(t *testing.T) {
+	l := loop.New(echo{}, func(reply chan<- int) { reply <- 7 }, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	question := func(reply chan<- int) chan<- int { return reply }
+	if n, err := loop.Ask(ctx, l, question); n != 7 || err != nil {
+		t.Errorf("answer = %d, %v; want 7", n, err)
+	}
+	cancel()
+	<-l.Done()
+	if _, err := loop.Ask(context.Background(), l, question); !errors.Is(err, loop.ErrEnded) {
+		t.Errorf("asked after the end: %v, want ErrEnded", err)
+	}
+}
