Fix the seed of rapid's checks

Change: package seeds sets the flag's default for the tests that import it; -rapid.seed overrides it.

Conclusion: wider searches are run by hand with other seeds.

--- a/internal/dedup/dedup_test.go
+++ b/internal/dedup/dedup_test.go
@@ -8,6 +8,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "dogwoodfold/internal/seeds"
+
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/pkg/fault"
 )
--- a/internal/entry/config_test.go
+++ b/internal/entry/config_test.go
@@ -11,6 +11,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "dogwoodfold/internal/seeds"
+
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/config"
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,6 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "dogwoodfold/internal/seeds"
+
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/wire/wirepb"
 )
--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -6,6 +6,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "dogwoodfold/internal/seeds"
+
 	"dogwoodfold/internal/quota"
 )
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -7,6 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "dogwoodfold/internal/seeds"
+
 	"dogwoodfold/internal/fleet"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/prefix"
--- a/pkg/config/fold_internal_test.go
+++ b/pkg/config/fold_internal_test.go
@@ -6,6 +6,8 @@
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
 	"pgregory.net/rapid"
+
+	_ "dogwoodfold/internal/seeds"
 )
 
 // drawJSON draws a value of a few names, so that patches meet what is there.
