Decode frames without a oneof, and split a large test file

Change: a frame's parts are plain fields, on the wire as before. The test file is four, by network, configuration, withdrawal and versions; no test changed.

--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -108,5 +108,5 @@
 			Incarnation: holder.Incarnation,
 		}
 	}
-	return &wirepb.CallFrame{Body: &wirepb.CallFrame_Failure{Failure: f}}
+	return &wirepb.CallFrame{Failure: f}
 }
--- a/internal/agent/keeper.go
+++ b/internal/agent/keeper.go
@@ -69,7 +69,7 @@
 // replay sends a kept answer.
 func replay(call *wire.Call, o *dedup.Outcome) {
 	frames := []*wirepb.CallFrame{
-		{Body: &wirepb.CallFrame_Head{Head: &wirepb.Head{
+		{Head: &wirepb.Head{
 			Status: uint32(o.Status),
 			Headers: []*wirepb.Header{
 				{
@@ -81,9 +81,9 @@
 					Value: "true",
 				},
 			},
-		}}},
-		{Body: &wirepb.CallFrame_Data{Data: o.Body}},
-		{Body: &wirepb.CallFrame_End{End: &wirepb.End{Bytes: uint64(len(o.Body))}}},
+		}},
+		{Data: o.Body},
+		{End: &wirepb.End{Bytes: uint64(len(o.Body))}},
 	}
 	for _, f := range frames {
 		if call.SendFrame(f) != nil {
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -202,7 +202,7 @@
 		Name:  "Content-Type",
 		Value: string(response.Header.ContentType()),
 	}}
-	if err := send(&wirepb.CallFrame{Body: &wirepb.CallFrame_Head{Head: head}}); err != nil {
+	if err := send(&wirepb.CallFrame{Head: head}); err != nil {
 		return fault.Wrap(err, fault.Ran, fault.CodeLink)
 	}
 	tail := newTail(stream && response.StatusCode() == fasthttp.StatusOK)
@@ -219,7 +219,7 @@
 		PromptTokens:     prompt,
 		CompletionTokens: completion,
 	}
-	if err := send(&wirepb.CallFrame{Body: &wirepb.CallFrame_End{End: end}}); err != nil {
+	if err := send(&wirepb.CallFrame{End: end}); err != nil {
 		return fault.Wrap(err, fault.Ran, fault.CodeLink)
 	}
 	return nil
@@ -251,7 +251,7 @@
 		if n > 0 {
 			total += uint64(n)
 			tail.write(buffer[:n])
-			data := &wirepb.CallFrame{Body: &wirepb.CallFrame_Data{Data: buffer[:n]}}
+			data := &wirepb.CallFrame{Data: buffer[:n]}
 			if err := send(data); err != nil {
 				return total, fault.Wrap(err, fault.MayHaveRun, fault.CodeLink)
 			}
--- /dev/null
+++ b/internal/entry/network_test.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/config"
+)
+
+const (
+	testLimit     = 15 * time.Second
+	testRetention = time.Hour
+)
+
+// keyedText has one customer with a key, a model service and a plain one.
+func keyedText() string {
+	return fmt.Sprintf(`{"format":1,
+"services":{"lengua":{"kind":"model"},"pedidos":{"kind":"plain"}},
+"models":{"m":{"service":"lengua","version":"v","versions":{"v":{"memoryBytes":1}}}},
+"customers":{"booth":{"keys":{"a":{"sha256":"%s"}},"ratePerSecond":100,"burstTokens":1000,"services":["lengua","pedidos"]}},
+"routes":{
+ "chat":{"path":"/chat","service":"lengua","access":"keyed","priority":"interactive","idempotent":true},
+ "look":{"path":"/look","service":"pedidos","access":"keyed","priority":"interactive","idempotent":true},
+ "charge":{"path":"/charge","service":"pedidos","access":"keyed","priority":"interactive"}}}`,
+		config.DigestKey([]byte("secret")))
+}
+
+// network connects cores by messages that arrive at once, unless they are cut.
+type network struct {
+	t     testingT
+	now   time.Time
+	cores map[string]*Core
+	// log is what readers see; down lists the cores that can't read it.
+	records []plat.Record
+	first   uint64
+	down    map[string]bool
+	cut     map[string]bool
+	ready   map[string]bool
+	effects map[string][]Effect
+}
+
+// testingT is what a test of either package gives.
+type testingT interface {
+	Helper()
+	Errorf(format string, args ...any)
+	Fatal(args ...any)
+}
+
+func newNetwork(t testingT, names ...string) *network {
+	n := &network{
+		t:       t,
+		now:     time.Unix(1000, 0),
+		cores:   make(map[string]*Core),
+		first:   1,
+		down:    make(map[string]bool),
+		cut:     make(map[string]bool),
+		ready:   make(map[string]bool),
+		effects: make(map[string][]Effect),
+	}
+	for _, name := range names {
+		n.start(name, names)
+	}
+	return n
+}
+
+// start runs a fresh process under a name.
+func (n *network) start(name string, names []string) {
+	n.cores[name] = NewCore(CoreSettings{
+		Host:           name,
+		Share:          1,
+		Seed:           uint64(len(name)) + uint64(name[0]),
+		Retention:      testRetention,
+		IsolationLimit: testLimit,
+	})
+	n.ready[name] = false
+	var hosts []plat.Host
+	for _, host := range names {
+		hosts = append(hosts, plat.Host{Name: host, Role: plat.RoleEntry, State: plat.HostLive})
+	}
+	n.apply(name, HostsRead{Hosts: hosts})
+	for _, host := range names {
+		if host != name {
+			n.apply(name, LinkUp{Host: host, Hello: &wirepb.Hello{Incarnation: 1}})
+		}
+	}
+}
+
+// apply passes an event to a core and its messages to the others.
+func (n *network) apply(name string, e Event) {
+	for _, effect := range n.cores[name].Apply(n.now, e) {
+		n.effects[name] = append(n.effects[name], effect)
+		switch e := effect.(type) {
+		case Ready:
+			n.ready[name] = e.Ready
+		case Append:
+			if !n.down[name] {
+				n.append(e.Data)
+			}
+		case Tell:
+			if n.cores[e.Host] != nil && !n.cut[name] && !n.cut[e.Host] {
+				n.apply(e.Host, Received{Host: name, Message: e.Message})
+			}
+		}
+	}
+}
+
+func (n *network) append(data []byte) uint64 {
+	offset := n.first + uint64(len(n.records))
+	n.records = append(n.records, plat.Record{Offset: offset, Time: n.now, Data: data})
+	return offset
+}
+
+func (n *network) publish(base uint64, text, patch string) uint64 {
+	n.t.Helper()
+	data, err := json.Marshal(config.Record{Publish: &config.Publish{
+		Base:  base,
+		Text:  json.RawMessage(text),
+		Patch: json.RawMessage(patch),
+	}})
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return n.append(data)
+}
+
+// run passes time in ticks; cores that reach the log read it.
+func (n *network) run(d time.Duration) { n.runSteps(d, 100*time.Millisecond) }
+
+func (n *network) runSteps(d, step time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(step) {
+		for len(n.records) > 0 && n.now.Sub(n.records[0].Time) > testRetention {
+			n.records = n.records[1:]
+			n.first++
+		}
+		for _, name := range slices.Sorted(maps.Keys(n.cores)) {
+			if !n.down[name] {
+				n.apply(name, LogRead{Stream: plat.StreamConfig, Page: plat.Page{
+					First:   n.first,
+					Next:    n.first + uint64(len(n.records)),
+					Records: n.records,
+				}})
+			}
+			n.apply(name, Tick{})
+		}
+	}
+}
+
+func (n *network) wantAccepted(name string, want uint64) {
+	n.t.Helper()
+	if got := n.cores[name].fold.Accepted; got != want {
+		n.t.Errorf("%s runs the configuration %d, want %d", name, got, want)
+	}
+}
+
+func (n *network) wantReady(name string, want bool) {
+	n.t.Helper()
+	if n.ready[name] != want {
+		n.t.Errorf("%s ready = %v, want %v", name, n.ready[name], want)
+	}
+}
--- a/internal/place/holder.go
+++ b/internal/place/holder.go
@@ -108,9 +108,10 @@
 	return []Action{Send{Order: o}}, nil
 }
 
-// Unload begins to unload a copy. A keeper must first promise to keep the
-// model in the version keep, be it this holder in another version; without a keeper nobody is asked, which is safe
-// only for copies that are not listed any more.
+// Unload begins to unload a copy. A keeper must first promise to keep the model
+// in the version keep; it may be this holder, in another version. Without a
+// keeper nobody is asked, which is safe only for copies that are not listed any
+// more.
 func (h *Holder) Unload(now time.Time, c Copy, keeper, keep string) ([]Action, error) {
 	switch {
 	case !h.Known():
