--- a/internal/e2e/docs_test.go
+++ b/internal/e2e/docs_test.go
@@ -64,6 +64,14 @@
 	return environment
 }
 
+// TestDemo runs the README's second command.
+func TestDemo(t *testing.T) {
+	out, err := exec.Command(program, "demo").CombinedOutput()
+	if err != nil || strings.Count(string(out), "true") == 0 || strings.Contains(string(out), "false") {
+		t.Errorf("demo: %v\n%s", err, out)
+	}
+}
+
 // TestPagesCommands runs each command that a page tells its reader to run, as
 // its reader would: from the root, with the program on the path and the
 // addresses of a held demo in ENTRY, ADMIN, ADMINS, LOG and KEY.
