--- a/internal/agent/once_test.go
+++ b/internal/agent/once_test.go
@@ -195,3 +195,23 @@
 		}
 	}
 }
+
+func TestCallOfAnUnlistedEntryHasNotRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := onceCore(1)
+	effects := c.Apply(now, Arrived{Call: Call{
+		Key: 1,
+		Request: &wirepb.CallRequest{
+			Id:               "x",
+			AgentIncarnation: 1,
+			Customer:         "booth",
+			Entry:            "paused",
+			EntryIncarnation: 9,
+			TimeoutMs:        1000,
+		},
+	}})
+	r, ok := find[Refuse](effects)
+	if !ok || fault.CodeOf(r.Err) != fault.CodeFenced || fault.VerdictOf(r.Err) != fault.NotRun {
+		t.Errorf("effects = %v, want not-run %s", effects, fault.CodeFenced)
+	}
+}
