--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -58,6 +58,13 @@
 		lines = append(lines, fmt.Sprintf("%s\t%s\t%s\t%s\t%v\t%v\t%d\t%d\t%d\t%d",
 			p.Host, p.Role, p.Zone, p.Service, p.Linked, p.Leaving, p.SilentMs, p.Running, p.Queued, p.ConfigOffset))
 	}
+	if s.Rates != nil {
+		lines = append(lines, "CUSTOMER\tSHARE\tTOKENS\tCOORDINATOR")
+		for _, name := range slices.Sorted(maps.Keys(s.Rates.Shares)) {
+			part := s.Rates.Shares[name]
+			lines = append(lines, fmt.Sprintf("%s\t%.3f\t%.0f\t%s", name, part.Fraction, part.Tokens, s.Rates.Coordinator))
+		}
+	}
 	lines = append(lines, "MODEL\tENDPOINTS")
 	for _, name := range slices.Sorted(maps.Keys(s.Models)) {
 		lines = append(lines, fmt.Sprintf("%s\t%d", name, s.Models[name]))
--- a/internal/e2e/rates_test.go
+++ b/internal/e2e/rates_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"syscall"
@@ -113,3 +114,29 @@
 		})
 	}
 }
+
+// TestStatusShowsShares checks that the entries' status names one coordinator,
+// and that no more than the whole of a customer's rate is held.
+func TestStatusShowsShares(t *testing.T) {
+	s := newSystem(t)
+	s.addEntry(t, "entry-2", 0)
+	type status struct {
+		Rates struct {
+			Coordinator string
+			Shares      map[string]struct{ Fraction float64 }
+		}
+	}
+	eventually(t, "both entries hold shares of one coordinator", func() bool {
+		var seen [2]status
+		total := 0.0
+		for i, p := range s.entries {
+			a := do(t, "GET", "http://"+p.admin.String()+"/status", "")
+			if json.Unmarshal([]byte(a.body), &seen[i]) != nil {
+				return false
+			}
+			total += seen[i].Rates.Shares["booth"].Fraction
+		}
+		one := seen[0].Rates.Coordinator
+		return one != "" && one == seen[1].Rates.Coordinator && seen[1].Rates.Shares["booth"].Fraction > 0 && total <= 1
+	})
+}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -9,6 +9,7 @@
 	"dogwoodfold/internal/fleet"
 	"dogwoodfold/internal/loop"
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/quota"
 )
 
 // Inspect asks for the reducer's status.
@@ -34,6 +35,8 @@
 	ConfigOffset uint64       `json:"configOffset"`
 	Calls        int          `json:"calls"`
 	Peers        []PeerStatus `json:"peers"`
+	// Rates shows the shares of the customers' rates, nil if they are fixed.
+	Rates *quota.Standing `json:"rates,omitempty"`
 	// Models counts the ready endpoints of each listed model.
 	Models map[string]int `json:"models"`
 }
@@ -63,6 +66,10 @@
 		Calls:        len(c.calls),
 		Models:       make(map[string]int),
 	}
+	if c.shares.node != nil {
+		standing := c.shares.node.Standing(now)
+		s.Rates = &standing
+	}
 	if c.index != nil {
 		for _, name := range slices.Sorted(maps.Keys(c.index.Text.Models)) {
 			s.Models[name] = c.holders(name)
