Let entries that can't hear each other keep a term for longer

Ruled out: TLS itself (the log shows the good entry linked, refused by rate only).

Change: an entry that reaches no agent does not claim; one that has lost a term to an entry that it does not hear waits twice as long each time, a minute at most, until it hears from a coordinator. The TLS test's entries have fixed shares, as its agent has.

While parted for long, shares still only move on one side at a time.

--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -268,7 +268,7 @@
 	for name, tls := range map[string]map[string]any{"good": good.files(t, "entry"), "other": other.files(t, "entry"), "none": {}} {
 		entry := start(t, "entry", "--settings", settings(t, map[string]any{
 			"host": "entry-" + name, "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
-			"log": s.log.url(), "hosts": s.hosts.url(), "tls": tls,
+			"log": s.log.url(), "hosts": s.hosts.url(), "staticShare": 1, "tls": tls,
 		}))
 		eventually(t, "the entry is ready", func() bool { return do(t, "GET", entry.url()+"/readyz", "").status == 200 })
 		pay := func() answer { return do(t, "POST", entry.url()+"/charge", name, "X-Api-Key", boothKey) }
--- /dev/null
+++ b/internal/quota/duel_test.go
@@ -0,0 +1,86 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/plat"
+)
+
+// sharedLog gives each of some nodes every record, and lets none hear another.
+type sharedLog struct {
+	nodes   []*Node
+	records []plat.Record
+}
+
+// append notes the records that a node wants in the log.
+func (l *sharedLog) append(now time.Time, effects []Effect) {
+	for _, effect := range effects {
+		if a, ok := effect.(Append); ok {
+			l.records = append(l.records, plat.Record{
+				Offset: uint64(len(l.records) + 1),
+				Time:   now,
+				Data:   a.Data,
+			})
+		}
+	}
+}
+
+// run passes time and returns the number of terms.
+func (l *sharedLog) run(now time.Time, d time.Duration) (terms int) {
+	read := 0
+	last := uint64(0)
+	for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+		page := plat.Page{
+			First:   1,
+			Next:    uint64(len(l.records) + 1),
+			Records: l.records[read:],
+		}
+		read = len(l.records)
+		for _, n := range l.nodes {
+			l.append(now, n.LogRead(now, page))
+			l.append(now, n.Tick(now))
+		}
+		if term := l.nodes[0].book.Term; term != last {
+			terms++
+			last = term
+		}
+	}
+	return terms
+}
+
+// parted returns two nodes that share the log and nothing else.
+func parted(now time.Time, linked bool) *sharedLog {
+	l := &sharedLog{}
+	for i, host := range []string{"entry-1", "entry-2"} {
+		n := NewNode(host, uint64(i+1), uint64(i+1))
+		n.Configure(now, map[string]Limit{"booth": {Rate: 10, Burst: 100}})
+		n.Listed(now, []string{"agent"})
+		if linked {
+			n.LinkedAgent(now, "agent", 7)
+		}
+		l.nodes = append(l.nodes, n)
+	}
+	return l
+}
+
+// TestEntryWithoutAgentsDoesNotClaim checks that an entry that reaches no agent
+// leaves the term to those that do: it could install no view.
+func TestEntryWithoutAgentsDoesNotClaim(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	if terms := parted(now, false).run(now, time.Minute); terms != 0 {
+		t.Errorf("%d terms, want none", terms)
+	}
+}
+
+// TestPartedEntriesClaimLessOften checks that two entries that share the log but
+// can't hear each other don't end each other's terms all the time.
+func TestPartedEntriesClaimLessOften(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	const most = 60 // one a minute
+	terms := parted(now, true).run(now, time.Hour)
+	t.Logf("%d terms in an hour", terms)
+	if terms == 0 || terms > most+10 {
+		t.Errorf("%d terms in an hour, want 1 to %d", terms, most+10)
+	}
+}
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -17,6 +17,9 @@
 	// the entries from claiming at once.
 	claimAfter  = 2 * time.Second
 	claimSpread = time.Second
+	// longestClaimAfter bounds how long an entry waits that has lost terms to
+	// entries that it does not hear.
+	longestClaimAfter = time.Minute
 	// linkGrace is how long it may be silent once the session to it has ended.
 	linkGrace = 500 * time.Millisecond
 	// firstSpread is the same for an empty log.
@@ -71,8 +74,11 @@
 	leader      string
 	heardAt     time.Time
 	claimAt     time.Time
-	reportAt    time.Time
-	censusAt    time.Time
+	// lostTerms counts the terms that other entries' claims have ended since
+	// this entry last heard from a coordinator.
+	lostTerms int
+	reportAt  time.Time
+	censusAt  time.Time
 
 	asks map[string]*ask
 	out  []Effect
@@ -171,7 +177,7 @@
 	if host != n.leader || n.coordinator != nil {
 		return
 	}
-	if early := now.Add(linkGrace - claimAfter); early.Before(n.heardAt) {
+	if early := now.Add(linkGrace - n.patience()); early.Before(n.heardAt) {
 		n.heardAt = early
 		n.claimAt = time.Time{}
 	}
@@ -196,6 +202,7 @@
 func (n *Node) claimed(now time.Time) {
 	if n.coordinator != nil && n.coordinator.term < n.book.Term {
 		n.stepDown(now)
+		n.lostTerms++
 	}
 	own := n.book.Host == n.host && n.book.Incarnation == n.self
 	if !own || n.book.Term <= n.holder.term || n.leaving {
@@ -274,6 +281,9 @@
 		return
 	}
 	n.obey(now, g.GetTerm(), from)
+	if from != n.host {
+		n.lostTerms = 0
+	}
 	if g.GetCensus() {
 		n.report(now, true)
 		return
@@ -345,21 +355,39 @@
 	return n.finish(now)
 }
 
+// patience is how long a coordinator may be silent. It grows with each term
+// that was lost to an entry that this one does not hear: entries that share the
+// log and nothing else would end each other's terms for ever.
+func (n *Node) patience() time.Duration {
+	const mostDoublings = 5
+	return min(longestClaimAfter, claimAfter<<min(n.lostTerms, mostDoublings))
+}
+
+// reachesAgents reports whether a view could be installed anywhere.
+func (n *Node) reachesAgents() bool {
+	for _, a := range n.agents {
+		if a.linked {
+			return true
+		}
+	}
+	return len(n.agents) == 0
+}
+
 // claim asks the log for a term once the coordinator is silent.
 func (n *Node) claim(now time.Time) {
-	if !n.book.head || n.leaving {
+	if !n.book.head || n.leaving || !n.reachesAgents() {
 		return
 	}
 	if n.heardAt.IsZero() {
 		n.heardAt = now
 	}
 	if n.claimAt.IsZero() {
-		n.claimAt = n.heardAt.Add(claimAfter + n.spread(claimSpread))
+		n.claimAt = n.heardAt.Add(n.patience() + n.spread(claimSpread))
 		if n.book.Term == 0 {
 			n.claimAt = n.heardAt.Add(n.spread(firstSpread))
 		}
 	}
-	if now.Sub(n.heardAt) < claimAfter && n.book.Term != 0 {
+	if now.Sub(n.heardAt) < n.patience() && n.book.Term != 0 {
 		n.claimAt = time.Time{}
 		return
 	}
