--- /dev/null
+++ b/internal/e2e/outage_test.go
@@ -0,0 +1,32 @@
+package e2e
+
+import (
+	"testing"
+
+	"dogwoodfold/internal/fakes"
+)
+
+// TestAgentThatStartsWhileTheLogIsDownServes kills the only agent of a service
+// while the log is down; the one that takes its place must serve its customers.
+func TestAgentThatStartsWhileTheLogIsDownServes(t *testing.T) {
+	s := newSystem(t)
+	s.addEntry(t, "entry-2", 0) // an entry alone would stop for its isolation
+	eventually(t, "the second entry is ready", func() bool {
+		return do(t, "GET", s.entries[1].url()+"/readyz", "").status == 200
+	})
+	s.log.faults(t, fakes.Faults{Down: true})
+	if err := s.agents["agent-service"].cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	s.addAgent(t, "agent-service-2", "pedidos", "service", s.service)
+	var last answer
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("last answer: %+v", last)
+		}
+	})
+	eventually(t, "a customer's call is served", func() bool {
+		last = s.charge(t, "hoodie")
+		return last.status == 200
+	})
+}
