Run an entry on the platform that calls endpoints directly

Cause: the product had no way to run on the users' platform. A new command, gateway, reads the platform's settings and serves clients by its protocol. platform/ holds names, formats and calls; gate decides, edge carries out; lease, rate, pick, stock and topo are the parts of the decisions.

--- /dev/null
+++ b/internal/cmds/gateway.go
@@ -0,0 +1,85 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"github.com/spf13/cobra"
+
+	"dogwoodfold/internal/edge"
+	"dogwoodfold/platform"
+)
+
+const (
+	// logBacklog is how many lines may wait to be written before some are left
+	// out.
+	logBacklog = 1000
+	// collectAt is the growth of the heap, in percent, after which memory is
+	// collected; the platform prices memory at its peak.
+	collectAt = 60
+)
+
+// newGateway returns the command that runs an entry on the users' platform.
+func newGateway() *cobra.Command {
+	return &cobra.Command{
+		Use:   "gateway",
+		Short: "Run an entry that calls endpoints directly on the platform",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			path := os.Getenv(platform.SettingsVariable)
+			if path == "" {
+				return fmt.Errorf("%s must name the settings file", platform.SettingsVariable)
+			}
+			settings, err := platform.ReadSettings(path)
+			if err != nil {
+				return err
+			}
+			return runGateway(cmd, settings)
+		},
+	}
+}
+
+func runGateway(cmd *cobra.Command, settings *platform.Settings) error {
+	debug.SetGCPercent(collectAt)
+	out := diode.NewWriter(cmd.OutOrStdout(), logBacklog, 0, func(missed int) {
+		fmt.Fprintf(os.Stderr, "{\"message\":\"log: lines left out\",\"dropped\":%d}\n", missed)
+	})
+	defer func() { _ = out.Close() }() // the process ends
+	log := newLogger(out, settings.Host)
+	incarnation := newIncarnation()
+	server := edge.New(settings, log, incarnation)
+	log.Info().Str("zone", settings.Zone).Uint64("incarnation", incarnation).Msg("entry: starting")
+	defer log.Info().Msg("entry: stopped")
+	return serve(cmd, server, settings.Grace, func(ctx context.Context) error {
+		go reloadOnSignal(ctx, server, log)
+		return server.Run(ctx)
+	})
+}
+
+// reloadOnSignal reads the settings again at each SIGHUP. Settings that can't be
+// read leave the old ones in force.
+func reloadOnSignal(ctx context.Context, server *edge.Server, log zerolog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+		if err != nil {
+			log.Error().Err(err).Msg("entry: settings not reloaded")
+			continue
+		}
+		server.Reload(settings)
+		log.Info().Msg("entry: settings reloaded")
+	}
+}
--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -25,7 +25,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntry(), newAgent(), newConfig(), newKey(), newFake(), newLoad(), newDemo(), newReport(), newStatus())
+	root.AddCommand(newEntry(), newAgent(), newGateway(), newConfig(), newKey(), newFake(), newLoad(), newDemo(), newReport(), newStatus())
 	return root
 }
 
--- /dev/null
+++ b/internal/edge/observe.go
@@ -0,0 +1,240 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/admin"
+	"dogwoodfold/internal/gate"
+	"dogwoodfold/internal/loop"
+	"dogwoodfold/internal/stock"
+	"dogwoodfold/platform"
+)
+
+// metrics are the counters of an entry. Labels come from the configuration or
+// from fixed sets, never from clients.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	store    *prometheus.CounterVec
+	orders   *prometheus.CounterVec
+	state    *prometheus.GaugeVec
+}
+
+// latencyBuckets are upper bounds in seconds.
+var latencyBuckets = []float64{0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1, 2, 5, 10, 30}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dogwoodfold_requests_total",
+			Help: "Requests by service, status and verdict.",
+		}, []string{"service", "status", "verdict"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dogwoodfold_attempts_total",
+			Help: "Attempts at endpoints by service, outcome and reason of the last one.",
+		}, []string{"service", "reason"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "dogwoodfold_request_seconds",
+			Help:    "Time from the request to the end of its answer.",
+			Buckets: latencyBuckets,
+		}, []string{"service"}),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dogwoodfold_store_calls_total",
+			Help: "Calls to the platform's store by call and outcome.",
+		}, []string{"call", "outcome"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dogwoodfold_orders_total",
+			Help: "Orders to engines by kind and result.",
+		}, []string{"kind", "result"}),
+		state: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "dogwoodfold_state",
+			Help: "Ages in seconds, counts and flags of the entry's beliefs.",
+		}, []string{"name"}),
+	}
+	m.registry.MustRegister(m.requests, m.attempts, m.latency, m.store, m.orders, m.state)
+	return m
+}
+
+func (m *metrics) storeCall(call string, err error) {
+	outcome := "ok"
+	switch {
+	case errors.Is(err, platform.ErrRefused):
+		outcome = "refused"
+	case errors.Is(err, platform.ErrConflict):
+		outcome = "conflict"
+	case errors.Is(err, platform.ErrExpired):
+		outcome = "expired"
+	case err != nil:
+		outcome = "unknown"
+	}
+	m.store.WithLabelValues(call, outcome).Inc()
+}
+
+func (m *metrics) order(o stock.Order, r platform.OrderResult) {
+	kind := "unload"
+	if o.Load {
+		kind = "load"
+	}
+	if o.Adapter != "" {
+		kind += "Adapter"
+	}
+	m.orders.WithLabelValues(kind, r.String()).Inc()
+}
+
+func (m *metrics) status(s gate.Status) {
+	set := func(name string, value float64) { m.state.WithLabelValues(name).Set(value) }
+	flag := func(name string, value bool) {
+		if value {
+			set(name, 1)
+			return
+		}
+		set(name, 0)
+	}
+	set("configVersion", float64(s.ConfigVersion))
+	set("configAgeSeconds", s.ConfigAge.Seconds())
+	set("registryAgeSeconds", s.RegistryAge.Seconds())
+	set("endpoints", float64(s.Endpoints))
+	set("waiting", float64(s.Waiting))
+	set("running", float64(s.Running))
+	flag("ready", s.Ready)
+	flag("leads", s.Leads)
+}
+
+const (
+	// linesPerSecond bounds the lines about single requests.
+	linesPerSecond = 100
+	// quietPause is the time between two lines of the same repeated failure.
+	quietPause = time.Second
+)
+
+// requestLog writes one line for each request, up to a rate. What is left out
+// is counted.
+type requestLog struct {
+	log zerolog.Logger
+
+	mu      sync.Mutex
+	second  time.Time
+	lines   int
+	dropped int
+	quietAt time.Time
+}
+
+func newRequestLog(log zerolog.Logger) *requestLog { return &requestLog{log: log} }
+
+// admit reports whether a line may be written now.
+func (r *requestLog) admit(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.second) >= time.Second {
+		if r.dropped > 0 {
+			r.log.Info().Int("dropped", r.dropped).Msg("requests: lines left out")
+		}
+		r.second, r.lines, r.dropped = now, 0, 0
+	}
+	if r.lines >= linesPerSecond {
+		r.dropped++
+		return false
+	}
+	r.lines++
+	return true
+}
+
+// quiet writes a line at most once a pause.
+func (r *requestLog) quiet(write func()) {
+	now := time.Now()
+	r.mu.Lock()
+	due := now.Sub(r.quietAt) >= quietPause
+	if due {
+		r.quietAt = now
+	}
+	r.mu.Unlock()
+	if due {
+		write()
+	}
+}
+
+func (r *requestLog) rejected(status int, err error) {
+	if r.admit(time.Now()) {
+		r.log.Info().Int("status", status).Err(err).Msg("requests: not readable")
+	}
+}
+
+func (r *requestLog) flush() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dropped > 0 {
+		r.log.Info().Int("dropped", r.dropped).Msg("requests: lines left out")
+	}
+}
+
+// finishRequest counts a request that has ended and logs it.
+func (s *Server) finishRequest(in *inbound) {
+	took := s.clock.Now().Sub(in.request.Arrived)
+	s.metrics.requests.WithLabelValues(in.service, strconv.Itoa(in.status), in.verdict).Inc()
+	s.metrics.latency.WithLabelValues(in.service).Observe(took.Seconds())
+	if in.tries > 0 {
+		s.metrics.attempts.WithLabelValues(in.service, in.reason).Add(float64(in.tries))
+	}
+	if !s.requests.admit(time.Now()) {
+		return
+	}
+	s.log.Info().Str("request", in.request.ID).Str("path", in.request.Path).Str("model", in.request.Model).
+		Int("status", in.status).Str("verdict", in.verdict).Str("reason", in.reason).Str("endpoint", in.sentTo).
+		Int("tries", in.tries).Bool("left", in.left()).Dur("tookMs", took).Msg("requests: ended")
+}
+
+// serveReady answers the balancer's question whether it should send clients.
+func (s *Server) serveReady(ctx context.Context, listener net.Listener) {
+	server := &fasthttp.Server{
+		Handler: func(r *fasthttp.RequestCtx) {
+			switch {
+			case string(r.Path()) != platform.PathReady:
+				r.SetStatusCode(fasthttp.StatusNotFound)
+			case !s.ready.Load():
+				r.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			}
+		},
+		NoDefaultServerHeader: true,
+		GetOnly:               true,
+		IdleTimeout:           readyIdleTimeout,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		s.log.Error().Err(err).Msg("ready: listener failed")
+	}
+}
+
+const readyIdleTimeout = 10 * time.Second
+
+// serveMetrics answers operators' questions.
+func (s *Server) serveMetrics(ctx context.Context, listener net.Listener) {
+	status := func(ctx context.Context) (any, error) {
+		return loop.Ask(ctx, s.loop, func(reply chan<- gate.Status) gate.Event {
+			return gate.StatusAsked{Reply: reply}
+		})
+	}
+	if err := admin.New(status, s.metrics.registry).Run(ctx, listener); err != nil && ctx.Err() == nil {
+		s.log.Error().Err(err).Msg("metrics: listener failed")
+	}
+}
+
+// jitterShare is how far pauses differ from their mean.
+const jitterShare = 0.2
+
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - jitterShare + 2*jitterShare*rand.Float64()))
+}
--- /dev/null
+++ b/internal/edge/perform.go
@@ -0,0 +1,280 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dogwoodfold/internal/gate"
+	"dogwoodfold/internal/stock"
+	"dogwoodfold/platform"
+)
+
+// perform carries out one effect. It doesn't block: calls run beside the loop.
+func (s *Server) perform(effect gate.Effect) {
+	switch e := effect.(type) {
+	case gate.Send:
+		s.command(e.Call, e)
+	case gate.Refuse:
+		s.command(e.Call, e)
+	case gate.Pass:
+		s.command(e.Call, e)
+	case gate.Cut:
+		s.command(e.Call, e)
+	case gate.ReadLease:
+		go s.readLease()
+	case gate.AppendLease:
+		go s.appendLease(e)
+	case gate.DialLeader:
+		s.link.set(e)
+	case gate.SendReport:
+		s.link.send(e.Report)
+	case gate.SendState:
+		s.sessions.send(e.Host, e.State)
+	case gate.GiveOrder:
+		go s.giveOrder(e)
+	case gate.AskEngine:
+		go s.askEngine(e)
+	case gate.CloseEndpoint:
+		s.pool.drop(e.Endpoint)
+	case gate.Wake:
+		time.AfterFunc(e.After, func() { s.post(gate.Tick{}) })
+	case gate.Note:
+		s.note(e)
+	}
+}
+
+// command hands a decision to its request.
+func (s *Server) command(id gate.CallID, effect gate.Effect) {
+	s.mu.Lock()
+	in := s.calls[id]
+	s.mu.Unlock()
+	if in == nil {
+		return // the client has left
+	}
+	select {
+	case in.commands <- effect:
+	case <-in.finished:
+	}
+}
+
+// note logs a change of what the entry believes.
+func (s *Server) note(n gate.Note) {
+	s.log.Info().Str("subject", n.Subject).Str("detail", n.Detail).Dur("ageMs", n.Age).Msg("gate: " + n.Text)
+}
+
+func (s *Server) readLease() {
+	sent := s.clock.Now()
+	read, err := s.store.NewestLease()
+	s.metrics.storeCall("readLease", err)
+	s.post(gate.LeaseRead{
+		Record: read.Record,
+		Offset: read.Offset,
+		End:    read.End,
+		Exists: read.Exists,
+		SentAt: sent,
+		Err:    err,
+	})
+}
+
+func (s *Server) appendLease(e gate.AppendLease) {
+	err := s.store.AppendLease(e.At, e.Record)
+	s.metrics.storeCall("appendLease", err)
+	result := gate.AppendUnknown
+	switch {
+	case err == nil:
+		result = gate.AppendDone
+	case errors.Is(err, platform.ErrConflict):
+		result = gate.AppendConflict
+	case errors.Is(err, platform.ErrRefused):
+		result = gate.AppendRefused
+	default:
+		s.log.Warn().Err(err).Int64("at", e.At).Msg("lease: append without an answer")
+	}
+	s.post(gate.LeaseAppended{
+		Record: e.Record,
+		At:     e.At,
+		Result: result,
+	})
+}
+
+// giveOrder sends an order, unless the lease has lapsed meanwhile.
+func (s *Server) giveOrder(e gate.GiveOrder) {
+	if !s.clock.Now().Before(e.Until) {
+		s.log.Info().Str("endpoint", e.Order.Engine).Msg("orders: lease lapsed before an order was sent")
+		s.post(gate.OrderEnded{
+			Order:   e.Order,
+			Outcome: stock.Refused,
+		})
+		return
+	}
+	result, err := s.engines.Send(platform.Order{
+		Instance: e.Order.Engine,
+		Address:  e.Address,
+		Load:     e.Order.Load,
+		Model:    e.Order.Model,
+		Adapter:  e.Order.Adapter,
+		Accepted: e.Order.Accepted,
+		Holder:   s.settings.Host,
+		Fence:    e.Term,
+	})
+	s.metrics.order(e.Order, result)
+	s.log.Info().Str("endpoint", e.Order.Engine).Bool("load", e.Order.Load).Str("model", e.Order.Model).
+		Str("adapter", e.Order.Adapter).Int64("accepted", e.Order.Accepted).Int64("term", e.Term).
+		Str("result", result.String()).AnErr("error", err).Msg("orders: answered")
+	s.post(gate.OrderEnded{
+		Order:   e.Order,
+		Outcome: outcomeOf(result),
+	})
+}
+
+func outcomeOf(r platform.OrderResult) stock.Outcome {
+	switch r {
+	case platform.OrderAccepted:
+		return stock.Accepted
+	case platform.OrderHeld:
+		return stock.Held
+	case platform.OrderConflict:
+		return stock.Conflict
+	case platform.OrderRefused, platform.OrderElsewhere, platform.OrderFenced:
+		return stock.Refused
+	default:
+		return stock.Lost
+	}
+}
+
+func (s *Server) askEngine(e gate.AskEngine) {
+	report, err := s.engines.Report(e.Engine, e.Address)
+	if err != nil {
+		s.log.Warn().Err(err).Str("endpoint", e.Engine).Msg("orders: no report")
+		s.post(gate.EngineReported{Engine: e.Engine})
+		return
+	}
+	s.post(gate.EngineReported{
+		Engine: e.Engine,
+		Report: &stock.Report{
+			Busy:     report.Busy,
+			Accepted: report.Accepted,
+			Holdings: report.Holdings,
+		},
+	})
+}
+
+const (
+	// configWait is how long the store may hold a read of the configuration.
+	configWait = 900 * time.Millisecond
+	// registryPause is the time between two reads of the endpoints.
+	registryPause = 600 * time.Millisecond
+	// failurePause is the time after which a failed read is tried again.
+	failurePause = 250 * time.Millisecond
+	// firstReads is how soon endpoints are read again until some are known.
+	firstReads = 300 * time.Millisecond
+)
+
+// followConfig keeps the configuration current by reads that the store answers
+// as soon as there is a newer one.
+func (s *Server) followConfig(ctx context.Context) {
+	next := int64(-1)
+	healthy := true
+	for ctx.Err() == nil {
+		sent := s.clock.Now()
+		batch, err := s.readConfig(next)
+		s.metrics.storeCall("readConfig", err)
+		healthy = s.dependency("configuration", healthy, err)
+		if errors.Is(err, platform.ErrExpired) {
+			next = -1
+			continue
+		}
+		if err != nil {
+			pause(ctx, jitter(failurePause))
+			continue
+		}
+		next = batch.Next
+		if batch.Config != nil {
+			s.mu.Lock()
+			s.config = limits{batch.Config.Limits}
+			s.mu.Unlock()
+			s.log.Info().Int64("version", batch.Config.Version).Int64("offset", next).Msg("store: configuration read")
+		}
+		s.post(gate.ConfigRead{
+			Config: batch.Config,
+			SentAt: sent,
+		})
+		if batch.Config != nil {
+			s.observe(ctx)
+		}
+	}
+}
+
+func (s *Server) readConfig(next int64) (platform.ConfigBatch, error) {
+	if next < 0 {
+		return s.store.NewestConfig()
+	}
+	return s.store.ReadConfig(next, configWait)
+}
+
+// followEndpoints keeps the list of endpoints current.
+func (s *Server) followEndpoints(ctx context.Context) {
+	next := int64(-1)
+	healthy := true
+	for ctx.Err() == nil {
+		sent := s.clock.Now()
+		full := next < 0
+		batch, err := s.readEndpoints(next)
+		s.metrics.storeCall("readEndpoints", err)
+		healthy = s.dependency("registry", healthy, err)
+		if errors.Is(err, platform.ErrExpired) {
+			next = -1
+			continue
+		}
+		if err != nil {
+			s.post(gate.StoreFailed{})
+			pause(ctx, jitter(failurePause))
+			continue
+		}
+		next = batch.Next
+		s.post(gate.EndpointsRead{
+			Changes: batch.Changes,
+			Full:    full,
+			SentAt:  sent,
+		})
+		if full {
+			s.observe(ctx)
+			pause(ctx, firstReads)
+			continue
+		}
+		pause(ctx, jitter(registryPause))
+	}
+}
+
+func (s *Server) readEndpoints(next int64) (platform.EndpointBatch, error) {
+	if next < 0 {
+		return s.store.NewestEndpoints()
+	}
+	return s.store.ReadEndpoints(next)
+}
+
+// dependency logs the loss and the return of a part of the store.
+func (s *Server) dependency(name string, healthy bool, err error) bool {
+	if errors.Is(err, platform.ErrExpired) {
+		s.log.Info().Str("dependency", name).Msg("store: history expired, reading the newest records")
+		return healthy
+	}
+	switch {
+	case healthy && err != nil:
+		s.log.Warn().Str("dependency", name).Err(err).Msg("store: lost")
+	case !healthy && err == nil:
+		s.log.Info().Str("dependency", name).Msg("store: regained")
+	}
+	return err == nil
+}
+
+// pause waits for a time or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/gate/leader.go
@@ -0,0 +1,524 @@
+package gate
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/pick"
+	"dogwoodfold/internal/rate"
+	"dogwoodfold/internal/stock"
+	"dogwoodfold/internal/topo"
+	"dogwoodfold/internal/wire/wirepb"
+)
+
+const (
+	// planPause is the time between two plans without a reason to hurry.
+	planPause = 200 * time.Millisecond
+	// peerLifetime is how long a lost entry keeps its standing share.
+	peerLifetime = 3 * time.Second
+)
+
+// peer is another entry as the leader sees it.
+type peer struct {
+	up     bool
+	seenAt time.Time
+	echo   uint64
+	loads  map[string]pick.Load
+	// told are the engines whose holdings the entry knows.
+	told map[string]bool
+}
+
+// leader is what an entry does while it leads.
+type leader struct {
+	// provedAt is when the newest acknowledged record was sent.
+	provedAt  time.Time
+	members   []lease.Member
+	allot     *rate.Allot
+	pools     map[string]*rate.Bucket
+	planner   *stock.Planner
+	hurry     bool
+	plannedAt time.Time
+}
+
+// leads reports whether this entry leads and has taken up its work.
+func (c *Core) leads(now time.Time) bool { return c.leader != nil && c.lease.Holds(now) }
+
+// startLeading takes up the leader's work with empty pools.
+func (c *Core) startLeading(now time.Time, previous []lease.Member, first bool) {
+	shares := make(map[string]float64, len(previous))
+	for _, m := range previous {
+		shares[m.Host] = m.Share
+	}
+	planning := stock.DefaultSettings(c.settings.LoadWindow)
+	c.leader = &leader{
+		members: previous,
+		allot:   rate.NewAllot(standingShares, c.settings.ShareLifetime+c.settings.Lease.Margin, shares),
+		pools:   make(map[string]*rate.Bucket),
+		planner: stock.NewPlanner(now, planning, first),
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
+		c.tellPlanner(now, c.endpoints[id])
+	}
+	for _, p := range c.peers {
+		p.told = make(map[string]bool)
+	}
+	c.note("leads", c.settings.Host, "", 0)
+}
+
+// stopLeading drops the leader's work; tokens in its pools are lost.
+func (c *Core) stopLeading() {
+	c.leader = nil
+	c.note("leads no more", c.settings.Host, "", 0)
+}
+
+// tendLease renews the lease, takes it if it is free, and finds the leader.
+func (c *Core) tendLease(now time.Time) {
+	if c.leader != nil && !c.lease.Holds(now) {
+		c.stopLeading()
+	}
+	silent := !c.lease.Holds(now) && now.Sub(c.member.heardAt) > silenceLimit
+	if !c.reading && !c.appending && !now.Before(c.nextRead) && (silent || !c.lease.Known()) {
+		c.reading = true
+		c.nextRead = now.Add(readPause)
+		c.do(ReadLease{})
+		return
+	}
+	if !c.appending && !c.reading && !c.stopping && c.lease.Due(now) {
+		c.appendLease(now, false)
+	}
+}
+
+func (c *Core) appendLease(now time.Time, release bool) {
+	c.appending = true
+	record, at := c.lease.Next(now, c.nextMembers(now), release)
+	c.do(AppendLease{
+		Record: record,
+		At:     at,
+	})
+}
+
+// nextMembers returns the members and shares of the next record.
+func (c *Core) nextMembers(now time.Time) []lease.Member {
+	current, _ := c.lease.Current()
+	if c.leader == nil {
+		return current.Members
+	}
+	hosts := []string{c.settings.Host}
+	for _, host := range slices.Sorted(maps.Keys(c.peers)) {
+		if p := c.peers[host]; p.up || now.Sub(p.seenAt) < peerLifetime {
+			hosts = append(hosts, host)
+		}
+	}
+	shares := c.leader.allot.Update(now, hosts)
+	members := make([]lease.Member, 0, len(hosts))
+	for _, host := range hosts {
+		members = append(members, lease.Member{
+			Host:  host,
+			Share: shares[host],
+		})
+	}
+	return members
+}
+
+// leaseRead takes the newest record of the lease.
+func (c *Core) leaseRead(now time.Time, e LeaseRead) {
+	c.reading = false
+	if e.Err != nil {
+		return
+	}
+	c.lease.Read(now, e.Record, e.Offset, e.End, e.Exists)
+	if !e.Exists {
+		return
+	}
+	record, _ := c.lease.Current()
+	c.takeShare(now, record.Members, e.SentAt)
+	c.follow(record)
+	c.startIfHolding(now, record)
+}
+
+// follow opens a session to the holder of a record.
+func (c *Core) follow(record lease.Record) {
+	if record.Released || record.Host == c.settings.Host {
+		c.hangUp()
+		return
+	}
+	if c.link.host == record.Host && c.dialed == record.Incarnation {
+		return
+	}
+	c.link = link{host: record.Host}
+	c.dialed = record.Incarnation
+	c.note("follows", record.Host, "", 0)
+	c.do(DialLeader{
+		Host:    record.Host,
+		Address: record.Peers,
+	})
+}
+
+func (c *Core) hangUp() {
+	if c.link.host == "" {
+		return
+	}
+	c.link = link{}
+	c.dialed = 0
+	c.do(DialLeader{})
+}
+
+// leaseAppended takes what became of an append.
+func (c *Core) leaseAppended(now time.Time, e LeaseAppended) {
+	c.appending = false
+	switch e.Result {
+	case AppendDone:
+		c.appended(now, e.Record, e.At)
+	case AppendRefused:
+		c.lease.Retry(now, c.spread(c.settings.Lease.Renewal/2))
+	default:
+		// The record may be in the log, or another one is: look.
+		c.reading = true
+		c.do(ReadLease{})
+	}
+}
+
+func (c *Core) appended(now time.Time, record lease.Record, at int64) {
+	previous, existed := c.lease.Current()
+	c.lease.Appended(now, record, at)
+	if record.Released {
+		c.released = true
+		c.leader = nil
+		return
+	}
+	if c.leader == nil && c.lease.Holds(now) {
+		c.hangUp()
+		c.startLeading(now, previous.Members, !existed)
+	}
+	c.confirmMembers(now, record)
+}
+
+// startIfHolding takes up the lead when an append without an answer turns out to
+// be in the log.
+func (c *Core) startIfHolding(now time.Time, record lease.Record) {
+	if !c.lease.Holds(now) {
+		return
+	}
+	if c.leader == nil {
+		c.startLeading(now, record.Members, false)
+	}
+	c.confirmMembers(now, record)
+}
+
+// confirmMembers brings the shares of an acknowledged record into force.
+func (c *Core) confirmMembers(now time.Time, record lease.Record) {
+	if c.leader == nil {
+		return
+	}
+	sentAt, ok := c.lease.SentAt(record.Renewal)
+	if !ok {
+		return
+	}
+	c.leader.provedAt = sentAt
+	c.leader.members = record.Members
+	c.takeShare(now, record.Members, sentAt)
+	if c.config != nil {
+		c.leader.adjustPools(now, c.config)
+	}
+}
+
+// adjustPools sets the pools to the customers' present rates.
+func (l *leader) adjustPools(now time.Time, config *topo.Config) {
+	for name, customer := range config.Customers {
+		pool := l.pools[name]
+		if pool == nil {
+			pool = &rate.Bucket{}
+			l.pools[name] = pool
+		}
+		// A lowered rate cuts what was gathered under the old one.
+		pool.Set(now, customer.Rate, math.Inf(1))
+		held := min(pool.Level(now), customer.Burst*poolRoom)
+		pool.Set(now, (1-standingShares)*customer.Rate, held)
+		pool.Set(now, (1-standingShares)*customer.Rate, max(held, (1-standingShares)*customer.Burst))
+	}
+}
+
+// lend takes tokens out of a customer's pool.
+func (l *leader) lend(now time.Time, customer *topo.Customer, amount float64) float64 {
+	pool := l.pools[customer.Name]
+	if pool == nil {
+		return 0
+	}
+	return pool.TakeUpTo(now, amount)
+}
+
+// take puts tokens that an entry gave back into the pool.
+func (l *leader) take(now time.Time, customer *topo.Customer, amount float64) {
+	if pool := l.pools[customer.Name]; pool != nil {
+		pool.Add(now, amount, customer.Burst*poolRoom)
+	}
+}
+
+func (c *Core) peerUp(now time.Time, host string) {
+	c.peers[host] = &peer{
+		up:     true,
+		seenAt: now,
+		loads:  make(map[string]pick.Load),
+		told:   make(map[string]bool),
+	}
+	c.note("entry joined", host, "", 0)
+}
+
+func (c *Core) peerDown(now time.Time, host string) {
+	if p := c.peers[host]; p != nil {
+		p.up = false
+		p.seenAt = now
+		clear(p.loads)
+		c.note("entry lost", host, "", 0)
+	}
+}
+
+// reportReceived takes an entry's report and answers it.
+func (c *Core) reportReceived(now time.Time, e ReportReceived) {
+	p := c.peers[e.Host]
+	if p == nil || !c.leads(now) {
+		return
+	}
+	p.seenAt = now
+	p.echo = e.Report.GetSequence()
+	clear(p.loads)
+	for _, l := range e.Report.GetLoads() {
+		p.loads[l.GetEndpoint()] = decodeLoad(l)
+	}
+	for _, d := range e.Report.GetDemands() {
+		c.takeDemand(now, d)
+	}
+	for _, r := range e.Report.GetReturns() {
+		if customer := c.customer(r.GetCustomer()); customer != nil {
+			c.leader.take(now, customer, r.GetAmount())
+		}
+	}
+	grants := make([]*wirepb.GateTokens, 0, len(e.Report.GetAsks()))
+	for _, a := range e.Report.GetAsks() {
+		grant := &wirepb.GateTokens{Customer: a.GetCustomer()}
+		if customer := c.customer(a.GetCustomer()); customer != nil {
+			grant.Amount = c.leader.lend(now, customer, a.GetAmount())
+		}
+		grants = append(grants, grant)
+	}
+	c.plan(now)
+	c.sendState(now, e.Host, p, grants)
+}
+
+func (c *Core) customer(name string) *topo.Customer {
+	if c.config == nil {
+		return nil
+	}
+	return c.config.Customers[name]
+}
+
+func (c *Core) takeDemand(now time.Time, d *wirepb.GateDemand) {
+	copied := stock.Copy{
+		Model:   d.GetModel(),
+		Adapter: d.GetAdapter(),
+	}
+	if d.GetMissing() {
+		c.leader.planner.Want(now, d.GetService(), copied)
+		c.leader.hurry = true
+		return
+	}
+	c.leader.planner.Demand(now, d.GetService(), copied, time.Duration(d.GetWorkUs())*time.Microsecond)
+}
+
+// sendState tells an entry what the leader knows.
+func (c *Core) sendState(now time.Time, host string, p *peer, grants []*wirepb.GateTokens) {
+	state := &wirepb.GateState{
+		Echo:   p.echo,
+		AgeUs:  uint64(now.Sub(c.leader.provedAt).Microseconds()),
+		Grants: grants,
+	}
+	for _, m := range c.leader.members {
+		state.Shares = append(state.Shares, &wirepb.GateShare{
+			Host:  m.Host,
+			Share: m.Share,
+		})
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
+		if load := c.othersLoad(id, host); load.Running > 0 {
+			state.Loads = append(state.Loads, encodeLoad(id, load))
+		}
+		if !p.told[id] && c.engineOf(c.endpoints[id]) != nil {
+			p.told[id] = true
+			state.Holdings = append(state.Holdings, encodeHolding(id, c.leader.planner.Holds(id)))
+		}
+	}
+	state.Arrivals = c.encodeArrivals(now)
+	c.do(SendState{
+		Host:  host,
+		State: state,
+	})
+}
+
+// othersLoad returns the load of an endpoint by all entries but one.
+func (c *Core) othersLoad(id, host string) pick.Load {
+	var sum pick.Load
+	if host != c.settings.Host {
+		sum = c.endpoints[id].track.Own
+	}
+	for name, p := range c.peers {
+		if name != host {
+			sum = sum.Add(p.loads[id])
+		}
+	}
+	return sum
+}
+
+func encodeHolding(id string, holdings []topo.Holding) *wirepb.GateHolding {
+	out := &wirepb.GateHolding{Endpoint: id}
+	for _, h := range holdings {
+		out.Models = append(out.Models, &wirepb.GateModel{
+			Name:     h.Model,
+			Adapters: h.Adapters,
+		})
+	}
+	return out
+}
+
+func (c *Core) encodeArrivals(now time.Time) []*wirepb.GateArrival {
+	var out []*wirepb.GateArrival
+	for _, service := range c.engineServices() {
+		for model, at := range c.leader.planner.Arrivals(service) {
+			out = append(out, &wirepb.GateArrival{
+				Service: service,
+				Model:   model,
+				AfterUs: uint64(max(at.Sub(now), 0).Microseconds()),
+			})
+		}
+	}
+	return out
+}
+
+func (c *Core) engineServices() []string {
+	var out []string
+	if c.config == nil {
+		return nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.config.Services)) {
+		if c.config.Services[name].Engine != nil {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// engineOf returns the description of an endpoint's engine, nil for plain ones.
+func (c *Core) engineOf(e *endpoint) *topo.Engine {
+	if c.config == nil || c.config.Services[e.Service] == nil {
+		return nil
+	}
+	return c.config.Services[e.Service].Engine
+}
+
+// tellPlanner passes an endpoint's account to the planner.
+func (c *Core) tellPlanner(now time.Time, e *endpoint) {
+	if c.leader == nil {
+		return
+	}
+	if spec := c.engineOf(e); spec != nil {
+		c.leader.planner.SetEndpoint(now, e.Endpoint, spec)
+	}
+}
+
+// tendLeader plans from time to time.
+func (c *Core) tendLeader(now time.Time) {
+	if !c.leads(now) {
+		return
+	}
+	for _, e := range c.endpoints {
+		e.track.SetOthers(now, c.othersLoad(e.ID, c.settings.Host))
+	}
+	if c.leader.hurry || now.Sub(c.leader.plannedAt) >= planPause {
+		c.plan(now)
+	}
+}
+
+// plan gives the orders that the planner asks for, while the lease allows it.
+func (c *Core) plan(now time.Time) {
+	if !c.leads(now) || !c.lease.MayOrder(now) {
+		return
+	}
+	c.leader.hurry = false
+	c.leader.plannedAt = now
+	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
+		e := c.endpoints[id]
+		c.leader.planner.SetRunning(id, e.track.Load(now).Running)
+	}
+	plan := c.leader.planner.Plan(now)
+	for _, o := range plan.Orders {
+		e := c.endpoints[o.Engine]
+		if e == nil {
+			continue
+		}
+		c.do(GiveOrder{
+			Order:   o,
+			Address: e.Address,
+			Term:    c.lease.Term(),
+			Until:   c.lease.OrdersUntil(),
+		})
+	}
+	for _, id := range plan.Reports {
+		if e := c.endpoints[id]; e != nil {
+			c.do(AskEngine{
+				Engine:  id,
+				Address: e.Address,
+			})
+		}
+	}
+	c.publish(now)
+}
+
+// publish tells all entries, this one included, what has changed at the engines.
+func (c *Core) publish(now time.Time) {
+	changed := c.leader.planner.Changed()
+	if len(changed) == 0 {
+		return
+	}
+	for _, id := range changed {
+		if e := c.endpoints[id]; e != nil {
+			c.tell(now, e, c.leader.planner.Holds(id))
+		}
+	}
+	for _, host := range slices.Sorted(maps.Keys(c.peers)) {
+		p := c.peers[host]
+		if !p.up {
+			continue
+		}
+		for _, id := range changed {
+			delete(p.told, id)
+		}
+		if p.echo > 0 {
+			c.sendState(now, host, p, nil)
+		}
+	}
+	c.tendParked(now)
+}
+
+// orderEnded takes what became of an order.
+func (c *Core) orderEnded(now time.Time, e OrderEnded) {
+	if c.leader == nil {
+		return
+	}
+	c.leader.planner.Answered(now, e.Order, e.Outcome)
+	if e.Outcome == stock.Accepted && e.Order.Adapter != "" && e.Order.Load {
+		c.do(Wake{After: c.leader.planner.Left(now, e.Order.Engine)})
+	}
+	c.leader.hurry = true
+	c.plan(now)
+}
+
+// engineReported takes an engine's account.
+func (c *Core) engineReported(now time.Time, e EngineReported) {
+	if c.leader == nil || e.Report == nil {
+		return
+	}
+	c.leader.planner.Reported(now, e.Engine, *e.Report)
+	c.plan(now)
+}
--- /dev/null
+++ b/internal/pick/pick.go
@@ -0,0 +1,131 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Candidate is an endpoint that could serve a request.
+type Candidate struct {
+	Track *Track
+	// Slots is how many requests the endpoint runs at once.
+	Slots int
+	// Near endpoints are in the entry's availability zone.
+	Near bool
+	// Cold endpoints have just started and are slow.
+	Cold bool
+	// Expected is the time that the request itself takes to its first byte.
+	Expected time.Duration
+	// PerRunning is how much each running request adds to it.
+	PerRunning time.Duration
+}
+
+const (
+	// farCost is what another availability zone must be faster by; bytes between
+	// zones cost.
+	farCost = 6 * time.Millisecond
+	// coldCost is added for endpoints that have just started.
+	coldCost = 100 * time.Millisecond
+	// jitter spreads equal endpoints over entries that decide at once.
+	jitter = 2 * time.Millisecond
+	// unhealthyCost makes an endpoint the last choice.
+	unhealthyCost = time.Hour
+)
+
+// Estimate returns the expected time to the first byte of the answer.
+func Estimate(now time.Time, c Candidate) time.Duration {
+	load := c.Track.Load(now)
+	slow := c.Track.Slow(now)
+	// A full endpoint starts a request when a running one ends; those before it
+	// in the queue go first.
+	queued := max(0, load.Running+1-c.Slots)
+	turn := time.Duration(float64(queued) / float64(max(c.Slots, 1)) * float64(slotTime(c)))
+	work := load.Waiting + c.Expected + time.Duration(load.Running)*c.PerRunning + turn
+	return time.Duration(float64(work) * slow)
+}
+
+// slotTime is how long a request holds its slot, by rule of thumb.
+func slotTime(c Candidate) time.Duration {
+	return max(c.Expected*holdFactor, leastSlotTime)
+}
+
+const (
+	holdFactor    = 2
+	leastSlotTime = 30 * time.Millisecond
+)
+
+// Choice is the outcome of Best.
+type Choice struct {
+	// Index is the place of the chosen candidate, -1 if there is none.
+	Index    int
+	Estimate time.Duration
+	// Healthy is false if all candidates fail or are full.
+	Healthy bool
+}
+
+// Best returns the candidate with the lowest estimate. Unhealthy ones are chosen
+// only if all are.
+func Best(now time.Time, random *rand.Rand, candidates []Candidate) Choice {
+	best := Choice{Index: -1}
+	lowest := time.Duration(0)
+	for i, c := range candidates {
+		estimate := Estimate(now, c)
+		usable := c.Track.Usable(now)
+		cost := estimate + time.Duration(random.Int64N(int64(jitter)))
+		if !c.Near {
+			cost += farCost
+		}
+		if c.Cold {
+			cost += coldCost
+		}
+		if !usable {
+			cost += unhealthyCost
+		}
+		if best.Index < 0 || cost < lowest {
+			lowest = cost
+			best = Choice{
+				Index:    i,
+				Estimate: estimate,
+				Healthy:  usable,
+			}
+		}
+	}
+	return best
+}
+
+// Pace learns how fast the endpoints of a model read prompts.
+type Pace struct {
+	tokensPerMs float64
+}
+
+const (
+	firstPace  = 20.0
+	paceWeight = 0.05
+	leastPace  = 2.0
+	mostPace   = 400.0
+	// firstByteFloor is the part of the time to the first byte that doesn't
+	// depend on the prompt.
+	firstByteFloor = 25 * time.Millisecond
+)
+
+// NewPace returns the pace of a model that nothing is known of.
+func NewPace() *Pace { return &Pace{tokensPerMs: firstPace} }
+
+// Prefill returns how long a prompt takes to be read.
+func (p *Pace) Prefill(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / p.tokensPerMs * float64(time.Millisecond))
+}
+
+// Expected returns the time to the first byte at an idle endpoint.
+func (p *Pace) Expected(tokens int) time.Duration { return firstByteFloor + p.Prefill(tokens) }
+
+// Observe takes the time that an idle endpoint took for a prompt.
+func (p *Pace) Observe(tokens int, seen time.Duration) {
+	reading := seen - firstByteFloor
+	if tokens < 200 || reading <= 0 {
+		return
+	}
+	pace := float64(tokens) / (float64(reading) / float64(time.Millisecond))
+	pace = min(max(pace, leastPace), mostPace)
+	p.tokensPerMs += paceWeight * (pace - p.tokensPerMs)
+}
