Refuse what reaches a stopping entry late

Ruled out: kept connections closed under a request. Change: new requests are refused as not run once 0.35 of the grace has passed, and idle connections are closed then, so that clients go elsewhere. TestStoppingEntryRefusesLateRequests failed before.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -41,6 +42,8 @@
 	server *Server
 	conn   net.Conn
 	reader *bufio.Reader
+	// busy is true from the first byte of a request to the end of its answer.
+	busy atomic.Bool
 }
 
 // accept serves the clients of a listener until ctx ends.
@@ -77,6 +80,18 @@
 	}
 }
 
+// closeIdle ends the connections on which no request has begun, so that clients
+// open new ones elsewhere.
+func (s *Server) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.busy.Load() {
+			_ = c.conn.Close() // a request that crosses this isn't passed on
+		}
+	}
+}
+
 func (s *Server) limits() limits {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,6 +116,7 @@
 		if !c.answer(in) {
 			return
 		}
+		c.busy.Store(false)
 	}
 }
 
@@ -113,6 +129,7 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, errIdle
 	}
+	c.busy.Store(true)
 	if err := c.conn.SetReadDeadline(time.Now().Add(bounds.HeaderTimeout)); err != nil {
 		return nil, err
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -73,6 +73,9 @@
 	retryHolders = 8
 	// tickPause is the time between two ticks.
 	tickPause = 50 * time.Millisecond
+	// stopAdmission is the part of the grace in which a stopping entry takes new
+	// requests; what begins later may not end in time.
+	stopAdmission = 0.35
 	// stopReserve is the end of the grace in which the process exits.
 	stopReserve = 1300 * time.Millisecond
 	// leastStop is how long the balancer may send clients to a stopping entry.
@@ -117,6 +120,7 @@
 		ProofLifetime: max(s.RevokeBound-proofMargin, time.Second),
 		ShareLifetime: shareLifetime,
 		RegistryLag:   registryLag,
+		StopAdmission: time.Duration(float64(s.Grace) * stopAdmission),
 		LoadWindow:    s.LoadWindow,
 		RetryRatio:    s.RetryRatio * retryShare,
 		RetryReserve:  s.RetrySlack * retryShare / retryHolders,
@@ -238,6 +242,9 @@
 		if passed > grace-stopReserve {
 			return
 		}
+		if passed > time.Duration(float64(grace)*stopAdmission) {
+			s.closeIdle()
+		}
 		if passed > leastStop && left == 0 {
 			return
 		}
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -73,6 +73,10 @@
 		tried:   make(map[string]bool),
 	}
 	c.calls[id] = k
+	if c.stopping && now.Sub(c.stoppedAt) > c.settings.StopAdmission {
+		c.refuse(now, k, fault.NotRun, fault.CodeLeaving, "the entry is stopping", leastRetryAfter)
+		return
+	}
 	if c.config == nil {
 		c.refuse(now, k, fault.NotRun, fault.CodeNotReady, "the entry has no configuration yet", staleRetry)
 		return
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -20,6 +20,8 @@
 	ShareLifetime time.Duration
 	// RegistryLag is how long after its return the store may lack endpoints.
 	RegistryLag time.Duration
+	// StopAdmission is how long a stopping entry takes new requests.
+	StopAdmission time.Duration
 	// LoadWindow is the window of the weight store's ceiling.
 	LoadWindow time.Duration
 	// RetryRatio is how many repeats a request allows, RetryReserve how many
@@ -64,8 +66,9 @@
 	peers  map[string]*peer
 	leader *leader
 
-	stopping bool
-	released bool
+	stopping  bool
+	stoppedAt time.Time
+	released  bool
 	effects  []Effect
 }
 
@@ -172,6 +175,7 @@
 // what it has read and hands the lease on.
 func (c *Core) stop(now time.Time) {
 	c.stopping = true
+	c.stoppedAt = now
 	if c.lease.Holds(now) && !c.appending {
 		c.appendLease(now, true)
 	}
--- /dev/null
+++ b/internal/gate/core_test.go
@@ -0,0 +1,265 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/topo"
+	"dogwoodfold/pkg/fault"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// rig drives a core with a clock of its own.
+type rig struct {
+	t    *testing.T
+	core *Core
+	now  time.Time
+	next CallID
+	all  []Effect
+}
+
+func testSettings(host string) Settings {
+	return Settings{
+		Host:          host,
+		Zone:          "a",
+		ProofLifetime: 3300 * time.Millisecond,
+		ShareLifetime: 4 * time.Second,
+		RegistryLag:   2300 * time.Millisecond,
+		LoadWindow:    5 * time.Second,
+		RetryRatio:    0.1,
+		RetryReserve:  4,
+		StopAdmission: 2800 * time.Millisecond,
+		Lease: lease.Timing{
+			Duration: 4600 * time.Millisecond,
+			Quiet:    3 * time.Second,
+			Renewal:  500 * time.Millisecond,
+			Margin:   150 * time.Millisecond,
+		},
+	}
+}
+
+func newRig(t *testing.T) *rig {
+	s := testSettings("front-1")
+	l := lease.New(s.Host, 1, netip.MustParseAddrPort("10.0.0.1:7600"), s.Lease)
+	return &rig{
+		t:    t,
+		core: New(s, l, rand.New(rand.NewPCG(1, 2))),
+		now:  start,
+	}
+}
+
+// apply feeds an event and keeps all effects.
+func (r *rig) apply(e Event) []Effect {
+	effects := r.core.Apply(r.now, e)
+	r.all = append(r.all, effects...)
+	return effects
+}
+
+func (r *rig) pass(d time.Duration) { r.now = r.now.Add(d) }
+
+func testConfig() *topo.Config {
+	c := &topo.Config{
+		Version: 1,
+		Routes: []*topo.Route{
+			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: topo.Stream, Timeout: 10 * time.Second, Objective: 500 * time.Millisecond, Targets: []topo.Target{{Service: "llm", Weight: 1}}, Attempts: 1},
+			{Name: "notes", Host: "h", Prefix: "/notes/", Kind: topo.Stream, Timeout: 30 * time.Second, Objective: 10 * time.Second, Targets: []topo.Target{{Service: "llm", Weight: 1}}, Attempts: 2, Resumable: true, Priority: 1},
+			{Name: "charge", Host: "h", Prefix: "/charge/", Kind: topo.NonIdempotent, Timeout: time.Second, Objective: 150 * time.Millisecond, Targets: []topo.Target{{Service: "shop", Weight: 1}}, Attempts: 2},
+			{Name: "look", Host: "h", Prefix: "/look/", Kind: topo.Idempotent, Timeout: time.Second, Objective: 150 * time.Millisecond, Targets: []topo.Target{{Service: "shop", Weight: 1}}, Attempts: 2},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: topo.Idempotent, Timeout: time.Second, Objective: 150 * time.Millisecond, Targets: []topo.Target{{Service: "shop", Weight: 1}}, Attempts: 2, Public: true},
+		},
+		Services: map[string]*topo.Service{
+			"shop": {Name: "shop", MaxConns: 100},
+			"llm": {Name: "llm", MaxConns: 300, Engine: &topo.Engine{
+				Slots: 64, KVTokens: 100000, WeightSpace: 200, AdapterSlots: 4, LoadsPerSecond: 1,
+				Models: map[string]*topo.Model{
+					"big":   {Name: "big", Size: 60, LoadTime: 9 * time.Second, DiskTime: 2 * time.Second, WarmTime: time.Second, AdapterSize: 1},
+					"small": {Name: "small", Size: 60, LoadTime: 9 * time.Second, DiskTime: 2 * time.Second, WarmTime: time.Second, AdapterSize: 1},
+				},
+			}},
+		},
+		Customers: map[string]*topo.Customer{
+			"acme": {Name: "acme", Keys: []string{"k1"}, PlainTokens: 100, ByTokens: true, Rate: 1000, Burst: 1000},
+			"free": {Name: "free", Keys: []string{"k2"}, PlainTokens: 100, ByTokens: true},
+		},
+	}
+	return c.Index()
+}
+
+func testEndpoint(id, service string, holdings ...topo.Holding) *topo.Endpoint {
+	return &topo.Endpoint{
+		ID: id, Service: service, Address: netip.MustParseAddrPort("10.1.0.1:80"), Zone: "a", Slots: 8, Sequence: 1, Born: 1, Holdings: holdings,
+	}
+}
+
+// serving returns a rig with a configuration and endpoints.
+func serving(t *testing.T) *rig {
+	r := newRig(t)
+	r.apply(ConfigRead{Config: testConfig(), SentAt: r.now})
+	r.endpoints(testEndpoint("shop-1", "shop"), testEndpoint("shop-2", "shop"),
+		testEndpoint("llm-1", "llm", topo.Holding{Model: "big"}))
+	return r
+}
+
+func (r *rig) endpoints(list ...*topo.Endpoint) {
+	e := EndpointsRead{SentAt: r.now}
+	for _, ep := range list {
+		e.Changes = append(e.Changes, topo.Change{ID: ep.ID, Endpoint: ep})
+	}
+	r.apply(e)
+}
+
+// arrive sends a request and returns its name and what was done at once.
+func (r *rig) arrive(path, key string) (CallID, []Effect) {
+	return r.arriveFor(&Request{Host: "h", Path: path, Key: key, Patience: 10 * time.Second, Arrived: r.now})
+}
+
+func (r *rig) arriveFor(q *Request) (CallID, []Effect) {
+	r.next++
+	return r.next, r.apply(Arrived{Call: r.next, Request: q})
+}
+
+// sent returns the only send among effects.
+func (r *rig) sent(effects []Effect) Send {
+	r.t.Helper()
+	s, ok := find[Send](effects)
+	if !ok {
+		r.t.Fatalf("not sent: %+v", effects)
+	}
+	return s
+}
+
+// refused returns the only refusal among effects.
+func (r *rig) refused(effects []Effect) error {
+	r.t.Helper()
+	f, ok := find[Refuse](effects)
+	if !ok {
+		r.t.Fatalf("not refused: %+v", effects)
+	}
+	return f.Err
+}
+
+func find[E Effect](effects []Effect) (E, bool) {
+	for _, e := range effects {
+		if found, ok := e.(E); ok {
+			return found, true
+		}
+	}
+	var none E
+	return none, false
+}
+
+func (r *rig) wantCode(effects []Effect, verdict fault.Verdict, code fault.Code) {
+	r.t.Helper()
+	err := r.refused(effects)
+	if fault.VerdictOf(err) != verdict || fault.CodeOf(err) != code {
+		r.t.Errorf("refused as %v %v, want %v %v", fault.VerdictOf(err), fault.CodeOf(err), verdict, code)
+	}
+}
+
+func TestRequestIsSentAndEnds(t *testing.T) {
+	r := serving(t)
+	id, effects := r.arrive("/charge/1", "k2")
+	s := r.sent(effects)
+	if s.Customer != "free" || s.Service != "shop" || !s.Limit.Equal(start.Add(time.Second)) {
+		t.Errorf("sent %+v", s)
+	}
+	r.apply(FirstByte{Call: id})
+	r.apply(Ended{Call: id, Result: Result{Outcome: Complete}})
+	if len(r.core.calls) != 0 || r.core.endpoints[s.Endpoint].track.Own.Running != 0 {
+		t.Error("the call is still booked")
+	}
+}
+
+func TestNonIdempotentIsNeverSentAgainAfterItMayHaveRun(t *testing.T) {
+	for _, reason := range []Reason{ReasonReset, ReasonGarbled, ReasonTimeout} {
+		r := serving(t)
+		id, effects := r.arrive("/charge/1", "k2")
+		r.sent(effects)
+		r.wantCodeNot(r.apply(Ended{Call: id, Result: Result{Outcome: Unknown, Reason: reason}}), fault.NotRun)
+	}
+}
+
+// wantCodeNot checks that a call was refused without the promise of a verdict.
+func (r *rig) wantCodeNot(effects []Effect, v fault.Verdict) {
+	r.t.Helper()
+	if err := r.refused(effects); fault.VerdictOf(err) == v {
+		r.t.Errorf("refused as %v", v)
+	}
+}
+
+func TestIdempotentIsSentToAnotherEndpoint(t *testing.T) {
+	r := serving(t)
+	id, effects := r.arrive("/look/1", "k2")
+	first := r.sent(effects)
+	second := r.sent(r.apply(Ended{Call: id, Result: Result{Outcome: Unknown, Reason: ReasonReset}}))
+	if first.Endpoint == second.Endpoint {
+		t.Errorf("sent to %s twice", first.Endpoint)
+	}
+	r.wantCodeNot(r.apply(Ended{Call: id, Result: Result{Outcome: Unknown, Reason: ReasonReset}}), fault.NotRun)
+}
+
+func TestRepeatsStayWithinTheirBudget(t *testing.T) {
+	r := serving(t)
+	repeats := 0
+	for range 200 {
+		id, effects := r.arrive("/look/1", "k2")
+		r.sent(effects)
+		if _, again := find[Send](r.apply(Ended{Call: id, Result: Result{Outcome: Unknown, Reason: ReasonReset}})); again {
+			repeats++
+			r.apply(Ended{Call: id, Result: Result{Outcome: Complete}})
+		}
+		r.pass(10 * time.Millisecond)
+	}
+	s := testSettings("")
+	if most := 200*s.RetryRatio + s.RetryReserve; float64(repeats) > most || repeats == 0 {
+		t.Errorf("%d repeats, want 1 to %v", repeats, most)
+	}
+}
+
+func TestKeysNeedFreshProof(t *testing.T) {
+	r := serving(t)
+	r.pass(3400 * time.Millisecond)
+	_, effects := r.arrive("/charge/1", "k2")
+	r.wantCode(effects, fault.NotRun, fault.CodeNotReady)
+	if _, effects = r.arrive("/open/1", ""); effects != nil {
+		r.sent(effects)
+	}
+	// A wrong key or route isn't denied by a configuration that may be old.
+	_, effects = r.arrive("/nowhere/1", "k2")
+	r.wantCode(effects, fault.NotRun, fault.CodeNotReady)
+	r.apply(ConfigRead{SentAt: r.now})
+	_, effects = r.arrive("/charge/1", "k2")
+	if s := r.sent(effects); !s.FreshUntil.Equal(r.now.Add(3300 * time.Millisecond)) {
+		t.Errorf("may be sent until %v", s.FreshUntil)
+	}
+	_, effects = r.arrive("/charge/1", "other")
+	r.wantCode(effects, fault.NotRun, fault.CodeBadKey)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	r := serving(t)
+	later := testConfig()
+	later.Version = 9
+	r.apply(ConfigRead{Config: later, SentAt: r.now})
+	r.apply(ConfigRead{Config: testConfig(), SentAt: r.now})
+	if r.core.config.Version != 9 {
+		t.Errorf("version %d", r.core.config.Version)
+	}
+}
+
+// A stopping entry serves what reaches it while the balancer still sends clients,
+// then refuses: a stream begun late would be cut at the end of the grace.
+func TestStoppingEntryRefusesLateRequests(t *testing.T) {
+	r := serving(t)
+	r.apply(Stop{})
+	_, effects := r.arrive("/charge/1", "k2")
+	r.sent(effects)
+	r.pass(2900 * time.Millisecond)
+	r.apply(ConfigRead{SentAt: r.now})
+	_, effects = r.arrive("/charge/1", "k2")
+	r.wantCode(effects, fault.NotRun, fault.CodeLeaving)
+}
