--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -58,19 +58,20 @@
 }
 
 // serve runs a server until a signal. The first signal begins a graceful
-// shutdown, the second one or the limit ends it.
-func serve(cmd *cobra.Command, s server, limit time.Duration, run func(context.Context) error) error {
+// shutdown, the second one or the limit ends it. Once a shutdown is finished
+// sessions stay open for linger.
+func serve(cmd *cobra.Command, s server, limit, linger time.Duration, run func(context.Context) error) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 	ctx, cancel := context.WithCancel(cmd.Context())
 	defer cancel()
-	go stopOnSignal(cancel, s, cmp.Or(limit, defaultStopLimit), signals)
+	go stopOnSignal(cancel, s, cmp.Or(limit, defaultStopLimit), linger, signals)
 	return run(ctx)
 }
 
 // stopOnSignal cancels a server once its graceful shutdown is over.
-func stopOnSignal(cancel context.CancelFunc, s server, limit time.Duration, signals <-chan os.Signal) {
+func stopOnSignal(cancel context.CancelFunc, s server, limit, linger time.Duration, signals <-chan os.Signal) {
 	defer cancel()
 	select {
 	case <-signals:
@@ -81,7 +82,7 @@
 	select {
 	case <-signals:
 	case <-s.Finished():
-		time.Sleep(lingerTime)
+		time.Sleep(linger)
 	case <-s.Done():
 	case <-time.After(limit):
 	}
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -93,7 +93,7 @@
 	}
 	server := entry.New(options)
 	operators := admin.New(server.Status, server.Registry())
-	return serve(cmd, server, s.StopLimit, func(ctx context.Context) error {
+	return serve(cmd, server, s.StopLimit, lingerTime, func(ctx context.Context) error {
 		return runBoth(ctx, s.Admin, cmd, operators, func(ctx context.Context) error {
 			return server.Run(ctx, callers, peers)
 		})
@@ -177,7 +177,7 @@
 	}
 	server := agent.New(options)
 	operators := admin.New(server.Status, server.Registry())
-	return serve(cmd, server, s.StopLimit, func(ctx context.Context) error {
+	return serve(cmd, server, s.StopLimit, lingerTime, func(ctx context.Context) error {
 		return runBoth(ctx, s.Admin, cmd, operators, func(ctx context.Context) error {
 			return server.Run(ctx, listener)
 		})
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -52,7 +52,7 @@
 	defer stop()
 	for {
 		conn, err := listener.Accept()
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
@@ -80,16 +80,24 @@
 	}
 }
 
-// closeIdle ends the connections on which no request has begun, so that clients
-// open new ones elsewhere.
-func (s *Server) closeIdle() {
+// closeIdle takes no more clients, ends the connections on which no request has
+// begun, so that clients open new ones elsewhere, and returns how many are left.
+func (s *Server) closeIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.clients != nil {
+		_ = s.clients.Close() // it may be closed already
+		s.clients = nil
+	}
+	left := 0
 	for c := range s.conns {
-		if !c.busy.Load() {
-			_ = c.conn.Close() // a request that crosses this isn't passed on
+		if c.busy.Load() {
+			left++
+			continue
 		}
+		_ = c.conn.Close() // a request that crosses this isn't passed on
 	}
+	return left
 }
 
 func (s *Server) limits() limits {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -45,6 +45,7 @@
 	config   limits
 	grace    time.Duration
 	stopping bool
+	clients  net.Listener
 
 	ready    atomic.Bool
 	finished chan struct{}
@@ -77,7 +78,7 @@
 	// requests; what begins later may not end in time.
 	stopAdmission = 0.35
 	// stopReserve is the end of the grace in which the process exits.
-	stopReserve = 1300 * time.Millisecond
+	stopReserve = 500 * time.Millisecond
 	// leastStop is how long the balancer may send clients to a stopping entry.
 	leastStop = 2500 * time.Millisecond
 	// sweepPause is the time between two looks at idle connections.
@@ -151,6 +152,9 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	s.clients = listeners.clients
+	s.mu.Unlock()
 	var group sync.WaitGroup
 	parts := []func(context.Context){
 		s.loop.Run,
@@ -236,16 +240,15 @@
 		}
 		passed := time.Since(begun)
 		s.mu.Lock()
-		left := len(s.calls)
 		grace := s.grace
 		s.mu.Unlock()
 		if passed > grace-stopReserve {
 			return
 		}
-		if passed > time.Duration(float64(grace)*stopAdmission) {
-			s.closeIdle()
+		if passed <= max(leastStop, time.Duration(float64(grace)*stopAdmission)) {
+			continue
 		}
-		if passed > leastStop && left == 0 {
+		if s.closeIdle() == 0 {
 			return
 		}
 	}
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -69,7 +69,7 @@
 	stopping  bool
 	stoppedAt time.Time
 	released  bool
-	effects  []Effect
+	effects   []Effect
 }
 
 // New returns the core of an entry that knows nothing yet.
