Let the leader's reads of the store serve all entries

Change: the leader's states carry the version and age of its reads and what has changed at endpoints; an entry reads the store itself only while those are older than 1.3 s.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -35,6 +35,9 @@
 	requests *requestLog
 	sessions *sessions
 	link     *linker
+	// The taps hold the followers of the store back.
+	configTap   *tap
+	registryTap *tap
 
 	nextCall atomic.Uint64
 	ctx      context.Context
@@ -61,7 +64,7 @@
 	// sent.
 	leaseSlack = 1600 * time.Millisecond
 	// leaseRenewal is the time between renewals.
-	leaseRenewal = 500 * time.Millisecond
+	leaseRenewal = 700 * time.Millisecond
 	leaseMargin  = 150 * time.Millisecond
 	// shareLifetime is how long a standing share counts after its proof.
 	shareLifetime = 4 * time.Second
@@ -88,20 +91,22 @@
 // New returns an entry on the platform.
 func New(settings *platform.Settings, log zerolog.Logger, incarnation uint64) *Server {
 	s := &Server{
-		settings: settings,
-		log:      log,
-		clock:    clock.New(),
-		store:    platform.NewStore(settings.Store),
-		engines:  platform.NewEngines(),
-		pool:     newPool(),
-		metrics:  newMetrics(),
-		requests: newRequestLog(log),
-		calls:    make(map[gate.CallID]*inbound),
-		conns:    make(map[*clientConn]bool),
-		config:   defaultLimits,
-		grace:    settings.Grace,
-		finished: make(chan struct{}),
-		done:     make(chan struct{}),
+		settings:    settings,
+		log:         log,
+		clock:       clock.New(),
+		store:       platform.NewStore(settings.Store),
+		engines:     platform.NewEngines(),
+		pool:        newPool(),
+		metrics:     newMetrics(),
+		requests:    newRequestLog(log),
+		calls:       make(map[gate.CallID]*inbound),
+		conns:       make(map[*clientConn]bool),
+		config:      defaultLimits,
+		grace:       settings.Grace,
+		configTap:   newTap(),
+		registryTap: newTap(),
+		finished:    make(chan struct{}),
+		done:        make(chan struct{}),
 	}
 	s.nextCall.Store(incarnation << 32)
 	random := rand.New(rand.NewPCG(incarnation, uint64(settings.Peers.Port())))
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -45,6 +45,8 @@
 	registryBack time.Time
 
 	endpoints map[string]*endpoint
+	// revisions counts the changes of endpoints.
+	revisions uint64
 	// missing are endpoints whose records went while the store was away.
 	missing map[string]time.Time
 	paces   map[string]*pick.Pace
@@ -63,6 +65,7 @@
 	link   link
 	dialed uint64
 	member member
+	relay  relay
 	peers  map[string]*peer
 	leader *leader
 
@@ -87,6 +90,7 @@
 		lease:     l,
 		member:    newMember(),
 		peers:     make(map[string]*peer),
+		relay:     relay{following: true},
 	}
 }
 
@@ -124,6 +128,8 @@
 		c.configRead(now, e)
 	case EndpointsRead:
 		c.endpointsRead(now, e)
+	case ConfigFetched:
+		c.relay.fetching = false
 	case StoreFailed:
 		c.registryDown = true
 	case LeaseRead:
@@ -169,6 +175,7 @@
 	c.tendLeader(now)
 	c.tendParked(now)
 	c.tendMember(now)
+	c.tendRelay(now)
 }
 
 // stop begins a graceful shutdown: the entry is not ready from now on, answers
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -72,6 +72,9 @@
 	SentAt  time.Time
 }
 
+// ConfigFetched ends a FetchConfig.
+type ConfigFetched struct{}
+
 // StoreFailed tells that the registry could not be read.
 type StoreFailed struct{}
 
@@ -171,6 +174,7 @@
 func (Left) event()           {}
 func (ConfigRead) event()     {}
 func (EndpointsRead) event()  {}
+func (ConfigFetched) event()  {}
 func (StoreFailed) event()    {}
 func (LeaseRead) event()      {}
 func (LeaseAppended) event()  {}
@@ -324,6 +328,15 @@
 	Address netip.AddrPort
 }
 
+// FollowStore tells which parts of the store this entry must read itself.
+type FollowStore struct {
+	Config   bool
+	Registry bool
+}
+
+// FetchConfig reads the newest configuration once.
+type FetchConfig struct{}
+
 // CloseEndpoint closes the connections to an endpoint that is gone.
 type CloseEndpoint struct{ Endpoint string }
 
@@ -349,6 +362,8 @@
 func (SendState) effect()     {}
 func (GiveOrder) effect()     {}
 func (AskEngine) effect()     {}
+func (FollowStore) effect()   {}
+func (FetchConfig) effect()   {}
 func (CloseEndpoint) effect() {}
 func (Wake) effect()          {}
 func (Note) effect()          {}
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -27,8 +27,10 @@
 	seenAt time.Time
 	echo   uint64
 	loads  map[string]pick.Load
-	// told are the engines whose holdings the entry knows.
-	told map[string]bool
+	// told are the engines whose holdings the entry knows, endpoints the
+	// revisions of the endpoints that it knows.
+	told      map[string]bool
+	endpoints map[string]uint64
 }
 
 // leader is what an entry does while it leads.
@@ -64,6 +66,7 @@
 	}
 	for _, p := range c.peers {
 		p.told = make(map[string]bool)
+		p.endpoints = make(map[string]uint64)
 	}
 	c.note("leads", c.settings.Host, "", 0)
 }
@@ -259,10 +262,11 @@
 
 func (c *Core) peerUp(now time.Time, host string) {
 	c.peers[host] = &peer{
-		up:     true,
-		seenAt: now,
-		loads:  make(map[string]pick.Load),
-		told:   make(map[string]bool),
+		up:        true,
+		seenAt:    now,
+		loads:     make(map[string]pick.Load),
+		told:      make(map[string]bool),
+		endpoints: make(map[string]uint64),
 	}
 	c.note("entry joined", host, "", 0)
 }
@@ -351,6 +355,7 @@
 		}
 	}
 	state.Arrivals = c.encodeArrivals(now)
+	c.encodeRelay(now, p, state)
 	c.do(SendState{
 		Host:  host,
 		State: state,
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -278,6 +278,7 @@
 		})
 	}
 	c.takeShare(now, members, proof)
+	c.takeRelay(now, sentAt, s)
 	c.takeLoads(now, s.GetLoads())
 	c.takeHoldings(now, s.GetHoldings())
 	c.takeArrivals(now, s.GetArrivals())
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -18,6 +18,8 @@
 	toldAt time.Time
 	// coldUntil is when the endpoint has warmed up.
 	coldUntil time.Time
+	// revision counts the changes that other entries must know of.
+	revision uint64
 	// absent are copies that the endpoint said it lacks, until a later account.
 	absent map[string]time.Time
 }
@@ -58,6 +60,7 @@
 		c.note("configuration in force", "", "", now.Sub(e.SentAt))
 		c.adjustWallets(now)
 		c.dropWithdrawn(now)
+		c.pushStates(now)
 	}
 	if ready := c.ready(now); ready != wasReady {
 		c.note("readiness", boolWord(ready), "", now.Sub(c.configProof))
@@ -80,6 +83,7 @@
 		c.note("registry reached again", "", "", now.Sub(c.registryProof))
 	}
 	c.registryProof = e.SentAt
+	revision := c.revisions
 	seen := make(map[string]bool, len(e.Changes))
 	for _, change := range e.Changes {
 		seen[change.ID] = true
@@ -93,6 +97,9 @@
 		}
 	}
 	c.tendRegistry(now)
+	if c.revisions != revision {
+		c.pushStates(now)
+	}
 	c.tendParked(now)
 }
 
@@ -129,6 +136,14 @@
 	} else if ep.Draining && !known.Draining {
 		c.note("endpoint drains", ep.ID, ep.Service, 0)
 	}
+	if known.Endpoint == nil || known.Draining != ep.Draining || known.Address != ep.Address {
+		c.revisions++
+		known.revision = c.revisions
+	}
+	if len(ep.Holdings) == 0 && known.Endpoint != nil {
+		// The leader's account leaves holdings to its own messages.
+		ep.Holdings = known.Holdings
+	}
 	known.Endpoint = ep
 	known.coldUntil = now.Add(ep.ColdLeft)
 	c.tellPlanner(now, known)
@@ -156,6 +171,7 @@
 		return
 	}
 	delete(c.endpoints, id)
+	c.revisions++
 	c.note("endpoint gone", id, "", 0)
 	c.do(CloseEndpoint{Endpoint: id})
 	if c.leader != nil {
