Close a session by its connection, so that its reader doesn't poll

Cause: while the multiplexer closes, readers of its streams poll without pause until it is done, and it waited for the connection first. Ruled out: a loop of events in the reducer (its last event had returned). Change: closing closes only the connection; the multiplexer then ends by itself.

--- a/internal/wire/coalesce.go
+++ b/internal/wire/coalesce.go
@@ -50,15 +50,18 @@
 	return len(p), nil
 }
 
-// Close ends the connection; bytes that still wait are dropped.
+// Close ends the connection; bytes that still wait are dropped. It doesn't wait
+// for the writer: its end is reported on done.
 func (c *coalescer) Close() error {
 	c.mu.Lock()
+	already := c.closed
 	c.closed = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
-	err := c.Conn.Close()
-	<-c.done
-	return err
+	if already {
+		return nil
+	}
+	return c.Conn.Close()
 }
 
 // run writes what was queued until the connection ends.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -41,6 +41,7 @@
 
 // Session is a connection to a peer. Its owner must call Run.
 type Session struct {
+	conn    *coalescer
 	mux     *yamux.Session
 	control net.Conn
 	reader  *bufio.Reader
@@ -95,11 +96,13 @@
 	if dialed {
 		open = yamux.Client
 	}
-	mux, err := open(newCoalescer(conn), settings)
+	coalesced := newCoalescer(conn)
+	mux, err := open(coalesced, settings)
 	if err != nil {
 		return nil, err
 	}
 	s := &Session{
+		conn: coalesced,
 		mux:  mux,
 		out:  make(chan *wirepb.Envelope, controlBacklog),
 		ages: newAges(time.Now()),
@@ -158,14 +161,19 @@
 	go func() { written <- s.write() }()
 	err := s.read(handle)
 	s.Close()
-	return errors.Join(err, <-written)
+	err = errors.Join(err, <-written)
+	_ = s.mux.Close() // the peer sees the end either way
+	<-s.conn.done
+	return err
 }
 
-// Close ends the session. It may be called more than once.
+// Close ends the session. It may be called more than once. It closes only the
+// connection, at which the multiplexer ends by itself: while that is told to
+// end and not yet done, readers of its streams poll without pause.
 func (s *Session) Close() {
 	s.close.Do(func() {
 		close(s.done)
-		_ = s.mux.Close() // the peer sees the end either way
+		_ = s.conn.Close() // the peer sees the end either way
 	})
 }
 
