Hand the lease on when the store refuses its holder

Change: a leader that can't renew says so; an entry that the store serves asks it to end its term and appends its own. A release ends the own term when it is sent, and a released or ended term is taken at once, while orders still wait for the quiet time after those of the last holder. A new planner may begin two loads before the window of its predecessor's has passed.

--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -77,6 +77,24 @@
 	c.note("leads no more", c.settings.Host, "", 0)
 }
 
+// abdicate ends a term that can't be renewed, so that an entry which the store
+// serves leads on. Nothing is lent or ordered after it.
+func (c *Core) abdicate(now time.Time) {
+	renewal := c.lease.Abdicate(now)
+	c.stopLeading()
+	for _, host := range slices.Sorted(maps.Keys(c.peers)) {
+		if p := c.peers[host]; p.up && p.echo > 0 {
+			c.do(SendState{
+				Host: host,
+				State: &wirepb.GateState{
+					Echo:      p.echo,
+					Abdicates: renewal,
+				},
+			})
+		}
+	}
+}
+
 // tendLease renews the lease, takes it if it is free, and finds the leader.
 func (c *Core) tendLease(now time.Time) {
 	if c.leader != nil && !c.lease.Holds(now) {
@@ -139,6 +157,10 @@
 	record, _ := c.lease.Current()
 	c.takeShare(now, record.Members, e.SentAt)
 	c.follow(record)
+	if c.member.unrenewed && record.Host == c.link.host && c.link.up && !c.stopping {
+		c.member.takesOver = true
+		c.report(now)
+	}
 	c.startIfHolding(now, record)
 }
 
@@ -172,18 +194,28 @@
 // leaseAppended takes what became of an append.
 func (c *Core) leaseAppended(now time.Time, e LeaseAppended) {
 	c.appending = false
+	defer c.releaseIfStopping(now)
 	switch e.Result {
 	case AppendDone:
 		c.appended(now, e.Record, e.At)
 	case AppendRefused:
 		c.lease.Retry(now, c.spread(c.settings.Lease.Renewal/2))
 	default:
-		// The record may be in the log, or another one is: look.
+		// The record may be in the log, or another one is: look, and try again.
+		c.lease.Retry(now, 0)
 		c.reading = true
 		c.do(ReadLease{})
 	}
 }
 
+// releaseIfStopping hands the lease on once a renewal that was under way when
+// the entry was stopped has ended.
+func (c *Core) releaseIfStopping(now time.Time) {
+	if c.stopping && !c.appending && c.lease.Holds(now) {
+		c.appendLease(now, true)
+	}
+}
+
 func (c *Core) appended(now time.Time, record lease.Record, at int64) {
 	previous, existed := c.lease.Current()
 	c.lease.Appended(now, record, at)
@@ -288,6 +320,10 @@
 	}
 	p.seenAt = now
 	p.echo = e.Report.GetSequence()
+	if e.Report.GetTakesOver() && c.lease.Unrenewed(now) {
+		c.abdicate(now)
+		return
+	}
 	clear(p.loads)
 	for _, l := range e.Report.GetLoads() {
 		p.loads[l.GetEndpoint()] = decodeLoad(l)
@@ -335,9 +371,10 @@
 // sendState tells an entry what the leader knows.
 func (c *Core) sendState(now time.Time, host string, p *peer, grants []*wirepb.GateTokens) {
 	state := &wirepb.GateState{
-		Echo:   p.echo,
-		AgeUs:  uint64(now.Sub(c.leader.provedAt).Microseconds()),
-		Grants: grants,
+		Echo:      p.echo,
+		AgeUs:     uint64(now.Sub(c.leader.provedAt).Microseconds()),
+		Grants:    grants,
+		Unrenewed: c.lease.Unrenewed(now),
 	}
 	for _, m := range c.leader.members {
 		state.Shares = append(state.Shares, &wirepb.GateShare{
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -37,6 +37,10 @@
 	share      float64
 	shareUntil time.Time
 	heardAt    time.Time
+	// unrenewed is true while the leader can't renew its term, takesOver once
+	// this entry has seen that the store serves it.
+	unrenewed  bool
+	takesOver  bool
 	reportedAt time.Time
 	sequence   uint64
 	// sent holds when the last reports were sent.
@@ -192,11 +196,13 @@
 	m.sent[m.sequence] = now
 	delete(m.sent, m.sequence-keptReports)
 	r := &wirepb.GateReport{
-		Sequence: m.sequence,
-		Loads:    c.ownLoads(),
-		Demands:  m.takeDemands(),
-		Asks:     m.asks,
+		Sequence:  m.sequence,
+		Loads:     c.ownLoads(),
+		Demands:   m.takeDemands(),
+		Asks:      m.asks,
+		TakesOver: m.takesOver,
 	}
+	m.takesOver = false
 	if now.Sub(m.reportedAt) >= reportPause {
 		r.Returns = c.surplus(now)
 	}
@@ -269,6 +275,14 @@
 		return // too old to count: tokens in it are lost, never doubled
 	}
 	c.member.heardAt = now
+	if renewal := s.GetAbdicates(); renewal > 0 {
+		c.lease.Abdicated(now, e.Host, renewal)
+		c.link.up = false
+		c.note("leader has stopped", e.Host, "", 0)
+		c.tendLease(now)
+		return
+	}
+	c.unrenewed(now, s.GetUnrenewed())
 	proof := sentAt.Add(-time.Duration(s.GetAgeUs()) * time.Microsecond)
 	members := make([]lease.Member, 0, len(s.GetShares()))
 	for _, share := range s.GetShares() {
@@ -290,6 +304,17 @@
 	c.tendParked(now)
 }
 
+// unrenewed reads the lease if the leader can't renew its term: if the store
+// serves this entry, it takes over.
+func (c *Core) unrenewed(now time.Time, unrenewed bool) {
+	c.member.unrenewed = unrenewed
+	if unrenewed && !c.stopping && !c.reading && !now.Before(c.nextRead) {
+		c.reading = true
+		c.nextRead = now.Add(readPause)
+		c.do(ReadLease{})
+	}
+}
+
 func (c *Core) takeLoads(now time.Time, loads []*wirepb.GateLoad) {
 	for _, e := range c.endpoints {
 		e.track.SetOthers(now, pick.Load{})
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -60,9 +60,15 @@
 	// renewal numbers the own records, sent holds when they were sent.
 	renewal uint64
 	sent    map[uint64]time.Time
-	// until is the end of the own term.
-	until time.Time
-	next  time.Time
+	// until is the end of the own term, ordersFrom when its orders may begin.
+	until      time.Time
+	ordersFrom time.Time
+	// abdicated is the run of a holder that said, at quitAt, that it has ended
+	// its term; quitRenewal is the last record that it may have sent before.
+	abdicated   uint64
+	quitRenewal uint64
+	quitAt      time.Time
+	next        time.Time
 }
 
 // New returns the knowledge of an entry that has read nothing yet.
@@ -79,8 +85,36 @@
 // Holds reports whether this entry leads.
 func (l *Lease) Holds(now time.Time) bool { return now.Before(l.until) }
 
-// MayOrder reports whether this entry leads and may still give orders.
-func (l *Lease) MayOrder(now time.Time) bool { return now.Before(l.until.Add(-l.timing.Quiet)) }
+// MayOrder reports whether this entry leads and may give orders.
+func (l *Lease) MayOrder(now time.Time) bool {
+	return !now.Before(l.ordersFrom) && now.Before(l.OrdersUntil())
+}
+
+// Unrenewed reports whether this entry leads but has not been able to renew its
+// term for so long that it may give no more orders.
+func (l *Lease) Unrenewed(now time.Time) bool {
+	return l.Holds(now) && !now.Before(l.OrdersUntil())
+}
+
+// Abdicate ends the own term and returns the number of the last record of it.
+// Appends that were sent before don't extend it if they turn up in the log later.
+func (l *Lease) Abdicate(now time.Time) uint64 {
+	l.until = time.Time{}
+	clear(l.sent)
+	l.next = now.Add(l.timing.Duration)
+	return l.renewal
+}
+
+// Abdicated takes the word of the holder that it has ended its term, whose
+// records are numbered up to renewal.
+func (l *Lease) Abdicated(now time.Time, host string, renewal uint64) {
+	if l.exists && l.record.Host == host {
+		l.abdicated = l.record.Incarnation
+		l.quitRenewal = renewal
+		l.quitAt = now
+		l.next = now
+	}
+}
 
 // OrdersUntil returns the end of the time in which this entry may give orders.
 func (l *Lease) OrdersUntil() time.Time { return l.until.Add(-l.timing.Quiet) }
@@ -154,15 +188,35 @@
 	if !l.exists || l.record.Host == l.host {
 		return true
 	}
-	wait := l.timing.Duration
-	if l.record.Released {
-		wait = l.timing.Quiet
+	if l.record.Released || l.quit() {
+		return true
+	}
+	return !now.Before(l.seenAt.Add(l.timing.Duration + l.timing.Margin))
+}
+
+// quit reports whether the holder of the newest record has ended its term.
+func (l *Lease) quit() bool {
+	return l.abdicated == l.record.Incarnation && l.record.Renewal <= l.quitRenewal
+}
+
+// quietEnd returns until when the orders of an earlier holder forbid own ones.
+func (l *Lease) quietEnd() time.Time {
+	switch {
+	case !l.exists || l.record.Host == l.host:
+		return time.Time{}
+	case l.record.Released:
+		return l.seenAt.Add(l.timing.Quiet + l.timing.Margin)
+	case l.quit():
+		return l.quitAt.Add(l.timing.Quiet + l.timing.Margin)
+	default:
+		// Its orders ended before its term, which has passed.
+		return time.Time{}
 	}
-	return !now.Before(l.seenAt.Add(wait + l.timing.Margin))
 }
 
 // Next returns the record to append and the offset at which the log must end.
-// It counts from now on, if it is found in the log.
+// It counts from now on, if it is found in the log. A release ends the own term
+// at once.
 func (l *Lease) Next(now time.Time, members []Member, release bool) (Record, int64) {
 	l.renewal++
 	l.next = now.Add(l.timing.Renewal)
@@ -177,6 +231,14 @@
 	}
 	if l.exists && l.record.Incarnation == l.incarnation {
 		record.Term = l.record.Term
+	} else {
+		l.ordersFrom = l.quietEnd()
+	}
+	if release {
+		// Others may take the lease as soon as the record is in the log, whether
+		// its answer arrives or not.
+		l.Abdicate(now)
+		return record, l.end
 	}
 	l.sent[l.renewal] = now
 	delete(l.sent, l.renewal-keptRenewals)
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -358,14 +358,16 @@
 
 // mayLoad reports whether the weight store's ceiling admits one more load.
 func (p *Planner) mayLoad(now time.Time, service string, spec *topo.Engine) bool {
-	if now.Before(p.quietUntil) {
-		return false
-	}
 	begun := slices.DeleteFunc(p.loads[service], func(at time.Time) bool {
 		return now.Sub(at) > p.settings.LoadWindow
 	})
 	p.loads[service] = begun
-	return float64(len(begun)) < math.Floor(spec.LoadsPerSecond*p.settings.LoadWindow.Seconds())
+	most := math.Floor(spec.LoadsPerSecond * p.settings.LoadWindow.Seconds())
+	if now.Before(p.quietUntil) {
+		// An earlier planner may have used the ceiling; only its slack is left.
+		most = p.settings.LoadSlack
+	}
+	return float64(len(begun)) < most
 }
 
 func sortedCopies(wants map[Copy]time.Time) []Copy {
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -12,6 +12,8 @@
 type Settings struct {
 	// LoadWindow is the time over which loads from the weight store are counted.
 	LoadWindow time.Duration
+	// LoadSlack is how many loads beyond the store's rate may begin in it.
+	LoadSlack float64
 	// CopyWork is the work, in seconds of an engine's time for each second, that
 	// one copy of a model should carry at most.
 	CopyWork float64
@@ -25,6 +27,7 @@
 func DefaultSettings(window time.Duration) Settings {
 	return Settings{
 		LoadWindow:       window,
+		LoadSlack:        2,
 		CopyWork:         0.2,
 		Residency:        4 * time.Second,
 		AdapterResidency: 1500 * time.Millisecond,
