--- a/internal/stock/engine.go
+++ b/internal/stock/engine.go
@@ -86,6 +86,8 @@
 	known    bool
 	// pending is the order that was sent and is not finished.
 	pending *pending
+	// reservedAt is when a load for which the engine makes room was counted.
+	reservedAt time.Time
 	// changedAt is when an order last changed what the engine holds.
 	changedAt  time.Time
 	nextReport time.Time
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -264,12 +264,16 @@
 	e := best.engine
 	if best.victim != "" {
 		copies[best.victim]--
+		if best.source == fromStore {
+			p.reserve(now, service, e)
+		}
 		p.order(now, e, false, Copy{Model: best.victim}, unloadTime, plan)
 		return
 	}
 	spec := e.spec.Models[n.model]
 	if best.source == fromStore {
-		p.loads[service] = append(p.loads[service], now)
+		p.reserve(now, service, e)
+		e.reservedAt = time.Time{}
 	}
 	copies[n.model]++
 	took := map[source]time.Duration{
@@ -296,7 +300,7 @@
 	case e.onDisk[n.model]:
 		o.source = fromDisk
 	}
-	if o.source == fromStore && !p.mayLoad(now, service, e.spec) {
+	if o.source == fromStore && e.reservedAt.IsZero() && !p.mayLoad(now, service, e.spec) {
 		return nil
 	}
 	o.cost = [...]float64{fromStore: 9, fromDisk: 2, fromMemory: 1}[o.source] + float64(e.running)*runningCost
@@ -356,6 +360,16 @@
 	return d == nil || now.Sub(d.lastAt) > rareLimit
 }
 
+// reserve counts a load of an engine from the weight store. An engine that makes
+// room for a load has it counted from then on, and anew when it begins.
+func (p *Planner) reserve(now time.Time, service string, e *engine) {
+	p.loads[service] = slices.DeleteFunc(p.loads[service], func(at time.Time) bool {
+		return !e.reservedAt.IsZero() && at.Equal(e.reservedAt)
+	})
+	p.loads[service] = append(p.loads[service], now)
+	e.reservedAt = now
+}
+
 // mayLoad reports whether the weight store's ceiling admits one more load.
 func (p *Planner) mayLoad(now time.Time, service string, spec *topo.Engine) bool {
 	begun := slices.DeleteFunc(p.loads[service], func(at time.Time) bool {
