Count an adapter that requests use as held until a report says it is gone

The check with engines that drop adapters late failed before: one beside three. Change: only 200 frees the place at once; after 202 a report must name it gone.

--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -57,7 +57,7 @@
 		pend.resendAt = now.Add(reportPause + resendPause)
 		plan.Orders = append(plan.Orders, pend.order)
 	case !pend.answered || now.Before(pend.due):
-	case adapter && !pend.doubtful:
+	case adapter && pend.order.Load && !pend.doubtful:
 		p.complete(now, e, true)
 	default:
 		p.ask(now, e, plan)
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -30,7 +30,7 @@
 		LoadSlack:        2,
 		CopyWork:         0.2,
 		Residency:        4 * time.Second,
-		AdapterResidency: 1500 * time.Millisecond,
+		AdapterResidency: 2500 * time.Millisecond,
 	}
 }
 
@@ -200,7 +200,8 @@
 		e.accepted = o.Accepted + 1
 		e.pending.due = now.Add(e.pending.due.Sub(e.pending.sentAt))
 		if o.Adapter != "" && !o.Load {
-			p.complete(now, e, true)
+			// Requests still use it, so it is gone only when a report says so.
+			e.pending.due = now.Add(reportLag)
 		}
 	case Held:
 		e.known = false
--- a/internal/stock/sim_test.go
+++ b/internal/stock/sim_test.go
@@ -48,6 +48,13 @@
 	unloading string
 	busyUntil time.Time
 	history   []snapshot
+	// leaving are adapters that requests still use.
+	leaving []leaving
+}
+
+type leaving struct {
+	at time.Time
+	c  Copy
 }
 
 func (e *simEngine) step(now time.Time) {
@@ -60,6 +67,13 @@
 		}
 		e.loading, e.unloading = "", ""
 	}
+	e.leaving = slices.DeleteFunc(e.leaving, func(l leaving) bool {
+		if now.Before(l.at) {
+			return false
+		}
+		delete(e.models[l.c.Model], l.c.Adapter)
+		return true
+	})
 	s := snapshot{at: now, busy: now.Before(e.busyUntil), accepted: e.accepted}
 	for _, m := range slices.Sorted(maps.Keys(e.models)) {
 		s.holdings = append(s.holdings, topo.Holding{Model: m, Adapters: slices.Sorted(maps.Keys(e.models[m]))})
@@ -92,7 +106,7 @@
 		return Conflict
 	}
 	if o.Adapter != "" {
-		return e.orderAdapter(o)
+		return e.orderAdapter(now, o)
 	}
 	_, held := e.models[o.Model]
 	if held == o.Load {
@@ -112,7 +126,7 @@
 	return Accepted
 }
 
-func (e *simEngine) orderAdapter(o Order) Outcome {
+func (e *simEngine) orderAdapter(now time.Time, o Order) Outcome {
 	adapters, held := e.models[o.Model]
 	if !held {
 		return Refused
@@ -121,9 +135,13 @@
 		return Held
 	}
 	e.accepted++
+	if !o.Load && rapid.Bool().Draw(e.t, "in use") {
+		e.leaving = append(e.leaving, leaving{at: now.Add(800 * time.Millisecond), c: o.Copy})
+		return Accepted
+	}
 	if !o.Load {
 		delete(adapters, o.Adapter)
-		return Accepted
+		return Held
 	}
 	if e.adapters() >= e.spec.AdapterSlots {
 		e.t.Fatalf("%s was ordered to load adapter %v beside %d", e.id, o.Copy, e.adapters())
