Answer what still waits or runs when a stopping entry must end

Change: what waits is refused as not run when the entry takes no more requests; attempts under way end 0.8 s before the grace does, with an answer. TestStoppingEntryRefusesWhatWaits and TestStoppingEntryBoundsWhatItSends failed before.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -95,7 +95,7 @@
 // connection may be used again.
 func (x *exchange) run(clock func() time.Time, left time.Duration) (gate.Result, bool) {
 	// Deadlines of sockets count by the process's own clock.
-	if err := x.conn.SetDeadline(time.Now().Add(left)); err != nil {
+	if err := x.in.deadline(x.conn, time.Now().Add(left)); err != nil {
 		return notRun(gate.ReasonDial), false
 	}
 	now := clock()
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -32,6 +32,8 @@
 
 	mu       sync.Mutex
 	upstream *outbound
+	// until is the end of the attempt under way.
+	until time.Time
 
 	// held is an endpoint's failure that was not passed on yet.
 	held *answer
@@ -61,6 +63,23 @@
 	return true
 }
 
+// deadline sets the end of the attempt under way.
+func (in *inbound) deadline(conn *outbound, until time.Time) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.until = until
+	return conn.SetDeadline(until)
+}
+
+// bound brings the end of the attempt under way forward, if it is later.
+func (in *inbound) bound(until time.Time) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.upstream != nil && until.Before(in.until) {
+		_ = in.upstream.SetDeadline(until) // a closed connection needs none
+	}
+}
+
 func (in *inbound) detach() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -82,6 +82,9 @@
 	stopAdmission = 0.35
 	// stopReserve is the end of the grace in which the process exits.
 	stopReserve = 500 * time.Millisecond
+	// stopAnswer is the time before the process exits in which requests that are
+	// still under way get their final answer.
+	stopAnswer = 300 * time.Millisecond
 	// leastStop is how long the balancer may send clients to a stopping entry.
 	leastStop = 2500 * time.Millisecond
 	// sweepPause is the time between two looks at idle connections.
@@ -127,6 +130,7 @@
 		ShareLifetime: shareLifetime,
 		RegistryLag:   registryLag,
 		StopAdmission: time.Duration(float64(s.Grace) * stopAdmission),
+		StopLimit:     s.Grace - stopReserve - stopAnswer,
 		LoadWindow:    s.LoadWindow,
 		RetryRatio:    s.RetryRatio * retryShare,
 		RetryReserve:  s.RetrySlack * retryShare / retryHolders,
@@ -228,9 +232,21 @@
 	s.ready.Store(false)
 	s.log.Info().Msg("entry: stopping")
 	s.post(gate.Stop{})
+	s.boundCalls()
 	go s.finish()
 }
 
+// boundCalls ends attempts under way before the process does, so that clients
+// get an answer instead of a closed connection.
+func (s *Server) boundCalls() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := time.Now().Add(s.grace - stopReserve - stopAnswer)
+	for _, in := range s.calls {
+		in.bound(until)
+	}
+}
+
 // finish waits until a stopping entry has nothing left to answer.
 func (s *Server) finish() {
 	defer close(s.finished)
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -73,7 +73,7 @@
 		tried:   make(map[string]bool),
 	}
 	c.calls[id] = k
-	if c.stopping && now.Sub(c.stoppedAt) > c.settings.StopAdmission {
+	if c.leaving(now) {
 		c.refuse(now, k, fault.NotRun, fault.CodeLeaving, "the entry is stopping", leastRetryAfter)
 		return
 	}
@@ -103,6 +103,11 @@
 	c.spend(now, k)
 }
 
+// leaving reports whether a stopping entry takes no more requests.
+func (c *Core) leaving(now time.Time) bool {
+	return c.stopping && now.Sub(c.stoppedAt) > c.settings.StopAdmission
+}
+
 // identify finds the customer that holds the request's key.
 func (c *Core) identify(now time.Time, k *call) bool {
 	if k.route.Public || len(c.config.Customers) == 0 {
@@ -235,6 +240,9 @@
 // send passes a call to an endpoint.
 func (c *Core) send(now time.Time, k *call, e *endpoint, candidate pick.Candidate, choice pick.Choice) {
 	delete(c.parked, k.id)
+	if c.stopping {
+		k.limit = earlier(k.limit, c.stoppedAt.Add(c.settings.StopLimit))
+	}
 	k.endpoint = e
 	k.sentAt = now
 	k.expected = candidate.Expected
@@ -344,6 +352,10 @@
 	})
 	for _, k := range waiting {
 		delete(c.parked, k.id)
+		if c.leaving(now) {
+			c.refuse(now, k, fault.NotRun, fault.CodeLeaving, "the entry is stopping", leastRetryAfter)
+			continue
+		}
 		if k.customer != nil && !c.fresh(now) {
 			c.refuse(now, k, fault.NotRun, fault.CodeNotReady, "the key may have been withdrawn", staleRetry)
 			continue
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -22,6 +22,8 @@
 	RegistryLag time.Duration
 	// StopAdmission is how long a stopping entry takes new requests.
 	StopAdmission time.Duration
+	// StopLimit is when a stopping entry must have answered all requests.
+	StopLimit time.Duration
 	// LoadWindow is the window of the weight store's ceiling.
 	LoadWindow time.Duration
 	// RetryRatio is how many repeats a request allows, RetryReserve how many
--- a/internal/gate/core_test.go
+++ b/internal/gate/core_test.go
@@ -37,6 +37,7 @@
 		RetryRatio:    0.1,
 		RetryReserve:  4,
 		StopAdmission: 2800 * time.Millisecond,
+		StopLimit:     7 * time.Second,
 		Lease: lease.Timing{
 			Duration: 4600 * time.Millisecond,
 			Quiet:    3 * time.Second,
@@ -267,3 +268,35 @@
 	_, effects = r.arrive("/charge/1", "k2")
 	r.wantCode(effects, fault.NotRun, fault.CodeLeaving)
 }
+
+// A request that waits for a model at a stopping entry is refused in time to go
+// elsewhere; it must not wait until the process ends.
+func TestStoppingEntryRefusesWhatWaits(t *testing.T) {
+	r := serving(t)
+	id, _ := r.arriveFor(&Request{Host: "h", Path: "/notes/1", Key: "k2", Model: "small", Arrived: r.now})
+	if _, waits := r.core.parked[id]; !waits {
+		t.Fatal("the request doesn't wait for its model")
+	}
+	r.apply(Stop{})
+	r.pass(2900 * time.Millisecond)
+	r.apply(ConfigRead{SentAt: r.now})
+	for _, e := range r.all {
+		if f, ok := e.(Refuse); ok && f.Call == id {
+			if fault.CodeOf(f.Err) != fault.CodeLeaving || fault.VerdictOf(f.Err) != fault.NotRun {
+				t.Errorf("refused as %v", f.Err)
+			}
+			return
+		}
+	}
+	t.Error("the request still waits")
+}
+
+// What a stopping entry sends ends before the process does.
+func TestStoppingEntryBoundsWhatItSends(t *testing.T) {
+	r := serving(t)
+	r.apply(Stop{})
+	_, effects := r.arriveFor(&Request{Host: "h", Path: "/notes/1", Key: "k2", Model: "big", Arrived: r.now})
+	if s := r.sent(effects); s.Limit.After(start.Add(testSettings("").StopLimit)) {
+		t.Errorf("may take until %v", s.Limit.Sub(start))
+	}
+}
