--- /dev/null
+++ b/internal/edge/fakes_test.go
@@ -0,0 +1,335 @@
+package edge
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dogwoodfold/platform"
+)
+
+// fakeStore speaks the store's protocol for keyed topics of one partition.
+type fakeStore struct {
+	mu     sync.Mutex
+	topics map[string][][]byte
+	grown  chan struct{}
+	// fail makes all calls fail with a status.
+	fail int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{topics: map[string][][]byte{}, grown: make(chan struct{})}
+}
+
+func (s *fakeStore) put(topic, key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	if value == nil {
+		text = nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(topic, append(append([]byte{byte(len(key))}, key...), text...))
+}
+
+func (s *fakeStore) add(topic string, record []byte) {
+	s.topics[topic] = append(s.topics[topic], record)
+	close(s.grown)
+	s.grown = make(chan struct{})
+}
+
+func (s *fakeStore) setFail(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail = status
+}
+
+func (s *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	fail := s.fail
+	s.mu.Unlock()
+	if fail != 0 {
+		w.WriteHeader(fail)
+		return
+	}
+	q := r.URL.Query()
+	switch r.URL.Path {
+	case "/v1/log-append":
+		s.serveAppend(w, r, q.Get("topic"), q.Get("at"))
+	case "/v1/log-newest":
+		s.serveNewest(w, q.Get("topic"))
+	case "/v1/log-read":
+		from, _ := strconv.Atoi(q.Get("from"))
+		wait, _ := strconv.Atoi(q.Get("waitMs"))
+		s.serveRead(w, q.Get("topic"), from, time.Duration(wait)*time.Millisecond)
+	}
+}
+
+func (s *fakeStore) serveAppend(w http.ResponseWriter, r *http.Request, topic, at string) {
+	body, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := len(s.topics[topic])
+	if at != "" && at != strconv.Itoa(end) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	s.add(topic, body[4:])
+	fmt.Fprintf(w, `{"offset":%d,"end":%d}`, end, end+1)
+}
+
+func (s *fakeStore) serveNewest(w http.ResponseWriter, topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := map[string]int{}
+	for i, r := range s.topics[topic] {
+		newest[string(r[1:1+r[0]])] = i
+	}
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int    `json:"offset"`
+	}
+	out := struct {
+		Items []item `json:"items"`
+		End   int    `json:"end"`
+	}{Items: []item{}, End: len(s.topics[topic])}
+	for key, i := range newest {
+		r := s.topics[topic][i]
+		if value := r[1+r[0]:]; len(value) > 0 {
+			out.Items = append(out.Items, item{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: i})
+		}
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func (s *fakeStore) serveRead(w http.ResponseWriter, topic string, from int, wait time.Duration) {
+	until := time.After(wait)
+	for {
+		s.mu.Lock()
+		records, grown := s.topics[topic], s.grown
+		s.mu.Unlock()
+		if from < len(records) {
+			out := make([]byte, 16)
+			binary.BigEndian.PutUint64(out, uint64(len(records)))
+			for _, r := range records[from:] {
+				out = binary.BigEndian.AppendUint32(out, uint32(len(r)))
+				out = append(out, r...)
+			}
+			_, _ = w.Write(out)
+			return
+		}
+		select {
+		case <-grown:
+		case <-until:
+			out := make([]byte, 16)
+			binary.BigEndian.PutUint64(out, uint64(len(records)))
+			_, _ = w.Write(out)
+			return
+		}
+	}
+}
+
+// fakeEndpoint is a worker whose answers a test chooses.
+type fakeEndpoint struct {
+	id      string
+	address string
+	mu      sync.Mutex
+	seen    []*http.Request
+	answer  http.HandlerFunc
+	left    chan struct{}
+}
+
+func (e *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != e.id {
+		w.Header().Set("X-Instance-Id", e.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.mu.Lock()
+	e.seen = append(e.seen, r)
+	answer := e.answer
+	e.mu.Unlock()
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if answer != nil {
+		answer(w, r)
+		return
+	}
+	w.Header().Set("X-Server-Stamp", "stamp-"+e.id)
+	_, _ = io.WriteString(w, "answer of "+e.id)
+}
+
+func (e *fakeEndpoint) requests() []*http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*http.Request(nil), e.seen...)
+}
+
+// beat is the endpoint's record in the registry.
+func (e *fakeEndpoint) beat(service string, models ...string) map[string]any {
+	held := []map[string]any{}
+	for _, m := range models {
+		held = append(held, map[string]any{"name": m, "version": 1, "adapters": []string{}})
+	}
+	return map[string]any{
+		"service": service, "addr": e.address, "zone": "a", "version": "v1", "slots": 8,
+		"state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1, "models": held,
+	}
+}
+
+// site is an entry with its surroundings on the loopback interface.
+type site struct {
+	t      *testing.T
+	store  *fakeStore
+	shop   [2]*fakeEndpoint
+	engine [2]*fakeEndpoint
+	entry  *Server
+	url    string
+	ready  string
+}
+
+func listenLoopback(t *testing.T, h http.Handler) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// freePort returns an address that nobody listens on.
+func freePort(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func testConfig(version int, keys ...string) map[string]any {
+	route := func(path, kind, service string, resumable bool) map[string]any {
+		return map[string]any{
+			"name": path, "host": "shop.example", "pathPrefix": "/" + path + "/", "type": kind, "timeoutMs": 4000, "sloMs": 500,
+			"service": service, "attempts": 2, "resumable": resumable,
+		}
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("charge", "nonidempotent", "shop", false), route("look", "idempotent", "shop", false),
+			route("notes", "stream", "llm", true), route("chat", "stream", "llm", false),
+		},
+		"services": []any{
+			map[string]any{"name": "shop", "maxConns": 50},
+			map[string]any{"name": "llm", "maxConns": 50, "engine": map[string]any{
+				"slots": 8, "kvTokens": 1000, "weightsMb": 100, "adapterSlots": 2, "loadsPerS": 1,
+				"models": []any{map[string]any{"name": "m", "weightsMb": 50, "loadS": 1}},
+			}},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": "acme", "apiKeys": keys, "unit": "tokens", "plainTokens": 1}},
+	}
+}
+
+// newSite starts an entry before two plain endpoints and two engines.
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: newFakeStore()}
+	storeAddress := netip.MustParseAddrPort(listenLoopback(t, s.store))
+	start := func(id, service string, models ...string) *fakeEndpoint {
+		e := &fakeEndpoint{id: id, left: make(chan struct{}, 8)}
+		e.address = listenLoopback(t, e)
+		s.store.put("keyed.servers", id, e.beat(service, models...))
+		return e
+	}
+	s.shop = [2]*fakeEndpoint{start("shop-1", "shop"), start("shop-2", "shop")}
+	s.engine = [2]*fakeEndpoint{start("llm-1", "llm", "m"), start("llm-2", "llm", "m")}
+	s.store.put("keyed.op", "config", testConfig(1, "key-1", "key-2"))
+	settings := &platform.Settings{
+		Host: "front-1", Zone: "a", Listen: freePort(t), Ready: freePort(t), Peers: freePort(t), Metrics: freePort(t),
+		Store: storeAddress, ConfigBound: 2 * time.Second, RevokeBound: 5 * time.Second, DrainBound: 2 * time.Second,
+		Grace: 4 * time.Second, Lease: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 50, LoadWindow: 5 * time.Second,
+	}
+	s.entry = New(settings, zerolog.Nop(), 7)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.entry.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	s.url, s.ready = "http://"+settings.Listen.String(), "http://"+settings.Ready.String()+platform.PathReady
+	s.await("the entry is ready", func() bool { return s.status(s.ready) == http.StatusOK })
+	return s
+}
+
+func (s *site) status(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+func (s *site) await(what string, ok func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(8 * time.Second); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not within 8 s: %s", what)
+		}
+	}
+}
+
+// reply is an answer that was read as far as it went.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// closing is set if the answer ends its connection.
+	closing bool
+	err     error
+}
+
+var requestNumber int
+
+// call sends a request with a key.
+func (s *site) call(ctx context.Context, method, path string, headers ...string) reply {
+	request, err := http.NewRequestWithContext(ctx, method, s.url+path, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	requestNumber++
+	request.Host = "shop.example"
+	request.Header.Set("X-Request-Id", "r-"+strconv.Itoa(requestNumber))
+	request.Header.Set("X-Api-Key", "key-1")
+	request.Header.Set("X-Deadline-Ms", "3000")
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), closing: response.Close, err: err}
+}
