--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -167,6 +167,7 @@
 		return nil, err
 	}
 	return &inbound{
+		readAt:    time.Now(),
 		id:        gate.CallID(c.server.nextCall.Add(1)),
 		request:   request,
 		head:      forwardHead(&head),
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -14,7 +14,9 @@
 
 // inbound is a client's request on its way.
 type inbound struct {
-	id      gate.CallID
+	id gate.CallID
+	// readAt is when the request was read, by the process's own clock.
+	readAt  time.Time
 	request *gate.Request
 	// head is the request line and the headers that endpoints get.
 	head []byte
@@ -38,9 +40,14 @@
 	// held is an endpoint's failure that was not passed on yet.
 	held *answer
 	// begun is true once a part of an answer was passed on.
-	begun   bool
-	broken  bool
-	out     []byte
+	begun  bool
+	broken bool
+	out    []byte
+	// firstAt is when the first part of the answer was passed on, lastAt the
+	// last one; pause is the longest time between two.
+	firstAt time.Time
+	lastAt  time.Time
+	pause   time.Duration
 	status  int
 	sentTo  string
 	verdict string
@@ -194,11 +201,22 @@
 		return nil
 	}
 	in.begun = true
+	in.mark(time.Now())
 	err := in.write(in.out)
 	in.out = in.out[:0]
 	return err
 }
 
+// mark notes that a part of the answer is passed on.
+func (in *inbound) mark(now time.Time) {
+	if in.firstAt.IsZero() {
+		in.firstAt = now
+	} else {
+		in.pause = max(in.pause, now.Sub(in.lastAt))
+	}
+	in.lastAt = now
+}
+
 // chunk adds bytes of a body to what the next flush writes.
 func (in *inbound) chunk(p []byte) {
 	if len(p) == 0 {
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -193,7 +193,17 @@
 	}
 	s.log.Info().Str("request", in.request.ID).Str("path", in.request.Path).Str("model", in.request.Model).
 		Int("status", in.status).Str("verdict", in.verdict).Str("reason", in.reason).Str("endpoint", in.sentTo).
-		Int("tries", in.tries).Bool("left", in.left()).Dur("tookMs", took).Msg("requests: ended")
+		Int("tries", in.tries).Bool("left", in.left()).Dur("tookMs", took).
+		Dur("firstMs", in.firstAfter()).Dur("pauseMs", in.pause).Msg("requests: ended")
+}
+
+// firstAfter returns the time from the request to the first part of its answer,
+// 0 if the answer was passed on as a whole.
+func (in *inbound) firstAfter() time.Duration {
+	if in.firstAt.IsZero() {
+		return 0
+	}
+	return in.firstAt.Sub(in.readAt)
 }
 
 // serveReady answers the balancer's question whether it should send clients.
