--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -25,7 +25,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntry(), newAgent(), newGateway(), newConfig(), newKey(), newFake(), newLoad(), newDemo(), newReport(), newStatus())
+	root.AddCommand(newEntry(), newAgent(), newGateway())
+	root.AddCommand(newConfig(), newKey(), newFake(), newLoad(), newDemo(), newReport(), newStatus())
 	return root
 }
 
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -310,30 +310,28 @@
 	for {
 		n, err := b.Read(buffer[kept:])
 		kept += n
+		ended := errors.Is(err, io.EOF)
 		ready := kept
-		if x.send.Route.Resumable && err != io.EOF {
+		if x.send.Route.Resumable && !ended {
 			ready = x.wholeEvents(buffer[:kept])
 		}
-		if ready > 0 || err == io.EOF {
-			in.chunk(buffer[:ready])
-			if err == io.EOF {
-				in.lastChunk()
-			}
-			if in.flush() != nil {
-				return x.clientLost(), false
-			}
+		in.chunk(buffer[:ready])
+		if ended {
+			in.lastChunk()
+		}
+		if (ready > 0 || ended) && in.flush() != nil {
+			return x.clientLost(), false
 		}
 		kept = copy(buffer, buffer[ready:kept])
-		if err == io.EOF {
+		switch {
+		case ended:
 			return gate.Result{
 				Outcome: gate.Complete,
 				Status:  x.head.StatusCode(),
 			}, true
-		}
-		if err != nil {
+		case err != nil:
 			return x.interrupted(err), false
-		}
-		if kept == len(buffer) {
+		case kept == len(buffer):
 			buffer = append(buffer, make([]byte, relayBuffer)...)
 		}
 	}
--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -89,7 +89,7 @@
 		return
 	}
 	s.add(topic, body[4:])
-	fmt.Fprintf(w, `{"offset":%d,"end":%d}`, end, end+1)
+	_, _ = fmt.Fprintf(w, `{"offset":%d,"end":%d}`, end, end+1)
 }
 
 func (s *fakeStore) serveNewest(w http.ResponseWriter, topic string) {
--- a/internal/gate/core_test.go
+++ b/internal/gate/core_test.go
@@ -157,11 +157,12 @@
 	return none, false
 }
 
-func (r *rig) wantCode(effects []Effect, verdict fault.Verdict, code fault.Code) {
+// wantCode checks that a call was refused as not run.
+func (r *rig) wantCode(effects []Effect, code fault.Code) {
 	r.t.Helper()
 	err := r.refused(effects)
-	if fault.VerdictOf(err) != verdict || fault.CodeOf(err) != code {
-		r.t.Errorf("refused as %v %v, want %v %v", fault.VerdictOf(err), fault.CodeOf(err), verdict, code)
+	if fault.VerdictOf(err) != fault.NotRun || fault.CodeOf(err) != code {
+		r.t.Errorf("refused as %v %v, want not-run %v", fault.VerdictOf(err), fault.CodeOf(err), code)
 	}
 }
 
@@ -229,20 +230,20 @@
 	r := serving(t)
 	r.pass(3400 * time.Millisecond)
 	_, effects := r.arrive("/charge/1", "k2")
-	r.wantCode(effects, fault.NotRun, fault.CodeNotReady)
+	r.wantCode(effects, fault.CodeNotReady)
 	if _, effects = r.arrive("/open/1", ""); effects != nil {
 		r.sent(effects)
 	}
 	// A wrong key or route isn't denied by a configuration that may be old.
 	_, effects = r.arrive("/nowhere/1", "k2")
-	r.wantCode(effects, fault.NotRun, fault.CodeNotReady)
+	r.wantCode(effects, fault.CodeNotReady)
 	r.apply(ConfigRead{SentAt: r.now})
 	_, effects = r.arrive("/charge/1", "k2")
 	if s := r.sent(effects); !s.FreshUntil.Equal(r.now.Add(3300 * time.Millisecond)) {
 		t.Errorf("may be sent until %v", s.FreshUntil)
 	}
 	_, effects = r.arrive("/charge/1", "other")
-	r.wantCode(effects, fault.NotRun, fault.CodeBadKey)
+	r.wantCode(effects, fault.CodeBadKey)
 }
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
@@ -266,7 +267,7 @@
 	r.pass(2900 * time.Millisecond)
 	r.apply(ConfigRead{SentAt: r.now})
 	_, effects = r.arrive("/charge/1", "k2")
-	r.wantCode(effects, fault.NotRun, fault.CodeLeaving)
+	r.wantCode(effects, fault.CodeLeaving)
 }
 
 // A request that waits for a model at a stopping entry is refused in time to go
--- a/internal/gate/tokens_test.go
+++ b/internal/gate/tokens_test.go
@@ -46,7 +46,7 @@
 	r := following(t)
 	r.arrive("/charge/1", "k1")
 	effects := r.state(&wirepb.GateState{Grants: []*wirepb.GateTokens{{Customer: "acme"}}})
-	r.wantCode(effects, fault.NotRun, fault.CodeRate)
+	r.wantCode(effects, fault.CodeRate)
 	if after := fault.RetryAfterOf(r.refused(effects)); after < 50*time.Millisecond || after > 2*time.Second {
 		t.Errorf("come back after %v", after)
 	}
@@ -56,7 +56,7 @@
 	r := following(t)
 	r.arrive("/charge/1", "k1")
 	r.pass(askLimit + time.Millisecond)
-	r.wantCode(r.apply(Tick{}), fault.NotRun, fault.CodeRate)
+	r.wantCode(r.apply(Tick{}), fault.CodeRate)
 }
 
 func TestOldGrantsAreNotSpent(t *testing.T) {
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -180,7 +180,8 @@
 	copies := make(map[string]int)
 	for _, e := range engines {
 		for model := range e.models {
-			if e.usable && !(e.changing(Copy{Model: model}) && !e.pending.order.Load) {
+			weights := Copy{Model: model}
+			if e.usable && (!e.changing(weights) || e.loading(weights)) {
 				copies[model]++
 			}
 		}
--- a/internal/wire/close_test.go
+++ b/internal/wire/close_test.go
@@ -47,7 +47,9 @@
 	time.Sleep(50 * time.Millisecond)
 	before := cpuTime(t)
 	s.Close()
-	<-ended
+	if err := <-ended; err == nil {
+		t.Error("the session ended without a cause")
+	}
 	if used := cpuTime(t) - before; used > 100*time.Millisecond {
 		t.Errorf("closing used %v of processor time", used)
 	}
