--- a/internal/gate/core_test.go
+++ b/internal/gate/core_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/pkg/fault"
 )
@@ -301,3 +302,5 @@
 		t.Errorf("may take until %v", s.Limit.Sub(start))
 	}
 }
+
+func stockCopy(model string) stock.Copy { return stock.Copy{Model: model} }
--- /dev/null
+++ b/internal/gate/fleet_test.go
@@ -0,0 +1,155 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/topo"
+	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/fault"
+)
+
+// leading returns a rig that leads.
+func leading(t *testing.T) *rig {
+	r := serving(t)
+	r.apply(Tick{})
+	r.apply(LeaseRead{SentAt: r.now})
+	append1, ok := find[AppendLease](r.apply(Tick{}))
+	if !ok {
+		t.Fatal("doesn't take a free lease")
+	}
+	r.apply(LeaseAppended{Record: append1.Record, At: append1.At, Result: AppendDone})
+	if !r.core.leads(r.now) {
+		t.Fatal("doesn't lead")
+	}
+	return r
+}
+
+func (r *rig) report(host string, report *wirepb.GateReport) []Effect {
+	return r.apply(ReportReceived{Host: host, Report: report})
+}
+
+// The pattern: the store refuses just the leader. It lends on until an entry that
+// the store serves asks it to end its term, and nothing after.
+func TestLeaderThatCantRenewHandsOn(t *testing.T) {
+	r := leading(t)
+	r.apply(PeerUp{Host: "front-2"})
+	r.pass(time.Second)
+	state, _ := find[SendState](r.report("front-2", &wirepb.GateReport{Sequence: 1}))
+	if state.State.GetUnrenewed() {
+		t.Error("gives its term up too soon")
+	}
+	r.pass(time.Second)
+	state, _ = find[SendState](r.report("front-2", &wirepb.GateReport{Sequence: 2}))
+	if !state.State.GetUnrenewed() || !r.core.leads(r.now) {
+		t.Fatal("doesn't say that it can't renew, or stopped by itself")
+	}
+	state, _ = find[SendState](r.report("front-2", &wirepb.GateReport{Sequence: 3, TakesOver: true}))
+	if state.State.GetAbdicates() == 0 || r.core.leads(r.now) {
+		t.Error("doesn't end its term")
+	}
+	if _, sent := find[SendState](r.report("front-2", &wirepb.GateReport{Sequence: 4})); sent {
+		t.Error("answers as the leader after its term")
+	}
+}
+
+func TestFollowerTakesOverOnlyIfTheStoreServesIt(t *testing.T) {
+	r := following(t)
+	r.pass(time.Second)
+	r.apply(ConfigRead{SentAt: r.now})
+	effects := r.state(&wirepb.GateState{Unrenewed: true})
+	if _, reads := find[ReadLease](effects); !reads {
+		t.Fatal("doesn't ask the store")
+	}
+	report, ok := find[SendReport](r.apply(LeaseRead{Record: leaseRecord("front-2", 7), End: 1, Exists: true, SentAt: r.now}))
+	if !ok || !report.Report.GetTakesOver() {
+		t.Fatal("doesn't ask for the lease")
+	}
+	effects = r.state(&wirepb.GateState{Abdicates: 9})
+	if _, appends := find[AppendLease](effects); !appends {
+		t.Error("doesn't take the lease")
+	}
+}
+
+func TestOrdersEndBeforeTheTerm(t *testing.T) {
+	r := leading(t)
+	r.core.leader.planner.Want(r.now, "llm", stockCopy("small"))
+	r.core.leader.hurry = true
+	r.pass(2 * time.Second) // the term lasts 4.6 s, orders 1.6 s
+	r.core.appending = true
+	for _, e := range r.apply(Tick{}) {
+		if _, order := e.(GiveOrder); order {
+			t.Error("gives an order in the quiet part of its term")
+		}
+	}
+}
+
+func TestLeadersReadsServeAnEntryOnlyWhileTheyAreNew(t *testing.T) {
+	r := following(t)
+	r.state(&wirepb.GateState{ConfigVersion: 1, ConfigAgeUs: 200000, RegistryAgeUs: 200000})
+	if r.core.relay.following {
+		t.Error("reads the store beside the leader")
+	}
+	r.pass(1200 * time.Millisecond)
+	follow, ok := find[FollowStore](r.apply(Tick{}))
+	if !ok || !follow.Config || !follow.Registry {
+		t.Error("doesn't read the store when the leader's reads are old")
+	}
+}
+
+func TestNewerConfigurationIsFetchedAndProvesNothingBefore(t *testing.T) {
+	r := following(t)
+	r.pass(3 * time.Second)
+	r.apply(Tick{})
+	proof := r.core.configProof
+	r.core.member.sent[r.core.member.sequence] = r.now
+	if _, fetches := find[FetchConfig](r.state(&wirepb.GateState{ConfigVersion: 2})); !fetches {
+		t.Error("doesn't fetch the newer configuration")
+	}
+	if r.core.configProof.After(proof) {
+		t.Error("a proof of version 2 counts for version 1")
+	}
+}
+
+func TestDrainingEndpointsGetNothing(t *testing.T) {
+	r := serving(t)
+	for _, id := range []string{"shop-1", "shop-2"} {
+		ep := testEndpoint(id, "shop")
+		ep.Draining, ep.Sequence = true, 2
+		r.endpoints(ep)
+	}
+	_, effects := r.arrive("/charge/1", "k2")
+	if _, sent := find[Send](effects); sent {
+		t.Error("sent to a draining endpoint")
+	}
+	r.pass(200 * time.Millisecond)
+	r.wantCode(r.apply(Tick{}), fault.CodeBusy)
+}
+
+func TestOlderAccountOfAnEndpointIsIgnored(t *testing.T) {
+	r := serving(t)
+	newer := testEndpoint("shop-1", "shop")
+	newer.Draining, newer.Sequence = true, 5
+	r.endpoints(newer)
+	r.endpoints(testEndpoint("shop-1", "shop"))
+	if !r.core.endpoints["shop-1"].Draining {
+		t.Error("an older record brought a draining endpoint back")
+	}
+}
+
+// Records may lapse while the store is away; the endpoints count until it has
+// been back for a while.
+func TestEndpointsOutliveTheStoresAbsence(t *testing.T) {
+	r := serving(t)
+	r.apply(StoreFailed{})
+	r.pass(5 * time.Second)
+	r.apply(EndpointsRead{SentAt: r.now, Full: true, Changes: []topo.Change{{ID: "shop-1", Endpoint: testEndpoint("shop-1", "shop")}}})
+	if r.core.endpoints["shop-2"] == nil {
+		t.Error("an endpoint whose record lapsed is gone at once")
+	}
+	r.pass(2400 * time.Millisecond)
+	r.apply(Tick{})
+	if r.core.endpoints["shop-2"] != nil || r.core.endpoints["shop-1"] == nil {
+		t.Error("the missing endpoint stays, or the other one went")
+	}
+}
--- /dev/null
+++ b/internal/rate/rate_test.go
@@ -0,0 +1,85 @@
+package rate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "dogwoodfold/internal/seeds"
+)
+
+var begin = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func TestBucketFillsToItsRoom(t *testing.T) {
+	var b Bucket
+	b.Set(begin, 10, 25)
+	if b.Level(begin) != 0 {
+		t.Error("a new bucket is not empty")
+	}
+	if level := b.Level(begin.Add(2 * time.Second)); level != 20 {
+		t.Errorf("%v tokens after 2 s, want 20", level)
+	}
+	if level := b.Level(begin.Add(time.Minute)); level != 25 {
+		t.Errorf("%v tokens, want the room of 25", level)
+	}
+	if b.Take(begin.Add(time.Minute), 26) || !b.Take(begin.Add(time.Minute), 25) {
+		t.Error("took more than there was, or refused what there was")
+	}
+}
+
+func TestLoweredRateCutsWhatWasGathered(t *testing.T) {
+	var b Bucket
+	b.Set(begin, 10, 100)
+	b.Set(begin.Add(10*time.Second), 1, 5)
+	if level := b.Level(begin.Add(10 * time.Second)); level != 5 {
+		t.Errorf("%v tokens, want 5", level)
+	}
+}
+
+// TestSharesInUseNeverExceedTheirTotal has entries come and go, each using the
+// largest share that it was given within the lifetime of its proof.
+func TestSharesInUseNeverExceedTheirTotal(t *testing.T) {
+	const lifetime = 4 * time.Second
+	rapid.Check(t, func(rt *rapid.T) {
+		a := NewAllot(0.5, lifetime, nil)
+		type grant struct {
+			share float64
+			until time.Time
+		}
+		given := map[string][]grant{}
+		now := begin
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(100, 2500).Draw(rt, "pause")) * time.Millisecond)
+			var hosts []string
+			for i := range 5 {
+				if rapid.Bool().Draw(rt, "there") {
+					hosts = append(hosts, fmt.Sprint("h", i))
+				}
+			}
+			for host, grants := range given { // the last share counts for a lifetime more
+				if n := len(grants); n > 0 && grants[n-1].until.IsZero() {
+					grants[n-1].until = now.Add(lifetime)
+				}
+				given[host] = grants
+			}
+			for host, share := range a.Update(now, hosts) {
+				given[host] = append(given[host], grant{share: share})
+			}
+			sum := 0.0
+			for _, grants := range given {
+				largest := 0.0
+				for _, g := range grants {
+					if g.until.IsZero() || now.Before(g.until) {
+						largest = max(largest, g.share)
+					}
+				}
+				sum += largest
+			}
+			if sum > 0.5+1e-9 {
+				rt.Fatalf("shares of %v in use", sum)
+			}
+		}
+	})
+}
