--- a/internal/gate/fleet_test.go
+++ b/internal/gate/fleet_test.go
@@ -25,8 +25,8 @@
 	return r
 }
 
-func (r *rig) report(host string, report *wirepb.GateReport) []Effect {
-	return r.apply(ReportReceived{Host: host, Report: report})
+func (r *rig) report(report *wirepb.GateReport) []Effect {
+	return r.apply(ReportReceived{Host: "front-2", Report: report})
 }
 
 // The pattern: the store refuses just the leader. It lends on until an entry that
@@ -35,20 +35,20 @@
 	r := leading(t)
 	r.apply(PeerUp{Host: "front-2"})
 	r.pass(time.Second)
-	state, _ := find[SendState](r.report("front-2", &wirepb.GateReport{Sequence: 1}))
+	state, _ := find[SendState](r.report(&wirepb.GateReport{Sequence: 1}))
 	if state.State.GetUnrenewed() {
 		t.Error("gives its term up too soon")
 	}
 	r.pass(time.Second)
-	state, _ = find[SendState](r.report("front-2", &wirepb.GateReport{Sequence: 2}))
+	state, _ = find[SendState](r.report(&wirepb.GateReport{Sequence: 2}))
 	if !state.State.GetUnrenewed() || !r.core.leads(r.now) {
 		t.Fatal("doesn't say that it can't renew, or stopped by itself")
 	}
-	state, _ = find[SendState](r.report("front-2", &wirepb.GateReport{Sequence: 3, TakesOver: true}))
+	state, _ = find[SendState](r.report(&wirepb.GateReport{Sequence: 3, TakesOver: true}))
 	if state.State.GetAbdicates() == 0 || r.core.leads(r.now) {
 		t.Error("doesn't end its term")
 	}
-	if _, sent := find[SendState](r.report("front-2", &wirepb.GateReport{Sequence: 4})); sent {
+	if _, sent := find[SendState](r.report(&wirepb.GateReport{Sequence: 4})); sent {
 		t.Error("answers as the leader after its term")
 	}
 }
