List the gateway's failure points among the verdicts

Cause: TestVerdictsTable failed: the gateway makes all its failures in one place, which no row named. Change: the check takes each call of that place as a point of its own, so that every pair of verdict and code needs a row and a test.

--- a/internal/e2e/verdicts_test.go
+++ b/internal/e2e/verdicts_test.go
@@ -63,6 +63,10 @@
 				points[failurePoint{where, spoken(call.Args[0]), spoken(call.Args[1])}] = true
 			case "fault.Wrap":
 				points[failurePoint{where, spoken(call.Args[1]), spoken(call.Args[2])}] = true
+			case "c.refuse":
+				if where == "gate" { // it makes all its failures there
+					points[failurePoint{where, spoken(call.Args[2]), spoken(call.Args[3])}] = true
+				}
 			}
 			return true
 		})
--- a/internal/gate/core_test.go
+++ b/internal/gate/core_test.go
@@ -9,6 +9,7 @@
 	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/topo"
+	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
 )
 
@@ -304,3 +305,32 @@
 }
 
 func stockCopy(model string) stock.Copy { return stock.Copy{Model: model} }
+
+func TestWithdrawnKeysOfWaitingRequests(t *testing.T) {
+	r := serving(t)
+	id, _ := r.arriveFor(&Request{Host: "h", Path: "/notes/1", Key: "k2", Model: "small", Arrived: r.now})
+	later := testConfig()
+	later.Version = 2
+	later.Customers["free"].Keys = nil
+	effects := r.apply(ConfigRead{Config: later.Index(), SentAt: r.now})
+	r.wantCode(effects, fault.CodeWithdrawn)
+	if _, waits := r.core.parked[id]; waits {
+		t.Error("the request still waits")
+	}
+}
+
+// The pattern: a model that nobody holds is being loaded. A request that can't
+// wait so long is told when to come back; one that can waits.
+func TestModelThatComesTooLateIsRefused(t *testing.T) {
+	r := following(t)
+	r.state(&wirepb.GateState{Arrivals: []*wirepb.GateArrival{{Service: "llm", Model: "small", AfterUs: 9_000_000}}})
+	_, effects := r.arriveFor(&Request{Host: "h", Path: "/chat/1", Key: "k2", Model: "small", Arrived: r.now})
+	r.wantCode(effects, fault.CodeNoEndpoint)
+	if after := fault.RetryAfterOf(r.refused(effects)); after < 8*time.Second || after > 10*time.Second {
+		t.Errorf("come back after %v, want about 9 s", after)
+	}
+	id, _ := r.arriveFor(&Request{Host: "h", Path: "/notes/1", Key: "k2", Model: "small", Arrived: r.now})
+	if _, waits := r.core.parked[id]; !waits {
+		t.Error("a request with 30 s doesn't wait 9 s for its model")
+	}
+}
