Take an endpoint as gone at once if its record goes after the store's return

Change: only the first answer after a return is taken with that doubt. TestRemovalAfterTheStoresReturnCountsAtOnce failed before.

--- a/internal/gate/fleet_test.go
+++ b/internal/gate/fleet_test.go
@@ -153,3 +153,17 @@
 		t.Error("the missing endpoint stays, or the other one went")
 	}
 }
+
+// A record that is removed after the store has come back belongs to an endpoint
+// that leaves: it must get nothing from then on.
+func TestRemovalAfterTheStoresReturnCountsAtOnce(t *testing.T) {
+	r := serving(t)
+	r.apply(StoreFailed{})
+	r.pass(5 * time.Second)
+	r.endpoints(testEndpoint("shop-1", "shop"))
+	r.pass(300 * time.Millisecond)
+	r.apply(EndpointsRead{SentAt: r.now, Changes: []topo.Change{{ID: "shop-1"}}})
+	if r.core.endpoints["shop-1"] != nil {
+		t.Error("an endpoint that was removed after the store's return stays")
+	}
+}
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -77,7 +77,8 @@
 
 // endpointsRead takes an answer of the store on the endpoints.
 func (c *Core) endpointsRead(now time.Time, e EndpointsRead) {
-	if c.registryDown {
+	returned := c.registryDown
+	if returned {
 		c.registryDown = false
 		c.registryBack = now
 		c.note("registry reached again", "", "", now.Sub(c.registryProof))
@@ -87,7 +88,7 @@
 	seen := make(map[string]bool, len(e.Changes))
 	for _, change := range e.Changes {
 		seen[change.ID] = true
-		c.changeEndpoint(now, change)
+		c.changeEndpoint(now, change, returned)
 	}
 	if e.Full {
 		for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
@@ -103,13 +104,18 @@
 	c.tendParked(now)
 }
 
-func (c *Core) changeEndpoint(now time.Time, change topo.Change) {
+// changeEndpoint takes one change. Only in the first answer after the store's
+// return a removal may be of a record that lapsed meanwhile; later ones are of
+// endpoints that leave.
+func (c *Core) changeEndpoint(now time.Time, change topo.Change, returned bool) {
 	switch {
 	case change.Err != nil:
 		c.note("unreadable record of an endpoint", change.ID, change.Err.Error(), 0)
 		c.removeEndpoint(change.ID)
-	case change.Endpoint == nil:
+	case change.Endpoint == nil && returned:
 		c.endpointMissing(now, change.ID)
+	case change.Endpoint == nil:
+		c.removeEndpoint(change.ID)
 	default:
 		c.setEndpoint(now, change.Endpoint)
 	}
