--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -10,12 +10,15 @@
 	"strings"
 	"testing"
 	"time"
+
+	"dogwoodfold/platform"
 )
 
 func TestRequestReachesItsEndpointWithTheSystemsHeadersOnly(t *testing.T) {
 	s := newSite(t)
-	r := s.call(context.Background(), "GET", "/look/7?a=%2F", "X-Tenant", "other", "X-Hold", "h", "Kv-From", "k", "X-Custom", "c")
-	if r.status != 200 || !strings.HasPrefix(r.body, "answer of shop-") || r.header.Get("X-Server-Stamp") == "" {
+	r := s.call(context.Background(), "GET", "/look/7?a=%2F", platform.HeaderCustomer, "other",
+		platform.HeaderHold, "h", platform.HeaderKVFrom, "k", "X-Custom", "c")
+	if r.status != 200 || !strings.HasPrefix(r.body, "answer of shop-") || r.header.Get(platform.HeaderSignature) == "" {
 		t.Fatalf("answered %+v", r)
 	}
 	seen := append(s.shop[0].requests(), s.shop[1].requests()...)
@@ -27,7 +30,7 @@
 		t.Errorf("asked for %s at %s", got.URL.RequestURI(), got.Host)
 	}
 	for name, want := range map[string]string{
-		"X-Tenant": "acme", "X-Api-Key": "", "X-Hold": "", "Kv-From": "", "X-Custom": "c",
+		platform.HeaderCustomer: "acme", platform.HeaderKey: "", platform.HeaderHold: "", platform.HeaderKVFrom: "", "X-Custom": "c",
 	} {
 		if got.Header.Get(name) != want {
 			t.Errorf("%s is %q, want %q", name, got.Header.Get(name), want)
@@ -37,7 +40,7 @@
 
 func TestWrongKeysAndRoutesAreDenied(t *testing.T) {
 	s := newSite(t)
-	if r := s.call(context.Background(), "GET", "/look/1", "X-Api-Key", "no"); r.status != 401 {
+	if r := s.call(context.Background(), "GET", "/look/1", platform.HeaderKey, "no"); r.status != 401 {
 		t.Errorf("a wrong key is answered %d", r.status)
 	}
 	if r := s.call(context.Background(), "GET", "/none/1"); r.status != 404 {
@@ -50,14 +53,14 @@
 func TestSpoiledAnswersOfNonIdempotentRequests(t *testing.T) {
 	spoils := map[string]http.HandlerFunc{
 		"other request": func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("X-Request-Id", "other")
-			w.Header().Set("X-Server-Stamp", "s")
+			w.Header().Set(platform.HeaderRequestID, "other")
+			w.Header().Set(platform.HeaderSignature, "s")
 			w.Header().Set("Connection", "close")
 			_, _ = io.WriteString(w, "not yours")
 		},
 		"no signature": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "unsigned") },
 		"cut": func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("X-Server-Stamp", "s")
+			w.Header().Set(platform.HeaderSignature, "s")
 			w.Header().Set("Content-Length", "100")
 			_, _ = io.WriteString(w, "half")
 		},
@@ -67,7 +70,7 @@
 			s := newSite(t)
 			s.shop[0].answer, s.shop[1].answer = spoil, spoil
 			r := s.call(context.Background(), "POST", "/charge/1")
-			if r.status < 500 || r.status == 503 || r.header.Get("X-Server-Stamp") != "" {
+			if r.status < 500 || r.status == 503 || r.header.Get(platform.HeaderSignature) != "" {
 				t.Errorf("answered %+v", r)
 			}
 			if n := len(s.shop[0].requests()) + len(s.shop[1].requests()); n != 1 {
@@ -80,7 +83,7 @@
 func TestRefusalOfTheEndpointIsNotRun(t *testing.T) {
 	s := newSite(t)
 	full := func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	s.shop[0].answer, s.shop[1].answer = full, full
@@ -94,7 +97,7 @@
 	s := newSite(t)
 	for i := range s.shop {
 		s.shop[i].answer = func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("X-Server-Stamp", "s")
+			w.Header().Set(platform.HeaderSignature, "s")
 			if len(s.shop[0].requests())+len(s.shop[1].requests()) == 1 {
 				w.Header().Set("Content-Length", "100")
 				_, _ = io.WriteString(w, "half")
@@ -110,7 +113,7 @@
 
 // events writes the events from first to last, the last one broken if cut.
 func events(w http.ResponseWriter, first, last int, cut bool) {
-	w.Header().Set("X-Server-Stamp", "s")
+	w.Header().Set(platform.HeaderSignature, "s")
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := first; i <= last; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token\n\n", i)
@@ -138,14 +141,14 @@
 	s := newSite(t)
 	for i := range s.engine {
 		s.engine[i].answer = func(w http.ResponseWriter, r *http.Request) {
-			if r.Header.Get("Last-Event-Id") == "3" {
+			if r.Header.Get(platform.HeaderLastEvent) == "3" {
 				events(w, 4, 6, false)
 				return
 			}
 			events(w, 1, 3, true)
 		}
 	}
-	r := s.call(context.Background(), "POST", "/notes/1", "X-Model", "m")
+	r := s.call(context.Background(), "POST", "/notes/1", platform.HeaderModel, "m")
 	if r.status != 200 || r.err != nil {
 		t.Fatalf("answered %+v", r)
 	}
@@ -157,7 +160,7 @@
 	for i := range s.engine {
 		s.engine[i].answer = func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 3, true) }
 	}
-	r := s.call(context.Background(), "POST", "/chat/1", "X-Model", "m")
+	r := s.call(context.Background(), "POST", "/chat/1", platform.HeaderModel, "m")
 	if r.err == nil {
 		t.Errorf("a broken stream ended as complete: %+v", r)
 	}
@@ -171,7 +174,7 @@
 	left := make(chan struct{}, 2)
 	for i := range s.engine {
 		s.engine[i].answer = func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set("X-Server-Stamp", "s")
+			w.Header().Set(platform.HeaderSignature, "s")
 			_, _ = io.WriteString(w, "id: 1\ndata: token\n\n")
 			w.(http.Flusher).Flush()
 			<-r.Context().Done()
@@ -180,7 +183,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
-	s.call(ctx, "POST", "/chat/1", "X-Model", "m")
+	s.call(ctx, "POST", "/chat/1", platform.HeaderModel, "m")
 	select {
 	case <-left:
 	case <-time.After(2 * time.Second):
@@ -244,7 +247,7 @@
 	for i := range s.shop {
 		s.shop[i].answer = func(w http.ResponseWriter, _ *http.Request) {
 			<-release
-			w.Header().Set("X-Server-Stamp", "s")
+			w.Header().Set(platform.HeaderSignature, "s")
 		}
 	}
 	answered := make(chan reply, 1)
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -235,7 +235,7 @@
 		return result
 	}
 	result.Reason = gate.ReasonMissing
-	if id := x.head.Peek("X-Instance-Id"); len(id) > 0 && string(id) != x.send.Endpoint {
+	if id := x.head.Peek(platform.HeaderRunBy); len(id) > 0 && string(id) != x.send.Endpoint {
 		result.Reason = gate.ReasonElsewhere
 	}
 	return result
--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -155,8 +155,8 @@
 }
 
 func (e *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != e.id {
-		w.Header().Set("X-Instance-Id", e.id)
+	if expected := r.Header.Get(platform.HeaderInstance); expected != "" && expected != e.id {
+		w.Header().Set(platform.HeaderRunBy, e.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -172,12 +172,12 @@
 	e.seen = append(e.seen, r)
 	answer := e.answer
 	e.mu.Unlock()
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
 	if answer != nil {
 		answer(w, r)
 		return
 	}
-	w.Header().Set("X-Server-Stamp", "stamp-"+e.id)
+	w.Header().Set(platform.HeaderSignature, "stamp-"+e.id)
 	_, _ = io.WriteString(w, "answer of "+e.id)
 }
 
@@ -327,9 +327,9 @@
 	}
 	requestNumber++
 	request.Host = "shop.example"
-	request.Header.Set("X-Request-Id", "r-"+strconv.Itoa(requestNumber))
-	request.Header.Set("X-Api-Key", "key-1")
-	request.Header.Set("X-Deadline-Ms", "3000")
+	request.Header.Set(platform.HeaderRequestID, "r-"+strconv.Itoa(requestNumber))
+	request.Header.Set(platform.HeaderKey, "key-1")
+	request.Header.Set(platform.HeaderDeadline, "3000")
 	for i := 0; i < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,6 +9,7 @@
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/wire"
 	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/platform"
 )
 
 const (
@@ -27,6 +28,16 @@
 	return &wirepb.Envelope{Body: &wirepb.Envelope_Gate{Gate: m}}
 }
 
+// hello is how an entry introduces itself to another one.
+func hello(s *platform.Settings, incarnation uint64) *wirepb.Hello {
+	return &wirepb.Hello{
+		Host:        s.Host,
+		Role:        roleEntry,
+		Zone:        s.Zone,
+		Incarnation: incarnation,
+	}
+}
+
 // watchdog closes a session that has received nothing for a while.
 type watchdog struct {
 	timer *time.Timer
@@ -52,12 +63,7 @@
 func newSessions(s *Server, incarnation uint64) *sessions {
 	return &sessions{
 		server: s,
-		self: &wirepb.Hello{
-			Host:        s.settings.Host,
-			Role:        roleEntry,
-			Zone:        s.settings.Zone,
-			Incarnation: incarnation,
-		},
+		self:   hello(s.settings, incarnation),
 		byHost: make(map[string]*wire.Session),
 	}
 }
@@ -142,12 +148,7 @@
 func newLinker(s *Server, incarnation uint64) *linker {
 	return &linker{
 		server: s,
-		self: &wirepb.Hello{
-			Host:        s.settings.Host,
-			Role:        roleEntry,
-			Zone:        s.settings.Zone,
-			Incarnation: incarnation,
-		},
+		self:   hello(s.settings, incarnation),
 		target: make(chan gate.DialLeader, 1),
 	}
 }
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -64,7 +64,7 @@
 	MemoryBytes int64 `json:"memoryBytes"`
 }
 
-// Customer is a tenant with its keys, rate and burst.
+// Customer is a holder of keys with a rate and a burst.
 type Customer struct {
 	// Keys are named, so that a patch can withdraw one.
 	Keys map[string]Key `json:"keys"`
