Let an agent that starts while the log is down learn the terms from another

Cause: a fresh agent takes a view only after it has read the log to its end, since an earlier coordinator could bring back fenced entries. Ruled out: taking any view after a wait; the earlier coordinator may be all that the agent hears. Change: it asks the other agents by way of the entry that sent the view, 3 s after its start. Nothing is fenced without the acknowledgement of all agents, so one that knows has a term as high as any that fenced. For that to hold across restarts an acknowledgement counts for 2 s only, from when it was asked for.

--- a/internal/agent/place.go
+++ b/internal/agent/place.go
@@ -50,7 +50,7 @@
 		return c.foldMessage(now, fold)
 	}
 	if e.Message.GetShare() != nil {
-		return c.viewed(e)
+		return c.shareReceived(now, e)
 	}
 	message := e.Message.GetPlace()
 	if message == nil || c.plain {
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/quota"
 	"dogwoodfold/internal/wire/wirepb"
@@ -12,20 +14,40 @@
 	if s.StaticRates {
 		return nil
 	}
-	return quota.NewGuard()
+	return quota.NewGuard(s.Incarnation)
 }
 
-// viewed takes over a view and tells which one is in force.
-func (c *Core) viewed(e Received) []Effect {
-	view := e.Message.GetShare().GetView()
-	if view == nil || c.guard == nil {
+// shareReceived takes over a view and tells which one is in force, or takes part
+// in finding out which terms are.
+func (c *Core) shareReceived(now time.Time, e Received) []Effect {
+	if c.guard == nil {
 		return nil
 	}
-	ack := &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Ack{Ack: c.guard.Install(view)}}
-	return []Effect{Tell{
-		Session: e.Session,
-		Message: &wirepb.Envelope{Body: &wirepb.Envelope_Share{Share: ack}},
-	}}
+	var effects []Effect
+	switch body := e.Message.GetShare().GetBody().(type) {
+	case *wirepb.ShareMessage_View:
+		ack := c.guard.Install(now, body.View)
+		effects = append(effects, tellShare(e.Session, &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Ack{Ack: ack}}))
+		if question := c.guard.Ask(now); question != nil {
+			effects = append(effects, tellWitness(e.Session, question))
+		}
+	case *wirepb.ShareMessage_Witness:
+		if answer := c.guard.Witness(body.Witness); answer != nil {
+			effects = append(effects, tellWitness(e.Session, answer))
+		}
+	}
+	return effects
+}
+
+func tellWitness(session uint64, w *wirepb.ShareWitness) Effect {
+	return tellShare(session, &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Witness{Witness: w}})
+}
+
+func tellShare(session uint64, m *wirepb.ShareMessage) Effect {
+	return Tell{
+		Session: session,
+		Message: &wirepb.Envelope{Body: &wirepb.Envelope_Share{Share: m}},
+	}
 }
 
 // readViews takes over a page of the stream of views.
--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -29,7 +29,7 @@
 func (s *sim) replaceAgent(i int) {
 	old := s.agents[i]
 	old.dead = true
-	h := &host{name: old.name, guard: quota.NewGuard(), inc: old.inc + 1}
+	h := &host{name: old.name, guard: quota.NewGuard(old.inc + 1), inc: old.inc + 1}
 	s.agents[i] = h
 	s.hosts = append(s.hosts, h)
 	s.poll(h)
--- a/internal/quota/change_test.go
+++ b/internal/quota/change_test.go
@@ -127,6 +127,87 @@
 	s.mustHold(t)
 }
 
+// TestFreshAgentServesWithoutTheLog restarts an agent while the log is down: it
+// learns the terms in force from the other agent.
+func TestFreshAgentServesWithoutTheLog(t *testing.T) {
+	s, _ := settled(t, 3)
+	s.logDown = true
+	s.run(10 * time.Second)
+	s.replaceAgent(0)
+	s.run(5 * time.Second)
+	for _, e := range s.entries {
+		if !s.agents[0].guard.Admits(e.name, e.inc) {
+			t.Errorf("the fresh agent doesn't admit %s", e.name)
+		}
+	}
+}
+
+// TestFreshAgentAloneWithAnEarlierCoordinatorServesNobody is the case of
+// TestFreshAgentObeysNoEarlierCoordinator with the log down: no agent that has
+// taken part in the fencing can be asked.
+func TestFreshAgentAloneWithAnEarlierCoordinatorServesNobody(t *testing.T) {
+	s, c := settled(t, 3)
+	old := s.entries[c]
+	old.paused = true
+	s.run(30 * time.Second)
+	s.logDown = true
+	s.cut = func(a, b string) bool {
+		pair := a == old.name && b == "agent-0" || a == "agent-0" && b == old.name
+		return !pair && (a == old.name || b == old.name || a == "agent-0" || b == "agent-0")
+	}
+	old.late = nil
+	s.resume(old)
+	s.replaceAgent(0)
+	s.run(20 * time.Second)
+	if s.agents[0].guard.Admits(old.name, old.inc) {
+		t.Error("a fresh agent admits an entry that was fenced")
+	}
+}
+
+// TestWitnessOfLaterTermKeepsEarlierCoordinatorOut lets the earlier coordinator
+// reach another agent, which has taken part in the fencing.
+func TestWitnessOfLaterTermKeepsEarlierCoordinatorOut(t *testing.T) {
+	s, c := settled(t, 3)
+	old := s.entries[c]
+	old.paused = true
+	s.run(30 * time.Second)
+	s.logDown = true
+	s.cut = func(a, b string) bool {
+		return a == old.name && b[0] == 'e' || b == old.name && a[0] == 'e' ||
+			a == "agent-0" && b != old.name || b == "agent-0" && a != old.name
+	}
+	old.late = nil
+	s.resume(old)
+	s.replaceAgent(0)
+	s.run(20 * time.Second)
+	if s.agents[0].guard.Admits(old.name, old.inc) {
+		t.Error("a fresh agent admits an entry that was fenced")
+	}
+}
+
+// TestAcknowledgementOfAnEndedAgentDoesNotCount has a share wait for one agent
+// while another, which had acknowledged, is replaced out of the coordinator's
+// sight.
+func TestAcknowledgementOfAnEndedAgentDoesNotCount(t *testing.T) {
+	s, c := settled(t, 3)
+	alone, lead := s.entries[(c+1)%3], s.entries[c]
+	cutFrom := func(agent string) func(a, b string) bool {
+		return func(a, b string) bool {
+			outside := a == alone.name && b[0] != 'a' || b == alone.name && a[0] == 'e'
+			return outside || a == lead.name && b == agent || a == agent && b == lead.name
+		}
+	}
+	s.cut = cutFrom("agent-0")
+	s.run(10 * time.Second) // the view is in force at agent-1 only
+	s.agents[1].dead = true
+	s.run(3 * time.Second)
+	s.cut = cutFrom("agent-1")
+	s.run(8 * time.Second)
+	if held := lead.node.Held("booth") + s.entries[(c+2)%3].node.Held("booth"); held > 0.9 {
+		t.Errorf("a share came back on the word of an ended process: %v held", held)
+	}
+}
+
 // TestKilledEntrysShareIsBack checks the target: 5 s with all agents reachable.
 func TestKilledEntrysShareIsBack(t *testing.T) {
 	s, c := settled(t, 4)
@@ -236,7 +317,8 @@
 // TestViewAfterAHigherClaimIsVoid has a coordinator append a view after another
 // entry has claimed.
 func TestViewAfterAHigherClaimIsVoid(t *testing.T) {
-	g := quota.NewGuard()
+	now := time.Unix(1e9, 0)
+	g := quota.NewGuard(7)
 	page := plat.Page{First: 1, Next: 5}
 	for i, data := range []string{
 		`{"shareClaim":{"host":"a","incarnation":1}}`,
@@ -247,10 +329,10 @@
 		page.Records = append(page.Records, plat.Record{Offset: uint64(i) + 1, Data: json.RawMessage(data)})
 	}
 	g.Read(page)
-	if ack := g.Install(&wirepb.ShareView{Term: 1, Sequence: 3}); ack.GetTerm() != 0 {
+	if ack := g.Install(now, &wirepb.ShareView{Term: 1, Sequence: 3}); ack.GetTerm() != 0 {
 		t.Errorf("a view of term %d is in force, want none before term 3", ack.GetTerm())
 	}
-	if ack := g.Install(&wirepb.ShareView{Term: 3, Sequence: 1}); ack.GetTerm() != 3 {
+	if ack := g.Install(now, &wirepb.ShareView{Term: 3, Sequence: 1}); ack.GetTerm() != 3 {
 		t.Errorf("a view of term %d is in force, want 3", ack.GetTerm())
 	}
 }
--- a/internal/quota/coord.go
+++ b/internal/quota/coord.go
@@ -15,6 +15,9 @@
 	fenceAfter = 2 * time.Second
 	// listLag is how late the platform's list may name an agent.
 	listLag = 5 * time.Second
+	// ackLifetime is how long an agent's acknowledgement counts, from when it was
+	// asked for: its process may end and another one start without a view.
+	ackLifetime = 2 * time.Second
 	// goneAfter is how long an agent that can't be reached must be off the
 	// platform's list to be taken for gone.
 	goneAfter = time.Minute
@@ -54,6 +57,10 @@
 	sequence    uint64
 	sentAt      time.Time
 	sentFor     uint64
+	// attempt counts the sendings of views, ackedAt is when the last one that
+	// was acknowledged was sent.
+	attempt uint64
+	ackedAt time.Time
 	// delisted is when it left the list, zero if it has not.
 	delisted time.Time
 }
@@ -91,7 +98,8 @@
 // claim lists are counted.
 func newCoordinator(now time.Time, b *Book, agents map[string]*watched, limits map[string]Limit) *Coordinator {
 	for _, a := range agents {
-		a.term, a.sequence, a.sentAt = 0, 0, time.Time{}
+		a.term, a.sequence = 0, 0
+		a.sentAt, a.ackedAt = time.Time{}, time.Time{}
 	}
 	return &Coordinator{
 		term:    b.Term,
@@ -265,7 +273,7 @@
 		return false
 	}
 	for _, a := range c.agents {
-		if a.term != c.term || a.sequence < f.sequence {
+		if a.term != c.term || a.sequence < f.sequence || now.Sub(a.ackedAt) > ackLifetime {
 			return false
 		}
 	}
@@ -284,6 +292,9 @@
 func (c *Coordinator) acked(now time.Time, host string, ack *wirepb.ShareViewAck) {
 	if a, known := c.agents[host]; known {
 		a.term, a.sequence = ack.GetTerm(), ack.GetSequence()
+		if ack.GetAttempt() == a.attempt {
+			a.ackedAt = a.sentAt
+		}
 		c.recover(now)
 	}
 }
--- a/internal/quota/guard.go
+++ b/internal/quota/guard.go
@@ -1,29 +1,54 @@
 package quota
 
 import (
+	"time"
+
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/internal/wire/wirepb"
 )
 
+// witnessDelay is how long a fresh agent waits before it asks others for the
+// terms in force. By then no coordinator counts what an earlier process of its
+// host has acknowledged (see ackLifetime).
+const witnessDelay = 3 * time.Second
+
 // Guard is an agent's side of the shares: it admits calls only from the
-// entries that its view lists. A view is taken only if no higher term is
-// known from the log, which a fresh agent must have read to its end once: else
-// an earlier coordinator could bring back entries that were fenced.
+// entries that its view lists. A view is taken only if no higher term is in
+// force, which a fresh agent must know: else an earlier coordinator could bring
+// back entries that were fenced. It knows once it has read the log to its end,
+// or, if the log can't be read, from another agent that knows: a coordinator
+// fences an entry only with the acknowledgement of all agents.
 type Guard struct {
-	book    Book
-	view    *wirepb.ShareView
-	members map[string]uint64
+	incarnation uint64
+	book        Book
+	// startedAt is when the first view came, asked when others were asked.
+	startedAt time.Time
+	asked     time.Time
+	// witnessed says that another agent told the floor, the lowest term taken.
+	witnessed bool
+	floor     uint64
+	view      *wirepb.ShareView
+	members   map[string]uint64
 }
 
-// NewGuard returns a guard without a view.
-func NewGuard() *Guard { return &Guard{} }
+// NewGuard returns the guard of an incarnation of an agent, without a view.
+func NewGuard(incarnation uint64) *Guard { return &Guard{incarnation: incarnation} }
 
 // Read takes over a page of the stream of the fleet.
 func (g *Guard) Read(page plat.Page) { g.book.Read(page) }
 
+// knows reports whether the guard knows which terms are in force.
+func (g *Guard) knows() bool { return g.book.head || g.witnessed }
+
+// term returns the highest term that the guard knows of.
+func (g *Guard) term() uint64 { return max(g.book.Term, g.floor, g.view.GetTerm()) }
+
 // Install takes over a view and returns what is in force.
-func (g *Guard) Install(v *wirepb.ShareView) *wirepb.ShareViewAck {
-	if g.book.head && v.GetTerm() >= g.book.Term && newer(v, g.view) {
+func (g *Guard) Install(now time.Time, v *wirepb.ShareView) *wirepb.ShareViewAck {
+	if g.startedAt.IsZero() {
+		g.startedAt = now
+	}
+	if g.knows() && v.GetTerm() >= max(g.book.Term, g.floor) && newer(v, g.view) {
 		g.view = v
 		g.members = make(map[string]uint64)
 		for _, m := range v.GetMembers() {
@@ -33,7 +58,35 @@
 	return &wirepb.ShareViewAck{
 		Term:     g.view.GetTerm(),
 		Sequence: g.view.GetSequence(),
+		Attempt:  v.GetAttempt(),
+	}
+}
+
+// Ask returns a question to the other agents, nil if none is due.
+func (g *Guard) Ask(now time.Time) *wirepb.ShareWitness {
+	if g.knows() || now.Sub(g.startedAt) < witnessDelay || now.Sub(g.asked) < grantInterval {
+		return nil
+	}
+	g.asked = now
+	return &wirepb.ShareWitness{Incarnation: g.incarnation}
+}
+
+// Witness takes over another agent's answer, or returns the answer to a
+// question, nil if there is none.
+func (g *Guard) Witness(w *wirepb.ShareWitness) *wirepb.ShareWitness {
+	switch {
+	case !w.GetAnswered() && g.knows():
+		return &wirepb.ShareWitness{
+			Asker:       w.GetAsker(),
+			Incarnation: w.GetIncarnation(),
+			Answered:    true,
+			Term:        g.term(),
+		}
+	case w.GetAnswered() && w.GetIncarnation() == g.incarnation:
+		g.witnessed = true
+		g.floor = max(g.floor, w.GetTerm())
 	}
+	return nil
 }
 
 // newer reports whether a view is later than the one in force.
--- a/internal/quota/lead.go
+++ b/internal/quota/lead.go
@@ -52,14 +52,18 @@
 	if c.census {
 		return
 	}
-	view := &wirepb.ShareMessage{Body: &wirepb.ShareMessage_View{View: c.view()}}
 	for _, host := range slices.Sorted(maps.Keys(n.agents)) {
 		a := n.agents[host]
 		behind := a.term != c.term || a.sequence < c.sequence
+		// While shares wait to come back, acknowledgements must stay fresh.
+		behind = behind || len(c.fenced) > 0 && now.Sub(a.ackedAt) > grantInterval
 		resent := a.sentFor == c.sequence && now.Sub(a.sentAt) < grantInterval
 		if a.linked && behind && !resent {
 			a.sentAt, a.sentFor = now, c.sequence
-			n.tell(now, host, view)
+			a.attempt++
+			view := c.view()
+			view.Attempt = a.attempt
+			n.tell(now, host, &wirepb.ShareMessage{Body: &wirepb.ShareMessage_View{View: view}})
 		}
 	}
 }
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -248,6 +249,24 @@
 		if n.coordinator != nil {
 			n.coordinator.acked(now, from, body.Ack)
 		}
+	case *wirepb.ShareMessage_Witness:
+		n.passWitness(now, from, body.Witness)
+	}
+}
+
+// passWitness hands an agent's question on to the others, and an answer to the
+// agent that asked.
+func (n *Node) passWitness(now time.Time, from string, w *wirepb.ShareWitness) {
+	message := &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Witness{Witness: w}}
+	if w.GetAnswered() {
+		n.tell(now, w.GetAsker(), message)
+		return
+	}
+	w.Asker = from
+	for _, host := range slices.Sorted(maps.Keys(n.agents)) {
+		if host != from && n.agents[host].linked {
+			n.tell(now, host, message)
+		}
 	}
 }
 
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -146,7 +146,8 @@
 }
 
 func (s *sim) addAgent(name string) *host {
-	h := &host{name: name, guard: quota.NewGuard(), inc: s.random.Uint64() | 1}
+	inc := s.random.Uint64() | 1
+	h := &host{name: name, guard: quota.NewGuard(inc), inc: inc}
 	s.agents, s.hosts = append(s.agents, h), append(s.hosts, h)
 	s.poll(h)
 	return h
@@ -275,8 +276,21 @@
 		s.do(h, h.node.Received(s.now, from.name, m))
 		return
 	}
-	ack := h.guard.Install(m.GetView())
+	if w := m.GetWitness(); w != nil {
+		s.witness(h, from, h.guard.Witness(w))
+		return
+	}
+	ack := h.guard.Install(s.now, m.GetView())
 	s.send(h, from.name, &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Ack{Ack: ack}})
+	s.witness(h, from, h.guard.Ask(s.now))
+}
+
+// witness sends an agent's question or answer to an entry, if there is one.
+func (s *sim) witness(h, to *host, w *wirepb.ShareWitness) {
+	if w != nil {
+		w = proto.Clone(w).(*wirepb.ShareWitness)
+		s.send(h, to.name, &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Witness{Witness: w}})
+	}
 }
 
 func (s *sim) kill(h *host) {
