Keep the copy of a model that serves while others are on their way

Two copies of it were being loaded (9 s), counted as copies, and made the only one that served dispensable; it was unloaded. Found by the requests that ended without a decision and the orders just before them. Ruled out: silent connections, the tokens' pools. Change: what may be given up is counted over copies that serve. TestServingCopyStaysWhileOthersAreLoaded failed before.

--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -177,18 +177,39 @@
 	if len(engines) == 0 {
 		return
 	}
-	copies := make(map[string]int)
+	c := count(engines)
+	for _, n := range p.needs(now, service, engines[0].spec, c.all, len(engines)) {
+		p.serveNeed(now, service, engines, n, c, plan)
+	}
+}
+
+// census is how many copies of each model usable engines hold.
+type census struct {
+	// all includes those that are being loaded, serving does not.
+	all     map[string]int
+	serving map[string]int
+}
+
+func count(engines []*engine) census {
+	c := census{
+		all:     make(map[string]int),
+		serving: make(map[string]int),
+	}
 	for _, e := range engines {
+		if !e.usable {
+			continue
+		}
 		for model := range e.models {
 			weights := Copy{Model: model}
-			if e.usable && (!e.changing(weights) || e.loading(weights)) {
-				copies[model]++
+			if !e.changing(weights) {
+				c.serving[model]++
+			}
+			if !e.changing(weights) || e.loading(weights) {
+				c.all[model]++
 			}
 		}
 	}
-	for _, n := range p.needs(now, service, engines[0].spec, copies, len(engines)) {
-		p.serveNeed(now, service, engines, n, copies, plan)
-	}
+	return c
 }
 
 // needs returns the models that lack copies, the most urgent first.
@@ -251,10 +272,10 @@
 )
 
 // serveNeed loads a model where that costs least, or makes room for it.
-func (p *Planner) serveNeed(now time.Time, service string, engines []*engine, n need, copies map[string]int, plan *Plan) {
+func (p *Planner) serveNeed(now time.Time, service string, engines []*engine, n need, c census, plan *Plan) {
 	var best *offer
 	for _, e := range engines {
-		o := p.offer(now, service, e, n, copies)
+		o := p.offer(now, service, e, n, c)
 		if o != nil && (best == nil || o.cost < best.cost) {
 			best = o
 		}
@@ -264,7 +285,8 @@
 	}
 	e := best.engine
 	if best.victim != "" {
-		copies[best.victim]--
+		c.all[best.victim]--
+		c.serving[best.victim]--
 		if best.source == fromStore {
 			p.reserve(now, service, e)
 		}
@@ -276,7 +298,7 @@
 		p.reserve(now, service, e)
 		e.reservedAt = time.Time{}
 	}
-	copies[n.model]++
+	c.all[n.model]++
 	took := map[source]time.Duration{
 		fromStore:  spec.LoadTime,
 		fromDisk:   spec.DiskTime,
@@ -286,7 +308,7 @@
 }
 
 // offer returns how an engine could get a model, nil if it can't now.
-func (p *Planner) offer(now time.Time, service string, e *engine, n need, copies map[string]int) *offer {
+func (p *Planner) offer(now time.Time, service string, e *engine, n need, c census) *offer {
 	spec := e.spec.Models[n.model]
 	if _, held := e.models[n.model]; held || spec == nil || !e.ready() {
 		return nil
@@ -308,7 +330,7 @@
 	if e.space() >= spec.Size {
 		return o
 	}
-	victim, loss := p.victim(now, service, e, n, copies)
+	victim, loss := p.victim(now, service, e, n, c)
 	if victim == "" {
 		return nil
 	}
@@ -322,7 +344,7 @@
 
 // victim returns the model of an engine that is missed least, if giving it up
 // for the needed one is a gain.
-func (p *Planner) victim(now time.Time, service string, e *engine, n need, copies map[string]int) (string, float64) {
+func (p *Planner) victim(now time.Time, service string, e *engine, n need, c census) (string, float64) {
 	best, lowest := "", math.Inf(1)
 	gain := n.rate / float64(n.copies+1)
 	if n.copies == 0 && n.wanted {
@@ -333,8 +355,8 @@
 			continue
 		}
 		rate := p.rate(now, service, model)
-		loss := rate / float64(max(copies[model]-1, 1))
-		if copies[model] <= 1 && !p.dispensable(now, service, model, n) {
+		loss := rate / float64(max(c.serving[model]-1, 1))
+		if c.serving[model] <= 1 && !p.dispensable(now, service, model, n) {
 			continue
 		}
 		if loss*evictGain >= gain && loss > idleDemand {
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -24,7 +24,7 @@
 	return p
 }
 
-func count(orders []Order, load bool) int {
+func counted(orders []Order, load bool) int {
 	n := 0
 	for _, o := range orders {
 		if o.Load == load {
@@ -56,7 +56,7 @@
 			p.Demand(now, "llm", Copy{Model: "d"}, 100*time.Millisecond)
 		}
 		plan := p.Plan(now)
-		given += count(plan.Orders, false)
+		given += counted(plan.Orders, false)
 		for _, o := range plan.Orders {
 			p.Answered(now, o, Accepted)
 		}
@@ -107,7 +107,36 @@
 	for _, m := range []string{"b", "c", "d", "e"} {
 		p.Want(begin, "llm", Copy{Model: m})
 	}
-	if n := count(p.Plan(begin).Orders, true); n != 2 {
+	if n := counted(p.Plan(begin).Orders, true); n != 2 {
 		t.Errorf("%d loads in the window of the predecessor, want 2", n)
 	}
 }
+
+// The pattern: a model rises, and copies of it are on their way when another one
+// rises more. Copies on their way don't serve yet, so they don't make the one
+// that does dispensable.
+func TestServingCopyStaysWhileOthersAreLoaded(t *testing.T) {
+	p := fleet(simSpec(), []string{"a", "b", "c"}, []string{"e"}, []string{"d", "e"})
+	now := begin.Add(10 * time.Second)
+	loads := 0
+	for i := range 40 {
+		p.Demand(now, "llm", Copy{Model: "a"}, 10*time.Millisecond)
+		p.Demand(now, "llm", Copy{Model: "b"}, 10*time.Millisecond)
+		p.Demand(now, "llm", Copy{Model: "c"}, 100*time.Millisecond)
+		if i >= 10 {
+			p.Demand(now, "llm", Copy{Model: "d"}, time.Second)
+		}
+		orders := p.Plan(now).Orders
+		loads += counted(orders, true)
+		for _, o := range orders {
+			if !o.Load && o.Model == "c" {
+				t.Fatal("gives up the only copy of c that serves")
+			}
+			p.Answered(now, o, Accepted)
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	if loads < 2 {
+		t.Errorf("%d loads, want both engines with room to load c", loads)
+	}
+}
