Take a removal for a lapse only after an outage, and let others see doubt

An entry whose read had failed once, and that lived by the leader's reads since, took the next answer of its own (as the new leader, at 24.5 s to 26 s) for the store's return and kept the removed endpoint for 2.3 s; the others relied on its account. Change: records may have lapsed only if nobody read the registry for 1.8 s. While an entry keeps endpoints whose records are missing, it tells others nothing of them and that its account is old, so that they read the store themselves. TestFailedReadIsNoOutage and TestOthersDontRelyOnDoubtfulEndpoints failed before.

--- a/internal/gate/fleet_test.go
+++ b/internal/gate/fleet_test.go
@@ -167,3 +167,43 @@
 		t.Error("an endpoint that was removed after the store's return stays")
 	}
 }
+
+// The pattern: an entry lives by the leader's reads, and the first read of its own
+// fails, since its connection had become old. A removal in the next answer is of
+// an endpoint that leaves.
+func TestFailedReadIsNoOutage(t *testing.T) {
+	r := following(t)
+	r.pass(time.Second)
+	r.core.member.sent[r.core.member.sequence] = r.now
+	r.state(&wirepb.GateState{ConfigVersion: 1})
+	r.pass(1400 * time.Millisecond)
+	r.apply(StoreFailed{})
+	r.pass(250 * time.Millisecond)
+	r.apply(EndpointsRead{SentAt: r.now, Full: true, Changes: []topo.Change{{ID: "shop-1", Endpoint: testEndpoint("shop-1", "shop")}}})
+	if r.core.endpoints["shop-2"] != nil {
+		t.Error("an endpoint that has left stays after a read that failed")
+	}
+}
+
+// The pattern: the leader was cut off from the store. While it keeps endpoints
+// whose records are missing, the others must not rely on its account.
+func TestOthersDontRelyOnDoubtfulEndpoints(t *testing.T) {
+	r := leading(t)
+	r.apply(StoreFailed{})
+	r.pass(3 * time.Second)
+	r.apply(Tick{})
+	r.apply(EndpointsRead{SentAt: r.now, Full: true, Changes: []topo.Change{{ID: "shop-1", Endpoint: testEndpoint("shop-1", "shop")}}})
+	r.apply(PeerUp{Host: "front-2"})
+	state, ok := find[SendState](r.report(&wirepb.GateReport{Sequence: 1}))
+	if !ok {
+		t.Fatal("no state is sent")
+	}
+	if time.Duration(state.State.GetRegistryAgeUs())*time.Microsecond < relayLimit {
+		t.Error("others take an account with doubtful endpoints for new")
+	}
+	for _, e := range state.State.GetEndpoints() {
+		if e.GetId() == "shop-2" {
+			t.Error("a doubtful endpoint is told to others")
+		}
+	}
+}
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -98,10 +98,10 @@
 		s.ConfigVersion = c.config.Version
 	}
 	s.ConfigAgeUs = uint64(now.Sub(c.configProof).Microseconds())
-	s.RegistryAgeUs = uint64(now.Sub(c.registryProof).Microseconds())
+	s.RegistryAgeUs = uint64(c.registryAge(now).Microseconds())
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
 		e := c.endpoints[id]
-		if p.endpoints[id] == e.revision {
+		if _, doubtful := c.missing[id]; doubtful || p.endpoints[id] == e.revision {
 			continue
 		}
 		p.endpoints[id] = e.revision
@@ -125,6 +125,17 @@
 	}
 }
 
+// registryAge returns the age of this entry's account of the endpoints for
+// others. While it keeps endpoints whose records are missing, others must read
+// the store themselves: it may keep one that has left.
+func (c *Core) registryAge(now time.Time) time.Duration {
+	age := now.Sub(c.registryProof)
+	if len(c.missing) > 0 {
+		return max(age, relayLimit)
+	}
+	return age
+}
+
 // pushStates tells all entries at once what has changed.
 func (c *Core) pushStates(now time.Time) {
 	if !c.leads(now) {
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -28,6 +28,9 @@
 	// absentTime is how long an endpoint's word that it lacks a copy outweighs
 	// older accounts.
 	absentTime = 1500 * time.Millisecond
+	// leastOutage is for how long nobody must have read the registry for records
+	// to have lapsed; a single read that failed is no outage.
+	leastOutage = 1800 * time.Millisecond
 	// toldLifetime is how long the leader's account goes before the registry's.
 	toldLifetime = 4 * time.Second
 )
@@ -77,13 +80,15 @@
 
 // endpointsRead takes an answer of the store on the endpoints.
 func (c *Core) endpointsRead(now time.Time, e EndpointsRead) {
-	returned := c.registryDown
+	returned := c.registryDown && e.SentAt.Sub(c.registryProof) > leastOutage
+	c.registryDown = false
 	if returned {
-		c.registryDown = false
 		c.registryBack = now
 		c.note("registry reached again", "", "", now.Sub(c.registryProof))
 	}
-	c.registryProof = e.SentAt
+	if e.SentAt.After(c.registryProof) {
+		c.registryProof = e.SentAt
+	}
 	revision := c.revisions
 	seen := make(map[string]bool, len(e.Changes))
 	for _, change := range e.Changes {
