Refuse a stream whose model comes after its client has abandoned it

Requests for a model that nobody loads yet were told to come back after 0.3 s. Change: nobody waits beyond that; the time to return is that of the load. TestNobodyWaitsBeyondTheClientsPatienceForAStream failed before.

--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -300,30 +300,52 @@
 		return
 	}
 	c.want(now, k)
+	arrival, loading := c.arrival(now, k)
 	until := c.patience(k)
-	if arrival, loading := c.arrival(now, k); loading {
-		// A model that is on its way is worth the wait if the answer can still
-		// be of use.
-		until = earlier(arrival.Add(arrivalSlack), k.limit.Add(-answerReserve))
-		if arrival.After(k.request.Arrived.Add(c.loadPatience(k))) {
-			c.refuse(now, k, fault.NotRun, fault.CodeNoEndpoint, "the model is being loaded", arrival.Sub(now))
-			return
-		}
+	switch {
+	case loading && arrival.After(k.waitLimit()):
+		c.refuse(now, k, fault.NotRun, fault.CodeNoEndpoint, "the model is being loaded", arrival.Sub(now)+c.spread(shortRetry))
+		return
+	case loading:
+		until = earlier(arrival.Add(arrivalSlack), k.waitLimit())
+	case !now.Before(until):
+		c.refuse(now, k, fault.NotRun, fault.CodeNoEndpoint, "no endpoint holds the model", c.loadTime(now, k, service))
+		return
 	}
 	c.park(now, k, until)
 }
 
+// loadTime returns when a copy that nobody holds or loads may be there: an
+// adapter soon, a model after a load that has yet to begin.
+func (c *Core) loadTime(now time.Time, k *call, service *topo.Service) time.Duration {
+	m := service.Engine.Models[k.request.Model]
+	if m == nil || c.modelHeld(now, k) {
+		return c.spread(shortRetry)
+	}
+	return m.LoadTime + c.spread(shortRetry)
+}
+
 const (
 	// arrivalSlack is how much later than expected a load may end.
 	arrivalSlack = 1500 * time.Millisecond
-	// loadShare is the part of its time that a request may wait for a load.
-	loadShare = 0.6
+	// leastAbandon, objectiveAbandon and gapAbandon tell when clients abandon a
+	// stream without a first event: after the longest of the first, that many
+	// objectives, and that many of the longest pauses.
+	leastAbandon     = 2 * time.Second
+	objectiveAbandon = 4
+	gapAbandon       = 8
+	// abandonReserve is the time for the first event to come before that.
+	abandonReserve = 300 * time.Millisecond
 )
 
-// loadPatience returns how long after its arrival a call may wait for a load.
-func (c *Core) loadPatience(k *call) time.Duration {
-	whole := k.limit.Sub(k.request.Arrived)
-	return max(k.route.Objective, time.Duration(float64(whole)*loadShare))
+// waitLimit returns until when waiting for an endpoint is of use to the client.
+func (k *call) waitLimit() time.Time {
+	limit := k.limit.Add(-answerReserve)
+	if k.route.Kind != topo.Stream {
+		return limit
+	}
+	abandon := max(leastAbandon, k.route.Objective*objectiveAbandon, k.route.GapObjective*gapAbandon)
+	return earlier(limit, k.request.Arrived.Add(abandon-abandonReserve))
 }
 
 // park lets a call wait until something changes, at most until a time.
--- a/internal/gate/core_test.go
+++ b/internal/gate/core_test.go
@@ -334,3 +334,23 @@
 		t.Error("a request with 30 s doesn't wait 9 s for its model")
 	}
 }
+
+// The pattern: the only copy of a busy model is gone and a load takes 9 s. Clients
+// abandon a stream without a first event after 2 s (here), so waiting longer is
+// of no use to them: they are told when the model is there.
+func TestNobodyWaitsBeyondTheClientsPatienceForAStream(t *testing.T) {
+	r := following(t)
+	r.core.config.Route("h", "/chat/1").Timeout = 15 * time.Second
+	r.state(&wirepb.GateState{Arrivals: []*wirepb.GateArrival{{Service: "llm", Model: "small", AfterUs: 8_500_000}}})
+	_, effects := r.arriveFor(&Request{Host: "h", Path: "/chat/1", Key: "k2", Model: "small", Arrived: r.now})
+	r.wantCode(effects, fault.CodeNoEndpoint)
+	if after := fault.RetryAfterOf(r.refused(effects)); after < 8*time.Second || after > 10*time.Second {
+		t.Errorf("come back after %v, want about 9 s", after)
+	}
+	r.core.member.sent[r.core.member.sequence] = r.now
+	r.state(&wirepb.GateState{Arrivals: []*wirepb.GateArrival{{Service: "llm", Model: "small", AfterUs: 1_000_000}}})
+	id, _ := r.arriveFor(&Request{Host: "h", Path: "/chat/1", Key: "k2", Model: "small", Arrived: r.now})
+	if _, waits := r.core.parked[id]; !waits {
+		t.Error("doesn't wait a second for the model")
+	}
+}
