Have the leader assign engines, so that prompts are spaced and rates are whole

Cause, by the logs of the grown sites: a third of the streams of large models is late though its first event is in time; pauses peak at 343 ms, three steps of an engine that each read a full piece of a prompt, with three tokens an event. 26 entries send to the engines of a model without knowing of each other. Ruled out: too few engines (a fifth of their time goes to prompts on average), transport. Change: an entry asks the leader for an engine and a time (one round trip; after 150 ms without an answer, or without a leader, it chooses by itself as before). The leader keeps a timeline of prompts for each engine, gives each its start, and lowers the part of the time that prompts may take while streams pause. Requests with seconds to spare let the others go first. What can't be in time is refused at once. Speeds of models are learned from busy engines too: the fastest model counted as ten times slower and was refused beside idle engines. Two more causes were measured in the same runs: standing shares of low rates (50 tokens a second for requests of 1,500) never gathered a request's tokens, so these rates are now lent by the leader as a whole and idle tokens go back; each entry without a leader read the store 5 times a second, now half as often.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -314,6 +314,7 @@
 			result := s.attempt(in, e)
 			in.verdict = result.Outcome.String()
 			in.reason = result.Reason.String()
+			result.Pause = in.pause
 			s.post(gate.Ended{
 				Call:   in.id,
 				Result: result,
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dogwoodfold/platform"
+	"dogwoodfold/platform/fakes"
 )
 
 func TestRequestReachesItsEndpointWithTheSystemsHeadersOnly(t *testing.T) {
@@ -196,7 +197,7 @@
 	if r := s.call(context.Background(), "GET", "/look/1"); r.status != 200 {
 		t.Fatalf("answered %d", r.status)
 	}
-	s.store.put("keyed.op", "config", testConfig(2, "key-2"))
+	s.store.Put(fakes.TopicOperator, fakes.KeyConfig, testConfig(2, "key-2"))
 	s.await("the key is withdrawn", func() bool { return s.call(context.Background(), "GET", "/look/1").status == 401 })
 }
 
@@ -204,10 +205,10 @@
 // run, and is not ready.
 func TestKeysNeedTheStore(t *testing.T) {
 	s := newSite(t)
-	s.store.setFail(http.StatusServiceUnavailable)
+	s.store.Fail(http.StatusServiceUnavailable)
 	s.await("keys are refused", func() bool { return s.call(context.Background(), "GET", "/look/1").status == 503 })
 	s.await("the entry is not ready", func() bool { return s.status(s.ready) == 503 })
-	s.store.setFail(0)
+	s.store.Fail(0)
 	s.await("keys work again", func() bool { return s.call(context.Background(), "GET", "/look/1").status == 200 })
 }
 
--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/binary"
-	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,132 +14,9 @@
 	"github.com/rs/zerolog"
 
 	"dogwoodfold/platform"
+	"dogwoodfold/platform/fakes"
 )
 
-// fakeStore speaks the store's protocol for keyed topics of one partition.
-type fakeStore struct {
-	mu     sync.Mutex
-	topics map[string][][]byte
-	grown  chan struct{}
-	// fail makes all calls fail with a status.
-	fail int
-}
-
-func newFakeStore() *fakeStore {
-	return &fakeStore{topics: map[string][][]byte{}, grown: make(chan struct{})}
-}
-
-func (s *fakeStore) put(topic, key string, value any) {
-	text, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	if value == nil {
-		text = nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.add(topic, append(append([]byte{byte(len(key))}, key...), text...))
-}
-
-func (s *fakeStore) add(topic string, record []byte) {
-	s.topics[topic] = append(s.topics[topic], record)
-	close(s.grown)
-	s.grown = make(chan struct{})
-}
-
-func (s *fakeStore) setFail(status int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fail = status
-}
-
-func (s *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	fail := s.fail
-	s.mu.Unlock()
-	if fail != 0 {
-		w.WriteHeader(fail)
-		return
-	}
-	q := r.URL.Query()
-	switch r.URL.Path {
-	case "/v1/log-append":
-		s.serveAppend(w, r, q.Get("topic"), q.Get("at"))
-	case "/v1/log-newest":
-		s.serveNewest(w, q.Get("topic"))
-	case "/v1/log-read":
-		from, _ := strconv.Atoi(q.Get("from"))
-		wait, _ := strconv.Atoi(q.Get("waitMs"))
-		s.serveRead(w, q.Get("topic"), from, time.Duration(wait)*time.Millisecond)
-	}
-}
-
-func (s *fakeStore) serveAppend(w http.ResponseWriter, r *http.Request, topic, at string) {
-	body, _ := io.ReadAll(r.Body)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	end := len(s.topics[topic])
-	if at != "" && at != strconv.Itoa(end) {
-		w.WriteHeader(http.StatusPreconditionFailed)
-		return
-	}
-	s.add(topic, body[4:])
-	_, _ = fmt.Fprintf(w, `{"offset":%d,"end":%d}`, end, end+1)
-}
-
-func (s *fakeStore) serveNewest(w http.ResponseWriter, topic string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	newest := map[string]int{}
-	for i, r := range s.topics[topic] {
-		newest[string(r[1:1+r[0]])] = i
-	}
-	type item struct {
-		Key    string `json:"key"`
-		Value  string `json:"value"`
-		Offset int    `json:"offset"`
-	}
-	out := struct {
-		Items []item `json:"items"`
-		End   int    `json:"end"`
-	}{Items: []item{}, End: len(s.topics[topic])}
-	for key, i := range newest {
-		r := s.topics[topic][i]
-		if value := r[1+r[0]:]; len(value) > 0 {
-			out.Items = append(out.Items, item{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: i})
-		}
-	}
-	_ = json.NewEncoder(w).Encode(out)
-}
-
-func (s *fakeStore) serveRead(w http.ResponseWriter, topic string, from int, wait time.Duration) {
-	until := time.After(wait)
-	for {
-		s.mu.Lock()
-		records, grown := s.topics[topic], s.grown
-		s.mu.Unlock()
-		if from < len(records) {
-			out := make([]byte, 16)
-			binary.BigEndian.PutUint64(out, uint64(len(records)))
-			for _, r := range records[from:] {
-				out = binary.BigEndian.AppendUint32(out, uint32(len(r)))
-				out = append(out, r...)
-			}
-			_, _ = w.Write(out)
-			return
-		}
-		select {
-		case <-grown:
-		case <-until:
-			out := make([]byte, 16)
-			binary.BigEndian.PutUint64(out, uint64(len(records)))
-			_, _ = w.Write(out)
-			return
-		}
-	}
-}
-
 // fakeEndpoint is a worker whose answers a test chooses.
 type fakeEndpoint struct {
 	id      string
@@ -202,7 +75,7 @@
 // site is an entry with its surroundings on the loopback interface.
 type site struct {
 	t      *testing.T
-	store  *fakeStore
+	store  *fakes.Store
 	shop   [2]*fakeEndpoint
 	engine [2]*fakeEndpoint
 	entry  *Server
@@ -258,17 +131,17 @@
 
 // newSite starts an entry before two plain endpoints and two engines.
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: newFakeStore()}
+	s := &site{t: t, store: fakes.NewStore()}
 	storeAddress := netip.MustParseAddrPort(listenLoopback(t, s.store))
 	start := func(id, service string, models ...string) *fakeEndpoint {
 		e := &fakeEndpoint{id: id, left: make(chan struct{}, 8)}
 		e.address = listenLoopback(t, e)
-		s.store.put("keyed.servers", id, e.beat(service, models...))
+		s.store.Put(fakes.TopicEndpoints, id, e.beat(service, models...))
 		return e
 	}
 	s.shop = [2]*fakeEndpoint{start("shop-1", "shop"), start("shop-2", "shop")}
 	s.engine = [2]*fakeEndpoint{start("llm-1", "llm", "m"), start("llm-2", "llm", "m")}
-	s.store.put("keyed.op", "config", testConfig(1, "key-1", "key-2"))
+	s.store.Put(fakes.TopicOperator, fakes.KeyConfig, testConfig(1, "key-1", "key-2"))
 	settings := &platform.Settings{
 		Host: "front-1", Zone: "a", Listen: freePort(t), Ready: freePort(t), Peers: freePort(t), Metrics: freePort(t),
 		Store: storeAddress, ConfigBound: 2 * time.Second, RevokeBound: 5 * time.Second, DrainBound: 2 * time.Second,
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -11,10 +11,14 @@
 )
 
 const (
-	// configWait is how long the store may hold a read of the configuration.
-	configWait = 350 * time.Millisecond
-	// registryPause is the time between two reads of the endpoints.
-	registryPause = 450 * time.Millisecond
+	// configWait is how long the store may hold a read of the configuration for
+	// all entries, ownConfigWait one for this entry alone.
+	configWait    = 350 * time.Millisecond
+	ownConfigWait = 900 * time.Millisecond
+	// registryPause is the time between two reads of the endpoints for all
+	// entries, ownRegistryPause for this entry alone.
+	registryPause    = 450 * time.Millisecond
+	ownRegistryPause = 800 * time.Millisecond
 	// failurePause is the time after which a failed read is tried again.
 	failurePause = 250 * time.Millisecond
 	// firstReads is how soon endpoints are read again until some are known.
@@ -81,7 +85,10 @@
 	if next < 0 {
 		return s.store.NewestConfig()
 	}
-	return s.store.ReadConfig(next, configWait)
+	if s.configTap.forAll() {
+		return s.store.ReadConfig(next, configWait)
+	}
+	return s.store.ReadConfig(next, ownConfigWait)
 }
 
 // followEndpoints keeps the list of endpoints current.
@@ -117,7 +124,11 @@
 			pause(ctx, firstReads)
 			continue
 		}
-		pause(ctx, jitter(registryPause))
+		if s.registryTap.forAll() {
+			pause(ctx, jitter(registryPause))
+			continue
+		}
+		pause(ctx, jitter(ownRegistryPause))
 	}
 }
 
@@ -132,7 +143,9 @@
 type tap struct {
 	mu   sync.Mutex
 	open bool
-	wake chan struct{}
+	// leads is true while all entries rely on the follower.
+	leads bool
+	wake  chan struct{}
 }
 
 func newTap() *tap {
@@ -142,9 +155,10 @@
 	}
 }
 
-func (t *tap) set(open bool) {
+func (t *tap) set(open, forAll bool) {
 	t.mu.Lock()
 	t.open = open
+	t.leads = forAll
 	t.mu.Unlock()
 	select {
 	case t.wake <- struct{}{}:
@@ -158,6 +172,13 @@
 	return t.open
 }
 
+// forAll reports whether all entries rely on what is read.
+func (t *tap) forAll() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leads
+}
+
 // wait returns when the tap is open or ctx has ended. It reports whether it had
 // to wait.
 func (t *tap) wait(ctx context.Context) bool {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -106,10 +106,16 @@
 	dog := newWatchdog(session)
 	err = session.Run(ctx, func(e *wirepb.Envelope) {
 		dog.heard()
-		if report := e.GetGate().GetReport(); report != nil {
+		switch body := e.GetGate().GetBody().(type) {
+		case *wirepb.GateMessage_Report:
 			ss.server.post(gate.ReportReceived{
 				Host:   host,
-				Report: report,
+				Report: body.Report,
+			})
+		case *wirepb.GateMessage_Booking:
+			ss.server.post(gate.BookingReceived{
+				Host:    host,
+				Booking: body.Booking,
 			})
 		}
 	})
@@ -126,12 +132,12 @@
 	}
 }
 
-func (ss *sessions) send(host string, state *wirepb.GateState) {
+func (ss *sessions) send(host string, m *wirepb.GateMessage) {
 	ss.mu.Lock()
 	session := ss.byHost[host]
 	ss.mu.Unlock()
 	if session != nil {
-		session.Send(envelope(&wirepb.GateMessage{Body: &wirepb.GateMessage_State{State: state}}))
+		session.Send(envelope(m))
 	}
 }
 
@@ -216,10 +222,16 @@
 	dog := newWatchdog(session)
 	err = session.Run(ctx, func(m *wirepb.Envelope) {
 		dog.heard()
-		if state := m.GetGate().GetState(); state != nil {
+		switch body := m.GetGate().GetBody().(type) {
+		case *wirepb.GateMessage_State:
 			l.server.post(gate.StateReceived{
 				Host:  e.Host,
-				State: state,
+				State: body.State,
+			})
+		case *wirepb.GateMessage_Booked:
+			l.server.post(gate.BookedReceived{
+				Host:   e.Host,
+				Booked: body.Booked,
 			})
 		}
 	})
@@ -235,11 +247,11 @@
 	l.session = session
 }
 
-func (l *linker) send(report *wirepb.GateReport) {
+func (l *linker) send(m *wirepb.GateMessage) {
 	l.mu.Lock()
 	session := l.session
 	l.mu.Unlock()
 	if session != nil {
-		session.Send(envelope(&wirepb.GateMessage{Body: &wirepb.GateMessage_Report{Report: report}}))
+		session.Send(envelope(m))
 	}
 }
--- a/internal/edge/perform.go
+++ b/internal/edge/perform.go
@@ -6,6 +6,7 @@
 
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/stock"
+	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/platform"
 )
 
@@ -27,16 +28,20 @@
 	case gate.DialLeader:
 		s.link.set(e)
 	case gate.SendReport:
-		s.link.send(e.Report)
+		s.link.send(&wirepb.GateMessage{Body: &wirepb.GateMessage_Report{Report: e.Report}})
+	case gate.SendBooking:
+		s.link.send(&wirepb.GateMessage{Body: &wirepb.GateMessage_Booking{Booking: e.Booking}})
+	case gate.SendBooked:
+		s.sessions.send(e.Host, &wirepb.GateMessage{Body: &wirepb.GateMessage_Booked{Booked: e.Booked}})
 	case gate.SendState:
-		s.sessions.send(e.Host, e.State)
+		s.sessions.send(e.Host, &wirepb.GateMessage{Body: &wirepb.GateMessage_State{State: e.State}})
 	case gate.GiveOrder:
 		go s.giveOrder(e)
 	case gate.AskEngine:
 		go s.askEngine(e)
 	case gate.FollowStore:
-		s.configTap.set(e.Config)
-		s.registryTap.set(e.Registry)
+		s.configTap.set(e.Config, e.ForAll)
+		s.registryTap.set(e.Registry, e.ForAll)
 	case gate.FetchConfig:
 		go s.fetchConfig()
 	case gate.CloseEndpoint:
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -54,6 +54,7 @@
 	paces   map[string]*pick.Pace
 	calls   map[CallID]*call
 	parked  map[CallID]*call
+	desk    desk
 	retries map[string]*retryBudget
 	wallets map[string]*wallet
 
@@ -87,6 +88,7 @@
 		paces:     make(map[string]*pick.Pace),
 		calls:     make(map[CallID]*call),
 		parked:    make(map[CallID]*call),
+		desk:      newDesk(),
 		retries:   make(map[string]*retryBudget),
 		wallets:   make(map[string]*wallet),
 		lease:     l,
@@ -150,6 +152,10 @@
 		c.peerDown(now, e.Host)
 	case ReportReceived:
 		c.reportReceived(now, e)
+	case BookingReceived:
+		c.bookingReceived(now, e)
+	case BookedReceived:
+		c.bookedReceived(now, e)
 	case OrderEnded:
 		c.orderEnded(now, e)
 	case EngineReported:
@@ -175,6 +181,7 @@
 	c.tendRegistry(now)
 	c.tendWallets(now)
 	c.tendLeader(now)
+	c.tendDesk(now)
 	c.tendParked(now)
 	c.tendMember(now)
 	c.tendRelay(now)
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -130,6 +130,18 @@
 	Report *wirepb.GateReport
 }
 
+// BookingReceived is another entry's question to the leader.
+type BookingReceived struct {
+	Host    string
+	Booking *wirepb.GateBooking
+}
+
+// BookedReceived is the leader's answer to a booking.
+type BookedReceived struct {
+	Host   string
+	Booked *wirepb.GateBooked
+}
+
 // OrderEnded tells what became of an order.
 type OrderEnded struct {
 	Order   stock.Order
@@ -168,28 +180,30 @@
 	Stopping      bool
 }
 
-func (Arrived) event()        {}
-func (FirstByte) event()      {}
-func (Ended) event()          {}
-func (Left) event()           {}
-func (ConfigRead) event()     {}
-func (EndpointsRead) event()  {}
-func (ConfigFetched) event()  {}
-func (StoreFailed) event()    {}
-func (LeaseRead) event()      {}
-func (LeaseAppended) event()  {}
-func (LinkUp) event()         {}
-func (LinkDown) event()       {}
-func (StateReceived) event()  {}
-func (PeerUp) event()         {}
-func (PeerDown) event()       {}
-func (ReportReceived) event() {}
-func (OrderEnded) event()     {}
-func (EngineReported) event() {}
-func (Tick) event()           {}
-func (Reloaded) event()       {}
-func (Stop) event()           {}
-func (StatusAsked) event()    {}
+func (Arrived) event()         {}
+func (FirstByte) event()       {}
+func (Ended) event()           {}
+func (Left) event()            {}
+func (ConfigRead) event()      {}
+func (EndpointsRead) event()   {}
+func (ConfigFetched) event()   {}
+func (StoreFailed) event()     {}
+func (LeaseRead) event()       {}
+func (LeaseAppended) event()   {}
+func (LinkUp) event()          {}
+func (LinkDown) event()        {}
+func (StateReceived) event()   {}
+func (PeerUp) event()          {}
+func (PeerDown) event()        {}
+func (ReportReceived) event()  {}
+func (BookingReceived) event() {}
+func (BookedReceived) event()  {}
+func (OrderEnded) event()      {}
+func (EngineReported) event()  {}
+func (Tick) event()            {}
+func (Reloaded) event()        {}
+func (Stop) event()            {}
+func (StatusAsked) event()     {}
 
 // Outcome says what became of an attempt.
 type Outcome int
@@ -255,6 +269,8 @@
 	Reason  Reason
 	// Status is the endpoint's, 0 if it gave none.
 	Status int
+	// Pause is the longest time between two parts of the answer.
+	Pause time.Duration
 }
 
 // Effect is something that the shell must do.
@@ -308,6 +324,15 @@
 // SendReport tells the leader of this entry's requests.
 type SendReport struct{ Report *wirepb.GateReport }
 
+// SendBooking asks the leader for an engine.
+type SendBooking struct{ Booking *wirepb.GateBooking }
+
+// SendBooked answers another entry's booking.
+type SendBooked struct {
+	Host   string
+	Booked *wirepb.GateBooked
+}
+
 // SendState tells another entry what the leader knows.
 type SendState struct {
 	Host  string
@@ -328,10 +353,12 @@
 	Address netip.AddrPort
 }
 
-// FollowStore tells which parts of the store this entry must read itself.
+// FollowStore tells which parts of the store this entry must read itself. What
+// it reads for all entries must be newer than what it reads for itself alone.
 type FollowStore struct {
 	Config   bool
 	Registry bool
+	ForAll   bool
 }
 
 // FetchConfig reads the newest configuration once.
@@ -359,6 +386,8 @@
 func (AppendLease) effect()   {}
 func (DialLeader) effect()    {}
 func (SendReport) effect()    {}
+func (SendBooking) effect()   {}
+func (SendBooked) effect()    {}
 func (SendState) effect()     {}
 func (GiveOrder) effect()     {}
 func (AskEngine) effect()     {}
--- a/internal/gate/fleet_test.go
+++ b/internal/gate/fleet_test.go
@@ -207,3 +207,21 @@
 		}
 	}
 }
+
+// The leader tells each entry the load that the others put on an endpoint.
+func TestLeaderTellsTheLoadOfOthers(t *testing.T) {
+	r := leading(t)
+	r.apply(PeerUp{Host: "front-2"})
+	r.apply(PeerUp{Host: "front-3"})
+	load := func(n uint32) []*wirepb.GateLoad { return []*wirepb.GateLoad{{Endpoint: "shop-1", Running: n}} }
+	r.report(&wirepb.GateReport{Sequence: 1, Loads: load(5)})
+	r.report(&wirepb.GateReport{Sequence: 2, Loads: load(2)})
+	state, _ := find[SendState](r.apply(ReportReceived{Host: "front-3", Report: &wirepb.GateReport{Sequence: 1, Loads: load(4)}}))
+	if loads := state.State.GetLoads(); len(loads) != 1 || loads[0].GetRunning() != 2 {
+		t.Errorf("front-3 is told %v, want the 2 of front-2", loads)
+	}
+	r.apply(PeerDown{Host: "front-2"})
+	if n := r.core.othersLoad("shop-1", "front-1").Running; n != 4 {
+		t.Errorf("%d requests of others after an entry was lost, want 4", n)
+	}
+}
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/pacer"
 	"dogwoodfold/internal/pick"
 	"dogwoodfold/internal/rate"
 	"dogwoodfold/internal/stock"
@@ -36,11 +37,15 @@
 // leader is what an entry does while it leads.
 type leader struct {
 	// provedAt is when the newest acknowledged record was sent.
-	provedAt  time.Time
-	members   []lease.Member
-	allot     *rate.Allot
-	pools     map[string]*rate.Bucket
-	planner   *stock.Planner
+	provedAt time.Time
+	members  []lease.Member
+	// loads are those of all other entries by endpoint.
+	loads   map[string]pick.Load
+	allot   *rate.Allot
+	pools   map[string]*rate.Bucket
+	planner *stock.Planner
+	// governors bound the prompts given to the engines of a service.
+	governors map[string]*pacer.Governor
 	hurry     bool
 	plannedAt time.Time
 }
@@ -56,15 +61,18 @@
 	}
 	planning := stock.DefaultSettings(c.settings.LoadWindow)
 	c.leader = &leader{
-		members: previous,
-		allot:   rate.NewAllot(standingShares, c.settings.ShareLifetime+c.settings.Lease.Margin, shares),
-		pools:   make(map[string]*rate.Bucket),
-		planner: stock.NewPlanner(now, planning, first),
+		members:   previous,
+		allot:     rate.NewAllot(standingShares, c.settings.ShareLifetime+c.settings.Lease.Margin, shares),
+		pools:     make(map[string]*rate.Bucket),
+		loads:     make(map[string]pick.Load),
+		planner:   stock.NewPlanner(now, planning, first),
+		governors: make(map[string]*pacer.Governor),
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
 		c.tellPlanner(now, c.endpoints[id])
 	}
 	for _, p := range c.peers {
+		p.loads = make(map[string]pick.Load)
 		p.told = make(map[string]bool)
 		p.endpoints = make(map[string]uint64)
 	}
@@ -79,17 +87,22 @@
 
 // adjustPools sets the pools to the customers' present rates.
 func (l *leader) adjustPools(now time.Time, config *topo.Config) {
+	largest := l.allot.Largest(now)
 	for name, customer := range config.Customers {
 		pool := l.pools[name]
 		if pool == nil {
 			pool = &rate.Bucket{}
 			l.pools[name] = pool
 		}
+		part := 1.0
+		if stands(largest, customer) {
+			part = 1 - standingShares
+		}
 		// A lowered rate cuts what was gathered under the old one.
 		pool.Set(now, customer.Rate, math.Inf(1))
 		held := min(pool.Level(now), customer.Burst*poolRoom)
-		pool.Set(now, (1-standingShares)*customer.Rate, held)
-		pool.Set(now, (1-standingShares)*customer.Rate, max(held, (1-standingShares)*customer.Burst))
+		pool.Set(now, part*customer.Rate, held)
+		pool.Set(now, part*customer.Rate, max(held, min(part, poolRoom)*customer.Burst))
 	}
 }
 
@@ -110,6 +123,9 @@
 }
 
 func (c *Core) peerUp(now time.Time, host string) {
+	if p := c.peers[host]; p != nil {
+		c.dropLoads(p)
+	}
 	c.peers[host] = &peer{
 		up:        true,
 		seenAt:    now,
@@ -124,7 +140,7 @@
 	if p := c.peers[host]; p != nil {
 		p.up = false
 		p.seenAt = now
-		clear(p.loads)
+		c.dropLoads(p)
 		c.note("entry lost", host, "", 0)
 	}
 }
@@ -141,13 +157,13 @@
 		c.abdicate(now)
 		return
 	}
-	clear(p.loads)
-	for _, l := range e.Report.GetLoads() {
-		p.loads[l.GetEndpoint()] = decodeLoad(l)
-	}
+	c.leader.replaceLoads(p, e.Report.GetLoads())
 	for _, d := range e.Report.GetDemands() {
 		c.takeDemand(now, d)
 	}
+	for _, s := range e.Report.GetStreams() {
+		c.leader.governor(s.GetService()).Observe(int(s.GetEnded()), int(s.GetPaused()))
+	}
 	for _, r := range e.Report.GetReturns() {
 		if customer := c.customer(r.GetCustomer()); customer != nil {
 			c.leader.take(now, customer, r.GetAmount())
@@ -218,18 +234,39 @@
 
 // othersLoad returns the load of an endpoint by all entries but one.
 func (c *Core) othersLoad(id, host string) pick.Load {
-	var sum pick.Load
-	if host != c.settings.Host {
-		sum = c.endpoints[id].track.Own
+	sum := c.leader.loads[id]
+	if host == c.settings.Host {
+		return sum
 	}
-	for name, p := range c.peers {
-		if name != host {
-			sum = sum.Add(p.loads[id])
-		}
+	sum = sum.Add(c.endpoints[id].track.Own)
+	if p := c.peers[host]; p != nil {
+		sum = sum.Sub(p.loads[id])
 	}
 	return sum
 }
 
+// dropLoads forgets the requests of an entry.
+func (c *Core) dropLoads(p *peer) {
+	if c.leader != nil {
+		c.leader.replaceLoads(p, nil)
+		return
+	}
+	clear(p.loads)
+}
+
+// replaceLoads takes an entry's newer account of its requests.
+func (l *leader) replaceLoads(p *peer, loads []*wirepb.GateLoad) {
+	for id, load := range p.loads {
+		l.loads[id] = l.loads[id].Sub(load)
+	}
+	clear(p.loads)
+	for _, load := range loads {
+		id := load.GetEndpoint()
+		p.loads[id] = p.loads[id].Add(decodeLoad(load))
+		l.loads[id] = l.loads[id].Add(decodeLoad(load))
+	}
+}
+
 func encodeHolding(id string, holdings []topo.Holding) *wirepb.GateHolding {
 	out := &wirepb.GateHolding{Endpoint: id}
 	for _, h := range holdings {
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -35,7 +35,7 @@
 	silent := !c.lease.Holds(now) && now.Sub(c.member.heardAt) > silenceLimit
 	if !c.reading && !c.appending && !now.Before(c.nextRead) && (silent || !c.lease.Known()) {
 		c.reading = true
-		c.nextRead = now.Add(readPause)
+		c.nextRead = now.Add(c.spread(readPause))
 		c.do(ReadLease{})
 		return
 	}
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -18,8 +18,8 @@
 	// silenceLimit is the time without word of the leader after which the lease
 	// is read from the store.
 	silenceLimit = 900 * time.Millisecond
-	// readPause is the time between two reads of the lease.
-	readPause = 900 * time.Millisecond
+	// readPause is the mean time between two reads of the lease.
+	readPause = 1200 * time.Millisecond
 	// stateLifetime is how long the leader's word counts.
 	stateLifetime = 1500 * time.Millisecond
 	// keptReports is how many reports may wait for their echo.
@@ -201,6 +201,7 @@
 		Demands:   m.takeDemands(),
 		Asks:      m.asks,
 		TakesOver: m.takesOver,
+		Streams:   c.desk.takeStreams(),
 	}
 	m.takesOver = false
 	if now.Sub(m.reportedAt) >= reportPause {
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -47,8 +47,8 @@
 	track.Own.Waiting -= k.work()
 	seen := now.Sub(k.sentAt)
 	track.Observe(now, k.estimate, seen)
-	if k.idle && k.request.Model != "" {
-		c.pace(k.service, k.request.Model).Observe(k.uncached, seen)
+	if k.request.Model != "" {
+		c.pace(k.service, k.request.Model).Observe(k.uncached, seen, k.idle)
 	}
 }
 
@@ -81,6 +81,7 @@
 	switch r.Outcome {
 	case Complete:
 		e.track.Succeeded()
+		c.countStream(k, r.Pause)
 		c.forget(k)
 	case NotRun:
 		c.notRun(now, k, e, r)
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -22,7 +22,9 @@
 	registryProof time.Time
 	// following is true while this entry reads the store itself.
 	following bool
-	fetching  bool
+	// leading is true while it reads for all.
+	leading  bool
+	fetching bool
 }
 
 // takeRelay takes the leader's reads of the store. sentAt is when the report was
@@ -61,16 +63,19 @@
 // tendRelay reads the store itself when the leader's reads are too old, and
 // stops when they are new enough.
 func (c *Core) tendRelay(now time.Time) {
-	relayed := !c.leads(now) && c.config != nil &&
+	leads := c.leads(now)
+	relayed := !leads && c.config != nil &&
 		now.Sub(c.relay.configProof) < relayLimit && now.Sub(c.relay.registryProof) < relayLimit
-	if relayed == !c.relay.following {
+	if relayed == !c.relay.following && leads == c.relay.leading {
 		return
 	}
 	c.relay.following = !relayed
+	c.relay.leading = leads
 	c.note("reads the store itself", onOff(!relayed), "", now.Sub(c.relay.configProof))
 	c.do(FollowStore{
 		Config:   !relayed,
 		Registry: !relayed,
+		ForAll:   leads,
 	})
 }
 
--- a/internal/gate/tokens.go
+++ b/internal/gate/tokens.go
@@ -20,6 +20,10 @@
 	// gather, requestRoom the tokens beyond it, enough for a long request.
 	standingRoom = 0.5
 	requestRoom  = 3000
+	// leastStanding is the least standing share of a customer's rate, in tokens a
+	// second, that is of use: a smaller one gathers a request's tokens too slowly,
+	// so the leader lends out the whole rate.
+	leastStanding = 1500
 	// poolRoom is the part of the burst that the leader's pool may hold, tokens
 	// that others gave back included.
 	poolRoom = 0.75
@@ -32,7 +36,7 @@
 	// useFade is the time constant of the average of a customer's use.
 	useFade = 2 * time.Second
 	// leastReturn is the fewest tokens worth giving back.
-	leastReturn = 500
+	leastReturn = 100
 	// waitingLimit bounds the requests of a customer that wait for tokens.
 	waitingLimit = 64
 )
@@ -109,8 +113,14 @@
 	}
 }
 
+// stands reports whether a standing share of a customer's rate is of use.
+func stands(share float64, customer *topo.Customer) bool { return share*customer.Rate >= leastStanding }
+
 func (c *Core) adjustWallet(now time.Time, w *wallet) {
 	share := c.standingShare(now)
+	if !stands(share, w.customer) {
+		share = 0
+	}
 	room := 0.0
 	if share > 0 {
 		room = share*standingRoom*w.customer.Burst + min(requestRoom, w.customer.Burst*standingRoom)
@@ -230,7 +240,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.wallets)) {
 		w := c.wallets[name]
 		w.fade(now)
-		extra := w.bucket.Level(now) - w.use*keepAhead.Seconds() - leastReturn
+		extra := w.bucket.Level(now) - w.use*keepAhead.Seconds()
 		if len(w.waiting) > 0 || extra < leastReturn {
 			continue
 		}
--- a/internal/gate/tokens_test.go
+++ b/internal/gate/tokens_test.go
@@ -72,3 +72,40 @@
 		t.Errorf("%v tokens of an old grant", level)
 	}
 }
+
+// The pattern: many entries and a customer with a low rate. Its standing shares
+// would each take half a minute to gather one request's tokens, so the leader
+// lends out the whole rate and entries gather nothing.
+func TestLowRatesAreLentAsAWhole(t *testing.T) {
+	r := leading(t)
+	acme := r.core.config.Customers["acme"] // 1,000 tokens a second
+	lent := 0.0
+	for range 40 {
+		r.pass(250 * time.Millisecond)
+		r.core.leader.provedAt = r.now
+		lent += r.core.leader.lend(r.now, acme, 250)
+	}
+	if lent < 9_000 {
+		t.Errorf("the leader lent %v tokens in 10 s, want about 10,000", lent)
+	}
+	r.core.member.share, r.core.member.shareUntil = 0.02, r.now.Add(time.Minute)
+	w := r.core.wallet(r.now, acme)
+	r.pass(10 * time.Second)
+	if level := w.bucket.Level(r.now); level > 0 {
+		t.Errorf("a share of 20 tokens a second has gathered %v", level)
+	}
+}
+
+func TestIdleTokensGoBack(t *testing.T) {
+	r := following(t)
+	w := r.core.wallet(r.now, r.core.config.Customers["acme"])
+	w.bucket.Add(r.now, 400, 1000)
+	r.pass(time.Second)
+	returned := 0.0
+	for _, s := range r.core.surplus(r.now) {
+		returned += s.GetAmount()
+	}
+	if returned != 400 {
+		t.Errorf("%v of 400 idle tokens go back", returned)
+	}
+}
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"dogwoodfold/internal/pacer"
 	"dogwoodfold/internal/pick"
 	"dogwoodfold/internal/topo"
 )
@@ -13,6 +14,8 @@
 type endpoint struct {
 	*topo.Endpoint
 	track *pick.Track
+	// lane is the timeline of prompts, kept by the leader.
+	lane pacer.Lane
 	// told is what the leader says the engine holds, nil if it said nothing.
 	told   []topo.Holding
 	toldAt time.Time
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -34,14 +34,49 @@
 
 // Estimate returns the expected time to the first byte of the answer.
 func Estimate(now time.Time, c Candidate) time.Duration {
+	waiting := time.Duration(float64(c.Track.Load(now).Waiting) * c.Track.Slow(now))
+	return waiting + Alone(now, c)
+}
+
+// Alone returns the expected time to the first byte if no other prompt waits at
+// the endpoint.
+func Alone(now time.Time, c Candidate) time.Duration {
+	return time.Duration(float64(work(now, c)) * c.Track.Slow(now))
+}
+
+// Spaced is Alone for endpoints that get their prompts one after the other.
+func Spaced(now time.Time, c Candidate) time.Duration {
+	return time.Duration(float64(work(now, c)) * Faulty(now, c.Track))
+}
+
+// Faulty returns by which factor an endpoint is slower than its load explains:
+// the prompts and events of others make it up to contention times as slow.
+func Faulty(now time.Time, t *Track) float64 { return max(t.Slow(now)/contention, 1) }
+
+// contention is by how much a busy endpoint that is sound may be slower than
+// expected.
+const contention = 2.0
+
+func work(now time.Time, c Candidate) time.Duration {
 	load := c.Track.Load(now)
-	slow := c.Track.Slow(now)
 	// A full endpoint starts a request when a running one ends; those before it
 	// in the queue go first.
 	queued := max(0, load.Running+1-c.Slots)
 	turn := time.Duration(float64(queued) / float64(max(c.Slots, 1)) * float64(slotTime(c)))
-	work := load.Waiting + c.Expected + time.Duration(load.Running)*c.PerRunning + turn
-	return time.Duration(float64(work) * slow)
+	return c.Expected + time.Duration(load.Running)*c.PerRunning + turn
+}
+
+// Handicap returns what is added to an endpoint's estimate for the comparison
+// with others.
+func Handicap(c Candidate) time.Duration {
+	var sum time.Duration
+	if !c.Near {
+		sum += farCost
+	}
+	if c.Cold {
+		sum += coldCost
+	}
+	return sum
 }
 
 // slotTime is how long a request holds its slot, by rule of thumb.
@@ -71,13 +106,7 @@
 	for i, c := range candidates {
 		estimate := Estimate(now, c)
 		usable := c.Track.Usable(now)
-		cost := estimate + time.Duration(random.Int64N(int64(jitter)))
-		if !c.Near {
-			cost += farCost
-		}
-		if c.Cold {
-			cost += coldCost
-		}
+		cost := estimate + time.Duration(random.Int64N(int64(jitter))) + Handicap(c)
 		if !usable {
 			cost += unhealthyCost
 		}
@@ -96,12 +125,20 @@
 // Pace learns how fast the endpoints of a model read prompts.
 type Pace struct {
 	tokensPerMs float64
+	// samples is how many times were observed.
+	samples int
 }
 
 const (
 	firstPace  = 20.0
 	paceWeight = 0.05
 	leastPace  = 2.0
+	// fewestTokens is the shortest prompt that tells a pace, leastReading the
+	// shortest time that is told from none.
+	fewestTokens = 200
+	leastReading = 2 * time.Millisecond
+	// fewSamples is how many observations an estimate of others needs.
+	fewSamples = 4
 	mostPace   = 400.0
 	// firstByteFloor is the part of the time to the first byte that doesn't
 	// depend on the prompt.
@@ -119,13 +156,35 @@
 // Expected returns the time to the first byte at an idle endpoint.
 func (p *Pace) Expected(tokens int) time.Duration { return firstByteFloor + p.Prefill(tokens) }
 
-// Observe takes the time that an idle endpoint took for a prompt.
-func (p *Pace) Observe(tokens int, seen time.Duration) {
-	reading := seen - firstByteFloor
-	if tokens < 200 || reading <= 0 {
+// Observe takes the time that an endpoint took for a prompt. If it was not idle,
+// the time holds other prompts too, and only shows that a pace is too low.
+func (p *Pace) Observe(tokens int, seen time.Duration, idle bool) {
+	if tokens < fewestTokens {
 		return
 	}
+	reading := max(seen-firstByteFloor, leastReading)
 	pace := float64(tokens) / (float64(reading) / float64(time.Millisecond))
+	if idle || pace > p.tokensPerMs {
+		p.learn(pace)
+	}
+}
+
+// learn takes one observation. The first ones count more.
+func (p *Pace) learn(pace float64) {
+	p.samples++
+	weight := max(paceWeight, 1/float64(p.samples+1))
 	pace = min(max(pace, leastPace), mostPace)
-	p.tokensPerMs += paceWeight * (pace - p.tokensPerMs)
+	p.tokensPerMs += weight * (pace - p.tokensPerMs)
+}
+
+// Known returns the tokens read in a millisecond, and how often that was
+// observed.
+func (p *Pace) Known() (tokensPerMs float64, samples int) { return p.tokensPerMs, p.samples }
+
+// Hear takes another entry's estimate, if that rests on more than a few
+// observations.
+func (p *Pace) Hear(tokensPerMs float64, samples int) {
+	if samples >= fewSamples {
+		p.learn(tokensPerMs)
+	}
 }
--- a/internal/pick/track.go
+++ b/internal/pick/track.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// Sub returns what is left of a load without a part of it.
+func (l Load) Sub(part Load) Load {
+	return Load{
+		Running: l.Running - part.Running,
+		Waiting: l.Waiting - part.Waiting,
+	}
+}
+
 // Track is what an entry has seen of one endpoint.
 type Track struct {
 	Own Load
--- a/internal/rate/rate_test.go
+++ b/internal/rate/rate_test.go
@@ -83,3 +83,17 @@
 		}
 	})
 }
+
+// An entry may use a share that it has lost for the lifetime of its proof.
+func TestLargestShareCountsThoseThatLapse(t *testing.T) {
+	a := NewAllot(0.5, 4*time.Second, nil)
+	a.Update(begin, []string{"h1"})
+	a.Update(begin.Add(time.Second), []string{"h1", "h2"})
+	if l := a.Largest(begin.Add(2 * time.Second)); l != 0.5 {
+		t.Errorf("the largest share in use is %v, want the 0.5 that lapses", l)
+	}
+	a.Update(begin.Add(6*time.Second), []string{"h1", "h2"})
+	if l := a.Largest(begin.Add(6 * time.Second)); l != 0.25 {
+		t.Errorf("the largest share in use is %v, want 0.25", l)
+	}
+}
--- a/internal/rate/share.go
+++ b/internal/rate/share.go
@@ -22,6 +22,8 @@
 // lapse is a part of a share that nobody uses any more at a point in time.
 type lapse struct {
 	share float64
+	// whole is the share of which it was a part.
+	whole float64
 	at    time.Time
 }
 
@@ -50,6 +52,7 @@
 		if lost := a.shares[h] - next[h]; lost > 0 {
 			a.lapsing = append(a.lapsing, lapse{
 				share: lost,
+				whole: a.shares[h],
 				at:    now.Add(a.lifetime),
 			})
 		}
@@ -69,3 +72,17 @@
 	a.shares = next
 	return maps.Clone(next)
 }
+
+// Largest returns the largest share that any entry may be using.
+func (a *Allot) Largest(now time.Time) float64 {
+	largest := 0.0
+	for _, share := range a.shares {
+		largest = max(largest, share)
+	}
+	for _, l := range a.lapsing {
+		if now.Before(l.at) {
+			largest = max(largest, l.whole)
+		}
+	}
+	return largest
+}
