Keep the leader light, have large hosts lead, and keep shares over a change

And for 4 s after each change nobody had a standing share, since a new leader's first record named only itself. Change: a state carries the receiver's own share and the load of plain endpoints only; hosts below 0.3 cores leave a free lease to others for up to 0.4 s; members of the last term keep their shares for 3 s; a request whose leader doesn't answer is told that, not that its rate is used up. The line of a request names customer, leader, versions and ages that decided it.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -309,6 +309,7 @@
 		case gate.Send:
 			in.held = nil
 			in.tries++
+			in.basis = e.Basis
 			in.service = e.Service
 			in.sentTo = e.Endpoint
 			result := s.attempt(in, e)
@@ -327,6 +328,7 @@
 				return
 			}
 		case gate.Refuse:
+			in.basis = e.Basis
 			in.refuse(e.Err)
 			return
 		case gate.Pass:
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -52,8 +52,12 @@
 	sentTo  string
 	verdict string
 	reason  string
+	// detail says why the entry refused the request.
+	detail  string
 	service string
 	tries   int
+	// basis is what the last decision rested on.
+	basis gate.Basis
 }
 
 // attach makes a connection the one to close if the client leaves. It reports
@@ -129,6 +133,7 @@
 	in.status = statusOf(err)
 	in.verdict = fault.VerdictOf(err).String()
 	in.reason = string(fault.CodeOf(err))
+	in.detail = err.Error()
 	body := []byte(err.Error())
 	out := in.out[:0]
 	out = appendStatus(out, in.status)
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -192,9 +192,20 @@
 		return
 	}
 	s.log.Info().Str("request", in.request.ID).Str("path", in.request.Path).Str("model", in.request.Model).
-		Int("status", in.status).Str("verdict", in.verdict).Str("reason", in.reason).Str("endpoint", in.sentTo).
-		Int("tries", in.tries).Bool("left", in.left()).Dur("tookMs", took).
-		Dur("firstMs", in.firstAfter()).Dur("pauseMs", in.pause).Msg("requests: ended")
+		Int("status", in.status).Str("verdict", in.verdict).Str("reason", in.reason).Str("detail", in.detail).
+		Str("endpoint", in.sentTo).Int("tries", in.tries).Bool("left", in.left()).Dur("tookMs", took).
+		Dur("firstMs", in.firstAfter()).Dur("pauseMs", in.pause).EmbedObject(basisFields(in.basis)).
+		Msg("requests: ended")
+}
+
+// basisFields writes what a decision rested on.
+type basisFields gate.Basis
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (b basisFields) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("customer", b.Customer).Int64("configVersion", b.ConfigVersion).Dur("configAgeMs", b.ConfigAge).
+		Dur("registryAgeMs", b.RegistryAge).Str("leader", b.Leader).Bool("assigned", b.Assigned).
+		Int("running", b.Running).Dur("expectedMs", b.Expected)
 }
 
 // firstAfter returns the time from the request to the first part of its answer,
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -66,6 +66,10 @@
 	// leaseRenewal is the time between renewals.
 	leaseRenewal = 700 * time.Millisecond
 	leaseMargin  = 150 * time.Millisecond
+	// leaderCores is the part of a core from which a host takes a free lease at
+	// once; smaller ones wait up to takeDelay for others.
+	leaderCores = 0.3
+	takeDelay   = 400 * time.Millisecond
 	// shareLifetime is how long a standing share counts after its proof.
 	shareLifetime = 4 * time.Second
 	// registryLag is how long after its return the store may lack endpoints.
@@ -132,6 +136,7 @@
 		StopAdmission: time.Duration(float64(s.Grace) * stopAdmission),
 		StopLimit:     s.Grace - stopReserve - stopAnswer,
 		LoadWindow:    s.LoadWindow,
+		TakeDelay:     time.Duration(float64(takeDelay) * max(0, 1-s.Cores/leaderCores)),
 		RetryRatio:    s.RetryRatio * retryShare,
 		RetryReserve:  s.RetrySlack * retryShare / retryHolders,
 		Lease: lease.Timing{
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -262,8 +262,13 @@
 	e.track.Own.Waiting += k.work()
 	e.track.Sent(now)
 	e.track.Remember(now, k.request.Parts)
+	basis := c.basis(now, k)
+	basis.Assigned = k.booking.stage == assigned
+	basis.Running = e.track.Load(now).Running - 1
+	basis.Expected = choice.Estimate
 	effect := Send{
 		Call:     k.id,
+		Basis:    basis,
 		Endpoint: e.ID,
 		Address:  e.Address,
 		Service:  k.service,
@@ -279,6 +284,25 @@
 	c.do(effect)
 }
 
+// basis returns what the entry knows as it decides on a call.
+func (c *Core) basis(now time.Time, k *call) Basis {
+	b := Basis{
+		ConfigAge:   now.Sub(c.configProof),
+		RegistryAge: now.Sub(c.registryProof),
+		Leader:      c.link.host,
+	}
+	if c.leads(now) {
+		b.Leader = c.settings.Host
+	}
+	if c.config != nil {
+		b.ConfigVersion = c.config.Version
+	}
+	if k.customer != nil {
+		b.Customer = k.customer.Name
+	}
+	return b
+}
+
 // Ranks of requests at the engines, 0 the most urgent.
 const (
 	mostRank = 9
@@ -423,8 +447,9 @@
 		err = fault.WithRetryAfter(err, max(after, leastRetryAfter))
 	}
 	c.do(Refuse{
-		Call: k.id,
-		Err:  err,
+		Call:  k.id,
+		Basis: c.basis(now, k),
+		Err:   err,
 	})
 	if v == fault.NotRun {
 		c.refund(now, k)
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -30,7 +30,9 @@
 	// more this entry may send at once.
 	RetryRatio   float64
 	RetryReserve float64
-	Lease        lease.Timing
+	// TakeDelay is for how long this entry leaves a free lease to others.
+	TakeDelay time.Duration
+	Lease     lease.Timing
 }
 
 // Core is the reducer. It is used by one goroutine at a time.
@@ -62,6 +64,9 @@
 	reading   bool
 	nextRead  time.Time
 	appending bool
+	// dueAt is when the lease became free for this entry to take, zero if it
+	// isn't.
+	dueAt time.Time
 
 	// link is the session to the leader, dialed the run of the leader's process
 	// that it goes to; peers are the entries with a session to this one.
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -276,9 +276,27 @@
 // Effect is something that the shell must do.
 type Effect interface{ effect() }
 
+// Basis is what a decision on a request rests on, for the log.
+type Basis struct {
+	// Customer is empty before the key's holder is known.
+	Customer      string
+	ConfigVersion int64
+	ConfigAge     time.Duration
+	RegistryAge   time.Duration
+	// Leader is the host that the entry follows, or its own while it leads.
+	Leader string
+	// Assigned tells that the leader chose the endpoint.
+	Assigned bool
+	// Running is how many requests the endpoint was known to have, Expected how
+	// soon its first byte was expected.
+	Running  int
+	Expected time.Duration
+}
+
 // Send passes a request to an endpoint.
 type Send struct {
 	Call     CallID
+	Basis    Basis
 	Endpoint string
 	Address  netip.AddrPort
 	Service  string
@@ -295,8 +313,9 @@
 
 // Refuse answers a request with a failure of the entry's own.
 type Refuse struct {
-	Call CallID
-	Err  error
+	Call  CallID
+	Basis Basis
+	Err   error
 }
 
 // Pass hands on the failure that the endpoint answered with.
--- a/internal/gate/fleet_test.go
+++ b/internal/gate/fleet_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
@@ -208,6 +209,37 @@
 	}
 }
 
+func TestSmallHostsLeaveAFreeLeaseToOthers(t *testing.T) {
+	r := serving(t)
+	r.core.settings.TakeDelay = 300 * time.Millisecond
+	r.apply(Tick{})
+	r.apply(LeaseRead{SentAt: r.now})
+	if _, takes := find[AppendLease](r.apply(Tick{})); takes {
+		t.Error("takes the lease at once")
+	}
+	r.pass(300 * time.Millisecond)
+	if _, takes := find[AppendLease](r.apply(Tick{})); !takes {
+		t.Error("doesn't take a lease that stays free")
+	}
+}
+
+// The pattern: the leader changes. The members of the last term keep their shares
+// until they follow the new leader; without them half of every rate was lost for
+// the lifetime of a share.
+func TestNewLeaderKeepsTheSharesOfTheLastTerm(t *testing.T) {
+	r := leading(t)
+	r.core.startLeading(r.now, []lease.Member{{Host: "front-1", Share: 0.25}, {Host: "front-2", Share: 0.25}}, false)
+	for _, m := range r.core.nextMembers(r.now) {
+		if m.Share != 0.25 {
+			t.Errorf("%s has a share of %v, want 0.25", m.Host, m.Share)
+		}
+	}
+	r.pass(peerLifetime)
+	if n := len(r.core.nextMembers(r.now)); n != 1 {
+		t.Errorf("%d members after the other one has not come, want 1", n)
+	}
+}
+
 // The leader tells each entry the load that the others put on an endpoint.
 func TestLeaderTellsTheLoadOfOthers(t *testing.T) {
 	r := leading(t)
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -71,6 +71,12 @@
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
 		c.tellPlanner(now, c.endpoints[id])
 	}
+	for _, m := range previous {
+		// Members of the last term keep their shares until they follow.
+		if m.Host != c.settings.Host && c.peers[m.Host] == nil {
+			c.peers[m.Host] = &peer{seenAt: now}
+		}
+	}
 	for _, p := range c.peers {
 		p.loads = make(map[string]pick.Load)
 		p.told = make(map[string]bool)
@@ -210,16 +216,20 @@
 		Unrenewed: c.lease.Unrenewed(now),
 	}
 	for _, m := range c.leader.members {
-		state.Shares = append(state.Shares, &wirepb.GateShare{
-			Host:  m.Host,
-			Share: m.Share,
-		})
+		if m.Host == host {
+			state.Shares = append(state.Shares, &wirepb.GateShare{
+				Host:  m.Host,
+				Share: m.Share,
+			})
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-		if load := c.othersLoad(id, host); load.Running > 0 {
+		engine := c.engineOf(c.endpoints[id]) != nil
+		if load := c.othersLoad(id, host); !engine && load.Running > 0 {
+			// The leader itself assigns engines.
 			state.Loads = append(state.Loads, encodeLoad(id, load))
 		}
-		if !p.told[id] && c.engineOf(c.endpoints[id]) != nil {
+		if engine && !p.told[id] {
 			p.told[id] = true
 			state.Holdings = append(state.Holdings, encodeHolding(id, c.leader.planner.Holds(id)))
 		}
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -39,11 +39,24 @@
 		c.do(ReadLease{})
 		return
 	}
-	if !c.appending && !c.reading && !c.stopping && c.lease.Due(now) {
+	if !c.lease.Due(now) {
+		c.dueAt = time.Time{}
+		return
+	}
+	if !c.appending && !c.reading && !c.stopping && c.mayTake(now) {
 		c.appendLease(now, false)
 	}
 }
 
+// mayTake reports whether it is this entry's turn to take a lease that is free.
+// Small hosts leave it to larger ones for a while.
+func (c *Core) mayTake(now time.Time) bool {
+	if c.dueAt.IsZero() {
+		c.dueAt = now
+	}
+	return c.lease.Holds(now) || now.Sub(c.dueAt) >= c.settings.TakeDelay
+}
+
 func (c *Core) appendLease(now time.Time, release bool) {
 	c.appending = true
 	record, at := c.lease.Next(now, c.nextMembers(now), release)
--- a/internal/gate/tokens.go
+++ b/internal/gate/tokens.go
@@ -229,11 +229,27 @@
 	for _, name := range slices.Sorted(maps.Keys(c.wallets)) {
 		w := c.wallets[name]
 		if !w.asked.IsZero() && now.Sub(w.asked) > askLimit {
-			c.granted(now, w, 0)
+			c.unanswered(now, w)
 		}
 	}
 }
 
+// unanswered refuses the calls that wait for a leader that doesn't answer. They
+// may well be within their customer's rate.
+func (c *Core) unanswered(now time.Time, w *wallet) {
+	w.asked = time.Time{}
+	waiting := w.waiting
+	w.waiting = nil
+	for _, k := range waiting {
+		if w.bucket.Take(now, k.cost) {
+			k.paid = true
+			c.dispatch(now, k)
+			continue
+		}
+		c.refuse(now, k, fault.NotRun, fault.CodeNotReady, "the leader did not answer", c.spread(staleRetry))
+	}
+}
+
 // surplus takes the tokens that an entry doesn't need soon out of its wallets.
 func (c *Core) surplus(now time.Time) []*wirepb.GateTokens {
 	var out []*wirepb.GateTokens
