--- a/internal/cmds/report.go
+++ b/internal/cmds/report.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dogwoodfold/internal/burn"
+	"dogwoodfold/internal/trace"
 )
 
 const scrapeTimeout = 5 * time.Second
@@ -21,9 +22,9 @@
 func newReport() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "report",
-		Short: "Report on a running or recorded fleet",
+		Short: "Report on a running or recorded fleet, or on one request",
 	}
-	cmd.AddCommand(newBurn())
+	cmd.AddCommand(newBurn(), newRequest())
 	return cmd
 }
 
@@ -96,3 +97,43 @@
 	}
 	return body, nil
 }
+
+// newRequest returns the command that explains a request from saved logs.
+func newRequest() *cobra.Command {
+	return &cobra.Command{
+		Use:   "request ID LOG...",
+		Short: "Print what the logs of all entries say of one request, and what decided it",
+		Args:  cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var lines []trace.Line
+			for _, path := range args[1:] {
+				more, skipped, err := readLog(path)
+				if err != nil {
+					return err
+				}
+				if skipped > 0 {
+					fmt.Fprintf(cmd.ErrOrStderr(), "%s: %d lines are not readable\n", path, skipped)
+				}
+				lines = append(lines, more...)
+			}
+			timeline, err := trace.Find(lines, args[0])
+			if err != nil {
+				return err
+			}
+			return timeline.Print(cmd.OutOrStdout())
+		},
+	}
+}
+
+func readLog(path string) ([]trace.Line, int, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = file.Close() }() // it was only read
+	lines, skipped, err := trace.Read(file)
+	if err != nil {
+		return nil, 0, fmt.Errorf("%s: %w", path, err)
+	}
+	return lines, skipped, nil
+}
--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -30,8 +30,12 @@
 	return root
 }
 
+// logTime is the format of times in logs, to the millisecond.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 // newLogger returns the logger of a process.
 func newLogger(out io.Writer, host string) zerolog.Logger {
+	zerolog.TimeFieldFormat = logTime
 	return zerolog.New(out).With().Timestamp().Str("host", host).Logger()
 }
 
