Collect memory after a growth of a quarter

Cause: memory at its peak is the dearest of an entry's prices, processor time the cheapest. Change: the heap may grow by 25% before it is collected (60% before).

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -22,7 +22,7 @@
 	logBacklog = 1000
 	// collectAt is the growth of the heap, in percent, after which memory is
 	// collected; the platform prices memory at its peak.
-	collectAt = 60
+	collectAt = 25
 )
 
 // newGateway returns the command that runs an entry on the users' platform.
