--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -18,8 +18,6 @@
 const (
 	// planPause is the time between two plans without a reason to hurry.
 	planPause = 200 * time.Millisecond
-	// leastPlanPause is the time between two plans in a hurry.
-	leastPlanPause = 5 * time.Millisecond
 	// peerLifetime is how long a lost entry keeps its standing share.
 	peerLifetime = 3 * time.Second
 )
@@ -34,9 +32,6 @@
 	// revisions of the endpoints that it knows.
 	told      map[string]bool
 	endpoints map[string]uint64
-	// holdingsAt and endpointsAt are when all of them were told.
-	holdingsAt  mark
-	endpointsAt mark
 }
 
 // leader is what an entry does while it leads.
@@ -51,11 +46,8 @@
 	planner *stock.Planner
 	// promptShares bound the prompts given to the engines of a service.
 	promptShares map[string]*pacer.Share
-	// plain are the endpoints that were no engines at plainAt.
-	plain     []string
-	plainAt   mark
-	hurry     bool
-	plannedAt time.Time
+	hurry        bool
+	plannedAt    time.Time
 }
 
 // leads reports whether this entry leads and has taken up its work.
@@ -89,7 +81,6 @@
 		p.loads = make(map[string]pick.Load)
 		p.told = make(map[string]bool)
 		p.endpoints = make(map[string]uint64)
-		p.holdingsAt, p.endpointsAt = mark{}, mark{}
 	}
 	c.note("leads", c.settings.Host, "", 0)
 }
@@ -194,9 +185,7 @@
 		}
 		grants = append(grants, grant)
 	}
-	if c.leader.hurry && now.Sub(c.leader.plannedAt) >= leastPlanPause {
-		c.plan(now)
-	}
+	c.plan(now)
 	c.sendState(now, e.Host, p, grants)
 }
 
@@ -236,13 +225,17 @@
 			})
 		}
 	}
-	for _, id := range c.plainEndpoints() {
-		// The leader itself assigns engines.
-		if load := c.othersLoad(id, host); load.Running > 0 {
+	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
+		engine := c.engineOf(c.endpoints[id]) != nil
+		if load := c.othersLoad(id, host); !engine && load.Running > 0 {
+			// The leader itself assigns engines.
 			state.Loads = append(state.Loads, encodeLoad(id, load))
 		}
+		if engine && !p.told[id] {
+			p.told[id] = true
+			state.Holdings = append(state.Holdings, encodeHolding(id, c.leader.planner.Holds(id)))
+		}
 	}
-	c.encodeHoldings(p, state)
 	state.Arrivals = c.encodeArrivals(now)
 	c.encodeRelay(now, p, state)
 	c.do(SendState{
@@ -251,54 +244,6 @@
 	})
 }
 
-// mark tells whether anything has changed at the endpoints since a point in time.
-type mark struct {
-	known    bool
-	revision uint64
-	config   int64
-}
-
-func (c *Core) mark() mark {
-	m := mark{
-		known:    true,
-		revision: c.revisions,
-	}
-	if c.config != nil {
-		m.config = c.config.Version
-	}
-	return m
-}
-
-// plainEndpoints returns the endpoints that are no engines, in order.
-func (c *Core) plainEndpoints() []string {
-	l := c.leader
-	if m := c.mark(); l.plainAt != m {
-		l.plainAt = m
-		l.plain = nil
-		for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-			if c.engineOf(c.endpoints[id]) == nil {
-				l.plain = append(l.plain, id)
-			}
-		}
-	}
-	return l.plain
-}
-
-// encodeHoldings adds what engines hold and the entry was not told yet.
-func (c *Core) encodeHoldings(p *peer, state *wirepb.GateState) {
-	m := c.mark()
-	if p.holdingsAt == m {
-		return
-	}
-	p.holdingsAt = m
-	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-		if !p.told[id] && c.engineOf(c.endpoints[id]) != nil {
-			p.told[id] = true
-			state.Holdings = append(state.Holdings, encodeHolding(id, c.leader.planner.Holds(id)))
-		}
-	}
-}
-
 func encodeHolding(id string, holdings []topo.Holding) *wirepb.GateHolding {
 	out := &wirepb.GateHolding{Endpoint: id}
 	for _, h := range holdings {
@@ -422,7 +367,6 @@
 		for _, id := range changed {
 			delete(p.told, id)
 		}
-		p.holdingsAt = mark{}
 		if p.echo > 0 {
 			c.sendState(now, host, p, nil)
 		}
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -108,18 +108,6 @@
 	}
 	s.ConfigAgeUs = uint64(now.Sub(c.configProof).Microseconds())
 	s.RegistryAgeUs = uint64(c.registryAge(now).Microseconds())
-	m := c.mark()
-	if p.endpointsAt == m {
-		return
-	}
-	if len(c.missing) == 0 {
-		p.endpointsAt = m
-	}
-	c.encodeEndpoints(now, p, s)
-}
-
-// encodeEndpoints adds the endpoints that have changed and those that are gone.
-func (c *Core) encodeEndpoints(now time.Time, p *peer, s *wirepb.GateState) {
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
 		e := c.endpoints[id]
 		if _, doubtful := c.missing[id]; doubtful || p.endpoints[id] == e.revision {
