--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -84,6 +84,18 @@
 	return b
 }
 
+// framing returns the name of the way in which the end of the body is marked, for
+// the log.
+func (b *responseBody) framing() string {
+	switch {
+	case b.closeDelimited:
+		return "close"
+	case b.chunkedReader != nil:
+		return "chunked"
+	}
+	return "length"
+}
+
 // chunkedContentLength is the content length that fasthttp reports for a chunked
 // body.
 const chunkedContentLength = -1
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -214,6 +214,7 @@
 // handleResponse forwards a response, or withholds it if it is a refusal, a failure
 // or malformed. It reports whether the response was read completely.
 func (x *exchange) handleResponse(b *responseBody) (gate.Result, bool) {
+	x.in.framing = b.framing()
 	status := x.head.StatusCode()
 	if isNotExecuted(&x.head) {
 		_, err := b.readAll(maxBufferedBody)
@@ -318,6 +319,7 @@
 	buffered := 0
 	for {
 		n, err := b.Read(buffer[buffered:])
+		in.recordEventEnd(buffer[buffered : buffered+n])
 		buffered += n
 		atEnd := errors.Is(err, io.EOF)
 		sendable := buffered
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -60,6 +60,11 @@
 	endpoint     string
 	verdict      string
 	reason       string
+	// framing is how the end of the endpoint's last response was marked.
+	framing string
+	// endedInEvent is true if the last stream that an endpoint sent ended within
+	// an event.
+	endedInEvent bool
 	// detail is the error with which the entry itself refused the request.
 	detail   string
 	service  string
@@ -224,6 +229,16 @@
 	return err
 }
 
+// recordEventEnd records whether p, the next part of a stream, ends with the end of
+// an event. Parts that hold only a line end continue the part before.
+func (in *inboundRequest) recordEventEnd(p []byte) {
+	if content := bytes.TrimRight(p, "\r\n"); len(content) < len(p) && len(content) == 0 {
+		in.endedInEvent = false
+	} else if len(p) > 0 {
+		in.endedInEvent = bytes.Count(p[len(content):], []byte("\n")) < 2
+	}
+}
+
 // recordWrite records the time at which a part of the response is sent.
 func (in *inboundRequest) recordWrite(now time.Time) {
 	if in.firstWriteAt.IsZero() {
