Count a stream as complete only where it ends after an event

Cause: streamResponse took the end of the response's framing for the end of the stream. An endpoint that fails may end its framing properly: its connection just ends if the response has neither a length nor chunks, and it may also close its chunks or keep to its length. The content, which shows that the last event is unfinished, was looked at only to resume a stream, and not at its end.

Change: all streams are forwarded in complete events, resumable or not, and a stream is complete only if its framing has ended, no bytes are left after the last event, and, where only the connection marks the end, it held an event or continues another stream. Otherwise it is handled as any stream that is cut: it goes on elsewhere where its route allows, or the client's connection is closed without the last chunk.

--- a/internal/edge/ending_test.go
+++ b/internal/edge/ending_test.go
@@ -136,3 +136,13 @@
 		t.Errorf("a response whose connection was reset looked complete: %+v", r)
 	}
 }
+
+// A stream that ends with its connection before its first event is incomplete: no
+// caller may take it for an empty one.
+func TestUnframedStreamWithoutEventIsIncomplete(t *testing.T) {
+	f := newFixture(t)
+	f.streamRaw(framedByClose, func(string) string { return "" }, false)
+	if r := f.send(context.Background(), "POST", "/chat/1", platform.HeaderModel, "m"); r.err == nil && r.status == 200 {
+		t.Errorf("a stream that ended before its first event looked complete: %+v", r)
+	}
+}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxBufferedBody is the largest response body that is buffered until it is
-	// complete.
+	// maxBufferedBody is the largest response body, or event of a stream, that is
+	// buffered until it is complete.
 	maxBufferedBody = 256 << 10
 	// maxInlineBody is the largest request body that is written before the
 	// response is read; larger ones are written concurrently.
@@ -33,6 +33,8 @@
 	send gate.Send
 	conn *endpointConn
 	head fasthttp.ResponseHeader
+	// eventsReceived is true once the endpoint has sent a complete event.
+	eventsReceived bool
 	// writeDone receives the result of writing the request.
 	writeDone chan error
 	post      func(gate.Event)
@@ -156,7 +158,11 @@
 	}()
 }
 
-var errMismatchedResponse = errors.New("response belongs to another request")
+// Errors of responses that are not valid responses to the request.
+var (
+	errMismatchedResponse = errors.New("response belongs to another request")
+	errEventTooLong       = errors.New("event exceeds the buffer limit")
+)
 
 // maxMismatchedResponses bounds the number of response heads that are read to
 // find the response to the request.
@@ -202,7 +208,7 @@
 func (x *exchange) classifyError(err error) gate.Result {
 	var timeoutErr interface{ Timeout() bool }
 	switch {
-	case errors.Is(err, errMismatchedResponse):
+	case errors.Is(err, errMismatchedResponse) || errors.Is(err, errEventTooLong):
 		return mayHaveRunResult(gate.ReasonMalformed)
 	case errors.As(err, &timeoutErr) && timeoutErr.Timeout():
 		return mayHaveRunResult(gate.ReasonTimeout)
@@ -227,7 +233,7 @@
 		return mayHaveRunResult(gate.ReasonMalformed), false
 	}
 	x.post(gate.FirstByteReceived{Call: x.in.id})
-	if x.send.Route.Kind == topo.Stream || x.in.started {
+	if x.isEventStream() || x.in.started {
 		return x.streamResponse(b, nil)
 	}
 	return x.forwardWhole(b)
@@ -304,7 +310,7 @@
 }
 
 // streamResponse forwards a response as it arrives, starting with prefix, which
-// was read before. Resumable streams are forwarded in complete events, so that
+// was read before. Streams of events are forwarded in complete events, so that
 // they can continue at another endpoint.
 func (x *exchange) streamResponse(b *responseBody, prefix []byte) (gate.Result, bool) {
 	in := x.in
@@ -319,45 +325,71 @@
 	buffered := 0
 	for {
 		n, err := b.Read(buffer[buffered:])
-		in.recordEventEnd(buffer[buffered : buffered+n])
 		buffered += n
-		atEnd := errors.Is(err, io.EOF)
-		sendable := buffered
-		if x.send.Route.Resumable && !atEnd {
-			sendable = x.completeEvents(buffer[:buffered])
+		sendable := x.sendableLength(buffer[:buffered])
+		if errors.Is(err, io.EOF) {
+			err = x.checkStreamEnd(b, buffered-sendable)
 		}
+		complete := errors.Is(err, io.EOF)
 		in.appendChunk(buffer[:sendable])
-		if atEnd {
+		if complete {
 			in.appendLastChunk()
 		}
-		if (sendable > 0 || atEnd) && in.flush() != nil {
+		if (sendable > 0 || complete) && in.flush() != nil {
 			return x.clientLostResult(), false
 		}
 		buffered = copy(buffer, buffer[sendable:buffered])
 		switch {
-		case atEnd:
+		case complete:
 			return gate.Result{
 				Outcome: gate.OutcomeComplete,
 				Status:  x.head.StatusCode(),
 			}, true
 		case err != nil:
+			in.endedInEvent = buffered > 0
 			return x.classifyInterruption(err), false
+		case buffered >= maxBufferedBody:
+			return x.classifyInterruption(errEventTooLong), false
 		case buffered == len(buffer):
 			buffer = append(buffer, make([]byte, streamBufferSize)...)
 		}
 	}
 }
 
-// completeEvents returns the length of the complete events at the start of p and
-// records the ID of the last one for a resumption.
-func (x *exchange) completeEvents(p []byte) int {
-	length, id := lastCompleteEvent(p)
+// isEventStream reports whether the response is a stream of events.
+func (x *exchange) isEventStream() bool { return x.send.Route.Kind == topo.Stream }
+
+// sendableLength returns how much of p, which starts with an event if the response
+// is a stream, can be forwarded. It records the ID of the last event.
+func (x *exchange) sendableLength(p []byte) int {
+	if !x.isEventStream() {
+		return len(p)
+	}
+	length, id := completeEvents(p)
+	if length > 0 {
+		x.eventsReceived = true
+	}
 	if id != "" {
 		x.in.lastEventID = id
 	}
 	return length
 }
 
+// checkStreamEnd returns io.EOF if a response is complete whose framing has ended
+// with unfinished bytes after the last event, and otherwise io.ErrUnexpectedEOF.
+// The framing alone proves nothing: an endpoint that fails may still end it. A
+// stream whose only end is that of its connection must hold at least one event
+// unless it continues another one.
+func (x *exchange) checkStreamEnd(b *responseBody, unfinished int) error {
+	if unfinished > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	if x.isEventStream() && b.closeDelimited && !x.eventsReceived && x.in.lastEventID == "" {
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
+
 // classifyInterruption returns the result of a response that ended early. If no
 // part of it was sent to the client, it discards what was buffered.
 func (x *exchange) classifyInterruption(err error) gate.Result {
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"net"
 	"strconv"
 	"sync"
@@ -229,16 +228,6 @@
 	return err
 }
 
-// recordEventEnd records whether p, the next part of a stream, ends with the end of
-// an event. Parts that hold only a line end continue the part before.
-func (in *inboundRequest) recordEventEnd(p []byte) {
-	if content := bytes.TrimRight(p, "\r\n"); len(content) < len(p) && len(content) == 0 {
-		in.endedInEvent = false
-	} else if len(p) > 0 {
-		in.endedInEvent = bytes.Count(p[len(content):], []byte("\n")) < 2
-	}
-}
-
 // recordWrite records the time at which a part of the response is sent.
 func (in *inboundRequest) recordWrite(now time.Time) {
 	if in.firstWriteAt.IsZero() {
@@ -262,25 +251,3 @@
 
 // appendLastChunk appends the terminating chunk of a complete response.
 func (in *inboundRequest) appendLastChunk() { in.writeBuffer = append(in.writeBuffer, "0\r\n\r\n"...) }
-
-var (
-	eventTerminator = []byte("\n\n")
-	eventIDField    = []byte("id:")
-)
-
-// lastCompleteEvent returns the length of the complete server-sent events at the
-// start of p and the last ID among them, empty if none has one.
-func lastCompleteEvent(p []byte) (int, string) {
-	end := bytes.LastIndex(p, eventTerminator)
-	if end < 0 {
-		return 0, ""
-	}
-	end += len(eventTerminator)
-	id := ""
-	for line := range bytes.SplitSeq(p[:end], []byte("\n")) {
-		if bytes.HasPrefix(line, eventIDField) {
-			id = string(bytes.TrimSpace(line[len(eventIDField):]))
-		}
-	}
-	return end, id
-}
