Let the soak's endpoints answer without framing and break streams off within events

Now one answer in four has neither a length nor chunks, and one stream in twelve ends within an event in a framing that is whole.

--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -139,6 +139,21 @@
 			verdict:  fault.MayHaveRun,
 			code:     fault.CodeCut,
 		},
+		{
+			name:     "stream that ends within an event, by its length",
+			stream:   true,
+			response: head + "Content-Length: 16\r\n\r\ndata: {}\n\ndata: ",
+			verdict:  fault.MayHaveRun,
+			code:     fault.CodeCut,
+		},
+		{
+			name:       "stream that ends within an event, by its connection",
+			stream:     true,
+			response:   head + "Connection: close\r\n\r\ndata: {}\n\ndata: ",
+			closeAfter: true,
+			verdict:    fault.MayHaveRun,
+			code:       fault.CodeCut,
+		},
 		{
 			name:       "complete stream",
 			stream:     true,
--- /dev/null
+++ b/internal/soak/answers_test.go
@@ -0,0 +1,62 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// One in unframedOdds responses has neither a length nor chunks and ends with its
+// connection. One in brokenStreamOdds streams ends within an event, in a framing
+// that is whole.
+const (
+	unframedOdds     = 4
+	brokenStreamOdds = 12
+)
+
+// answerWriter writes the body of a response.
+type answerWriter struct {
+	body  io.Writer
+	flush func()
+	// end ends a response without framing by closing its connection.
+	end func()
+}
+
+// newAnswerWriter starts a response with the headers of w, sometimes without
+// framing.
+func newAnswerWriter(w http.ResponseWriter) *answerWriter {
+	if rand.IntN(unframedOdds) > 0 {
+		return &answerWriter{body: w, flush: w.(http.Flusher).Flush, end: func() {}}
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(conn)
+	_, _ = io.WriteString(conn, "\r\n")
+	return &answerWriter{body: conn, flush: func() {}, end: func() { _ = conn.Close() }}
+}
+
+// serveStream sends the events after number from. It may break the stream off
+// within an event.
+func serveStream(w http.ResponseWriter, requestID string, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	a := newAnswerWriter(w)
+	defer a.end()
+	brokenEvent := 0
+	if rand.IntN(brokenStreamOdds) == 0 {
+		brokenEvent = from + 1 + rand.IntN(eventsPerStream)
+	}
+	for i := from + 1; i <= eventsPerStream; i++ {
+		if i == brokenEvent {
+			_, _ = fmt.Fprintf(a.body, "id: %d\ndata: ", i)
+			return
+		}
+		_, _ = fmt.Fprintf(a.body, "id: %d\ndata: %s\n\n", i, requestID)
+		a.flush()
+		time.Sleep(eventInterval)
+	}
+}
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -198,16 +198,13 @@
 	w.Header().Set(platform.HeaderServerStamp, "stamp-"+requestID)
 	if ep.service == "shop" {
 		time.Sleep(time.Duration(20+rand.IntN(100)) * time.Millisecond)
-		_, _ = io.WriteString(w, "ran "+requestID)
+		a := newAnswerWriter(w)
+		defer a.end()
+		_, _ = io.WriteString(a.body, "ran "+requestID)
 		return
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID))
-	for i := from + 1; i <= eventsPerStream; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, requestID)
-		w.(http.Flusher).Flush()
-		time.Sleep(eventInterval)
-	}
+	serveStream(w, requestID, from)
 }
 
 func (ep *fakeEndpoint) serveReport(w http.ResponseWriter) {
