Reset both sides of the soak's proxied connections

Cause: the proxy that stands between entries and endpoints reset its two connections one by one. Where only the one to the endpoint was reset, the other was closed without a reset, so the entry saw a stream without framing end with its connection, which counts as complete.

--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -121,26 +122,34 @@
 	p.conns[server] = true
 	p.mu.Unlock()
 	defer p.closeConn(server)
-	ended := make(chan struct{}, 2)
-	go func() { p.copy(server, client, blockInbound); ended <- struct{}{} }()
-	go func() { p.copy(client, server, blockOutbound); ended <- struct{}{} }()
-	<-ended
+	ended := make(chan error, 2)
+	go func() { ended <- p.copy(server, client, blockInbound) }()
+	go func() { ended <- p.copy(client, server, blockOutbound) }()
+	if err := <-ended; err != nil {
+		// Closing then resets the connections, so that a reset of one side isn't
+		// taken for a close by the other.
+		_ = client.(*net.TCPConn).SetLinger(0)
+		_ = server.(*net.TCPConn).SetLinger(0)
+	}
 }
 
 // copy copies bytes of a direction and holds them back or delays them according
-// to the mode.
-func (p *proxy) copy(to io.Writer, from io.Reader, direction proxyMode) {
+// to the mode. It returns nil when the sender has closed its connection.
+func (p *proxy) copy(to io.Writer, from io.Reader, direction proxyMode) error {
 	buffer := make([]byte, proxyBuffer)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			p.applyMode(direction)
 			if _, err := to.Write(buffer[:n]); err != nil {
-				return
+				return err
 			}
 		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
 		if err != nil {
-			return
+			return err
 		}
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -42,7 +42,8 @@
 var ciSeeds = []uint64{
 	1,    // fixed seed
 	1004, // the soak assigned the same port to entries of two fleets
-	5006, // the soak still treated a restarted endpoint as draining
+	5006, // the soak still treated a restarted endpoint as draining; its proxy closed what it should reset
+	9103, // the soak's proxy closed what it should reset
 }
 
 func TestSoak(t *testing.T) {
