Log the software versions of a stream's endpoints and what the client takes up

Which of the hypotheses holds for a stream with events of two software versions can't be told from the log: it has neither the versions of the endpoints that a request was sent to nor Resumes and Last-Event-Id of a stream that a client takes up. The line of a request now has softwareVersions, resumes and lastEventId; the version comes from the registry, also through the leader. No decision changes.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -13,7 +13,6 @@
 
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/topo"
-	"dogwoodfold/platform"
 )
 
 // clientLimits holds the size and time limits for client requests.
@@ -175,7 +174,7 @@
 		request:      request,
 		head:         forwardedRequestHead(&head),
 		body:         body,
-		lastEventID:  headerValue(&head, platform.HeaderLastEventID),
+		lastEventID:  request.LastEventID,
 		client:       c.conn,
 		closeAfter:   head.ConnectionClose() || c.server.isStopping(),
 		effects:      make(chan gate.Effect, effectQueueSize),
@@ -319,6 +318,7 @@
 			in.decision = e.Decision
 			in.service = e.Service
 			in.endpoint = e.Endpoint
+			in.softwareVersions = append(in.softwareVersions, e.SoftwareVersion)
 			result := s.attempt(in, e)
 			in.verdict = result.Outcome.String()
 			in.reason = result.Reason.String()
--- a/internal/edge/head.go
+++ b/internal/edge/head.go
@@ -206,11 +206,13 @@
 		host = name
 	}
 	r := &gate.Request{
-		ID:        headerValue(h, platform.HeaderRequestID),
-		Host:      host,
-		Path:      path,
-		Key:       headerValue(h, platform.HeaderAPIKey),
-		ArrivedAt: arrived,
+		ID:             headerValue(h, platform.HeaderRequestID),
+		Host:           host,
+		Path:           path,
+		Key:            headerValue(h, platform.HeaderAPIKey),
+		LastEventID:    headerValue(h, platform.HeaderLastEventID),
+		ResumedRequest: headerValue(h, platform.HeaderResumes),
+		ArrivedAt:      arrived,
 	}
 	r.Model, r.Adapter, _ = strings.Cut(headerValue(h, platform.HeaderModel), "/")
 	if ms, err := strconv.ParseFloat(headerValue(h, platform.HeaderDeadline), 64); err == nil && ms > 0 {
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -57,8 +57,11 @@
 	maxWriteGap  time.Duration
 	status       int
 	endpoint     string
-	verdict      string
-	reason       string
+	// softwareVersions are the versions of the software of the endpoints that the
+	// request was sent to, in order.
+	softwareVersions []string
+	verdict          string
+	reason           string
 	// framing is how the end of the endpoint's last response was marked.
 	framing string
 	// endedInEvent is true if the last stream that an endpoint sent ended within
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -196,7 +196,8 @@
 	s.log.Info().Str("request", in.request.ID).Str("path", in.request.Path).Str("model", in.request.Model).
 		Int("status", in.status).Str("verdict", in.verdict).Str("reason", in.reason).Str("detail", in.detail).
 		Str("framing", in.framing).Bool("endedInEvent", in.endedInEvent).
-		Str("endpoint", in.endpoint).Int("tries", in.attempts).Bool("left", in.isDisconnected()).Dur("tookMs", elapsed).
+		Str("endpoint", in.endpoint).Strs("softwareVersions", in.softwareVersions).
+		Str("resumes", in.request.ResumedRequest).Str("lastEventId", in.request.LastEventID).Int("tries", in.attempts).Bool("left", in.isDisconnected()).Dur("tookMs", elapsed).
 		Dur("firstMs", in.timeToFirstWrite()).Dur("pauseMs", in.maxWriteGap).EmbedObject(decisionLogFields(in.decision)).
 		Msg("requests: ended")
 }
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -285,15 +285,16 @@
 	decision.Running = ep.stats.Load(now).Running - 1
 	decision.Expected = choice.Estimate
 	effect := Send{
-		Call:     call.id,
-		Decision: decision,
-		Endpoint: ep.ID,
-		Address:  ep.Address,
-		Service:  call.service,
-		Priority: priority(call),
-		Route:    call.route,
-		Deadline: call.deadline,
-		Resume:   call.resuming,
+		Call:            call.id,
+		Decision:        decision,
+		Endpoint:        ep.ID,
+		Address:         ep.Address,
+		SoftwareVersion: ep.SoftwareVersion,
+		Service:         call.service,
+		Priority:        priority(call),
+		Route:           call.route,
+		Deadline:        call.deadline,
+		Resume:          call.resuming,
 	}
 	if call.customer != nil {
 		effect.Customer = call.customer.Name
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -37,6 +37,11 @@
 	// parts.
 	PromptTokens int
 	PromptParts  []pick.PromptPart
+	// LastEventID is the last event that the client has of a stream that it takes
+	// up, ResumedRequest the ID of the request that brought the first one. Both
+	// are empty for new requests.
+	LastEventID    string
+	ResumedRequest string
 	// ClientTimeout is how long the client waits, 0 if it is not given.
 	ClientTimeout time.Duration
 	ArrivedAt     time.Time
@@ -321,10 +326,12 @@
 	Decision DecisionContext
 	Endpoint string
 	Address  netip.AddrPort
-	Service  string
-	Customer string
-	Priority int
-	Route    *topo.Route
+	// SoftwareVersion is the version of the endpoint's software.
+	SoftwareVersion string
+	Service         string
+	Customer        string
+	Priority        int
+	Route           *topo.Route
 	// Deadline is the time by which the request must have its final answer.
 	Deadline time.Time
 	// ConfigValidUntil is the time after which the request may no longer be
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -89,15 +89,16 @@
 		return nil, false
 	}
 	return &topo.Endpoint{
-		ID:            e.GetId(),
-		Service:       e.GetService(),
-		Address:       address,
-		Zone:          e.GetZone(),
-		Slots:         int(e.GetSlots()),
-		Incarnation:   e.GetBorn(),
-		Sequence:      e.GetSequence(),
-		Draining:      e.GetDraining(),
-		ColdRemaining: time.Duration(e.GetColdUs()) * time.Microsecond,
+		ID:              e.GetId(),
+		Service:         e.GetService(),
+		Address:         address,
+		Zone:            e.GetZone(),
+		SoftwareVersion: e.GetSoftwareVersion(),
+		Slots:           int(e.GetSlots()),
+		Incarnation:     e.GetBorn(),
+		Sequence:        e.GetSequence(),
+		Draining:        e.GetDraining(),
+		ColdRemaining:   time.Duration(e.GetColdUs()) * time.Microsecond,
 	}, true
 }
 
@@ -115,15 +116,16 @@
 		}
 		peer.sentRevisions[id] = ep.revision
 		state.Endpoints = append(state.Endpoints, &wirepb.GateEndpoint{
-			Id:       id,
-			Service:  ep.Service,
-			Address:  ep.Address.String(),
-			Zone:     ep.Zone,
-			Slots:    uint32(ep.Slots),
-			Born:     ep.Incarnation,
-			Sequence: ep.Sequence,
-			Draining: ep.Draining,
-			ColdUs:   uint64(max(ep.coldUntil.Sub(now), 0).Microseconds()),
+			Id:              id,
+			Service:         ep.Service,
+			Address:         ep.Address.String(),
+			Zone:            ep.Zone,
+			Slots:           uint32(ep.Slots),
+			Born:            ep.Incarnation,
+			Sequence:        ep.Sequence,
+			Draining:        ep.Draining,
+			ColdUs:          uint64(max(ep.coldUntil.Sub(now), 0).Microseconds()),
+			SoftwareVersion: ep.SoftwareVersion,
 		})
 	}
 	for _, id := range slices.Sorted(maps.Keys(peer.sentRevisions)) {
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -162,7 +162,8 @@
 	} else if record.Draining && !known.Draining {
 		c.logChange("endpoint draining", record.ID, record.Service, 0)
 	}
-	if known.Endpoint == nil || known.Draining != record.Draining || known.Address != record.Address {
+	if known.Endpoint == nil || known.Draining != record.Draining || known.Address != record.Address ||
+		known.SoftwareVersion != record.SoftwareVersion {
 		c.lastRevision++
 		known.revision = c.lastRevision
 	}
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -184,7 +184,10 @@
 	Service string
 	Address netip.AddrPort
 	Zone    string
-	Slots   int
+	// SoftwareVersion is the version of the endpoint's software. Events that
+	// different versions write do not fit together in one stream.
+	SoftwareVersion string
+	Slots           int
 	// Sequence numbers the registry records of one incarnation.
 	Sequence int64
 	// Incarnation distinguishes successive runs under the same ID; it is larger for
