Show by tests that streams go on at other software versions

Six tests of the reducer fail on this code, of one entry and of three entries that exchange their messages: a stream is continued within one answer, and taken up by its client at the same or another entry, at endpoints of any version, and if nobody knows where it began.

--- /dev/null
+++ b/internal/gate/streams_test.go
@@ -0,0 +1,299 @@
+package gate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/topo"
+	"dogwoodfold/pkg/fault"
+)
+
+// versionedEngine returns an engine that holds the model "big".
+func versionedEngine(id, version string) *topo.Endpoint {
+	ep := testEndpoint(id, "llm", topo.Holding{Model: "big"})
+	ep.SoftwareVersion = version
+	return ep
+}
+
+// startStream sends a request of the resumable route whose stream begins, and
+// returns its ID and where it was sent.
+func (h *harness) startStream(requestID string) (CallID, Send) {
+	h.t.Helper()
+	id, effects := h.arriveRequest(&Request{
+		ID: requestID, Host: "h", Path: "/notes/1", Key: "k2", Model: "big", ArrivedAt: h.now,
+	})
+	send := h.mustSend(effects)
+	h.apply(FirstByteReceived{Call: id})
+	return id, send
+}
+
+// takeUp delivers a client's request to continue the stream that began with
+// another request.
+func (h *harness) takeUp(began string) []Effect {
+	_, effects := h.arriveRequest(&Request{
+		ID: "again", Host: "h", Path: "/notes/1", Key: "k2", Model: "big", ArrivedAt: h.now,
+		LastEventID: "3", ResumedRequest: began,
+	})
+	return effects
+}
+
+var truncated = Result{Outcome: OutcomeTruncated, Reason: ReasonReset}
+
+// An entry that continues a stream within one response must not join the events
+// of two software versions.
+func TestStreamContinuesOnlyAtItsSoftwareVersion(t *testing.T) {
+	for i := range 10 {
+		h := newServingHarness(t)
+		h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"))
+		if i%2 == 0 {
+			h.endpoints(versionedEngine("llm-3", "v1"), versionedEngine("llm-4", "v2"))
+		}
+		id, first := h.startStream(fmt.Sprint("r-", i))
+		effects := h.apply(AttemptEnded{Call: id, Result: truncated})
+		second, sent := findEffect[Send](effects)
+		_, aborted := findEffect[AbortResponse](effects)
+		switch {
+		case sent && second.SoftwareVersion != first.SoftwareVersion:
+			t.Errorf("stream of %s continued at %s, which runs %s", first.SoftwareVersion, second.Endpoint, second.SoftwareVersion)
+		case i%2 == 0 && !sent:
+			t.Error("stream not continued though another engine runs its version")
+		case i%2 == 1 && !aborted:
+			t.Error("stream neither continued nor aborted")
+		}
+	}
+}
+
+// A client that takes a stream up must get events of the version that began it,
+// even from an entry that has no leader to ask.
+func TestTakenUpStreamGoesToItsSoftwareVersion(t *testing.T) {
+	h := newServingHarness(t)
+	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"),
+		versionedEngine("llm-3", "v1"), versionedEngine("llm-4", "v2"))
+	for i := range 10 {
+		began := fmt.Sprint("r-", i)
+		id, first := h.startStream(began)
+		h.apply(AttemptEnded{Call: id, Result: Result{Outcome: OutcomeTruncated, Reason: ReasonTimeout}})
+		if again := h.mustSend(h.takeUp(began)); again.SoftwareVersion != first.SoftwareVersion {
+			t.Errorf("stream of %s taken up at %s", first.SoftwareVersion, again.SoftwareVersion)
+		}
+	}
+}
+
+// Nobody knows at which version a stream began: with two versions it must not be
+// sent to either, and with one it can only be that one.
+func TestTakenUpStreamOfUnknownVersion(t *testing.T) {
+	h := newServingHarness(t)
+	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-3", "v1"))
+	h.mustSend(h.takeUp("unknown"))
+	h.mustSend(h.takeUp(""))
+	h.endpoints(versionedEngine("llm-2", "v2"))
+	h.wantNotRun(h.takeUp("unknown"), fault.CodeNoEndpoint)
+	h.wantNotRun(h.takeUp(""), fault.CodeNoEndpoint)
+}
+
+// A version whose last endpoint has just left may have begun the stream.
+func TestDepartedVersionStillCounts(t *testing.T) {
+	h := newServingHarness(t)
+	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"))
+	h.apply(EndpointsRead{SentAt: h.now, Changes: []topo.EndpointChange{{ID: "llm-1"}}})
+	h.wantNotRun(h.takeUp("unknown"), fault.CodeNoEndpoint)
+	h.advance(3 * time.Minute)
+	h.apply(ConfigRead{SentAt: h.now})
+	h.mustSend(h.takeUp("unknown"))
+}
+
+// entryFleet is a set of cores that exchange their messages without delay.
+type entryFleet struct {
+	t       *testing.T
+	now     time.Time
+	cores   map[string]*Core
+	leader  string
+	effects map[string][]Effect
+	calls   CallID
+	// lastRecord is the newest record of the lease log, which ends at offset.
+	lastRecord lease.Record
+	offset     int64
+}
+
+// newEntryFleet returns entries named front-1 to front-3, the first of which
+// leads, with engines of two versions.
+func newEntryFleet(t *testing.T) *entryFleet {
+	f := &entryFleet{t: t, now: start, cores: make(map[string]*Core), effects: make(map[string][]Effect)}
+	for i := range 3 {
+		host := fmt.Sprint("front-", i+1)
+		settings := testSettings(host)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7600)
+		f.cores[host] = New(settings, lease.New(host, uint64(i+1), address, settings.Lease), rand.New(rand.NewPCG(uint64(i), 2)))
+	}
+	f.readStore()
+	f.lead("front-1")
+	return f
+}
+
+// readStore delivers a read of the configuration and of all endpoints.
+func (f *entryFleet) readStore() {
+	for host := range f.cores {
+		f.apply(host, ConfigRead{Config: testConfig(), SentAt: f.now})
+		read := EndpointsRead{SentAt: f.now}
+		for i := range 4 {
+			ep := versionedEngine(fmt.Sprint("llm-", i), []string{"v1", "v2"}[i%2])
+			read.Changes = append(read.Changes, topo.EndpointChange{ID: ep.ID, Endpoint: ep})
+		}
+		f.apply(host, read)
+	}
+}
+
+// lead makes an entry acquire the lease and the others follow it.
+func (f *entryFleet) lead(host string) {
+	f.t.Helper()
+	appended := f.acquireLease(host)
+	f.leader = host
+	f.recordAppend(appended)
+	for other := range f.cores {
+		if other == host {
+			continue
+		}
+		f.apply(other, f.leaseRead())
+		f.apply(host, PeerConnected{Host: other})
+		f.apply(other, LeaderConnected{Host: host})
+	}
+}
+
+// recordAppend answers an append of the leader.
+func (f *entryFleet) recordAppend(e AppendLease) {
+	f.offset, f.lastRecord = e.Offset+1, e.Record
+	f.apply(f.leader, LeaseAppendEnded{Record: e.Record, Offset: e.Offset, Result: AppendDone})
+}
+
+func (f *entryFleet) leaseRead() LeaseRead {
+	return LeaseRead{
+		Record: f.lastRecord, Offset: f.offset - 1, EndOffset: f.offset, Exists: f.offset > 0, SentAt: f.now,
+	}
+}
+
+// acquireLease lets time pass until an entry appends to the lease.
+func (f *entryFleet) acquireLease(host string) AppendLease {
+	f.t.Helper()
+	for range 40 {
+		f.effects[host] = nil
+		f.apply(host, Tick{})
+		if appended, ok := findEffect[AppendLease](f.effects[host]); ok {
+			return appended
+		}
+		if _, reads := findEffect[ReadLease](f.effects[host]); reads {
+			f.apply(host, f.leaseRead())
+		}
+		f.now = f.now.Add(250 * time.Millisecond)
+		f.readStore()
+	}
+	f.t.Fatalf("%s does not acquire the lease", host)
+	return AppendLease{}
+}
+
+// apply delivers an event and carries the resulting messages between the cores.
+func (f *entryFleet) apply(host string, e Event) {
+	core := f.cores[host]
+	if core == nil {
+		return
+	}
+	for _, effect := range core.Apply(f.now, e) {
+		switch e := effect.(type) {
+		case SendReport:
+			f.apply(f.leader, ReportReceived{Host: host, Report: e.Report})
+		case SendState:
+			f.apply(e.Host, StateReceived{Host: host, State: e.State})
+		case RequestAssignment:
+			f.apply(f.leader, AssignmentRequested{Host: host, Request: e.Request})
+		case SendAssignment:
+			f.apply(e.Host, AssignmentReceived{Host: host, Assignment: e.Assignment})
+		case AppendLease:
+			f.effects[host] = append(f.effects[host], effect)
+			if host == f.leader {
+				f.recordAppend(e)
+			}
+		default:
+			f.effects[host] = append(f.effects[host], effect)
+		}
+	}
+}
+
+// tick lets time pass until every entry has reported to the leader.
+func (f *entryFleet) tick() {
+	for range 4 {
+		f.now = f.now.Add(reportInterval / 2)
+		for _, host := range []string{"front-1", "front-2", "front-3"} {
+			f.apply(host, ConfigRead{SentAt: f.now})
+			f.apply(host, Tick{})
+		}
+	}
+}
+
+// request delivers a request at an entry and returns where it was sent.
+func (f *entryFleet) request(host string, request *Request) (CallID, Send) {
+	f.t.Helper()
+	f.calls++
+	request.Host, request.Path, request.Key, request.Model, request.ArrivedAt = "h", "/notes/1", "k2", "big", f.now
+	f.effects[host] = nil
+	f.apply(host, RequestArrived{Call: f.calls, Request: request})
+	for range 20 {
+		if send, sent := findEffect[Send](f.effects[host]); sent {
+			return f.calls, send
+		}
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.apply(host, Tick{})
+	}
+	f.t.Fatalf("request at %s was not sent: %+v", host, f.effects[host])
+	return 0, Send{}
+}
+
+// checkTakeUp begins a stream at one entry, lets between happen, and checks that
+// another entry takes the stream up at its version.
+func (f *entryFleet) checkTakeUp(id, from, to string, between func()) {
+	f.t.Helper()
+	call, first := f.request(from, &Request{ID: id})
+	f.apply(from, FirstByteReceived{Call: call})
+	between()
+	f.apply(from, AttemptEnded{Call: call, Result: Result{Outcome: OutcomeTruncated, Reason: ReasonTimeout}})
+	again, second := f.request(to, &Request{ID: id + "-again", LastEventID: "3", ResumedRequest: id})
+	if second.SoftwareVersion != first.SoftwareVersion {
+		f.t.Errorf("stream %s of %s at %s taken up at %s by %s", id, first.SoftwareVersion, from, second.SoftwareVersion, to)
+	}
+	if !second.Decision.AssignedByLeader {
+		f.t.Errorf("stream %s was taken up by %s without the leader", id, to)
+	}
+	f.apply(to, AttemptEnded{Call: again, Result: Result{Outcome: OutcomeComplete}})
+}
+
+// A client takes its stream up at another entry than the one that began it: the
+// version must be known there, through the leader.
+func TestStreamIsTakenUpAtAnotherEntry(t *testing.T) {
+	f := newEntryFleet(t)
+	hosts := []string{"front-1", "front-2", "front-3"}
+	for i := range 18 {
+		from, to := hosts[i%3], hosts[(i+1+i/9)%3]
+		f.checkTakeUp(fmt.Sprint("r-", i), from, to, f.tick)
+	}
+}
+
+// The leader that knew all streams dies. Its successor must learn them from the
+// other entries, and the streams that the dead one itself began from what it had
+// told them.
+func TestStreamVersionsSurviveChangeOfLeader(t *testing.T) {
+	for i := range 6 {
+		f := newEntryFleet(t)
+		from := []string{"front-1", "front-3"}[i%2]
+		f.checkTakeUp("r", from, "front-2", func() {
+			f.tick()
+			delete(f.cores, "front-1")
+			f.lead("front-2")
+			f.tick()
+		})
+		if from == "front-1" {
+			f.checkTakeUp("s", "front-2", "front-3", f.tick)
+		}
+	}
+}
