Load the model and adapter of a continued stream at its software version

A stream that goes on only at the version that began it finds its model or adapter at fewer engines, and the leader saw no shortage while another version held it.

Requests that wait for an artifact now say at which version they need it; the planner loads it there, before it fills idle memory, and expected ends of loads are told by version. TestTakenUpStreamWaitsForItsAdapter and TestMissOfOneVersionIsLoadedAtThatVersion fail without it.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -6,6 +6,7 @@
 
 	"dogwoodfold/internal/pacer"
 	"dogwoodfold/internal/pick"
+	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/wire/wirepb"
 )
 
@@ -76,7 +77,7 @@
 		return reply
 	case elapsed+option.estimate > limit && wait > 0:
 		reply.Verdict = wirepb.GateAssignment_BUSY
-		reply.AfterUs = uint64(c.busyRetryAfter(now, req, option.estimate).Microseconds())
+		reply.AfterUs = uint64(c.busyRetryAfter(now, req, reply.GetSoftwareVersion(), option.estimate).Microseconds())
 		return reply
 	}
 	ep := option.endpoint
@@ -95,9 +96,13 @@
 
 // busyRetryAfter returns how long a request should wait before it tries busy
 // engines again: the estimated time to the first event or, if longer, the time
-// until a copy of its model that is being loaded is ready.
-func (c *Core) busyRetryAfter(now time.Time, req *wirepb.GateAssignmentAsk, estimate time.Duration) time.Duration {
-	if at, loading := c.leader.planner.LoadETAs(req.GetService())[req.GetModel()]; loading {
+// until a copy of its model that is being loaded is ready, by engines of the
+// software version if one is given.
+func (c *Core) busyRetryAfter(
+	now time.Time, req *wirepb.GateAssignmentAsk, softwareVersion string, estimate time.Duration,
+) time.Duration {
+	etas := c.leader.planner.LoadETAs(req.GetService())
+	if at, loading := stock.FirstLoad(etas, req.GetModel(), softwareVersion); loading {
 		return max(estimate, at.Sub(now))
 	}
 	return estimate
--- a/internal/gate/fleet_test.go
+++ b/internal/gate/fleet_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
@@ -79,7 +80,7 @@
 
 func TestNoOrdersInQuietPeriod(t *testing.T) {
 	h := newLeaderHarness(t)
-	h.core.leader.planner.RecordMiss(h.now, "llm", modelArtifact("small"))
+	h.core.leader.planner.RecordMiss(h.now, "llm", stock.Miss{Artifact: modelArtifact("small")})
 	h.core.leader.planSoon = true
 	h.advance(2 * time.Second) // the term lasts 4.6 s, of which orders are allowed for 1.6 s
 	h.core.appendingLease = true
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -213,7 +213,10 @@
 		Adapter: demand.GetAdapter(),
 	}
 	if demand.GetMissing() {
-		c.leader.planner.RecordMiss(now, demand.GetService(), artifact)
+		c.leader.planner.RecordMiss(now, demand.GetService(), stock.Miss{
+			Artifact:        artifact,
+			SoftwareVersion: demand.GetSoftwareVersion(),
+		})
 		c.leader.planSoon = true
 		return
 	}
@@ -273,11 +276,12 @@
 func (c *Core) encodeArrivals(now time.Time) []*wirepb.GateArrival {
 	var out []*wirepb.GateArrival
 	for _, service := range c.engineServices() {
-		for model, at := range c.leader.planner.LoadETAs(service) {
+		for load, at := range c.leader.planner.LoadETAs(service) {
 			out = append(out, &wirepb.GateArrival{
-				Service: service,
-				Model:   model,
-				AfterUs: uint64(max(at.Sub(now), 0).Microseconds()),
+				Service:         service,
+				Model:           load.Model,
+				AfterUs:         uint64(max(at.Sub(now), 0).Microseconds()),
+				SoftwareVersion: load.SoftwareVersion,
 			})
 		}
 	}
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -48,21 +48,20 @@
 	reportedAt     time.Time
 	sequence       uint64
 	// reportTimes holds the send times of recent reports by sequence number.
-	reportTimes      map[uint64]time.Time
-	tokenRequests    []*wirepb.GateTokens
-	demand           map[string]map[stock.Artifact]time.Duration
-	missingArtifacts map[string]map[stock.Artifact]bool
-	// arrivals are the expected ends of model loads in progress, by service and
-	// model.
-	arrivals map[string]map[string]time.Time
+	reportTimes   map[uint64]time.Time
+	tokenRequests []*wirepb.GateTokens
+	demand        map[string]map[stock.Artifact]time.Duration
+	misses        map[string]map[stock.Miss]bool
+	// arrivals are the expected ends of model loads in progress, by service.
+	arrivals map[string]map[stock.Load]time.Time
 }
 
 func newFollower() follower {
 	return follower{
-		reportTimes:      make(map[uint64]time.Time),
-		demand:           make(map[string]map[stock.Artifact]time.Duration),
-		missingArtifacts: make(map[string]map[stock.Artifact]bool),
-		arrivals:         make(map[string]map[string]time.Time),
+		reportTimes: make(map[uint64]time.Time),
+		demand:      make(map[string]map[stock.Artifact]time.Duration),
+		misses:      make(map[string]map[stock.Miss]bool),
+		arrivals:    make(map[string]map[stock.Load]time.Time),
 	}
 }
 
@@ -148,7 +147,10 @@
 // requestArtifact tells the leader that a call waits for its model, or for its
 // adapter if the model is loaded.
 func (c *Core) requestArtifact(now time.Time, call *activeCall) {
-	wanted := stock.Artifact{Model: call.request.Model}
+	wanted := stock.Miss{
+		Artifact:        stock.Artifact{Model: call.request.Model},
+		SoftwareVersion: call.softwareVersion,
+	}
 	if c.modelLoaded(now, call) {
 		wanted.Adapter = call.request.Adapter
 	}
@@ -157,37 +159,40 @@
 		c.leader.planSoon = true
 		return
 	}
-	if c.follower.missingArtifacts[call.service] == nil {
-		c.follower.missingArtifacts[call.service] = make(map[stock.Artifact]bool)
+	if c.follower.misses[call.service] == nil {
+		c.follower.misses[call.service] = make(map[stock.Miss]bool)
 	}
-	if !c.follower.missingArtifacts[call.service][wanted] {
-		c.follower.missingArtifacts[call.service][wanted] = true
+	if !c.follower.misses[call.service][wanted] {
+		c.follower.misses[call.service][wanted] = true
 		if call.parkedAt.IsZero() {
 			c.sendReport(now)
 		}
 	}
 }
 
-// modelLoaded reports whether any usable endpoint holds a call's model.
+// modelLoaded reports whether any usable endpoint that may run a call holds its
+// model.
 func (c *Core) modelLoaded(now time.Time, call *activeCall) bool {
 	leaderCurrent := c.leaderStateCurrent(now)
 	for _, ep := range c.endpoints {
-		if ep.Service == call.service && !ep.Draining && ep.holds(now, leaderCurrent, call.request.Model, "") {
+		if ep.Service == call.service && !ep.Draining && call.acceptsVersion(ep.SoftwareVersion) &&
+			ep.holds(now, leaderCurrent, call.request.Model, "") {
 			return true
 		}
 	}
 	return false
 }
 
-// loadArrival returns when a call's model is expected to be loaded, if a load
-// is in progress.
+// loadArrival returns when a call's model is expected to be loaded at an endpoint
+// that may run it, if a load is in progress.
 func (c *Core) loadArrival(now time.Time, call *activeCall) (time.Time, bool) {
+	etas := c.follower.arrivals[call.service]
 	if c.isLeader(now) {
-		at, ok := c.leader.planner.LoadETAs(call.service)[call.request.Model]
-		return at, ok
+		etas = c.leader.planner.LoadETAs(call.service)
+	} else if !c.leaderStateCurrent(now) {
+		return time.Time{}, false
 	}
-	at, ok := c.follower.arrivals[call.service][call.request.Model]
-	return at, ok && c.leaderStateCurrent(now)
+	return stock.FirstLoad(etas, call.request.Model, call.softwareVersion)
 }
 
 // reportIfDue sends the regular report to the leader.
@@ -250,18 +255,19 @@
 			})
 		}
 	}
-	for service, artifacts := range f.missingArtifacts {
-		for artifact := range artifacts {
+	for service, misses := range f.misses {
+		for miss := range misses {
 			out = append(out, &wirepb.GateDemand{
-				Service: service,
-				Model:   artifact.Model,
-				Adapter: artifact.Adapter,
-				Missing: true,
+				Service:         service,
+				Model:           miss.Model,
+				Adapter:         miss.Adapter,
+				Missing:         true,
+				SoftwareVersion: miss.SoftwareVersion,
 			})
 		}
 	}
 	clear(f.demand)
-	clear(f.missingArtifacts)
+	clear(f.misses)
 	return out
 }
 
@@ -344,9 +350,15 @@
 func (c *Core) applyArrivals(now time.Time, arrivals []*wirepb.GateArrival) {
 	clear(c.follower.arrivals)
 	for _, a := range arrivals {
-		if c.follower.arrivals[a.GetService()] == nil {
-			c.follower.arrivals[a.GetService()] = make(map[string]time.Time)
+		loads := c.follower.arrivals[a.GetService()]
+		if loads == nil {
+			loads = make(map[stock.Load]time.Time)
+			c.follower.arrivals[a.GetService()] = loads
+		}
+		load := stock.Load{
+			Model:           a.GetModel(),
+			SoftwareVersion: a.GetSoftwareVersion(),
 		}
-		c.follower.arrivals[a.GetService()][a.GetModel()] = now.Add(time.Duration(a.GetAfterUs()) * time.Microsecond)
+		loads[load] = now.Add(time.Duration(a.GetAfterUs()) * time.Microsecond)
 	}
 }
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -219,6 +219,17 @@
 	return version, only
 }
 
+// servesVersion reports whether a service has an endpoint with the given software
+// version that takes requests.
+func (c *Core) servesVersion(service, version string) bool {
+	for _, ep := range c.endpoints {
+		if ep.Service == service && !ep.Draining && ep.SoftwareVersion == version {
+			return true
+		}
+	}
+	return false
+}
+
 // recordDeparture remembers when an endpoint with its software version was removed.
 func (c *Core) recordDeparture(now time.Time, ep *topo.Endpoint) {
 	versions := c.departedVersions[ep.Service]
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/pkg/fault"
 )
@@ -297,3 +298,38 @@
 		}
 	}
 }
+
+// The engines of the version that began a stream hold the model but not the
+// adapter, which another version holds: it must be loaded, and the stream go on.
+func TestTakenUpStreamWaitsForItsAdapter(t *testing.T) {
+	h := newLeaderHarness(t)
+	h.endpoints(
+		versionedEngine("llm-1", "v1"),
+		versionedEngine("llm-2", "v2"),
+	)
+	for _, id := range []string{"llm-1", "llm-2"} {
+		holding := topo.Holding{Model: "big"}
+		if id == "llm-1" {
+			holding.Adapters = []string{"a1"}
+		}
+		h.apply(EngineReported{Engine: id, Report: &stock.Report{Holdings: []topo.Holding{holding}}})
+	}
+	h.core.streams.record(h.now, newStreamKey("began"), "v2")
+	_, effects := h.arriveRequest(&Request{
+		ID: "again", Host: "h", Path: "/notes/1", Key: "k2", Model: "big", Adapter: "a1", ArrivedAt: h.now,
+		LastEventID: "3", ResumedRequest: "began",
+	})
+	if _, refused := findEffect[Refuse](effects); refused {
+		t.Fatalf("the stream was refused: %+v", effects)
+	}
+	order, ordered := findEffect[SendOrder](append(effects, h.apply(Tick{})...))
+	if !ordered || order.Order.Engine != "llm-2" || order.Order.Adapter != "a1" {
+		t.Fatalf("ordered %+v, want the adapter at llm-2", order.Order)
+	}
+	h.advance(5 * time.Millisecond)
+	effects = h.apply(OrderAnswered{Order: order.Order, Outcome: stock.Accepted})
+	h.advance(planInterval)
+	if send := h.mustSend(append(effects, h.apply(Tick{})...)); send.Endpoint != "llm-2" {
+		t.Errorf("sent to %s, want llm-2", send.Endpoint)
+	}
+}
--- a/internal/stock/engine.go
+++ b/internal/stock/engine.go
@@ -18,6 +18,20 @@
 	Adapter string
 }
 
+// Miss is an artifact that requests are waiting for.
+type Miss struct {
+	Artifact
+	// SoftwareVersion is the only version of engines that can run the requests,
+	// empty if any can.
+	SoftwareVersion string
+}
+
+// Load is a model that engines of one software version are loading.
+type Load struct {
+	Model           string
+	SoftwareVersion string
+}
+
 // Order tells an engine to load or unload an artifact.
 type Order struct {
 	Engine string
@@ -75,6 +89,7 @@
 	service         string
 	spec            *topo.EngineSpec
 	incarnation     int64
+	softwareVersion string
 	usable          bool
 	runningRequests int
 
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -115,20 +115,28 @@
 func (p *Planner) planAdapters(now time.Time, service string, plan *Plan) {
 	engines := p.enginesOf(service)
 	misses := p.misses[service]
-	for _, a := range sortedArtifacts(misses) {
-		if now.Sub(misses[a]) > missLifetime {
-			delete(misses, a)
+	for _, m := range sortedMisses(misses) {
+		if now.Sub(misses[m]) > missLifetime {
+			delete(misses, m)
 			continue
 		}
-		if a.Adapter == "" {
+		if m.Adapter == "" {
 			continue
 		}
-		if p.placeAdapter(now, engines, a, plan) {
-			delete(misses, a)
+		if p.placeAdapter(now, enginesOfVersion(engines, m.SoftwareVersion), m.Artifact, plan) {
+			delete(misses, m)
 		}
 	}
 }
 
+// enginesOfVersion returns the engines of a software version, all if it is empty.
+func enginesOfVersion(engines []*engine, version string) []*engine {
+	if version == "" {
+		return engines
+	}
+	return slices.DeleteFunc(slices.Clone(engines), func(e *engine) bool { return e.softwareVersion != version })
+}
+
 // placeAdapter loads an adapter at the least busy engine that holds its model, or
 // unloads another adapter there to make room. It reports whether an engine holds or
 // is loading the adapter.
@@ -183,11 +191,31 @@
 		return
 	}
 	counts := countCopies(engines)
+	p.planVersionMisses(now, service, engines, counts, plan)
 	for _, s := range p.shortages(now, service, engines[0].spec, counts.total, len(engines)) {
 		p.resolveShortage(now, service, engines, s, counts, plan)
 	}
 }
 
+// planVersionMisses loads models that requests wait for at engines of one software
+// version, where other versions may hold them.
+func (p *Planner) planVersionMisses(now time.Time, service string, engines []*engine, counts copyCounts, plan *Plan) {
+	for _, m := range sortedMisses(p.misses[service]) {
+		if m.SoftwareVersion == "" || m.Adapter != "" {
+			continue
+		}
+		sameVersion := enginesOfVersion(engines, m.SoftwareVersion)
+		if countCopies(sameVersion).total[m.Model] > 0 {
+			continue
+		}
+		p.resolveShortage(now, service, sameVersion, shortage{
+			model:      m.Model,
+			demandRate: p.demandRate(now, service, m.Model),
+			missed:     true,
+		}, counts, plan)
+	}
+}
+
 // copyCounts holds the number of copies of each model on usable engines.
 type copyCounts struct {
 	// total includes copies that are being loaded, serving does not.
@@ -228,7 +256,7 @@
 			copies:     copies[model],
 			demandRate: p.demandRate(now, service, model),
 		}
-		missedAt, missed := p.misses[service][Artifact{Model: model}]
+		missedAt, missed := p.misses[service][Miss{Artifact: Artifact{Model: model}}]
 		s.missed = missed && now.Sub(missedAt) <= missLifetime
 		target := min(engineCount, int(math.Ceil(s.demandRate/p.settings.MaxCopyLoad)))
 		if s.copies == 0 || s.copies < target {
@@ -420,8 +448,12 @@
 	return float64(len(recent)) < limit
 }
 
-func sortedArtifacts(artifacts map[Artifact]time.Time) []Artifact {
-	return slices.SortedFunc(maps.Keys(artifacts), func(a, b Artifact) int {
-		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+func sortedMisses(misses map[Miss]time.Time) []Miss {
+	return slices.SortedFunc(maps.Keys(misses), func(a, b Miss) int {
+		return cmp.Or(
+			cmp.Compare(a.Model, b.Model),
+			cmp.Compare(a.Adapter, b.Adapter),
+			cmp.Compare(a.SoftwareVersion, b.SoftwareVersion),
+		)
 	})
 }
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -44,7 +44,7 @@
 	demand map[string]map[string]*demand
 	// misses holds, by service, the artifacts that requests wait for and the time
 	// at which the last of them was recorded.
-	misses map[string]map[Artifact]time.Time
+	misses map[string]map[Miss]time.Time
 	// storeLoads holds the start times of loads from the weight store, by service.
 	storeLoads map[string][]time.Time
 	// inheritedLoadsUntil is when the loads of an earlier planner stop counting.
@@ -63,7 +63,7 @@
 		settings:   s,
 		engines:    make(map[string]*engine),
 		demand:     make(map[string]map[string]*demand),
-		misses:     make(map[string]map[Artifact]time.Time),
+		misses:     make(map[string]map[Miss]time.Time),
 		storeLoads: make(map[string][]time.Time),
 		changed:    make(map[string]bool),
 	}
@@ -83,6 +83,7 @@
 	}
 	e.spec = spec
 	e.usable = !ep.Draining
+	e.softwareVersion = ep.SoftwareVersion
 	e.inMemory = toSet(ep.InMemory)
 	e.onDisk = toSet(ep.OnDisk)
 	switch {
@@ -128,12 +129,12 @@
 }
 
 // RecordMiss records that requests are waiting for an artifact that no usable
-// engine holds.
-func (p *Planner) RecordMiss(now time.Time, service string, a Artifact) {
+// engine of the miss's software version holds.
+func (p *Planner) RecordMiss(now time.Time, service string, m Miss) {
 	if p.misses[service] == nil {
-		p.misses[service] = make(map[Artifact]time.Time)
+		p.misses[service] = make(map[Miss]time.Time)
 	}
-	p.misses[service][a] = now
+	p.misses[service][m] = now
 }
 
 // HandleReport updates an engine from its own report.
@@ -271,21 +272,38 @@
 }
 
 // LoadETAs returns, for each model of a service that is being loaded, when the first
-// of its loads is expected to finish.
-func (p *Planner) LoadETAs(service string) map[string]time.Time {
-	out := make(map[string]time.Time)
+// of its loads is expected to finish, by the software version of the engines.
+func (p *Planner) LoadETAs(service string) map[Load]time.Time {
+	out := make(map[Load]time.Time)
 	for _, e := range p.engines {
 		if e.service != service || e.pending == nil || !e.pending.order.Load || e.pending.order.Adapter != "" {
 			continue
 		}
-		model := e.pending.order.Model
-		if eta, ok := out[model]; !ok || e.pending.expectedAt.Before(eta) {
-			out[model] = e.pending.expectedAt
+		load := Load{
+			Model:           e.pending.order.Model,
+			SoftwareVersion: e.softwareVersion,
+		}
+		if eta, ok := out[load]; !ok || e.pending.expectedAt.Before(eta) {
+			out[load] = e.pending.expectedAt
 		}
 	}
 	return out
 }
 
+// FirstLoad returns when the first load of a model is expected to finish, at any
+// engine or, with a software version, at the engines of that version.
+func FirstLoad(etas map[Load]time.Time, model, softwareVersion string) (first time.Time, loading bool) {
+	for load, eta := range etas {
+		if load.Model != model || softwareVersion != "" && load.SoftwareVersion != softwareVersion {
+			continue
+		}
+		if !loading || eta.Before(first) {
+			first, loading = eta, true
+		}
+	}
+	return first, loading
+}
+
 func toSet(names []string) map[string]bool {
 	out := make(map[string]bool, len(names))
 	for _, n := range names {
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -69,7 +69,7 @@
 
 func TestMissingModelIsLoadedFirst(t *testing.T) {
 	p := newTestPlanner(testSpec(), []string{"a", "b"}, []string{"a", "b"})
-	p.RecordMiss(startTime, "llm", Artifact{Model: "e"})
+	p.RecordMiss(startTime, "llm", Miss{Artifact: Artifact{Model: "e"}})
 	plan := p.Plan(startTime)
 	if len(plan.Orders) == 0 || plan.Orders[0].Model != "e" || !plan.Orders[0].Load {
 		t.Errorf("orders are %+v, want a load of e first", plan.Orders)
@@ -82,7 +82,7 @@
 	for _, m := range []string{"a", "b", "c", "d"} {
 		p.RecordDemand(now, "llm", Artifact{Model: m}, 10*time.Millisecond)
 	}
-	p.RecordMiss(now, "llm", Artifact{Model: "e"})
+	p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: "e"}})
 	for _, o := range p.Plan(now).Orders {
 		if !o.Load && (o.Model == "c" || o.Model == "d") {
 			t.Errorf("planned to unload the last copy of %s", o.Model)
@@ -92,7 +92,7 @@
 
 func TestUnansweredOrderIsResentWithSameCount(t *testing.T) {
 	p := newTestPlanner(testSpec(), []string{"a"})
-	p.RecordMiss(startTime, "llm", Artifact{Model: "b"})
+	p.RecordMiss(startTime, "llm", Miss{Artifact: Artifact{Model: "b"}})
 	first := p.Plan(startTime).Orders[0]
 	p.HandleOutcome(startTime.Add(700*time.Millisecond), first, Unanswered)
 	resent := p.Plan(startTime.Add(time.Second)).Orders
@@ -105,7 +105,7 @@
 	p := newTestPlanner(testSpec(), []string{"a"}, []string{"a"}, []string{"a"}, []string{"a"}, []string{"a"}, []string{"a"})
 	p.inheritedLoadsUntil = startTime.Add(5 * time.Second)
 	for _, m := range []string{"b", "c", "d", "e"} {
-		p.RecordMiss(startTime, "llm", Artifact{Model: m})
+		p.RecordMiss(startTime, "llm", Miss{Artifact: Artifact{Model: m}})
 	}
 	if n := countOrders(p.Plan(startTime).Orders, true); n != 2 {
 		t.Errorf("%d loads within the window of the earlier planner, want 2", n)
@@ -140,3 +140,51 @@
 		t.Errorf("%d loads, want one at each of the two engines with room for c", loads)
 	}
 }
+
+// Requests that continue a stream run only at engines of one software version. An
+// artifact that other versions hold must be loaded there too.
+func TestMissOfOneVersionIsLoadedAtThatVersion(t *testing.T) {
+	spec := testSpec()
+	newVersioned := func(withAdapter bool, second ...topo.Holding) *Planner {
+		p := NewPlanner(startTime, DefaultSettings(5*time.Second), true)
+		first := topo.Holding{Model: "a"}
+		if withAdapter {
+			first.Adapters = []string{"a1"}
+		}
+		for id, ep := range map[string]*topo.Endpoint{
+			"e1": {SoftwareVersion: "v1", Holdings: []topo.Holding{first}},
+			"e2": {SoftwareVersion: "v2", Holdings: second},
+		} {
+			ep.ID, ep.Service, ep.Incarnation = id, "llm", 1
+			p.SetEndpoint(startTime, ep, spec)
+			p.HandleReport(startTime, id, Report{Holdings: ep.Holdings})
+		}
+		return p
+	}
+	t.Run("model", func(t *testing.T) {
+		p := newVersioned(false)
+		p.RecordMiss(startTime, "llm", Miss{Artifact: Artifact{Model: "a"}, SoftwareVersion: "v2"})
+		wantLoadAt(t, p.Plan(startTime), "e2", Artifact{Model: "a"})
+		if _, loading := FirstLoad(p.LoadETAs("llm"), "a", "v2"); !loading {
+			t.Error("the load isn't among those of its version")
+		}
+		if _, loading := FirstLoad(p.LoadETAs("llm"), "a", "v1"); loading {
+			t.Error("the load is among those of another version")
+		}
+	})
+	t.Run("adapter", func(t *testing.T) {
+		p := newVersioned(true, topo.Holding{Model: "a"})
+		p.RecordMiss(startTime, "llm", Miss{Artifact: Artifact{Model: "a", Adapter: "a1"}, SoftwareVersion: "v2"})
+		wantLoadAt(t, p.Plan(startTime), "e2", Artifact{Model: "a", Adapter: "a1"})
+	})
+}
+
+func wantLoadAt(t *testing.T, plan Plan, engine string, a Artifact) {
+	t.Helper()
+	for _, o := range plan.Orders {
+		if o.Load && o.Engine == engine && o.Artifact == a {
+			return
+		}
+	}
+	t.Errorf("orders are %+v, want a load of %+v at %s", plan.Orders, a, engine)
+}
--- a/internal/stock/sim_test.go
+++ b/internal/stock/sim_test.go
@@ -257,7 +257,7 @@
 				if rapid.Bool().Draw(rt, "adapter") {
 					a.Adapter = rapid.SampledFrom([]string{"1", "2", "3", "4"}).Draw(rt, "adapter name")
 				}
-				w.planner.RecordMiss(w.now, "llm", a)
+				w.planner.RecordMiss(w.now, "llm", Miss{Artifact: a})
 				w.planner.RecordDemand(w.now, "llm", a, 100*time.Millisecond)
 			}
 			if rapid.IntRange(0, 299).Draw(rt, "new planner") == 0 {
