Send nothing to an endpoint that has said in an answer that it leaves

The entry passed such answers on and kept sending: only the registry's record counted.

An answer with the header, a success, a failure or a refusal, marks the endpoint's incarnation as draining at once, for five minutes, also where its record lapses and comes back while the store is away. The leader tells the other entries; an entry asks the leader for another engine.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -292,3 +293,32 @@
 		t.Errorf("entry without active requests finished after %v, want at most 3 s", elapsed)
 	}
 }
+
+// An endpoint that says in an answer that it leaves gets no further request, though
+// the registry still lists it as ready. A refusal says so as well as a success.
+func TestEndpointThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		f := newFixture(t)
+		var leaves atomic.Pointer[fakeEndpoint]
+		for _, shop := range f.shops {
+			shop.handler = func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(platform.HeaderServerStamp, "s")
+				leaves.CompareAndSwap(nil, shop)
+				if leaves.Load() != shop {
+					return
+				}
+				w.Header().Set(platform.HeaderLeaving, "1")
+				if status != http.StatusOK {
+					w.Header().Set(platform.HeaderNotExecuted, "1")
+				}
+				w.WriteHeader(status)
+			}
+		}
+		for range 30 {
+			f.send(context.Background(), "GET", "/look/1")
+		}
+		if n := len(leaves.Load().requests()); n != 1 {
+			t.Errorf("status %d: the leaving endpoint received %d requests, want 1", status, n)
+		}
+	}
+}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -221,6 +221,12 @@
 // or malformed. It reports whether the response was read completely.
 func (x *exchange) handleResponse(b *responseBody) (gate.Result, bool) {
 	x.in.framing = b.framing()
+	if platform.IsLeaving(x.head.Peek(platform.HeaderLeaving)) {
+		x.post(gate.EndpointLeaving{
+			Endpoint:    x.send.Endpoint,
+			Incarnation: x.send.Incarnation,
+		})
+	}
 	status := x.head.StatusCode()
 	if isNotExecuted(&x.head) {
 		_, err := b.readAll(maxBufferedBody)
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -128,7 +128,7 @@
 		})
 	}
 	for id, ep := range c.endpoints {
-		if ep.Service == call.service && !ep.stats.Usable(now) {
+		if ep.Service == call.service && (ep.Draining || !ep.stats.Usable(now)) {
 			req.Avoid = append(req.Avoid, id)
 		}
 	}
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -296,6 +296,7 @@
 		Decision:        decision,
 		Endpoint:        ep.ID,
 		Address:         ep.Address,
+		Incarnation:     ep.Incarnation,
 		SoftwareVersion: ep.SoftwareVersion,
 		Service:         call.service,
 		Priority:        priority(call),
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -60,6 +60,8 @@
 	// missingUntil holds endpoints whose records disappeared during a registry
 	// outage, and when each of them is removed.
 	missingUntil map[string]time.Time
+	// leaving holds endpoints that have said in an answer that they leave.
+	leaving      map[string]leavingEndpoint
 	prefillRates map[string]*pick.PrefillRate
 	calls        map[CallID]*activeCall
 	parked       map[CallID]*activeCall
@@ -103,6 +105,7 @@
 		random:           random,
 		endpoints:        make(map[string]*endpoint),
 		missingUntil:     make(map[string]time.Time),
+		leaving:          make(map[string]leavingEndpoint),
 		prefillRates:     make(map[string]*pick.PrefillRate),
 		calls:            make(map[CallID]*activeCall),
 		parked:           make(map[CallID]*activeCall),
@@ -126,6 +129,8 @@
 		c.admit(now, e.Call, e.Request)
 	case FirstByteReceived:
 		c.handleFirstByte(now, e.Call)
+	case EndpointLeaving:
+		c.handleEndpointLeaving(now, e)
 	case AttemptEnded:
 		c.handleAttemptEnded(now, e.Call, e.Result)
 	case ClientDisconnected:
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -59,6 +59,12 @@
 // FirstByteReceived reports that an endpoint has begun its response.
 type FirstByteReceived struct{ Call CallID }
 
+// EndpointLeaving reports that an endpoint has said in an answer that it leaves.
+type EndpointLeaving struct {
+	Endpoint    string
+	Incarnation int64
+}
+
 // AttemptEnded reports the result of an attempt.
 type AttemptEnded struct {
 	Call   CallID
@@ -199,6 +205,7 @@
 
 func (RequestArrived) event()      {}
 func (FirstByteReceived) event()   {}
+func (EndpointLeaving) event()     {}
 func (AttemptEnded) event()        {}
 func (ClientDisconnected) event()  {}
 func (ConfigRead) event()          {}
@@ -326,7 +333,8 @@
 	Decision DecisionContext
 	Endpoint string
 	Address  netip.AddrPort
-	// SoftwareVersion is the version of the endpoint's software.
+	// Incarnation and SoftwareVersion are those of the endpoint.
+	Incarnation     int64
 	SoftwareVersion string
 	Service         string
 	Customer        string
--- /dev/null
+++ b/internal/gate/leaving.go
@@ -0,0 +1,45 @@
+package gate
+
+import (
+	"maps"
+	"time"
+
+	"dogwoodfold/internal/topo"
+)
+
+// leavingMemory is how long an endpoint that has said that it leaves is remembered.
+// It exceeds the time for which such an endpoint goes on running.
+const leavingMemory = 5 * time.Minute
+
+// leavingEndpoint is an incarnation of an endpoint that has said in an answer that
+// it leaves.
+type leavingEndpoint struct {
+	incarnation int64
+	at          time.Time
+}
+
+// handleEndpointLeaving marks an endpoint as draining that has said so in an
+// answer, which the registry may not tell or tell later.
+func (c *Core) handleEndpointLeaving(now time.Time, e EndpointLeaving) {
+	if c.leaving[e.Endpoint].incarnation == e.Incarnation {
+		return
+	}
+	maps.DeleteFunc(c.leaving, func(_ string, l leavingEndpoint) bool { return now.Sub(l.at) > leavingMemory })
+	c.leaving[e.Endpoint] = leavingEndpoint{
+		incarnation: e.Incarnation,
+		at:          now,
+	}
+	known := c.endpoints[e.Endpoint]
+	if known == nil || known.Incarnation != e.Incarnation {
+		return
+	}
+	record := *known.Endpoint
+	c.setEndpoint(now, &record)
+	c.sendStates(now)
+}
+
+// isLeaving reports whether the incarnation of a record has said that it leaves.
+func (c *Core) isLeaving(record *topo.Endpoint) bool {
+	l, known := c.leaving[record.ID]
+	return known && l.incarnation == record.Incarnation
+}
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -148,6 +148,9 @@
 		return
 	}
 	delete(c.missingUntil, record.ID)
+	if c.isLeaving(record) {
+		record.Draining = true
+	}
 	if known != nil && known.Incarnation != record.Incarnation {
 		c.removeEndpoint(now, record.ID)
 		known = nil
