Keep the pause that an endpoint asks for when it turns a request away

The header was read nowhere: after a refusal an endpoint got requests again within the entry's own short pause, after a 503 without X-Not-Executed at once. TestEndpointThatTurnsAwayGetsNoRequests and TestEndpointsPauseIsKept fail without the change.

The pause counts for the endpoint's statistics as any backoff, and a shorter one no longer ends a longer one.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -322,3 +323,28 @@
 		}
 	}
 }
+
+// An endpoint that turns requests away with a time must get none of them before
+// that time has passed.
+func TestEndpointThatTurnsAwayGetsNoRequests(t *testing.T) {
+	for _, header := range []string{platform.HeaderNotExecuted, "X-Other"} {
+		f := newFixture(t)
+		for _, shop := range f.shops {
+			shop.handler = func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(platform.HeaderRetryAfter, "30.5")
+				w.Header().Set(header, "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}
+		var last clientResponse
+		for range 20 {
+			last = f.send(context.Background(), "GET", "/look/1")
+		}
+		if n := len(f.shops[0].requests()) + len(f.shops[1].requests()); n != 2 {
+			t.Errorf("%s: the endpoints received %d requests, want one each", header, n)
+		}
+		if seconds, err := strconv.ParseFloat(last.header.Get("Retry-After"), 64); last.status != 503 || err != nil || seconds < 29 {
+			t.Errorf("%s: status %d, Retry-After %q; want 503 with about 30 s", header, last.status, last.header.Get("Retry-After"))
+		}
+	}
+}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -250,6 +250,7 @@
 func (x *exchange) classifyRefusal(status int) gate.Result {
 	result := notRunResult(gate.ReasonRefused)
 	result.Status = status
+	result.RetryAfter = x.retryAfter(status)
 	if status != fasthttp.StatusMisdirectedRequest {
 		return result
 	}
@@ -280,12 +281,22 @@
 		body:   content,
 	}
 	return gate.Result{
-		Outcome: gate.OutcomeFailed,
-		Reason:  gate.ReasonStatus,
-		Status:  status,
+		Outcome:    gate.OutcomeFailed,
+		Reason:     gate.ReasonStatus,
+		Status:     status,
+		RetryAfter: x.retryAfter(status),
 	}, true
 }
 
+// retryAfter returns how long an endpoint that has turned a request away wants no
+// other one.
+func (x *exchange) retryAfter(status int) time.Duration {
+	if status != fasthttp.StatusServiceUnavailable {
+		return 0
+	}
+	return platform.ParseRetryAfter(x.head.Peek(platform.HeaderRetryAfter))
+}
+
 // forwardWhole forwards a response once it is complete, so that a request whose
 // response is truncated can be retried. Responses larger than maxBufferedBody
 // are streamed.
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -193,7 +193,7 @@
 	choice := pick.Choose(now, c.random, candidates)
 	best := endpoints[choice.Index]
 	if best.stats.BackingOff(now) {
-		c.park(now, call, c.parkDeadline(call))
+		c.waitForBackoff(now, call, endpoints)
 		return
 	}
 	expectedLatency := now.Sub(call.request.ArrivedAt) + choice.Estimate
@@ -205,6 +205,22 @@
 	c.send(now, call, best, candidates[choice.Index], choice)
 }
 
+// waitForBackoff parks a call until the first of its endpoints takes requests
+// again. If that is too late, it refuses the call at once.
+func (c *Core) waitForBackoff(now time.Time, call *activeCall, endpoints []*endpoint) {
+	first := endpoints[0].stats.BackoffUntil()
+	for _, ep := range endpoints[1:] {
+		first = earliest(first, ep.stats.BackoffUntil())
+	}
+	until := c.parkDeadline(call)
+	if first.After(until) {
+		c.refuse(now, call, fault.NotRun, fault.CodeBusy, "every endpoint has asked for a pause",
+			first.Sub(now)+c.jitter(shortRetryAfter))
+		return
+	}
+	c.park(now, call, until)
+}
+
 // jitter randomizes a delay by ±50%, so that requests refused at the same time
 // are not retried at the same time.
 func (c *Core) jitter(delay time.Duration) time.Duration {
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -302,6 +302,9 @@
 	// Status is the status code of the endpoint's response, 0 if there was
 	// none.
 	Status int
+	// RetryAfter is how long the endpoint wants no further requests from this
+	// entry.
+	RetryAfter time.Duration
 	// MaxGap is the longest time between two parts of the response.
 	MaxGap time.Duration
 }
--- a/internal/gate/leaving_test.go
+++ b/internal/gate/leaving_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"dogwoodfold/internal/topo"
+	"dogwoodfold/pkg/fault"
 )
 
 // An endpoint says in its answers that it leaves, before or without a record in the
@@ -51,3 +53,36 @@
 		}
 	}
 }
+
+// An endpoint that turns a request away may say for how long it wants no other one
+// from this entry. If all of them do, callers are told when to come back.
+func TestEndpointsPauseIsKept(t *testing.T) {
+	h := newServingHarness(t)
+	refused := Result{Outcome: OutcomeNotRun, Reason: ReasonRefused, Status: 503, RetryAfter: 2 * time.Second}
+	id, effects := h.arrive("/look/1", "k2")
+	first := h.mustSend(effects)
+	second := h.mustSend(h.apply(AttemptEnded{Call: id, Result: refused}))
+	h.apply(AttemptEnded{Call: id, Result: Result{Outcome: OutcomeComplete}})
+	if first.Endpoint == second.Endpoint {
+		t.Fatal("the request was sent to the same endpoint again")
+	}
+	for range 19 {
+		h.advance(100 * time.Millisecond)
+		h.apply(ConfigRead{SentAt: h.now})
+		id, effects = h.arrive("/look/1", "k2")
+		if send := h.mustSend(effects); send.Endpoint == first.Endpoint {
+			t.Fatalf("sent to %s within its pause", send.Endpoint)
+		}
+		h.apply(AttemptEnded{Call: id, Result: Result{Outcome: OutcomeComplete}})
+	}
+	h.core.endpoints[first.Endpoint].stats.RecordConnectFailure(h.now)
+	id, effects = h.arrive("/charge/1", "k2")
+	h.mustSend(effects)
+	h.apply(AttemptEnded{Call: id, Result: Result{Outcome: OutcomeFailed, Status: 503, RetryAfter: 3 * time.Second}})
+	h.core.endpoints[first.Endpoint].stats.RecordRetryAfter(h.now, 4*time.Second)
+	_, effects = h.arrive("/look/1", "k2")
+	h.wantNotRun(effects, fault.CodeBusy)
+	if after := fault.RetryAfterOf(h.mustRefuse(effects)); after < 3*time.Second || after > 4*time.Second {
+		t.Errorf("retry after %v, want a little over 3 s", after)
+	}
+}
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -80,6 +80,9 @@
 	if firstAttempt && result.Reason != ReasonDial {
 		c.creditRetry(call.service)
 	}
+	if result.RetryAfter > 0 {
+		ep.stats.RecordRetryAfter(now, result.RetryAfter)
+	}
 	if result.Reason == ReasonClientGone {
 		c.removeCall(call)
 		return
--- a/internal/pick/track.go
+++ b/internal/pick/track.go
@@ -111,14 +111,23 @@
 }
 
 // RecordRefusal records a response that says that the endpoint is full.
-func (s *EndpointStats) RecordRefusal(now time.Time) {
-	s.backoffUntil = now.Add(refusalBackoff)
+func (s *EndpointStats) RecordRefusal(now time.Time) { s.backOff(now, refusalBackoff) }
+
+// RecordRetryAfter records that the endpoint wants no requests for a time.
+func (s *EndpointStats) RecordRetryAfter(now time.Time, retryAfter time.Duration) {
+	s.backOff(now, retryAfter)
+}
+
+func (s *EndpointStats) backOff(now time.Time, duration time.Duration) {
+	if until := now.Add(duration); until.After(s.backoffUntil) {
+		s.backoffUntil = until
+	}
 }
 
 // RecordConnectFailure counts a failed connection.
 func (s *EndpointStats) RecordConnectFailure(now time.Time) {
 	s.RecordFailure(now)
-	s.backoffUntil = now.Add(connectFailureBackoff)
+	s.backOff(now, connectFailureBackoff)
 }
 
 // Usable reports whether the endpoint should get a request. An endpoint that fails
@@ -203,6 +212,9 @@
 // unloaded a model.
 func (s *EndpointStats) ForgetPrompts() { clear(s.promptParts) }
 
-// BackingOff reports whether the endpoint gets no requests because it has just
-// refused a request or a connection.
+// BackingOff reports whether the endpoint gets no requests because it has refused
+// a request or a connection.
 func (s *EndpointStats) BackingOff(now time.Time) bool { return now.Before(s.backoffUntil) }
+
+// BackoffUntil returns the time until which BackingOff holds.
+func (s *EndpointStats) BackoffUntil() time.Time { return s.backoffUntil }
