Follow a store that comes back from a copy

The code knew no era. TestEntryFollowsRestoredStore failed on the code before: the lease was never renewed again, since its end was believed to be the highest one ever seen; reads from an offset could also skip records.

- Reads name their era.
A read from an offset of another era is thrown away and the newest records are read; pages of two eras aren't mixed.
- The lease: a record of an earlier era says nothing of who holds the lease, its release neither; a newcomer waits a whole term from the first sight of the new era, the holder goes on at the new end.
Fencing tokens grow with the era.
Two more tests fail without the other parts.
- The registry: a record that was written before its endpoint was removed is ignored; endpoints that the copy lacks are kept for the grace of an outage.
- The configuration: a version below the leader's isn't proved current by a read.

spec/lease.pml doesn't model eras. The stand-in of the store has them; the soak restores the store, lets draining endpoints say so, and asks for pauses.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -348,3 +348,30 @@
 		}
 	}
 }
+
+// The store comes back from a copy: its newest records are gone and their offsets
+// are given out again. The entry must not go back to an older configuration, must
+// renew its lease at the new end and see what is written from then on.
+func TestEntryFollowsRestoredStore(t *testing.T) {
+	f := newFixture(t)
+	leaseEnd := func() int { return f.store.End("keyed.dogwoodfold") }
+	f.waitFor("the lease has been renewed", func() bool { return leaseEnd() >= 3 })
+	time.Sleep(time.Second)
+	f.store.Put(fakes.TopicOperator, fakes.KeyConfig, testConfig(2, "key-2"))
+	f.waitFor("the revoked key is rejected", func() bool { return f.send(context.Background(), "GET", "/look/1").status == 401 })
+	endBefore := leaseEnd()
+	lost := f.store.Restore(2 * time.Second)
+	if end := leaseEnd(); end >= endBefore {
+		t.Fatalf("the lease's log ends at %d after %d, the copy lacks nothing", end, endBefore)
+	}
+	for range 20 {
+		if r := f.send(context.Background(), "GET", "/look/1"); r.status == 200 {
+			t.Fatal("the revoked key was accepted again")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.store.Rewrite(lost)
+	f.waitFor("the lease is renewed beyond its end before", func() bool { return leaseEnd() > endBefore+1 })
+	f.store.Put(fakes.TopicOperator, fakes.KeyConfig, testConfig(3, "key-1"))
+	f.waitFor("the newest configuration is in force", func() bool { return f.send(context.Background(), "GET", "/look/1").status == 200 })
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -31,7 +31,7 @@
 // watchConfig keeps the configuration current with long-poll reads, which the
 // store answers as soon as a newer configuration exists.
 func (s *Server) watchConfig(ctx context.Context) {
-	next := int64(-1)
+	next, era := int64(-1), int64(-1)
 	healthy := true
 	retry := backoff{}
 	for ctx.Err() == nil {
@@ -49,7 +49,12 @@
 			continue
 		}
 		retry.reset()
-		next = batch.NextOffset
+		if next >= 0 && batch.Era != era {
+			next = -1 // the offsets are those of another era
+			continue
+		}
+		s.logEra("configuration", era, batch.Era)
+		next, era = batch.NextOffset, batch.Era
 		s.handleConfigBatch(ctx, sentAt, batch)
 	}
 }
@@ -98,12 +103,13 @@
 
 // watchEndpoints keeps the list of endpoints current.
 func (s *Server) watchEndpoints(ctx context.Context) {
-	next := int64(-1)
+	next, era := int64(-1), int64(-1)
 	healthy := true
 	retry := backoff{}
 	for ctx.Err() == nil {
 		if s.registryWatch.waitEnabled(ctx) {
 			next = -1 // a full read is cheaper: most missed records are heartbeats
+			era = -1
 		}
 		sentAt := s.clock.Now()
 		full := next < 0
@@ -120,11 +126,17 @@
 			continue
 		}
 		retry.reset()
-		next = batch.NextOffset
+		if !full && batch.Era != era {
+			next = -1 // the offsets are those of another era
+			continue
+		}
+		restored := s.logEra("registry", era, batch.Era)
+		next, era = batch.NextOffset, batch.Era
 		s.post(gate.EndpointsRead{
-			Changes: batch.Changes,
-			Full:    full,
-			SentAt:  sentAt,
+			Changes:  batch.Changes,
+			Full:     full,
+			Restored: restored,
+			SentAt:   sentAt,
 		})
 		if full {
 			s.refreshStatus(ctx)
@@ -229,6 +241,16 @@
 	return err == nil
 }
 
+// logEra logs that the store has come back from a copy without its newest records,
+// and reports whether it has. The era before is negative if none is known.
+func (s *Server) logEra(name string, before, era int64) bool {
+	restored := before >= 0 && era != before
+	if restored {
+		s.log.Warn().Str("dependency", name).Int64("era", era).Msg("store: restored from a copy")
+	}
+	return restored
+}
+
 // sleepContext waits for d or until ctx ends.
 func sleepContext(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/edge/perform.go
+++ b/internal/edge/perform.go
@@ -75,20 +75,17 @@
 
 func (s *Server) readLease() {
 	sentAt := s.clock.Now()
-	newest, err := s.store.NewestLease()
+	read, err := s.store.NewestLease()
 	s.metrics.countStoreCall("readLease", err)
 	s.post(gate.LeaseRead{
-		Record:    newest.Newest,
-		Offset:    newest.NewestOffset,
-		EndOffset: newest.EndOffset,
-		Exists:    newest.Exists,
-		SentAt:    sentAt,
-		Err:       err,
+		Read:   read,
+		SentAt: sentAt,
+		Err:    err,
 	})
 }
 
 func (s *Server) appendLease(e gate.AppendLease) {
-	err := s.store.AppendLease(e.Offset, e.Record)
+	era, err := s.store.AppendLease(e.Offset, e.Record)
 	s.metrics.countStoreCall("appendLease", err)
 	result := gate.AppendUnknown
 	switch {
@@ -104,6 +101,7 @@
 	s.post(gate.LeaseAppendEnded{
 		Record: e.Record,
 		Offset: e.Offset,
+		Era:    era,
 		Result: result,
 	})
 }
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -46,8 +46,11 @@
 	settings Settings
 	random   *rand.Rand
 
-	config              *topo.Config
-	configConfirmedAt   time.Time
+	config            *topo.Config
+	configConfirmedAt time.Time
+	// relayedVersion is the newest version of the configuration that the leader
+	// has named.
+	relayedVersion      int64
 	registryConfirmedAt time.Time
 	// registryDown is true from a failed read to the next successful one;
 	// registryRestoredAt is when the last outage ended.
@@ -60,6 +63,8 @@
 	// missingUntil holds endpoints whose records disappeared during a registry
 	// outage, and when each of them is removed.
 	missingUntil map[string]time.Time
+	// departed holds the last records of endpoints that were removed, and when.
+	departed map[string]departedEndpoint
 	// leaving holds endpoints that have said in an answer that they leave.
 	leaving      map[string]leavingEndpoint
 	prefillRates map[string]*pick.PrefillRate
@@ -106,6 +111,7 @@
 		endpoints:        make(map[string]*endpoint),
 		missingUntil:     make(map[string]time.Time),
 		leaving:          make(map[string]leavingEndpoint),
+		departed:         make(map[string]departedEndpoint),
 		prefillRates:     make(map[string]*pick.PrefillRate),
 		calls:            make(map[CallID]*activeCall),
 		parked:           make(map[CallID]*activeCall),
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -82,11 +82,13 @@
 }
 
 // EndpointsRead reports a read of the endpoint registry. Full is true if
-// Changes holds all endpoints.
+// Changes holds all endpoints, Restored if the registry has just come back without
+// its newest records.
 type EndpointsRead struct {
-	Changes []topo.EndpointChange
-	Full    bool
-	SentAt  time.Time
+	Changes  []topo.EndpointChange
+	Full     bool
+	Restored bool
+	SentAt   time.Time
 }
 
 // ConfigFetchEnded reports that a FetchConfig has ended, whether or not it
@@ -99,12 +101,9 @@
 // LeaseRead reports the newest record of the lease log, or the error of the
 // read.
 type LeaseRead struct {
-	Record    lease.Record
-	Offset    int64
-	EndOffset int64
-	Exists    bool
-	SentAt    time.Time
-	Err       error
+	lease.Read
+	SentAt time.Time
+	Err    error
 }
 
 // AppendResult is the result of an append to the lease log.
@@ -123,6 +122,8 @@
 type LeaseAppendEnded struct {
 	Record lease.Record
 	Offset int64
+	// Era is the era of the store in which the append was done.
+	Era    int64
 	Result AppendResult
 }
 
--- a/internal/gate/fleet_test.go
+++ b/internal/gate/fleet_test.go
@@ -67,7 +67,7 @@
 		t.Fatal("the follower does not read the lease")
 	}
 	report, ok := findEffect[SendReport](h.apply(LeaseRead{
-		Record: leaseRecord("front-2", 7), EndOffset: 1, Exists: true, SentAt: h.now,
+		Read: lease.Read{Record: leaseRecord("front-2", 7), End: 1, Exists: true}, SentAt: h.now,
 	}))
 	if !ok || !report.Report.GetTakesOver() {
 		t.Fatal("the follower does not ask the leader to resign")
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -103,12 +103,15 @@
 		c.lease.RetryAfter(now, c.jitter(storeRetryDelay))
 		return
 	}
-	c.lease.HandleRead(now, e.Record, e.Offset, e.EndOffset, e.Exists)
-	if !e.Exists {
+	c.lease.HandleRead(now, e.Read)
+	if !e.Exists || c.lease.Stale() && (c.lease.Holds(now) || c.leaderLink.connected) {
+		// A stale record says nothing against the leader that this entry knows.
 		return
 	}
 	record, _ := c.lease.Current()
-	c.applyShare(now, record.Members, e.SentAt)
+	if !c.lease.Stale() {
+		c.applyShare(now, record.Members, e.SentAt)
+	}
 	c.connectLeader(record)
 	if c.follower.leaderUnrenewed && record.Host == c.leaderLink.host && c.leaderLink.connected && !c.stopping {
 		c.follower.requestsTakeover = true
@@ -151,7 +154,7 @@
 	defer c.releaseIfStopping(now)
 	switch e.Result {
 	case AppendDone:
-		c.applyAppendedRecord(now, e.Record, e.Offset)
+		c.applyAppendedRecord(now, e)
 	case AppendRefused:
 		c.lease.RetryAfter(now, c.jitter(c.settings.Lease.RenewalInterval/2))
 	default:
@@ -171,14 +174,18 @@
 	}
 }
 
-func (c *Core) applyAppendedRecord(now time.Time, record lease.Record, offset int64) {
+func (c *Core) applyAppendedRecord(now time.Time, e LeaseAppendEnded) {
+	record := e.Record
 	previous, existed := c.lease.Current()
-	c.lease.HandleAppended(now, record, offset)
+	c.lease.HandleAppended(now, record, e.Offset, e.Era)
 	if record.Released {
 		c.released = true
 		c.leader = nil
 		return
 	}
+	if c.lease.Stale() {
+		return // appended in a later era than it was written for
+	}
 	if c.leader == nil && c.lease.Holds(now) {
 		c.disconnectLeader()
 		c.startLeading(now, previous.Members, !existed)
--- a/internal/gate/leaving.go
+++ b/internal/gate/leaving.go
@@ -7,7 +7,7 @@
 	"dogwoodfold/internal/topo"
 )
 
-// leavingMemory is how long an endpoint that has said that it leaves is remembered.
+// leavingMemory is how long an endpoint that leaves, or was removed, is remembered.
 // It exceeds the time for which such an endpoint goes on running.
 const leavingMemory = 5 * time.Minute
 
@@ -43,3 +43,25 @@
 	l, known := c.leaving[record.ID]
 	return known && l.incarnation == record.Incarnation
 }
+
+// departedEndpoint is the last record of an endpoint that was removed.
+type departedEndpoint struct {
+	record *topo.Endpoint
+	at     time.Time
+}
+
+// recordDeparture remembers the last record of an endpoint that is removed.
+func (c *Core) recordDeparture(now time.Time, record *topo.Endpoint) {
+	maps.DeleteFunc(c.departed, func(_ string, d departedEndpoint) bool { return now.Sub(d.at) > leavingMemory })
+	c.departed[record.ID] = departedEndpoint{
+		record: record,
+		at:     now,
+	}
+}
+
+// hasDeparted reports whether a record was written before its endpoint was removed.
+// A registry that comes back from a copy holds such records.
+func (c *Core) hasDeparted(record *topo.Endpoint) bool {
+	d, known := c.departed[record.ID]
+	return known && !d.record.OlderThan(record)
+}
--- a/internal/gate/leaving_test.go
+++ b/internal/gate/leaving_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dogwoodfold/internal/topo"
+	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
 )
 
@@ -26,8 +27,9 @@
 	}
 	// The record lapses while the store is away, and is back.
 	h.apply(EndpointsRead{SentAt: h.now, Changes: []topo.EndpointChange{{ID: "shop-1"}}})
-	again.Sequence = 3
-	h.endpoints(again)
+	back := testEndpoint("shop-1", "shop")
+	back.Sequence = 3
+	h.endpoints(back)
 	if !h.core.endpoints["shop-1"].Draining {
 		t.Error("the endpoint no longer counts as leaving")
 	}
@@ -86,3 +88,46 @@
 		t.Errorf("retry after %v, want a little over 3 s", after)
 	}
 }
+
+// A registry that comes back from a copy holds the records of endpoints that have
+// left since. Only a record that was written after the removal counts.
+func TestOldRecordOfRemovedEndpointIsIgnored(t *testing.T) {
+	h := newServingHarness(t)
+	last := testEndpoint("shop-1", "shop")
+	last.Draining, last.Sequence = true, 5
+	h.endpoints(last)
+	h.apply(EndpointsRead{SentAt: h.now, Changes: []topo.EndpointChange{{ID: "shop-1"}}})
+	copied := testEndpoint("shop-1", "shop")
+	copied.Sequence = 4
+	h.apply(EndpointsRead{SentAt: h.now, Full: true, Restored: true, Changes: []topo.EndpointChange{
+		{ID: "shop-1", Endpoint: copied}, {ID: "shop-2", Endpoint: testEndpoint("shop-2", "shop")},
+	}})
+	if h.core.endpoints["shop-1"] != nil {
+		t.Error("an endpoint that has left is back by an old record")
+	}
+	if h.core.endpoints["llm-1"] == nil {
+		t.Error("an endpoint that the copy lacks was removed at once")
+	}
+	newer := testEndpoint("shop-1", "shop")
+	newer.Sequence = 6
+	h.endpoints(newer)
+	if h.core.endpoints["shop-1"] == nil {
+		t.Error("a new record of a removed endpoint is ignored")
+	}
+}
+
+// The leader names a newer configuration than the store returns, since the store
+// came back from a copy: reading the old one proves nothing.
+func TestConfigOlderThanLeadersIsNotConfirmed(t *testing.T) {
+	h := newFollowerHarness(t)
+	h.receiveState(&wirepb.GateState{ConfigVersion: 7})
+	h.advance(4 * time.Second)
+	h.apply(ConfigRead{SentAt: h.now})
+	_, effects := h.arrive("/charge/1", "k2")
+	h.wantNotRun(effects, fault.CodeNotReady)
+	newer := testConfig()
+	newer.Version = 7
+	h.apply(ConfigRead{Config: newer, SentAt: h.now})
+	_, effects = h.arrive("/charge/1", "k2")
+	h.mustSend(effects)
+}
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -31,6 +31,7 @@
 // sent the report that the state answers. Subtracting the ages in the state
 // from it gives a lower bound for when the leader read the store.
 func (c *Core) applyRelay(now, sentAt time.Time, state *wirepb.GateState) {
+	c.relayedVersion = max(c.relayedVersion, state.GetConfigVersion())
 	configConfirmedAt := sentAt.Add(-time.Duration(state.GetConfigAgeUs()) * time.Microsecond)
 	switch {
 	case c.config == nil || state.GetConfigVersion() > c.config.Version:
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -230,8 +230,9 @@
 	return false
 }
 
-// recordDeparture remembers when an endpoint with its software version was removed.
-func (c *Core) recordDeparture(now time.Time, ep *topo.Endpoint) {
+// recordVersionDeparture remembers when an endpoint with its software version was
+// removed.
+func (c *Core) recordVersionDeparture(now time.Time, ep *topo.Endpoint) {
 	versions := c.departedVersions[ep.Service]
 	if versions == nil {
 		versions = make(map[string]time.Time)
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -172,7 +172,8 @@
 
 func (f *entryFleet) leaseRead() LeaseRead {
 	return LeaseRead{
-		Record: f.lastRecord, Offset: f.offset - 1, EndOffset: f.offset, Exists: f.offset > 0, SentAt: f.now,
+		Read:   lease.Read{Record: f.lastRecord, Offset: f.offset - 1, End: f.offset, Exists: f.offset > 0},
+		SentAt: f.now,
 	}
 }
 
--- a/internal/gate/tokens_test.go
+++ b/internal/gate/tokens_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
 )
@@ -11,7 +12,7 @@
 // newFollowerHarness returns a serving harness that follows a leader, front-2.
 func newFollowerHarness(t *testing.T) *harness {
 	h := newServingHarness(t)
-	h.apply(LeaseRead{Record: leaseRecord("front-2", 7), Offset: 0, EndOffset: 1, Exists: true, SentAt: h.now})
+	h.apply(LeaseRead{Read: lease.Read{Record: leaseRecord("front-2", 7), Offset: 0, End: 1, Exists: true}, SentAt: h.now})
 	h.apply(LeaderConnected{Host: "front-2"})
 	h.receiveState(&wirepb.GateState{})
 	return h
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -69,9 +69,6 @@
 // ignored.
 func (c *Core) handleConfigRead(now time.Time, e ConfigRead) {
 	wasReady := c.ready(now)
-	if e.SentAt.After(c.configConfirmedAt) {
-		c.configConfirmedAt = e.SentAt
-	}
 	if e.Config != nil && (c.config == nil || e.Config.Version > c.config.Version) {
 		c.config = e.Config
 		c.logChange("applied configuration", "", "", now.Sub(e.SentAt))
@@ -79,12 +76,21 @@
 		c.refuseRevokedKeys(now)
 		c.sendStates(now)
 	}
+	if e.SentAt.After(c.configConfirmedAt) && !c.configSuperseded() {
+		c.configConfirmedAt = e.SentAt
+	}
 	if ready := c.ready(now); ready != wasReady {
 		c.logChange("readiness", readinessText(ready), "", now.Sub(c.configConfirmedAt))
 	}
 	c.retryParked(now)
 }
 
+// configSuperseded reports whether the leader has a newer configuration than this
+// entry could read: the store then lacks it, since it came back from a copy.
+func (c *Core) configSuperseded() bool {
+	return c.config != nil && c.config.Version < c.relayedVersion
+}
+
 func readinessText(b bool) string {
 	if b {
 		return "ready"
@@ -94,7 +100,7 @@
 
 // handleEndpointsRead applies a read of the endpoint registry.
 func (c *Core) handleEndpointsRead(now time.Time, e EndpointsRead) {
-	restored := c.registryDown && e.SentAt.Sub(c.registryConfirmedAt) > minOutage
+	restored := e.Restored || c.registryDown && e.SentAt.Sub(c.registryConfirmedAt) > minOutage
 	c.registryDown = false
 	if restored {
 		c.registryRestoredAt = now
@@ -144,7 +150,7 @@
 // setEndpoint adds or updates an endpoint. Older records are ignored.
 func (c *Core) setEndpoint(now time.Time, record *topo.Endpoint) {
 	known := c.endpoints[record.ID]
-	if known != nil && record.OlderThan(known.Endpoint) {
+	if known != nil && record.OlderThan(known.Endpoint) || c.hasDeparted(record) {
 		return
 	}
 	delete(c.missingUntil, record.ID)
@@ -206,6 +212,7 @@
 		return
 	}
 	c.recordDeparture(now, c.endpoints[id].Endpoint)
+	c.recordVersionDeparture(now, c.endpoints[id].Endpoint)
 	delete(c.endpoints, id)
 	c.lastRevision++
 	c.logChange("endpoint removed", id, "", 0)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -23,7 +23,10 @@
 	Incarnation uint64         `json:"incarnation"`
 	Renewal     uint64         `json:"renewal"`
 	PeerAddr    netip.AddrPort `json:"peers"`
-	// Term is the offset of the first record of the term.
+	// Era is the era of the log for which the record was written.
+	Era int64 `json:"era,omitempty"`
+	// Term is the fencing token of the term. It grows with the era of the log and
+	// the offset of the first record of the term.
 	Term int64 `json:"term"`
 	// Released is true in the last record of a holder that shuts down.
 	Released bool     `json:"released,omitempty"`
@@ -55,14 +58,19 @@
 	hasRead   bool
 	hasRecord bool
 	record    Record
-	// logEnd is the highest end offset of the log that is known.
+	// era is the newest era of the log that is known. In a new era the log has lost
+	// its newest records.
+	era int64
+	// logEnd is the highest end offset of the log that is known in its era.
 	logEnd int64
-	// seenAt is when the newest record was first seen.
+	// seenAt is when the newest record or a new era was first seen.
 	seenAt time.Time
 	// lastRenewal is the number of this entry's last record, sentTimes holds when
 	// its records were sent.
 	lastRenewal uint64
 	sentTimes   map[uint64]time.Time
+	// term is the fencing token of this entry's present or last term.
+	term int64
 	// heldUntil is the end of this entry's term, ordersFrom the time from which it
 	// may issue orders.
 	heldUntil  time.Time
@@ -131,8 +139,9 @@
 	return at, ok
 }
 
-// Term returns the offset at which the term of the newest record began.
-func (l *Lease) Term() int64 { return l.record.Term }
+// Term returns the fencing token of this entry's term. It is valid while Holds is
+// true.
+func (l *Lease) Term() int64 { return l.term }
 
 // Current returns the newest known record, if there is one.
 func (l *Lease) Current() (Record, bool) { return l.record, l.hasRecord }
@@ -140,28 +149,54 @@
 // HasRead reports whether the log has been read at least once.
 func (l *Lease) HasRead() bool { return l.hasRead }
 
-// HandleRead handles the result of a read, which arrived at now: the newest record of
-// the log, the offset of that record and the end of the log.
-func (l *Lease) HandleRead(now time.Time, record Record, offset, end int64, exists bool) {
+// Read is the result of a read of the log.
+type Read struct {
+	// Era is the era of the log.
+	Era int64
+	// Record is the newest record and Offset its offset, if Exists is set.
+	Record Record
+	Offset int64
+	Exists bool
+	// End is the end of the log.
+	End int64
+}
+
+// HandleRead handles the result of a read, which arrived at now. Results of earlier
+// eras are ignored.
+func (l *Lease) HandleRead(now time.Time, read Read) {
+	if read.Era < l.era {
+		return
+	}
 	l.hasRead = true
-	if exists && (!l.hasRecord || offset+1 > l.logEnd || record.Incarnation != l.record.Incarnation) {
+	if read.Era > l.era {
+		l.era = read.Era
+		l.logEnd = 0
 		l.seenAt = now
 	}
-	l.logEnd = max(l.logEnd, end)
-	if !exists {
-		return
+	record := read.Record
+	if read.Exists && (!l.hasRecord || read.Offset+1 > l.logEnd || record.Incarnation != l.record.Incarnation) {
+		l.seenAt = now
 	}
-	if record.Term == 0 && record.Renewal == 1 {
-		record.Term = offset
+	l.logEnd = max(l.logEnd, read.End)
+	if !read.Exists {
+		return
 	}
 	l.hasRecord = true
 	l.record = record
 	l.confirm(record)
 }
 
+// Stale reports whether the newest record is of an earlier era of the log: records
+// that followed it may have been lost, so it doesn't tell who holds the lease.
+func (l *Lease) Stale() bool { return l.era > 0 && (!l.hasRecord || l.record.Era != l.era) }
+
 // confirm extends this entry's term if the record that was read from the log is its
-// own, and ends the term otherwise.
+// own, and ends the term otherwise. A stale record proves neither: an append for an
+// earlier era may take effect in this one.
 func (l *Lease) confirm(record Record) {
+	if l.Stale() {
+		return
+	}
 	if record.Incarnation != l.incarnation || record.Host != l.host {
 		l.heldUntil = time.Time{}
 		return
@@ -194,6 +229,9 @@
 
 // available reports whether no other host can be holding the lease.
 func (l *Lease) available(now time.Time) bool {
+	if l.Stale() {
+		return !now.Before(l.seenAt.Add(l.timing.Duration + l.timing.Margin))
+	}
 	if !l.hasRecord || l.record.Host == l.host {
 		return true
 	}
@@ -212,7 +250,7 @@
 // of the orders of an earlier holder.
 func (l *Lease) quietUntil() time.Time {
 	switch {
-	case !l.hasRecord || l.record.Host == l.host:
+	case l.Stale() || !l.hasRecord || l.record.Host == l.host:
 		return time.Time{}
 	case l.record.Released:
 		return l.seenAt.Add(l.timing.QuietPeriod + l.timing.Margin)
@@ -230,19 +268,18 @@
 func (l *Lease) NextRecord(now time.Time, members []Member, release bool) (Record, int64) {
 	l.lastRenewal++
 	l.nextAppendAt = now.Add(l.timing.RenewalInterval)
+	if !l.Holds(now) {
+		l.beginTerm()
+	}
 	record := Record{
 		Host:        l.host,
 		Incarnation: l.incarnation,
 		Renewal:     l.lastRenewal,
 		PeerAddr:    l.peerAddr,
+		Era:         l.era,
 		Released:    release,
 		Members:     members,
-		Term:        l.logEnd,
-	}
-	if l.hasRecord && l.record.Incarnation == l.incarnation {
-		record.Term = l.record.Term
-	} else {
-		l.ordersFrom = l.quietUntil()
+		Term:        l.term,
 	}
 	if release {
 		// Others may acquire the lease as soon as the record is in the log, whether
@@ -255,19 +292,32 @@
 	return record, l.logEnd
 }
 
+// beginTerm sets the fencing token of a new term, and the time from which it permits
+// orders.
+func (l *Lease) beginTerm() {
+	l.term = l.era<<eraShift + l.logEnd
+	if l.Stale() || !l.hasRecord || l.record.Incarnation != l.incarnation {
+		l.ordersFrom = l.quietUntil()
+	}
+}
+
+// eraShift is the position of the era in a fencing token. It leaves room for 2^21
+// eras and 2^32 offsets in a number that JSON keeps exactly.
+const eraShift = 32
+
 // maxTrackedRenewals is how many of this entry's last records may still show up in
 // the log.
 const maxTrackedRenewals = 32
 
-// HandleAppended handles an append that the log has acknowledged.
-func (l *Lease) HandleAppended(now time.Time, record Record, offset int64) {
-	l.hasRecord = true
-	l.record = record
-	l.seenAt = now
-	l.logEnd = max(l.logEnd, offset+1)
-	if sentAt, ok := l.sentTimes[record.Renewal]; ok {
-		l.extend(record, sentAt)
-	}
+// HandleAppended handles an append that the log has acknowledged, in the given era.
+func (l *Lease) HandleAppended(now time.Time, record Record, offset, era int64) {
+	l.HandleRead(now, Read{
+		Era:    era,
+		Record: record,
+		Offset: offset,
+		Exists: true,
+		End:    offset + 1,
+	})
 }
 
 // RetryAfter delays the next append by a pause after an append or a read failed.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -28,16 +28,21 @@
 // newHeldLease returns a lease of host "a" in its first term, and the record of it.
 func newHeldLease() (*Lease, Record) {
 	l := newLease("a", 1)
-	l.HandleRead(startTime, Record{}, 0, 0, false)
+	l.HandleRead(startTime, Read{})
 	record, offset := l.NextRecord(startTime, nil, false)
-	l.HandleAppended(startTime, record, offset)
+	l.HandleAppended(startTime, record, offset, 0)
 	return l, record
 }
 
+// readOf returns the read of a log whose last record is at offset.
+func readOf(r Record, offset int64) Read {
+	return Read{Record: r, Offset: offset, Exists: true, End: offset + 1}
+}
+
 func TestNewEntryWaitsForTermToExpire(t *testing.T) {
 	_, record := newHeldLease()
 	b := newLease("b", 2)
-	b.HandleRead(startTime, record, 0, 1, true)
+	b.HandleRead(startTime, readOf(record, 0))
 	if b.AppendDue(startTime.Add(4700 * time.Millisecond)) {
 		t.Error("append is due within the term of the holder")
 	}
@@ -49,7 +54,7 @@
 func TestRestartedHostReacquiresItsLease(t *testing.T) {
 	_, record := newHeldLease()
 	restarted := newLease("a", 3)
-	restarted.HandleRead(startTime, record, 0, 1, true)
+	restarted.HandleRead(startTime, readOf(record, 0))
 	if !restarted.AppendDue(startTime) || restarted.Holds(startTime) {
 		t.Error("a restarted host must append at once, and must not hold the lease before")
 	}
@@ -59,7 +64,7 @@
 	l, _ := newHeldLease()
 	sent := startTime.Add(time.Second)
 	record, offset := l.NextRecord(sent, nil, false)
-	l.HandleRead(startTime.Add(3*time.Second), record, offset, offset+1, true)
+	l.HandleRead(startTime.Add(3*time.Second), readOf(record, offset))
 	if !l.Holds(sent.Add(4500*time.Millisecond)) || l.Holds(sent.Add(4700*time.Millisecond)) {
 		t.Error("the term doesn't end one lease duration after the append was sent")
 	}
@@ -68,14 +73,14 @@
 func TestReleasedLeaseIsAcquiredAtOnceButOrdersWait(t *testing.T) {
 	a, _ := newHeldLease()
 	released, offset := a.NextRecord(startTime, nil, true)
-	a.HandleAppended(startTime, released, offset)
+	a.HandleAppended(startTime, released, offset, 0)
 	b := newLease("b", 2)
-	b.HandleRead(startTime, released, offset, offset+1, true)
+	b.HandleRead(startTime, readOf(released, offset))
 	if a.Holds(startTime) || !b.AppendDue(startTime) {
 		t.Fatal("the released lease was not passed on")
 	}
 	record, offset := b.NextRecord(startTime, nil, false)
-	b.HandleAppended(startTime, record, offset)
+	b.HandleAppended(startTime, record, offset, 0)
 	if !b.Holds(startTime) || b.MayIssueOrders(startTime.Add(2900*time.Millisecond)) {
 		t.Error("a holder may issue orders too soon after those of the last holder")
 	}
@@ -85,13 +90,58 @@
 	a, _ := newHeldLease()
 	late, offset := a.NextRecord(startTime.Add(time.Second), nil, false)
 	a.Resign(startTime.Add(2 * time.Second))
-	a.HandleAppended(startTime.Add(3*time.Second), late, offset)
-	a.HandleRead(startTime.Add(3*time.Second), late, offset, offset+1, true)
+	a.HandleAppended(startTime.Add(3*time.Second), late, offset, 0)
+	a.HandleRead(startTime.Add(3*time.Second), readOf(late, offset))
 	if a.Holds(startTime.Add(3 * time.Second)) {
 		t.Error("a late append extended a term that had ended")
 	}
 }
 
+// The log was restored from a copy that lacks the newest records, so its offsets go
+// back. The holder must go on at the new end, and a later holder's fencing token must
+// be higher though its offset is lower.
+func TestHolderGoesOnAfterLogIsRestored(t *testing.T) {
+	l, first := newHeldLease()
+	for i := range int64(5) {
+		record, _ := l.NextRecord(startTime, nil, false)
+		l.HandleAppended(startTime, record, i+1, 0)
+	}
+	restored := Read{Era: 1, Record: first, Offset: 0, Exists: true, End: 1}
+	l.HandleRead(startTime.Add(time.Second), restored)
+	if !l.Holds(startTime.Add(time.Second)) || !l.AppendDue(startTime.Add(time.Second)) {
+		t.Fatal("the holder doesn't go on")
+	}
+	renewal, offset := l.NextRecord(startTime.Add(time.Second), nil, false)
+	if offset != 1 || renewal.Era != 1 || renewal.Term != first.Term {
+		t.Errorf("renewal is %+v at %d, want the same term in era 1 at offset 1", renewal, offset)
+	}
+	b := newLease("b", 2)
+	b.HandleRead(startTime, Read{Record: renewal, Offset: 900, Exists: true, End: 901})
+	before, _ := b.NextRecord(startTime.Add(5*time.Second), nil, false)
+	b.HandleRead(startTime.Add(5*time.Second), restored)
+	after, offset := b.NextRecord(startTime.Add(10*time.Second), nil, false)
+	if offset != 1 || after.Term <= before.Term {
+		t.Errorf("fencing token %d at offset %d after %d, want a higher one at offset 1", after.Term, offset, before.Term)
+	}
+}
+
+// A release in a stale record doesn't pass the lease on: the holder after it may have
+// been lost with the newest records.
+func TestStaleReleaseDoesNotPassLeaseOn(t *testing.T) {
+	a, _ := newHeldLease()
+	released, offset := a.NextRecord(startTime, nil, true)
+	read := readOf(released, offset)
+	read.Era = 1
+	b := newLease("b", 2)
+	b.HandleRead(startTime, read)
+	if b.AppendDue(startTime.Add(4700 * time.Millisecond)) {
+		t.Error("append is due while a holder of the era before may hold the lease")
+	}
+	if !b.AppendDue(startTime.Add(4800 * time.Millisecond)) {
+		t.Error("append is not due after that")
+	}
+}
+
 // entry is one of the entries of TestOrdersOfTwoHoldersAreSeparated.
 type entry struct {
 	lease       *Lease
@@ -103,9 +153,25 @@
 // effect late.
 type simLog struct {
 	records []Record
+	era     int64
 	queue   []delayedCall
 }
 
+// read returns a read of the present content.
+func (s *simLog) read() Read {
+	result := Read{Era: s.era, End: int64(len(s.records))}
+	if last := len(s.records) - 1; last >= 0 {
+		result.Record, result.Offset, result.Exists = s.records[last], int64(last), true
+	}
+	return result
+}
+
+// restore replaces the content by a copy that lacks the last n records.
+func (s *simLog) restore(n int) {
+	s.era++
+	s.records = s.records[:max(len(s.records)-n, 0)]
+}
+
 type delayedCall struct {
 	at  time.Time
 	run func(now time.Time)
@@ -137,23 +203,20 @@
 
 // TestOrdersOfTwoHoldersAreSeparated checks that at most one entry holds the lease and
 // that the orders of two holders are at least a quiet period apart. Entries freeze and
-// resign; their appends are acknowledged late, lost or executed late.
+// resign; their appends are acknowledged late, lost or executed late; the log is
+// restored from copies. Fencing tokens never decrease.
 func TestOrdersOfTwoHoldersAreSeparated(t *testing.T) {
 	const step = 50 * time.Millisecond
 	rapid.Check(t, func(rt *rapid.T) {
 		log := &simLog{}
 		entries := []*entry{{lease: newLease("a", 1)}, {lease: newLease("b", 2)}, {lease: newLease("c", 3)}}
 		now := startTime
-		lastOrder, lastIssuer := time.Time{}, -1
+		lastOrder, lastIssuer, lastTerm := time.Time{}, -1, int64(-1)
 		read := func(e *entry) {
-			sent := append([]Record(nil), log.records...)
+			result := log.read()
 			log.schedule(now.Add(time.Duration(rapid.IntRange(0, 800).Draw(rt, "read"))*time.Millisecond), func(now time.Time) {
 				e.callPending = false
-				if len(sent) == 0 {
-					e.lease.HandleRead(now, Record{}, 0, 0, false)
-					return
-				}
-				e.lease.HandleRead(now, sent[len(sent)-1], int64(len(sent)-1), int64(len(sent)), true)
+				e.lease.HandleRead(now, result)
 			})
 		}
 		appendNext := func(e *entry) {
@@ -169,7 +232,7 @@
 					return
 				}
 				if ok {
-					e.lease.HandleAppended(now, record, offset)
+					e.lease.HandleAppended(now, record, offset, log.era)
 					e.callPending = false
 					return
 				}
@@ -182,6 +245,9 @@
 		for range 600 {
 			now = now.Add(step)
 			log.run(now)
+			if rapid.IntRange(0, 149).Draw(rt, "restore") == 0 {
+				log.restore(rapid.IntRange(0, 8).Draw(rt, "records lost"))
+			}
 			holders := 0
 			for i, e := range entries {
 				if now.Before(e.frozenUntil) {
@@ -198,7 +264,10 @@
 					if lastIssuer >= 0 && lastIssuer != i && now.Sub(lastOrder) < 3*time.Second {
 						rt.Fatalf("orders of entries %d and %d are %v apart, want at least 3s", lastIssuer, i, now.Sub(lastOrder))
 					}
-					lastOrder, lastIssuer = now, i
+					if term := e.lease.Term(); term < lastTerm || term == lastTerm && lastIssuer != i {
+						rt.Fatalf("entry %d gives orders with fencing token %d after entry %d with %d", i, term, lastIssuer, lastTerm)
+					}
+					lastOrder, lastIssuer, lastTerm = now, i, e.lease.Term()
 				}
 				if e.lease.Unrenewed(now) && rapid.IntRange(0, 4).Draw(rt, "resign") == 0 {
 					renewal := e.lease.Resign(now)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,6 +32,10 @@
 	minSuccessRate    = 0.5
 	meanFaultInterval = 900 * time.Millisecond
 	resetInterval     = 150 * time.Millisecond
+	// maxRestores is how often the store may be restored from a copy in a run,
+	// restoreTime how long it is away each time.
+	maxRestores = 2
+	restoreTime = 300 * time.Millisecond
 	// longPartition is longer than the time for which a revoked key may still
 	// work.
 	longPartition = revokeBound + 3*time.Second
@@ -83,6 +87,7 @@
 	for n := range clientCount {
 		group.Go(func() { env.runClient(ctx, n) })
 	}
+	group.Go(func() { env.injectRestores(ctx, rand.New(rand.NewPCG(seed, 6)), t) })
 	env.injectFaults(rand.New(rand.NewPCG(seed, 5)), t)
 	time.Sleep(recoveryTime)
 	from := time.Now()
@@ -122,6 +127,27 @@
 	time.Sleep(max(time.Until(lastEnd), longPartition))
 }
 
+// injectRestores brings the store back from a copy, up to maxRestores times while the
+// faults are injected. Its draws are its own, so that the faults of a seed stay.
+func (en *environment) injectRestores(ctx context.Context, random *rand.Rand, t *testing.T) {
+	for range random.IntN(maxRestores + 1) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(random.Int64N(int64(faultDuration / maxRestores)))):
+		}
+		lost := time.Duration(500+random.IntN(2500)) * time.Millisecond
+		rewriteDelay := time.Duration(random.IntN(1500)) * time.Millisecond
+		en.history.recordFault("", time.Now().Add(restoreTime+rewriteDelay))
+		en.store.SetFailStatus(503)
+		time.Sleep(restoreTime)
+		records := en.store.Restore(lost)
+		en.store.SetFailStatus(0)
+		t.Logf("%v store restored without its last %v", time.Now().Format("05.000"), lost)
+		time.AfterFunc(rewriteDelay, func() { en.store.Rewrite(records) })
+	}
+}
+
 // injectFault starts a random fault and schedules its end, for most faults after
 // duration. It returns a description of the fault.
 func (en *environment) injectFault(random *rand.Rand, duration time.Duration) string {
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -175,8 +175,12 @@
 	}
 	if !drainingSince.IsZero() {
 		ep.env.history.checkDrain(id, drainingSince, time.Now())
+		w.Header().Set(platform.HeaderLeaving, "1")
 	}
 	if rand.IntN(20) == 0 {
+		if rand.IntN(2) == 0 {
+			w.Header().Set(platform.HeaderRetryAfter, "0.7")
+		}
 		w.Header().Set(platform.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
