Don't take an engine's count of orders without the effect of the orders

A load without a response that was refused when it was sent again counted as never applied, and its memory as free. A report within the second after that brought the engine's new count of accepted orders, but not its holdings, which may be older than the change. The next order then named the right count, which is what protects from late orders, with the wrong holdings: the engine was ordered to load beyond its memory. TestUnknownOrderIsNotCountedWithoutItsEffect failed and passes now.

Within that second a report only confirms a count that the planner already has; another one waits until the report's holdings count as well.

--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -147,10 +147,7 @@
 		return
 	}
 	if e.pending == nil {
-		e.acceptedOrders, e.synced = r.AcceptedOrders, true
-		if now.Sub(e.changedAt) >= reportLag {
-			p.reconcile(e, r.Holdings)
-		}
+		p.applyReport(now, e, r)
 		return
 	}
 	if !e.pending.answered || now.Before(e.pending.expectedAt) {
@@ -175,6 +172,18 @@
 	}
 }
 
+// applyReport updates an engine without a pending order. A report that may be older
+// than the last change of the recorded holdings only confirms the count of orders
+// that goes with them. Another count would go with other holdings.
+func (p *Planner) applyReport(now time.Time, e *engine, r Report) {
+	if now.Sub(e.changedAt) < reportLag {
+		e.synced = e.synced || r.AcceptedOrders == e.acceptedOrders
+		return
+	}
+	e.acceptedOrders, e.synced = r.AcceptedOrders, true
+	p.reconcile(e, r.Holdings)
+}
+
 // reconcile replaces the recorded holdings of an engine, and marks the engine as
 // changed if they differ.
 func (p *Planner) reconcile(e *engine, holdings []topo.Holding) {
--- /dev/null
+++ b/internal/stock/report_test.go
@@ -0,0 +1,49 @@
+package stock
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/topo"
+)
+
+// loadOrder returns the load that a plan orders at an engine, or fails the test.
+func loadOrder(t *testing.T, plan Plan, model string) Order {
+	t.Helper()
+	for _, o := range plan.Orders {
+		if o.Load && o.Model == model {
+			return o
+		}
+	}
+	t.Fatalf("orders are %+v, want a load of %s", plan.Orders, model)
+	return Order{}
+}
+
+// A load gets no response and is refused when it is sent again, but the first one has
+// been accepted. The engine's report shows that it has accepted one more order; until
+// the planner knows what that order did, it must not order by the new count, or it
+// would order more than the engine has room for.
+func TestUnknownOrderIsNotCountedWithoutItsEffect(t *testing.T) {
+	spec := testSpec()
+	p := newTestPlanner(spec, []string{"a", "b"})
+	now := startTime.Add(10 * time.Second)
+	p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: "c"}})
+	order := loadOrder(t, p.Plan(now), "c")
+	p.HandleOutcome(now, order, Unanswered)
+	now = now.Add(600 * time.Millisecond)
+	p.Plan(now)
+	p.HandleOutcome(now, order, Refused)
+	for _, m := range []string{"d", "e"} {
+		p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: m}})
+	}
+	holdings := []topo.Holding{{Model: "a"}, {Model: "b"}, {Model: "c"}}
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		p.HandleReport(now, "e00", Report{AcceptedOrders: 1, Holdings: holdings})
+		for _, o := range p.Plan(now).Orders {
+			if o.Load && o.ExpectedAccepted == 1 {
+				t.Fatalf("ordered %+v though the engine holds %d models of %v MB", o, len(holdings), spec.Models["a"].SizeMB)
+			}
+		}
+	}
+}
