Count adapters that are on their way to an engine

Adapters in transit take places at an engine and are listed as incoming in its report, which was decoded and dropped. A new leader, or one whose order got no answer, took those places for free and ordered more adapters than the engine has places for. TestIncomingAdaptersTakePlaces failed and passes now: a report with adapters on their way is not applied, as that of a busy engine isn't; they take milliseconds.

--- a/internal/edge/perform.go
+++ b/internal/edge/perform.go
@@ -161,9 +161,11 @@
 	s.post(gate.EngineReported{
 		Engine: e.Engine,
 		Report: &stock.Report{
-			Busy:           report.OrderRunning,
-			AcceptedOrders: report.AcceptedOrders,
-			Holdings:       report.Holdings,
+			Incarnation:      report.Incarnation,
+			Busy:             report.OrderRunning,
+			AcceptedOrders:   report.AcceptedOrders,
+			Holdings:         report.Holdings,
+			IncomingAdapters: report.IncomingAdapters,
 		},
 	})
 }
--- a/internal/stock/engine.go
+++ b/internal/stock/engine.go
@@ -62,9 +62,14 @@
 
 // Report is the state that an engine reports of itself.
 type Report struct {
+	// Incarnation is the run of the engine that reports, 0 if it isn't given.
+	Incarnation    int64
 	Busy           bool
 	AcceptedOrders int64
 	Holdings       []topo.Holding
+	// IncomingAdapters are adapters on their way to the engine, which take places
+	// there, as MODEL/NAME.
+	IncomingAdapters []string
 }
 
 const (
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -143,8 +143,8 @@
 	if e == nil {
 		return
 	}
-	if r.Busy {
-		return
+	if r.Busy || len(r.IncomingAdapters) > 0 {
+		return // what the engine will hold is not known before that has ended
 	}
 	if e.pending == nil {
 		p.applyReport(now, e, r)
--- a/internal/stock/report_test.go
+++ b/internal/stock/report_test.go
@@ -47,3 +47,23 @@
 		}
 	}
 }
+
+// Adapters on their way to an engine take places there. A report that names some
+// doesn't show all that the engine will hold.
+func TestIncomingAdaptersTakePlaces(t *testing.T) {
+	spec := testSpec()
+	p := NewPlanner(startTime, DefaultSettings(5*time.Second), true)
+	held := []topo.Holding{{Model: "a"}}
+	p.SetEndpoint(startTime, &topo.Endpoint{ID: "e1", Service: "llm", Incarnation: 1, Holdings: held}, spec)
+	report := Report{Holdings: held, AcceptedOrders: int64(spec.AdapterSlots)}
+	for i := range spec.AdapterSlots {
+		report.IncomingAdapters = append(report.IncomingAdapters, "a/"+string(rune('p'+i)))
+	}
+	p.HandleReport(startTime, "e1", report)
+	p.RecordMiss(startTime, "llm", Miss{Artifact: Artifact{Model: "a", Adapter: "z"}})
+	for _, o := range p.Plan(startTime).Orders {
+		if o.Load && o.Adapter != "" {
+			t.Errorf("ordered %+v though %d adapters are on their way to %d places", o, spec.AdapterSlots, spec.AdapterSlots)
+		}
+	}
+}
