Ignore the report of another incarnation of an engine

An endpoint may start again under its id. Its report then names another start, which was decoded and dropped: the planner took its empty holdings and its new count of orders for those of the incarnation before, until the registry told. TestReportOfOtherIncarnationIsIgnored failed and passes now.

--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -140,7 +140,7 @@
 // HandleReport updates an engine from its own report.
 func (p *Planner) HandleReport(now time.Time, id string, r Report) {
 	e := p.engines[id]
-	if e == nil {
+	if e == nil || r.Incarnation != 0 && r.Incarnation != e.incarnation {
 		return
 	}
 	if r.Busy || len(r.IncomingAdapters) > 0 {
--- a/internal/stock/report_test.go
+++ b/internal/stock/report_test.go
@@ -67,3 +67,13 @@
 		}
 	}
 }
+
+// A report of another incarnation under the same ID says nothing of this one.
+func TestReportOfOtherIncarnationIsIgnored(t *testing.T) {
+	p := newTestPlanner(testSpec(), []string{"a", "b"})
+	now := startTime.Add(10 * time.Second)
+	p.HandleReport(now, "e00", Report{Incarnation: 2, AcceptedOrders: 5})
+	if !p.engines["e00"].canServe(Artifact{Model: "a"}) || p.engines["e00"].acceptedOrders != 0 {
+		t.Error("the report of another incarnation was applied")
+	}
+}
