Accept whole answers that end with their connection at the agent

New rule of the users' pages: an answer may come with neither a length nor chunks and end with its connection. The agent ended each such call as cut, may have run: a service that answers so could not be used.

--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -233,11 +233,9 @@
 	return nil
 }
 
-// lengthUntilClose is the content length that fasthttp reports for a body that
-// ends when the connection is closed.
-const lengthUntilClose = -2
-
-// checkComplete returns an error unless the response is proved to be complete.
+// checkComplete returns an error unless the response is complete. One that has
+// neither a length nor chunks ends with its connection; a reset is an error of the
+// read before.
 func checkComplete(response *fasthttp.Response, tail *responseTail, total uint64) error {
 	if !tail.isComplete() {
 		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended early")
@@ -246,9 +244,6 @@
 	if length >= 0 && uint64(length) != total {
 		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer was cut")
 	}
-	if length == lengthUntilClose && !tail.stream {
-		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer has no length, so its end can't be told from a cut")
-	}
 	return nil
 }
 
