Report the end of a session before the next one with the same host begins

A host that is removed from the list and listed again got a second worker while the first was still ending. Its session could be reported up before the first one was reported down, and the entry tells sessions of one process apart by nothing: the end of the old one marked the host as without a session for good, though the new one was open. TestPoolEndsSessionBeforeNext failed and passes now: a worker begins when the one before it has ended.

--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -66,46 +66,68 @@
 	done   chan struct{}
 }
 
+// workers are the workers of the targets, and the last one of each host that was
+// removed from them, by the host's name.
+type workers struct {
+	active map[plat.Host]worker
+	ended  map[string]worker
+}
+
 // Run maintains the sessions until ctx is done. It closes them before it
 // returns.
 func (p *Pool) Run(ctx context.Context) {
 	defer close(p.done)
-	workers := make(map[plat.Host]worker)
+	all := workers{
+		active: make(map[plat.Host]worker),
+		ended:  make(map[string]worker),
+	}
 	for {
 		select {
 		case <-ctx.Done():
-			for _, w := range workers {
-				w.cancel()
-				<-w.done
-			}
+			all.stop()
 			return
 		case targets := <-p.targets:
-			p.reconcile(ctx, workers, targets)
+			p.reconcile(ctx, all, targets)
 		}
 	}
 }
 
+// stop ends all workers and waits for them.
+func (w workers) stop() {
+	for _, active := range w.active {
+		active.cancel()
+		<-active.done
+	}
+	for _, ended := range w.ended {
+		<-ended.done
+	}
+}
+
 // reconcile starts and stops workers so that they match the targets.
-func (p *Pool) reconcile(ctx context.Context, workers map[plat.Host]worker, targets []plat.Host) {
+func (p *Pool) reconcile(ctx context.Context, all workers, targets []plat.Host) {
 	wanted := make(map[plat.Host]bool)
 	for _, host := range targets {
 		host.State = "" // a state change must not restart the session
 		wanted[host] = true
 	}
-	for host, w := range workers {
+	for host, w := range all.active {
 		if !wanted[host] {
 			w.cancel()
-			delete(workers, host)
+			delete(all.active, host)
+			all.ended[host.Name] = w
 		}
 	}
 	for host := range wanted {
-		if _, exists := workers[host]; !exists {
-			workers[host] = p.start(ctx, host)
+		if _, exists := all.active[host]; !exists {
+			all.active[host] = p.start(ctx, host, all.ended[host.Name].done)
+			delete(all.ended, host.Name)
 		}
 	}
 }
 
-func (p *Pool) start(ctx context.Context, host plat.Host) worker {
+// start starts the worker of a host. It begins when the host's worker before, if
+// any, has ended, so that the end of a session is reported before the next begins.
+func (p *Pool) start(ctx context.Context, host plat.Host, before <-chan struct{}) worker {
 	ctx, cancel := context.WithCancel(ctx)
 	w := worker{
 		cancel: cancel,
@@ -113,6 +135,9 @@
 	}
 	go func() {
 		defer close(w.done)
+		if before != nil {
+			<-before
+		}
 		p.maintain(ctx, host)
 	}()
 	return w
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"dogwoodfold/internal/link"
 	"dogwoodfold/internal/plat"
@@ -66,3 +67,49 @@
 	cancel()
 	<-p.Done()
 }
+
+// TestPoolEndsSessionBeforeNext removes a target and adds it again while its session
+// is still being opened. The end of that session must be reported before the start of
+// the next one, or it would be taken for the end of the next.
+func TestPoolEndsSessionBeforeNext(t *testing.T) {
+	host, _ := listen(t)
+	dialing := make(chan struct{}, 8)
+	release := make(chan struct{})
+	events := make(chan string, 8)
+	p := link.New(
+		func(_ context.Context, h plat.Host) (*wire.Session, error) {
+			dialing <- struct{}{}
+			<-release
+			return wire.Dial(context.Background(), h.Address, &wirepb.Hello{Host: "entry"}, nil)
+		},
+		link.Handler{
+			OnUp:      func(plat.Host, *wire.Session) { events <- "up" },
+			OnDown:    func(plat.Host, *wire.Session) { events <- "down" },
+			OnMessage: func(plat.Host, *wire.Session, *wirepb.Envelope) {},
+		})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.Run(ctx)
+	p.SetTargets([]plat.Host{host})
+	<-dialing
+	other := host
+	other.Name = "other"
+	p.SetTargets([]plat.Host{other}) // its dial shows that the set was applied
+	<-dialing
+	p.SetTargets([]plat.Host{host, other})
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	linked := 0
+	for range 4 { // the canceled session up and down, the next one and the other up
+		if <-events == "up" {
+			linked++
+		} else {
+			linked--
+		}
+		if linked > 2 {
+			t.Fatal("a session began before the end of the one before")
+		}
+	}
+	cancel()
+	<-p.Done()
+}
