Count the session of a host that is listed only after it began

A session that was reported while its host was missing from the list was dropped; the host, once listed again, stayed without a session while the pool kept one open. TestSessionOfUnlistedHostCountsOnceItIsListed failed and passes now. That this was the cause of TestPausedAgent's failure is not shown.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -91,6 +91,9 @@
 	version uint64
 	self    string
 	peers   map[string]*Peer
+	// unlistedSessions holds the greetings of hosts that have a session and are
+	// not listed, by name.
+	unlistedSessions map[string]*wirepb.Hello
 	// byRole caches the peers of each role, sorted by name. It is nil after a
 	// change of the set of peers.
 	byRole   map[string][]*Peer
@@ -100,8 +103,9 @@
 // New returns an empty fleet. The host named self is never added to it.
 func New(self string) *Fleet {
 	return &Fleet{
-		self:  self,
-		peers: make(map[string]*Peer),
+		self:             self,
+		peers:            make(map[string]*Peer),
+		unlistedSessions: make(map[string]*wirepb.Hello),
 	}
 }
 
@@ -131,6 +135,10 @@
 		p.Host = host
 		p.Unlisted = false
 		p.updateLeaving()
+		if hello := f.unlistedSessions[host.Name]; hello != nil {
+			delete(f.unlistedSessions, host.Name)
+			f.SessionUp(f.lastTick, host.Name, hello)
+		}
 	}
 	for name, p := range f.peers {
 		p.Unlisted = !listedNames[name]
@@ -144,6 +152,7 @@
 func (f *Fleet) SessionUp(now time.Time, name string, hello *wirepb.Hello) {
 	p, ok := f.peers[name]
 	if !ok {
+		f.unlistedSessions[name] = hello
 		return
 	}
 	if p.lastIncarnation != hello.GetIncarnation() {
@@ -161,6 +170,9 @@
 // reports whether the host has been removed, which happens if it is missing from
 // the host list as well.
 func (f *Fleet) SessionDown(name string, incarnation uint64) (removed bool) {
+	if hello := f.unlistedSessions[name]; hello.GetIncarnation() == incarnation {
+		delete(f.unlistedSessions, name)
+	}
 	p, ok := f.peers[name]
 	if !ok || p.Incarnation != incarnation {
 		return false
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -225,3 +225,27 @@
 		})
 	})
 }
+
+// A host is removed from the list and listed again while its session is opened. The
+// session is reported once, between the two, and must count from the second on.
+func TestSessionOfUnlistedHostCountsOnceItIsListed(t *testing.T) {
+	f := New("self")
+	now := time.Unix(1000, 0)
+	f.UpdateHosts([]plat.Host{{Name: "b", Role: plat.RoleAgent}})
+	f.SessionUp(now, "a", &wirepb.Hello{Incarnation: 7})
+	f.UpdateHosts([]plat.Host{{Name: "a", Role: plat.RoleAgent}, {Name: "b", Role: plat.RoleAgent}})
+	if p := f.Peer("a"); p == nil || !p.Linked() || p.Incarnation != 7 {
+		t.Errorf("peer is %+v, want it linked to incarnation 7", p)
+	}
+	f.SessionDown("a", 7)
+	if f.Peer("a").Linked() {
+		t.Error("the peer is linked after the end of its session")
+	}
+	f.UpdateHosts([]plat.Host{{Name: "b", Role: plat.RoleAgent}})
+	f.SessionUp(now, "a", &wirepb.Hello{Incarnation: 7})
+	f.SessionDown("a", 7)
+	f.UpdateHosts([]plat.Host{{Name: "a", Role: plat.RoleAgent}, {Name: "b", Role: plat.RoleAgent}})
+	if f.Peer("a").Linked() {
+		t.Error("the peer is linked to a session that has ended")
+	}
+}
