Tell the leader only of the attempt that began a stream

If an attempt's response began without an event and another attempt, at another version, began the stream, a report named both versions, grouped, so that the leader kept the one that sorts last. TestLastAttemptBeginsStream failed for one of the two orders and passes now.

--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -60,8 +60,12 @@
 	return start
 }
 
-// recordOwn remembers the version of a stream that this entry began.
+// recordOwn remembers the version of a stream that this entry began. It replaces
+// that of an earlier attempt, which brought no event.
 func (t *streamTable) recordOwn(now time.Time, key streamKey, version string) {
+	if _, known := t.versions[key]; known {
+		t.own = slices.DeleteFunc(t.own, func(s streamStart) bool { return s.key == key })
+	}
 	start := t.record(now, key, version)
 	t.ownCount++
 	start.number = t.ownCount
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -334,3 +334,20 @@
 		t.Errorf("sent to %s, want llm-2", send.Endpoint)
 	}
 }
+
+// The first attempt's response began but brought no event, and the next attempt, at
+// another version, began the stream. Both are told to the leader at once: only the
+// last one counts.
+func TestLastAttemptBeginsStream(t *testing.T) {
+	for _, versions := range [][2]string{{"v1", "v2"}, {"v2", "v1"}} {
+		table := newStreamTable()
+		key := newStreamKey("r")
+		table.recordOwn(start, key, versions[0])
+		table.recordOwn(start, key, versions[1])
+		c := &Core{streams: newStreamTable()}
+		c.applyStarts(start, encodeStarts(table.ownAfter(0)))
+		if got, _ := c.streams.lookup(start, key); got != versions[1] {
+			t.Errorf("the leader knows version %s, want %s", got, versions[1])
+		}
+	}
+}
