--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -54,7 +54,7 @@
 // verdict that says why there is none.
 func (c *Core) assignEngine(now time.Time, req *wirepb.GateAssignmentAsk) *wirepb.GateAssignment {
 	reply := &wirepb.GateAssignment{Call: req.GetCall()}
-	if req.GetTakesUp() {
+	if req.GetResumes() {
 		reply.SoftwareVersion, reply.VersionKnown = c.resolveAskedVersion(now, req)
 		if !reply.VersionKnown {
 			reply.Verdict = wirepb.GateAssignment_UNKNOWN
@@ -83,7 +83,7 @@
 	ep := option.endpoint
 	ep.schedule.Reserve(now, option.prefill, c.leader.prefillShare(req.GetService()).Value(now))
 	ep.stats.RecordPrompt(now, promptParts(req))
-	if req.GetStream() != 0 && !req.GetTakesUp() {
+	if req.GetStream() != 0 && !req.GetResumes() {
 		c.streams.record(now, streamKey(req.GetStream()), ep.SoftwareVersion)
 	}
 	reply.Verdict = wirepb.GateAssignment_SEND
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -37,9 +37,9 @@
 	// parts.
 	PromptTokens int
 	PromptParts  []pick.PromptPart
-	// LastEventID is the last event that the client has of a stream that it takes
-	// up, ResumedRequest the ID of the request that brought the first one. Both
-	// are empty for new requests.
+	// LastEventID is the last event that the client has of a stream that it
+	// resumes, ResumedRequest the ID of the request that brought the first one.
+	// Both are empty for new requests.
 	LastEventID    string
 	ResumedRequest string
 	// ClientTimeout is how long the client waits, 0 if it is not given.
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -151,11 +151,11 @@
 
 // continuesStream reports whether a part of the call's stream has reached the
 // client, in an earlier attempt or in an earlier request of the client.
-func (ac *activeCall) continuesStream() bool { return ac.resuming || ac.takesUpStream() }
+func (ac *activeCall) continuesStream() bool { return ac.resuming || ac.resumesStream() }
 
-// takesUpStream reports whether the client takes up a stream that an earlier
+// resumesStream reports whether the client resumes a stream that an earlier
 // request began.
-func (ac *activeCall) takesUpStream() bool {
+func (ac *activeCall) resumesStream() bool {
 	return ac.route.Kind == topo.Stream && ac.route.Resumable && ac.request.LastEventID != ""
 }
 
@@ -265,8 +265,8 @@
 // begins or continues.
 func (c *Core) encodeStreamQuestion(call *activeCall, req *wirepb.GateAssignmentAsk) {
 	switch {
-	case call.takesUpStream():
-		req.TakesUp = true
+	case call.resumesStream():
+		req.Resumes = true
 		req.SoftwareVersion = call.softwareVersion
 		req.VersionKnown = call.versionKnown
 		if call.request.ResumedRequest != "" {
@@ -278,7 +278,7 @@
 }
 
 // resolveAskedVersion determines, at the leader, the software version that a
-// request needs that takes a stream up. It reports false if it isn't known.
+// request needs that resumes a stream. It reports false if it isn't known.
 func (c *Core) resolveAskedVersion(now time.Time, req *wirepb.GateAssignmentAsk) (version string, known bool) {
 	if req.GetVersionKnown() {
 		return req.GetSoftwareVersion(), true
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -32,9 +32,9 @@
 	return id, send
 }
 
-// takeUp delivers a client's request to continue the stream that began with
+// resume delivers a client's request to continue the stream that began with
 // another request.
-func (h *harness) takeUp(began string) []Effect {
+func (h *harness) resume(began string) []Effect {
 	_, effects := h.arriveRequest(&Request{
 		ID: "again", Host: "h", Path: "/notes/1", Key: "k2", Model: "big", ArrivedAt: h.now,
 		LastEventID: "3", ResumedRequest: began,
@@ -68,9 +68,9 @@
 	}
 }
 
-// A client that takes a stream up must get events of the version that began it,
+// A client that resumes a stream must get events of the version that began it,
 // even from an entry that has no leader to ask.
-func TestTakenUpStreamGoesToItsSoftwareVersion(t *testing.T) {
+func TestResumedStreamGoesToItsSoftwareVersion(t *testing.T) {
 	h := newServingHarness(t)
 	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"),
 		versionedEngine("llm-3", "v1"), versionedEngine("llm-4", "v2"))
@@ -78,22 +78,22 @@
 		began := fmt.Sprint("r-", i)
 		id, first := h.startStream(began)
 		h.apply(AttemptEnded{Call: id, Result: Result{Outcome: OutcomeTruncated, Reason: ReasonTimeout}})
-		if again := h.mustSend(h.takeUp(began)); again.SoftwareVersion != first.SoftwareVersion {
-			t.Errorf("stream of %s taken up at %s", first.SoftwareVersion, again.SoftwareVersion)
+		if again := h.mustSend(h.resume(began)); again.SoftwareVersion != first.SoftwareVersion {
+			t.Errorf("stream of %s resumed at %s", first.SoftwareVersion, again.SoftwareVersion)
 		}
 	}
 }
 
 // Nobody knows at which version a stream began: with two versions it must not be
 // sent to either, and with one it can only be that one.
-func TestTakenUpStreamOfUnknownVersion(t *testing.T) {
+func TestResumedStreamOfUnknownVersion(t *testing.T) {
 	h := newServingHarness(t)
 	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-3", "v1"))
-	h.mustSend(h.takeUp("unknown"))
-	h.mustSend(h.takeUp(""))
+	h.mustSend(h.resume("unknown"))
+	h.mustSend(h.resume(""))
 	h.endpoints(versionedEngine("llm-2", "v2"))
-	h.wantNotRun(h.takeUp("unknown"), fault.CodeNoEndpoint)
-	h.wantNotRun(h.takeUp(""), fault.CodeNoEndpoint)
+	h.wantNotRun(h.resume("unknown"), fault.CodeNoEndpoint)
+	h.wantNotRun(h.resume(""), fault.CodeNoEndpoint)
 }
 
 // A version whose last endpoint has just left may have begun the stream.
@@ -101,10 +101,10 @@
 	h := newServingHarness(t)
 	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"))
 	h.apply(EndpointsRead{SentAt: h.now, Changes: []topo.EndpointChange{{ID: "llm-1"}}})
-	h.wantNotRun(h.takeUp("unknown"), fault.CodeNoEndpoint)
+	h.wantNotRun(h.resume("unknown"), fault.CodeNoEndpoint)
 	h.advance(3 * time.Minute)
 	h.apply(ConfigRead{SentAt: h.now})
-	h.mustSend(h.takeUp("unknown"))
+	h.mustSend(h.resume("unknown"))
 }
 
 // entryFleet is a set of cores that exchange their messages without delay.
@@ -252,9 +252,9 @@
 	return 0, Send{}
 }
 
-// checkTakeUp begins a stream at one entry, lets between happen, and checks that
-// another entry takes the stream up at its version.
-func (f *entryFleet) checkTakeUp(id, from, to string, between func()) {
+// checkResume begins a stream at one entry, lets between happen, and checks that
+// another entry resumes the stream at its version.
+func (f *entryFleet) checkResume(id, from, to string, between func()) {
 	f.t.Helper()
 	call, first := f.request(from, &Request{ID: id})
 	f.apply(from, FirstByteReceived{Call: call})
@@ -262,22 +262,22 @@
 	f.apply(from, AttemptEnded{Call: call, Result: Result{Outcome: OutcomeTruncated, Reason: ReasonClientGone}})
 	again, second := f.request(to, &Request{ID: id + "-again", LastEventID: "3", ResumedRequest: id})
 	if second.SoftwareVersion != first.SoftwareVersion {
-		f.t.Errorf("stream %s of %s at %s taken up at %s by %s", id, first.SoftwareVersion, from, second.SoftwareVersion, to)
+		f.t.Errorf("stream %s of %s at %s resumed at %s by %s", id, first.SoftwareVersion, from, second.SoftwareVersion, to)
 	}
 	if !second.Decision.AssignedByLeader {
-		f.t.Errorf("stream %s was taken up by %s without the leader", id, to)
+		f.t.Errorf("stream %s was resumed by %s without the leader", id, to)
 	}
 	f.apply(to, AttemptEnded{Call: again, Result: Result{Outcome: OutcomeComplete}})
 }
 
-// A client takes its stream up at another entry than the one that began it: the
+// A client resumes its stream at another entry than the one that began it: the
 // version must be known there, through the leader.
-func TestStreamIsTakenUpAtAnotherEntry(t *testing.T) {
+func TestStreamIsResumedAtAnotherEntry(t *testing.T) {
 	f := newEntryFleet(t)
 	hosts := []string{"front-1", "front-2", "front-3"}
 	for i := range 18 {
 		from, to := hosts[i%3], hosts[(i+1+i/9)%3]
-		f.checkTakeUp(fmt.Sprint("r-", i), from, to, f.tick)
+		f.checkResume(fmt.Sprint("r-", i), from, to, f.tick)
 	}
 }
 
@@ -288,21 +288,21 @@
 	for i := range 6 {
 		f := newEntryFleet(t)
 		from := []string{"front-1", "front-3"}[i%2]
-		f.checkTakeUp("r", from, "front-2", func() {
+		f.checkResume("r", from, "front-2", func() {
 			f.tick()
 			delete(f.cores, "front-1")
 			f.lead("front-2")
 			f.tick()
 		})
 		if from == "front-1" {
-			f.checkTakeUp("s", "front-2", "front-3", f.tick)
+			f.checkResume("s", "front-2", "front-3", f.tick)
 		}
 	}
 }
 
 // The engines of the version that began a stream hold the model but not the
 // adapter, which another version holds: it must be loaded, and the stream go on.
-func TestTakenUpStreamWaitsForItsAdapter(t *testing.T) {
+func TestResumedStreamWaitsForItsAdapter(t *testing.T) {
 	h := newLeaderHarness(t)
 	h.endpoints(
 		versionedEngine("llm-1", "v1"),
--- a/internal/soak/book_test.go
+++ b/internal/soak/book_test.go
@@ -30,7 +30,7 @@
 	id, kind, key string
 	// model is the model that a stream asks for.
 	model string
-	// stream is the stream that the request begins or takes up.
+	// stream is the stream that the request begins or resumes.
 	stream *clientStream
 	at     time.Time
 	status int
@@ -53,9 +53,9 @@
 	stableFrom time.Time
 	revoked    map[string]time.Time
 	violations []string
-	// takeUps counts the requests that took up a stream, continued those of them
+	// resumptions counts the requests that resumed a stream, continued those of them
 	// that brought an event.
-	takeUps, continued int
+	resumptions, continued int
 }
 
 func newHistory() *history {
@@ -103,10 +103,10 @@
 	req.status, req.done = status, true
 }
 
-func (h *history) recordTakeUp(continued bool) {
+func (h *history) recordResumption(continued bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.takeUps++
+	h.resumptions++
 	if continued {
 		h.continued++
 	}
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -20,12 +20,12 @@
 	versions     []string
 }
 
-// maxTakeUps is how often a client takes up one stream.
-const maxTakeUps = 2
+// maxResumptions is how often a client resumes one stream.
+const maxResumptions = 2
 
-// takeUpStream continues a stream that broke off, at entries drawn anew.
-func (en *environment) takeUpStream(ctx context.Context, client *http.Client, broken *clientRequest, random *rand.Rand) {
-	for n := range maxTakeUps {
+// resumeStream continues a stream that broke off, at entries drawn anew.
+func (en *environment) resumeStream(ctx context.Context, client *http.Client, broken *clientRequest, random *rand.Rand) {
+	for n := range maxResumptions {
 		again := &clientRequest{
 			id: broken.id + "-" + strconv.Itoa(n+1), kind: broken.kind, key: broken.key, at: time.Now(),
 			model: broken.model, stream: broken.stream,
@@ -34,7 +34,7 @@
 		before := broken.stream.lastEvent
 		status, err := en.sendRequest(ctx, client, en.entries[random.IntN(entryCount)].frontAddress, again)
 		en.history.recordStatus(again, status)
-		en.history.recordTakeUp(broken.stream.lastEvent > before)
+		en.history.recordResumption(broken.stream.lastEvent > before)
 		if err == nil && status == http.StatusOK {
 			return
 		}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -301,7 +301,7 @@
 		status, err := en.sendRequest(ctx, client, target.frontAddress, sent)
 		en.history.recordStatus(sent, status)
 		if err != nil && sent.kind == "notes" && sent.stream.lastEvent > 0 {
-			en.takeUpStream(ctx, client, sent, random)
+			en.resumeStream(ctx, client, sent, random)
 		}
 		if err != nil || status == http.StatusServiceUnavailable || random.IntN(20) == 0 {
 			target = en.entries[random.IntN(entryCount)]
