Take the ports of the edge's tests from below the range of outgoing connections

The log names the cause: "metrics: listen tcp4 127.0.0.1:42851: bind: address already in use". The fixture chose ports by listening on port 0 and closing, which gives ports that the system hands out for outgoing connections too; another one took it meanwhile.

--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,14 +96,35 @@
 	return l.Addr().String()
 }
 
+// Ports of entries lie below the range that the system uses for outgoing
+// connections, which could take a port between its choice and its use.
+const (
+	firstPort = 12000
+	portRange = 8000
+)
+
+// portCounter counts the ports that were tried. It starts anywhere, since other test
+// processes use the same range.
+var portCounter = func() *atomic.Uint32 {
+	counter := new(atomic.Uint32)
+	counter.Store(rand.Uint32N(portRange))
+	return counter
+}()
+
 // unusedAddr returns a loopback address on which nothing listens.
 func unusedAddr(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portRange {
+		port := uint16(firstPort + portCounter.Add(1)%portRange)
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+		l, err := net.Listen("tcp4", address.String())
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	t.Fatal("no unused port")
+	return netip.AddrPort{}
 }
 
 func testConfig(version int, keys ...string) map[string]any {
