--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -165,25 +165,36 @@
 	f.shops = [2]*fakeEndpoint{start("shop-1", "shop"), start("shop-2", "shop")}
 	f.engines = [2]*fakeEndpoint{start("llm-1", "llm", "m"), start("llm-2", "llm", "m")}
 	f.store.Put(fakes.TopicOperator, fakes.KeyConfig, testConfig(1, "key-1", "key-2"))
-	settings := &platform.Settings{
-		Host: "front-1", Zone: "a", ListenAddr: unusedAddr(t), ReadyAddr: unusedAddr(t),
+	settings := testSettings(t, "front-1", storeAddress)
+	f.server = startServer(t, settings, 7)
+	f.baseURL, f.readyURL = "http://"+settings.ListenAddr.String(), "http://"+settings.ReadyAddr.String()+platform.PathReady
+	f.waitFor("the entry is ready", func() bool { return f.getStatus(f.readyURL) == http.StatusOK })
+	return f
+}
+
+// testSettings returns the settings of an entry at unused addresses.
+func testSettings(t *testing.T, host string, store netip.AddrPort) *platform.Settings {
+	return &platform.Settings{
+		Host: host, Zone: "a", ListenAddr: unusedAddr(t), ReadyAddr: unusedAddr(t),
 		PeerAddr: unusedAddr(t), MetricsAddr: unusedAddr(t),
-		StoreAddr: storeAddress, ConfigBound: 2 * time.Second, RevokeBound: 5 * time.Second, DrainBound: 2 * time.Second,
+		StoreAddr: store, ConfigBound: 2 * time.Second, RevokeBound: 5 * time.Second, DrainBound: 2 * time.Second,
 		GracePeriod: 4 * time.Second, LeaseGap: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 50, LoadWindow: 5 * time.Second,
 	}
-	f.server = New(settings, zerolog.Nop(), 7)
+}
+
+// startServer runs an entry until the end of the test.
+func startServer(t *testing.T, settings *platform.Settings, incarnation uint64) *Server {
+	server := New(settings, zerolog.Nop(), incarnation)
 	ctx, cancel := context.WithCancel(context.Background())
 	runErr := make(chan error, 1)
-	go func() { runErr <- f.server.Run(ctx) }()
+	go func() { runErr <- server.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-runErr; err != nil {
 			t.Error(err)
 		}
 	})
-	f.baseURL, f.readyURL = "http://"+settings.ListenAddr.String(), "http://"+settings.ReadyAddr.String()+platform.PathReady
-	f.waitFor("the entry is ready", func() bool { return f.getStatus(f.readyURL) == http.StatusOK })
-	return f
+	return server
 }
 
 func (f *fixture) getStatus(url string) int {
@@ -214,7 +225,7 @@
 	err        error
 }
 
-var lastRequestNumber int
+var lastRequestNumber atomic.Int64
 
 // send sends a request with a valid API key, unless headers replace it, and reads
 // the response. headers are alternating names and values.
@@ -223,9 +234,9 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	lastRequestNumber++
+	number := lastRequestNumber.Add(1)
 	request.Host = "shop.example"
-	request.Header.Set(platform.HeaderRequestID, "r-"+strconv.Itoa(lastRequestNumber))
+	request.Header.Set(platform.HeaderRequestID, "r-"+strconv.FormatInt(number, 10))
 	request.Header.Set(platform.HeaderAPIKey, "key-1")
 	request.Header.Set(platform.HeaderDeadline, "3000")
 	for i := 0; i < len(headers); i += 2 {
