Keep requests with a part that crashes engines from all engines

Cause: a request that ends its engine was counted as a failure of the endpoint only, and forgotten with the endpoint's record. No state of the fleet tied what crashed to what it was running, so the next request with the same part was a request like any other, at the same entry too. The class: poison messages; the fault of an input is charged to whoever handles it.

Package poison keeps a log of crashes (an engine's run, with the parts of the prompts that it had just begun to answer) and of answers (a part that an engine has answered), merged between entries in any order through the leader; every entry has the whole log, so a new leader needs nothing. An answer that was cut off counts only once a probe has shown that the engine's run is over, one that has gone on for a second not at all. From the log follow verdicts: a part without any answer is tried with one request at a time in the fleet after two episodes of crashes and kept away after three; a part with answers before needs three and five. The part in most crashes explains them, so those beside it stay clear; parts that were in the same crashes are told apart by trials. Engines that end at the same moment are one episode, and none for a part that most of them didn't run. A quarantine is short while the proof is weak, ends with a trial, and grows. It is written into the lease's record, which outlives all entries. Requests are refused as not run with the time of its end; an entry repeats none whose prompt is suspect.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -25,6 +25,9 @@
 	streamBufferSize = 4 << 10
 	// minAttemptTimeout is the least remaining time with which an attempt is made.
 	minAttemptTimeout = time.Millisecond
+	// continuedAnswerTime is the time after its first event from which a stream that
+	// still brings events counts as one that its prompt doesn't break off.
+	continuedAnswerTime = time.Second
 )
 
 // exchange is one attempt of a request at one endpoint.
@@ -33,8 +36,10 @@
 	send gate.Send
 	conn *endpointConn
 	head fasthttp.ResponseHeader
-	// eventsReceived is true once the endpoint has sent a complete event.
-	eventsReceived bool
+	// firstEventAt is when the endpoint sent its first complete event, by time.Now.
+	firstEventAt time.Time
+	// continued is true once the reducer was told that the answer continues.
+	continued bool
 	// writeDone receives the result of writing the request.
 	writeDone chan error
 	post      func(gate.Event)
@@ -112,6 +117,7 @@
 		return x.classifyError(err), false
 	}
 	result, complete := x.handleResponse(body)
+	result.CloseDelimited = body.closeDelimited
 	if !complete || !isReusable(&x.head, body, x.conn.reader) {
 		return result, false
 	}
@@ -384,7 +390,7 @@
 	}
 	length, id := completeEvents(p)
 	if length > 0 {
-		x.eventsReceived = true
+		x.recordEvents(time.Now())
 	}
 	if id != "" {
 		x.in.lastEventID = id
@@ -392,6 +398,18 @@
 	return length
 }
 
+// recordEvents records that complete events have arrived, and tells the reducer once
+// that the answer continues.
+func (x *exchange) recordEvents(now time.Time) {
+	switch {
+	case x.firstEventAt.IsZero():
+		x.firstEventAt = now
+	case !x.continued && now.Sub(x.firstEventAt) >= continuedAnswerTime:
+		x.continued = true
+		x.post(gate.AnswerContinues{Call: x.in.id})
+	}
+}
+
 // checkStreamEnd returns io.EOF if a response is complete whose framing has ended
 // with unfinished bytes after the last event, and otherwise io.ErrUnexpectedEOF.
 // The framing alone proves nothing: an endpoint that fails may still end it. A
@@ -401,7 +419,7 @@
 	if unfinished > 0 {
 		return io.ErrUnexpectedEOF
 	}
-	if x.isEventStream() && b.closeDelimited && !x.eventsReceived && x.in.lastEventID == "" {
+	if x.isEventStream() && b.closeDelimited && x.firstEventAt.IsZero() && x.in.lastEventID == "" {
 		return io.ErrUnexpectedEOF
 	}
 	return io.EOF
--- a/internal/edge/head.go
+++ b/internal/edge/head.go
@@ -16,6 +16,7 @@
 
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/pick"
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/platform"
 )
 
@@ -230,9 +231,22 @@
 	}
 	r.PromptPrefix = headerValue(h, platform.HeaderPromptPrefix)
 	r.PromptParts = decodePromptParts(r.Model+"/"+r.Adapter, r.PromptPrefix)
+	r.SharedParts = decodeSharedParts(r.PromptPrefix)
 	return r, nil
 }
 
+// decodeSharedParts returns the parts of a prompt but the last, which belongs to the
+// request or its session alone.
+func decodeSharedParts(header string) []poison.Part {
+	fields := strings.Split(header, ",")
+	var out []poison.Part
+	for _, field := range fields[:len(fields)-1] {
+		id, _, _ := strings.Cut(strings.TrimSpace(field), ":")
+		out = append(out, poison.NewPart(id))
+	}
+	return out
+}
+
 // promptHashSeed is shared by all prompt hashes, which makes them comparable
 // within the process.
 var promptHashSeed = maphash.MakeSeed()
--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -61,6 +61,11 @@
 			return reply
 		}
 	}
+	if wait := c.trialWait(now, req); wait > 0 {
+		reply.Verdict = wirepb.GateAssignment_BUSY
+		reply.AfterUs = uint64(wait.Microseconds())
+		return reply
+	}
 	option := c.bestEngine(now, req, reply)
 	if option == nil {
 		return reply
@@ -86,6 +91,7 @@
 	if req.GetStream() != 0 && !req.GetResumes() {
 		c.streams.record(now, streamKey(req.GetStream()), ep.SoftwareVersion)
 	}
+	c.startTrials(now, req)
 	reply.Verdict = wirepb.GateAssignment_SEND
 	reply.Endpoint = ep.ID
 	reply.AfterUs = uint64(wait.Microseconds())
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodfold/internal/pick"
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
@@ -54,6 +55,8 @@
 	endpoint       string
 	uncachedTokens int
 	idle           bool
+	// suspects are the suspect parts of the prompt of which the leader was told.
+	suspects []poison.Part
 }
 
 // assignmentStage is a step of engine assignment.
@@ -93,6 +96,8 @@
 // leads.
 func (c *Core) requestAssignment(now time.Time, call *activeCall) {
 	req := c.newAssignmentRequest(now, call)
+	call.assignment.suspects = c.suspects(now, call)
+	req.Suspects = encodeParts(call.assignment.suspects)
 	if c.isLeader(now) {
 		c.applyAssignment(now, call, c.assignEngine(now, req))
 		return
@@ -100,6 +105,7 @@
 	call.assignment = assignment{
 		stage:    stageRequested,
 		resumeAt: now.Add(leaderReplyTimeout),
+		suspects: call.assignment.suspects,
 	}
 	c.assignments.pending[call.id] = call
 	c.emit(RequestAssignment{Request: req})
@@ -156,6 +162,7 @@
 		endpoint:       reply.GetEndpoint(),
 		uncachedTokens: int(reply.GetUncached()),
 		idle:           reply.GetIdle(),
+		suspects:       call.assignment.suspects,
 	}
 	if reply.GetVersionKnown() && !call.versionKnown {
 		call.setStreamVersion(reply.GetSoftwareVersion())
@@ -189,6 +196,11 @@
 func (c *Core) sendAssigned(now time.Time, call *activeCall) {
 	ep := c.endpoints[call.assignment.endpoint]
 	service := c.config.Services[call.service]
+	if !c.assignmentStands(now, call) {
+		call.assignment = assignment{stage: stageNone}
+		c.dispatch(now, call)
+		return
+	}
 	if ep == nil || ep.Draining || service == nil || ep.stats.BackingOff(now) || !call.acceptsVersion(ep.SoftwareVersion) {
 		call.assignment.stage = stageLocal
 		c.dispatch(now, call)
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -47,6 +47,9 @@
 	// continues, if versionKnown.
 	softwareVersion string
 	versionKnown    bool
+	// answered is true once the current attempt's response has gone on for so long
+	// that its prompt hasn't crashed the endpoint.
+	answered bool
 	// triedEndpoints are the endpoints that the request was sent to.
 	triedEndpoints map[string]bool
 	// assignment is the state of engine assignment by the leader.
@@ -181,6 +184,9 @@
 	if !c.resolveStreamVersion(now, call) {
 		return
 	}
+	if service.Engine != nil && !c.checkQuarantine(now, call, service) {
+		return
+	}
 	endpoints, candidates := c.candidates(now, call, service)
 	if len(candidates) == 0 {
 		c.waitForArtifact(now, call, service)
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -72,6 +72,7 @@
 	parked       map[CallID]*activeCall
 	assignments  assignmentClient
 	streams      streamTable
+	crashes      crashWatch
 	// departedVersions holds, by service, the software versions of endpoints that
 	// were removed, and when the last of each was.
 	departedVersions map[string]map[string]time.Time
@@ -117,6 +118,7 @@
 		parked:           make(map[CallID]*activeCall),
 		assignments:      newAssignmentClient(),
 		streams:          newStreamTable(),
+		crashes:          newCrashWatch(),
 		departedVersions: make(map[string]map[string]time.Time),
 		retryBudgets:     make(map[string]*retryBudget),
 		quotas:           make(map[string]*customerQuota),
@@ -135,6 +137,10 @@
 		c.admit(now, e.Call, e.Request)
 	case FirstByteReceived:
 		c.handleFirstByte(now, e.Call)
+	case AnswerContinues:
+		c.handleAnswerContinues(now, e.Call)
+	case EngineProbed:
+		c.handleEngineProbed(now, e)
 	case EndpointLeaving:
 		c.handleEndpointLeaving(now, e)
 	case AttemptEnded:
@@ -218,6 +224,7 @@
 	c.retryParked(now)
 	c.reportIfDue(now)
 	c.updateStoreWatch(now)
+	c.crashes.prune(now)
 }
 
 // stop begins a graceful shutdown: the entry reports not ready from now on,
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -12,6 +12,7 @@
 
 	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/pick"
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire/wirepb"
@@ -39,6 +40,9 @@
 	// PromptPrefix names the parts of the prompt as the client did, for the log.
 	PromptPrefix string
 	PromptParts  []pick.PromptPart
+	// SharedParts are the parts of the prompt that other requests may share, which
+	// are all but the last.
+	SharedParts []poison.Part
 	// LastEventID is the last event that the client has of a stream that it
 	// resumes, ResumedRequest the ID of the request that brought the first one.
 	// Both are empty for new requests.
@@ -61,6 +65,17 @@
 // FirstByteReceived reports that an endpoint has begun its response.
 type FirstByteReceived struct{ Call CallID }
 
+// AnswerContinues reports that an endpoint still writes its response some time after
+// the first event.
+type AnswerContinues struct{ Call CallID }
+
+// EngineProbed reports whether an incarnation of an engine was still running when it
+// was probed.
+type EngineProbed struct {
+	Run     poison.Run
+	Running bool
+}
+
 // EndpointLeaving reports that an endpoint has said in an answer that it leaves.
 type EndpointLeaving struct {
 	Endpoint    string
@@ -208,6 +223,8 @@
 
 func (RequestArrived) event()      {}
 func (FirstByteReceived) event()   {}
+func (AnswerContinues) event()     {}
+func (EngineProbed) event()        {}
 func (EndpointLeaving) event()     {}
 func (AttemptEnded) event()        {}
 func (ClientDisconnected) event()  {}
@@ -310,6 +327,9 @@
 	RetryAfter time.Duration
 	// MaxGap is the longest time between two parts of the response.
 	MaxGap time.Duration
+	// CloseDelimited is true if only the end of the connection marked the end of the
+	// response.
+	CloseDelimited bool
 }
 
 // Effect is an output of the reducer, which its caller must carry out.
@@ -418,6 +438,12 @@
 	Address netip.AddrPort
 }
 
+// ProbeEngine finds out whether an incarnation of an engine is still running.
+type ProbeEngine struct {
+	Run     poison.Run
+	Address netip.AddrPort
+}
+
 // WatchStore selects the parts of the store that this entry must read itself.
 // With ForPeers, it reads them for all entries, which requires shorter read
 // intervals than reads for this entry alone.
@@ -458,6 +484,7 @@
 func (SendState) effect()           {}
 func (SendOrder) effect()           {}
 func (RequestEngineReport) effect() {}
+func (ProbeEngine) effect()         {}
 func (WatchStore) effect()          {}
 func (FetchConfig) effect()         {}
 func (CloseEndpoint) effect()       {}
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -9,6 +9,7 @@
 	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/pacer"
 	"dogwoodfold/internal/pick"
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/rate"
 	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/topo"
@@ -37,6 +38,8 @@
 	// startsSent is the number of the last stream of the leader's own that the
 	// entry has been sent.
 	startsSent uint64
+	// poisonSent is the revision of the crash log that the entry has been sent.
+	poisonSent uint64
 }
 
 // leader is the state of an entry while it leads.
@@ -52,8 +55,14 @@
 	// prefillShares limit the fraction of time that the engines of a service
 	// may spend on prefill.
 	prefillShares map[string]*pacer.PrefillShare
-	planSoon      bool
-	plannedAt     time.Time
+	// trials are requests with suspect parts that were sent to see whether they crash
+	// an engine, by part.
+	trials map[poison.Part]trial
+	// spreadSoon is true if the other entries must learn of a crash or of the
+	// outcome of a trial.
+	spreadSoon bool
+	planSoon   bool
+	plannedAt  time.Time
 }
 
 // isLeader reports whether this entry holds the lease and has started leading.
@@ -74,6 +83,7 @@
 		loads:         make(map[string]pick.Load),
 		planner:       stock.NewPlanner(now, plannerSettings, first),
 		prefillShares: make(map[string]*pacer.PrefillShare),
+		trials:        make(map[poison.Part]trial),
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
 		c.updatePlannerEndpoint(now, c.endpoints[id])
@@ -89,6 +99,7 @@
 		peer.loads = make(map[string]pick.Load)
 		peer.sentHoldings = make(map[string]bool)
 		peer.sentRevisions = make(map[string]uint64)
+		peer.poisonSent = 0
 	}
 	c.logChange("became leader", c.settings.Host, "", 0)
 }
@@ -183,6 +194,7 @@
 		}
 	}
 	c.applyStarts(now, e.Report.GetStarts())
+	c.applyReportedPoison(now, peer, e.Report.GetPoison())
 	for _, r := range e.Report.GetReturns() {
 		if customer := c.customer(r.GetCustomer()); customer != nil {
 			c.leader.returnTokens(now, customer, r.GetAmount())
@@ -234,6 +246,8 @@
 		Starts:    encodeStarts(c.streams.ownAfter(peer.startsSent)),
 	}
 	peer.startsSent = c.streams.ownCount
+	state.Poison = encodePoison(now, c.crashes.log.Since(peer.poisonSent))
+	peer.poisonSent = c.crashes.log.Revision()
 	for _, m := range c.leader.members {
 		if m.Host == host {
 			state.Shares = append(state.Shares, &wirepb.GateShare{
@@ -330,6 +344,10 @@
 	for _, ep := range c.endpoints {
 		ep.stats.SetRemote(now, c.loadFromOthers(ep.ID, c.settings.Host))
 	}
+	if c.leader.spreadSoon {
+		c.leader.spreadSoon = false
+		c.sendStates(now)
+	}
 	if c.leader.planSoon || now.Sub(c.leader.plannedAt) >= planInterval {
 		c.plan(now)
 	}
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -66,6 +66,7 @@
 func (c *Core) appendLease(now time.Time, release bool) {
 	c.appendingLease = true
 	record, offset := c.lease.NextRecord(now, c.nextMembers(now), release)
+	record.Quarantine = c.recordedQuarantine(now)
 	c.emit(AppendLease{
 		Record: record,
 		Offset: offset,
@@ -104,6 +105,7 @@
 		return
 	}
 	c.lease.HandleRead(now, e.Read)
+	c.applyRecordedQuarantine(now, e.Record.Quarantine)
 	if !e.Exists || c.lease.Stale() && (c.lease.Holds(now) || c.leaderLink.connected) {
 		// A stale record says nothing against the leader that this entry knows.
 		return
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -41,10 +41,12 @@
 	leaderUnrenewed  bool
 	requestsTakeover bool
 	// newLeader is true until the first report of a session, which lists all
-	// streams that this entry knows. startsReported is the number of the last
+	// streams, crashes and quarantines that this entry knows. startsReported is the number of the last
 	// stream of its own that it has reported.
 	newLeader      bool
 	startsReported uint64
+	// poisonReported is the revision of the crash log that it has reported.
+	poisonReported uint64
 	reportedAt     time.Time
 	sequence       uint64
 	// reportTimes holds the send times of recent reports by sequence number.
@@ -220,7 +222,9 @@
 		TakesOver: f.requestsTakeover,
 		Streams:   c.assignments.drainStreamStats(),
 		Starts:    c.drainStreamStarts(),
+		Poison:    c.drainPoison(now),
 	}
+	f.newLeader = false
 	f.requestsTakeover = false
 	if now.Sub(f.reportedAt) >= reportInterval {
 		report.Returns = c.takeSurplus(now)
@@ -237,7 +241,6 @@
 	if f.newLeader {
 		starts = c.streams.all()
 	}
-	f.newLeader = false
 	f.startsReported = c.streams.ownCount
 	return encodeStarts(starts)
 }
@@ -301,6 +304,7 @@
 	c.applyShare(now, members, confirmedAt)
 	c.applyRelay(now, sentAt, state)
 	c.applyStarts(now, state.GetStarts())
+	c.follower.poisonReported = c.mergePoison(now, state.GetPoison(), c.follower.poisonReported)
 	c.applyLoads(now, state.GetLoads())
 	c.applyHoldings(now, state.GetHoldings())
 	c.applyArrivals(now, state.GetArrivals())
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -80,6 +80,7 @@
 	if firstAttempt && result.Reason != ReasonDial {
 		c.creditRetry(call.service)
 	}
+	c.recordEnding(now, call, ep, result)
 	if result.RetryAfter > 0 {
 		ep.stats.RecordRetryAfter(now, result.RetryAfter)
 	}
@@ -123,7 +124,7 @@
 // may run again.
 func (c *Core) retry(now time.Time, call *activeCall) bool {
 	if len(call.triedEndpoints) >= call.route.MaxAttempts || call.deadline.Sub(now) < minRemainingTime ||
-		!c.takeRetry(call.service) {
+		!c.mayRepeatPrompt(now, call) || !c.takeRetry(call.service) {
 		return false
 	}
 	c.dispatch(now, call)
@@ -181,6 +182,7 @@
 	}
 	if call.endpoint != nil {
 		call.releaseEndpoint()
+		c.endTrial(now, call.assignment.suspects)
 	}
 	c.refund(now, call)
 	c.removeCall(call)
--- /dev/null
+++ b/internal/gate/quarantine.go
@@ -0,0 +1,298 @@
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"dogwoodfold/internal/poison"
+	"dogwoodfold/internal/topo"
+	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/fault"
+)
+
+const (
+	// endingMemory is how long an answer that was cut off may turn out to be one of
+	// an engine that has crashed.
+	endingMemory = 3 * time.Second
+	// trialTime is how long a request with a suspect part keeps others with that
+	// part waiting if its outcome isn't reported.
+	trialTime = 5 * time.Second
+	// trialRetryAfter is the retry delay while another request is on trial.
+	trialRetryAfter = 1500 * time.Millisecond
+)
+
+// crashWatch holds what an entry knows of crashes of engines.
+type crashWatch struct {
+	log *poison.Log
+	// endings are answers that ended as if their engine had crashed, by engine.
+	endings map[poison.Run][]ending
+	// probes are the engines that are being probed, and since when.
+	probes map[poison.Run]time.Time
+	// endedTrials are the suspect parts of requests that ended without showing
+	// anything, of which the leader must be told.
+	endedTrials []poison.Part
+}
+
+// ending is the end of an answer without proof that the engine goes on running.
+type ending struct {
+	at    time.Time
+	parts []poison.Part
+	// suspects are the parts for which the request was on trial.
+	suspects []poison.Part
+	// broken is true if the answer was cut off, false if it ended with its
+	// connection, as a complete one may.
+	broken bool
+}
+
+// trial is a request that was sent to find out whether one of its parts crashes
+// engines.
+type trial struct {
+	since time.Time
+}
+
+func newCrashWatch() crashWatch {
+	return crashWatch{
+		log:     poison.NewLog(),
+		endings: make(map[poison.Run][]ending),
+		probes:  make(map[poison.Run]time.Time),
+	}
+}
+
+// prune forgets endings that are too old to be those of a crash.
+func (w *crashWatch) prune(now time.Time) {
+	for run, endings := range w.endings {
+		if _, probing := w.probes[run]; !probing {
+			w.keepEndings(run, slices.DeleteFunc(endings, func(e ending) bool { return now.Sub(e.at) > endingMemory }))
+		}
+	}
+}
+
+func (w *crashWatch) keepEndings(run poison.Run, endings []ending) {
+	if len(endings) == 0 {
+		delete(w.endings, run)
+		return
+	}
+	w.endings[run] = endings
+}
+
+func runOf(ep *topo.Endpoint) poison.Run {
+	return poison.Run{
+		Engine:      ep.ID,
+		Incarnation: ep.Incarnation,
+	}
+}
+
+// handleAnswerContinues records that the prompt of a call hasn't crashed its engine.
+func (c *Core) handleAnswerContinues(now time.Time, id CallID) {
+	call := c.calls[id]
+	if call == nil || call.endpoint == nil || call.answered {
+		return
+	}
+	call.answered = true
+	c.recordAnswer(now, call)
+}
+
+func (c *Core) recordAnswer(now time.Time, call *activeCall) {
+	suspect := len(c.suspects(now, call)) > 0
+	c.crashes.log.AddAnswer(now, call.request.SharedParts)
+	if suspect {
+		c.spreadPoison(now)
+	}
+}
+
+// recordEnding records what the end of an attempt says about the prompt. An answer
+// that was cut off says nothing until it is known whether its engine has crashed.
+func (c *Core) recordEnding(now time.Time, call *activeCall, ep *endpoint, result Result) {
+	run := runOf(ep.Endpoint)
+	if result.Reason != ReasonReset {
+		defer c.endTrial(now, call.assignment.suspects)
+	}
+	switch {
+	case len(call.request.SharedParts) == 0 || call.answered || c.engineSpec(ep) == nil:
+	case ep.Draining || c.endpoints[ep.ID] != ep:
+		// Its end is expected.
+	case result.Reason == ReasonDial:
+		if len(c.crashes.endings[run]) > 0 {
+			c.probeEngine(now, run, ep)
+		}
+	case result.Reason == ReasonReset:
+		c.recordCut(now, call, ep)
+	case result.Outcome == OutcomeComplete && result.CloseDelimited:
+		c.crashes.endings[run] = append(c.crashes.endings[run], ending{
+			at:    now,
+			parts: call.request.SharedParts,
+		})
+	case result.Outcome == OutcomeComplete:
+		c.recordAnswer(now, call)
+	}
+}
+
+// recordCut records an answer that was cut off, and probes its engine unless it is
+// known to have crashed.
+func (c *Core) recordCut(now time.Time, call *activeCall, ep *endpoint) {
+	run := runOf(ep.Endpoint)
+	if c.crashes.log.HasCrash(run) {
+		c.addCrash(now, poison.Crash{
+			Run:   run,
+			At:    now,
+			Parts: call.request.SharedParts,
+		})
+		return
+	}
+	c.crashes.endings[run] = append(c.crashes.endings[run], ending{
+		at:       now,
+		parts:    call.request.SharedParts,
+		suspects: call.assignment.suspects,
+		broken:   true,
+	})
+	c.probeEngine(now, run, ep)
+}
+
+func (c *Core) probeEngine(now time.Time, run poison.Run, ep *endpoint) {
+	if _, probing := c.crashes.probes[run]; probing {
+		return
+	}
+	c.crashes.probes[run] = now
+	c.emit(ProbeEngine{
+		Run:     run,
+		Address: ep.Address,
+	})
+}
+
+// handleEngineProbed handles the result of a probe. If the engine has crashed, the
+// parts of all answers that ended with it are recorded.
+func (c *Core) handleEngineProbed(now time.Time, e EngineProbed) {
+	probedAt := c.crashes.probes[e.Run]
+	delete(c.crashes.probes, e.Run)
+	endings := c.crashes.endings[e.Run]
+	if e.Running {
+		c.keepAfterProbe(now, e.Run, probedAt)
+		return
+	}
+	delete(c.crashes.endings, e.Run)
+	crash := poison.Crash{
+		Run: e.Run,
+		At:  probedAt,
+	}
+	for _, ended := range endings {
+		crash.Parts = append(crash.Parts, ended.parts...)
+	}
+	c.logChange("engine crashed", e.Run.Engine, "", now.Sub(probedAt))
+	c.addCrash(now, crash)
+}
+
+// keepAfterProbe keeps the endings that came after a probe that found the engine
+// running, and probes it again if one of them was cut off.
+func (c *Core) keepAfterProbe(now time.Time, run poison.Run, probedAt time.Time) {
+	var later []ending
+	for _, ended := range c.crashes.endings[run] {
+		if ended.at.After(probedAt) {
+			later = append(later, ended)
+			continue
+		}
+		c.endTrial(now, ended.suspects)
+	}
+	c.crashes.keepEndings(run, later)
+	ep := c.endpoints[run.Engine]
+	if ep != nil && slices.ContainsFunc(later, func(e ending) bool { return e.broken }) {
+		c.probeEngine(now, run, ep)
+	}
+}
+
+func (c *Core) addCrash(now time.Time, crash poison.Crash) {
+	c.crashes.log.AddCrash(now, crash)
+	c.spreadPoison(now)
+}
+
+// spreadPoison tells the other entries soon what this one has learned. The leader
+// collects the reports of one crash before it tells all of them.
+func (c *Core) spreadPoison(now time.Time) {
+	c.crashes.log.Assess(now)
+	if c.isLeader(now) {
+		c.leader.spreadSoon = true
+		return
+	}
+	c.sendReport(now)
+}
+
+// suspects returns the parts of a call's prompt that may crash engines.
+func (c *Core) suspects(now time.Time, call *activeCall) []poison.Part {
+	return c.crashes.log.Judge(now, call.request.SharedParts).Suspects
+}
+
+// checkQuarantine refuses a call whose prompt crashes engines. One whose prompt may do
+// so needs the leader, which sends one such request at a time. It reports whether the
+// call can proceed.
+func (c *Core) checkQuarantine(now time.Time, call *activeCall, service *topo.Service) bool {
+	judgment := c.crashes.log.Judge(now, call.request.SharedParts)
+	switch {
+	case judgment.Verdict == poison.Quarantined:
+		c.refuse(now, call, fault.NotRun, fault.CodeQuarantine, "a part of the prompt crashes engines", judgment.Until.Sub(now))
+		return false
+	case judgment.Verdict == poison.Trial && !c.shouldRequestAssignment(now, call, service):
+		c.refuse(now, call, fault.NotRun, fault.CodeQuarantine, "a part of the prompt may crash engines", c.jitter(trialRetryAfter))
+		return false
+	}
+	return true
+}
+
+// mayRepeatPrompt reports whether a call's prompt may be sent again after an attempt
+// that didn't succeed.
+func (c *Core) mayRepeatPrompt(now time.Time, call *activeCall) bool {
+	return c.crashes.log.Judge(now, call.request.SharedParts).Verdict == poison.Clear
+}
+
+// assignmentStands reports whether the leader knew of all suspect parts when it
+// assigned a call.
+func (c *Core) assignmentStands(now time.Time, call *activeCall) bool {
+	judgment := c.crashes.log.Judge(now, call.request.SharedParts)
+	if judgment.Verdict == poison.Quarantined {
+		return false
+	}
+	for _, p := range judgment.Suspects {
+		if !slices.Contains(call.assignment.suspects, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// trialWait returns how long a request must wait, at the leader, until no other one
+// with its suspect parts is on trial, or until their quarantine ends.
+func (c *Core) trialWait(now time.Time, req *wirepb.GateAssignmentAsk) time.Duration {
+	parts := decodeParts(req.GetSuspects())
+	judgment := c.crashes.log.Judge(now, parts)
+	if judgment.Verdict == poison.Quarantined {
+		return judgment.Until.Sub(now)
+	}
+	for _, p := range parts {
+		t, onTrial := c.leader.trials[p]
+		if onTrial && now.Sub(t.since) < trialTime && !c.crashes.log.ResolvedSince(p, t.since) {
+			return trialRetryAfter
+		}
+	}
+	return 0
+}
+
+// endTrial tells the leader that a request with suspect parts has ended. If its engine
+// has crashed, or the prompt was answered, that is known already.
+func (c *Core) endTrial(now time.Time, suspects []poison.Part) {
+	if len(suspects) == 0 {
+		return
+	}
+	if c.leader != nil {
+		for _, p := range suspects {
+			delete(c.leader.trials, p)
+		}
+		return
+	}
+	c.crashes.endedTrials = append(c.crashes.endedTrials, suspects...)
+	c.sendReport(now)
+}
+
+// startTrials records that a request with suspect parts is being sent.
+func (c *Core) startTrials(now time.Time, req *wirepb.GateAssignmentAsk) {
+	for _, p := range decodeParts(req.GetSuspects()) {
+		c.leader.trials[p] = trial{since: now}
+	}
+}
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -66,6 +66,7 @@
 	call.endpointIdle = ep.stats.Load(now).PendingPrefill == 0
 	call.uncachedTokens = max(call.request.PromptTokens-ep.stats.CachedTokens(now, call.request.PromptParts), 0)
 	call.responseStarted = false
+	call.answered = false
 	call.triedEndpoints[ep.ID] = true
 	ep.stats.Local.Running++
 	ep.stats.Local.PendingPrefill += call.pendingPrefill()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -31,6 +31,19 @@
 	// Released is true in the last record of a holder that shuts down.
 	Released bool     `json:"released,omitempty"`
 	Members  []Member `json:"members"`
+	// Quarantine holds the parts of prompts that are kept from engines, so that it
+	// outlives all entries.
+	Quarantine []QuarantinedPart `json:"quarantine,omitempty"`
+}
+
+// QuarantinedPart is a part of prompts that is kept from engines.
+type QuarantinedPart struct {
+	Part uint64 `json:"part,string"`
+	// RemainingMs is the time to the end of the quarantine in milliseconds when the
+	// record was written, negative after it; DurationMs is that of the whole
+	// quarantine.
+	RemainingMs int64 `json:"remainingMs"`
+	DurationMs  int64 `json:"durationMs"`
 }
 
 // Timing holds the durations that define a lease.
--- /dev/null
+++ b/internal/poison/assess.go
@@ -0,0 +1,321 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// episodeGap is the time between two crashes from which they count as separate
+	// episodes: engines that end at the same moment may have a common cause.
+	episodeGap = 250 * time.Millisecond
+	// A part without any answer is tried with one request at a time after
+	// suspectEpisodes episodes or suspectCrashes crashes, and is put under quarantine
+	// after quarantineEpisodes episodes.
+	suspectEpisodes    = 2
+	suspectCrashes     = 5
+	quarantineEpisodes = 3
+	// An episode has another cause than a part if at least minOtherCrashes engines
+	// crashed without it, and otherCrashRatio times as many as with it.
+	minOtherCrashes = 2
+	otherCrashRatio = 2
+	// Those are the numbers of episodes for a part with answers before the crashes.
+	provenSuspectEpisodes    = 3
+	provenQuarantineEpisodes = 5
+	// A first quarantine after fewer than strongEpisodes episodes lasts for
+	// shortQuarantine, so that a part that is not to blame is soon tried again.
+	strongEpisodes  = 5
+	shortQuarantine = 20 * time.Second
+	// longQuarantine is the duration of other first quarantines and of the second
+	// one, maxQuarantine that of the longest.
+	longQuarantine = 10 * time.Minute
+	maxQuarantine  = 24 * time.Hour
+)
+
+// Verdict says how a request may be handled.
+type Verdict int
+
+// Verdicts on requests.
+const (
+	// Clear requests may be sent.
+	Clear Verdict = iota
+	// Trial requests may be sent only if no other one with their suspect parts is
+	// on its way.
+	Trial
+	// Quarantined requests may not be sent.
+	Quarantined
+)
+
+// verdicts are the conclusions from a log.
+type verdicts struct {
+	// suspects may be tried with one request at a time.
+	suspects map[Part]bool
+	// groups holds the parts that explain the same crashes. Requests with all parts
+	// of a group are under quarantine, those with some of them may be tried.
+	groups map[Part][]Part
+}
+
+// Suspects returns the parts that are tried with one request at a time.
+func (l *Log) Suspects() map[Part]bool { return l.verdicts.suspects }
+
+// Judgment is the verdict on a request.
+type Judgment struct {
+	Verdict Verdict
+	// Suspects are the parts for which the request is on trial.
+	Suspects []Part
+	// Until is the end of the quarantine of the request.
+	Until time.Time
+}
+
+// Judge returns the verdict on a request with the given parts.
+func (l *Log) Judge(now time.Time, parts []Part) Judgment {
+	if len(parts) == 0 || len(l.crashes) == 0 && len(l.quarantines) == 0 {
+		return Judgment{}
+	}
+	l.Assess(now)
+	var out Judgment
+	for _, p := range parts {
+		if until := l.quarantinedUntil(now, p, parts); now.Before(until) {
+			return Judgment{
+				Verdict: Quarantined,
+				Until:   until,
+			}
+		}
+		if l.quarantines[p] != nil || l.verdicts.suspects[p] {
+			out.Verdict = Trial
+			out.Suspects = append(out.Suspects, p)
+		}
+	}
+	return out
+}
+
+// quarantinedUntil returns the end of the quarantine of a part of a request with the
+// given parts, zero if there is none.
+func (l *Log) quarantinedUntil(now time.Time, p Part, parts []Part) time.Time {
+	if q := l.quarantines[p]; q != nil && now.Before(q.Until) {
+		return q.Until
+	}
+	if group := l.verdicts.groups[p]; len(group) > 1 && containsAll(parts, group) {
+		return l.lastCrash[p].Add(longQuarantine)
+	}
+	return time.Time{}
+}
+
+// ResolvedSince reports whether a request with the part was answered, or an engine
+// that answered one crashed, after a point in time.
+func (l *Log) ResolvedSince(p Part, at time.Time) bool {
+	if a := l.answers[p]; a != nil && a.at.After(at) {
+		return true
+	}
+	return l.lastCrash[p].After(at)
+}
+
+// tally counts the crashes with a part since its last answer.
+type tally struct {
+	part     Part
+	proven   bool
+	crashes  []*loggedCrash
+	episodes int
+}
+
+func (t *tally) suspect() bool {
+	if t.proven {
+		return t.episodes >= provenSuspectEpisodes
+	}
+	return t.episodes >= suspectEpisodes || len(t.crashes) >= suspectCrashes
+}
+
+func (t *tally) condemned() bool {
+	if t.proven {
+		return t.episodes >= provenQuarantineEpisodes
+	}
+	return t.episodes >= quarantineEpisodes
+}
+
+// rivals reports whether a suspect part explains the crashes almost as well as the one
+// that explains most.
+func (t *tally) rivals(best *tally) bool {
+	if !t.suspect() || t.proven != best.proven || len(t.crashes) < len(best.crashes)-1 {
+		return false
+	}
+	for _, c := range t.crashes {
+		if !slices.Contains(best.crashes, c) {
+			return false
+		}
+	}
+	return true
+}
+
+// Assess updates the verdicts. The part that was in most crashes explains them, so
+// that they say nothing of the parts beside it; then the next part is looked for among
+// the other crashes.
+func (l *Log) Assess(now time.Time) {
+	l.renewQuarantines()
+	if !l.stale {
+		return
+	}
+	l.stale = false
+	l.verdicts = verdicts{
+		suspects: make(map[Part]bool),
+		groups:   make(map[Part][]Part),
+	}
+	unexplained := l.unexplainedCrashes()
+	for {
+		tallies := l.tallies(unexplained)
+		first := slices.IndexFunc(tallies, (*tally).suspect)
+		if first < 0 {
+			return
+		}
+		best := tallies[first]
+		l.judgeGroup(now, best, rivalGroup(tallies, best))
+		unexplained = slices.DeleteFunc(unexplained, func(c *loggedCrash) bool { return slices.Contains(best.crashes, c) })
+	}
+}
+
+// judgeGroup sets the verdicts on the part that explains most crashes and its rivals.
+func (l *Log) judgeGroup(now time.Time, best *tally, group []Part) {
+	for _, p := range group {
+		l.verdicts.suspects[p] = true
+		if best.condemned() {
+			l.verdicts.groups[p] = group
+		}
+	}
+	if best.condemned() && len(group) == 1 {
+		duration := longQuarantine
+		if best.episodes < strongEpisodes {
+			duration = shortQuarantine
+		}
+		l.impose(now, best.part, duration)
+	}
+}
+
+// rivalGroup returns a part and its rivals.
+func rivalGroup(tallies []*tally, best *tally) []Part {
+	var out []Part
+	for _, t := range tallies {
+		if t.rivals(best) {
+			out = append(out, t.part)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// renewQuarantines prolongs the quarantines of parts that have crashed an engine after
+// their end, and lifts those of parts that were answered since they began.
+func (l *Log) renewQuarantines() {
+	for p, q := range l.quarantines {
+		began := q.Until.Add(-q.Duration)
+		if a := l.answers[p]; a != nil && a.at.After(began) && !l.lastCrash[p].After(a.at) {
+			delete(l.quarantines, p)
+			l.stale = true
+			continue
+		}
+		if crashedAt := l.lastCrash[p]; crashedAt.After(q.Until) {
+			l.impose(crashedAt, p, min(max(2*q.Duration, longQuarantine), maxQuarantine))
+		}
+	}
+}
+
+func (l *Log) impose(now time.Time, p Part, duration time.Duration) {
+	known := l.quarantines[p]
+	if known != nil && now.Before(known.Until) {
+		return
+	}
+	l.revision++
+	l.quarantines[p] = &loggedQuarantine{
+		Quarantine: Quarantine{
+			Part:     p,
+			Until:    now.Add(duration),
+			Duration: duration,
+		},
+		revision: l.revision,
+	}
+}
+
+// unexplainedCrashes returns the crashes without a part under quarantine, oldest
+// first.
+func (l *Log) unexplainedCrashes() []*loggedCrash {
+	out := make([]*loggedCrash, 0, len(l.crashes))
+	for _, c := range l.crashes {
+		if !slices.ContainsFunc(c.Parts, func(p Part) bool { return l.quarantines[p] != nil }) {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *loggedCrash) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return out
+}
+
+// tallies counts the crashes of each part since its last answer. Parts without any
+// answer come first, then those in most crashes.
+func (l *Log) tallies(crashes []*loggedCrash) []*tally {
+	byPart := make(map[Part]*tally)
+	for _, c := range crashes {
+		for _, p := range c.Parts {
+			a := l.answers[p]
+			if a != nil && !c.At.After(a.at) {
+				continue
+			}
+			if byPart[p] == nil {
+				byPart[p] = &tally{
+					part:   p,
+					proven: a != nil,
+				}
+			}
+			byPart[p].crashes = append(byPart[p].crashes, c)
+		}
+	}
+	out := make([]*tally, 0, len(byPart))
+	for _, t := range byPart {
+		t.countEpisodes(crashes)
+		out = append(out, t)
+	}
+	slices.SortFunc(out, compareTallies)
+	return out
+}
+
+// countEpisodes counts the episodes of the crashes. One in which most engines crashed
+// without the part has another cause and doesn't count. all are the crashes of all
+// parts, oldest first.
+func (t *tally) countEpisodes(all []*loggedCrash) {
+	for i := 0; i < len(t.crashes); {
+		began := t.crashes[i].At
+		with := 0
+		for i < len(t.crashes) && t.crashes[i].At.Sub(began) <= episodeGap {
+			with++
+			i++
+		}
+		without := -with
+		for _, c := range all {
+			if gap := c.At.Sub(began); gap >= -episodeGap && gap <= episodeGap {
+				without++
+			}
+		}
+		if without < minOtherCrashes || without < with*otherCrashRatio {
+			t.episodes++
+		}
+	}
+}
+
+func compareTallies(a, b *tally) int {
+	proven := func(t *tally) int {
+		if t.proven {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(proven(a), proven(b)), cmp.Compare(len(b.crashes), len(a.crashes)),
+		cmp.Compare(b.episodes, a.episodes), cmp.Compare(a.part, b.part))
+}
+
+func containsAll(parts, group []Part) bool {
+	for _, p := range group {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/poison/poison.go
@@ -0,0 +1,339 @@
+// Package poison finds the parts of prompts that crash the engines which answer
+// them. It weighs the crashes and the answers that all entries have observed, so
+// that the crash of an engine for another reason puts no part under quarantine.
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Part identifies a part of a prompt, wherever it stands in the prompt.
+type Part uint64
+
+// NewPart returns the part with the given ID. It is a hash that callers can't choose
+// to be that of another part.
+func NewPart(id string) Part {
+	sum := sha256.Sum256([]byte(id))
+	return Part(binary.BigEndian.Uint64(sum[:]))
+}
+
+// Run is one incarnation of an engine.
+type Run struct {
+	Engine      string
+	Incarnation int64
+}
+
+// Crash is the unexpected end of an engine's run.
+type Crash struct {
+	Run
+	At time.Time
+	// Parts are those of the requests that the engine had begun to answer, in
+	// ascending order.
+	Parts []Part
+}
+
+// Answer says that an engine has answered a request with a part.
+type Answer struct {
+	Part Part
+	At   time.Time
+}
+
+// Quarantine keeps requests with a part from all engines until a point in time. After
+// that the part is tried with one request at a time, and a further crash begins a
+// longer quarantine.
+type Quarantine struct {
+	Part     Part
+	Until    time.Time
+	Duration time.Duration
+}
+
+const (
+	// memory is how long crashes and answers count.
+	memory = 10 * time.Minute
+	// maxCrashes and maxAnswers bound the crashes and the answers that are kept.
+	maxCrashes = 256
+	maxAnswers = 8192
+	// quarantineMemory is how long a quarantine that has ended is remembered.
+	quarantineMemory = 24 * time.Hour
+	pruneInterval    = time.Minute
+)
+
+// Changes are crashes, answers and quarantines that another entry has to know.
+type Changes struct {
+	Crashes     []Crash
+	Answers     []Answer
+	Quarantines []Quarantine
+}
+
+// Empty reports whether there is nothing to tell.
+func (c Changes) Empty() bool {
+	return len(c.Crashes) == 0 && len(c.Answers) == 0 && len(c.Quarantines) == 0
+}
+
+// Log is what one entry knows of crashes and answers in the whole fleet. Entries
+// exchange what they learn with Since and Merge; the order doesn't matter, and
+// repeats change nothing.
+type Log struct {
+	crashes     map[Run]*loggedCrash
+	answers     map[Part]*loggedAnswer
+	quarantines map[Part]*loggedQuarantine
+	// lastCrash is the time of the newest crash with a part.
+	lastCrash map[Part]time.Time
+	// revision is the number of the last change that other entries need.
+	revision uint64
+	pruneAt  time.Time
+	// stale is true if verdicts no longer match the log.
+	stale    bool
+	verdicts verdicts
+}
+
+type loggedCrash struct {
+	Crash
+	revision uint64
+}
+
+// loggedAnswer is the newest answer to a request with a part. Only answers that
+// change a verdict are shared with other entries.
+type loggedAnswer struct {
+	at       time.Time
+	sharedAt time.Time
+	revision uint64
+}
+
+type loggedQuarantine struct {
+	Quarantine
+	revision uint64
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log {
+	return &Log{
+		crashes:     make(map[Run]*loggedCrash),
+		answers:     make(map[Part]*loggedAnswer),
+		quarantines: make(map[Part]*loggedQuarantine),
+		lastCrash:   make(map[Part]time.Time),
+	}
+}
+
+// Revision returns the number of the last change that other entries need.
+func (l *Log) Revision() uint64 { return l.revision }
+
+func (l *Log) nextRevision() uint64 {
+	l.revision++
+	l.stale = true
+	return l.revision
+}
+
+// HasCrash reports whether the crash of a run is known.
+func (l *Log) HasCrash(run Run) bool { return l.crashes[run] != nil }
+
+// AddCrash adds a crash, or its parts to what is known of it.
+func (l *Log) AddCrash(now time.Time, crash Crash) {
+	l.prune(now)
+	l.mergeCrash(now, crash)
+	l.shareAll(crash.Parts)
+}
+
+func (l *Log) mergeCrash(now time.Time, crash Crash) {
+	if len(crash.Parts) == 0 || now.Sub(crash.At) > memory {
+		return
+	}
+	known := l.crashes[crash.Run]
+	if known == nil {
+		known = &loggedCrash{Crash: Crash{
+			Run: crash.Run,
+			At:  crash.At,
+		}}
+		l.crashes[crash.Run] = known
+	}
+	parts := union(known.Parts, crash.Parts)
+	if len(parts) == len(known.Parts) {
+		return
+	}
+	known.Parts = parts
+	known.revision = l.nextRevision()
+	for _, p := range crash.Parts {
+		if known.At.After(l.lastCrash[p]) {
+			l.lastCrash[p] = known.At
+		}
+	}
+	l.dropOldestCrash()
+}
+
+// shareAll marks the newest answers with the given parts for the other entries where
+// they need them.
+func (l *Log) shareAll(parts []Part) {
+	for _, p := range parts {
+		l.share(p)
+	}
+}
+
+// AddAnswer records that an engine has answered a request with the given parts.
+func (l *Log) AddAnswer(now time.Time, parts []Part) {
+	for _, p := range parts {
+		l.answer(p).at = now
+	}
+	l.shareAll(parts)
+	l.prune(now)
+}
+
+func (l *Log) answer(p Part) *loggedAnswer {
+	a := l.answers[p]
+	if a == nil {
+		a = &loggedAnswer{}
+		l.answers[p] = a
+	}
+	return a
+}
+
+// share marks the newest answer with a part for the other entries if it is the first
+// one that they learn of, or the first one after a crash.
+func (l *Log) share(p Part) {
+	a := l.answers[p]
+	crashedAt, crashed := l.lastCrash[p]
+	if a == nil || !crashed && l.quarantines[p] == nil {
+		return
+	}
+	if a.sharedAt.IsZero() || a.sharedAt.Before(crashedAt) && a.at.After(crashedAt) || l.quarantines[p] != nil {
+		if a.at.Equal(a.sharedAt) {
+			return
+		}
+		a.sharedAt = a.at
+		a.revision = l.nextRevision()
+	}
+}
+
+// Since returns the changes after the given revision.
+func (l *Log) Since(revision uint64) Changes {
+	var out Changes
+	if revision == l.revision {
+		return out
+	}
+	for _, c := range l.crashes {
+		if c.revision > revision {
+			out.Crashes = append(out.Crashes, c.Crash)
+		}
+	}
+	for p, a := range l.answers {
+		if a.revision > revision {
+			out.Answers = append(out.Answers, Answer{
+				Part: p,
+				At:   a.sharedAt,
+			})
+		}
+	}
+	for _, q := range l.quarantines {
+		if q.revision > revision {
+			out.Quarantines = append(out.Quarantines, q.Quarantine)
+		}
+	}
+	slices.SortFunc(out.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	return out
+}
+
+// Merge adds what another entry knows, and returns the number of the last change that
+// the other one need not be told of. Later ones are answers that this entry has seen to
+// prompts of the crashes.
+func (l *Log) Merge(now time.Time, changes Changes) (known uint64) {
+	l.prune(now)
+	for _, a := range changes.Answers {
+		l.mergeAnswer(a)
+	}
+	for _, c := range changes.Crashes {
+		l.mergeCrash(now, c)
+	}
+	for _, q := range changes.Quarantines {
+		l.AddQuarantine(now, q)
+	}
+	known = l.revision
+	for _, c := range changes.Crashes {
+		l.shareAll(c.Parts)
+	}
+	return known
+}
+
+func (l *Log) mergeAnswer(remote Answer) {
+	a := l.answer(remote.Part)
+	if !remote.At.After(a.sharedAt) {
+		return
+	}
+	a.sharedAt = remote.At
+	if remote.At.After(a.at) {
+		a.at = remote.At
+	}
+	a.revision = l.nextRevision()
+}
+
+// AddQuarantine adds a quarantine that another entry has imposed, unless the part was
+// answered since or a longer one is known.
+func (l *Log) AddQuarantine(now time.Time, q Quarantine) {
+	known := l.quarantines[q.Part]
+	if known != nil && !q.Until.After(known.Until) || now.Sub(q.Until) > quarantineMemory {
+		return
+	}
+	if a := l.answers[q.Part]; a != nil && a.at.After(q.Until.Add(-q.Duration)) {
+		return
+	}
+	if known != nil && q.Duration == known.Duration && q.Until.Sub(known.Until) < sameQuarantine {
+		return // the same one, with the error of its age
+	}
+	l.quarantines[q.Part] = &loggedQuarantine{
+		Quarantine: q,
+		revision:   l.nextRevision(),
+	}
+}
+
+// sameQuarantine is the difference up to which two ends are those of one quarantine.
+const sameQuarantine = 30 * time.Second
+
+// Quarantines returns all quarantines, in the order of their parts.
+func (l *Log) Quarantines() []Quarantine {
+	out := make([]Quarantine, 0, len(l.quarantines))
+	for _, p := range slices.Sorted(maps.Keys(l.quarantines)) {
+		out = append(out, l.quarantines[p].Quarantine)
+	}
+	return out
+}
+
+// prune forgets, from time to time, what no longer counts.
+func (l *Log) prune(now time.Time) {
+	if now.Before(l.pruneAt) && len(l.answers) <= maxAnswers {
+		return
+	}
+	l.pruneAt = now.Add(pruneInterval)
+	before := len(l.crashes)
+	maps.DeleteFunc(l.crashes, func(_ Run, c *loggedCrash) bool { return now.Sub(c.At) > memory })
+	maps.DeleteFunc(l.lastCrash, func(_ Part, at time.Time) bool { return now.Sub(at) > memory })
+	maps.DeleteFunc(l.quarantines, func(_ Part, q *loggedQuarantine) bool { return now.Sub(q.Until) > quarantineMemory })
+	l.stale = l.stale || len(l.crashes) != before
+	for age := memory; ; age /= 2 {
+		maps.DeleteFunc(l.answers, func(_ Part, a *loggedAnswer) bool { return now.Sub(a.at) > age })
+		if len(l.answers) <= maxAnswers/2 || age < time.Second {
+			return
+		}
+	}
+}
+
+func (l *Log) dropOldestCrash() {
+	if len(l.crashes) <= maxCrashes {
+		return
+	}
+	var oldest *loggedCrash
+	for _, c := range l.crashes {
+		if oldest == nil || c.At.Before(oldest.At) {
+			oldest = c
+		}
+	}
+	delete(l.crashes, oldest.Run)
+}
+
+// union returns the parts of both lists in ascending order.
+func union(a, b []Part) []Part {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -209,6 +209,10 @@
 		_, _ = io.WriteString(a.body, "ran "+requestID)
 		return
 	}
+	if isPoison(r.Header.Get(platform.HeaderPromptPrefix)) {
+		ep.crashOnPrompt(w, id)
+		return
+	}
 	from, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID))
 	serveStream(w, requestID, version, from)
 }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -297,6 +297,7 @@
 			key: key, at: time.Now(), model: []string{"m0", "m0", "m1", "m2"}[random.IntN(4)],
 		}
 		sent.stream = &clientStream{firstRequest: sent.id}
+		sent.prompt = drawPrompt(random, sent.id)
 		en.history.recordRequest(sent)
 		status, err := en.sendRequest(ctx, client, target.frontAddress, sent)
 		en.history.recordStatus(sent, status)
@@ -341,6 +342,7 @@
 	if isStream {
 		request.Header.Set(platform.HeaderModel, sent.model)
 		request.Header.Set(platform.HeaderTokenUsage, "30,10")
+		request.Header.Set(platform.HeaderPromptPrefix, sent.prompt)
 	}
 	if sent.stream != nil && sent.stream.lastEvent > 0 {
 		request.Header.Set(platform.HeaderLastEventID, strconv.Itoa(sent.stream.lastEvent))
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -60,6 +60,7 @@
 	CodeConflict      Code = "idempotency_conflict"
 	CodeWithdrawn     Code = "key_withdrawn"
 	CodeFenced        Code = "entry_fenced"
+	CodeQuarantine    Code = "prompt_quarantined"
 	CodeUnknownResult Code = "outcome_unknown"
 	CodeClaimed       Code = "claimed_elsewhere"
 	CodeLogDown       Code = "log_unavailable"
@@ -154,6 +155,7 @@
 	CodeLeaving:       503,
 	CodeNotReady:      503,
 	CodeFenced:        503,
+	CodeQuarantine:    503,
 	CodeClaimed:       503,
 	CodeLogDown:       503,
 	CodeDeadline:      504,
