Bound what an endpoint can send before its attempt ends

Callers could be held until their deadline, then answered 504, by an endpoint in trouble that sends bytes without end: an answer to another request, a failure, a refusal, a trailer, a head that goes on slowly, lines that are no events. Others got bytes for as long as they listened.

Cause: reads were bounded in size where something was buffered and in time by the attempt's deadline only. What was read to be dropped (an extra answer, a refusal's body, a trailer) had no bound of its own, nor had a body that is forwarded. The class: a read from a faulty peer without a bound on what it may cost.

Change: a head has a second from its first byte, a body that isn't forwarded as it arrives has 256 KB and a second, a trailer 8 KB and half a second, and any answer ends at 32 MB. Lines of a stream that hold no field, and empty lines without end, are no events. Such an attempt ends as malformed, with its connection closed, so that a request that may run twice goes to another endpoint.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -47,8 +47,14 @@
 func reasonPhrase(status int) string { return fasthttp.StatusMessage(status) }
 
 // errResponseTooLarge reports a response body that exceeds the limit for
-// buffering.
-var errResponseTooLarge = errors.New("response body exceeds the buffer limit")
+// buffering, errEndlessResponse one that exceeds any answer.
+var (
+	errResponseTooLarge = errors.New("response body exceeds the buffer limit")
+	errEndlessResponse  = errors.New("response has no end")
+)
+
+// maxResponseBytes is the size from which a response body counts as one without end.
+const maxResponseBytes = 32 << 20
 
 // responseBody reads the body of an endpoint's response.
 type responseBody struct {
@@ -56,18 +62,24 @@
 	// remaining is the number of unread bytes of a body of known length, -1 if
 	// the length is unknown.
 	remaining int
+	// received is the number of bytes that were read.
+	received int
 	// chunkedReader decodes a chunked body; it is nil for other bodies.
 	chunkedReader io.Reader
+	// readTrailer reads what follows the last chunk.
+	readTrailer func() error
 	atEnd         bool
 	// closeDelimited is true if the body ends when the connection is closed.
 	closeDelimited bool
 }
 
-// newResponseBody returns a reader of the body that follows the head h in r.
-func newResponseBody(r *bufio.Reader, h *fasthttp.ResponseHeader) *responseBody {
+// newResponseBody returns a reader of the body that follows the head h in r. A chunked
+// body ends with what readTrailer reads.
+func newResponseBody(r *bufio.Reader, h *fasthttp.ResponseHeader, readTrailer func() error) *responseBody {
 	b := &responseBody{
-		reader:    r,
-		remaining: -1,
+		reader:      r,
+		remaining:   -1,
+		readTrailer: readTrailer,
 	}
 	length := h.ContentLength()
 	switch {
@@ -101,8 +113,18 @@
 const chunkedContentLength = -1
 
 // Read implements io.Reader. It returns io.EOF only at the end of a complete
-// body, and io.ErrUnexpectedEOF if the connection ends before that.
+// body, io.ErrUnexpectedEOF if the connection ends before that, and
+// errEndlessResponse after maxResponseBytes.
 func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.readPart(p)
+	b.received += n
+	if b.received > maxResponseBytes {
+		return 0, errEndlessResponse
+	}
+	return n, err
+}
+
+func (b *responseBody) readPart(p []byte) (int, error) {
 	switch {
 	case b.atEnd:
 		return 0, io.EOF
@@ -130,8 +152,11 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if err := readTrailer(b.reader); err != nil {
-		return n, io.ErrUnexpectedEOF
+	if err := b.readTrailer(); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return n, err
 	}
 	b.atEnd = true
 	if n > 0 {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,6 +26,14 @@
 	streamBufferSize = 4 << 10
 	// minAttemptTimeout is the least remaining time with which an attempt is made.
 	minAttemptTimeout = time.Millisecond
+	// headTime bounds the time from the first byte of a response to the end of its
+	// head, bufferedBodyTime the time from there to the end of a body that isn't
+	// forwarded as it arrives because it isn't the answer to the request.
+	headTime         = time.Second
+	bufferedBodyTime = time.Second
+	// trailerTime bounds the time from the last chunk of a body to the end of its
+	// trailer.
+	trailerTime = 500 * time.Millisecond
 	// continuedAnswerTime is the time after its first event from which a stream that
 	// still brings events counts as one that its prompt doesn't break off.
 	continuedAnswerTime = time.Second
@@ -32,10 +41,11 @@
 
 // exchange is one attempt of a request at one endpoint.
 type exchange struct {
-	in   *inboundRequest
-	send gate.Send
-	conn *endpointConn
-	head fasthttp.ResponseHeader
+	in     *inboundRequest
+	send   gate.Send
+	conn   *endpointConn
+	head   fasthttp.ResponseHeader
+	events eventParser
 	// firstEventAt is when the endpoint sent its first complete event, by time.Now.
 	firstEventAt time.Time
 	// continued is true once the reducer was told that the answer continues.
@@ -168,6 +178,7 @@
 var (
 	errMismatchedResponse = errors.New("response belongs to another request")
 	errEventTooLong       = errors.New("event exceeds the buffer limit")
+	errNoEvent            = errors.New("the stream holds bytes that are no event")
 )
 
 // maxMismatchedResponses bounds the number of response heads that are read to
@@ -178,27 +189,72 @@
 // responses and responses to earlier requests on the connection are discarded.
 func (x *exchange) readResponseHead() (*responseBody, error) {
 	for range maxMismatchedResponses {
-		x.head.Reset()
-		if err := x.head.Read(x.conn.reader); err != nil {
+		if err := x.readHead(); err != nil {
 			return nil, err
 		}
 		if x.head.StatusCode() < fasthttp.StatusOK {
 			continue
 		}
-		b := newResponseBody(x.conn.reader, &x.head)
+		b := newResponseBody(x.conn.reader, &x.head, x.readTrailer)
 		if isResponseTo(&x.head, x.in.request.ID) || isRefusalWithoutID(&x.head) {
 			return b, nil
 		}
 		if b.closeDelimited || len(x.head.Peek(platform.HeaderRequestID)) == 0 {
 			return nil, errMismatchedResponse
 		}
-		if _, err := io.Copy(io.Discard, b); err != nil {
+		if _, err := x.readBuffered(b); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errMismatchedResponse
 }
 
+// readHead waits for a response and reads its head within headTime.
+func (x *exchange) readHead() error {
+	x.head.Reset()
+	if _, err := x.conn.reader.Peek(1); err != nil {
+		return err
+	}
+	return x.readWithin(headTime, func() error { return x.head.Read(x.conn.reader) })
+}
+
+// readBuffered reads the rest of a body that isn't forwarded as it arrives, up to
+// maxBufferedBody and within bufferedBodyTime.
+func (x *exchange) readBuffered(b *responseBody) (content []byte, err error) {
+	err = x.readWithin(bufferedBodyTime, func() error {
+		content, err = b.readAll(maxBufferedBody)
+		return err
+	})
+	return content, err
+}
+
+// readWithin bounds the time of a read. A read that takes longer, though time is left
+// for the attempt, fails with errEndlessResponse.
+func (x *exchange) readWithin(limit time.Duration, read func() error) error {
+	end := time.Now().Add(limit)
+	if err := x.in.limitRead(x.conn, end); err != nil {
+		return err
+	}
+	err := read()
+	if isTimeout(err) && x.in.hasTimeLeft(time.Now()) {
+		return errEndlessResponse
+	}
+	if restoreErr := x.in.restoreReadDeadline(x.conn); err == nil {
+		err = restoreErr
+	}
+	return err
+}
+
+// readTrailer reads the trailer of a chunked body within trailerTime.
+func (x *exchange) readTrailer() error {
+	return x.readWithin(trailerTime, func() error { return readTrailer(x.conn.reader) })
+}
+
+func isTimeout(err error) bool {
+	var timeoutErr interface{ Timeout() bool }
+	return errors.As(err, &timeoutErr) && timeoutErr.Timeout()
+}
+
 // isRefusalWithoutID reports whether a response without a request ID states that
 // the request was not executed. Such a response is not required to carry the ID.
 func isRefusalWithoutID(h *fasthttp.ResponseHeader) bool {
@@ -212,17 +268,26 @@
 // classifyError returns the result of an attempt that failed without a complete
 // response.
 func (x *exchange) classifyError(err error) gate.Result {
-	var timeoutErr interface{ Timeout() bool }
 	switch {
-	case errors.Is(err, errMismatchedResponse) || errors.Is(err, errEventTooLong):
+	case slices.ContainsFunc(malformations, func(m error) bool { return errors.Is(err, m) }):
 		return mayHaveRunResult(gate.ReasonMalformed)
-	case errors.As(err, &timeoutErr) && timeoutErr.Timeout():
+	case isTimeout(err):
 		return mayHaveRunResult(gate.ReasonTimeout)
 	default:
 		return mayHaveRunResult(gate.ReasonReset)
 	}
 }
 
+// malformations are the errors of bytes that are no response to the request.
+var malformations = []error{
+	errMismatchedResponse,
+	errEventTooLong,
+	errNoEvent,
+	errResponseTooLarge,
+	errEndlessResponse,
+	errBodyTooLarge,
+}
+
 // handleResponse forwards a response, or withholds it if it is a refusal, a failure
 // or malformed. It reports whether the response was read completely.
 func (x *exchange) handleResponse(b *responseBody) (gate.Result, bool) {
@@ -235,7 +300,7 @@
 	}
 	status := x.head.StatusCode()
 	if isNotExecuted(&x.head) {
-		_, err := b.readAll(maxBufferedBody)
+		_, err := x.readBuffered(b)
 		return x.classifyRefusal(status), err == nil
 	}
 	if status < 200 || status > 299 {
@@ -277,7 +342,7 @@
 			Status:  status,
 		}, false
 	}
-	content, err := b.readAll(maxBufferedBody)
+	content, err := x.readBuffered(b)
 	if err != nil {
 		return x.classifyError(err), false
 	}
@@ -349,7 +414,10 @@
 	for {
 		n, err := b.Read(buffer[buffered:])
 		buffered += n
-		sendable := x.sendableLength(buffer[:buffered])
+		sendable, parseErr := x.sendableLength(buffer[:buffered])
+		if parseErr != nil {
+			err = parseErr
+		}
 		if errors.Is(err, io.EOF) {
 			err = x.checkStreamEnd(b, buffered-sendable)
 		}
@@ -383,19 +451,20 @@
 func (x *exchange) isEventStream() bool { return x.send.Route.Kind == topo.Stream }
 
 // sendableLength returns how much of p, which starts with an event if the response
-// is a stream, can be forwarded. It records the ID of the last event.
-func (x *exchange) sendableLength(p []byte) int {
+// is a stream, can be forwarded. It records the ID of the last event. Bytes that are no
+// event are an error.
+func (x *exchange) sendableLength(p []byte) (int, error) {
 	if !x.isEventStream() {
-		return len(p)
+		return len(p), nil
 	}
-	length, id := completeEvents(p)
+	length, id, err := x.events.complete(p)
 	if length > 0 {
 		x.recordEvents(time.Now())
 	}
 	if id != "" {
 		x.in.lastEventID = id
 	}
-	return length
+	return length, err
 }
 
 // recordEvents records that complete events have arrived, and tells the reducer once
--- a/internal/edge/head.go
+++ b/internal/edge/head.go
@@ -131,10 +131,13 @@
 	return body, readTrailer(r)
 }
 
+// maxTrailerBytes bounds the lines after the last chunk of a body.
+const maxTrailerBytes = 8 << 10
+
 // readTrailer skips the lines after the last chunk up to and including the empty
 // line.
 func readTrailer(r *bufio.Reader) error {
-	for {
+	for size := 0; size <= maxTrailerBytes; {
 		line, err := r.ReadSlice('\n')
 		if err != nil {
 			return err
@@ -142,7 +145,9 @@
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return nil
 		}
+		size += len(line)
 	}
+	return errBodyTooLarge
 }
 
 // forwardedRequestHead returns the request line and the headers to forward to an
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -97,6 +97,31 @@
 	return conn.SetDeadline(until)
 }
 
+// limitRead sets a deadline for reads of the current attempt that is earlier than that
+// of the attempt.
+func (in *inboundRequest) limitRead(conn *endpointConn, until time.Time) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.attemptDeadline.Before(until) {
+		until = in.attemptDeadline
+	}
+	return conn.SetReadDeadline(until)
+}
+
+// restoreReadDeadline sets the deadline of the attempt again for its reads.
+func (in *inboundRequest) restoreReadDeadline(conn *endpointConn) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return conn.SetReadDeadline(in.attemptDeadline)
+}
+
+// hasTimeLeft reports whether the deadline of the current attempt is still to come.
+func (in *inboundRequest) hasTimeLeft(now time.Time) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return now.Before(in.attemptDeadline)
+}
+
 // capAttemptDeadline limits the deadline of the current attempt to until.
 func (in *inboundRequest) capAttemptDeadline(until time.Time) {
 	in.mu.Lock()
