--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -68,7 +68,7 @@
 	chunkedReader io.Reader
 	// readTrailer reads what follows the last chunk.
 	readTrailer func() error
-	atEnd         bool
+	atEnd       bool
 	// closeDelimited is true if the body ends when the connection is closed.
 	closeDelimited bool
 }
--- a/internal/edge/endless_test.go
+++ b/internal/edge/endless_test.go
@@ -53,7 +53,7 @@
 }
 
 // write sends the bytes until the connection is closed, and reports that on ended.
-func (e endless) write(w http.ResponseWriter, r *http.Request, ended chan<- error) {
+func (e endless) write(w http.ResponseWriter, r *http.Request, ended chan<- struct{}) {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		panic(err)
@@ -70,7 +70,7 @@
 		}
 		time.Sleep(e.pause)
 	}
-	ended <- err
+	ended <- struct{}{}
 }
 
 // Guards against requests that are held, and memory and connections that are used up,
@@ -82,7 +82,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFixture(t)
-			ended := make(chan error, 1)
+			ended := make(chan struct{}, 1)
 			var first atomic.Pointer[fakeEndpoint]
 			for _, shop := range f.shops {
 				shop.handler = func(w http.ResponseWriter, r *http.Request) {
@@ -126,7 +126,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFixture(t)
-			ended := make(chan error, 4)
+			ended := make(chan struct{}, 4)
 			for _, engine := range f.engines {
 				engine.handler = func(w http.ResponseWriter, r *http.Request) { e.write(w, r, ended) }
 			}
@@ -155,7 +155,7 @@
 		"slow": {begin: "HTTP/1.1 200 OK\r\n\r\n", repeat: "a", pause: 20 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ended := make(chan error, 1)
+			ended := make(chan struct{}, 1)
 			address := serveLoopback(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.write(w, r, ended) }))
 			_, err := platform.NewEngineClient().Report("llm-1", netip.MustParseAddrPort(address))
 			if err == nil {
