End a call at the agent whose answer has no end

Callers of the product's own interface got bytes for as long as the endpoint sent them and the call's deadline allowed: the same class as at the entry that calls endpoints itself, a read from a faulty peer without a bound.

Cause: the agent forwards a body until its end or an error. Heads, refusals and trailers were bounded already.

Change: an answer ends at 32 MB as one that may have run, and its connection is closed.

--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -22,6 +22,8 @@
 	idleTimeout     = 2 * time.Second
 	readBufferSize  = 16 << 10
 	maxResponseHead = 64 << 10
+	// maxResponseBytes is the size from which a response counts as one without end.
+	maxResponseBytes = 32 << 20
 )
 
 // errConnect marks a failure that occurred before any byte of the request was
@@ -252,7 +254,9 @@
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			total += uint64(n)
+			if total += uint64(n); total > maxResponseBytes {
+				return total, fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer has no end")
+			}
 			tail.write(buffer[:n])
 			data := &wirepb.CallFrame{Data: buffer[:n]}
 			if err := send(data); err != nil {
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -328,3 +328,79 @@
 		}
 	}
 }
+
+// endlessEndpoint answers each request with begin and then with repeat, again and
+// again until its caller closes the connection, which it reports on closed.
+func newEndlessEndpoint(t *testing.T, begin, repeat string) (address string, closed <-chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	ended := make(chan struct{}, 16)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, begin)
+				for err == nil {
+					_ = conn.SetWriteDeadline(time.Now().Add(3 * time.Second))
+					_, err = io.WriteString(conn, strings.Repeat(repeat, 1+4096/len(repeat)))
+				}
+				ended <- struct{}{}
+			}()
+		}
+	}()
+	return listener.Addr().String(), ended
+}
+
+// Guards against an agent that goes on reading, or keeps the connection, when its
+// endpoint sends bytes without end.
+func TestBytesWithoutEndEndTheCall(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	for name, answer := range map[string]struct {
+		begin, repeat string
+		stream        bool
+		verdict       fault.Verdict
+	}{
+		"head":         {begin: "HTTP/1.1 200 OK\r\n", repeat: "X-A: b\r\n", verdict: fault.MayHaveRun},
+		"interim":      {repeat: "HTTP/1.1 100 Continue\r\n\r\n", verdict: fault.MayHaveRun},
+		"refusal":      {begin: "HTTP/1.1 503 F\r\nEndpoint-Not-Run: 1\r\n" + chunked, repeat: "1\r\na\r\n", verdict: fault.NotRun},
+		"body":         {begin: "HTTP/1.1 200 OK\r\n\r\n", repeat: "aaaaaaaa", verdict: fault.MayHaveRun},
+		"chunked body": {begin: "HTTP/1.1 200 OK\r\n" + chunked, repeat: "4\r\naaaa\r\n", verdict: fault.MayHaveRun},
+		"length":       {begin: "HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", repeat: "aaaaaaaa", verdict: fault.MayHaveRun},
+		"trailer":      {begin: "HTTP/1.1 200 OK\r\n" + chunked + "1\r\na\r\n0\r\n", repeat: "X-A: b\r\n", verdict: fault.MayHaveRun},
+		"stream":       {begin: "HTTP/1.1 200 OK\r\n" + chunked, repeat: "7\r\nnoise\n\n\r\n", stream: true, verdict: fault.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, closed := newEndlessEndpoint(t, answer.begin, answer.repeat)
+			client := newEndpointClient(address)
+			result := make(chan error, 1)
+			go func() {
+				_, err := runCall(client, true, answer.stream)
+				result <- err
+			}()
+			select {
+			case err := <-result:
+				if err == nil || fault.VerdictOf(err) != answer.verdict {
+					t.Errorf("error %v with verdict %v, want verdict %v", err, fault.VerdictOf(err), answer.verdict)
+				}
+			case <-time.After(5 * time.Second):
+				t.Fatal("the call hasn't ended after 5 s")
+			}
+			select {
+			case <-closed:
+			case <-time.After(2 * time.Second):
+				t.Error("the endpoint's connection is still open")
+			}
+		})
+	}
+}
