--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -292,6 +292,7 @@
 // or malformed. It reports whether the response was read completely.
 func (x *exchange) handleResponse(b *responseBody) (gate.Result, bool) {
 	x.in.framing = b.framing()
+	x.in.namedLimit = string(x.head.Peek(platform.HeaderLimit))
 	if platform.IsLeaving(x.head.Peek(platform.HeaderLeaving)) {
 		x.post(gate.EndpointLeaving{
 			Endpoint:    x.send.Endpoint,
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -64,6 +64,8 @@
 	reason           string
 	// framing is how the end of the endpoint's last response was marked.
 	framing string
+	// namedLimit is the limit that the endpoint's last response named, as it was sent.
+	namedLimit string
 	// endedInEvent is true if the last stream that an endpoint sent ended within
 	// an event.
 	endedInEvent bool
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -197,6 +197,7 @@
 		Int("status", in.status).Str("verdict", in.verdict).Str("reason", in.reason).Str("detail", in.detail).
 		Str("promptPrefix", in.promptPrefix()).
 		Str("framing", in.framing).Bool("endedInEvent", in.endedInEvent).
+		Str("namedLimit", in.namedLimit[:min(len(in.namedLimit), maxLoggedLimit)]).
 		Str("endpoint", in.endpoint).Strs("softwareVersions", in.softwareVersions).
 		Str("resumes", in.request.ResumedRequest).Str("lastEventId", in.request.LastEventID).Int("tries", in.attempts).
 		Bool("left", in.isDisconnected()).Dur("tookMs", elapsed).
@@ -207,6 +208,9 @@
 // maxLoggedPrefix is the length to which the prompt's parts are cut in the log.
 const maxLoggedPrefix = 160
 
+// maxLoggedLimit is the length to which a named limit is cut in the log.
+const maxLoggedLimit = 16
+
 // promptPrefix returns the parts of the prompt as the client named them.
 func (in *inboundRequest) promptPrefix() string {
 	return in.request.PromptPrefix[:min(len(in.request.PromptPrefix), maxLoggedPrefix)]
