--- /dev/null
+++ b/internal/edge/limit_test.go
@@ -0,0 +1,145 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dogwoodfold/platform"
+	"dogwoodfold/platform/fakes"
+)
+
+// limitedEndpoint names a limit in its answers while limit isn't 0.
+type limitedEndpoint struct {
+	*fakeEndpoint
+	// limit is in requests per second.
+	limit atomic.Int64
+
+	mu         sync.Mutex
+	firstNamed time.Time
+	arrivals   []time.Time
+}
+
+func newLimitedEndpoint(t *testing.T, store *fakes.Store, id, service string, limit int64, models ...string) *limitedEndpoint {
+	e := &limitedEndpoint{fakeEndpoint: &fakeEndpoint{id: id}}
+	e.limit.Store(limit)
+	e.handler = func(w http.ResponseWriter, r *http.Request) {
+		now := time.Now()
+		e.mu.Lock()
+		e.arrivals = append(e.arrivals, now)
+		if limit := e.limit.Load(); limit > 0 {
+			w.Header().Set("Server-Limit", strconv.FormatInt(limit, 10)+".0")
+			if e.firstNamed.IsZero() {
+				e.firstNamed = now
+			}
+		}
+		e.mu.Unlock()
+		w.Header().Set(platform.HeaderServerStamp, "stamp")
+		if service == "llm" {
+			_, _ = fmt.Fprint(w, events(1, 3, "\n"))
+			return
+		}
+		_, _ = fmt.Fprint(w, "ok")
+	}
+	e.address = serveLoopback(t, e)
+	store.Put(fakes.TopicEndpoints, id, e.registryRecord(service, models...))
+	return e
+}
+
+// count returns the number of requests that arrived between two times.
+func (e *limitedEndpoint) count(from, until time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, at := range e.arrivals {
+		if !at.Before(from) && at.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// contactTime is the time after the first naming from which a limit must be kept,
+	// limitWindow the time over which it is.
+	contactTime = 3 * time.Second
+	limitWindow = 4 * time.Second
+)
+
+// checkLimit checks that no window holds more requests than allowed, and that the
+// endpoint still gets some.
+func (e *limitedEndpoint) checkLimit(t *testing.T, limit float64) {
+	t.Helper()
+	e.mu.Lock()
+	named, arrivals := e.firstNamed, append([]time.Time(nil), e.arrivals...)
+	e.mu.Unlock()
+	allowed := int(1.5*limit*limitWindow.Seconds()) + 5
+	for _, from := range arrivals {
+		if from.Before(named.Add(contactTime - limitWindow)) {
+			continue
+		}
+		until := from.Add(limitWindow)
+		if n := e.count(from, until); n > allowed && !until.Before(named.Add(contactTime)) {
+			t.Errorf("%s got %d requests in %v, %d allowed", e.id, n, limitWindow, allowed)
+			return
+		}
+	}
+	last := arrivals[len(arrivals)-1]
+	if n := e.count(last.Add(-limitWindow), last); float64(n) < limit*limitWindow.Seconds()/2 {
+		t.Errorf("%s got only %d requests in the last %v of a limit of %v a second", e.id, n, limitWindow, limit)
+	}
+}
+
+// Guards against endpoints that get more requests than the limit that they have named
+// for all entries together, and against refusing what the other endpoints can take.
+func TestNamedLimitIsKeptByAllEntriesTogether(t *testing.T) {
+	const limit = 4
+	store := fakes.NewStore()
+	engines := []*limitedEndpoint{
+		newLimitedEndpoint(t, store, "llm-1", "llm", limit, "m"),
+		newLimitedEndpoint(t, store, "llm-2", "llm", limit, "m"),
+		newLimitedEndpoint(t, store, "llm-3", "llm", 0, "m"),
+	}
+	shops := []*limitedEndpoint{
+		newLimitedEndpoint(t, store, "shop-1", "shop", limit),
+		newLimitedEndpoint(t, store, "shop-2", "shop", 0),
+	}
+	entries := newEntries(t, store, 3)
+	began := time.Now()
+	var sent, served, slow atomic.Int32
+	var group sync.WaitGroup
+	for _, f := range entries {
+		for n := range 4 {
+			group.Go(func() {
+				for time.Since(began) < 10*time.Second {
+					path := []string{"/chat/1", "/notes/1", "/look/1", "/charge/1"}[n]
+					at := time.Now()
+					r := f.send(context.Background(), "POST", path, platform.HeaderModel, "m", platform.HeaderTokenUsage, "10,5")
+					sent.Add(1)
+					if r.status == http.StatusOK && r.err == nil {
+						served.Add(1)
+					}
+					if time.Since(at) > time.Second {
+						slow.Add(1)
+					}
+					time.Sleep(60 * time.Millisecond)
+				}
+			})
+		}
+	}
+	group.Wait()
+	engines[0].checkLimit(t, limit)
+	engines[1].checkLimit(t, limit)
+	shops[0].checkLimit(t, limit)
+	if served.Load()*20 < sent.Load()*19 {
+		t.Errorf("%d of %d requests served, though one endpoint of each service has no limit", served.Load(), sent.Load())
+	}
+	if slow.Load() > 0 {
+		t.Errorf("%d requests took more than a second", slow.Load())
+	}
+}
