Keep the limit that an endpoint names for all entries together

Cause: the header in which it names its limit was passed on to the client and read by nobody; its rate didn't change when it named it. Reading it at each entry alone would not do: the limit is one for all entries. The class: a limit that a receiver states for all its senders, of which no sender, or each by itself, keeps account. A pause (Retry-After) is of another kind, stated for one sender, and is kept.

An entry that sees a limit tells the leader, which tells all. Only the leader lets requests through: those that it assigns wait for the endpoint's turn or go elsewhere; for plain endpoints and for repeats an entry asks for permits, for one request and a second each. A new leader starts each limit at nothing. An entry without a leader uses a part of the limit. A limit ends with the endpoint's run, or with an answer without it to a request that was sent after it was last named. What is beyond all limits is refused at once with the time to return, and engines that only pause are waited for rather than those with a limit.

Tests of its own: a new leader, an end, an older answer, a new incarnation, all endpoints limited.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -292,7 +292,7 @@
 // or malformed. It reports whether the response was read completely.
 func (x *exchange) handleResponse(b *responseBody) (gate.Result, bool) {
 	x.in.framing = b.framing()
-	x.in.namedLimit = string(x.head.Peek(platform.HeaderLimit))
+	unlimited := x.recordLimit()
 	if platform.IsLeaving(x.head.Peek(platform.HeaderLeaving)) {
 		x.post(gate.EndpointLeaving{
 			Endpoint:    x.send.Endpoint,
@@ -302,21 +302,47 @@
 	status := x.head.StatusCode()
 	if isNotExecuted(&x.head) {
 		_, err := x.readBuffered(b)
-		return x.classifyRefusal(status), err == nil
+		result := x.classifyRefusal(status)
+		result.Unlimited = unlimited
+		return result, err == nil
 	}
 	if status < 200 || status > 299 {
-		return x.bufferFailure(b, status)
+		result, complete := x.bufferFailure(b, status)
+		result.Unlimited = unlimited
+		return result, complete
 	}
 	if len(x.head.Peek(platform.HeaderServerStamp)) == 0 || len(x.head.Peek("Content-Encoding")) > 0 {
 		return mayHaveRunResult(gate.ReasonMalformed), false
 	}
-	x.post(gate.FirstByteReceived{Call: x.in.id})
+	x.post(gate.FirstByteReceived{
+		Call:      x.in.id,
+		Unlimited: unlimited,
+	})
 	if x.isEventStream() || x.in.started {
 		return x.streamResponse(b, nil)
 	}
 	return x.forwardWhole(b)
 }
 
+// recordLimit tells the reducer of a limit that the endpoint names in its response. It
+// reports whether the endpoint names none.
+func (x *exchange) recordLimit() (unlimited bool) {
+	if id := x.head.Peek(platform.HeaderInstanceID); len(id) > 0 && string(id) != x.send.Endpoint {
+		return false // another endpoint answers at the address
+	}
+	value := x.head.Peek(platform.HeaderLimit)
+	x.in.namedLimit = string(value)
+	perSecond, named := platform.ParseLimit(value)
+	if named {
+		x.post(gate.LimitNamed{
+			Endpoint:    x.send.Endpoint,
+			Incarnation: x.send.Incarnation,
+			PerSecond:   perSecond,
+		})
+	}
+	return len(value) == 0
+}
+
 // classifyRefusal returns the result of a response that states that the request
 // was not executed.
 func (x *exchange) classifyRefusal(status int) gate.Result {
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -28,7 +28,7 @@
 func newLimitedEndpoint(t *testing.T, store *fakes.Store, id, service string, limit int64, models ...string) *limitedEndpoint {
 	e := &limitedEndpoint{fakeEndpoint: &fakeEndpoint{id: id}}
 	e.limit.Store(limit)
-	e.handler = func(w http.ResponseWriter, r *http.Request) {
+	e.handler = func(w http.ResponseWriter, _ *http.Request) {
 		now := time.Now()
 		e.mu.Lock()
 		e.arrivals = append(e.arrivals, now)
--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -66,8 +66,8 @@
 		reply.AfterUs = uint64(wait.Microseconds())
 		return reply
 	}
-	option := c.bestEngine(now, req, reply)
-	if option == nil {
+	option, pausing := c.bestEngine(now, req, reply)
+	if option == nil || pausing && option.endpoint.limitStart(now).After(now) {
 		return reply
 	}
 	objective := time.Duration(req.GetObjectiveUs()) * time.Microsecond
@@ -86,6 +86,7 @@
 		return reply
 	}
 	ep := option.endpoint
+	ep.reserveLimit(now)
 	ep.schedule.Reserve(now, option.prefill, c.leader.prefillShare(req.GetService()).Value(now))
 	ep.stats.RecordPrompt(now, promptParts(req))
 	if req.GetStream() != 0 && !req.GetResumes() {
@@ -116,26 +117,29 @@
 
 // bestEngine returns the usable engine with the lowest cost, or nil if there is
 // none. It considers only the software version that reply gives, if any. Ties are
-// broken by ID.
-func (c *Core) bestEngine(now time.Time, req *wirepb.GateAssignmentAsk, reply *wirepb.GateAssignment) *engineOption {
+// broken by ID. pausing is true if an engine without a limit gets no requests only
+// because it has failed or refused some.
+func (c *Core) bestEngine(
+	now time.Time, req *wirepb.GateAssignmentAsk, reply *wirepb.GateAssignment,
+) (best *engineOption, pausing bool) {
 	if c.config == nil {
-		return nil
+		return nil, false
 	}
 	service := c.config.Services[req.GetService()]
 	if service == nil || service.Engine == nil {
-		return nil
+		return nil, false
 	}
 	parts := promptParts(req)
 	rate := c.prefillRate(req.GetService(), req.GetModel())
-	var best *engineOption
 	for id, ep := range c.endpoints {
-		if ep.Service != req.GetService() || ep.Draining || slices.Contains(req.GetAvoid(), id) || !ep.stats.Usable(now) {
+		if ep.Service != req.GetService() || ep.Draining || !ep.holds(now, true, req.GetModel(), req.GetAdapter()) {
 			continue
 		}
-		if !ep.holds(now, true, req.GetModel(), req.GetAdapter()) {
+		if reply.GetVersionKnown() && ep.SoftwareVersion != reply.GetSoftwareVersion() {
 			continue
 		}
-		if reply.GetVersionKnown() && ep.SoftwareVersion != reply.GetSoftwareVersion() {
+		if slices.Contains(req.GetAvoid(), id) || !ep.stats.Usable(now) {
+			pausing = pausing || !ep.limit.limited()
 			continue
 		}
 		option := c.evaluateEngine(now, req, ep, parts, rate)
@@ -143,7 +147,7 @@
 			best = option
 		}
 	}
-	return best
+	return best, pausing
 }
 
 func (c *Core) evaluateEngine(
@@ -162,7 +166,7 @@
 	}
 	option := &engineOption{
 		endpoint:       ep,
-		start:          ep.schedule.NextStart(now),
+		start:          latest(ep.schedule.NextStart(now), ep.limitStart(now)),
 		prefill:        prefill,
 		uncachedTokens: uncached,
 	}
@@ -171,6 +175,13 @@
 	return option
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func promptParts(req *wirepb.GateAssignmentAsk) []pick.PromptPart {
 	out := make([]pick.PromptPart, 0, len(req.GetParts()))
 	for _, p := range req.GetParts() {
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -187,8 +187,8 @@
 	if service.Engine != nil && !c.checkQuarantine(now, call, service) {
 		return
 	}
-	endpoints, candidates := c.candidates(now, call, service)
-	if len(candidates) == 0 {
+	endpoints, candidates, limited := c.candidates(now, call, service)
+	if len(candidates)+len(limited) == 0 {
 		c.waitForArtifact(now, call, service)
 		return
 	}
@@ -196,6 +196,11 @@
 		c.requestAssignment(now, call)
 		return
 	}
+	c.requestPermits(now, limited)
+	if len(candidates) == 0 {
+		c.waitForLimit(now, call, limited)
+		return
+	}
 	choice := pick.Choose(now, c.random, candidates)
 	best := endpoints[choice.Index]
 	if best.stats.BackingOff(now) {
@@ -208,6 +213,7 @@
 		c.refuse(now, call, fault.NotRun, fault.CodeBusy, "every endpoint is busy", c.jitter(choice.Estimate))
 		return
 	}
+	c.useLimit(now, best)
 	c.send(now, call, best, candidates[choice.Index], choice)
 }
 
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -60,6 +60,8 @@
 	endpoints map[string]*endpoint
 	// lastRevision counts changes to endpoints.
 	lastRevision uint64
+	// limitRevision counts changes to limits of endpoints.
+	limitRevision uint64
 	// missingUntil holds endpoints whose records disappeared during a registry
 	// outage, and when each of them is removed.
 	missingUntil map[string]time.Time
@@ -136,13 +138,15 @@
 	case RequestArrived:
 		c.admit(now, e.Call, e.Request)
 	case FirstByteReceived:
-		c.handleFirstByte(now, e.Call)
+		c.handleFirstByte(now, e)
 	case AnswerContinues:
 		c.handleAnswerContinues(now, e.Call)
 	case EngineProbed:
 		c.handleEngineProbed(now, e)
 	case EndpointLeaving:
 		c.handleEndpointLeaving(now, e)
+	case LimitNamed:
+		c.handleLimitNamed(now, e)
 	case AttemptEnded:
 		c.handleAttemptEnded(now, e.Call, e.Result)
 	case ClientDisconnected:
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -62,8 +62,20 @@
 	Request *Request
 }
 
-// FirstByteReceived reports that an endpoint has begun its response.
-type FirstByteReceived struct{ Call CallID }
+// FirstByteReceived reports that an endpoint has begun its response. Unlimited is true
+// if the response names no limit.
+type FirstByteReceived struct {
+	Call      CallID
+	Unlimited bool
+}
+
+// LimitNamed reports that an endpoint has named its limit in an answer, in requests per
+// second.
+type LimitNamed struct {
+	Endpoint    string
+	Incarnation int64
+	PerSecond   float64
+}
 
 // AnswerContinues reports that an endpoint still writes its response some time after
 // the first event.
@@ -226,6 +238,7 @@
 func (AnswerContinues) event()     {}
 func (EngineProbed) event()        {}
 func (EndpointLeaving) event()     {}
+func (LimitNamed) event()          {}
 func (AttemptEnded) event()        {}
 func (ClientDisconnected) event()  {}
 func (ConfigRead) event()          {}
@@ -330,6 +343,8 @@
 	// CloseDelimited is true if only the end of the connection marked the end of the
 	// response.
 	CloseDelimited bool
+	// Unlimited is true if the endpoint has answered and named no limit.
+	Unlimited bool
 }
 
 // Effect is an output of the reducer, which its caller must carry out.
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -40,6 +40,8 @@
 	startsSent uint64
 	// poisonSent is the revision of the crash log that the entry has been sent.
 	poisonSent uint64
+	// limitsSent is the revision of the limits that the entry has been sent.
+	limitsSent uint64
 }
 
 // leader is the state of an entry while it leads.
@@ -61,6 +63,8 @@
 	// spreadSoon is true if the other entries must learn of a crash or of the
 	// outcome of a trial.
 	spreadSoon bool
+	// limitsSent is the revision of the limits of which the other entries were told.
+	limitsSent uint64
 	planSoon   bool
 	plannedAt  time.Time
 }
@@ -86,7 +90,12 @@
 		trials:        make(map[poison.Part]trial),
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-		c.updatePlannerEndpoint(now, c.endpoints[id])
+		ep := c.endpoints[id]
+		c.updatePlannerEndpoint(now, ep)
+		if ep.limit.limited() {
+			// The leader before may just have let a request through.
+			ep.limit.pace.Restart(now, ep.limit.perSecond)
+		}
 	}
 	for _, m := range previous {
 		// Members of the previous term that have not connected yet keep their
@@ -100,6 +109,7 @@
 		peer.sentHoldings = make(map[string]bool)
 		peer.sentRevisions = make(map[string]uint64)
 		peer.poisonSent = 0
+		peer.limitsSent = 0
 	}
 	c.logChange("became leader", c.settings.Host, "", 0)
 }
@@ -195,6 +205,8 @@
 	}
 	c.applyStarts(now, e.Report.GetStarts())
 	c.applyReportedPoison(now, peer, e.Report.GetPoison())
+	peer.limitsSent = c.applyLimits(now, e.Report.GetLimits(), peer.limitsSent)
+	c.spreadLimits(now)
 	for _, r := range e.Report.GetReturns() {
 		if customer := c.customer(r.GetCustomer()); customer != nil {
 			c.leader.returnTokens(now, customer, r.GetAmount())
@@ -209,7 +221,16 @@
 		grants = append(grants, grant)
 	}
 	c.plan(now)
-	c.sendState(now, e.Host, peer, grants)
+	c.sendState(now, e.Host, peer, answer{
+		grants:  grants,
+		permits: c.grantPermits(now, e.Report.GetPermitRequests()),
+	})
+}
+
+// answer is what an entry gets only in the state that answers its report.
+type answer struct {
+	grants  []*wirepb.GateTokens
+	permits []*wirepb.GatePermit
 }
 
 func (c *Core) customer(name string) *topo.Customer {
@@ -237,17 +258,20 @@
 
 // sendState sends an entry the leader's state. Holdings and endpoints that the
 // entry has already been sent are left out.
-func (c *Core) sendState(now time.Time, host string, peer *peer, grants []*wirepb.GateTokens) {
+func (c *Core) sendState(now time.Time, host string, peer *peer, a answer) {
 	state := &wirepb.GateState{
 		Echo:      peer.lastSequence,
 		AgeUs:     uint64(now.Sub(c.leader.renewedAt).Microseconds()),
-		Grants:    grants,
+		Grants:    a.grants,
+		Permits:   a.permits,
+		Limits:    c.encodeLimits(now, peer.limitsSent),
 		Unrenewed: c.lease.Unrenewed(now),
 		Starts:    encodeStarts(c.streams.ownAfter(peer.startsSent)),
 	}
 	peer.startsSent = c.streams.ownCount
 	state.Poison = encodePoison(now, c.crashes.log.Since(peer.poisonSent))
 	peer.poisonSent = c.crashes.log.Revision()
+	peer.limitsSent = c.limitRevision
 	for _, m := range c.leader.members {
 		if m.Host == host {
 			state.Shares = append(state.Shares, &wirepb.GateShare{
@@ -410,7 +434,7 @@
 			delete(peer.sentHoldings, id)
 		}
 		if peer.lastSequence > 0 {
-			c.sendState(now, host, peer, nil)
+			c.sendState(now, host, peer, answer{})
 		}
 	}
 	c.retryParked(now)
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -47,8 +47,14 @@
 	startsReported uint64
 	// poisonReported is the revision of the crash log that it has reported.
 	poisonReported uint64
-	reportedAt     time.Time
-	sequence       uint64
+	// limitsReported is the revision of the limits that it has reported,
+	// permitRequests are the limited endpoints for which it needs permits.
+	limitsReported uint64
+	permitRequests map[string]bool
+	// permitsRequestedAt is when a report was last sent only for such requests.
+	permitsRequestedAt time.Time
+	reportedAt         time.Time
+	sequence           uint64
 	// reportTimes holds the send times of recent reports by sequence number.
 	reportTimes   map[uint64]time.Time
 	tokenRequests []*wirepb.GateTokens
@@ -64,6 +70,8 @@
 		demand:      make(map[string]map[stock.Artifact]time.Duration),
 		misses:      make(map[string]map[stock.Miss]bool),
 		arrivals:    make(map[string]map[stock.Load]time.Time),
+
+		permitRequests: make(map[string]bool),
 	}
 }
 
@@ -223,6 +231,9 @@
 		Streams:   c.assignments.drainStreamStats(),
 		Starts:    c.drainStreamStarts(),
 		Poison:    c.drainPoison(now),
+		Limits:    c.drainLimits(now),
+
+		PermitRequests: f.drainPermitRequests(),
 	}
 	f.newLeader = false
 	f.requestsTakeover = false
@@ -305,6 +316,8 @@
 	c.applyRelay(now, sentAt, state)
 	c.applyStarts(now, state.GetStarts())
 	c.follower.poisonReported = c.mergePoison(now, state.GetPoison(), c.follower.poisonReported)
+	c.follower.limitsReported = c.applyLimits(now, state.GetLimits(), c.follower.limitsReported)
+	c.applyPermits(now, state.GetPermits())
 	c.applyLoads(now, state.GetLoads())
 	c.applyHoldings(now, state.GetHoldings())
 	c.applyArrivals(now, state.GetArrivals())
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -40,12 +40,15 @@
 }
 
 // handleFirstByte records that an endpoint has begun its response.
-func (c *Core) handleFirstByte(now time.Time, id CallID) {
-	call := c.calls[id]
+func (c *Core) handleFirstByte(now time.Time, e FirstByteReceived) {
+	call := c.calls[e.Call]
 	if call == nil || call.endpoint == nil || call.responseStarted {
 		return
 	}
 	call.responseStarted = true
+	if e.Unlimited {
+		c.recordUnlimited(now, call.endpoint, call.sentAt)
+	}
 	c.recordStreamStart(now, call)
 	stats := call.endpoint.stats
 	stats.Local.PendingPrefill -= call.pendingPrefill()
@@ -81,6 +84,9 @@
 		c.creditRetry(call.service)
 	}
 	c.recordEnding(now, call, ep, result)
+	if result.Unlimited {
+		c.recordUnlimited(now, ep, call.sentAt)
+	}
 	if result.RetryAfter > 0 {
 		ep.stats.RecordRetryAfter(now, result.RetryAfter)
 	}
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -156,7 +156,7 @@
 	}
 	for _, host := range slices.Sorted(maps.Keys(c.peers)) {
 		if peer := c.peers[host]; peer.connected && peer.lastSequence > 0 {
-			c.sendState(now, host, peer, nil)
+			c.sendState(now, host, peer, answer{})
 		}
 	}
 }
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -12,9 +12,11 @@
 // candidates returns the endpoints that may run a call. Until the attempts of
 // its route are used up, these are the ones not tried before; afterwards, only
 // those tried before.
-func (c *Core) candidates(now time.Time, call *activeCall, service *topo.Service) ([]*endpoint, []pick.Candidate) {
-	var endpoints []*endpoint
-	var out []pick.Candidate
+// Endpoints that have named a limit, and to which this entry may send nothing now, are
+// returned apart.
+func (c *Core) candidates(
+	now time.Time, call *activeCall, service *topo.Service,
+) (endpoints []*endpoint, out []pick.Candidate, limited []*endpoint) {
 	leaderCurrent := c.leaderStateCurrent(now)
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
 		ep := c.endpoints[id]
@@ -30,10 +32,14 @@
 		if service.Engine != nil && !ep.holds(now, leaderCurrent, call.request.Model, call.request.Adapter) {
 			continue
 		}
+		if !c.mayUseLimited(now, ep) {
+			limited = append(limited, ep)
+			continue
+		}
 		endpoints = append(endpoints, ep)
 		out = append(out, c.newCandidate(now, call, ep, service))
 	}
-	return endpoints, out
+	return endpoints, out, limited
 }
 
 func (c *Core) newCandidate(now time.Time, call *activeCall, ep *endpoint, service *topo.Service) pick.Candidate {
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -151,7 +151,12 @@
 // lead makes an entry acquire the lease and the others follow it.
 func (f *entryFleet) lead(host string) {
 	f.t.Helper()
-	appended := f.acquireLease(host)
+	f.follow(host, f.acquireLease(host))
+}
+
+// follow answers an append with which an entry acquires the lease, and makes the others
+// follow it.
+func (f *entryFleet) follow(host string, appended AppendLease) {
 	f.leader = host
 	f.recordAppend(appended)
 	for other := range f.cores {
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -18,6 +18,7 @@
 	// both are maintained by the leader.
 	schedule pacer.Schedule
 	speed    pacer.EngineSpeed
+	limit    endpointLimit
 	// leaderHoldings is what the engine holds according to the leader, nil if
 	// the leader has not reported it.
 	leaderHoldings   []topo.Holding
--- a/internal/soak/book_test.go
+++ b/internal/soak/book_test.go
@@ -55,6 +55,8 @@
 	stableFrom time.Time
 	revoked    map[string]time.Time
 	violations []string
+	// limited are the requests that reached endpoints which name a limit, by endpoint.
+	limited map[string][]limitedArrival
 	// poisoned are the times at which requests that crash engines were executed.
 	poisoned []poisonedExecution
 	// resumptions counts the requests that resumed a stream, continued those of them
@@ -65,7 +67,7 @@
 func newHistory() *history {
 	return &history{
 		requests: make(map[string]*clientRequest), executions: make(map[string][]execution),
-		orders:      make(map[string][]receivedOrder),
+		orders: make(map[string][]receivedOrder), limited: make(map[string][]limitedArrival),
 		recoveredAt: make(map[string]time.Time), revoked: make(map[string]time.Time),
 	}
 }
@@ -230,6 +232,7 @@
 	}
 	h.checkQuota()
 	h.checkPoison()
+	h.checkLimits()
 	return h.violations
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -88,6 +88,7 @@
 	for n := range clientCount {
 		group.Go(func() { env.runClient(ctx, n) })
 	}
+	group.Go(func() { env.injectLimits(ctx, rand.New(rand.NewPCG(seed, 7)), t) })
 	group.Go(func() { env.injectRestores(ctx, rand.New(rand.NewPCG(seed, 6)), t) })
 	env.injectFaults(rand.New(rand.NewPCG(seed, 5)), t)
 	time.Sleep(recoveryTime)
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -60,7 +60,10 @@
 	models         []string
 	acceptedOrders int64
 	loading        bool
-	orders         []receivedOrder
+	// limit is the limit that the endpoint names in its answers, in requests per
+	// second, 0 if it names none.
+	limit  float64
+	orders []receivedOrder
 }
 
 func newFakeEndpoint(t *testing.T, env *environment, service string, models ...string) *fakeEndpoint {
@@ -86,7 +89,7 @@
 	ep.incarnation = time.Now().UnixMilli()
 	ep.version = softwareVersions[rand.IntN(len(softwareVersions))]
 	ep.state, ep.recordSequence, ep.acceptedOrders, ep.loading = "ready", 0, 0, false
-	ep.models, ep.orders = slices.Clone(models), nil
+	ep.models, ep.orders, ep.limit = slices.Clone(models), nil, 0
 	ep.drainingSince = time.Time{}
 }
 
@@ -152,6 +155,7 @@
 func (ep *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ep.mu.Lock()
 	id, drainingSince, models, version := ep.id, ep.drainingSince, slices.Clone(ep.models), ep.version
+	limit := ep.limit
 	ep.mu.Unlock()
 	w.Header().Set(platform.HeaderInstanceID, id)
 	if expected := r.Header.Get(platform.HeaderExpectInstance); expected != "" && expected != id {
@@ -168,6 +172,10 @@
 		return
 	}
 	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+	if limit > 0 {
+		ep.env.history.recordLimited(id, limit)
+		w.Header().Set(platform.HeaderLimit, strconv.FormatFloat(limit, 'f', 1, 64))
+	}
 	if model := r.Header.Get(platform.HeaderModel); model != "" && !slices.Contains(models, model) {
 		w.Header().Set(platform.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
