--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -229,6 +229,7 @@
 	c.reportIfDue(now)
 	c.updateStoreWatch(now)
 	c.crashes.prune(now)
+	c.logQuarantines(now)
 }
 
 // stop begins a graceful shutdown: the entry reports not ready from now on,
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"dogwoodfold/internal/poison"
@@ -31,6 +32,9 @@
 	// endedTrials are the suspect parts of requests that ended without showing
 	// anything, of which the leader must be told.
 	endedTrials []poison.Part
+	// logged are the quarantines that were logged, with their ends.
+	logged         map[poison.Part]time.Time
+	loggedRevision uint64
 }
 
 // ending is the end of an answer without proof that the engine goes on running.
@@ -215,6 +219,30 @@
 	c.sendReport(now)
 }
 
+// logQuarantines logs the quarantines that began or were lifted since the last call.
+func (c *Core) logQuarantines(now time.Time) {
+	revision := c.crashes.log.Revision()
+	if revision == c.crashes.loggedRevision {
+		return
+	}
+	c.crashes.loggedRevision = revision
+	current := make(map[poison.Part]time.Time)
+	for _, q := range c.crashes.log.Quarantines() {
+		current[q.Part] = q.Until
+		if until, known := c.crashes.logged[q.Part]; !known || q.Until.After(until) {
+			c.logChange("part under quarantine", partText(q.Part), q.Until.Sub(now).Round(time.Second).String(), 0)
+		}
+	}
+	for part := range c.crashes.logged {
+		if _, still := current[part]; !still {
+			c.logChange("quarantine lifted", partText(part), "", 0)
+		}
+	}
+	c.crashes.logged = current
+}
+
+func partText(p poison.Part) string { return strconv.FormatUint(uint64(p), 16) }
+
 // suspects returns the parts of a call's prompt that may crash engines.
 func (c *Core) suspects(now time.Time, call *activeCall) []poison.Part {
 	return c.crashes.log.Judge(now, call.request.SharedParts).Suspects
--- a/internal/poison/assess.go
+++ b/internal/poison/assess.go
@@ -209,7 +209,7 @@
 		began := q.Until.Add(-q.Duration)
 		if a := l.answers[p]; a != nil && a.at.After(began) && !l.lastCrash[p].After(a.at) {
 			delete(l.quarantines, p)
-			l.stale = true
+			l.nextRevision()
 			continue
 		}
 		if crashedAt := l.lastCrash[p]; crashedAt.After(q.Until) {
