Keep a named limit while an endpoint's record has lapsed

Records lapse while the store is away, and are back with it. The entry dropped the limit of the endpoint with its record, so that it could get a burst of requests until it named the limit again.

The limit is kept with the last record of a removed endpoint and returns with the same incarnation. TestLimitSurvivesLapseOfTheRecord failed before at all three entries.

--- a/internal/gate/leaving.go
+++ b/internal/gate/leaving.go
@@ -44,21 +44,37 @@
 	return known && l.incarnation == record.Incarnation
 }
 
-// departedEndpoint is the last record of an endpoint that was removed.
+// departedEndpoint is the last record of an endpoint that was removed, and the limit
+// that it had named.
 type departedEndpoint struct {
 	record *topo.Endpoint
+	limit  endpointLimit
 	at     time.Time
 }
 
-// recordDeparture remembers the last record of an endpoint that is removed.
-func (c *Core) recordDeparture(now time.Time, record *topo.Endpoint) {
+// recordDeparture remembers the last record of an endpoint that is removed. It may be
+// back, if only its record was.
+func (c *Core) recordDeparture(now time.Time, ep *endpoint) {
 	maps.DeleteFunc(c.departed, func(_ string, d departedEndpoint) bool { return now.Sub(d.at) > leavingMemory })
-	c.departed[record.ID] = departedEndpoint{
-		record: record,
+	c.departed[ep.ID] = departedEndpoint{
+		record: ep.Endpoint,
+		limit:  ep.limit,
 		at:     now,
 	}
 }
 
+// restoreLimit gives an endpoint that is back in the registry the limit that its
+// incarnation had named before.
+func (c *Core) restoreLimit(ep *endpoint, record *topo.Endpoint) {
+	d, known := c.departed[record.ID]
+	if !known || d.record.Incarnation != record.Incarnation || !d.limit.limited() {
+		return
+	}
+	ep.limit = d.limit
+	c.limitRevision++
+	ep.limit.revision = c.limitRevision
+}
+
 // hasDeparted reports whether a record was written before its endpoint was removed.
 // A registry that comes back from a copy holds such records.
 func (c *Core) hasDeparted(record *topo.Endpoint) bool {
--- a/internal/gate/limits_test.go
+++ b/internal/gate/limits_test.go
@@ -302,6 +302,26 @@
 	}
 }
 
+// The record of a limited endpoint lapses and is back: it has the limit that it had.
+func TestLimitSurvivesLapseOfTheRecord(t *testing.T) {
+	f := newEntryFleet(t)
+	f.apply("front-2", LimitNamed{Endpoint: "llm-0", Incarnation: 1, PerSecond: 2})
+	f.tick()
+	back := versionedEngine("llm-0", "v1")
+	back.Sequence = 2
+	for _, ep := range []*topo.Endpoint{nil, back} {
+		for host := range f.cores {
+			f.apply(host, EndpointsRead{SentAt: f.now, Changes: []topo.EndpointChange{{ID: "llm-0", Endpoint: ep}}})
+		}
+		f.tick()
+	}
+	for host, core := range f.cores {
+		if got := core.endpoints["llm-0"].limit.perSecond; got != 2 {
+			t.Errorf("%s knows a limit of %v after the record is back, want 2", host, got)
+		}
+	}
+}
+
 // A new incarnation under the same ID has named nothing.
 func TestLimitEndsWithTheIncarnation(t *testing.T) {
 	f := newEntryFleet(t)
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -167,6 +167,7 @@
 			stats:            pick.NewEndpointStats(),
 			missingArtifacts: make(map[string]time.Time),
 		}
+		c.restoreLimit(known, record)
 		c.endpoints[record.ID] = known
 		c.logChange("endpoint added", record.ID, record.Service, 0)
 	} else if record.Draining && !known.Draining {
@@ -212,7 +213,7 @@
 	if c.endpoints[id] == nil {
 		return
 	}
-	c.recordDeparture(now, c.endpoints[id].Endpoint)
+	c.recordDeparture(now, c.endpoints[id])
 	c.recordVersionDeparture(now, c.endpoints[id].Endpoint)
 	delete(c.endpoints, id)
 	c.lastRevision++
