Let a limited endpoint get a few requests at once after a pause

With strictly equal distances an endpoint that had just got one of 3.5 requests a second turned away the next for 286 ms, however long it had been idle before, and what it could have taken was lost: traffic comes in bursts.

A limit now lets 3 requests through at once after a pause, which is within what the rule leaves (half the limit over 4 s, and 5 requests): the leader lets at most 4 L + 3 through in 4 s, with permits that end after a second 5 L + 3, where 6 L + 5 are allowed. TestPaceKeepsRate checks every window.

--- a/internal/gate/limits.go
+++ b/internal/gate/limits.go
@@ -15,6 +15,8 @@
 	// minLimit is the lowest rate, in requests per second, at which an endpoint is
 	// used. Without any request it could not say that its limit has ended.
 	minLimit = 0.2
+	// limitBurst is how many requests a limited endpoint gets at once after a pause.
+	limitBurst = 3
 	// limitTolerance is the relative change of a limit that other entries are told of.
 	limitTolerance = 0.05
 	// permitLifetime is how long a permit to send a request to a limited endpoint is
@@ -84,7 +86,7 @@
 		return
 	}
 	if !l.limited() {
-		l.pace.Restart(now, perSecond)
+		l.pace.Restart(now, perSecond, limitBurst)
 		l.permitUntil = time.Time{}
 	}
 	l.perSecond = perSecond
@@ -110,7 +112,7 @@
 	if !ep.limit.limited() {
 		return now
 	}
-	return ep.limit.pace.Next(now)
+	return ep.limit.pace.Next(now, ep.limit.perSecond)
 }
 
 // reserveLimit counts a request that the leader assigns to an endpoint.
@@ -127,7 +129,7 @@
 	case !l.limited():
 		return true
 	case c.isLeader(now):
-		return !l.pace.Next(now).After(now)
+		return !l.pace.Next(now, l.perSecond).After(now)
 	case c.leaderAnswers(now):
 		l.localSince = time.Time{}
 		return now.Before(l.permitUntil)
@@ -135,9 +137,9 @@
 	localRate := c.localLimit(l.perSecond)
 	if l.localSince.IsZero() {
 		l.localSince = now
-		l.localPace.Restart(now, localRate)
+		l.localPace.Restart(now, localRate, 1)
 	}
-	return !l.localPace.Next(now).After(now)
+	return !l.localPace.Next(now, localRate).After(now)
 }
 
 // localLimit returns the part of a limit that this entry may use without the leader.
@@ -204,7 +206,7 @@
 	case c.leaderAnswers(now):
 		return ep.limit.nextPermitAt
 	}
-	return ep.limit.localPace.Next(now)
+	return ep.limit.localPace.Next(now, c.localLimit(ep.limit.perSecond))
 }
 
 // drainPermitRequests returns the endpoints for which this entry needs permits.
