Keep calls with a message that crashes engines from all engines

An agent whose endpoint's answer was cut off finds out by a connection whether the endpoint has ended, numbers its runs and names the run in the failure. Entries keep the log of crashes and answers of package poison, with the messages of a prompt as its parts, and tell each other what they have seen themselves. Calls under quarantine are refused as not run with the time of its end; a suspect message is tried with one call at a time by each entry, and isn't tried again by it.

The messages' encoding moves from package gate to package poison, which both interfaces use.

--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -108,6 +108,7 @@
 		Code:         string(fault.CodeOf(err)),
 		Message:      err.Error(),
 		RetryAfterMs: uint32(fault.RetryAfterOf(err).Milliseconds()),
+		EndedRun:     fault.EndedRunOf(err),
 	}
 	if holder.Incarnation != 0 {
 		failure.Holder = &wirepb.Holder{
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -17,6 +17,8 @@
 
 const (
 	dialTimeout = 2 * time.Second
+	// probeTimeout bounds the connection that shows whether the endpoint still runs.
+	probeTimeout = 500 * time.Millisecond
 	// idleTimeout is kept short so that an endpoint rarely closes a connection
 	// at the moment it is reused.
 	idleTimeout     = 2 * time.Second
@@ -35,6 +37,10 @@
 	address   string
 	mu        sync.Mutex
 	idleConns []*endpointConn
+	// endedRuns counts the runs of the endpoint that were seen to end, down is true
+	// from such an end to the next connection.
+	endedRuns uint64
+	down      bool
 }
 
 // newEndpointClient returns a client for the endpoint at host:port.
@@ -138,7 +144,7 @@
 		if errors.Is(err, errConnect) {
 			return fault.Wrap(err, fault.NotRun, fault.CodeEndpoint)
 		}
-		return fault.Wrap(err, fault.MayHaveRun, fault.CodeEndpoint)
+		return c.checkEnd(fault.Wrap(err, fault.MayHaveRun, fault.CodeEndpoint))
 	}
 	if err := refusalError(response); err != nil {
 		conn.reusable = true
@@ -146,12 +152,33 @@
 	}
 	if err := forwardResponse(response, call.GetStream(), send); err != nil {
 		conn.cancel()
-		return err
+		return c.checkEnd(err)
 	}
 	conn.reusable = true
 	return nil
 }
 
+// checkEnd finds out whether a call was cut off because the endpoint has ended, and if
+// so adds the endpoint's run to the error.
+func (c *endpointClient) checkEnd(err error) error {
+	if code := fault.CodeOf(err); code != fault.CodeEndpoint && code != fault.CodeCut {
+		return err
+	}
+	conn, dialErr := net.DialTimeout("tcp", c.address, probeTimeout)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if dialErr == nil {
+		_ = conn.Close() // nothing was sent
+		c.down = false
+		return err
+	}
+	if !c.down {
+		c.down = true
+		c.endedRuns++
+	}
+	return fault.WithEndedRun(err, c.endedRuns)
+}
+
 // buildRequest fills in the request to the endpoint. It copies the headers that
 // the entry has let through.
 func buildRequest(request *fasthttp.Request, call *wirepb.CallRequest, address string) {
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -404,3 +404,61 @@
 		})
 	}
 }
+
+// serveUntilCrash begins an answer to one request and cuts it off. If crashes is set,
+// the endpoint ends with it.
+func serveUntilCrash(t *testing.T, listener net.Listener, crashes bool) {
+	t.Helper()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		t.Error(err)
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+	if crashes {
+		_ = listener.Close()
+	}
+	_ = conn.Close()
+}
+
+// An answer that is cut off names the run of the endpoint only if the endpoint has
+// ended, and each run has a number of its own.
+func TestCutAnswerTellsWhetherEndpointEnded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	client := newEndpointClient(address)
+	for i, want := range []uint64{0, 1, 0, 2} {
+		crashes := want > 0
+		done := make(chan struct{})
+		go func(l net.Listener) {
+			defer close(done)
+			serveUntilCrash(t, l, crashes)
+		}(listener)
+		_, err := runCall(client, false, false)
+		<-done
+		if got := fault.EndedRunOf(err); got != want || fault.VerdictOf(err) != fault.MayHaveRun {
+			t.Errorf("call %d: ended run %d with error %v, want %d", i, got, err, want)
+		}
+		if !crashes {
+			conn, err := listener.Accept() // the probe
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.Close()
+			continue
+		}
+		if _, err := runCall(client, false, false); fault.VerdictOf(err) != fault.NotRun || fault.EndedRunOf(err) != 0 {
+			t.Errorf("call after the end: error %v, want not run", err)
+		}
+		if listener, err = net.Listen("tcp", address); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = listener.Close()
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -72,6 +72,9 @@
 		if retryAfter := failure.GetRetryAfterMs(); retryAfter > 0 {
 			err = fault.WithRetryAfter(err, time.Duration(retryAfter)*time.Millisecond)
 		}
+		if run := failure.GetEndedRun(); run > 0 {
+			err = fault.WithEndedRun(err, run)
+		}
 		if holder := failure.GetHolder(); holder != nil {
 			err = &claimHeldError{
 				error: err,
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -5,6 +5,7 @@
 
 	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/fleet"
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/route"
 	"dogwoodfold/pkg/fault"
 )
@@ -27,6 +28,11 @@
 	// if there is none.
 	pendingQuery *outcomeQuery
 	sentCall     *route.SentCall
+	// streamStartedAt is when the first part of a streamed response arrived in the
+	// current attempt, zero before.
+	streamStartedAt time.Time
+	// suspects are the parts of the prompt for which the call is on trial.
+	suspects []poison.Part
 	// mayHaveRunErr is the error of the last failed attempt that may have run,
 	// nil if there was none.
 	mayHaveRunErr error
@@ -106,6 +112,9 @@
 	if err := c.authorizeCall(call.Call); err != nil {
 		return c.failCall(now, call, err)
 	}
+	if err := c.checkQuarantine(now, call); err != nil {
+		return c.failCall(now, call, err)
+	}
 	if call.Model != "" {
 		call.modelVersion = c.currentModelVersion(call)
 	}
@@ -114,6 +123,8 @@
 		return c.failCall(now, call, err)
 	}
 	call.attempt++
+	call.streamStartedAt = time.Time{}
+	c.crashes.startTrial(call)
 	call.host, call.agentIncarnation = peer.Host.Name, peer.Incarnation
 	call.sentCall = c.router.RecordSent(now, peer, call.routeQuery())
 	return []Effect{SendAttempt{
@@ -166,6 +177,7 @@
 	if call.Authenticated {
 		c.settleReservation(now, call.Call, usedTokens)
 	}
+	c.crashes.endTrial(call.ID)
 	delete(c.calls, call.ID)
 }
 
@@ -176,6 +188,7 @@
 		return nil
 	}
 	c.recordOutcome(now, call, event.Outcome)
+	c.recordPromptOutcome(now, call, event.Outcome)
 	if event.Outcome.Err == nil {
 		c.endCall(now, call, event.Outcome.UsedTokens)
 		return c.finishShutdown(now)
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -62,6 +62,7 @@
 	retryBudget   *dedup.RetryBudget
 	lastHeartbeat time.Time
 	placement     placement
+	crashes       crashWatch
 	ready         bool
 	leaving       bool
 	drainDelay    time.Duration
@@ -84,6 +85,7 @@
 		retryBudget: dedup.NewRetryBudget(),
 		drainDelay:  settings.DrainDelay,
 		placement:   newPlacement(settings.Placement),
+		crashes:     newCrashWatch(),
 	}
 }
 
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -5,6 +5,7 @@
 
 	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/quota"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/config"
@@ -38,8 +39,10 @@
 	// of the prompt's blocks.
 	PromptTokens int
 	PromptBlocks []uint64
-	Streaming    bool
-	Deadline     time.Time
+	// PromptParts are the messages of the prompt, which other prompts may share.
+	PromptParts []poison.Part
+	Streaming   bool
+	Deadline    time.Time
 }
 
 // Outcome is the result of an attempt, or of a whole call.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"dogwoodfold/internal/plat"
@@ -58,6 +59,8 @@
 		return c.applyQuotaEvent(now, event)
 	case *wirepb.Envelope_Claim:
 		return c.handleOutcomeReport(now, event, body.Claim.GetReport())
+	case *wirepb.Envelope_Gate:
+		c.mergePoison(now, body.Gate.GetPoison())
 	case *wirepb.Envelope_Place:
 		return c.handlePlaceMessage(event, body.Place)
 	}
@@ -68,7 +71,7 @@
 // placement, and sends heartbeats if they are due.
 func (c *Core) tickState(now time.Time) []Effect {
 	c.fleet.Tick(now)
-	effects := append(c.tickConfig(now), c.planPlacement(now)...)
+	effects := slices.Concat(c.tickConfig(now), c.planPlacement(now), c.sharePoison(now))
 	if now.Sub(c.lastHeartbeat) < heartbeatInterval {
 		return effects
 	}
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/prefix"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/config"
@@ -188,6 +189,7 @@
 	r.call.Tokens = float64(promptTokens + maxTokens)
 	r.call.PromptTokens = promptTokens
 	r.call.PromptBlocks = prefix.BlockHashes(body.Model, append(body.Prompt, body.Messages...))
+	r.call.PromptParts = promptParts(body)
 	r.call.Streaming = body.Stream
 	r.request.Model, r.request.Version, r.request.Adapter = model, version, adapter
 	r.request.Stream = body.Stream
@@ -196,6 +198,22 @@
 	return nil
 }
 
+// promptParts returns the messages of a prompt, or the whole prompt if it has none.
+func promptParts(body completionRequest) []poison.Part {
+	var messages []json.RawMessage
+	if len(body.Messages) > 0 && json.Unmarshal(body.Messages, &messages) != nil {
+		messages = []json.RawMessage{body.Messages}
+	}
+	if len(body.Prompt) > 0 {
+		messages = append(messages, body.Prompt)
+	}
+	out := make([]poison.Part, 0, len(messages))
+	for _, message := range messages {
+		out = append(out, poison.NewPart(string(message)))
+	}
+	return out
+}
+
 // withMaxTokens adds a max_tokens field with the reserved limit to a JSON
 // object. It returns the body unchanged if it can't be parsed.
 func withMaxTokens(body []byte, maxTokens int) []byte {
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -44,6 +44,7 @@
 // arrived.
 func (c *Core) handleStreamStart(now time.Time, event StreamStarted) []Effect {
 	if call, known := c.calls[event.ID]; known && call.attempt == event.Attempt {
+		call.streamStartedAt = now
 		c.router.RecordFirstToken(now, call.sentCall)
 	}
 	return nil
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -97,7 +97,7 @@
 func (c *Core) requestAssignment(now time.Time, call *activeCall) {
 	req := c.newAssignmentRequest(now, call)
 	call.assignment.suspects = c.suspects(now, call)
-	req.Suspects = encodeParts(call.assignment.suspects)
+	req.Suspects = poison.EncodeParts(call.assignment.suspects)
 	if c.isLeader(now) {
 		c.applyAssignment(now, call, c.assignEngine(now, req))
 		return
--- a/internal/gate/crashlog.go
+++ b/internal/gate/crashlog.go
@@ -16,12 +16,12 @@
 	}
 	changes := c.crashes.log.Since(f.poisonReported)
 	f.poisonReported = c.crashes.log.Revision()
-	message := encodePoison(now, changes)
+	message := poison.Encode(now, changes)
 	if len(c.crashes.endedTrials) > 0 {
 		if message == nil {
 			message = &wirepb.GatePoison{}
 		}
-		message.EndedTrials = encodeParts(c.crashes.endedTrials)
+		message.EndedTrials = poison.EncodeParts(c.crashes.endedTrials)
 		c.crashes.endedTrials = nil
 	}
 	return message
@@ -34,7 +34,7 @@
 		return known
 	}
 	before := c.crashes.log.Revision()
-	merged := c.crashes.log.Merge(now, decodePoison(now, message))
+	merged := c.crashes.log.Merge(now, poison.Decode(now, message))
 	c.crashes.log.Assess(now)
 	if known != before {
 		return known // some changes of this entry's own are still to be sent
@@ -45,7 +45,7 @@
 // applyReportedPoison merges what a peer has reported to the leader, and tells the
 // others soon of new crashes and of answers to suspect prompts.
 func (c *Core) applyReportedPoison(now time.Time, peer *peer, message *wirepb.GatePoison) {
-	for _, p := range decodeParts(message.GetEndedTrials()) {
+	for _, p := range poison.DecodeParts(message.GetEndedTrials()) {
 		delete(c.leader.trials, p)
 	}
 	before := c.crashes.log.Revision()
@@ -61,83 +61,10 @@
 	c.leader.spreadSoon = c.leader.spreadSoon || urgent
 }
 
-func encodePoison(now time.Time, changes poison.Changes) *wirepb.GatePoison {
-	if changes.Empty() {
-		return nil
-	}
-	out := &wirepb.GatePoison{}
-	for _, crash := range changes.Crashes {
-		out.Crashes = append(out.Crashes, &wirepb.GateCrash{
-			Endpoint: crash.Engine,
-			Born:     crash.Incarnation,
-			AgeUs:    ageMicroseconds(now, crash.At),
-			Parts:    encodeParts(crash.Parts),
-		})
-	}
-	for _, answer := range changes.Answers {
-		out.Answers = append(out.Answers, &wirepb.GateAnswer{
-			Part:  uint64(answer.Part),
-			AgeUs: ageMicroseconds(now, answer.At),
-		})
-	}
-	for _, q := range changes.Quarantines {
-		out.Quarantines = append(out.Quarantines, &wirepb.GateQuarantine{
-			Part:        uint64(q.Part),
-			RemainingUs: q.Until.Sub(now).Microseconds(),
-			DurationUs:  uint64(q.Duration.Microseconds()),
-		})
-	}
-	return out
-}
-
-func decodePoison(now time.Time, message *wirepb.GatePoison) poison.Changes {
-	var out poison.Changes
-	for _, crash := range message.GetCrashes() {
-		out.Crashes = append(out.Crashes, poison.Crash{
-			Run: poison.Run{
-				Engine:      crash.GetEndpoint(),
-				Incarnation: crash.GetBorn(),
-			},
-			At:    now.Add(-microseconds(crash.GetAgeUs())),
-			Parts: decodeParts(crash.GetParts()),
-		})
-	}
-	for _, answer := range message.GetAnswers() {
-		out.Answers = append(out.Answers, poison.Answer{
-			Part: poison.Part(answer.GetPart()),
-			At:   now.Add(-microseconds(answer.GetAgeUs())),
-		})
-	}
-	for _, q := range message.GetQuarantines() {
-		out.Quarantines = append(out.Quarantines, poison.Quarantine{
-			Part:     poison.Part(q.GetPart()),
-			Until:    now.Add(time.Duration(q.GetRemainingUs()) * time.Microsecond),
-			Duration: microseconds(q.GetDurationUs()),
-		})
-	}
-	return out
-}
-
 func ageMicroseconds(now, at time.Time) uint64 { return uint64(max(now.Sub(at), 0).Microseconds()) }
 
 func microseconds(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
 
-func encodeParts(parts []poison.Part) []uint64 {
-	out := make([]uint64, 0, len(parts))
-	for _, p := range parts {
-		out = append(out, uint64(p))
-	}
-	return out
-}
-
-func decodeParts(parts []uint64) []poison.Part {
-	out := make([]poison.Part, 0, len(parts))
-	for _, p := range parts {
-		out = append(out, poison.Part(p))
-	}
-	return out
-}
-
 // maxRecordedQuarantines bounds the quarantines in a record of the lease.
 const maxRecordedQuarantines = 64
 
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -269,7 +269,7 @@
 		Starts:    encodeStarts(c.streams.ownAfter(peer.startsSent)),
 	}
 	peer.startsSent = c.streams.ownCount
-	state.Poison = encodePoison(now, c.crashes.log.Since(peer.poisonSent))
+	state.Poison = poison.Encode(now, c.crashes.log.Since(peer.poisonSent))
 	peer.poisonSent = c.crashes.log.Revision()
 	peer.limitsSent = c.limitRevision
 	for _, m := range c.leader.members {
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -288,7 +288,7 @@
 // trialWait returns how long a request must wait, at the leader, until no other one
 // with its suspect parts is on trial, or until their quarantine ends.
 func (c *Core) trialWait(now time.Time, req *wirepb.GateAssignmentAsk) time.Duration {
-	parts := decodeParts(req.GetSuspects())
+	parts := poison.DecodeParts(req.GetSuspects())
 	judgment := c.crashes.log.Judge(now, parts)
 	if judgment.Verdict == poison.Quarantined {
 		return judgment.Until.Sub(now)
@@ -320,7 +320,7 @@
 
 // startTrials records that a request with suspect parts is being sent.
 func (c *Core) startTrials(now time.Time, req *wirepb.GateAssignmentAsk) {
-	for _, p := range decodeParts(req.GetSuspects()) {
+	for _, p := range poison.DecodeParts(req.GetSuspects()) {
 		c.leader.trials[p] = trial{since: now}
 	}
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -91,9 +91,12 @@
 	verdicts verdicts
 }
 
+// The logged items have the revision of their last change. own is true if this entry
+// has observed it itself.
 type loggedCrash struct {
 	Crash
 	revision uint64
+	own      bool
 }
 
 // loggedAnswer is the newest answer to a request with a part. Only answers that
@@ -102,6 +105,7 @@
 	at       time.Time
 	sharedAt time.Time
 	revision uint64
+	own      bool
 }
 
 type loggedQuarantine struct {
@@ -134,11 +138,11 @@
 // AddCrash adds a crash, or its parts to what is known of it.
 func (l *Log) AddCrash(now time.Time, crash Crash) {
 	l.prune(now)
-	l.mergeCrash(now, crash)
+	l.addCrash(now, crash, true)
 	l.shareAll(crash.Parts)
 }
 
-func (l *Log) mergeCrash(now time.Time, crash Crash) {
+func (l *Log) addCrash(now time.Time, crash Crash, own bool) {
 	if len(crash.Parts) == 0 || now.Sub(crash.At) > memory {
 		return
 	}
@@ -156,6 +160,7 @@
 	}
 	known.Parts = parts
 	known.revision = l.nextRevision()
+	known.own = known.own || own
 	for _, p := range crash.Parts {
 		if known.At.After(l.lastCrash[p]) {
 			l.lastCrash[p] = known.At
@@ -204,33 +209,44 @@
 		}
 		a.sharedAt = a.at
 		a.revision = l.nextRevision()
+		a.own = true
 	}
 }
 
 // Since returns the changes after the given revision.
 func (l *Log) Since(revision uint64) Changes {
+	out := l.observations(revision, false)
+	for _, q := range l.quarantines {
+		if q.revision > revision {
+			out.Quarantines = append(out.Quarantines, q.Quarantine)
+		}
+	}
+	return out
+}
+
+// OwnSince returns the crashes and answers after the given revision that this entry has
+// observed itself. It is meant for entries that tell each other without a leader, and
+// conclude by themselves which parts to put under quarantine.
+func (l *Log) OwnSince(revision uint64) Changes { return l.observations(revision, true) }
+
+func (l *Log) observations(revision uint64, ownOnly bool) Changes {
 	var out Changes
 	if revision == l.revision {
 		return out
 	}
 	for _, c := range l.crashes {
-		if c.revision > revision {
+		if c.revision > revision && (c.own || !ownOnly) {
 			out.Crashes = append(out.Crashes, c.Crash)
 		}
 	}
 	for p, a := range l.answers {
-		if a.revision > revision {
+		if a.revision > revision && (a.own || !ownOnly) {
 			out.Answers = append(out.Answers, Answer{
 				Part: p,
 				At:   a.sharedAt,
 			})
 		}
 	}
-	for _, q := range l.quarantines {
-		if q.revision > revision {
-			out.Quarantines = append(out.Quarantines, q.Quarantine)
-		}
-	}
 	slices.SortFunc(out.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 	return out
 }
@@ -244,7 +260,7 @@
 		l.mergeAnswer(a)
 	}
 	for _, c := range changes.Crashes {
-		l.mergeCrash(now, c)
+		l.addCrash(now, c, false)
 	}
 	for _, q := range changes.Quarantines {
 		l.AddQuarantine(now, q)
@@ -266,6 +282,7 @@
 		a.at = remote.At
 	}
 	a.revision = l.nextRevision()
+	a.own = false
 }
 
 // AddQuarantine adds a quarantine that another entry has imposed, unless the part was
--- /dev/null
+++ b/internal/poison/wire.go
@@ -0,0 +1,89 @@
+package poison
+
+import (
+	"time"
+
+	"dogwoodfold/internal/wire/wirepb"
+)
+
+// Encode returns the message that tells another entry of changes, nil if there are
+// none.
+func Encode(now time.Time, changes Changes) *wirepb.GatePoison {
+	if changes.Empty() {
+		return nil
+	}
+	out := &wirepb.GatePoison{}
+	for _, crash := range changes.Crashes {
+		out.Crashes = append(out.Crashes, &wirepb.GateCrash{
+			Endpoint: crash.Engine,
+			Born:     crash.Incarnation,
+			AgeUs:    ageMicroseconds(now, crash.At),
+			Parts:    EncodeParts(crash.Parts),
+		})
+	}
+	for _, answer := range changes.Answers {
+		out.Answers = append(out.Answers, &wirepb.GateAnswer{
+			Part:  uint64(answer.Part),
+			AgeUs: ageMicroseconds(now, answer.At),
+		})
+	}
+	for _, q := range changes.Quarantines {
+		out.Quarantines = append(out.Quarantines, &wirepb.GateQuarantine{
+			Part:        uint64(q.Part),
+			RemainingUs: q.Until.Sub(now).Microseconds(),
+			DurationUs:  uint64(q.Duration.Microseconds()),
+		})
+	}
+	return out
+}
+
+// Decode returns the changes of which a message tells.
+func Decode(now time.Time, message *wirepb.GatePoison) Changes {
+	var out Changes
+	for _, crash := range message.GetCrashes() {
+		out.Crashes = append(out.Crashes, Crash{
+			Run: Run{
+				Engine:      crash.GetEndpoint(),
+				Incarnation: crash.GetBorn(),
+			},
+			At:    now.Add(-microseconds(crash.GetAgeUs())),
+			Parts: DecodeParts(crash.GetParts()),
+		})
+	}
+	for _, answer := range message.GetAnswers() {
+		out.Answers = append(out.Answers, Answer{
+			Part: Part(answer.GetPart()),
+			At:   now.Add(-microseconds(answer.GetAgeUs())),
+		})
+	}
+	for _, q := range message.GetQuarantines() {
+		out.Quarantines = append(out.Quarantines, Quarantine{
+			Part:     Part(q.GetPart()),
+			Until:    now.Add(time.Duration(q.GetRemainingUs()) * time.Microsecond),
+			Duration: microseconds(q.GetDurationUs()),
+		})
+	}
+	return out
+}
+
+func ageMicroseconds(now, at time.Time) uint64 { return uint64(max(now.Sub(at), 0).Microseconds()) }
+
+func microseconds(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// EncodeParts returns parts as they are sent in messages.
+func EncodeParts(parts []Part) []uint64 {
+	out := make([]uint64, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, uint64(p))
+	}
+	return out
+}
+
+// DecodeParts returns the parts that a message holds.
+func DecodeParts(parts []uint64) []Part {
+	out := make([]Part, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, Part(p))
+	}
+	return out
+}
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -72,6 +72,7 @@
 	verdictKey    struct{}
 	codeKey       struct{}
 	retryAfterKey struct{}
+	endedRunKey   struct{}
 )
 
 // New returns an error with a verdict, a code and a message that is returned to
@@ -119,6 +120,19 @@
 	return d
 }
 
+// WithEndedRun states that the endpoint ended while it answered the call, and which of
+// its runs that was.
+func WithEndedRun(err error, run uint64) error {
+	return merry.Wrap(err, merry.NoCaptureStack(), merry.WithValue(endedRunKey{}, run))
+}
+
+// EndedRunOf returns the run of the endpoint that ended while it answered the call, 0 if
+// none did.
+func EndedRunOf(err error) uint64 {
+	run, _ := merry.Value(err, endedRunKey{}).(uint64)
+	return run
+}
+
 // CodeStatuses returns the HTTP status of each code that maps to a specific
 // one. Other codes map to 500.
 func CodeStatuses() map[Code]int { return maps.Clone(statusByCode) }
