Teach the stand-ins and the soak to answer without end

One in 150 requests of the soak gets bytes that are no answer and have no end, in a head, a body or instead of either; an entry that reads them for 12 s breaks GONE.

--- a/internal/fakes/fakes.go
+++ b/internal/fakes/fakes.go
@@ -4,6 +4,8 @@
 package fakes
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/json"
 	"sync"
 	"time"
@@ -22,6 +24,8 @@
 	LoseAnswers bool `json:"loseAnswers"`
 	// Fail makes calls fail with status 500.
 	Fail bool `json:"fail"`
+	// Endless makes responses go on until the caller closes the connection.
+	Endless bool `json:"endless"`
 	// CutAfter truncates a stream after that many tokens. Any positive value
 	// truncates responses that are not streams.
 	CutAfter int `json:"cutAfter"`
@@ -124,12 +128,25 @@
 			return
 		}
 		handler(ctx)
+		if faults.Endless {
+			ctx.SetBodyStreamWriter(writeEndless)
+		}
 		if faults.LoseAnswers {
 			_ = ctx.Conn().Close() // the client receives no response
 		}
 	}
 }
 
+// writeEndless writes until the connection is closed.
+func writeEndless(w *bufio.Writer) {
+	noise := bytes.Repeat([]byte("noise\n"), 1000)
+	for {
+		if _, err := w.Write(noise); err != nil {
+			return
+		}
+	}
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, value any) {
 	body, err := json.Marshal(value)
 	if err != nil {
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -209,6 +209,10 @@
 		id: requestID, customer: r.Header.Get(platform.HeaderCustomer), key: r.Header.Get(platform.HeaderAPIKey),
 		at: time.Now(), endpoint: id, tokens: tokens,
 	})
+	if rand.IntN(endlessOdds) == 0 {
+		ep.env.history.checkEndless(sendEndless(w, requestID))
+		return
+	}
 	w.Header().Set(platform.HeaderServerStamp, "stamp-"+requestID)
 	if ep.service == "shop" {
 		time.Sleep(time.Duration(20+rand.IntN(100)) * time.Millisecond)
