Load copies of busy models beside engines with a limit

A copy on an engine with a limit now counts half, and loads go to engines without one first. TestCopiesAreLoadedBesideLimitedEngines failed without it by construction: no copy was loaded.

--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -388,6 +388,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
 		ep := c.endpoints[id]
 		c.leader.planner.SetRunning(id, ep.stats.Load(now).Running)
+		c.leader.planner.SetLimited(id, ep.limit.limited())
 	}
 	plan := c.leader.planner.Plan(now)
 	for _, order := range plan.Orders {
--- a/internal/stock/engine.go
+++ b/internal/stock/engine.go
@@ -97,6 +97,8 @@
 	softwareVersion string
 	usable          bool
 	runningRequests int
+	// limited is true while the engine takes fewer requests than it could run.
+	limited bool
 
 	// models maps each held model to its adapters and the times of their last
 	// use. Artifacts that may be present count as held, as they may take memory.
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -192,7 +192,7 @@
 	}
 	counts := countCopies(engines)
 	p.planVersionMisses(now, service, engines, counts, plan)
-	for _, s := range p.shortages(now, service, engines[0].spec, counts.total, len(engines)) {
+	for _, s := range p.shortages(now, service, engines[0].spec, counts, len(engines)) {
 		p.resolveShortage(now, service, engines, s, counts, plan)
 	}
 }
@@ -221,12 +221,24 @@
 	// total includes copies that are being loaded, serving does not.
 	total   map[string]int
 	serving map[string]int
+	// limited are those of total on engines that have named a limit.
+	limited map[string]int
+}
+
+// limitedCopyCapacity is what a copy on an engine with a limit carries, as a fraction of
+// what another copy does.
+const limitedCopyCapacity = 0.5
+
+// capacity returns how many copies without a limit carry as much as those of a model.
+func (n copyCounts) capacity(model string) float64 {
+	return float64(n.total[model]) - (1-limitedCopyCapacity)*float64(n.limited[model])
 }
 
 func countCopies(engines []*engine) copyCounts {
 	counts := copyCounts{
 		total:   make(map[string]int),
 		serving: make(map[string]int),
+		limited: make(map[string]int),
 	}
 	for _, e := range engines {
 		if !e.usable {
@@ -239,6 +251,7 @@
 			}
 			if !e.hasPendingOrder(weights) || e.loading(weights) {
 				counts.total[model]++
+				counts.limited[model] += boolToInt(e.limited)
 			}
 		}
 	}
@@ -247,19 +260,19 @@
 
 // shortages returns the models that have too few copies, the most urgent first.
 func (p *Planner) shortages(
-	now time.Time, service string, spec *topo.EngineSpec, copies map[string]int, engineCount int,
+	now time.Time, service string, spec *topo.EngineSpec, counts copyCounts, engineCount int,
 ) []shortage {
 	var out []shortage
 	for _, model := range slices.Sorted(maps.Keys(spec.Models)) {
 		s := shortage{
 			model:      model,
-			copies:     copies[model],
+			copies:     counts.total[model],
 			demandRate: p.demandRate(now, service, model),
 		}
 		missedAt, missed := p.misses[service][Miss{Artifact: Artifact{Model: model}}]
 		s.missed = missed && now.Sub(missedAt) <= missLifetime
 		target := min(engineCount, int(math.Ceil(s.demandRate/p.settings.MaxCopyLoad)))
-		if s.copies == 0 || s.copies < target {
+		if s.copies == 0 || s.copies < engineCount && counts.capacity(model) < float64(target) {
 			out = append(out, s)
 		}
 	}
@@ -364,6 +377,9 @@
 		return nil
 	}
 	o.cost = [...]float64{fromStore: 9, fromDisk: 2, fromMemory: 1}[o.source] + float64(e.runningRequests)*runningRequestCost
+	if e.limited {
+		o.cost += limitedEngineCost
+	}
 	if e.freeMemory() >= spec.SizeMB {
 		return o
 	}
@@ -376,6 +392,10 @@
 	return o
 }
 
+// limitedEngineCost is the cost of a load at an engine with a limit, in seconds of load
+// time.
+const limitedEngineCost = 10
+
 // runningRequestCost is the cost of each request that runs at an engine, in seconds
 // of load time.
 const runningRequestCost = 0.05
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// SetLimited sets whether an engine has named a limit on the requests that it takes.
+func (p *Planner) SetLimited(id string, limited bool) {
+	if e := p.engines[id]; e != nil {
+		e.limited = limited
+	}
+}
+
 // RecordDemand records the work of new requests for an artifact.
 func (p *Planner) RecordDemand(now time.Time, service string, a Artifact, work time.Duration) {
 	models := p.demand[service]
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -188,3 +188,30 @@
 	}
 	t.Errorf("orders are %+v, want a load of %+v at %s", plan.Orders, a, engine)
 }
+
+// The engines that hold a busy model name a limit on the requests that they take: copies
+// must be loaded on engines without one, and no more than carry the demand.
+func TestCopiesAreLoadedBesideLimitedEngines(t *testing.T) {
+	for _, limited := range []bool{false, true} {
+		p := newTestPlanner(testSpec(), []string{"a", "b"}, []string{"a", "c"}, []string{"b"}, []string{"c"}, []string{"d", "e"})
+		p.SetLimited("e00", limited)
+		p.SetLimited("e01", limited)
+		p.SetLimited("e02", limited)
+		loads := map[string]int{}
+		for now := startTime; now.Before(startTime.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
+			p.RecordDemand(now, "llm", Artifact{Model: "a"}, 35*time.Millisecond) // two copies' worth
+			for _, o := range p.Plan(now).Orders {
+				if o.Load && o.Model == "a" {
+					loads[o.Engine]++
+				}
+				p.HandleOutcome(now, o, Accepted)
+			}
+		}
+		if !limited && len(loads) > 0 {
+			t.Errorf("without limits: loads at %v, want none", loads)
+		}
+		if limited && (len(loads) != 1 || loads["e02"] > 0) {
+			t.Errorf("with limits: loads at %v, want one at an engine without a limit", loads)
+		}
+	}
+}
