Keep the limit of an endpoint that the leader doesn't know yet

An entry tells of a limit once. If the leader had not read the endpoint's record by then, the limit was lost for it, and it went on assigning requests without one until an answer to its own entry named the limit.

A limit of an unknown endpoint or incarnation is now kept until its record arrives. TestLimitOfUnknownEndpointIsKept failed before at the two entries that had not seen the limit themselves. Trials that have ended by time are forgotten.

--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -62,6 +62,8 @@
 	lastRevision uint64
 	// limitRevision counts changes to limits of endpoints.
 	limitRevision uint64
+	// earlyLimits are limits of endpoints that this entry doesn't know yet.
+	earlyLimits map[string]earlyLimit
 	// missingUntil holds endpoints whose records disappeared during a registry
 	// outage, and when each of them is removed.
 	missingUntil map[string]time.Time
@@ -115,6 +117,7 @@
 		missingUntil:     make(map[string]time.Time),
 		leaving:          make(map[string]leavingEndpoint),
 		departed:         make(map[string]departedEndpoint),
+		earlyLimits:      make(map[string]earlyLimit),
 		prefillRates:     make(map[string]*pick.PrefillRate),
 		calls:            make(map[CallID]*activeCall),
 		parked:           make(map[CallID]*activeCall),
--- a/internal/gate/limits.go
+++ b/internal/gate/limits.go
@@ -53,6 +53,23 @@
 	localSince time.Time
 }
 
+// earlyLimit is a limit of an endpoint that another entry has told of before this one
+// knew the endpoint.
+type earlyLimit struct {
+	incarnation int64
+	perSecond   float64
+	at          time.Time
+}
+
+// applyEarlyLimit gives a new endpoint the limit that another entry has told of.
+func (c *Core) applyEarlyLimit(now time.Time, ep *endpoint) {
+	early, told := c.earlyLimits[ep.ID]
+	if told && early.incarnation == ep.Incarnation {
+		delete(c.earlyLimits, ep.ID)
+		c.setLimit(now, ep, early.perSecond, early.at)
+	}
+}
+
 func (l *endpointLimit) limited() bool { return l.perSecond > 0 }
 
 // handleLimitNamed handles an answer in which an endpoint has named its limit.
@@ -287,8 +304,16 @@
 func (c *Core) applyLimits(now time.Time, limits []*wirepb.GateLimit, known uint64) uint64 {
 	before := c.limitRevision
 	for _, l := range limits {
+		at := now.Add(-microseconds(l.GetAgeUs()))
 		if ep := c.endpoints[l.GetEndpoint()]; ep != nil && ep.Incarnation == l.GetBorn() {
-			c.setLimit(now, ep, l.GetPerSecond(), now.Add(-microseconds(l.GetAgeUs())))
+			c.setLimit(now, ep, l.GetPerSecond(), at)
+			continue
+		}
+		maps.DeleteFunc(c.earlyLimits, func(_ string, e earlyLimit) bool { return now.Sub(e.at) > leavingMemory })
+		c.earlyLimits[l.GetEndpoint()] = earlyLimit{
+			incarnation: l.GetBorn(),
+			perSecond:   l.GetPerSecond(),
+			at:          at,
 		}
 	}
 	if known == before {
--- a/internal/gate/limits_test.go
+++ b/internal/gate/limits_test.go
@@ -322,6 +322,22 @@
 	}
 }
 
+// An entry tells the leader of a limit before the leader knows the endpoint.
+func TestLimitOfUnknownEndpointIsKept(t *testing.T) {
+	f := newEntryFleet(t)
+	added := EndpointsRead{SentAt: f.now, Changes: []topo.EndpointChange{{ID: "llm-9", Endpoint: versionedEngine("llm-9", "v1")}}}
+	f.apply("front-2", added)
+	f.apply("front-2", LimitNamed{Endpoint: "llm-9", Incarnation: 1, PerSecond: 2})
+	f.tick()
+	f.apply("front-1", added)
+	f.tick()
+	for host, core := range f.cores {
+		if got := core.endpoints["llm-9"].limit.perSecond; got != 2 {
+			t.Errorf("%s knows a limit of %v, want 2", host, got)
+		}
+	}
+}
+
 // A new incarnation under the same ID has named nothing.
 func TestLimitEndsWithTheIncarnation(t *testing.T) {
 	f := newEntryFleet(t)
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -320,6 +321,7 @@
 
 // startTrials records that a request with suspect parts is being sent.
 func (c *Core) startTrials(now time.Time, req *wirepb.GateAssignmentAsk) {
+	maps.DeleteFunc(c.leader.trials, func(_ poison.Part, t trial) bool { return now.Sub(t.since) >= trialTime })
 	for _, p := range poison.DecodeParts(req.GetSuspects()) {
 		c.leader.trials[p] = trial{since: now}
 	}
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -187,6 +187,7 @@
 		known.revision = c.lastRevision
 	}
 	known.Endpoint = record
+	c.applyEarlyLimit(now, known)
 	known.coldUntil = now.Add(record.ColdRemaining)
 	c.updatePlannerEndpoint(now, known)
 }
