Take no stream without events for an answer to its prompt

An engine that ends may still end the framing of what it had begun. A stream that was complete without any event was then counted as an answer to its prompt, which would clear the part that crashed the engine.

It now counts like an answer that ends with its connection: as nothing, or as cut off if the engine turns out to have ended. TestAnswerThatMayBeCutOffIsNoProof failed before for it. A trial also ends if its client leaves before it is sent.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -83,8 +83,9 @@
 		switch {
 		case complete:
 			return gate.Result{
-				Outcome: gate.OutcomeComplete,
-				Status:  x.head.StatusCode(),
+				Outcome:       gate.OutcomeComplete,
+				Status:        x.head.StatusCode(),
+				WithoutEvents: x.isEventStream() && x.firstEventAt.IsZero(),
 			}, true
 		case err != nil:
 			in.endedInEvent = buffered > 0
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -342,6 +342,8 @@
 	// CloseDelimited is true if only the end of the connection marked the end of the
 	// response.
 	CloseDelimited bool
+	// WithoutEvents is true if the response is a stream that brought no event.
+	WithoutEvents bool
 	// Unlimited is true if the endpoint has answered and named no limit.
 	Unlimited bool
 }
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -188,6 +188,8 @@
 	}
 	if call.endpoint != nil {
 		call.releaseEndpoint()
+	}
+	if call.assignment.stage == stageAssigned {
 		c.endTrial(now, call.assignment.suspects)
 	}
 	c.refund(now, call)
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -45,7 +45,7 @@
 	// suspects are the parts for which the request was on trial.
 	suspects []poison.Part
 	// broken is true if the answer was cut off, false if it ended with its
-	// connection, as a complete one may.
+	// connection or without any event, as a complete one may.
 	broken bool
 }
 
@@ -122,7 +122,7 @@
 		}
 	case result.Reason == ReasonReset:
 		c.recordCut(now, call, ep)
-	case result.Outcome == OutcomeComplete && result.CloseDelimited:
+	case result.Outcome == OutcomeComplete && (result.CloseDelimited || result.WithoutEvents):
 		c.crashes.endings[run] = append(c.crashes.endings[run], ending{
 			at:    now,
 			parts: call.request.SharedParts,
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -243,6 +243,18 @@
 	}
 }
 
+// The client of a request on trial leaves: the next request is on trial at once.
+func TestTrialEndsWithItsClient(t *testing.T) {
+	f := newEntryFleet(t)
+	for i := range 2 {
+		f.crash(hostOf(i), f.mustTry(hostOf(i), "/chat/1", badPart), true)
+	}
+	for range 3 {
+		trial := f.mustTry("front-3", "/chat/1", badPart)
+		f.apply("front-3", ClientDisconnected{Call: trial.Call})
+	}
+}
+
 // Streams that may be resumed are not sent on to the next engine by the entry, nor when
 // their client resumes them.
 func TestQuarantinedStreamIsNotResumed(t *testing.T) {
@@ -272,15 +284,25 @@
 	}
 }
 
-// An answer that ends with its connection may be one that the engine's end has cut off.
-// If a connection to it then fails, it counts as such.
-func TestAnswerThatEndsWithItsConnectionIsNoProof(t *testing.T) {
+// An answer that ends with its connection, or without any event, may be one that the
+// engine's end has cut off. If a connection to it then fails, it counts as such.
+func TestAnswerThatMayBeCutOffIsNoProof(t *testing.T) {
+	for _, result := range []Result{
+		{Outcome: OutcomeComplete, CloseDelimited: true},
+		{Outcome: OutcomeComplete, WithoutEvents: true},
+	} {
+		checkNoProof(t, result)
+	}
+}
+
+func checkNoProof(t *testing.T, result Result) {
+	t.Helper()
 	f := newEntryFleet(t)
 	f.answer("front-2", f.mustTry("front-2", "/chat/1", systemPart))
 	for i := range 3 {
 		host := hostOf(i)
 		sent := f.mustTry(host, "/chat/1", systemPart, badPart)
-		f.apply(host, AttemptEnded{Call: sent.Call, Result: Result{Outcome: OutcomeComplete, CloseDelimited: true}})
+		f.apply(host, AttemptEnded{Call: sent.Call, Result: result})
 		core := f.cores[host]
 		call := &activeCall{request: &Request{SharedParts: []poison.Part{systemPart}}}
 		core.recordEnding(f.now, call, core.endpoints[sent.Endpoint], Result{Outcome: OutcomeNotRun, Reason: ReasonDial})
