Say that a request has not run only if no attempt may have

A request that may run twice and had failed at one endpoint was answered 503 with a time to return, which promises that it has not run, if no other endpoint could get it: all had asked for a pause or named a limit. Limits make that more frequent.

Cause: the second attempt was refused by what holds for the second attempt alone. The product's own interface keeps the least certain verdict of a call's attempts; the entry that calls endpoints itself did not.

The client now gets the endpoint's failure, or an error that says that the request may have run.

--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -50,6 +50,10 @@
 	// answered is true once the current attempt's response has gone on for so long
 	// that its prompt hasn't crashed the endpoint.
 	answered bool
+	// mayHaveRun is true once an attempt may have run, failed while the response of the
+	// last attempt is a failure that can be forwarded.
+	mayHaveRun bool
+	failed     bool
 	// triedEndpoints are the endpoints that the request was sent to.
 	triedEndpoints map[string]bool
 	// assignment is the state of engine assignment by the leader.
@@ -258,6 +262,10 @@
 		c.removeCall(call)
 		return
 	}
+	if call.mayHaveRun && verdict == fault.NotRun {
+		c.endAfterRun(now, call)
+		return
+	}
 	err := fault.New(verdict, code, message)
 	if retryAfter > 0 {
 		err = fault.WithRetryAfter(err, max(retryAfter, minRetryAfter))
@@ -273,6 +281,17 @@
 	c.removeCall(call)
 }
 
+// endAfterRun ends a call that can't be sent again and may have run before. Its client
+// gets the last failure or, if there is none, an error that says so.
+func (c *Core) endAfterRun(now time.Time, call *activeCall) {
+	if call.failed {
+		c.emit(ForwardFailure{Call: call.id})
+		c.removeCall(call)
+		return
+	}
+	c.refuse(now, call, fault.MayHaveRun, fault.CodeEndpoint, "the endpoint's answer was lost", 0)
+}
+
 // minRetryAfter is the shortest retry delay given to clients. It keeps them
 // from retrying immediately.
 const minRetryAfter = 100 * time.Millisecond
--- a/internal/gate/limits_test.go
+++ b/internal/gate/limits_test.go
@@ -356,3 +356,34 @@
 		}
 	}
 }
+
+// A request has run at one endpoint, and the other one can't get it: the caller must not
+// be told that it hasn't run.
+func TestRefusalAfterAnAttemptThatRanIsTrue(t *testing.T) {
+	for _, result := range []Result{
+		{Outcome: OutcomeFailed, Reason: ReasonStatus, Status: 500},
+		{Outcome: OutcomeMayHaveRun, Reason: ReasonReset},
+	} {
+		for _, blocked := range []func(h *harness, ep *endpoint){
+			func(h *harness, ep *endpoint) { h.apply(LimitNamed{Endpoint: ep.ID, Incarnation: 1, PerSecond: 0.5}) },
+			func(h *harness, ep *endpoint) { ep.stats.RecordRetryAfter(h.now, 5*time.Second) },
+		} {
+			h := newServingHarness(t)
+			id, effects := h.arrive("/look/1", "k2")
+			sent := h.mustSend(effects)
+			for _, ep := range h.core.endpoints {
+				if ep.Service == "shop" && ep.ID != sent.Endpoint {
+					blocked(h, ep)
+				}
+			}
+			h.advance(200 * time.Millisecond)
+			effects = h.apply(AttemptEnded{Call: id, Result: result})
+			if _, forwards := findEffect[ForwardFailure](effects); forwards != (result.Outcome == OutcomeFailed) {
+				t.Errorf("%v: effects %+v", result.Outcome, effects)
+			}
+			if refuse, refused := findEffect[Refuse](effects); refused && fault.VerdictOf(refuse.Err) == fault.NotRun {
+				t.Errorf("%v: refused as not run: %v", result.Outcome, refuse.Err)
+			}
+		}
+	}
+}
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -94,6 +94,8 @@
 		c.removeCall(call)
 		return
 	}
+	call.mayHaveRun = call.mayHaveRun || result.Outcome != OutcomeNotRun
+	call.failed = result.Outcome == OutcomeFailed
 	switch result.Outcome {
 	case OutcomeComplete:
 		ep.stats.RecordSuccess()
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -73,6 +73,7 @@
 	call.uncachedTokens = max(call.request.PromptTokens-ep.stats.CachedTokens(now, call.request.PromptParts), 0)
 	call.responseStarted = false
 	call.answered = false
+	call.failed = false
 	call.triedEndpoints[ep.ID] = true
 	ep.stats.Local.Running++
 	ep.stats.Local.PendingPrefill += call.pendingPrefill()
