Count tiny chunks of an answer without end as more than they hold

Traced: the 32 MB at which an answer counts as one without end come in chunks of 4 bytes there, 8 million of them, each read by itself; that takes 2 s of processor time on an idle machine, and longer beside load. An endpoint in trouble could hold the agent's processor so.

Each part that arrives now counts as 256 bytes at least. The entry that calls endpoints itself was not concerned: its reader refuses chunks that are mostly overhead.

--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -26,6 +26,9 @@
 	maxResponseHead = 64 << 10
 	// maxResponseBytes is the size from which a response counts as one without end.
 	maxResponseBytes = 32 << 20
+	// minReadBytes is what each part that arrives counts as at least, so that tiny
+	// chunks don't take long to reach maxResponseBytes.
+	minReadBytes = 256
 )
 
 // errConnect marks a failure that occurred before any byte of the request was
@@ -278,10 +281,12 @@
 
 func copyBody(body io.Reader, tail *responseTail, send frameSink) (total uint64, err error) {
 	buffer := make([]byte, readBufferSize)
+	counted := 0
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			if total += uint64(n); total > maxResponseBytes {
+			total += uint64(n)
+			if counted += max(n, minReadBytes); counted > maxResponseBytes {
 				return total, fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer has no end")
 			}
 			tail.write(buffer[:n])
