--- a/internal/edge/endless_test.go
+++ b/internal/edge/endless_test.go
@@ -15,7 +15,7 @@
 	"dogwoodfold/platform"
 )
 
-// endless is what an endpoint in trouble sends on a connection: a beginning, and then
+// endless is what a faulty endpoint sends on a connection: a beginning, and then
 // the same bytes again and again until its caller closes.
 type endless struct {
 	begin, repeat string
--- a/internal/gate/crashlog.go
+++ b/internal/gate/crashlog.go
@@ -61,10 +61,6 @@
 	c.leader.spreadSoon = c.leader.spreadSoon || urgent
 }
 
-func ageMicroseconds(now, at time.Time) uint64 { return uint64(max(now.Sub(at), 0).Microseconds()) }
-
-func microseconds(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
-
 // maxRecordedQuarantines bounds the quarantines in a record of the lease.
 const maxRecordedQuarantines = 64
 
--- a/internal/gate/limits.go
+++ b/internal/gate/limits.go
@@ -259,7 +259,7 @@
 		if ep == nil {
 			continue
 		}
-		ep.limit.nextPermitAt = now.Add(microseconds(permit.GetAfterUs()))
+		ep.limit.nextPermitAt = now.Add(wirepb.Microseconds(permit.GetAfterUs()))
 		if permit.GetAfterUs() == 0 {
 			ep.limit.permitUntil = now.Add(permitLifetime)
 		}
@@ -281,7 +281,7 @@
 			Endpoint:  id,
 			Born:      ep.Incarnation,
 			PerSecond: ep.limit.perSecond,
-			AgeUs:     ageMicroseconds(now, ep.limit.at),
+			AgeUs:     wirepb.AgeMicroseconds(now, ep.limit.at),
 		})
 	}
 	return out
@@ -304,7 +304,7 @@
 func (c *Core) applyLimits(now time.Time, limits []*wirepb.GateLimit, known uint64) uint64 {
 	before := c.limitRevision
 	for _, l := range limits {
-		at := now.Add(-microseconds(l.GetAgeUs()))
+		at := now.Add(-wirepb.Microseconds(l.GetAgeUs()))
 		if ep := c.endpoints[l.GetEndpoint()]; ep != nil && ep.Incarnation == l.GetBorn() {
 			c.setLimit(now, ep, l.GetPerSecond(), at)
 			continue
--- a/internal/poison/wire.go
+++ b/internal/poison/wire.go
@@ -17,14 +17,14 @@
 		out.Crashes = append(out.Crashes, &wirepb.GateCrash{
 			Endpoint: crash.Engine,
 			Born:     crash.Incarnation,
-			AgeUs:    ageMicroseconds(now, crash.At),
+			AgeUs:    wirepb.AgeMicroseconds(now, crash.At),
 			Parts:    EncodeParts(crash.Parts),
 		})
 	}
 	for _, answer := range changes.Answers {
 		out.Answers = append(out.Answers, &wirepb.GateAnswer{
 			Part:  uint64(answer.Part),
-			AgeUs: ageMicroseconds(now, answer.At),
+			AgeUs: wirepb.AgeMicroseconds(now, answer.At),
 		})
 	}
 	for _, q := range changes.Quarantines {
@@ -46,30 +46,26 @@
 				Engine:      crash.GetEndpoint(),
 				Incarnation: crash.GetBorn(),
 			},
-			At:    now.Add(-microseconds(crash.GetAgeUs())),
+			At:    now.Add(-wirepb.Microseconds(crash.GetAgeUs())),
 			Parts: DecodeParts(crash.GetParts()),
 		})
 	}
 	for _, answer := range message.GetAnswers() {
 		out.Answers = append(out.Answers, Answer{
 			Part: Part(answer.GetPart()),
-			At:   now.Add(-microseconds(answer.GetAgeUs())),
+			At:   now.Add(-wirepb.Microseconds(answer.GetAgeUs())),
 		})
 	}
 	for _, q := range message.GetQuarantines() {
 		out.Quarantines = append(out.Quarantines, Quarantine{
 			Part:     Part(q.GetPart()),
 			Until:    now.Add(time.Duration(q.GetRemainingUs()) * time.Microsecond),
-			Duration: microseconds(q.GetDurationUs()),
+			Duration: wirepb.Microseconds(q.GetDurationUs()),
 		})
 	}
 	return out
 }
 
-func ageMicroseconds(now, at time.Time) uint64 { return uint64(max(now.Sub(at), 0).Microseconds()) }
-
-func microseconds(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
-
 // EncodeParts returns parts as they are sent in messages.
 func EncodeParts(parts []Part) []uint64 {
 	out := make([]uint64, 0, len(parts))
