Name limits in the soak's recovery, when no fault excuses them

The soak's check of limits could hardly fail: limits were named while faults, which excuse an entry for seconds, came one after the other.

An endpoint of each service now names a limit during the recovery as well. The success rate that the recovery must reach stays.

--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// limitDuringRecovery makes an endpoint of each service name a limit that is far below
+// what comes, while no fault excuses what goes beyond it.
+func (en *environment) limitDuringRecovery(random *rand.Rand, t *testing.T) {
+	for _, ep := range []*fakeEndpoint{en.endpoints[random.IntN(2)], en.endpoints[2+random.IntN(3)]} {
+		limit := 1 + float64(random.IntN(30))/10
+		ep.setLimit(ep.currentID(), limit)
+		t.Logf("%v %s names a limit of %.1f during the recovery", time.Now().Format("05.000"), ep.service, limit)
+	}
+}
+
 // setLimit sets the limit that a run of an endpoint names.
 func (ep *fakeEndpoint) setLimit(id string, limit float64) {
 	ep.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -91,6 +91,7 @@
 	group.Go(func() { env.injectLimits(ctx, rand.New(rand.NewPCG(seed, 7)), t) })
 	group.Go(func() { env.injectRestores(ctx, rand.New(rand.NewPCG(seed, 6)), t) })
 	env.injectFaults(rand.New(rand.NewPCG(seed, 5)), t)
+	env.limitDuringRecovery(rand.New(rand.NewPCG(seed, 8)), t)
 	time.Sleep(recoveryTime)
 	from := time.Now()
 	time.Sleep(recoveryWindow)
