--- /dev/null
+++ b/internal/gate/scale_test.go
@@ -0,0 +1,278 @@
+package gate
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/stock"
+	"dogwoodfold/internal/topo"
+	"dogwoodfold/internal/wire/wirepb"
+)
+
+// fleetSize is the size of a fleet whose leader is measured.
+type fleetSize struct {
+	entries   int
+	engines   int
+	models    int
+	customers int
+	// requestRate is how many requests per second the fleet gets.
+	requestRate int
+}
+
+func (s fleetSize) String() string {
+	return fmt.Sprintf("entries=%d/engines=%d/models=%d", s.entries, s.engines, s.models)
+}
+
+// busyFleet is a leader with its fleet, and the events that reach it.
+type busyFleet struct {
+	*harness
+	size     fleetSize
+	sequence []uint64
+	engines  map[string]*simpleEngine
+	calls    uint64
+	orders   int
+}
+
+// simpleEngine carries out orders at once.
+type simpleEngine struct {
+	accepted int64
+	models   map[string]map[string]bool
+}
+
+// apply carries out an order and returns its outcome.
+func (e *simpleEngine) apply(o stock.Order) stock.Outcome {
+	if o.ExpectedAccepted != e.accepted {
+		return stock.Conflict
+	}
+	e.accepted++
+	switch {
+	case o.Load && o.Adapter == "":
+		e.models[o.Model] = make(map[string]bool)
+	case o.Load:
+		e.models[o.Model][o.Adapter] = true
+	case o.Adapter == "":
+		delete(e.models, o.Model)
+	default:
+		delete(e.models[o.Model], o.Adapter)
+	}
+	return stock.Accepted
+}
+
+func (e *simpleEngine) holdings() []topo.Holding {
+	var out []topo.Holding
+	for _, model := range slices.Sorted(maps.Keys(e.models)) {
+		out = append(out, topo.Holding{
+			Model:    model,
+			Adapters: slices.Sorted(maps.Keys(e.models[model])),
+		})
+	}
+	return out
+}
+
+// engineSlots is how many models an engine of the fleet has room for.
+const engineSlots = 3
+
+func newBusyFleet(size fleetSize) *busyFleet {
+	f := &busyFleet{
+		harness:  newLeaderHarness(&testing.T{}),
+		size:     size,
+		sequence: make([]uint64, size.entries),
+		engines:  make(map[string]*simpleEngine),
+	}
+	config := testConfig()
+	config.Version = 2
+	spec := config.Services["llm"].Engine
+	spec.LoadsPerSecond = float64(size.engines) / 7
+	spec.AdapterSlots = 8
+	spec.Models = make(map[string]*topo.Model, size.models)
+	for i := range size.models {
+		name := modelName(i)
+		spec.Models[name] = &topo.Model{
+			Name:           name,
+			SizeMB:         60,
+			StoreLoadTime:  9 * time.Second,
+			DiskLoadTime:   2400 * time.Millisecond,
+			MemoryLoadTime: 1200 * time.Millisecond,
+			AdapterSizeMB:  0.1,
+		}
+	}
+	for i := range size.customers {
+		name := customerName(i)
+		config.Customers[name] = &topo.Customer{
+			Name:          name,
+			Keys:          []string{"key-" + name},
+			DefaultTokens: 200,
+			ByTokens:      true,
+			Rate:          50_000,
+			Burst:         100_000,
+		}
+	}
+	f.apply(ConfigRead{Config: config.BuildIndex(), SentAt: f.now})
+	list := []*topo.Endpoint{testEndpoint("shop-1", "shop"), testEndpoint("shop-2", "shop")}
+	for i := range size.engines {
+		e := &simpleEngine{models: make(map[string]map[string]bool)}
+		for n := range engineSlots {
+			e.models[modelName((i*engineSlots+n)%size.models)] = make(map[string]bool)
+		}
+		f.engines[engineName(i)] = e
+		list = append(list, f.engineRecord(i, 1))
+	}
+	read := EndpointsRead{SentAt: f.now, Full: true}
+	for _, ep := range list {
+		read.Changes = append(read.Changes, topo.EndpointChange{ID: ep.ID, Endpoint: ep})
+	}
+	f.apply(read)
+	for i := range size.entries {
+		f.apply(PeerConnected{Host: entryName(i)})
+	}
+	f.apply(Tick{})
+	f.effects = nil
+	return f
+}
+
+func modelName(i int) string    { return fmt.Sprintf("m%03d", i) }
+func customerName(i int) string { return fmt.Sprintf("customer-%02d", i) }
+func entryName(i int) string    { return fmt.Sprintf("front-%03d", i+2) }
+func engineName(i int) string   { return fmt.Sprintf("llm-%04d", i) }
+
+func (f *busyFleet) engineRecord(i int, sequence int64) *topo.Endpoint {
+	ep := testEndpoint(engineName(i), "llm", f.engines[engineName(i)].holdings()...)
+	ep.Sequence = sequence
+	ep.Slots = 16
+	return ep
+}
+
+// second delivers the events of one second: reports and requests of all entries,
+// orders that have been carried out, and the leader's reads of the store.
+func (f *busyFleet) second() {
+	const ticks = 20
+	step := time.Second / ticks
+	for tick := range ticks {
+		f.deliver(Tick{})
+		for i := range f.size.entries {
+			if i%5 == tick%5 {
+				f.regularReport(i)
+			}
+		}
+		for range f.size.requestRate / ticks {
+			f.request()
+		}
+		if tick%4 == 0 {
+			f.heartbeats(tick)
+		}
+		f.advance(step)
+	}
+}
+
+// deliver applies an event and answers the orders that result from it.
+func (f *busyFleet) deliver(e Event) {
+	for _, effect := range f.core.Apply(f.now, e) {
+		switch e := effect.(type) {
+		case SendOrder:
+			f.orders++
+			f.deliver(OrderAnswered{
+				Order:   e.Order,
+				Outcome: f.engines[e.Order.Engine].apply(e.Order),
+			})
+		case RequestEngineReport:
+			engine := f.engines[e.Engine]
+			f.deliver(EngineReported{
+				Engine: e.Engine,
+				Report: &stock.Report{
+					AcceptedOrders: engine.accepted,
+					Holdings:       engine.holdings(),
+				},
+			})
+		case AppendLease:
+			f.deliver(LeaseAppendEnded{Record: e.Record, Offset: e.Offset, Result: AppendDone})
+		}
+	}
+}
+
+func (f *busyFleet) regularReport(entry int) {
+	f.sequence[entry]++
+	report := &wirepb.GateReport{Sequence: f.sequence[entry]}
+	for n := range 5 {
+		report.Loads = append(report.Loads, &wirepb.GateLoad{
+			Endpoint: engineName((entry*7 + n) % f.size.engines),
+			Running:  1,
+		})
+		report.Demands = append(report.Demands, &wirepb.GateDemand{
+			Service: "llm",
+			Model:   modelName((entry + n) % 20),
+			WorkUs:  50_000,
+		})
+	}
+	f.deliver(ReportReceived{Host: entryName(entry), Report: report})
+}
+
+// request delivers what a request makes its entry ask the leader for: tokens of its
+// customer, then an engine. Some requests are for adapters that no engine holds.
+func (f *busyFleet) request() {
+	f.calls++
+	entry := int(f.calls) % f.size.entries
+	f.sequence[entry]++
+	report := &wirepb.GateReport{
+		Sequence: f.sequence[entry],
+		Asks:     []*wirepb.GateTokens{{Customer: customerName(int(f.calls) % f.size.customers), Amount: 2000}},
+	}
+	if f.calls%30 == 0 {
+		report.Demands = append(report.Demands, &wirepb.GateDemand{
+			Service: "llm",
+			Model:   modelName(int(f.calls/30) % 20),
+			Adapter: fmt.Sprintf("adapter-%03d", f.calls/30%200),
+			Missing: true,
+		})
+	}
+	f.deliver(ReportReceived{Host: entryName(entry), Report: report})
+	f.deliver(AssignmentRequested{
+		Host: entryName(entry),
+		Request: &wirepb.GateAssignmentAsk{
+			Call:         f.calls,
+			Service:      "llm",
+			Model:        modelName(int(f.calls) % 20),
+			PromptTokens: 1000,
+			ObjectiveUs:  800_000,
+			Zone:         "a",
+			Parts:        []*wirepb.GatePart{{Hash: f.calls % 3, Tokens: 200}, {Hash: f.calls % 141, Tokens: 100}, {Hash: f.calls, Tokens: 700}},
+		},
+	})
+}
+
+// heartbeats delivers a read of the registry with new records of some engines.
+func (f *busyFleet) heartbeats(tick int) {
+	event := EndpointsRead{SentAt: f.now}
+	for i := range f.size.engines {
+		if i%3 == tick%3 {
+			ep := f.engineRecord(i, int64(f.now.Sub(start)/time.Millisecond)+2)
+			event.Changes = append(event.Changes, topo.EndpointChange{ID: ep.ID, Endpoint: ep})
+		}
+	}
+	f.deliver(event)
+	f.deliver(ConfigRead{SentAt: f.now})
+}
+
+// BenchmarkLeaderSecond measures what a second of a busy fleet costs its leader. The
+// time of an operation is that of one second, so 100 ms are a tenth of a core.
+func BenchmarkLeaderSecond(b *testing.B) {
+	sizes := []fleetSize{
+		{entries: 100, engines: 160, models: 266, customers: 40, requestRate: 880},
+		{entries: 400, engines: 160, models: 266, customers: 40, requestRate: 880},
+		{entries: 100, engines: 1000, models: 266, customers: 40, requestRate: 880},
+		{entries: 1000, engines: 160, models: 266, customers: 40, requestRate: 880},
+	}
+	for _, size := range sizes {
+		b.Run(size.String(), func(b *testing.B) {
+			f := newBusyFleet(size)
+			f.second()
+			f.orders = 0
+			for b.Loop() {
+				f.second()
+			}
+			b.ReportMetric(float64(f.orders)/float64(b.N), "orders/op")
+		})
+	}
+}
