Take no refusal of a resend for the end of an accepted order

Change: outcomes are counted by send. An order that was accepted stays accepted; it ends as refused only if every send is known not to be executed; it is sent again only when all earlier sends have ended; orders are numbered, so that a late outcome isn't taken for another order's. Reports count from when they were requested, not from when a slow process gets to read them.

--- a/internal/edge/perform.go
+++ b/internal/edge/perform.go
@@ -166,6 +166,7 @@
 }
 
 func (s *Server) requestEngineReport(e gate.RequestEngineReport) {
+	sentAt := s.clock.Now()
 	report, err := s.engines.Report(e.Engine, e.Address)
 	if err != nil {
 		s.log.Warn().Err(err).Str("endpoint", e.Engine).Msg("orders: reading the engine report failed")
@@ -174,6 +175,7 @@
 	}
 	s.post(gate.EngineReported{
 		Engine: e.Engine,
+		SentAt: sentAt,
 		Report: &stock.Report{
 			Incarnation:      report.Incarnation,
 			Busy:             report.OrderRunning,
--- a/internal/gate/assignment_test.go
+++ b/internal/gate/assignment_test.go
@@ -168,11 +168,11 @@
 	h.apply(PeerConnected{Host: "front-2"})
 	h.endpoints(testEndpoint("llm-2", "llm", topo.Holding{Model: "small"}))
 	empty := stock.Report{Holdings: []topo.Holding{{Model: "small"}}}
-	h.apply(EngineReported{Engine: "llm-1", Report: &stock.Report{Holdings: []topo.Holding{{Model: "big"}}}})
+	h.apply(EngineReported{Engine: "llm-1", SentAt: h.now, Report: &stock.Report{Holdings: []topo.Holding{{Model: "big"}}}})
 	for range 20 {
 		h.core.leader.planner.RecordDemand(h.now, "llm", modelArtifact("big"), 200*time.Millisecond)
 	}
-	order, ok := findEffect[SendOrder](h.apply(EngineReported{Engine: "llm-2", Report: &empty}))
+	order, ok := findEffect[SendOrder](h.apply(EngineReported{Engine: "llm-2", SentAt: h.now, Report: &empty}))
 	if !ok || order.Order.Model != "big" {
 		t.Fatalf("no second copy was ordered: %+v", order)
 	}
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -198,10 +198,11 @@
 	Outcome stock.Outcome
 }
 
-// EngineReported reports an engine's reply to a RequestEngineReport. Report is
-// nil if there was none.
+// EngineReported reports an engine's reply to a RequestEngineReport, which was sent at
+// SentAt. Report is nil if there was none.
 type EngineReported struct {
 	Engine string
+	SentAt time.Time
 	Report *stock.Report
 }
 
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -394,6 +394,7 @@
 	for _, order := range plan.Orders {
 		ep := c.endpoints[order.Engine]
 		if ep == nil {
+			c.leader.planner.HandleOutcome(now, order, stock.Refused)
 			continue
 		}
 		c.emit(SendOrder{
@@ -459,6 +460,6 @@
 	if c.leader == nil || e.Report == nil {
 		return
 	}
-	c.leader.planner.HandleReport(now, e.Engine, *e.Report)
+	c.leader.planner.HandleReport(now, e.SentAt, e.Engine, *e.Report)
 	c.plan(now)
 }
--- a/internal/gate/scale_test.go
+++ b/internal/gate/scale_test.go
@@ -181,6 +181,7 @@
 			engine := f.engines[e.Engine]
 			f.deliver(EngineReported{
 				Engine: e.Engine,
+				SentAt: f.now,
 				Report: &stock.Report{
 					AcceptedOrders: engine.accepted,
 					Holdings:       engine.holdings(),
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -318,7 +318,7 @@
 		if id == "llm-1" {
 			holding.Adapters = []string{"a1"}
 		}
-		h.apply(EngineReported{Engine: id, Report: &stock.Report{Holdings: []topo.Holding{holding}}})
+		h.apply(EngineReported{Engine: id, SentAt: h.now, Report: &stock.Report{Holdings: []topo.Holding{holding}}})
 	}
 	h.core.streams.record(h.now, newStreamKey("began"), "v2")
 	_, effects := h.arriveRequest(&Request{
--- a/internal/stock/engine.go
+++ b/internal/stock/engine.go
@@ -40,6 +40,8 @@
 	// ExpectedAccepted is the number of orders that the engine must have accepted
 	// before this one.
 	ExpectedAccepted int64
+	// Number distinguishes the orders of a planner. An order that is resent keeps it.
+	Number uint64
 }
 
 // Outcome is the result of sending an order to an engine.
@@ -56,7 +58,7 @@
 	// Conflict means that the engine is executing another order, or that it has
 	// accepted a different number of orders than expected.
 	Conflict
-	// Refused orders will not be executed.
+	// Refused means that this send of the order will not be executed. Others may be.
 	Refused
 )
 
@@ -123,9 +125,18 @@
 
 // pendingOrder is an order that has been sent and has not finished.
 type pendingOrder struct {
-	order    Order
-	sentAt   time.Time
+	order Order
+	// duration is the expected time from the acceptance of the order to its end.
+	duration time.Duration
+	// sends is how often the order was sent, outcomes how many of the sends have
+	// ended and refusals how many of those are known not to be executed.
+	sends    int
+	outcomes int
+	refusals int
+	// answered is true once the engine has accepted the order or is in conflict with
+	// it, accepted only in the first case.
 	answered bool
+	accepted bool
 	// expectedAt is when the order is expected to have finished.
 	expectedAt time.Time
 	// resendAt is when an unanswered order is resent.
@@ -264,7 +275,8 @@
 func (e *engine) beginOrder(now time.Time, o Order, duration time.Duration) {
 	e.pending = &pendingOrder{
 		order:      o,
-		sentAt:     now,
+		duration:   duration,
+		sends:      1,
 		expectedAt: now.Add(duration),
 		resendAt:   now.Add(resendDelay),
 	}
@@ -280,6 +292,21 @@
 	e.models[o.Model][o.Adapter] = now
 }
 
+// resendDue reports whether the pending order must be sent again: all its sends have
+// ended, and the engine has answered none of them.
+func (p *pendingOrder) resendDue(now time.Time) bool {
+	return !p.answered && p.outcomes == p.sends && !now.Before(p.resendAt)
+}
+
+// accept records that the engine has accepted a send of the order. That send is the
+// only one that is executed, whatever the outcomes of the others are.
+func (p *pendingOrder) accept(now time.Time) {
+	p.answered = true
+	p.accepted = true
+	p.ambiguous = false
+	p.expectedAt = now.Add(p.duration)
+}
+
 // finishOrder ends the pending order, which has been applied or never will be.
 // The memory of an artifact that was unloaded is free from now on.
 func (e *engine) finishOrder(now time.Time, applied bool) {
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -56,8 +56,8 @@
 	pending := e.pending
 	adapter := pending.order.Adapter != ""
 	switch {
-	case !pending.answered && !now.Before(pending.resendAt):
-		pending.resendAt = now.Add(reportInterval + resendDelay)
+	case pending.resendDue(now):
+		pending.sends++
 		plan.Orders = append(plan.Orders, pending.order)
 	case !pending.answered || now.Before(pending.expectedAt):
 	case adapter && pending.order.Load && !pending.ambiguous:
@@ -98,11 +98,13 @@
 
 // issueOrder records an order as pending and adds it to the plan.
 func (p *Planner) issueOrder(now time.Time, e *engine, load bool, a Artifact, duration time.Duration, plan *Plan) {
+	p.lastOrder++
 	o := Order{
 		Engine:           e.id,
 		Load:             load,
 		Artifact:         a,
 		ExpectedAccepted: e.acceptedOrders,
+		Number:           p.lastOrder,
 	}
 	e.beginOrder(now, o, duration)
 	if !load {
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -49,6 +49,8 @@
 	storeLoads map[string][]time.Time
 	// inheritedLoadsUntil is when the loads of an earlier planner stop counting.
 	inheritedLoadsUntil time.Time
+	// lastOrder is the number of the last order.
+	lastOrder uint64
 	// changed holds the engines whose holdings changed since TakeChanged was called.
 	changed map[string]bool
 }
@@ -144,8 +146,8 @@
 	p.misses[service][m] = now
 }
 
-// HandleReport updates an engine from its own report.
-func (p *Planner) HandleReport(now time.Time, id string, r Report) {
+// HandleReport updates an engine from its own report, which was requested at sentAt.
+func (p *Planner) HandleReport(now, sentAt time.Time, id string, r Report) {
 	e := p.engines[id]
 	if e == nil || r.Incarnation != 0 && r.Incarnation != e.incarnation {
 		return
@@ -154,10 +156,10 @@
 		return // what the engine will hold is not known before that has ended
 	}
 	if e.pending == nil {
-		p.applyReport(now, e, r)
+		p.applyReport(sentAt, e, r)
 		return
 	}
-	if !e.pending.answered || now.Before(e.pending.expectedAt) {
+	if !e.pending.answered || sentAt.Before(e.pending.expectedAt) {
 		return
 	}
 	if e.pending.ambiguous {
@@ -174,7 +176,7 @@
 		p.completeOrder(now, e, true)
 		return
 	}
-	if now.Sub(e.pending.expectedAt) > registryLag {
+	if sentAt.Sub(e.pending.expectedAt) > registryLag {
 		p.completeOrder(now, e, false)
 	}
 }
@@ -182,8 +184,8 @@
 // applyReport updates an engine without a pending order. A report that may be older
 // than the last change of the recorded holdings only confirms the count of orders
 // that goes with them. Another count would go with other holdings.
-func (p *Planner) applyReport(now time.Time, e *engine, r Report) {
-	if now.Sub(e.changedAt) < reportLag {
+func (p *Planner) applyReport(sentAt time.Time, e *engine, r Report) {
+	if sentAt.Sub(e.changedAt) < reportLag {
 		e.synced = e.synced || r.AcceptedOrders == e.acceptedOrders
 		return
 	}
@@ -217,15 +219,19 @@
 	if e == nil || e.pending == nil || e.pending.order != o {
 		return
 	}
+	pending := e.pending
+	pending.outcomes++
+	if pending.accepted {
+		return // the outcome of another send of the order
+	}
 	switch outcome {
 	case Accepted:
-		e.pending.answered = true
+		pending.accept(now)
 		e.acceptedOrders = o.ExpectedAccepted + 1
-		e.pending.expectedAt = now.Add(e.pending.expectedAt.Sub(e.pending.sentAt))
 		if o.Adapter != "" && !o.Load {
 			// Running requests still use the adapter, so only a report tells when
 			// it is gone.
-			e.pending.expectedAt = now.Add(reportLag)
+			pending.expectedAt = now.Add(reportLag)
 		}
 	case AlreadyApplied:
 		e.synced = false
@@ -234,14 +240,19 @@
 		// Either an earlier order that got no response has taken effect, or another
 		// order is being executed.
 		e.synced = false
-		e.pending.answered = true
-		e.pending.ambiguous = true
-		e.pending.expectedAt = now.Add(conflictReportDelay)
+		pending.answered = true
+		pending.ambiguous = true
+		pending.expectedAt = now.Add(conflictReportDelay)
 	case Refused:
+		pending.refusals++
+		if pending.refusals < pending.sends {
+			pending.resendAt = now.Add(resendDelay)
+			return
+		}
 		e.synced = false
 		p.completeOrder(now, e, false)
 	case Unanswered:
-		e.pending.resendAt = now.Add(resendDelay)
+		pending.resendAt = now.Add(resendDelay)
 	}
 }
 
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -19,7 +19,7 @@
 		}
 		id := fmt.Sprintf("e%02d", i)
 		p.SetEndpoint(startTime, &topo.Endpoint{ID: id, Service: "llm", Incarnation: 1, Holdings: held}, spec)
-		p.HandleReport(startTime, id, Report{Holdings: held})
+		p.HandleReport(startTime, startTime, id, Report{Holdings: held})
 	}
 	return p
 }
@@ -157,7 +157,7 @@
 		} {
 			ep.ID, ep.Service, ep.Incarnation = id, "llm", 1
 			p.SetEndpoint(startTime, ep, spec)
-			p.HandleReport(startTime, id, Report{Holdings: ep.Holdings})
+			p.HandleReport(startTime, startTime, id, Report{Holdings: ep.Holdings})
 		}
 		return p
 	}
--- a/internal/stock/report_test.go
+++ b/internal/stock/report_test.go
@@ -39,7 +39,7 @@
 	holdings := []topo.Holding{{Model: "a"}, {Model: "b"}, {Model: "c"}}
 	for range 20 {
 		now = now.Add(100 * time.Millisecond)
-		p.HandleReport(now, "e00", Report{AcceptedOrders: 1, Holdings: holdings})
+		p.HandleReport(now, now, "e00", Report{AcceptedOrders: 1, Holdings: holdings})
 		for _, o := range p.Plan(now).Orders {
 			if o.Load && o.ExpectedAccepted == 1 {
 				t.Fatalf("ordered %+v though the engine holds %d models of %v MB", o, len(holdings), spec.Models["a"].SizeMB)
@@ -59,7 +59,7 @@
 	for i := range spec.AdapterSlots {
 		report.IncomingAdapters = append(report.IncomingAdapters, "a/"+string(rune('p'+i)))
 	}
-	p.HandleReport(startTime, "e1", report)
+	p.HandleReport(startTime, startTime, "e1", report)
 	p.RecordMiss(startTime, "llm", Miss{Artifact: Artifact{Model: "a", Adapter: "z"}})
 	for _, o := range p.Plan(startTime).Orders {
 		if o.Load && o.Adapter != "" {
@@ -72,8 +72,34 @@
 func TestReportOfOtherIncarnationIsIgnored(t *testing.T) {
 	p := newTestPlanner(testSpec(), []string{"a", "b"})
 	now := startTime.Add(10 * time.Second)
-	p.HandleReport(now, "e00", Report{Incarnation: 2, AcceptedOrders: 5})
+	p.HandleReport(now, now, "e00", Report{Incarnation: 2, AcceptedOrders: 5})
 	if !p.engines["e00"].canServe(Artifact{Model: "a"}) || p.engines["e00"].acceptedOrders != 0 {
 		t.Error("the report of another incarnation was applied")
 	}
 }
+
+// A slow process sends a load three times before it hears of any of them: the first send
+// times out, the second is accepted, and the third is dropped because the lease has ended
+// meanwhile. The engine is loading the model, so its memory must stay taken.
+func TestRefusedResendDoesNotUndoAcceptedLoad(t *testing.T) {
+	spec := testSpec()
+	p := newTestPlanner(spec, []string{"a", "b"})
+	now := startTime.Add(10 * time.Second)
+	p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: "c"}})
+	order := loadOrder(t, p.Plan(now), "c")
+	p.HandleOutcome(now, order, Unanswered)
+	p.HandleOutcome(now, order, Accepted)
+	p.HandleOutcome(now, order, Refused)
+	p.HandleOutcome(now, order, Conflict)
+	for range 60 {
+		now = now.Add(25 * time.Millisecond)
+		p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: "d"}})
+		p.RecordDemand(now, "llm", Artifact{Model: "d"}, 100*time.Millisecond)
+		p.HandleReport(now, now, "e00", Report{AcceptedOrders: 1, Holdings: []topo.Holding{{Model: "a"}, {Model: "b"}}})
+		for _, o := range p.Plan(now).Orders {
+			if o.Load && o.Model != order.Model {
+				t.Fatalf("ordered %+v while the engine loads %s, which it has accepted", o, order.Model)
+			}
+		}
+	}
+}
--- a/internal/stock/sim_test.go
+++ b/internal/stock/sim_test.go
@@ -123,7 +123,8 @@
 		e.t.Fatalf("%s was ordered to load %s in addition to %v", e.id, o.Model, slices.Sorted(maps.Keys(e.models)))
 	}
 	e.loading = o.Model
-	e.busyUntil = now.Add(900 * time.Millisecond)
+	source := rapid.SampledFrom([]int{200, 400, 900}).Draw(e.t, "load time")
+	e.busyUntil = now.Add(time.Duration(source) * time.Millisecond)
 	return Accepted
 }
 
@@ -155,6 +156,8 @@
 type scheduledCall struct {
 	at  time.Time
 	run func()
+	// toPlanner calls wait while the planner's process is stalled.
+	toPlanner bool
 }
 
 // simWorld simulates a planner and engines that respond late or not at all, or that
@@ -167,6 +170,10 @@
 	queue   []scheduledCall
 	// term numbers the planners; responses to an earlier planner are dropped.
 	term int
+	// stalls is true if the planner's process may be slow at any point: it then plans
+	// and hears of responses late, in another order, and drops orders unsent.
+	stalls       bool
+	stalledUntil time.Time
 }
 
 const simStep = 20 * time.Millisecond
@@ -175,7 +182,32 @@
 	w.queue = append(w.queue, scheduledCall{at: w.now.Add(d), run: run})
 }
 
+// tellPlanner calls a method of the planner after a delay, or later if its process is
+// slow.
+func (w *simWorld) tellPlanner(d time.Duration, run func()) {
+	if w.stalls && rapid.IntRange(0, 4).Draw(w.t, "slow response") == 0 {
+		d += time.Duration(rapid.IntRange(100, 5000).Draw(w.t, "response delay")) * time.Millisecond
+	}
+	term := w.term
+	w.queue = append(w.queue, scheduledCall{
+		at: w.now.Add(d),
+		run: func() {
+			if term != w.term {
+				return
+			}
+			run()
+			if w.stalls {
+				w.plan() // a process that has stalled plans after each event that it catches up on
+			}
+		},
+		toPlanner: true,
+	})
+}
+
 func (w *simWorld) step() {
+	if w.stalls && rapid.IntRange(0, 149).Draw(w.t, "stall") == 0 {
+		w.stalledUntil = w.now.Add(time.Duration(rapid.IntRange(100, 5000).Draw(w.t, "stall time")) * time.Millisecond)
+	}
 	w.now = w.now.Add(simStep)
 	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
 		w.engines[id].step(w.now)
@@ -183,12 +215,18 @@
 	queue := w.queue
 	w.queue = nil
 	for _, call := range queue {
-		if w.now.Before(call.at) {
+		if w.now.Before(call.at) || call.toPlanner && w.now.Before(w.stalledUntil) {
 			w.queue = append(w.queue, call)
 			continue
 		}
 		call.run()
 	}
+	if !w.now.Before(w.stalledUntil) {
+		w.plan()
+	}
+}
+
+func (w *simWorld) plan() {
 	plan := w.planner.Plan(w.now)
 	for _, o := range plan.Orders {
 		w.send(o)
@@ -199,31 +237,33 @@
 }
 
 func (w *simWorld) send(o Order) {
-	e, term := w.engines[o.Engine], w.term
-	answer := func(outcome Outcome) {
-		if term == w.term {
-			w.planner.HandleOutcome(w.now, o, outcome)
-		}
+	e := w.engines[o.Engine]
+	answer := func(d time.Duration, outcome Outcome) {
+		w.tellPlanner(d, func() { w.planner.HandleOutcome(w.now, o, outcome) })
+	}
+	deliveries := 9
+	if w.stalls {
+		deliveries = 11
 	}
-	switch rapid.IntRange(0, 9).Draw(w.t, "delivery") {
+	switch rapid.IntRange(0, deliveries).Draw(w.t, "delivery") {
 	case 0: // no response, executed late
 		w.schedule(time.Duration(rapid.IntRange(2000, 12000).Draw(w.t, "delay"))*time.Millisecond, func() { e.handleOrder(w.now, o) })
-		w.schedule(300*time.Millisecond, func() { answer(Unanswered) })
+		answer(300*time.Millisecond, Unanswered)
 	case 1: // executed, but the response is lost
 		w.schedule(simStep, func() { e.handleOrder(w.now, o) })
-		w.schedule(300*time.Millisecond, func() { answer(Unanswered) })
+		answer(300*time.Millisecond, Unanswered)
+	case 10, 11: // dropped unsent, since the lease has ended
+		answer(simStep, Refused)
 	default:
-		w.schedule(simStep, func() { answer(e.handleOrder(w.now, o)) })
+		w.schedule(simStep, func() { answer(0, e.handleOrder(w.now, o)) })
 	}
 }
 
 func (w *simWorld) report(id string) {
-	term := w.term
 	s := w.engines[id].stateAt(w.now.Add(-200 * time.Millisecond))
-	w.schedule(simStep, func() {
-		if term == w.term {
-			w.planner.HandleReport(w.now, id, Report{Busy: s.busy, AcceptedOrders: s.accepted, Holdings: s.holdings})
-		}
+	sentAt := w.now
+	w.tellPlanner(simStep, func() {
+		w.planner.HandleReport(w.now, sentAt, id, Report{Busy: s.busy, AcceptedOrders: s.accepted, Holdings: s.holdings})
 	})
 }
 
@@ -238,9 +278,15 @@
 // TestEnginesAreNeverOvercommitted checks that no engine is ordered to hold more than
 // it can while demand shifts, planners replace each other, and orders are lost or
 // executed up to 12 s late.
-func TestEnginesAreNeverOvercommitted(t *testing.T) {
+func TestEnginesAreNeverOvercommitted(t *testing.T) { checkNeverOvercommitted(t, false) }
+
+// TestStalledPlannerNeverOvercommits checks the same while the planner's process stalls
+// for up to 5 s at any point between a plan, the sending of its orders and their answers.
+func TestStalledPlannerNeverOvercommits(t *testing.T) { checkNeverOvercommitted(t, true) }
+
+func checkNeverOvercommitted(t *testing.T, stalls bool) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := &simWorld{t: rt, now: startTime, engines: map[string]*simEngine{}}
+		w := &simWorld{t: rt, now: startTime, engines: map[string]*simEngine{}, stalls: stalls}
 		for _, id := range []string{"e1", "e2"} {
 			w.engines[id] = &simEngine{
 				t: rt, id: id, spec: testSpec(), models: map[string]map[string]bool{"a": {}, "b": {}},
@@ -252,7 +298,7 @@
 			if i%30 == 0 {
 				w.updateRegistry(time.Duration(rapid.IntRange(800, 2600).Draw(rt, "lag")) * time.Millisecond)
 			}
-			if i%10 == 0 {
+			if i%5 == 0 {
 				a := Artifact{Model: rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(rt, "model")}
 				if rapid.Bool().Draw(rt, "adapter") {
 					a.Adapter = rapid.SampledFrom([]string{"1", "2", "3", "4"}).Draw(rt, "adapter name")
