Rank engines once a plan, so that plans are linear in models and engines

Cause: for each model in shortage a plan evaluated all engines, and for each engine walked all recent loads; all engines were sorted several times a plan. With more models than places most models are in shortage. Change: the state of a service (engines in order, copies, misses, loads) is kept in one place; a plan ranks the engines that can take an order by the least that a load costs there, and tries the best ones until no other can be cheaper, 32 at most; engines with the weights in memory or on disk are found by model. Shortages for which no eviction is a gain are skipped at once. Tests: TestPlanConsidersFewLoads; TestRankingFindsCheapestLoad compares with a look at all engines.

--- a/internal/stock/engine.go
+++ b/internal/stock/engine.go
@@ -93,7 +93,7 @@
 // engine is the planner's view of one engine.
 type engine struct {
 	id              string
-	service         string
+	service         *service
 	spec            *topo.EngineSpec
 	incarnation     int64
 	softwareVersion string
@@ -146,7 +146,7 @@
 	ambiguous bool
 }
 
-func newEngine(id, service string, incarnation int64) *engine {
+func newEngine(id string, service *service, incarnation int64) *engine {
 	return &engine{
 		id:          id,
 		service:     service,
@@ -280,6 +280,7 @@
 		expectedAt: now.Add(duration),
 		resendAt:   now.Add(resendDelay),
 	}
+	e.service.invalidateLoads(o)
 	if !o.Load {
 		return
 	}
@@ -298,20 +299,32 @@
 	return !p.answered && p.outcomes == p.sends && !now.Before(p.resendAt)
 }
 
-// accept records that the engine has accepted a send of the order. That send is the
-// only one that is executed, whatever the outcomes of the others are.
-func (p *pendingOrder) accept(now time.Time) {
-	p.answered = true
-	p.accepted = true
-	p.ambiguous = false
-	p.expectedAt = now.Add(p.duration)
+// acceptPending records that the engine has accepted a send of the pending order. That
+// send is the only one that is executed, whatever the outcomes of the others are.
+func (e *engine) acceptPending(now time.Time) {
+	e.pending.answered = true
+	e.pending.accepted = true
+	e.pending.ambiguous = false
+	e.expect(now.Add(e.pending.duration))
+}
+
+// expect sets when the pending order is expected to have finished.
+func (e *engine) expect(at time.Time) {
+	e.pending.expectedAt = at
+	e.service.invalidateLoads(e.pending.order)
+}
+
+// dropPending removes the pending order.
+func (e *engine) dropPending() {
+	e.service.invalidateLoads(e.pending.order)
+	e.pending = nil
 }
 
 // finishOrder ends the pending order, which has been applied or never will be.
 // The memory of an artifact that was unloaded is free from now on.
 func (e *engine) finishOrder(now time.Time, applied bool) {
 	o := e.pending.order
-	e.pending = nil
+	e.dropPending()
 	e.changedAt = now
 	switch {
 	case o.Load != applied: // a load that won't take effect, or an unload that did
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -40,17 +40,13 @@
 type Planner struct {
 	settings Settings
 	engines  map[string]*engine
-	// demand is keyed by service and model.
-	demand map[string]map[string]*demand
-	// misses holds, by service, the artifacts that requests wait for and the time
-	// at which the last of them was recorded.
-	misses map[string]map[Miss]time.Time
-	// storeLoads holds the start times of loads from the weight store, by service.
-	storeLoads map[string][]time.Time
+	services map[string]*service
 	// inheritedLoadsUntil is when the loads of an earlier planner stop counting.
 	inheritedLoadsUntil time.Time
 	// lastOrder is the number of the last order.
 	lastOrder uint64
+	// evaluations counts the ways to load a model that were considered.
+	evaluations int
 	// changed holds the engines whose holdings changed since TakeChanged was called.
 	changed map[string]bool
 }
@@ -62,12 +58,10 @@
 // started loads from the weight store until now.
 func NewPlanner(now time.Time, s Settings, first bool) *Planner {
 	p := &Planner{
-		settings:   s,
-		engines:    make(map[string]*engine),
-		demand:     make(map[string]map[string]*demand),
-		misses:     make(map[string]map[Miss]time.Time),
-		storeLoads: make(map[string][]time.Time),
-		changed:    make(map[string]bool),
+		settings: s,
+		engines:  make(map[string]*engine),
+		services: make(map[string]*service),
+		changed:  make(map[string]bool),
 	}
 	if !first {
 		p.inheritedLoadsUntil = now.Add(s.LoadWindow)
@@ -79,11 +73,14 @@
 func (p *Planner) SetEndpoint(now time.Time, ep *topo.Endpoint, spec *topo.EngineSpec) {
 	e := p.engines[ep.ID]
 	if e == nil || e.incarnation != ep.Incarnation {
-		e = newEngine(ep.ID, ep.Service, ep.Incarnation)
+		p.Remove(ep.ID)
+		e = newEngine(ep.ID, p.service(ep.Service), ep.Incarnation)
 		p.engines[ep.ID] = e
+		e.service.add(e)
 		p.changed[ep.ID] = true
 	}
 	e.spec = spec
+	e.service.setSpec(spec)
 	e.usable = !ep.Draining
 	e.softwareVersion = ep.SoftwareVersion
 	e.inMemory = toSet(ep.InMemory)
@@ -98,7 +95,12 @@
 }
 
 // Remove removes an engine whose endpoint was removed.
-func (p *Planner) Remove(id string) { delete(p.engines, id) }
+func (p *Planner) Remove(id string) {
+	if e := p.engines[id]; e != nil {
+		e.service.remove(e)
+		delete(p.engines, id)
+	}
+}
 
 // SetRunning sets the number of requests that run at an engine.
 func (p *Planner) SetRunning(id string, running int) {
@@ -116,22 +118,13 @@
 
 // RecordDemand records the work of new requests for an artifact.
 func (p *Planner) RecordDemand(now time.Time, service string, a Artifact, work time.Duration) {
-	models := p.demand[service]
-	if models == nil {
-		models = make(map[string]*demand)
-		p.demand[service] = models
-	}
-	d := models[a.Model]
-	if d == nil {
-		d = &demand{}
-		models[a.Model] = d
-	}
-	d.add(now, work)
+	s := p.service(service)
+	s.recordDemand(now, a.Model, work)
 	if a.Adapter == "" {
 		return
 	}
-	for _, e := range p.engines {
-		if _, held := e.models[a.Model][a.Adapter]; held && e.service == service {
+	for _, e := range s.copiesOf(a.Model).holders {
+		if _, held := e.models[a.Model][a.Adapter]; held {
 			e.models[a.Model][a.Adapter] = now
 		}
 	}
@@ -140,10 +133,7 @@
 // RecordMiss records that requests are waiting for an artifact that no usable
 // engine of the miss's software version holds.
 func (p *Planner) RecordMiss(now time.Time, service string, m Miss) {
-	if p.misses[service] == nil {
-		p.misses[service] = make(map[Miss]time.Time)
-	}
-	p.misses[service][m] = now
+	p.service(service).misses[m] = now
 }
 
 // HandleReport updates an engine from its own report, which was requested at sentAt.
@@ -165,7 +155,7 @@
 	if e.pending.ambiguous {
 		// An order other than the pending one has taken effect, so the report
 		// replaces the recorded state.
-		e.pending = nil
+		e.dropPending()
 		e.acceptedOrders, e.synced = r.AcceptedOrders, true
 		e.changedAt = now
 		p.reconcile(e, r.Holdings)
@@ -226,7 +216,7 @@
 	}
 	switch outcome {
 	case Accepted:
-		pending.accept(now)
+		e.acceptPending(now)
 		e.acceptedOrders = o.ExpectedAccepted + 1
 		if o.Adapter != "" && !o.Load {
 			// Running requests still use the adapter, so only a report tells when
@@ -242,7 +232,7 @@
 		e.synced = false
 		pending.answered = true
 		pending.ambiguous = true
-		pending.expectedAt = now.Add(conflictReportDelay)
+		e.expect(now.Add(conflictReportDelay))
 	case Refused:
 		pending.refusals++
 		if pending.refusals < pending.sends {
@@ -299,24 +289,15 @@
 }
 
 // LoadETAs returns, for each model of a service that is being loaded, when the first
-// of its loads is expected to finish, by the software version of the engines.
+// of its loads is expected to finish, by the software version of the engines. The
+// caller must not change the result.
 func (p *Planner) LoadETAs(service string) map[Load]time.Time {
-	out := make(map[Load]time.Time)
-	for _, e := range p.engines {
-		if e.service != service || e.pending == nil || !e.pending.order.Load || e.pending.order.Adapter != "" {
-			continue
-		}
-		load := Load{
-			Model:           e.pending.order.Model,
-			SoftwareVersion: e.softwareVersion,
-		}
-		if eta, ok := out[load]; !ok || e.pending.expectedAt.Before(eta) {
-			out[load] = e.pending.expectedAt
-		}
-	}
-	return out
+	return p.service(service).loadETAs()
 }
 
+// LoadRevision increases whenever the result of LoadETAs changes for a service.
+func (p *Planner) LoadRevision(service string) uint64 { return p.service(service).loadRevision }
+
 // FirstLoad returns when the first load of a model is expected to finish, at any
 // engine or, with a software version, at the engines of that version.
 func FirstLoad(etas map[Load]time.Time, model, softwareVersion string) (first time.Time, loading bool) {
