Tell entries what has changed, and plan a bounded number of times a second

Cause: with 100 entries, 160 engines and 266 models the leader's reducer needed 2.4 s of processor time for a second of traffic. For each report it planned (64%) and walked and sorted all endpoints three times to find what its entry had not been told (19%); each change of an engine's holdings was sent to all entries at once, with all loads in progress. So orders and renewals were late, terms were lost, and entries read the store themselves. Change: package since lists what has changed after a revision; a state holds just that. Loads in progress are sent when they change (GateState.arrivals_unchanged; an entry of an older build takes them for none until the next change). Changed holdings go at once to the entries that wait for them, and to the one that asks for an engine without knowing them; to the others with their next state. Plans are 4 ms apart at least, and at most 20 ms. Tests: TestPlansDoNotMultiplyWithEvents, TestStateCostDoesNotGrowWithFleet, TestPlanIsScheduledForMissAfterPlan, TestOnlyWaitingEntriesAreToldOfHoldings. Two older tests let 4 ms pass before they expect an order.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -28,13 +28,19 @@
 
 // handleAssignmentRequested answers another entry's request for an engine.
 func (c *Core) handleAssignmentRequested(now time.Time, e AssignmentRequested) {
-	if peer := c.peers[e.Host]; peer == nil || !c.isLeader(now) {
+	peer := c.peers[e.Host]
+	if peer == nil || !c.isLeader(now) {
 		return
 	}
 	c.prefillRate(e.Request.GetService(), e.Request.GetModel()).MergeRemote(e.Request.GetTokensPerMs(), int(e.Request.GetSamples()))
+	assignment := c.assignEngine(now, e.Request)
+	if assignment.GetVerdict() == wirepb.GateAssignment_ABSENT && peer.holdingsSent != c.leader.holdingChanges.Revision() {
+		// The entry asks since it believes that an engine holds the model.
+		c.sendState(now, e.Host, peer, answer{})
+	}
 	c.emit(SendAssignment{
 		Host:       e.Host,
-		Assignment: c.assignEngine(now, e.Request),
+		Assignment: assignment,
 	})
 }
 
--- a/internal/gate/assignment_test.go
+++ b/internal/gate/assignment_test.go
@@ -172,6 +172,7 @@
 	for range 20 {
 		h.core.leader.planner.RecordDemand(h.now, "llm", modelArtifact("big"), 200*time.Millisecond)
 	}
+	h.advance(minPlanInterval)
 	order, ok := findEffect[SendOrder](h.apply(EngineReported{Engine: "llm-2", SentAt: h.now, Report: &empty}))
 	if !ok || order.Order.Model != "big" {
 		t.Fatalf("no second copy was ordered: %+v", order)
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -6,6 +6,7 @@
 
 	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/pick"
+	"dogwoodfold/internal/since"
 	"dogwoodfold/internal/topo"
 )
 
@@ -58,8 +59,15 @@
 	registryRestoredAt time.Time
 
 	endpoints map[string]*endpoint
-	// lastRevision counts changes to endpoints.
-	lastRevision uint64
+	// endpointList holds the same endpoints in order, plainEndpoints those of them that
+	// are no engines according to plainConfig. Both are nil if they must be determined
+	// anew.
+	endpointList   []*endpoint
+	plainEndpoints []*endpoint
+	plainConfig    *topo.Config
+	// endpointChanges are the changes to endpoints, including removals, that must be
+	// sent to other entries.
+	endpointChanges *since.Log[string]
 	// limitRevision counts changes to limits of endpoints.
 	limitRevision uint64
 	// earlyLimits are limits of endpoints that this entry doesn't know yet.
@@ -114,6 +122,7 @@
 		settings:         settings,
 		random:           random,
 		endpoints:        make(map[string]*endpoint),
+		endpointChanges:  since.New[string](),
 		missingUntil:     make(map[string]time.Time),
 		leaving:          make(map[string]leavingEndpoint),
 		departed:         make(map[string]departedEndpoint),
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -11,15 +11,20 @@
 	"dogwoodfold/internal/pick"
 	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/rate"
+	"dogwoodfold/internal/since"
 	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire/wirepb"
 )
 
 const (
-	// planInterval is the time between two regular plans; some events trigger
-	// an earlier one.
-	planInterval = 200 * time.Millisecond
+	// planInterval is the time between two regular plans, minPlanInterval the least
+	// time between two plans if something calls for one.
+	planInterval    = 20 * time.Millisecond
+	minPlanInterval = 4 * time.Millisecond
+	// missMemory is how long an entry that waits for a model or adapter is told at once
+	// when an engine has it.
+	missMemory = time.Second
 	// peerGracePeriod is how long a disconnected entry keeps its standing
 	// share.
 	peerGracePeriod = 3 * time.Second
@@ -31,10 +36,17 @@
 	lastSeen     time.Time
 	lastSequence uint64
 	loads        map[string]pick.Load
-	// sentHoldings are the engines whose current holdings the entry has been
-	// sent, sentRevisions the endpoint revisions that it has been sent.
-	sentHoldings  map[string]bool
-	sentRevisions map[string]uint64
+	// endpointsSent, holdingsSent and arrivalsSent are the revisions of the endpoints,
+	// of the engines' holdings and of the loads in progress that the entry has been sent.
+	endpointsSent uint64
+	holdingsSent  uint64
+	arrivalsSent  uint64
+	// withheld are endpoints that the entry was not sent because their records were
+	// missing.
+	withheld map[string]bool
+	// misses are the artifacts for which the entry's requests wait, and when it last
+	// said so.
+	misses map[serviceArtifact]time.Time
 	// startsSent is the number of the last stream of the leader's own that the
 	// entry has been sent.
 	startsSent uint64
@@ -44,16 +56,38 @@
 	limitsSent uint64
 }
 
+// serviceArtifact is a model or adapter of a service.
+type serviceArtifact struct {
+	service string
+	stock.Artifact
+}
+
+func newPeer(now time.Time, connected bool) *peer {
+	return &peer{
+		connected: connected,
+		lastSeen:  now,
+		loads:     make(map[string]pick.Load),
+		withheld:  make(map[string]bool),
+		misses:    make(map[serviceArtifact]time.Time),
+	}
+}
+
 // leader is the state of an entry while it leads.
 type leader struct {
 	// renewedAt is when the newest acknowledged lease record was sent.
 	renewedAt time.Time
 	members   []lease.Member
+	// shares are the members' shares by host.
+	shares map[string]float64
 	// loads are the sums of the loads of all other entries, by endpoint.
 	loads     map[string]pick.Load
 	allotment *rate.Allotment
 	pools     map[string]*rate.Bucket
 	planner   *stock.Planner
+	// holdingChanges are the engines whose holdings have changed, holdings the messages
+	// about them.
+	holdingChanges *since.Log[string]
+	holdings       map[string]*wirepb.GateHolding
 	// prefillShares limit the fraction of time that the engines of a service
 	// may spend on prefill.
 	prefillShares map[string]*pacer.PrefillShare
@@ -65,8 +99,11 @@
 	spreadSoon bool
 	// limitsSent is the revision of the limits of which the other entries were told.
 	limitsSent uint64
-	planSoon   bool
-	plannedAt  time.Time
+	// planSoon is true if something has happened since plannedAt that may call for
+	// orders. planScheduled is true if a Tick is scheduled for the next plan.
+	planSoon      bool
+	planScheduled bool
+	plannedAt     time.Time
 }
 
 // isLeader reports whether this entry holds the lease and has started leading.
@@ -88,9 +125,12 @@
 		planner:       stock.NewPlanner(now, plannerSettings, first),
 		prefillShares: make(map[string]*pacer.PrefillShare),
 		trials:        make(map[poison.Part]trial),
+
+		shares:         shares,
+		holdingChanges: since.New[string](),
+		holdings:       make(map[string]*wirepb.GateHolding),
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-		ep := c.endpoints[id]
+	for _, ep := range c.sortedEndpoints() {
 		c.updatePlannerEndpoint(now, ep)
 		if ep.limit.limited() {
 			// The leader before may just have let a request through.
@@ -101,15 +141,14 @@
 		// Members of the previous term that have not connected yet keep their
 		// shares until their grace period ends.
 		if m.Host != c.settings.Host && c.peers[m.Host] == nil {
-			c.peers[m.Host] = &peer{lastSeen: now}
+			c.peers[m.Host] = newPeer(now, false)
 		}
 	}
-	for _, peer := range c.peers {
-		peer.loads = make(map[string]pick.Load)
-		peer.sentHoldings = make(map[string]bool)
-		peer.sentRevisions = make(map[string]uint64)
-		peer.poisonSent = 0
-		peer.limitsSent = 0
+	for host, known := range c.peers {
+		fresh := newPeer(known.lastSeen, known.connected)
+		fresh.lastSequence = known.lastSequence
+		fresh.startsSent = known.startsSent
+		c.peers[host] = fresh
 	}
 	c.logChange("became leader", c.settings.Host, "", 0)
 }
@@ -163,13 +202,7 @@
 	if peer := c.peers[host]; peer != nil {
 		c.clearPeerLoads(peer)
 	}
-	c.peers[host] = &peer{
-		connected:     true,
-		lastSeen:      now,
-		loads:         make(map[string]pick.Load),
-		sentHoldings:  make(map[string]bool),
-		sentRevisions: make(map[string]uint64),
-	}
+	c.peers[host] = newPeer(now, true)
 	c.logChange("peer connected", host, "", 0)
 }
 
@@ -196,7 +229,7 @@
 	}
 	c.leader.replaceLoads(peer, e.Report.GetLoads())
 	for _, d := range e.Report.GetDemands() {
-		c.applyDemand(now, d)
+		c.applyDemand(now, peer, d)
 	}
 	for _, s := range e.Report.GetStreams() {
 		if ep := c.endpoints[s.GetEndpoint()]; ep != nil {
@@ -220,7 +253,7 @@
 		}
 		grants = append(grants, grant)
 	}
-	c.plan(now)
+	c.planIfDue(now)
 	c.sendState(now, e.Host, peer, answer{
 		grants:  grants,
 		permits: c.grantPermits(now, e.Report.GetPermitRequests()),
@@ -240,7 +273,7 @@
 	return c.config.Customers[name]
 }
 
-func (c *Core) applyDemand(now time.Time, demand *wirepb.GateDemand) {
+func (c *Core) applyDemand(now time.Time, peer *peer, demand *wirepb.GateDemand) {
 	artifact := stock.Artifact{
 		Model:   demand.GetModel(),
 		Adapter: demand.GetAdapter(),
@@ -250,15 +283,20 @@
 			Artifact:        artifact,
 			SoftwareVersion: demand.GetSoftwareVersion(),
 		})
+		peer.misses[serviceArtifact{
+			service:  demand.GetService(),
+			Artifact: artifact,
+		}] = now
 		c.leader.planSoon = true
 		return
 	}
 	c.leader.planner.RecordDemand(now, demand.GetService(), artifact, time.Duration(demand.GetWorkUs())*time.Microsecond)
 }
 
-// sendState sends an entry the leader's state. Holdings and endpoints that the
-// entry has already been sent are left out.
+// sendState sends an entry the leader's state. What the entry has already been sent is
+// left out, so that the cost depends on what has changed and not on the size of the fleet.
 func (c *Core) sendState(now time.Time, host string, peer *peer, a answer) {
+	c.collectHoldings(now)
 	state := &wirepb.GateState{
 		Echo:      peer.lastSequence,
 		AgeUs:     uint64(now.Sub(c.leader.renewedAt).Microseconds()),
@@ -272,27 +310,30 @@
 	state.Poison = poison.Encode(now, c.crashes.log.Since(peer.poisonSent))
 	peer.poisonSent = c.crashes.log.Revision()
 	peer.limitsSent = c.limitRevision
-	for _, m := range c.leader.members {
-		if m.Host == host {
-			state.Shares = append(state.Shares, &wirepb.GateShare{
-				Host:  m.Host,
-				Share: m.Share,
-			})
-		}
+	if share, member := c.leader.shares[host]; member {
+		state.Shares = append(state.Shares, &wirepb.GateShare{
+			Host:  host,
+			Share: share,
+		})
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-		engine := c.engineSpec(c.endpoints[id]) != nil
-		if load := c.loadFromOthers(id, host); !engine && load.Running > 0 {
-			// Loads of engines are not sent, because the leader assigns
-			// engines.
-			state.Loads = append(state.Loads, encodeLoad(id, load))
+	for _, ep := range c.sortedPlainEndpoints() {
+		// Loads of engines are not sent, because the leader assigns engines.
+		if load := c.loadFromOthers(ep.ID, host); load.Running > 0 {
+			state.Loads = append(state.Loads, encodeLoad(ep.ID, load))
 		}
-		if engine && !peer.sentHoldings[id] {
-			peer.sentHoldings[id] = true
-			state.Holdings = append(state.Holdings, encodeHolding(id, c.leader.planner.Servable(id)))
+	}
+	for _, id := range c.leader.holdingChanges.After(peer.holdingsSent) {
+		if c.endpoints[id] != nil {
+			state.Holdings = append(state.Holdings, c.leader.holdings[id])
 		}
 	}
-	state.Arrivals = c.encodeArrivals(now)
+	peer.holdingsSent = c.leader.holdingChanges.Revision()
+	if revision := c.loadRevision(); peer.arrivalsSent == revision {
+		state.ArrivalsUnchanged = true
+	} else {
+		peer.arrivalsSent = revision
+		state.Arrivals = c.encodeArrivals(now)
+	}
 	c.encodeRelay(now, peer, state)
 	c.emit(SendState{
 		Host:  host,
@@ -311,6 +352,16 @@
 	return out
 }
 
+// loadRevision returns a number that increases whenever the expected ends of loads
+// change.
+func (c *Core) loadRevision() uint64 {
+	revision := uint64(1)
+	for _, service := range c.engineServices() {
+		revision += c.leader.planner.LoadRevision(service)
+	}
+	return revision
+}
+
 func (c *Core) encodeArrivals(now time.Time) []*wirepb.GateArrival {
 	var out []*wirepb.GateArrival
 	for _, service := range c.engineServices() {
@@ -372,8 +423,25 @@
 		c.leader.spreadSoon = false
 		c.sendStates(now)
 	}
-	if c.leader.planSoon || now.Sub(c.leader.plannedAt) >= planInterval {
+	c.leader.planScheduled = false
+	c.planIfDue(now)
+}
+
+// planIfDue plans unless the last plan was too short a time ago. What may call for
+// orders waits for the next plan, so that plans take a bounded part of the time, however
+// many events there are.
+func (c *Core) planIfDue(now time.Time) {
+	interval := planInterval
+	if c.leader.planSoon {
+		interval = minPlanInterval
+	}
+	wait := c.leader.plannedAt.Add(interval).Sub(now)
+	switch {
+	case wait <= 0:
 		c.plan(now)
+	case c.leader.planSoon && !c.leader.planScheduled:
+		c.leader.planScheduled = true
+		c.emit(ScheduleTick{After: wait})
 	}
 }
 
@@ -385,8 +453,7 @@
 	}
 	c.leader.planSoon = false
 	c.leader.plannedAt = now
-	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-		ep := c.endpoints[id]
+	for id, ep := range c.endpoints {
 		c.leader.planner.SetRunning(id, ep.stats.Load(now).Running)
 		c.leader.planner.SetLimited(id, ep.limit.limited())
 	}
@@ -415,33 +482,74 @@
 	c.publishHoldings(now)
 }
 
-// publishHoldings distributes changed holdings of engines to all entries,
-// including this one.
-func (c *Core) publishHoldings(now time.Time) {
+// collectHoldings applies the changes of engines' holdings since the last call to this
+// entry, and returns the engines whose holdings have changed.
+func (c *Core) collectHoldings(now time.Time) []string {
 	changed := c.leader.planner.TakeChanged()
+	for _, id := range changed {
+		ep := c.endpoints[id]
+		if ep == nil {
+			c.leader.holdingChanges.Forget(id)
+			delete(c.leader.holdings, id)
+			continue
+		}
+		servable := c.leader.planner.Servable(id)
+		c.leader.holdingChanges.Record(id)
+		c.leader.holdings[id] = encodeHolding(id, servable)
+		c.setLeaderHoldings(now, ep, servable)
+	}
+	return changed
+}
+
+// publishHoldings sends changed holdings of engines to the entries whose requests wait
+// for them. The others learn of them with the next state.
+func (c *Core) publishHoldings(now time.Time) {
+	changed := c.collectHoldings(now)
 	if len(changed) == 0 {
 		return
 	}
+	available := make(map[serviceArtifact]bool)
 	for _, id := range changed {
 		if ep := c.endpoints[id]; ep != nil {
-			c.setLeaderHoldings(now, ep, c.leader.planner.Servable(id))
+			addArtifacts(available, ep.Service, ep.leaderHoldings)
 		}
 	}
 	for _, host := range slices.Sorted(maps.Keys(c.peers)) {
 		peer := c.peers[host]
-		if !peer.connected {
-			continue
-		}
-		for _, id := range changed {
-			delete(peer.sentHoldings, id)
-		}
-		if peer.lastSequence > 0 {
+		if peer.connected && peer.lastSequence > 0 && peer.waitsForAny(now, available) {
 			c.sendState(now, host, peer, answer{})
 		}
 	}
 	c.retryParked(now)
 }
 
+// addArtifacts adds the models and adapters of holdings to a set.
+func addArtifacts(set map[serviceArtifact]bool, service string, holdings []topo.Holding) {
+	for _, h := range holdings {
+		a := serviceArtifact{
+			service:  service,
+			Artifact: stock.Artifact{Model: h.Model},
+		}
+		set[a] = true
+		for _, adapter := range h.Adapters {
+			a.Adapter = adapter
+			set[a] = true
+		}
+	}
+}
+
+// waitsForAny reports whether the entry waits for any artifact of a set, and forgets
+// those for which it no longer waits.
+func (p *peer) waitsForAny(now time.Time, available map[serviceArtifact]bool) bool {
+	maps.DeleteFunc(p.misses, func(_ serviceArtifact, at time.Time) bool { return now.Sub(at) > missMemory })
+	for a := range p.misses {
+		if available[a] {
+			return true
+		}
+	}
+	return false
+}
+
 // handleOrderAnswered passes the outcome of an order to the planner.
 func (c *Core) handleOrderAnswered(now time.Time, e OrderAnswered) {
 	if c.leader == nil {
@@ -452,7 +560,7 @@
 		c.emit(ScheduleTick{After: c.leader.planner.RemainingTime(now, e.Order.Engine)})
 	}
 	c.leader.planSoon = true
-	c.plan(now)
+	c.planIfDue(now)
 }
 
 // handleEngineReported passes an engine's report to the planner.
@@ -461,5 +569,6 @@
 		return
 	}
 	c.leader.planner.HandleReport(now, e.SentAt, e.Engine, *e.Report)
-	c.plan(now)
+	c.leader.planSoon = true
+	c.planIfDue(now)
 }
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -218,6 +218,10 @@
 	}
 	c.leader.renewedAt = sentAt
 	c.leader.members = record.Members
+	clear(c.leader.shares)
+	for _, m := range record.Members {
+		c.leader.shares[m.Host] = m.Share
+	}
 	c.applyShare(now, record.Members, sentAt)
 	if c.config != nil {
 		c.leader.updatePools(now, c.config)
--- a/internal/gate/leaving.go
+++ b/internal/gate/leaving.go
@@ -55,7 +55,13 @@
 // recordDeparture remembers the last record of an endpoint that is removed. It may be
 // back, if only its record was.
 func (c *Core) recordDeparture(now time.Time, ep *endpoint) {
-	maps.DeleteFunc(c.departed, func(_ string, d departedEndpoint) bool { return now.Sub(d.at) > leavingMemory })
+	maps.DeleteFunc(c.departed, func(id string, d departedEndpoint) bool {
+		expired := now.Sub(d.at) > leavingMemory
+		if expired && c.endpoints[id] == nil {
+			c.endpointChanges.Forget(id)
+		}
+		return expired
+	})
 	c.departed[ep.ID] = departedEndpoint{
 		record: ep.Endpoint,
 		limit:  ep.limit,
--- a/internal/gate/limits.go
+++ b/internal/gate/limits.go
@@ -272,13 +272,12 @@
 		return nil
 	}
 	var out []*wirepb.GateLimit
-	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-		ep := c.endpoints[id]
+	for _, ep := range c.sortedEndpoints() {
 		if ep.limit.revision <= revision {
 			continue
 		}
 		out = append(out, &wirepb.GateLimit{
-			Endpoint:  id,
+			Endpoint:  ep.ID,
 			Born:      ep.Incarnation,
 			PerSecond: ep.limit.perSecond,
 			AgeUs:     wirepb.AgeMicroseconds(now, ep.limit.at),
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -1,8 +1,6 @@
 package gate
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"dogwoodfold/internal/pick"
@@ -12,9 +10,9 @@
 // encodeOwnLoads returns the load of this entry's requests on each endpoint.
 func (c *Core) encodeOwnLoads() []*wirepb.GateLoad {
 	var out []*wirepb.GateLoad
-	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-		if load := c.endpoints[id].stats.Local; load.Running > 0 {
-			out = append(out, encodeLoad(id, load))
+	for _, ep := range c.sortedEndpoints() {
+		if load := ep.stats.Local; load.Running > 0 {
+			out = append(out, encodeLoad(ep.ID, load))
 		}
 	}
 	return out
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -202,7 +202,8 @@
 	} else if !c.leaderStateCurrent(now) {
 		return time.Time{}, false
 	}
-	return stock.FirstLoad(etas, call.request.Model, call.softwareVersion)
+	eta, loading := stock.FirstLoad(etas, call.request.Model, call.softwareVersion)
+	return latest(eta, now), loading
 }
 
 // reportIfDue sends the regular report to the leader.
@@ -320,7 +321,9 @@
 	c.applyPermits(now, state.GetPermits())
 	c.applyLoads(now, state.GetLoads())
 	c.applyHoldings(now, state.GetHoldings())
-	c.applyArrivals(now, state.GetArrivals())
+	if !state.GetArrivalsUnchanged() {
+		c.applyArrivals(now, state.GetArrivals())
+	}
 	for _, g := range state.GetGrants() {
 		if quota := c.quotas[g.GetCustomer()]; quota != nil {
 			c.handleGrant(now, quota, g.GetAmount())
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -110,31 +110,41 @@
 	}
 	state.ConfigAgeUs = uint64(now.Sub(c.configConfirmedAt).Microseconds())
 	state.RegistryAgeUs = uint64(c.relayedRegistryAge(now).Microseconds())
-	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-		ep := c.endpoints[id]
-		if _, missing := c.missingUntil[id]; missing || peer.sentRevisions[id] == ep.revision {
-			continue
+	changed := c.endpointChanges.After(peer.endpointsSent)
+	for id := range peer.withheld {
+		if _, missing := c.missingUntil[id]; !missing && !slices.Contains(changed, id) {
+			changed = append(changed, id)
 		}
-		peer.sentRevisions[id] = ep.revision
-		state.Endpoints = append(state.Endpoints, &wirepb.GateEndpoint{
-			Id:              id,
-			Service:         ep.Service,
-			Address:         ep.Address.String(),
-			Zone:            ep.Zone,
-			Slots:           uint32(ep.Slots),
-			Born:            ep.Incarnation,
-			Sequence:        ep.Sequence,
-			Draining:        ep.Draining,
-			ColdUs:          uint64(max(ep.coldUntil.Sub(now), 0).Microseconds()),
-			SoftwareVersion: ep.SoftwareVersion,
-		})
 	}
-	for _, id := range slices.Sorted(maps.Keys(peer.sentRevisions)) {
-		if c.endpoints[id] == nil {
-			delete(peer.sentRevisions, id)
+	for _, id := range changed {
+		delete(peer.withheld, id)
+		_, missing := c.missingUntil[id]
+		ep := c.endpoints[id]
+		switch {
+		case missing:
+			peer.withheld[id] = true
+		case ep != nil:
+			state.Endpoints = append(state.Endpoints, encodeEndpoint(now, ep))
+		case peer.endpointsSent > 0:
 			state.Gone = append(state.Gone, id)
 		}
 	}
+	peer.endpointsSent = c.endpointChanges.Revision()
+}
+
+func encodeEndpoint(now time.Time, ep *endpoint) *wirepb.GateEndpoint {
+	return &wirepb.GateEndpoint{
+		Id:              ep.ID,
+		Service:         ep.Service,
+		Address:         ep.Address.String(),
+		Zone:            ep.Zone,
+		Slots:           uint32(ep.Slots),
+		Born:            ep.Incarnation,
+		Sequence:        ep.Sequence,
+		Draining:        ep.Draining,
+		ColdUs:          uint64(max(ep.coldUntil.Sub(now), 0).Microseconds()),
+		SoftwareVersion: ep.SoftwareVersion,
+	}
 }
 
 // relayedRegistryAge returns the age of this entry's registry data as sent to
--- a/internal/gate/scale_test.go
+++ b/internal/gate/scale_test.go
@@ -277,3 +277,106 @@
 		})
 	}
 }
+
+// Pattern: many entries miss a model at the same time. The leader must not plan for each
+// of them, but soon after the first one.
+func TestPlansDoNotMultiplyWithEvents(t *testing.T) {
+	h := newLeaderHarness(t)
+	h.advance(time.Second)
+	plans := 0
+	last := h.core.leader.plannedAt
+	for i := range 200 {
+		host := entryName(i)
+		h.apply(PeerConnected{Host: host})
+		h.apply(ReportReceived{Host: host, Report: &wirepb.GateReport{
+			Sequence: 1,
+			Demands:  []*wirepb.GateDemand{{Service: "llm", Model: "small", Missing: true}},
+		}})
+		if at := h.core.leader.plannedAt; at != last {
+			plans++
+			last = at
+		}
+		h.advance(minPlanInterval / 20)
+	}
+	if plans < 2 || plans > 11 {
+		t.Errorf("%d plans in %v, want 2 to 11", plans, 10*minPlanInterval)
+	}
+}
+
+// Pattern: a miss just after a plan. The next plan must be scheduled, not left to the
+// next regular event.
+func TestPlanIsScheduledForMissAfterPlan(t *testing.T) {
+	h := newLeaderHarness(t)
+	h.apply(PeerConnected{Host: "front-2"})
+	h.advance(time.Second)
+	h.receiveReport(&wirepb.GateReport{Sequence: 1})
+	effects := h.receiveReport(&wirepb.GateReport{
+		Sequence: 2,
+		Demands:  []*wirepb.GateDemand{{Service: "llm", Model: "small", Missing: true}},
+	})
+	tick, scheduled := findEffect[ScheduleTick](effects)
+	if !scheduled || tick.After > minPlanInterval {
+		t.Fatalf("scheduled %v after %v, want a plan within %v", scheduled, tick.After, minPlanInterval)
+	}
+	h.advance(tick.After)
+	h.apply(Tick{})
+	if h.core.leader.plannedAt != h.now {
+		t.Error("the scheduled tick didn't plan")
+	}
+}
+
+// Pattern: a large fleet at rest. What the leader does for an entry's report must not grow
+// with the number of endpoints that haven't changed.
+func TestStateCostDoesNotGrowWithFleet(t *testing.T) {
+	allocations := func(engines int) float64 {
+		h := newLeaderHarness(t)
+		for i := range engines {
+			h.endpoints(testEndpoint(engineName(i), "llm", topo.Holding{Model: "big"}))
+		}
+		h.apply(PeerConnected{Host: "front-2"})
+		h.receiveReport(&wirepb.GateReport{Sequence: 1})
+		sequence := uint64(1)
+		return testing.AllocsPerRun(50, func() {
+			sequence++
+			h.core.Apply(h.now, ReportReceived{Host: "front-2", Report: &wirepb.GateReport{Sequence: sequence}})
+		})
+	}
+	if few, many := allocations(10), allocations(1000); many > few {
+		t.Errorf("%v allocations for a report with 1,000 engines, %v with 10", many, few)
+	}
+}
+
+// An engine has loaded an adapter: only the entries that wait for it are told at once, the
+// others with the answers to their next reports.
+func TestOnlyWaitingEntriesAreToldOfHoldings(t *testing.T) {
+	h := newLeaderHarness(t)
+	h.apply(EngineReported{Engine: "llm-1", SentAt: h.now, Report: &stock.Report{Holdings: []topo.Holding{{Model: "big"}, {Model: "small"}}}})
+	for _, host := range []string{"front-2", "front-3"} {
+		h.apply(PeerConnected{Host: host})
+		h.apply(ReportReceived{Host: host, Report: &wirepb.GateReport{Sequence: 1}})
+	}
+	h.advance(time.Second)
+	order, ok := findEffect[SendOrder](h.receiveReport(&wirepb.GateReport{
+		Sequence: 2,
+		Demands:  []*wirepb.GateDemand{{Service: "llm", Model: "big", Adapter: "a1", Missing: true}},
+	}))
+	if !ok {
+		t.Fatal("the adapter was not ordered")
+	}
+	h.apply(OrderAnswered{Order: order.Order, Outcome: stock.Accepted})
+	h.advance(100 * time.Millisecond)
+	told := map[string]bool{}
+	for _, e := range h.apply(Tick{}) {
+		if state, ok := e.(SendState); ok {
+			told[state.Host] = true
+		}
+	}
+	if !told["front-2"] || told["front-3"] {
+		t.Errorf("told %v, want front-2, which waits", told)
+	}
+	effects := h.apply(ReportReceived{Host: "front-3", Report: &wirepb.GateReport{Sequence: 2}})
+	state, _ := findEffect[SendState](effects)
+	if n := len(state.State.GetHoldings()); n != 1 {
+		t.Errorf("front-3 is told of %d engines with its next report, want 1", n)
+	}
+}
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -1,8 +1,6 @@
 package gate
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"dogwoodfold/internal/pick"
@@ -18,8 +16,8 @@
 	now time.Time, call *activeCall, service *topo.Service,
 ) (endpoints []*endpoint, out []pick.Candidate, limited []*endpoint) {
 	leaderCurrent := c.leaderStateCurrent(now)
-	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
-		ep := c.endpoints[id]
+	for _, ep := range c.sortedEndpoints() {
+		id := ep.ID
 		if ep.Service != call.service || ep.Draining || !call.acceptsVersion(ep.SoftwareVersion) {
 			continue
 		}
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -328,6 +328,7 @@
 	if _, refused := findEffect[Refuse](effects); refused {
 		t.Fatalf("the stream was refused: %+v", effects)
 	}
+	h.advance(minPlanInterval)
 	order, ordered := findEffect[SendOrder](append(effects, h.apply(Tick{})...))
 	if !ordered || order.Order.Engine != "llm-2" || order.Order.Adapter != "a1" {
 		t.Fatalf("ordered %+v, want the adapter at llm-2", order.Order)
