Let a leader's states stand for its renewals, so that followers leave the store alone

Calls grew with the number of entries, whoever led. Change: a state tells when the leader renewed its term; a follower waits the term out from then. It still reads the log before it appends, when its leader is silent.

--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -306,6 +306,7 @@
 	}
 	c.handleUnrenewed(now, state.GetUnrenewed())
 	confirmedAt := sentAt.Add(-time.Duration(state.GetAgeUs()) * time.Microsecond)
+	c.lease.HolderRenewed(e.Host, confirmedAt)
 	members := make([]lease.Member, 0, len(state.GetShares()))
 	for _, share := range state.GetShares() {
 		members = append(members, lease.Member{
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -76,8 +76,10 @@
 	era int64
 	// logEnd is the highest end offset of the log that is known in its era.
 	logEnd int64
-	// seenAt is when the newest record or a new era was first seen.
-	seenAt time.Time
+	// seenAt is when the newest record or a new era was first seen, renewedAt when the
+	// holder of that record renewed its term last, according to itself.
+	seenAt    time.Time
+	renewedAt time.Time
 	// lastRenewal is the number of this entry's last record, sentTimes holds when
 	// its records were sent.
 	lastRenewal uint64
@@ -142,6 +144,15 @@
 	}
 }
 
+// HolderRenewed records that the holder of the newest record has told that it renewed its
+// term at some time, or later. Only its term ends later by that: the offset at which its
+// records end is not known.
+func (l *Lease) HolderRenewed(host string, at time.Time) {
+	if l.hasRecord && l.record.Host == host && at.After(l.renewedAt) {
+		l.renewedAt = at
+	}
+}
+
 // OrdersUntil returns the time until which this entry may issue orders.
 func (l *Lease) OrdersUntil() time.Time { return l.heldUntil.Add(-l.timing.QuietPeriod) }
 
@@ -194,6 +205,9 @@
 	if !read.Exists {
 		return
 	}
+	if record.Host != l.record.Host || record.Incarnation != l.record.Incarnation {
+		l.renewedAt = time.Time{}
+	}
 	l.hasRecord = true
 	l.record = record
 	l.confirm(record)
@@ -242,8 +256,9 @@
 
 // available reports whether no other host can be holding the lease.
 func (l *Lease) available(now time.Time) bool {
+	termEnd := l.seenAt.Add(l.timing.Duration + l.timing.Margin)
 	if l.Stale() {
-		return !now.Before(l.seenAt.Add(l.timing.Duration + l.timing.Margin))
+		return !now.Before(termEnd)
 	}
 	if !l.hasRecord || l.record.Host == l.host {
 		return true
@@ -251,7 +266,10 @@
 	if l.record.Released || l.resigned() {
 		return true
 	}
-	return !now.Before(l.seenAt.Add(l.timing.Duration + l.timing.Margin))
+	if renewedEnd := l.renewedAt.Add(l.timing.Duration + l.timing.Margin); renewedEnd.After(termEnd) {
+		termEnd = renewedEnd
+	}
+	return !now.Before(termEnd)
 }
 
 // resigned reports whether the holder of the newest record has ended its term.
