Tell an entry at the start of a session which endpoints have gone

Cause, found by reading, in the class of what has left and is in use again: an entry that has lost its leader for less than 1.3 s doesn't read the registry itself. The states of the next session named only endpoints that were there, so one that was removed in between stayed in use for as long as that leader led. Change: the first state of a session without missing records lists all endpoints and says so (GateState.endpoints_complete); the entry drops the others, if the leader's read is newer than its own knowledge. Tests: TestEndpointRemovedBetweenSessionsIsForgotten (failed before); TestListWithMissingRecordsRemovesNothing.

--- a/internal/gate/follow_test.go
+++ b/internal/gate/follow_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire/wirepb"
 )
 
@@ -63,3 +64,54 @@
 	}
 	t.Error("nobody took over from a leader that has been silent for 8 s")
 }
+
+// Pattern: an endpoint is removed while an entry has no session to a leader, for so short a
+// time that the entry doesn't read the registry itself. The first state of its next session
+// must tell it that the endpoint is gone.
+func TestEndpointRemovedBetweenSessionsIsForgotten(t *testing.T) {
+	leader := newLeaderHarness(t)
+	leader.apply(PeerConnected{Host: "front-3"})
+	follower := newFollowerHarness(t)
+	pass := func() {
+		follower.advance(reportInterval)
+		leader.now = follower.now
+		for _, e := range follower.apply(Tick{}) {
+			report, ok := e.(SendReport)
+			if !ok {
+				continue
+			}
+			for _, reply := range leader.apply(ReportReceived{Host: "front-3", Report: report.Report}) {
+				if state, ok := reply.(SendState); ok {
+					follower.apply(StateReceived{Host: "front-2", State: state.State})
+				}
+			}
+		}
+	}
+	pass()
+	follower.apply(LeaderDisconnected{Host: "front-2"})
+	leader.apply(PeerDisconnected{Host: "front-3"})
+	leader.apply(EndpointsRead{SentAt: leader.now, Changes: []topo.EndpointChange{{ID: "shop-2"}}})
+	leader.apply(PeerConnected{Host: "front-3"})
+	follower.apply(LeaderConnected{Host: "front-2"})
+	pass()
+	if follower.core.endpoints["shop-2"] != nil {
+		t.Error("the follower still uses an endpoint that was removed between its sessions")
+	}
+	if follower.core.endpoints["shop-1"] == nil || follower.core.endpoints["llm-1"] == nil {
+		t.Error("the follower has forgotten endpoints that are registered")
+	}
+}
+
+// While the leader keeps endpoints whose records may have expired in an outage, its list
+// doesn't tell which endpoints are gone.
+func TestListWithMissingRecordsRemovesNothing(t *testing.T) {
+	h := newFollowerHarness(t)
+	h.advance(reportInterval)
+	h.apply(Tick{})
+	h.receiveState(&wirepb.GateState{Endpoints: []*wirepb.GateEndpoint{
+		{Id: "shop-1", Service: "shop", Address: "10.1.0.1:80", Zone: "a", Slots: 8, Born: 1, Sequence: 1},
+	}})
+	if h.core.endpoints["shop-2"] == nil {
+		t.Error("an endpoint was removed by a list that isn't complete")
+	}
+}
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -41,6 +41,8 @@
 	endpointsSent uint64
 	holdingsSent  uint64
 	arrivalsSent  uint64
+	// endpointsComplete is true once the entry was sent all endpoints in one state.
+	endpointsComplete bool
 	// withheld are endpoints that the entry was not sent because their records were
 	// missing.
 	withheld map[string]bool
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -56,11 +56,27 @@
 	registryConfirmedAt := sentAt.Add(-time.Duration(state.GetRegistryAgeUs()) * time.Microsecond)
 	c.storeRelay.registryConfirmedAt = registryConfirmedAt
 	if registryConfirmedAt.After(c.registryConfirmedAt) {
+		if state.GetEndpointsComplete() {
+			c.removeUnlisted(now, state.GetEndpoints())
+		}
 		c.registryConfirmedAt = registryConfirmedAt
 	}
 	c.updateStoreWatch(now)
 }
 
+// removeUnlisted removes the endpoints that are not in a complete list.
+func (c *Core) removeUnlisted(now time.Time, endpoints []*wirepb.GateEndpoint) {
+	listed := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		listed[e.GetId()] = true
+	}
+	for _, ep := range c.sortedEndpoints() {
+		if !listed[ep.ID] {
+			c.removeEndpoint(now, ep.ID)
+		}
+	}
+}
+
 // updateStoreWatch starts reading the store when the leader's reads are too
 // old, and stops when they are recent enough.
 func (c *Core) updateStoreWatch(now time.Time) {
@@ -110,6 +126,17 @@
 	}
 	state.ConfigAgeUs = uint64(now.Sub(c.configConfirmedAt).Microseconds())
 	state.RegistryAgeUs = uint64(c.relayedRegistryAge(now).Microseconds())
+	if !peer.endpointsComplete && len(c.missingUntil) == 0 {
+		// What was removed before the session began is not among the changes.
+		peer.endpointsComplete = true
+		peer.endpointsSent = c.endpointChanges.Revision()
+		clear(peer.withheld)
+		state.EndpointsComplete = true
+		for _, ep := range c.sortedEndpoints() {
+			state.Endpoints = append(state.Endpoints, encodeEndpoint(now, ep))
+		}
+		return
+	}
 	changed := c.endpointChanges.After(peer.endpointsSent)
 	for id := range peer.withheld {
 		if _, missing := c.missingUntil[id]; !missing && !slices.Contains(changed, id) {
