Keep the quiet period of a new leader across a restart of its process

Cause: a leader that follows one that released or resigned its term waits before its first order. If its process restarted in that time, the new one found a lease of its own host and gave orders at once, 700 ms after those of the other machine in the failing schedule. Change: a record tells how long its holder must still wait (quietMs); processes on the same host obey it. An entry of an older build writes none, so beside it the fault remains.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -28,6 +28,9 @@
 	// Term is the fencing token of the term. It grows with the era of the log and
 	// the offset of the first record of the term.
 	Term int64 `json:"term"`
+	// QuietMs is how long the holder must still issue no orders, in milliseconds, because
+	// of those of an earlier holder. It also binds later processes on its host.
+	QuietMs int64 `json:"quietMs,omitempty"`
 	// Released is true in the last record of a holder that shuts down.
 	Released bool     `json:"released,omitempty"`
 	Members  []Member `json:"members"`
@@ -281,8 +284,10 @@
 // of the orders of an earlier holder.
 func (l *Lease) quietUntil() time.Time {
 	switch {
-	case l.Stale() || !l.hasRecord || l.record.Host == l.host:
+	case l.Stale() || !l.hasRecord:
 		return time.Time{}
+	case l.record.Host == l.host:
+		return l.seenAt.Add(time.Duration(l.record.QuietMs) * time.Millisecond)
 	case l.record.Released:
 		return l.seenAt.Add(l.timing.QuietPeriod + l.timing.Margin)
 	case l.resigned():
@@ -308,6 +313,7 @@
 		Renewal:     l.lastRenewal,
 		PeerAddr:    l.peerAddr,
 		Era:         l.era,
+		QuietMs:     max(l.ordersFrom.Sub(now), 0).Milliseconds(),
 		Released:    release,
 		Members:     members,
 		Term:        l.term,
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -202,25 +202,30 @@
 }
 
 // TestOrdersOfTwoHoldersAreSeparated checks that at most one entry holds the lease and
-// that the orders of two holders are at least a quiet period apart. Entries freeze and
-// resign; their appends are acknowledged late, lost or executed late; the log is
+// that the orders of two holders are at least a quiet period apart. Entries freeze,
+// restart and resign; their appends are acknowledged late, lost or executed late; the log is
 // restored from copies. Fencing tokens never decrease.
 func TestOrdersOfTwoHoldersAreSeparated(t *testing.T) {
 	const step = 50 * time.Millisecond
 	rapid.Check(t, func(rt *rapid.T) {
 		log := &simLog{}
+		hosts := []string{"a", "b", "c"}
 		entries := []*entry{{lease: newLease("a", 1)}, {lease: newLease("b", 2)}, {lease: newLease("c", 3)}}
 		now := startTime
 		lastOrder, lastIssuer, lastTerm := time.Time{}, -1, int64(-1)
 		read := func(e *entry) {
-			result := log.read()
+			result, l := log.read(), e.lease
 			log.schedule(now.Add(time.Duration(rapid.IntRange(0, 800).Draw(rt, "read"))*time.Millisecond), func(now time.Time) {
+				if e.lease != l {
+					return // the process that read has ended
+				}
 				e.callPending = false
-				e.lease.HandleRead(now, result)
+				l.HandleRead(now, result)
 			})
 		}
 		appendNext := func(e *entry) {
-			record, offset := e.lease.NextRecord(now, nil, rapid.IntRange(0, 39).Draw(rt, "release") == 0)
+			l := e.lease
+			record, offset := l.NextRecord(now, nil, rapid.IntRange(0, 39).Draw(rt, "release") == 0)
 			appendAt := now.Add(time.Duration(rapid.IntRange(0, 400).Draw(rt, "append")) * time.Millisecond)
 			lost := rapid.IntRange(0, 3).Draw(rt, "lost") == 0
 			if lost && rapid.Bool().Draw(rt, "late") {
@@ -228,20 +233,25 @@
 			}
 			log.schedule(appendAt, func(now time.Time) {
 				ok := log.append(record, offset)
-				if lost {
+				if lost || e.lease != l {
 					return
 				}
 				if ok {
-					e.lease.HandleAppended(now, record, offset, log.era)
+					l.HandleAppended(now, record, offset, log.era)
 					e.callPending = false
 					return
 				}
 				read(e)
 			})
 			if lost {
-				log.schedule(now.Add(1500*time.Millisecond), func(time.Time) { read(e) })
+				log.schedule(now.Add(1500*time.Millisecond), func(time.Time) {
+					if e.lease == l {
+						read(e)
+					}
+				})
 			}
 		}
+		incarnation := uint64(len(entries))
 		for range 600 {
 			now = now.Add(step)
 			log.run(now)
@@ -257,6 +267,11 @@
 					e.frozenUntil = now.Add(time.Duration(rapid.IntRange(500, 9000).Draw(rt, "freeze duration")) * time.Millisecond)
 					continue
 				}
+				if rapid.IntRange(0, 149).Draw(rt, "restart") == 0 {
+					incarnation++
+					e.lease = newLease(hosts[i], incarnation)
+					e.callPending = false
+				}
 				if e.lease.Holds(now) {
 					holders++
 				}
@@ -272,7 +287,7 @@
 				if e.lease.Unrenewed(now) && rapid.IntRange(0, 4).Draw(rt, "resign") == 0 {
 					renewal := e.lease.Resign(now)
 					for _, other := range entries {
-						other.lease.HolderResigned(now, []string{"a", "b", "c"}[i], renewal)
+						other.lease.HolderResigned(now, hosts[i], renewal)
 					}
 				}
 				if e.callPending {
