Let another entry lead sooner, and say when to come back while none does

With 103 entries the rates of most customers are lent as a whole, so without a leader 12,000 requests of customers within their rates were refused, most of them as over the rate, and came back after 0.4 s to be refused again. Change: a term lasts 3.4 s in place of 4.6: longer ones served nobody, since keys aren't admitted for longer without the store. Orders of two holders stay 3 s apart: they still end 1.6 s after a renewal, and the successor of an expired term waits for the quiet period. A record says how long it is valid, so that terms of earlier releases are waited out. Without a leader a request is refused as not run with the time at which another can be there.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -63,6 +63,9 @@
 	// age up to which a read of the configuration counts as current. It leaves
 	// time for requests that are in transit.
 	configMaxAgeMargin = 1700 * time.Millisecond
+	// leaseDuration is how long the lease holder leads after it has sent a renewal. It is
+	// about the time for which keys may be admitted without the store.
+	leaseDuration = 3400 * time.Millisecond
 	// leaseOrderTime is how long the lease holder may send orders after it has
 	// sent a renewal.
 	leaseOrderTime = 1600 * time.Millisecond
@@ -153,7 +156,8 @@
 		RetryRatio:          s.RetryRatio * retryBudgetFraction,
 		RetryBurst:          s.RetrySlack * retryBudgetFraction / retryBurstSharers,
 		Lease: lease.Timing{
-			Duration:        s.LeaseGap + leaseOrderTime,
+			Duration:        leaseDuration,
+			OrderTime:       leaseOrderTime,
 			QuietPeriod:     s.LeaseGap,
 			RenewalInterval: leaseRenewalInterval,
 			Margin:          leaseMargin,
--- a/internal/gate/tokens.go
+++ b/internal/gate/tokens.go
@@ -32,6 +32,9 @@
 	// leaderReplyTimeout is how long requests wait for the leader to grant
 	// tokens or to assign an engine.
 	leaderReplyTimeout = 150 * time.Millisecond
+	// leaderSilence is the time without a message from the leader from which it counts as
+	// lost, for what clients are told.
+	leaderSilence = 2 * reportInterval
 	// prefetchHorizon is the time for which an entry asks for tokens in
 	// advance, at its current usage.
 	prefetchHorizon = 300 * time.Millisecond
@@ -156,7 +159,11 @@
 	if len(quota.waiting) == 0 && c.tryCharge(now, quota, call) {
 		return
 	}
-	if !c.leaderReachable(now) || len(quota.waiting) >= maxTokenWaiters {
+	if !c.leaderReachable(now) {
+		c.refuseWithoutLeader(now, call, "no leader grants tokens")
+		return
+	}
+	if len(quota.waiting) >= maxTokenWaiters {
 		c.refuseOverRate(now, call, quota)
 		return
 	}
@@ -269,8 +276,23 @@
 		if c.tryCharge(now, quota, call) {
 			continue
 		}
-		c.refuse(now, call, fault.NotRun, fault.CodeNotReady, "the leader did not answer", c.jitter(staleRetryAfter))
+		c.refuseWithoutLeader(now, call, "the leader did not answer")
+	}
+}
+
+// refuseWithoutLeader refuses a call that only a leader could admit. Its client is told to
+// come back when a leader is expected, after the requests that come back just then.
+func (c *Core) refuseWithoutLeader(now time.Time, call *activeCall, message string) {
+	c.refuse(now, call, fault.NotRun, fault.CodeNotReady, message, c.leaderExpectedIn(now)+c.jitter(staleRetryAfter))
+}
+
+// leaderExpectedIn returns the time until another leader can be expected, 0 if the leader
+// was heard of only just now.
+func (c *Core) leaderExpectedIn(now time.Time) time.Duration {
+	if now.Sub(c.follower.lastHeard) < leaderSilence {
+		return 0
 	}
+	return max(c.lease.ExpectedFree().Sub(now), 0)
 }
 
 // takeSurplus removes the tokens that the entry will not need soon from its
--- a/internal/gate/tokens_test.go
+++ b/internal/gate/tokens_test.go
@@ -112,3 +112,20 @@
 		t.Errorf("%v of 400 idle tokens were returned", returned)
 	}
 }
+
+// Pattern: the leader is lost, and only it grants tokens of customers with low rates. Their
+// requests are refused at once, not as over their rate, and told to come back when another
+// leader can be there, not before.
+func TestRequestsWithoutLeaderAreToldWhenOneIsExpected(t *testing.T) {
+	h := newFollowerHarness(t)
+	h.follow(10 * time.Second)
+	h.advance(2 * time.Second)
+	h.apply(ConfigRead{SentAt: h.now})
+	_, effects := h.arrive("/charge/1", "k1")
+	h.wantNotRun(effects, fault.CodeNotReady)
+	free := h.core.lease.ExpectedFree().Sub(h.now)
+	after := fault.RetryAfterOf(h.mustRefuse(effects))
+	if free < time.Second || after < free || after > free+2*staleRetryAfter {
+		t.Errorf("retry after %v, want it soon after the %v until another leader can be there", after, free)
+	}
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -28,6 +28,10 @@
 	// Term is the fencing token of the term. It grows with the era of the log and
 	// the offset of the first record of the term.
 	Term int64 `json:"term"`
+	// DurationMs is how long the record is valid from when it was sent, in milliseconds.
+	// Earlier releases don't write it; their records are valid for the order time and the
+	// quiet period together.
+	DurationMs int64 `json:"durationMs,omitempty"`
 	// QuietMs is how long the holder must still issue no orders, in milliseconds, because
 	// of those of an earlier holder. It also binds later processes on its host.
 	QuietMs int64 `json:"quietMs,omitempty"`
@@ -53,8 +57,10 @@
 type Timing struct {
 	// Duration is how long a record is valid from the time at which it was sent.
 	Duration time.Duration
-	// QuietPeriod is the part at the end of Duration in which the holder issues no
-	// orders, so that the orders of two holders are at least that far apart.
+	// OrderTime is the part at the beginning of Duration in which the holder may issue
+	// orders.
+	OrderTime time.Duration
+	// QuietPeriod is how far the orders of two holders are apart at least.
 	QuietPeriod time.Duration
 	// RenewalInterval is the time between renewals.
 	RenewalInterval time.Duration
@@ -157,7 +163,9 @@
 }
 
 // OrdersUntil returns the time until which this entry may issue orders.
-func (l *Lease) OrdersUntil() time.Time { return l.heldUntil.Add(-l.timing.QuietPeriod) }
+func (l *Lease) OrdersUntil() time.Time {
+	return l.heldUntil.Add(l.timing.OrderTime - l.timing.Duration)
+}
 
 // SentAt returns when this entry sent the record with the given number, if that is
 // still known.
@@ -259,9 +267,9 @@
 
 // available reports whether no other host can be holding the lease.
 func (l *Lease) available(now time.Time) bool {
-	termEnd := l.seenAt.Add(l.timing.Duration + l.timing.Margin)
+	longest := l.timing.OrderTime + l.timing.QuietPeriod // of the records of any release
 	if l.Stale() {
-		return !now.Before(termEnd)
+		return !now.Before(l.seenAt.Add(longest + l.timing.Margin))
 	}
 	if !l.hasRecord || l.record.Host == l.host {
 		return true
@@ -269,12 +277,27 @@
 	if l.record.Released || l.resigned() {
 		return true
 	}
-	if renewedEnd := l.renewedAt.Add(l.timing.Duration + l.timing.Margin); renewedEnd.After(termEnd) {
-		termEnd = renewedEnd
+	return !now.Before(l.termEnd())
+}
+
+// termEnd returns when the term of another host's newest record is over for certain, if
+// the holder doesn't renew it.
+func (l *Lease) termEnd() time.Time {
+	duration := time.Duration(l.record.DurationMs) * time.Millisecond
+	if duration == 0 {
+		duration = l.timing.OrderTime + l.timing.QuietPeriod
+	}
+	renewedAt := l.seenAt
+	if l.renewedAt.After(renewedAt) {
+		renewedAt = l.renewedAt
 	}
-	return !now.Before(termEnd)
+	return renewedAt.Add(duration + l.timing.Margin)
 }
 
+// ExpectedFree returns when another entry can acquire the lease at the latest, as far as
+// this one knows, if the holder doesn't renew it.
+func (l *Lease) ExpectedFree() time.Time { return l.termEnd() }
+
 // resigned reports whether the holder of the newest record has ended its term.
 func (l *Lease) resigned() bool {
 	return l.resignedIncarnation == l.record.Incarnation && l.record.Renewal <= l.resignedRenewal
@@ -283,8 +306,12 @@
 // quietUntil returns the time before which this entry must not issue orders because
 // of the orders of an earlier holder.
 func (l *Lease) quietUntil() time.Time {
+	// Orders that a record permits end before this time.
+	ordersEnd := l.seenAt.Add(l.timing.OrderTime)
 	switch {
-	case l.Stale() || !l.hasRecord:
+	case l.Stale():
+		return ordersEnd.Add(l.timing.QuietPeriod + l.timing.Margin)
+	case !l.hasRecord:
 		return time.Time{}
 	case l.record.Host == l.host:
 		return l.seenAt.Add(time.Duration(l.record.QuietMs) * time.Millisecond)
@@ -293,8 +320,7 @@
 	case l.resigned():
 		return l.resignedAt.Add(l.timing.QuietPeriod + l.timing.Margin)
 	default:
-		// The holder's orders ended before its term, which is over.
-		return time.Time{}
+		return ordersEnd.Add(l.timing.QuietPeriod + l.timing.Margin)
 	}
 }
 
@@ -313,6 +339,7 @@
 		Renewal:     l.lastRenewal,
 		PeerAddr:    l.peerAddr,
 		Era:         l.era,
+		DurationMs:  l.timing.Duration.Milliseconds(),
 		QuietMs:     max(l.ordersFrom.Sub(now), 0).Milliseconds(),
 		Released:    release,
 		Members:     members,
