Count a term from when its holder says that it renewed it

Cause: an entry that reads the lease after its leader has fallen silent waited a whole term from that read, 0.9 s and more after the leader's end, though the leader had told when it sent the same record. Change: a state names the leader's last acknowledged record; its receiver knows a time before which that was sent, and waits the term and the quiet period out from then if the log holds no newer record.

--- a/internal/gate/follow_test.go
+++ b/internal/gate/follow_test.go
@@ -12,6 +12,9 @@
 // renewalAge is the age of the leader's last renewal when it writes a state.
 const renewalAge = 300 * time.Millisecond
 
+// leaderIncarnation is the incarnation of front-2 in newFollowerHarness.
+const leaderIncarnation = 7
+
 // follow delivers, for a time, the ticks of a follower and the states of a leader that
 // renews its term. It returns how often the follower called the store for the lease.
 func (h *harness) follow(d time.Duration) (calls int) {
@@ -23,6 +26,8 @@
 			case SendReport:
 				h.receiveState(&wirepb.GateState{
 					AgeUs:         uint64(renewalAge.Microseconds()),
+					Incarnation:   leaderIncarnation,
+					Renewal:       1,
 					ConfigVersion: 1,
 				})
 			}
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -76,8 +76,9 @@
 
 // leader is the state of an entry while it leads.
 type leader struct {
-	// renewedAt is when the newest acknowledged lease record was sent.
+	// renewedAt is when the newest acknowledged lease record was sent, renewal its number.
 	renewedAt time.Time
+	renewal   uint64
 	members   []lease.Member
 	// shares are the members' shares by host.
 	shares map[string]float64
@@ -300,13 +301,16 @@
 func (c *Core) sendState(now time.Time, host string, peer *peer, a answer) {
 	c.collectHoldings(now)
 	state := &wirepb.GateState{
-		Echo:      peer.lastSequence,
-		AgeUs:     uint64(now.Sub(c.leader.renewedAt).Microseconds()),
-		Grants:    a.grants,
-		Permits:   a.permits,
-		Limits:    c.encodeLimits(now, peer.limitsSent),
-		Unrenewed: c.lease.Unrenewed(now),
-		Starts:    encodeStarts(c.streams.ownAfter(peer.startsSent)),
+		Echo:    peer.lastSequence,
+		AgeUs:   uint64(now.Sub(c.leader.renewedAt).Microseconds()),
+		Renewal: c.leader.renewal,
+
+		Incarnation: c.lease.Incarnation(),
+		Grants:      a.grants,
+		Permits:     a.permits,
+		Limits:      c.encodeLimits(now, peer.limitsSent),
+		Unrenewed:   c.lease.Unrenewed(now),
+		Starts:      encodeStarts(c.streams.ownAfter(peer.startsSent)),
 	}
 	peer.startsSent = c.streams.ownCount
 	state.Poison = poison.Encode(now, c.crashes.log.Since(peer.poisonSent))
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -217,6 +217,7 @@
 		return
 	}
 	c.leader.renewedAt = sentAt
+	c.leader.renewal = record.Renewal
 	c.leader.members = record.Members
 	clear(c.leader.shares)
 	for _, m := range record.Members {
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -305,8 +305,15 @@
 		return
 	}
 	c.handleUnrenewed(now, state.GetUnrenewed())
-	confirmedAt := sentAt.Add(-time.Duration(state.GetAgeUs()) * time.Microsecond)
-	c.lease.HolderRenewed(e.Host, confirmedAt)
+	age := time.Duration(state.GetAgeUs()) * time.Microsecond
+	confirmedAt := sentAt.Add(-age)
+	c.lease.HolderRenewed(lease.Renewal{
+		Host:        e.Host,
+		Incarnation: state.GetIncarnation(),
+		Number:      state.GetRenewal(),
+		SentAfter:   confirmedAt,
+		SentBefore:  now.Add(-age),
+	})
 	members := make([]lease.Member, 0, len(state.GetShares()))
 	for _, share := range state.GetShares() {
 		members = append(members, lease.Member{
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -85,10 +85,10 @@
 	era int64
 	// logEnd is the highest end offset of the log that is known in its era.
 	logEnd int64
-	// seenAt is when the newest record or a new era was first seen, renewedAt when the
-	// holder of that record renewed its term last, according to itself.
-	seenAt    time.Time
-	renewedAt time.Time
+	// seenAt is when the newest record or a new era was first seen.
+	seenAt time.Time
+	// told is the newest renewal of which its holder has told.
+	told Renewal
 	// lastRenewal is the number of this entry's last record, sentTimes holds when
 	// its records were sent.
 	lastRenewal uint64
@@ -153,13 +153,31 @@
 	}
 }
 
-// HolderRenewed records that the holder of the newest record has told that it renewed its
-// term at some time, or later. Only its term ends later by that: the offset at which its
-// records end is not known.
-func (l *Lease) HolderRenewed(host string, at time.Time) {
-	if l.hasRecord && l.record.Host == host && at.After(l.renewedAt) {
-		l.renewedAt = at
+// Renewal is a holder's word that a record of its own is in the log.
+type Renewal struct {
+	Host        string
+	Incarnation uint64
+	Number      uint64
+	// SentAfter and SentBefore bound the time at which the record was sent.
+	SentAfter  time.Time
+	SentBefore time.Time
+}
+
+// HolderRenewed records what the holder of the newest record has told of its last renewal.
+func (l *Lease) HolderRenewed(r Renewal) {
+	if l.hasRecord && l.record.Host == r.Host && l.record.Incarnation == r.Incarnation {
+		l.told = r
+	}
+}
+
+// sentBefore returns a time before which the newest record of the log was sent, provided
+// that the log ends where this entry expects. A record of which its holder has told is
+// newer than the one that was read, or the same.
+func (l *Lease) sentBefore() time.Time {
+	if l.told.Incarnation == l.record.Incarnation && l.record.Renewal <= l.told.Number && l.told.SentBefore.Before(l.seenAt) {
+		return l.told.SentBefore
 	}
+	return l.seenAt
 }
 
 // OrdersUntil returns the time until which this entry may issue orders.
@@ -178,6 +196,9 @@
 // true.
 func (l *Lease) Term() int64 { return l.term }
 
+// Incarnation returns the incarnation of this entry.
+func (l *Lease) Incarnation() uint64 { return l.incarnation }
+
 // Current returns the newest known record, if there is one.
 func (l *Lease) Current() (Record, bool) { return l.record, l.hasRecord }
 
@@ -216,9 +237,6 @@
 	if !read.Exists {
 		return
 	}
-	if record.Host != l.record.Host || record.Incarnation != l.record.Incarnation {
-		l.renewedAt = time.Time{}
-	}
 	l.hasRecord = true
 	l.record = record
 	l.confirm(record)
@@ -287,11 +305,11 @@
 	if duration == 0 {
 		duration = l.timing.OrderTime + l.timing.QuietPeriod
 	}
-	renewedAt := l.seenAt
-	if l.renewedAt.After(renewedAt) {
-		renewedAt = l.renewedAt
+	sent := l.sentBefore()
+	if l.told.Incarnation == l.record.Incarnation && l.told.SentAfter.After(sent) {
+		sent = l.told.SentAfter // a later record than the one that was read
 	}
-	return renewedAt.Add(duration + l.timing.Margin)
+	return sent.Add(duration + l.timing.Margin)
 }
 
 // ExpectedFree returns when another entry can acquire the lease at the latest, as far as
@@ -307,10 +325,10 @@
 // of the orders of an earlier holder.
 func (l *Lease) quietUntil() time.Time {
 	// Orders that a record permits end before this time.
-	ordersEnd := l.seenAt.Add(l.timing.OrderTime)
+	ordersEnd := l.sentBefore().Add(l.timing.OrderTime)
 	switch {
 	case l.Stale():
-		return ordersEnd.Add(l.timing.QuietPeriod + l.timing.Margin)
+		return l.seenAt.Add(l.timing.OrderTime + l.timing.QuietPeriod + l.timing.Margin)
 	case !l.hasRecord:
 		return time.Time{}
 	case l.record.Host == l.host:
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -162,6 +162,8 @@
 	lease       *Lease
 	callPending bool
 	frozenUntil time.Time
+	// acknowledged is the number of the last record whose append was acknowledged.
+	acknowledged uint64
 }
 
 // simLog simulates a log whose responses are late or lost, and whose appends may take
@@ -253,6 +255,7 @@
 				}
 				if ok {
 					l.HandleAppended(now, record, offset, log.era)
+					e.acknowledged = record.Renewal
 					e.callPending = false
 					return
 				}
@@ -266,6 +269,27 @@
 				})
 			}
 		}
+		// tellRenewal tells all entries of the last renewal of a holder, as its states do.
+		tellRenewal := func(e *entry) {
+			sentAt, known := e.lease.SentAt(e.acknowledged)
+			if !known || !e.lease.Holds(now) {
+				return
+			}
+			age := now.Sub(sentAt)
+			told := Renewal{
+				Host:        e.lease.host,
+				Incarnation: e.lease.incarnation,
+				Number:      e.acknowledged,
+				SentAfter:   sentAt.Add(-time.Duration(rapid.IntRange(0, 300).Draw(rt, "report")) * time.Millisecond),
+			}
+			delay := time.Duration(rapid.IntRange(0, 600).Draw(rt, "state delay")) * time.Millisecond
+			log.schedule(now.Add(delay), func(now time.Time) {
+				told.SentBefore = now.Add(-age)
+				for _, other := range entries {
+					other.lease.HolderRenewed(told)
+				}
+			})
+		}
 		incarnation := uint64(len(entries))
 		for range 600 {
 			now = now.Add(step)
@@ -285,6 +309,7 @@
 				if rapid.IntRange(0, 149).Draw(rt, "restart") == 0 {
 					incarnation++
 					e.lease = newLease(hosts[i], incarnation)
+					e.acknowledged = 0
 					e.callPending = false
 				}
 				if e.lease.Holds(now) {
@@ -299,6 +324,9 @@
 					}
 					lastOrder, lastIssuer, lastTerm = now, i, e.lease.Term()
 				}
+				if rapid.IntRange(0, 4).Draw(rt, "state") == 0 {
+					tellRenewal(e)
+				}
 				if e.lease.Unrenewed(now) && rapid.IntRange(0, 4).Draw(rt, "resign") == 0 {
 					renewal := e.lease.Resign(now)
 					for _, other := range entries {
@@ -345,3 +373,42 @@
 		t.Error("the successor doesn't order after that")
 	}
 }
+
+// A holder has told when it sent its last record. An entry that reads this record much
+// later waits from then, not from its own read; but it waits from the read if the record is
+// newer than the one of which it was told.
+func TestTermIsCountedFromToldRenewal(t *testing.T) {
+	_, record := newHeldLease()
+	told := Renewal{
+		Host:        "a",
+		Incarnation: 1,
+		Number:      record.Renewal,
+		SentAfter:   startTime.Add(-100 * time.Millisecond),
+		SentBefore:  startTime.Add(100 * time.Millisecond),
+	}
+	readAt := startTime.Add(2 * time.Second)
+	for _, test := range []struct {
+		name      string
+		newer     bool
+		countFrom time.Time
+	}{
+		{name: "the record of which the holder told", countFrom: told.SentBefore},
+		{name: "a newer record", newer: true, countFrom: readAt},
+	} {
+		b := newLease("b", 2)
+		b.HandleRead(startTime, readOf(record, 0))
+		b.HolderRenewed(told)
+		read := readOf(record, 5)
+		if test.newer {
+			read.Record.Renewal++
+		}
+		b.HandleRead(readAt, read)
+		end := test.countFrom.Add(b.timing.Duration + b.timing.Margin)
+		if b.AppendDue(end.Add(-time.Millisecond)) {
+			t.Errorf("%s: append is due before the end of the term", test.name)
+		}
+		if !b.AppendDue(end) {
+			t.Errorf("%s: append is not due at the end of the term", test.name)
+		}
+	}
+}
