Divide the rights of the whole fleet among as many entries as there are

Cause, found by reading: each entry could save up an eighth of the fleet's burst of retries, whatever the number of entries, so 103 of them together 13 times as many as BUDGET leaves for bursts. And since followers no longer read the lease records, the number by which they divide a limit that an endpoint has named was that of the record that they happened to have read. Test: TestRightsOfTheFleetAreDividedAmongItsEntries.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -88,9 +88,6 @@
 	// retryBudgetFraction is the fraction of the platform's retry limits that is
 	// used; the rest allows for differences in how retries are counted.
 	retryBudgetFraction = 0.7
-	// retryBurstSharers is the number of entries among which the platform's retry
-	// slack is divided.
-	retryBurstSharers = 8
 	// tickInterval is the time between Tick events.
 	tickInterval = 50 * time.Millisecond
 	// shutdownAdmissionFraction is the fraction of the grace period during which a
@@ -154,7 +151,7 @@
 		WeightLoadWindow:    s.LoadWindow,
 		LeaseAcquireDelay:   time.Duration(float64(maxLeaseAcquireDelay) * max(0, 1-s.Cores/undelayedLeaseCores)),
 		RetryRatio:          s.RetryRatio * retryBudgetFraction,
-		RetryBurst:          s.RetrySlack * retryBudgetFraction / retryBurstSharers,
+		RetryBurst:          s.RetrySlack * retryBudgetFraction,
 		Lease: lease.Timing{
 			Duration:        leaseDuration,
 			OrderTime:       leaseOrderTime,
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -31,8 +31,8 @@
 	ShutdownTimeout time.Duration
 	// WeightLoadWindow is the window over which the weight store limits loads.
 	WeightLoadWindow time.Duration
-	// RetryRatio is the number of retries that each request earns, RetryBurst
-	// the number of retries that may be saved up and sent at once.
+	// RetryRatio is the number of retries that each request earns, RetryBurst the
+	// number of retries that all entries together may save up and send at once.
 	RetryRatio float64
 	RetryBurst float64
 	// LeaseAcquireDelay is how long this entry leaves a free lease to other
--- a/internal/gate/follow_test.go
+++ b/internal/gate/follow_test.go
@@ -120,3 +120,26 @@
 		t.Error("an endpoint was removed by a list that isn't complete")
 	}
 }
+
+// Pattern: a hundred entries see the endpoints of a service fail at the same time. The
+// retries that may be saved up, and the requests that limited endpoints get without the
+// leader, are for all entries together.
+func TestRightsOfTheFleetAreDividedAmongItsEntries(t *testing.T) {
+	const entries = 100
+	h := newFollowerHarness(t)
+	h.receiveState(&wirepb.GateState{Members: entries})
+	saved := 0
+	for range 50 {
+		h.core.creditRetry("shop") // requests that need no retry
+	}
+	for h.core.takeRetry("shop") {
+		saved++
+	}
+	if limit := max(h.core.settings.RetryBurst/entries, 1); float64(saved) > limit {
+		t.Errorf("one of %d entries has saved %d retries, want %v at most", entries, saved, limit)
+	}
+	const perSecond = 400
+	if rate := h.core.localLimit(perSecond); rate > perSecond*localLimitFraction/entries {
+		t.Errorf("one of %d entries sends %v of %d requests per second without the leader", entries, rate, perSecond)
+	}
+}
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -112,6 +112,7 @@
 	}
 	record, _ := c.lease.Current()
 	if !c.lease.Stale() {
+		c.follower.members = len(record.Members)
 		c.applyShare(now, record.Members, e.SentAt)
 	}
 	c.connectLeader(record)
--- a/internal/gate/limits.go
+++ b/internal/gate/limits.go
@@ -28,9 +28,6 @@
 	// localLimitFraction is the part of a limit that the entries which can't ask the
 	// leader use together.
 	localLimitFraction = 0.25
-	// assumedMembers is the number of entries that share that part while it isn't
-	// known.
-	assumedMembers = 8
 )
 
 // endpointLimit is the limit that an endpoint has named, for all entries together.
@@ -161,10 +158,7 @@
 
 // localLimit returns the part of a limit that this entry may use without the leader.
 func (c *Core) localLimit(perSecond float64) float64 {
-	members := assumedMembers
-	if record, known := c.lease.Current(); known && len(record.Members) > 0 {
-		members = len(record.Members)
-	}
+	members := c.memberCount()
 	return perSecond * localLimitFraction / float64(members)
 }
 
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -35,6 +35,8 @@
 	share      float64
 	shareUntil time.Time
 	lastHeard  time.Time
+	// members is the last known number of entries, 0 if none is known.
+	members int
 	// leaderUnrenewed is true while the leader cannot renew its term,
 	// requestsTakeover once a read of the lease has shown that this entry can
 	// reach the store.
@@ -86,6 +88,22 @@
 	return c.leaderStateCurrent(now)
 }
 
+// assumedMembers is the number of entries among which a right of the whole fleet is divided
+// while their number isn't known.
+const assumedMembers = 8
+
+// memberCount returns the number of entries of the fleet as far as this one knows.
+func (c *Core) memberCount() int {
+	switch {
+	case c.leader != nil && len(c.leader.members) > 0:
+		return len(c.leader.members)
+	case c.follower.members > 0:
+		return c.follower.members
+	default:
+		return assumedMembers
+	}
+}
+
 // standingShare returns the part of every customer's rate that this entry may
 // use without asking, 0 if its confirmation has expired.
 func (c *Core) standingShare(now time.Time) float64 {
@@ -322,6 +340,9 @@
 		})
 	}
 	c.applyShare(now, members, confirmedAt)
+	if count := int(state.GetMembers()); count > 0 {
+		c.follower.members = count
+	}
 	c.applyRelay(now, sentAt, state)
 	c.applyStarts(now, state.GetStarts())
 	c.follower.poisonReported = c.mergePoison(now, state.GetPoison(), c.follower.poisonReported)
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -27,18 +27,27 @@
 // request.
 func (c *Core) creditRetry(service string) {
 	budget := c.retryBudget(service)
-	budget.tokens = min(budget.tokens+c.settings.RetryRatio, c.settings.RetryBurst)
+	budget.tokens = min(budget.tokens+c.settings.RetryRatio, max(c.retryBurst(), 1))
 }
 
 func (c *Core) retryBudget(service string) *retryBudget {
 	budget := c.retryBudgets[service]
 	if budget == nil {
-		budget = &retryBudget{tokens: c.settings.RetryBurst}
+		budget = &retryBudget{tokens: c.retryBurst()}
 		c.retryBudgets[service] = budget
 	}
 	return budget
 }
 
+// minRetrySharers is the least number of entries among which the burst of retries is
+// divided. Others may start at any time.
+const minRetrySharers = 8
+
+// retryBurst returns this entry's part of the fleet's burst of retries.
+func (c *Core) retryBurst() float64 {
+	return c.settings.RetryBurst / float64(max(c.memberCount(), minRetrySharers))
+}
+
 // handleFirstByte records that an endpoint has begun its response.
 func (c *Core) handleFirstByte(now time.Time, e FirstByteReceived) {
 	call := c.calls[e.Call]
--- a/internal/gate/tokens.go
+++ b/internal/gate/tokens.go
@@ -292,7 +292,7 @@
 	if now.Sub(c.follower.lastHeard) < leaderSilence {
 		return 0
 	}
-	return max(c.lease.ExpectedFree().Sub(now), 0)
+	return max(c.lease.TermEnd().Sub(now), 0)
 }
 
 // takeSurplus removes the tokens that the entry will not need soon from its
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -295,12 +295,12 @@
 	if l.record.Released || l.resigned() {
 		return true
 	}
-	return !now.Before(l.termEnd())
+	return !now.Before(l.TermEnd())
 }
 
-// termEnd returns when the term of another host's newest record is over for certain, if
+// TermEnd returns when the term of another host's newest record is over for certain, if
 // the holder doesn't renew it.
-func (l *Lease) termEnd() time.Time {
+func (l *Lease) TermEnd() time.Time {
 	duration := time.Duration(l.record.DurationMs) * time.Millisecond
 	if duration == 0 {
 		duration = l.timing.OrderTime + l.timing.QuietPeriod
@@ -312,10 +312,6 @@
 	return sent.Add(duration + l.timing.Margin)
 }
 
-// ExpectedFree returns when another entry can acquire the lease at the latest, as far as
-// this one knows, if the holder doesn't renew it.
-func (l *Lease) ExpectedFree() time.Time { return l.termEnd() }
-
 // resigned reports whether the holder of the newest record has ended its term.
 func (l *Lease) resigned() bool {
 	return l.resignedIncarnation == l.record.Incarnation && l.record.Renewal <= l.resignedRenewal
