Void a proof of the configuration that the leader's knowledge contradicts

An entry that had just restarted read the version before as current, 4 ms before its leader told it of the newer one. It kept the proof and admitted the key for half a second, until it had read the newer version. Change: a state that tells of a newer version, in force before the entry's own read, makes that read void; keys are refused as not run until the newer version is there. Left: what such an entry admits in the milliseconds before its leader's first state, and in a fleet of which no running entry knows the newer version.

--- a/internal/gate/follow_test.go
+++ b/internal/gate/follow_test.go
@@ -7,6 +7,7 @@
 	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/fault"
 )
 
 // renewalAge is the age of the leader's last renewal when it writes a state.
@@ -143,3 +144,26 @@
 		t.Errorf("one of %d entries sends %v of %d requests per second without the leader", entries, rate, perSecond)
 	}
 }
+
+// Pattern: the store has come back from a copy that lacks the newest configuration, and a
+// restarted entry reads the one before as current. Once its leader tells that a newer one
+// was in force before that read, the read proves nothing.
+func TestReadOfRestoredStoreIsNoProofAgainstTheLeader(t *testing.T) {
+	h := newFollowerHarness(t)
+	h.follow(time.Second)
+	h.apply(ConfigRead{SentAt: h.now})
+	if _, effects := h.arrive("/charge/1", "k2"); !sent(effects) {
+		t.Fatalf("a request isn't sent with a fresh proof: %+v", effects)
+	}
+	h.receiveState(&wirepb.GateState{
+		ConfigVersion: 2,
+		ConfigAgeUs:   500_000,
+	})
+	_, effects := h.arrive("/charge/2", "k2")
+	h.wantNotRun(effects, fault.CodeNotReady)
+}
+
+func sent(effects []Effect) bool {
+	_, sent := findEffect[Send](effects)
+	return sent
+}
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -35,6 +35,7 @@
 	configConfirmedAt := sentAt.Add(-time.Duration(state.GetConfigAgeUs()) * time.Microsecond)
 	switch {
 	case c.config == nil || state.GetConfigVersion() > c.config.Version:
+		c.voidConfigProof(now, now.Add(-time.Duration(state.GetConfigAgeUs())*time.Microsecond))
 		if state.GetConfigVersion() > 0 && !c.storeRelay.fetchingConfig {
 			c.storeRelay.fetchingConfig = true
 			c.emit(FetchConfig{})
@@ -64,6 +65,17 @@
 	c.updateStoreWatch(now)
 }
 
+// voidConfigProof drops the proof that this entry's configuration is current if it is of a
+// later time than one at which a newer configuration was in force. The store has then come
+// back from a copy that lacks the newer one.
+func (c *Core) voidConfigProof(now, newerBefore time.Time) {
+	if c.config == nil || !c.configConfirmedAt.After(newerBefore) {
+		return
+	}
+	c.logChange("configuration read is void", "", "", now.Sub(c.configConfirmedAt))
+	c.configConfirmedAt = time.Time{}
+}
+
 // removeUnlisted removes the endpoints that are not in a complete list.
 func (c *Core) removeUnlisted(now time.Time, endpoints []*wirepb.GateEndpoint) {
 	listed := make(map[string]bool, len(endpoints))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,6 +49,9 @@
 	5006, // the soak still treated a restarted endpoint as draining; its proxy closed what it should reset
 	9602, // the soak's store wrote an older configuration again after a newer one
 	9103, // the soak's proxy closed what it should reset
+	// A restarted entry took an older configuration that a restored store held for current,
+	// though its leader knew a newer one.
+	52020,
 }
 
 func TestSoak(t *testing.T) {
