Take reads just after a restore of the store for no proof of the configuration

Change: for 2 s after an entry has first seen an era of the store above 0, its own reads confirm no configuration, since the operator may not have written again what was lost. Tests: TestReadsJustAfterRestoreProveNothing (failed before), TestProofFromBeforeRestoreStands. Without restores (era 0) nothing changes.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -70,6 +70,7 @@
 	s.post(gate.ConfigRead{
 		Config: batch.Config,
 		SentAt: sentAt,
+		Era:    batch.Era,
 	})
 	if batch.Config != nil {
 		s.refreshStatus(ctx)
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -49,6 +49,10 @@
 
 	config            *topo.Config
 	configConfirmedAt time.Time
+	// configEra is the newest era of the store in which the configuration was read,
+	// configEraSince when the first such read arrived.
+	configEra      int64
+	configEraSince time.Time
 	// relayedVersion is the newest version of the configuration that the leader
 	// has named.
 	relayedVersion      int64
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -107,6 +107,8 @@
 type ConfigRead struct {
 	Config *topo.Config
 	SentAt time.Time
+	// Era is the era of the store. It rises when the store comes back from a copy.
+	Era int64
 }
 
 // EndpointsRead reports a read of the endpoint registry. Full is true if
--- a/internal/gate/follow_test.go
+++ b/internal/gate/follow_test.go
@@ -163,6 +163,32 @@
 	h.wantNotRun(effects, fault.CodeNotReady)
 }
 
+// Pattern: an entry starts while the store, back from a copy, lacks a withdrawal of a key,
+// and no other entry has told it of one. Its reads prove nothing before the operator has
+// had time to write again what was lost.
+func TestReadsJustAfterRestoreProveNothing(t *testing.T) {
+	h := newHarness(t)
+	h.apply(ConfigRead{Config: testConfig(), SentAt: h.now, Era: 1})
+	h.endpoints(testEndpoint("shop-1", "shop"))
+	_, effects := h.arrive("/charge/1", "k2")
+	h.wantNotRun(effects, fault.CodeNotReady)
+	h.advance(restoreGracePeriod)
+	h.apply(ConfigRead{SentAt: h.now, Era: 1})
+	if _, effects := h.arrive("/charge/2", "k2"); !sent(effects) {
+		t.Errorf("a request isn't sent after the grace period: %+v", effects)
+	}
+}
+
+// An entry with a proof from before the store's restore goes on with it.
+func TestProofFromBeforeRestoreStands(t *testing.T) {
+	h := newServingHarness(t)
+	h.advance(time.Second)
+	h.apply(ConfigRead{SentAt: h.now, Era: 1})
+	if _, effects := h.arrive("/charge/1", "k2"); !sent(effects) {
+		t.Errorf("a request isn't sent 1 s after the last sound proof: %+v", effects)
+	}
+}
+
 func sent(effects []Effect) bool {
 	_, sent := findEffect[Send](effects)
 	return sent
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -103,7 +103,11 @@
 		c.refuseRevokedKeys(now)
 		c.sendStates(now)
 	}
-	if e.SentAt.After(c.configConfirmedAt) && !c.configSuperseded() {
+	if e.Era > c.configEra {
+		c.configEra = e.Era
+		c.configEraSince = now
+	}
+	if e.SentAt.After(c.configConfirmedAt) && !c.configSuperseded() && !c.configDoubtful(e.SentAt) {
 		c.configConfirmedAt = e.SentAt
 	}
 	if ready := c.ready(now); ready != wasReady {
@@ -112,6 +116,17 @@
 	c.retryParked(now)
 }
 
+// restoreGracePeriod is how long the store may lack the newest configuration after it has
+// come back from a copy, until the operator has written it again.
+const restoreGracePeriod = 2 * time.Second
+
+// configDoubtful reports whether a read of the configuration that was sent at a time may
+// have missed a newer one because the store has come back from a copy. An entry that has
+// just started can't know when that was.
+func (c *Core) configDoubtful(sentAt time.Time) bool {
+	return c.configEra > 0 && sentAt.Before(c.configEraSince.Add(restoreGracePeriod))
+}
+
 // configSuperseded reports whether the leader has a newer configuration than this
 // entry could read: the store then lacks it, since it came back from a copy.
 func (c *Core) configSuperseded() bool {
