Count each load that a plan makes room for, also when another of them begins

What it replaced was found by its time; engines that make room in the same plan have the same time, so the first load that began removed the counts of all of them. Change: one count is replaced.

--- a/internal/stock/load.go
+++ b/internal/stock/load.go
@@ -312,9 +312,12 @@
 // engine must make room first, the load is counted from then on, and counted again
 // in place of that when it begins.
 func (s *service) reserveStoreLoad(now time.Time, e *engine) {
-	s.storeLoads = slices.DeleteFunc(s.storeLoads, func(at time.Time) bool {
-		return !e.reservedAt.IsZero() && at.Equal(e.reservedAt)
-	})
+	if !e.reservedAt.IsZero() {
+		// Other engines may have been counted at the same time.
+		if i := slices.IndexFunc(s.storeLoads, e.reservedAt.Equal); i >= 0 {
+			s.storeLoads = slices.Delete(s.storeLoads, i, i+1)
+		}
+	}
 	s.storeLoads = append(s.storeLoads, now)
 	e.reservedAt = now
 }
--- a/internal/stock/scale_test.go
+++ b/internal/stock/scale_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -144,3 +145,25 @@
 		}
 	}
 }
+
+// Pattern: demand moves, and one plan makes room at many engines for loads from the weight
+// store. Each of these loads must count, also when the first of them begins.
+func TestLoadsReservedInOnePlanAllCount(t *testing.T) {
+	const engines = 40
+	p, names := largeFleet(engines, 2*3*engines, true)
+	s := p.service("llm")
+	now := startTime.Add(10 * time.Second)
+	for _, name := range names[3*engines:] {
+		p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: name}})
+	}
+	unloads := p.Plan(now).Orders
+	reserved := len(s.storeLoads)
+	if reserved < 10 {
+		t.Fatalf("%d loads are counted in advance for %d orders, want 10 or more", reserved, len(unloads))
+	}
+	first := slices.IndexFunc(s.engines, func(e *engine) bool { return !e.reservedAt.IsZero() })
+	s.reserveStoreLoad(now.Add(100*time.Millisecond), s.engines[first])
+	if len(s.storeLoads) != reserved {
+		t.Errorf("%d loads count after one of %d has begun, want all", len(s.storeLoads), reserved)
+	}
+}
