Log why a stream that was cut is not continued

A stream that the entry gave up within its answer had the verdict of its last attempt in the log and nothing else: attempts, time, the retry budget, a suspect prompt and missing engines of its version looked the same. These are what the hypotheses of the lost resumed streams have to be told apart by. The line's detail names it now. No decision has changed.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -341,7 +341,8 @@
 		case gate.ForwardFailure:
 			in.forwardFailure()
 			return
-		default: // gate.AbortResponse
+		case gate.AbortResponse:
+			in.detail = e.Detail
 			in.connBroken = true
 			return
 		}
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -258,8 +258,7 @@
 ) {
 	if call.resuming {
 		// Part of the response has already reached the client.
-		c.emit(AbortResponse{Call: call.id})
-		c.removeCall(call)
+		c.abort(call, message)
 		return
 	}
 	if call.mayHaveRun && verdict == fault.NotRun {
@@ -281,6 +280,15 @@
 	c.removeCall(call)
 }
 
+// abort ends a call whose partial response is not continued, for the given reason.
+func (c *Core) abort(call *activeCall, detail string) {
+	c.emit(AbortResponse{
+		Call:   call.id,
+		Detail: detail,
+	})
+	c.removeCall(call)
+}
+
 // endAfterRun ends a call that can't be sent again and may have run before. Its client
 // gets the last failure or, if there is none, an error that says so.
 func (c *Core) endAfterRun(now time.Time, call *activeCall) {
--- a/internal/gate/effect.go
+++ b/internal/gate/effect.go
@@ -66,7 +66,11 @@
 
 // AbortResponse terminates a partial response in such a way that the client can
 // tell that it is incomplete.
-type AbortResponse struct{ Call CallID }
+type AbortResponse struct {
+	Call CallID
+	// Detail says why the response could not be continued.
+	Detail string
+}
 
 // ReadLease reads the newest record of the lease log.
 type ReadLease struct{}
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -125,27 +125,48 @@
 		if !call.versionKnown {
 			call.setStreamVersion(ep.SoftwareVersion)
 		}
-		if call.route.Resumable && result.Reason != ReasonTimeout && c.retry(now, call) {
+		denial := c.continueStream(now, call, result)
+		if denial == "" {
 			return
 		}
-		c.emit(AbortResponse{Call: call.id})
-		c.removeCall(call)
+		c.abort(call, denial)
 	default:
 		c.handleMayHaveRun(now, call, ep, result)
 	}
 	c.retryParked(now)
 }
 
+// continueStream dispatches a call again whose stream was cut. It returns why that isn't
+// possible, empty if it is.
+func (c *Core) continueStream(now time.Time, call *activeCall, result Result) (denial string) {
+	switch {
+	case !call.route.Resumable:
+		return "the route's streams may not be resumed"
+	case result.Reason == ReasonTimeout:
+		return "the endpoint did not answer in time"
+	}
+	return c.tryRetry(now, call)
+}
+
 // retry dispatches a call again if its route, its deadline and the retry budget
 // allow it, and reports whether it did. The caller must ensure that the request
 // may run again.
-func (c *Core) retry(now time.Time, call *activeCall) bool {
-	if len(call.triedEndpoints) >= call.route.MaxAttempts || call.deadline.Sub(now) < minRemainingTime ||
-		!c.mayRepeatPrompt(now, call) || !c.takeRetry(call.service) {
-		return false
+func (c *Core) retry(now time.Time, call *activeCall) bool { return c.tryRetry(now, call) == "" }
+
+// tryRetry is like retry, but returns why the call was not dispatched, empty if it was.
+func (c *Core) tryRetry(now time.Time, call *activeCall) (denial string) {
+	switch {
+	case len(call.triedEndpoints) >= call.route.MaxAttempts:
+		return "the route allows no more attempts"
+	case call.deadline.Sub(now) < minRemainingTime:
+		return "no time is left"
+	case !c.mayRepeatPrompt(now, call):
+		return "a part of the prompt may crash engines"
+	case !c.takeRetry(call.service):
+		return "the retry budget is used up"
 	}
 	c.dispatch(now, call)
-	return true
+	return ""
 }
 
 // handleNotRun retries or refuses a request that provably did not run.
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// A stream that is not continued must say in the log why, or its causes can't be told
+// apart.
+func TestAbortedStreamSaysWhy(t *testing.T) {
+	h := newServingHarness(t)
+	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"))
+	id, _ := h.startStream("r")
+	effects := h.apply(AttemptEnded{Call: id, Result: truncated})
+	if abort, aborted := findEffect[AbortResponse](effects); !aborted || abort.Detail == "" {
+		t.Errorf("aborted %v, detail %q, want a reason", aborted, abort.Detail)
+	}
+}
+
 // A client that resumes a stream must get events of the version that began it,
 // even from an entry that has no leader to ask.
 func TestResumedStreamGoesToItsSoftwareVersion(t *testing.T) {
