Show by tests how streams that clients resume are lost

On the code before: a resumed stream is refused for the objective of new ones (TestResumedStreamIsNotRefusedForTheObjectiveOfNewOnes), and a stream that was cut is given up while the model is about to be at its version (TestCutStreamWaitsForModelAtItsVersion).

--- /dev/null
+++ b/internal/gate/continue_test.go
@@ -0,0 +1,133 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/topo"
+	"dogwoodfold/pkg/fault"
+)
+
+// liveConfig returns the test configuration with a route whose streams may be resumed and
+// whose first event is due after 500 ms.
+func liveConfig() *topo.Config {
+	config := testConfig()
+	config.Version = 2
+	config.Routes = append(config.Routes, &topo.Route{
+		Name:             "live",
+		Host:             "h",
+		PathPrefix:       "/live/",
+		Kind:             topo.Stream,
+		Timeout:          15 * time.Second,
+		LatencyObjective: 500 * time.Millisecond,
+		GapObjective:     300 * time.Millisecond,
+		Targets:          []topo.Target{{Service: "llm", Weight: 1}},
+		MaxAttempts:      2,
+		Resumable:        true,
+	})
+	return config.BuildIndex()
+}
+
+// newLiveHarness returns a leading harness with the live route.
+func newLiveHarness(t *testing.T) *harness {
+	h := newLeaderHarness(t)
+	h.apply(ConfigRead{
+		Config: liveConfig(),
+		SentAt: h.now,
+	})
+	return h
+}
+
+// engineRecord is the registry's record of an engine with a software version.
+func engineRecord(id, version string, models ...string) *topo.Endpoint {
+	ep := testEndpoint(id, "llm")
+	ep.SoftwareVersion = version
+	for _, model := range models {
+		ep.Holdings = append(ep.Holdings, topo.Holding{Model: model})
+	}
+	return ep
+}
+
+// replaceEngines replaces the engines of the harness. They take no orders, since the
+// leader has no report of them.
+func (h *harness) replaceEngines(engines ...*topo.Endpoint) {
+	h.apply(EndpointsRead{
+		SentAt:  h.now,
+		Changes: []topo.EndpointChange{{ID: "llm-1"}},
+	})
+	h.endpoints(engines...)
+	h.advance(planInterval)
+	h.apply(Tick{})
+}
+
+// live delivers a request of the live route, which resumes a stream if began isn't empty.
+func (h *harness) live(model, began string) (CallID, []Effect) {
+	h.lastCall++
+	request := &Request{
+		ID:           fmt.Sprint("live-", h.lastCall),
+		Host:         "h",
+		Path:         "/live/1",
+		Key:          "k2",
+		Model:        model,
+		PromptTokens: 1000,
+		ArrivedAt:    h.now,
+	}
+	if began != "" {
+		request.LastEventID = "3"
+		request.ResumedRequest = began
+	}
+	return h.lastCall, h.apply(RequestArrived{
+		Call:    h.lastCall,
+		Request: request,
+	})
+}
+
+// All streams of an engine are cut at one moment and meet again at the only other engine
+// of their version. Their clients wait longer for the next event than for the first one, so
+// a resumed stream must not be refused for the objective of new ones.
+func TestResumedStreamIsNotRefusedForTheObjectiveOfNewOnes(t *testing.T) {
+	h := newLiveHarness(t)
+	h.replaceEngines(engineRecord("e1", "v1", "big"), engineRecord("e2", "v2", "big"))
+	h.core.streams.record(h.now, newStreamKey("began"), "v2")
+	ep := h.core.endpoints["e2"]
+	ep.schedule.Reserve(h.now, 900*time.Millisecond, 1)
+	h.core.endpoints["e1"].schedule.Reserve(h.now, 900*time.Millisecond, 1)
+	_, effects := h.live("big", "")
+	h.wantNotRun(effects, fault.CodeBusy)
+	_, effects = h.live("big", "began")
+	if err, refused := findEffect[Refuse](effects); refused {
+		t.Fatalf("a resumed stream was refused: %v", err.Err)
+	}
+	h.advance(time.Second)
+	if send := h.mustSend(h.apply(Tick{})); send.Endpoint != "e2" {
+		t.Errorf("sent to %s, want e2", send.Endpoint)
+	}
+}
+
+// A stream is cut while the only other engine of its version does not hold the model
+// yet. It must wait for it rather than be given up at once.
+func TestCutStreamWaitsForModelAtItsVersion(t *testing.T) {
+	h := newLiveHarness(t)
+	h.replaceEngines(engineRecord("e1", "v2", "big"), engineRecord("e2", "v2"))
+	id, effects := h.live("big", "")
+	h.mustSend(effects)
+	h.apply(FirstByteReceived{Call: id})
+	h.advance(500 * time.Millisecond)
+	effects = h.apply(AttemptEnded{
+		Call:   id,
+		Result: truncated,
+	})
+	if abort, aborted := findEffect[AbortResponse](effects); aborted {
+		t.Fatalf("the stream was given up: %s", abort.Detail)
+	}
+	h.advance(200 * time.Millisecond)
+	loaded := engineRecord("e2", "v2", "big")
+	loaded.Sequence++
+	h.effects = nil
+	h.endpoints(loaded)
+	h.apply(Tick{})
+	if send := h.mustSend(h.effects); send.Endpoint != "e2" || !send.Resume {
+		t.Errorf("sent to %s, resume %v, want to e2 as a continuation", send.Endpoint, send.Resume)
+	}
+}
