--- a/internal/gate/resume_client_test.go
+++ b/internal/gate/resume_client_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/pkg/fault"
 )
 
@@ -19,6 +21,7 @@
 type simStream struct {
 	sim      *fleetSim
 	model    string
+	parts    []poison.Part
 	deadline time.Time
 	// id is that of the request that brought the first event, version the one of the
 	// engine that wrote it. events are those that the client has.
@@ -34,8 +37,9 @@
 	// counted is true while the present phase, the stream's beginning or its
 	// resumption, counts for the result.
 	counted bool
-	// note says what was so when the client took up the stream.
-	note string
+	// broke says what broke the stream, note what was so when the client took it up.
+	broke string
+	note  string
 }
 
 // simAttempt is one request of a client.
@@ -57,6 +61,8 @@
 type simResult struct {
 	begun, asked    int
 	wentOn, resumed int
+	// wentOnAfter and resumedAfter are those numbers by what broke the stream.
+	wentOnAfter, resumedAfter map[string]int
 	// uncounted are resumptions that the rule doesn't count.
 	uncounted int
 	mixed     int
@@ -80,6 +86,14 @@
 	return s.models[0]
 }
 
+// drawParts returns the shared parts of a prompt: one of a few instructions and one of
+// many documents, by their popularity.
+func (s *fleetSim) drawParts() []poison.Part {
+	const instructions, documents = 5, 300
+	document := int(math.Pow(documents, s.random.Float64()))
+	return []poison.Part{poison.Part(1 + s.random.IntN(instructions)), poison.Part(100 + document)}
+}
+
 // drawEntry returns an entry that takes clients, nil if there is none.
 func (s *fleetSim) drawEntry() *simEntry {
 	up := slices.Clone(s.entries)
@@ -95,6 +109,7 @@
 	stream := &simStream{
 		sim:      s,
 		model:    model,
+		parts:    s.drawParts(),
 		deadline: s.now.Add(streamTimeout),
 	}
 	entry := s.drawEntry()
@@ -123,6 +138,7 @@
 		Path:          "/plan/1",
 		Model:         st.model,
 		PromptTokens:  1500,
+		SharedParts:   st.parts,
 		ClientTimeout: st.deadline.Sub(s.now),
 		ArrivedAt:     s.now,
 	}
@@ -179,7 +195,7 @@
 		}
 		engine := s.engine(send.Endpoint)
 		if engine == nil {
-			a.runEnded(Result{Outcome: OutcomeNotRun, Reason: ReasonDial})
+			a.runEnded(s.unreachable(send.Address))
 			return
 		}
 		run := &simRun{
@@ -228,7 +244,9 @@
 	if st.resumed {
 		if st.counted {
 			st.sim.result.resumed++
+			st.sim.result.resumedAfter[st.broke]++
 			st.sim.result.wentOn++
+			st.sim.result.wentOnAfter[st.broke]++
 		}
 		st.counted = false
 	}
@@ -269,6 +287,9 @@
 	st := a.stream
 	now := st.sim.now
 	cause := fmt.Sprintf("refused: %v", err)
+	if core := a.entry.core; core.crashes.log.Judge(now, st.parts).Verdict != poison.Clear {
+		cause += " (suspect prompt)"
+	}
 	if st.retried {
 		st.fail(cause)
 		return
@@ -304,12 +325,12 @@
 		st.fail("broken again: " + why)
 		return
 	}
-	st.resumed, st.retried = true, false
-	s.after(s.between(5*time.Millisecond, 150*time.Millisecond), func() { st.resume(why) })
+	st.resumed, st.retried, st.broke = true, false, why
+	s.after(s.between(5*time.Millisecond, 150*time.Millisecond), st.resume)
 }
 
 // resume takes up the stream.
-func (st *simStream) resume(why string) {
+func (st *simStream) resume() {
 	s := st.sim
 	entry := s.drawEntry()
 	if entry == nil {
@@ -320,14 +341,29 @@
 	if !st.counted {
 		s.result.uncounted++
 	}
-	held := slices.ContainsFunc(serving, func(e *simEngine) bool { return e.models[st.model] && e.unloading != st.model })
-	st.note = fmt.Sprintf("%s, model at its version: %t", why, held)
+	st.note = fmt.Sprintf("%s, model %s at its version", st.broke, availability(serving, st.model))
 	if s.leader() == nil {
 		st.note += ", no leader"
 	}
 	st.request(entry)
 }
 
+// availability says how soon engines can serve a model.
+func availability(engines []*simEngine, model string) string {
+	out := "absent"
+	for _, e := range engines {
+		switch {
+		case e.models[model] && e.unloading != model:
+			return "held"
+		case e.loading == model:
+			out = "loading"
+		case out == "absent" && slices.Contains(e.onDisk, model):
+			out = "on disk"
+		}
+	}
+	return out
+}
+
 // fail ends the stream for the client.
 func (st *simStream) fail(cause string) {
 	if !st.counted {
@@ -339,5 +375,6 @@
 		return
 	}
 	st.sim.result.resumed++
+	st.sim.result.resumedAfter[st.broke]++
 	st.sim.result.causes[cause+" ["+st.note+"]"]++
 }
--- a/internal/gate/resume_engine_test.go
+++ b/internal/gate/resume_engine_test.go
@@ -35,8 +35,7 @@
 // simEngine is a run of an engine.
 type simEngine struct {
 	sim      *fleetSim
-	host     int
-	address  byte
+	address  netip.AddrPort
 	id       string
 	version  string
 	born     int64
@@ -73,14 +72,19 @@
 	ended   bool
 }
 
+// newAddress returns an address that no engine had.
+func (s *fleetSim) newAddress() netip.AddrPort {
+	s.addresses++
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(s.addresses)}), 80)
+}
+
 // startEngine starts an engine without any model.
-func (s *fleetSim) startEngine(host int, version string, onDisk []string) {
+func (s *fleetSim) startEngine(address netip.AddrPort, version string, onDisk []string) {
 	s.enginesIn++
 	e := &simEngine{
 		sim:     s,
-		host:    host,
-		address: byte(s.enginesIn),
-		id:      fmt.Sprintf("llm-%d-%03d", host, s.enginesIn),
+		address: address,
+		id:      fmt.Sprintf("llm-%03d", s.enginesIn),
 		version: version,
 		born:    s.now.UnixMilli(),
 		models:  make(map[string]bool),
@@ -94,8 +98,8 @@
 // placeModels starts the first engines, with the busy models at several of them.
 func (s *fleetSim) placeModels() {
 	rank := 0
-	for i := range engineSimCount {
-		s.startEngine(i, "v1", nil)
+	for range engineSimCount {
+		s.startEngine(s.newAddress(), "v1", nil)
 	}
 	for range 3 {
 		for _, e := range s.engines {
@@ -142,6 +146,17 @@
 	return out
 }
 
+// unreachable returns why a request to an engine that has ended isn't run: nothing
+// listens at its address, or another engine answers there.
+func (s *fleetSim) unreachable(address netip.AddrPort) Result {
+	for _, e := range s.engines {
+		if e.address == address {
+			return Result{Outcome: OutcomeNotRun, Reason: ReasonAddressReused, Status: 421}
+		}
+	}
+	return Result{Outcome: OutcomeNotRun, Reason: ReasonDial}
+}
+
 func (e *simEngine) freeMemory() float64 {
 	free := float64(engineSimMemoryMB)
 	for model := range e.models {
@@ -210,7 +225,7 @@
 		endpoint: topo.Endpoint{
 			ID:              e.id,
 			Service:         "llm",
-			Address:         netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, e.address}), 80),
+			Address:         e.address,
 			Zone:            "a",
 			SoftwareVersion: e.version,
 			Slots:           engineSimSlots,
@@ -324,6 +339,11 @@
 	s := r.engine.sim
 	r.firstAt = s.now
 	r.attempt.firstEvent(r)
+	s.after(time.Second, func() {
+		if !r.ended {
+			r.attempt.entry.post(s.delay(), AnswerContinues{Call: r.attempt.call})
+		}
+	})
 	s.after(time.Duration(max(streamEvents-r.events-1, 0))*eventInterval, func() {
 		if !r.ended {
 			r.stop()
--- a/internal/gate/resume_sim_test.go
+++ b/internal/gate/resume_sim_test.go
@@ -46,8 +46,9 @@
 	entries    []*simEntry
 	engines    []*simEngine
 	// registry holds the records of engines, with the times of their heartbeats.
-	registry  map[string]simRecord
-	enginesIn int
+	registry map[string]simRecord
+	// enginesIn and addresses count the engines that were started and their addresses.
+	enginesIn, addresses int
 	// lastRecord is the newest record of the lease log, which ends at leaseEnd.
 	lastRecord lease.Record
 	leaseEnd   int64
@@ -67,7 +68,11 @@
 		now:      start,
 		random:   rand.New(rand.NewPCG(seed, 77)),
 		registry: make(map[string]simRecord),
-		result:   simResult{causes: make(map[string]int)},
+		result: simResult{
+			wentOnAfter:  make(map[string]int),
+			resumedAfter: make(map[string]int),
+			causes:       make(map[string]int),
+		},
 	}
 	s.config = s.newConfig()
 	s.placeModels()
--- a/internal/gate/resume_test.go
+++ b/internal/gate/resume_test.go
@@ -96,12 +96,8 @@
 // rollVersions replaces two or three engines by ones of v1.1 soon, and some more by
 // ones of v1.2 after a long span.
 func (s *fleetSim) rollVersions() {
-	host := engineSimCount
 	replace := func(at time.Duration, old, version string) {
-		s.after(at, func() {
-			host++
-			s.startEngine(host, version, nil)
-		})
+		s.after(at, func() { s.startEngine(s.newAddress(), version, nil) })
 		s.after(at+s.between(500*time.Millisecond, 2*time.Second), func() {
 			if leaving := s.serving(old); len(leaving) > 0 {
 				leaving[s.random.IntN(len(leaving))].drain()
@@ -118,7 +114,8 @@
 	}
 }
 
-// endEngine ends an engine, which is soon back under another ID, without its models.
+// endEngine ends an engine, which is soon back under another ID, without its models, at
+// its address or another one.
 func (s *fleetSim) endEngine(fewOnly bool) {
 	var choices []*simEngine
 	for _, e := range s.engines {
@@ -131,7 +128,11 @@
 	}
 	e := choices[s.random.IntN(len(choices))]
 	e.end()
-	s.after(s.between(100*time.Millisecond, time.Second), func() { s.startEngine(e.host, e.version, e.onDisk) })
+	address := e.address
+	if s.random.IntN(2) == 0 {
+		address = s.newAddress()
+	}
+	s.after(s.between(100*time.Millisecond, time.Second), func() { s.startEngine(address, e.version, e.onDisk) })
 }
 
 // restart kills an entry, which starts again a second later.
@@ -165,13 +166,17 @@
 		}},
 		{"engines", 20, simDay{rate: 35, engineEnds: seconds(5, 12)}},
 		{"enginesOfFew", 8, simDay{rate: 35, engineEnds: seconds(5, 12), fewOnly: true}},
+		{"incident", 20, simDay{rate: 35, engineEnds: seconds(11.7, 12.3), entryKills: seconds(58, 58)}},
 		{"leaders", 8, simDay{rate: 35, leaderKills: seconds(5, 12)}},
 		{"entries", 8, simDay{rate: 35, entryKills: seconds(4, 9)}},
 		{"bursts", 8, simDay{rate: 35, engineEnds: seconds(5, 12), bursts: seconds(5, 10)}},
 	}
 	for _, d := range days {
 		for seed := range d.seeds {
-			t.Run(fmt.Sprint(d.name, "/", seed), func(t *testing.T) { d.day.play(seed).check(t) })
+			t.Run(fmt.Sprint(d.name, "/", seed), func(t *testing.T) {
+				t.Parallel()
+				d.day.play(seed).check(t)
+			})
 		}
 	}
 }
@@ -182,6 +187,9 @@
 	resumedShare := float64(r.wentOn) / float64(max(r.resumed, 1))
 	t.Logf("new streams: %d of %d began (%.3f); resumed: %d of %d went on (%.3f); %d not counted",
 		r.begun, r.asked, newShare, r.wentOn, r.resumed, resumedShare, r.uncounted)
+	for _, broke := range sortedKeys(r.resumedAfter) {
+		t.Logf("  after %s: %d of %d went on", broke, r.wentOnAfter[broke], r.resumedAfter[broke])
+	}
 	for _, cause := range sortedKeys(r.causes) {
 		t.Logf("  %3d %s", r.causes[cause], cause)
 	}
