Hold a stream that goes on to its client's patience, not to the objective of new ones

Callers saw that streams which they resumed were refused as "every endpoint is busy" or "has asked for a pause" while new ones began. An engine that ends cuts all its streams at one moment; they meet again at the one or two other engines of their version, and the first of their next events comes after the objective of a new request (0.5 s), which a stream that its client has begun to read doesn't have: the client waits for two seconds at least.

The class: a bound made for the first decision on a request, applied to every later one. A call that continues a stream, within its answer or for a client that resumes it, is now held to the time for which its client waits, counted from when it began to wait for the next event; the leader doesn't postpone it, and counts its rank at nothing. Without a load that has begun it is still given up after half a second.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -79,10 +79,13 @@
 	objective := time.Duration(req.GetObjectiveUs()) * time.Microsecond
 	elapsed := time.Duration(req.GetPassedUs()) * time.Microsecond
 	wait := option.start.Sub(now)
-	rank := min(int(req.GetRank()), len(objectiveFractions)-1)
-	limit := time.Duration(float64(objective) * objectiveFractions[rank])
+	limit := objective
+	if !req.GetResumes() {
+		rank := min(int(req.GetRank()), len(objectiveFractions)-1)
+		limit = time.Duration(float64(objective) * objectiveFractions[rank])
+	}
 	switch {
-	case objective-elapsed-option.estimate > slackThreshold && elapsed < objective/2 && wait > slackMaxBacklog:
+	case !req.GetResumes() && objective-elapsed-option.estimate > slackThreshold && elapsed < objective/2 && wait > slackMaxBacklog:
 		reply.Verdict = wirepb.GateAssignment_LATER
 		reply.AfterUs = uint64(max(wait-slackMaxBacklog, slackMinRetry).Microseconds())
 		return reply
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -121,7 +121,7 @@
 		PromptTokens: uint32(max(call.request.PromptTokens, 0)),
 		TokensPerMs:  tokensPerMs,
 		Samples:      uint32(samples),
-		ObjectiveUs:  uint64(call.route.LatencyObjective.Microseconds()),
+		ObjectiveUs:  uint64(call.firstEventLimit().Microseconds()),
 		PassedUs:     uint64(max(now.Sub(call.request.ArrivedAt), 0).Microseconds()),
 		Rank:         uint32(call.route.Priority),
 		Zone:         c.settings.Zone,
@@ -141,6 +141,15 @@
 	return req
 }
 
+// firstEventLimit returns the time from the arrival of a call within which the leader
+// must expect its first event.
+func (ac *activeCall) firstEventLimit() time.Duration {
+	if ac.continuesStream() {
+		return max(ac.admissionLimit().Sub(ac.request.ArrivedAt), 0)
+	}
+	return ac.route.LatencyObjective
+}
+
 // handleAssignmentReceived applies the leader's reply to the call that waits
 // for it.
 func (c *Core) handleAssignmentReceived(now time.Time, e AssignmentReceived) {
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -23,6 +23,9 @@
 	paid bool
 	// deadline is when the final answer is due.
 	deadline time.Time
+	// waitingSince is since when the client has waited for the first event or, if its
+	// stream was cut, for the next one.
+	waitingSince time.Time
 	// parkedAt is when the call began to wait for an endpoint.
 	parkedAt time.Time
 	// parkedUntil is when a parked call is refused.
@@ -93,6 +96,7 @@
 	call := &activeCall{
 		id:             id,
 		request:        request,
+		waitingSince:   request.ArrivedAt,
 		triedEndpoints: make(map[string]bool),
 	}
 	c.calls[id] = call
@@ -211,9 +215,7 @@
 		c.waitForBackoff(now, call, endpoints)
 		return
 	}
-	expectedLatency := now.Sub(call.request.ArrivedAt) + choice.Estimate
-	if !call.resuming && expectedLatency > time.Duration(float64(call.route.LatencyObjective)*admissionObjectiveRatio) &&
-		best.stats.Load(now).Running > 0 {
+	if now.Add(choice.Estimate).After(call.admissionLimit()) && best.stats.Load(now).Running > 0 {
 		c.refuse(now, call, fault.NotRun, fault.CodeBusy, "every endpoint is busy", c.jitter(choice.Estimate))
 		return
 	}
@@ -221,6 +223,17 @@
 	c.send(now, call, best, candidates[choice.Index], choice)
 }
 
+// admissionLimit returns the time by which the response, or the next event of a stream,
+// must be expected for a call to be sent to a busy endpoint. A stream that its client has
+// begun to read is of use to it for as long as it waits.
+func (ac *activeCall) admissionLimit() time.Time {
+	if ac.continuesStream() {
+		return ac.loadWaitDeadline()
+	}
+	objective := time.Duration(float64(ac.route.LatencyObjective) * admissionObjectiveRatio)
+	return ac.request.ArrivedAt.Add(objective)
+}
+
 // jitter randomizes a delay by ±50%, so that requests refused at the same time
 // are not retried at the same time.
 func (c *Core) jitter(delay time.Duration) time.Duration {
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -122,6 +122,7 @@
 	case OutcomeTruncated:
 		ep.stats.RecordFailure(now)
 		call.resuming = true
+		call.waitingSince = now
 		if !call.versionKnown {
 			call.setStreamVersion(ep.SoftwareVersion)
 		}
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -28,6 +28,9 @@
 // parkDeadline returns the time until which a call may wait for a full or
 // unreachable endpoint.
 func (c *Core) parkDeadline(call *activeCall) time.Time {
+	if call.continuesStream() {
+		return call.loadWaitDeadline()
+	}
 	wait := time.Duration(float64(call.route.LatencyObjective) * parkObjectiveFraction)
 	return earliest(call.request.ArrivedAt.Add(wait), call.deadline.Add(-minRemainingTime))
 }
@@ -52,6 +55,9 @@
 	c.requestArtifact(now, call)
 	expectedAt, loading := c.loadArrival(now, call)
 	until := c.parkDeadline(call)
+	if call.continuesStream() && !c.modelLoaded(now, call) {
+		until = earliest(until, call.waitingSince.Add(loadDecisionTime))
+	}
 	switch {
 	case loading && expectedAt.After(call.loadWaitDeadline()):
 		c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "the model is being loaded",
@@ -78,6 +84,9 @@
 }
 
 const (
+	// loadDecisionTime is the time in which the leader begins a load for which a
+	// request waits, if it begins one.
+	loadDecisionTime = 500 * time.Millisecond
 	// loadSlack is how much longer than expected a load may take.
 	loadSlack = 1500 * time.Millisecond
 	// Clients abandon a stream without a first event after the longest of
@@ -99,7 +108,7 @@
 		return limit
 	}
 	abandonAfter := max(minAbandonTime, ac.route.LatencyObjective*abandonObjectives, ac.route.GapObjective*abandonGaps)
-	return earliest(limit, ac.request.ArrivedAt.Add(abandonAfter-firstEventReserve))
+	return earliest(limit, ac.waitingSince.Add(abandonAfter-firstEventReserve))
 }
 
 // park makes a call wait until an endpoint may be available, at most until the
