Let a cut stream wait for its model at its version

Callers saw streams break off and, resumed, be refused: the entry gave a stream up ("no other endpoint may be tried") if no other engine of its version held the model at the moment of the cut, and never asked for the model there. So only the streams without any hope reached their clients, whose one retry met the same state.

The class: a request that was sent once is handled as one whose options are used up. A call that continues a stream now asks for its model and waits for it like a new one, while its route allows another attempt and an untried engine of its version takes requests; the client's patience bounds it.

Evidence: TestCutStreamWaitsForModelAtItsVersion failed and passes.

--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -223,11 +223,12 @@
 	return version, only
 }
 
-// servesVersion reports whether a service has an endpoint with the given software
-// version that takes requests.
-func (c *Core) servesVersion(service, version string) bool {
+// servesVersion reports whether an endpoint that a call has not been sent to has the
+// software version that began the call's stream, and takes requests.
+func (c *Core) servesVersion(call *activeCall) bool {
 	for _, ep := range c.endpoints {
-		if ep.Service == service && !ep.Draining && ep.SoftwareVersion == version {
+		if ep.Service == call.service && !ep.Draining && ep.SoftwareVersion == call.softwareVersion &&
+			!call.triedEndpoints[ep.ID] {
 			return true
 		}
 	}
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -38,13 +38,13 @@
 // waitForArtifact handles a call for which there is no candidate. It parks the
 // call until its model or adapter is loaded or, for services without engines,
 // until there is an endpoint. It refuses the call if that takes too long or if
-// it has been sent before.
+// it has been sent before, unless it continues a stream.
 func (c *Core) waitForArtifact(now time.Time, call *activeCall, service *topo.Service) {
-	if len(call.triedEndpoints) > 0 {
+	if len(call.triedEndpoints) > 0 && !call.mayWaitForOther() {
 		c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "no other endpoint may be tried", shortRetryAfter)
 		return
 	}
-	if call.continuesStream() && !c.servesVersion(call.service, call.softwareVersion) {
+	if call.continuesStream() && !c.servesVersion(call) {
 		c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "no endpoint of the version that began the stream", 0)
 		return
 	}
@@ -83,6 +83,12 @@
 	return model.StoreLoadTime + c.jitter(shortRetryAfter)
 }
 
+// mayWaitForOther reports whether a call that has been sent before may wait for an
+// endpoint that has not been tried: a part of its stream has reached the client.
+func (ac *activeCall) mayWaitForOther() bool {
+	return ac.continuesStream() && len(ac.triedEndpoints) < ac.route.MaxAttempts
+}
+
 const (
 	// loadDecisionTime is the time in which the leader begins a load for which a
 	// request waits, if it begins one.
