Don't take a leader for silent that has answered

Entries refused resumed streams ("the version that began the stream is not known") and chose engines by themselves though their leader was there and answered.

Cause: a call whose engine the leader doesn't know is dispatched anew and may wait for a load; it stayed in the list of calls that wait for the leader's reply, and the next tick took it for one without a reply, so that the leader wasn't asked for half a second. The class: an entry in two lists, of which one is left behind. The reply now takes the call out of that list before anything else.

--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -160,6 +160,7 @@
 	if call == nil || call.assignment.stage != stageRequested {
 		return // the call has proceeded without a reply
 	}
+	delete(c.assignments.pending, call.id)
 	c.applyAssignment(now, call, e.Assignment)
 }
 
--- a/internal/gate/assignment_test.go
+++ b/internal/gate/assignment_test.go
@@ -60,6 +60,38 @@
 	h.mustSend(effects)
 }
 
+// The leader answers that no engine holds the model, and the request waits for it. The
+// leader must not count as one that doesn't answer: without it, entries know neither the
+// load of engines nor the versions of streams that others began.
+func TestAnsweredRequestThatWaitsDoesNotDiscreditLeader(t *testing.T) {
+	h := newFollowerHarness(t)
+	_, effects := h.arriveRequest(&Request{
+		Host:      "h",
+		Path:      "/notes/1",
+		Key:       "k2",
+		Model:     "big",
+		ArrivedAt: h.now,
+	})
+	ask, asked := findEffect[RequestAssignment](effects)
+	if !asked {
+		t.Fatalf("the leader was not asked: %+v", effects)
+	}
+	h.core.endpoints["llm-1"].Holdings = nil
+	h.core.endpoints["llm-1"].leaderHoldings = nil
+	h.apply(AssignmentReceived{
+		Host:       "front-2",
+		Assignment: &wirepb.GateAssignment{Call: ask.Request.GetCall()},
+	})
+	if len(h.core.parked) != 1 {
+		t.Fatal("the request does not wait")
+	}
+	h.advance(20 * time.Millisecond)
+	h.apply(Tick{})
+	if !h.core.leaderAnswers(h.now) {
+		t.Error("the leader counts as one that doesn't answer")
+	}
+}
+
 func TestBusyVerdictRefusesImmediately(t *testing.T) {
 	h := newFollowerHarness(t)
 	_, effects := h.arriveChat("/chat/1")
