Try only engines of the version for a load that a stream waits for

A stream waits for its model at the few engines of its version, in a fleet of over 32 engines. The planner tries the 32 engines at which a load costs least, whatever their version; if those of the version weren't among them, the model was never loaded there and each resumed stream of it was refused.

The class: a bound on work that is applied before the filter. Found by reading, while the cause of the lost resumed streams was looked for at other sizes.

Evidence: TestLoadAtVersionWithFewEngines (128 engines, one of the version) failed, no load was ordered, and passes.

--- a/internal/stock/load.go
+++ b/internal/stock/load.go
@@ -217,15 +217,24 @@
 		}
 		return best
 	}
-	for i, ranked := range class.ranked {
-		if i == maxEvaluations || best != nil && ranked.cost >= best.cost {
+	tried := 0
+	for _, ranked := range class.ranked {
+		if tried == maxEvaluations || best != nil && ranked.cost >= best.cost {
 			break
 		}
-		try(ranked.engine)
+		if shortage.helpedBy(ranked.engine) {
+			tried++
+			try(ranked.engine)
+		}
 	}
 	return best
 }
 
+// helpedBy reports whether a copy at an engine helps against the shortage.
+func (s shortage) helpedBy(e *engine) bool {
+	return s.softwareVersion == "" || e.softwareVersion == s.softwareVersion
+}
+
 // evaluateLoad returns how an engine could load a model, or nil if it can't do so
 // now.
 func (p *Planner) evaluateLoad(now time.Time, s *service, e *engine, shortage shortage) *loadOption {
@@ -233,7 +242,7 @@
 	if _, held := e.models[shortage.model]; held || spec == nil || !e.canAcceptOrder() {
 		return nil
 	}
-	if shortage.softwareVersion != "" && e.softwareVersion != shortage.softwareVersion {
+	if !shortage.helpedBy(e) {
 		return nil
 	}
 	o := &loadOption{
--- a/internal/stock/scale_test.go
+++ b/internal/stock/scale_test.go
@@ -54,6 +54,24 @@
 	return p, names
 }
 
+// Pattern: a large fleet in which a new software version has few engines, where a load
+// costs more than at the others. A stream that began at that version waits for its model
+// there, so the other engines must not use up the engines that are tried.
+func TestLoadAtVersionWithFewEngines(t *testing.T) {
+	p, names := largeFleet(4*maxEvaluations, 100, false)
+	last := p.service("llm").engines[4*maxEvaluations-1]
+	last.softwareVersion = "v2"
+	last.runningRequests = 15
+	last.inMemory = nil
+	last.onDisk = nil
+	wanted := Artifact{Model: names[0]}
+	p.RecordMiss(startTime, "llm", Miss{
+		Artifact:        wanted,
+		SoftwareVersion: "v2",
+	})
+	wantLoadAt(t, p.Plan(startTime), last.id, wanted)
+}
+
 // shiftDemand moves the demand to some models and records misses for others.
 func shiftDemand(p *Planner, now time.Time, names []string) {
 	for i, name := range names {
