Don't count an engine that has crashed as a copy of its models

Callers saw streams that were cut refused as "every endpoint has asked for a pause" or "the model is being loaded" too late: the engine that had just ended stays registered for 2.4 to 3.6 s. So long it was a candidate that can't be reached, and for the planner a copy of its models, so that no other engine of its version got them, whoever waited.

The class: knowledge kept for one use and not given to the others. A probe had shown that the run was over (for prompts that crash engines), and only that verdict used it. Now each entry, and the leader's planner, leaves out an engine whose crash is known, for 5 s at most: by then its record is gone, or the proof was only that one entry didn't reach it. Cut answers of streams that have gone on for long are probed and recorded too, without parts, since they blame no prompt.

Evidence: TestModelOfCrashedEngineIsLoadedAtItsVersion failed (no load was ordered) and passes.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -141,7 +141,7 @@
 	parts := promptParts(req)
 	rate := c.prefillRate(req.GetService(), req.GetModel())
 	for id, ep := range c.endpoints {
-		if ep.Service != req.GetService() || ep.Draining || !ep.holds(now, true, req.GetModel(), req.GetAdapter()) {
+		if ep.Service != req.GetService() || ep.Draining || c.hasCrashed(now, ep) || !ep.holds(now, true, req.GetModel(), req.GetAdapter()) {
 			continue
 		}
 		if reply.GetVersionKnown() && ep.SoftwareVersion != reply.GetSoftwareVersion() {
--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/pkg/fault"
 )
@@ -131,3 +132,52 @@
 		t.Errorf("sent to %s, resume %v, want to e2 as a continuation", send.Endpoint, send.Resume)
 	}
 }
+
+// reportEngines delivers the engines' own reports of what the registry says they hold, so
+// that they take orders.
+func (h *harness) reportEngines(engines ...*topo.Endpoint) {
+	for _, ep := range engines {
+		h.apply(EngineReported{
+			Engine: ep.ID,
+			SentAt: h.now,
+			Report: &stock.Report{
+				Incarnation: ep.Incarnation,
+				Holdings:    ep.Holdings,
+			},
+		})
+	}
+}
+
+// An engine has crashed, and the registry lists it for some seconds more. It must not
+// count as a copy of its models: streams of its version wait for one that serves.
+func TestModelOfCrashedEngineIsLoadedAtItsVersion(t *testing.T) {
+	h := newLiveHarness(t)
+	e1, e2 := engineRecord("e1", "v2", "big", "small"), engineRecord("e2", "v2", "small")
+	h.replaceEngines(e1, e2)
+	h.reportEngines(e1, e2)
+	id, effects := h.live("big", "")
+	h.mustSend(effects)
+	h.apply(FirstByteReceived{Call: id})
+	h.advance(500 * time.Millisecond)
+	h.effects = nil
+	h.apply(AttemptEnded{
+		Call:   id,
+		Result: truncated,
+	})
+	probe, probed := findEffect[ProbeEngine](h.effects)
+	if !probed {
+		t.Fatal("the engine was not probed")
+	}
+	h.apply(EngineProbed{Run: probe.Run})
+	h.advance(planInterval)
+	h.apply(Tick{})
+	order, ordered := findEffect[SendOrder](h.effects)
+	if !ordered || order.Order.Engine != "e2" || order.Order.Model != "big" {
+		t.Errorf("ordered %+v, want a load of big at e2", order.Order)
+	}
+	h.core.streams.record(h.now, newStreamKey("began"), "v2")
+	_, effects = h.live("big", "began")
+	if send, sent := findEffect[Send](effects); sent {
+		t.Errorf("a resumed stream was sent to %s, which has crashed", send.Endpoint)
+	}
+}
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -112,16 +112,21 @@
 	if result.Reason != ReasonReset {
 		defer c.endTrial(now, call.assignment.suspects)
 	}
+	parts := call.request.SharedParts
+	if call.answered {
+		parts = nil // they haven't crashed the engine
+	}
 	switch {
-	case len(call.request.SharedParts) == 0 || call.answered || c.engineSpec(ep) == nil:
+	case c.engineSpec(ep) == nil:
 	case ep.Draining || c.endpoints[ep.ID] != ep:
 		// Its end is expected.
+	case result.Reason == ReasonReset:
+		c.recordCut(now, call, ep, parts)
+	case len(parts) == 0:
 	case result.Reason == ReasonDial:
 		if len(c.crashes.endings[run]) > 0 {
 			c.probeEngine(now, run, ep)
 		}
-	case result.Reason == ReasonReset:
-		c.recordCut(now, call, ep)
 	case result.Outcome == OutcomeComplete && (result.CloseDelimited || result.WithoutEvents):
 		c.crashes.endings[run] = append(c.crashes.endings[run], ending{
 			at:    now,
@@ -132,21 +137,21 @@
 	}
 }
 
-// recordCut records an answer that was cut off, and probes its engine unless it is
-// known to have crashed.
-func (c *Core) recordCut(now time.Time, call *activeCall, ep *endpoint) {
+// recordCut records an answer that was cut off, with the parts of its prompt that may have
+// crashed its engine, and probes the engine unless it is known to have crashed.
+func (c *Core) recordCut(now time.Time, call *activeCall, ep *endpoint, parts []poison.Part) {
 	run := runOf(ep.Endpoint)
 	if c.crashes.log.HasCrash(run) {
 		c.addCrash(now, poison.Crash{
 			Run:   run,
 			At:    now,
-			Parts: call.request.SharedParts,
+			Parts: parts,
 		})
 		return
 	}
 	c.crashes.endings[run] = append(c.crashes.endings[run], ending{
 		at:       now,
-		parts:    call.request.SharedParts,
+		parts:    parts,
 		suspects: call.assignment.suspects,
 		broken:   true,
 	})
@@ -209,6 +214,18 @@
 	c.spreadPoison(now)
 }
 
+// crashedRecordLifetime is how long the record of an engine that has crashed may stay in
+// the registry. Later, the engine is taken to run: the proof of its crash may have been
+// that one entry didn't reach it.
+const crashedRecordLifetime = 5 * time.Second
+
+// hasCrashed reports whether an endpoint's run is known to have crashed though it is still
+// registered.
+func (c *Core) hasCrashed(now time.Time, ep *endpoint) bool {
+	at, known := c.crashes.log.CrashTime(runOf(ep.Endpoint))
+	return known && now.Sub(at) < crashedRecordLifetime
+}
+
 // spreadPoison tells the other entries soon what this one has learned. The leader
 // collects the reports of one crash before it tells all of them.
 func (c *Core) spreadPoison(now time.Time) {
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -225,9 +225,9 @@
 
 // servesVersion reports whether an endpoint that a call has not been sent to has the
 // software version that began the call's stream, and takes requests.
-func (c *Core) servesVersion(call *activeCall) bool {
+func (c *Core) servesVersion(now time.Time, call *activeCall) bool {
 	for _, ep := range c.endpoints {
-		if ep.Service == call.service && !ep.Draining && ep.SoftwareVersion == call.softwareVersion &&
+		if ep.Service == call.service && !ep.Draining && !c.hasCrashed(now, ep) && ep.SoftwareVersion == call.softwareVersion &&
 			!call.triedEndpoints[ep.ID] {
 			return true
 		}
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -44,7 +44,7 @@
 		c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "no other endpoint may be tried", shortRetryAfter)
 		return
 	}
-	if call.continuesStream() && !c.servesVersion(call) {
+	if call.continuesStream() && !c.servesVersion(now, call) {
 		c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "no endpoint of the version that began the stream", 0)
 		return
 	}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -135,6 +135,15 @@
 // HasCrash reports whether the crash of a run is known.
 func (l *Log) HasCrash(run Run) bool { return l.crashes[run] != nil }
 
+// CrashTime returns when a run crashed, if that is known.
+func (l *Log) CrashTime(run Run) (at time.Time, known bool) {
+	crash := l.crashes[run]
+	if crash == nil {
+		return time.Time{}, false
+	}
+	return crash.At, true
+}
+
 // AddCrash adds a crash, or its parts to what is known of it.
 func (l *Log) AddCrash(now time.Time, crash Crash) {
 	l.prune(now)
@@ -143,11 +152,12 @@
 }
 
 func (l *Log) addCrash(now time.Time, crash Crash, own bool) {
-	if len(crash.Parts) == 0 || now.Sub(crash.At) > memory {
+	if now.Sub(crash.At) > memory {
 		return
 	}
 	known := l.crashes[crash.Run]
-	if known == nil {
+	isNew := known == nil
+	if isNew {
 		known = &loggedCrash{Crash: Crash{
 			Run: crash.Run,
 			At:  crash.At,
@@ -155,7 +165,7 @@
 		l.crashes[crash.Run] = known
 	}
 	parts := union(known.Parts, crash.Parts)
-	if len(parts) == len(known.Parts) {
+	if !isNew && len(parts) == len(known.Parts) {
 		return
 	}
 	known.Parts = parts
--- a/internal/stock/engine.go
+++ b/internal/stock/engine.go
@@ -97,7 +97,8 @@
 	spec            *topo.EngineSpec
 	incarnation     int64
 	softwareVersion string
-	usable          bool
+	draining        bool
+	crashed         bool
 	runningRequests int
 	// limited is true while the engine takes fewer requests than it could run.
 	limited bool
@@ -248,8 +249,18 @@
 	return n
 }
 
+// usable reports whether the engine takes requests.
+func (e *engine) usable() bool { return !e.draining && !e.crashed }
+
 // canAcceptOrder reports whether an order can be sent to the engine now.
-func (e *engine) canAcceptOrder() bool { return e.usable && e.synced && e.pending == nil }
+func (e *engine) canAcceptOrder() bool { return e.usable() && e.synced && e.pending == nil }
+
+// keeps reports whether a usable engine holds or is loading a model, and doesn't unload
+// it.
+func (e *engine) keeps(model string) bool {
+	weights := Artifact{Model: model}
+	return e.usable() && (!e.hasPendingOrder(weights) || e.loading(weights))
+}
 
 // lruAdapter returns the least recently used adapter and the time of its last use.
 func (e *engine) lruAdapter() (Artifact, time.Time) {
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -81,7 +81,7 @@
 	}
 	e.spec = spec
 	e.service.setSpec(spec)
-	e.usable = !ep.Draining
+	e.draining = ep.Draining
 	e.softwareVersion = ep.SoftwareVersion
 	e.inMemory = toSet(ep.InMemory)
 	e.onDisk = toSet(ep.OnDisk)
@@ -116,6 +116,13 @@
 	}
 }
 
+// SetCrashed sets whether an engine has crashed though it is still registered.
+func (p *Planner) SetCrashed(id string, crashed bool) {
+	if e := p.engines[id]; e != nil {
+		e.crashed = crashed
+	}
+}
+
 // RecordDemand records the work of new requests for an artifact.
 func (p *Planner) RecordDemand(now time.Time, service string, a Artifact, work time.Duration) {
 	s := p.service(service)
--- a/internal/stock/service.go
+++ b/internal/stock/service.go
@@ -158,7 +158,7 @@
 		for model := range e.models {
 			c := s.copiesOf(model)
 			c.holders = append(c.holders, e)
-			if !e.usable {
+			if !e.usable() {
 				continue
 			}
 			weights := Artifact{Model: model}
@@ -178,8 +178,7 @@
 // model.
 func (s *service) hasCopy(model, softwareVersion string) bool {
 	return slices.ContainsFunc(s.copiesOf(model).holders, func(e *engine) bool {
-		weights := Artifact{Model: model}
-		return e.usable && e.softwareVersion == softwareVersion && (!e.hasPendingOrder(weights) || e.loading(weights))
+		return e.softwareVersion == softwareVersion && e.keeps(model)
 	})
 }
 
