Keep two copies of a model in use at one software version, and begin streams there

Callers saw that streams of a version with one or two engines could not go on after one of these had ended: the version's other engine didn't hold their model though it had room, and a load takes longer than clients wait.

Cause: copies of a model were counted over all versions, as if a stream could go on at any of them, and streams began at the only engine of a version as readily as elsewhere. The class: redundancy counted over replicas that can't stand in for each other.

While a service has several versions, the planner gives each model in use two copies at one version (where it has a copy, else where most engines are), after all other shortages and under the same rules of eviction and of loads. The leader prefers to begin a stream that may be resumed at a version with two holders of its model, by a cost of 150 ms, so that engines with a single copy still serve when the others are busy.

Evidence: TestModelHasTwoCopiesAtOneVersion and TestStreamBeginsWhereItCanGoOn failed and pass.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -140,6 +140,8 @@
 	}
 	parts := promptParts(req)
 	rate := c.prefillRate(req.GetService(), req.GetModel())
+	holders := make(map[string]int)
+	var options []*engineOption
 	for id, ep := range c.endpoints {
 		if ep.Service != req.GetService() || ep.Draining || c.hasCrashed(now, ep) || !ep.holds(now, true, req.GetModel(), req.GetAdapter()) {
 			continue
@@ -151,14 +153,29 @@
 			pausing = pausing || !ep.limit.limited()
 			continue
 		}
-		option := c.evaluateEngine(now, req, ep, parts, rate)
-		if best == nil || option.cost < best.cost || option.cost == best.cost && id < best.endpoint.ID {
+		holders[ep.SoftwareVersion]++
+		options = append(options, c.evaluateEngine(now, req, ep, parts, rate))
+	}
+	for _, option := range options {
+		if beginsResumableStream(req) && holders[option.endpoint.SoftwareVersion] == 1 && len(holders) > 1 {
+			option.cost += loneHolderPenalty
+		}
+		if best == nil || option.cost < best.cost || option.cost == best.cost && option.endpoint.ID < best.endpoint.ID {
 			best = option
 		}
 	}
 	return best, pausing
 }
 
+// loneHolderPenalty is the cost of beginning a stream at the only engine of its software
+// version that holds its model: if that engine ends, the stream can't go on.
+const loneHolderPenalty = 150 * time.Millisecond
+
+// beginsResumableStream reports whether a request begins a stream that may be resumed.
+func beginsResumableStream(req *wirepb.GateAssignmentAsk) bool {
+	return req.GetStream() != 0 && !req.GetResumes()
+}
+
 func (c *Core) evaluateEngine(
 	now time.Time, req *wirepb.GateAssignmentAsk, ep *endpoint, parts []pick.PromptPart, rate *pick.PrefillRate,
 ) *engineOption {
--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -181,3 +181,17 @@
 		t.Errorf("a resumed stream was sent to %s, which has crashed", send.Endpoint)
 	}
 }
+
+// A stream begins rather where it could go on if its engine ended: at a version with
+// another engine that holds its model.
+func TestStreamBeginsWhereItCanGoOn(t *testing.T) {
+	h := newLiveHarness(t)
+	h.replaceEngines(engineRecord("e1", "v2", "big"), engineRecord("e2", "v1", "big"), engineRecord("e3", "v1", "big"))
+	for range 4 {
+		_, effects := h.live("big", "")
+		h.apply(Tick{})
+		if send, sent := findEffect[Send](effects); sent && send.SoftwareVersion != "v1" {
+			t.Errorf("a stream began at %s of %s, which has no other engine with the model", send.Endpoint, send.SoftwareVersion)
+		}
+	}
+}
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -113,7 +113,7 @@
 	if len(s.engines) == 0 {
 		return
 	}
-	shortages := append(p.versionShortages(now, s), p.shortages(now, s)...)
+	shortages := slices.Concat(p.versionShortages(now, s), p.shortages(now, s), p.backupShortages(now, s))
 	if len(shortages) == 0 {
 		return
 	}
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -215,3 +215,40 @@
 		}
 	}
 }
+
+// Two software versions serve, and a model in use has one copy at each: if the engine of
+// either ends, its streams can't go on. A second copy must be loaded at one version.
+func TestModelHasTwoCopiesAtOneVersion(t *testing.T) {
+	spec := testSpec()
+	p := NewPlanner(startTime, DefaultSettings(5*time.Second), true)
+	add := func(id, version string, models ...string) {
+		ep := &topo.Endpoint{
+			ID:              id,
+			Service:         "llm",
+			Incarnation:     1,
+			SoftwareVersion: version,
+		}
+		for _, model := range models {
+			ep.Holdings = append(ep.Holdings, topo.Holding{Model: model})
+		}
+		p.SetEndpoint(startTime, ep, spec)
+		p.HandleReport(startTime, startTime, id, Report{Holdings: ep.Holdings})
+	}
+	add("e1", "v1", "a")
+	add("e2", "v1", "b", "c")
+	add("e3", "v1", "b", "c")
+	add("e4", "v2", "a")
+	p.RecordDemand(startTime, "llm", Artifact{Model: "a"}, 50*time.Millisecond)
+	loads := 0
+	for _, o := range p.Plan(startTime).Orders {
+		if !o.Load || o.Model != "a" {
+			continue
+		}
+		if loads++; o.Engine != "e2" && o.Engine != "e3" {
+			t.Errorf("loaded at %s, want an engine of v1, which has several", o.Engine)
+		}
+	}
+	if loads != 1 {
+		t.Errorf("%d loads of the model, want 1", loads)
+	}
+}
