Let a resumed stream wait for the leader that may know its version

Callers whose entry or leader had ended saw their resumed streams refused at once ("the version that began the stream is not known") while new streams began at an engine of the entry's own choice: the entry that they came to next didn't know the stream, and the leader didn't answer for a moment, or was a new one that had not yet heard the first report of the entry that knew.

The class: not knowing yet, answered as if it were known that nobody knows. An entry that knows a leader, and expects it or the next one before its client leaves, now waits and asks again; otherwise it refuses at once and tells when a leader is expected.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -63,7 +63,7 @@
 	if req.GetResumes() {
 		reply.SoftwareVersion, reply.VersionKnown = c.resolveAskedVersion(now, req)
 		if !reply.VersionKnown {
-			reply.Verdict = wirepb.GateAssignment_UNKNOWN
+			c.replyUnknownStream(now, req, reply)
 			return reply
 		}
 	}
--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -23,7 +23,9 @@
 	connected    bool
 	lastSeen     time.Time
 	lastSequence uint64
-	loads        map[string]pick.Load
+	// reported is true once the entry has sent this leader a report.
+	reported bool
+	loads    map[string]pick.Load
 	// endpointsSent, holdingsSent and arrivalsSent are the revisions of the endpoints,
 	// of the engines' holdings and of the loads in progress that the entry has been sent.
 	endpointsSent uint64
@@ -87,6 +89,7 @@
 	}
 	peer.lastSeen = now
 	peer.lastSequence = e.Report.GetSequence()
+	peer.reported = true
 	if e.Report.GetTakesOver() && c.lease.Unrenewed(now) {
 		c.resign(now)
 		return
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -167,7 +167,7 @@
 
 // resolveStreamVersion determines which software version a call that continues a
 // stream needs. It reports whether the call can proceed. If not, it has asked the
-// leader or refused the call.
+// leader, made the call wait for one or refused it.
 func (c *Core) resolveStreamVersion(now time.Time, call *activeCall) bool {
 	if !call.continuesStream() || call.versionKnown {
 		return true
@@ -184,10 +184,23 @@
 		call.setStreamVersion(version)
 		return true
 	}
+	until := call.loadWaitDeadline()
+	if c.expectsLeader(now, until) {
+		// The leader, or the next one, may know.
+		call.assignment = assignment{}
+		c.park(now, call, until)
+		return false
+	}
 	c.refuseUnknownStream(now, call)
 	return false
 }
 
+// expectsLeader reports whether the leader, which can't be asked now, or the next one is
+// expected before a point in time.
+func (c *Core) expectsLeader(now, until time.Time) bool {
+	return !c.leaderAnswers(now) && c.leaderLink.host != "" && now.Add(c.leaderExpectedIn(now)).Before(until)
+}
+
 func (ac *activeCall) setStreamVersion(version string) {
 	ac.softwareVersion = version
 	ac.versionKnown = true
@@ -252,7 +265,7 @@
 func (c *Core) refuseUnknownStream(now time.Time, call *activeCall) {
 	retryAfter := time.Duration(0)
 	if !c.leaderAnswers(now) {
-		retryAfter = staleRetryAfter
+		retryAfter = c.leaderExpectedIn(now) + c.jitter(staleRetryAfter)
 	}
 	c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "the version that began the stream is not known", retryAfter)
 }
@@ -278,6 +291,30 @@
 	}
 }
 
+// replyUnknownStream answers a request that resumes a stream of which the leader doesn't
+// know where it began. While the leader hasn't heard from all entries, the request is to
+// ask again.
+func (c *Core) replyUnknownStream(now time.Time, req *wirepb.GateAssignmentAsk, reply *wirepb.GateAssignment) {
+	left := time.Duration(req.GetObjectiveUs()-min(req.GetPassedUs(), req.GetObjectiveUs())) * time.Microsecond
+	if left <= reportInterval || !c.awaitsFirstReport(now) {
+		reply.Verdict = wirepb.GateAssignment_UNKNOWN
+		return
+	}
+	reply.Verdict = wirepb.GateAssignment_LATER
+	reply.AfterUs = uint64(reportInterval.Microseconds())
+}
+
+// awaitsFirstReport reports whether an entry may still tell this leader, in its first
+// report, of streams that it knows.
+func (c *Core) awaitsFirstReport(now time.Time) bool {
+	for _, peer := range c.peers {
+		if !peer.reported && (peer.connected || now.Sub(peer.lastSeen) < peerGracePeriod) {
+			return true
+		}
+	}
+	return false
+}
+
 // resolveAskedVersion determines, at the leader, the software version that a
 // request needs that resumes a stream. It reports false if it isn't known.
 func (c *Core) resolveAskedVersion(now time.Time, req *wirepb.GateAssignmentAsk) (version string, known bool) {
