--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -143,7 +143,7 @@
 	holders := make(map[string]int)
 	var options []*engineOption
 	for id, ep := range c.endpoints {
-		if ep.Service != req.GetService() || ep.Draining || c.hasCrashed(now, ep) || !ep.holds(now, true, req.GetModel(), req.GetAdapter()) {
+		if ep.Service != req.GetService() || !c.takesRequests(now, ep) || !ep.holds(now, true, req.GetModel(), req.GetAdapter()) {
 			continue
 		}
 		if reply.GetVersionKnown() && ep.SoftwareVersion != reply.GetSoftwareVersion() {
--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -63,15 +63,15 @@
 	h.apply(Tick{})
 }
 
-// live delivers a request of the live route, which resumes a stream if began isn't empty.
-func (h *harness) live(model, began string) (CallID, []Effect) {
+// live delivers a request of the live route for the model "big", which resumes a stream if began isn't empty.
+func (h *harness) live(began string) (CallID, []Effect) {
 	h.lastCall++
 	request := &Request{
 		ID:           fmt.Sprint("live-", h.lastCall),
 		Host:         "h",
 		Path:         "/live/1",
 		Key:          "k2",
-		Model:        model,
+		Model:        "big",
 		PromptTokens: 1000,
 		ArrivedAt:    h.now,
 	}
@@ -95,9 +95,9 @@
 	ep := h.core.endpoints["e2"]
 	ep.schedule.Reserve(h.now, 900*time.Millisecond, 1)
 	h.core.endpoints["e1"].schedule.Reserve(h.now, 900*time.Millisecond, 1)
-	_, effects := h.live("big", "")
+	_, effects := h.live("")
 	h.wantNotRun(effects, fault.CodeBusy)
-	_, effects = h.live("big", "began")
+	_, effects = h.live("began")
 	if err, refused := findEffect[Refuse](effects); refused {
 		t.Fatalf("a resumed stream was refused: %v", err.Err)
 	}
@@ -112,7 +112,7 @@
 func TestCutStreamWaitsForModelAtItsVersion(t *testing.T) {
 	h := newLiveHarness(t)
 	h.replaceEngines(engineRecord("e1", "v2", "big"), engineRecord("e2", "v2"))
-	id, effects := h.live("big", "")
+	id, effects := h.live("")
 	h.mustSend(effects)
 	h.apply(FirstByteReceived{Call: id})
 	h.advance(500 * time.Millisecond)
@@ -156,7 +156,7 @@
 	e1, e2 := engineRecord("e1", "v2", "big", "small"), engineRecord("e2", "v2", "small")
 	h.replaceEngines(e1, e2)
 	h.reportEngines(e1, e2)
-	id, effects := h.live("big", "")
+	id, effects := h.live("")
 	h.mustSend(effects)
 	h.apply(FirstByteReceived{Call: id})
 	h.advance(500 * time.Millisecond)
@@ -177,7 +177,7 @@
 		t.Errorf("ordered %+v, want a load of big at e2", order.Order)
 	}
 	h.core.streams.record(h.now, newStreamKey("began"), "v2")
-	_, effects = h.live("big", "began")
+	_, effects = h.live("began")
 	if send, sent := findEffect[Send](effects); sent {
 		t.Errorf("a resumed stream was sent to %s, which has crashed", send.Endpoint)
 	}
@@ -189,7 +189,7 @@
 	h := newLiveHarness(t)
 	h.replaceEngines(engineRecord("e1", "v2", "big"), engineRecord("e2", "v1", "big"), engineRecord("e3", "v1", "big"))
 	for range 4 {
-		_, effects := h.live("big", "")
+		_, effects := h.live("")
 		h.apply(Tick{})
 		if send, sent := findEffect[Send](effects); sent && send.SoftwareVersion != "v1" {
 			t.Errorf("a stream began at %s of %s, which has no other engine with the model", send.Endpoint, send.SoftwareVersion)
@@ -206,7 +206,7 @@
 		SentAt: h.now,
 	})
 	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"))
-	_, effects := h.live("big", "began")
+	_, effects := h.live("began")
 	if _, asked := findEffect[RequestAssignment](effects); !asked {
 		t.Fatalf("the leader was not asked: %+v", effects)
 	}
@@ -237,7 +237,7 @@
 	}
 	h.advance(5 * time.Second)
 	h.apply(ConfigRead{SentAt: h.now})
-	h.live("big", "unknown")
+	h.live("unknown")
 	h.wantNotRun(h.passTime(3*time.Second), fault.CodeNoEndpoint)
 }
 
@@ -257,7 +257,7 @@
 	h := newLiveHarness(t)
 	h.replaceEngines(engineRecord("e1", "v1", "big"), engineRecord("e2", "v2", "big"))
 	h.apply(PeerConnected{Host: "front-2"})
-	_, effects := h.live("big", "began")
+	_, effects := h.live("began")
 	if err, refused := findEffect[Refuse](effects); refused {
 		t.Fatalf("the stream was refused: %v", err.Err)
 	}
@@ -274,6 +274,6 @@
 	if send := h.mustSend(h.effects); send.Endpoint != "e2" {
 		t.Errorf("sent to %s, want e2", send.Endpoint)
 	}
-	_, effects = h.live("big", "unknown")
+	_, effects = h.live("unknown")
 	h.wantNotRun(effects, fault.CodeNoEndpoint)
 }
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -203,7 +203,7 @@
 func (c *Core) modelLoaded(now time.Time, call *activeCall) bool {
 	leaderCurrent := c.leaderStateCurrent(now)
 	for _, ep := range c.endpoints {
-		if ep.Service == call.service && !ep.Draining && !c.hasCrashed(now, ep) && call.acceptsVersion(ep.SoftwareVersion) &&
+		if ep.Service == call.service && c.takesRequests(now, ep) && call.acceptsVersion(ep.SoftwareVersion) &&
 			ep.holds(now, leaderCurrent, call.request.Model, "") {
 			return true
 		}
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -226,6 +226,11 @@
 	return known && now.Sub(at) < crashedRecordLifetime
 }
 
+// takesRequests reports whether an endpoint takes requests as far as is known.
+func (c *Core) takesRequests(now time.Time, ep *endpoint) bool {
+	return !ep.Draining && !c.hasCrashed(now, ep)
+}
+
 // spreadPoison tells the other entries soon what this one has learned. The leader
 // collects the reports of one crash before it tells all of them.
 func (c *Core) spreadPoison(now time.Time) {
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -18,7 +18,7 @@
 	leaderCurrent := c.leaderStateCurrent(now)
 	for _, ep := range c.sortedEndpoints() {
 		id := ep.ID
-		if ep.Service != call.service || ep.Draining || c.hasCrashed(now, ep) || !call.acceptsVersion(ep.SoftwareVersion) {
+		if ep.Service != call.service || !c.takesRequests(now, ep) || !call.acceptsVersion(ep.SoftwareVersion) {
 			continue
 		}
 		if len(call.triedEndpoints) >= call.route.MaxAttempts && !call.triedEndpoints[id] {
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -240,7 +240,7 @@
 // software version that began the call's stream, and takes requests.
 func (c *Core) servesVersion(now time.Time, call *activeCall) bool {
 	for _, ep := range c.endpoints {
-		if ep.Service == call.service && !ep.Draining && !c.hasCrashed(now, ep) && ep.SoftwareVersion == call.softwareVersion &&
+		if ep.Service == call.service && c.takesRequests(now, ep) && ep.SoftwareVersion == call.softwareVersion &&
 			!call.triedEndpoints[ep.ID] {
 			return true
 		}
