Have resumed streams come back early enough to wait for their model

A stream that was cut and whose model is 5 s away was refused with a Retry-After at which the model would have been loaded for sure. Clients wait for at most a third of the time that they have left, so they gave up, though a resumed request may wait for two seconds more at the entry.

The class: a delay that is true for the one who gives it, but not for what the other side can do with it. A client that resumes a stream is now told to come back so that its request waits the rest; new requests as before.

Evidence: TestResumedStreamComesBackInTimeToWaitForItsModel failed (0.4 s after the load) and passes.

--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -277,3 +277,27 @@
 	_, effects = h.live("unknown")
 	h.wantNotRun(effects, fault.CodeNoEndpoint)
 }
+
+// A client that resumes a stream comes back only within a third of the time that it has
+// left, and its request may wait for some seconds: it must be asked to come back so much
+// earlier than its model is loaded, and not so early that it waits in vain.
+func TestResumedStreamComesBackInTimeToWaitForItsModel(t *testing.T) {
+	h := newLiveHarness(t)
+	e1, e2 := engineRecord("e1", "v1", "big"), engineRecord("e2", "v2", "small")
+	h.replaceEngines(e1, e2)
+	h.reportEngines(e1, e2)
+	h.core.streams.record(h.now, newStreamKey("began"), "v2")
+	h.live("began")
+	h.advance(planInterval)
+	h.apply(Tick{})
+	_, effects := h.live("began")
+	eta, loading := stock.FirstLoad(h.core.leader.planner.LoadETAs("llm"), "big", "v2")
+	if !loading {
+		t.Fatal("the model is not being loaded")
+	}
+	const patience = 2100 * time.Millisecond // of the live route, see loadWaitDeadline
+	back := h.now.Add(fault.RetryAfterOf(h.mustRefuse(effects)))
+	if back.After(eta.Add(-patience/2)) || back.Add(patience).Before(eta) {
+		t.Errorf("comes back %v before the model is loaded, want %v to %v", eta.Sub(back), patience/2, patience)
+	}
+}
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -61,7 +61,7 @@
 	switch {
 	case loading && expectedAt.After(call.loadWaitDeadline()):
 		c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "the model is being loaded",
-			expectedAt.Sub(now)+c.jitter(shortRetryAfter))
+			c.loadingRetryAfter(now, call, expectedAt))
 		return
 	case loading:
 		until = earliest(expectedAt.Add(loadSlack), call.loadWaitDeadline())
@@ -72,6 +72,18 @@
 	c.park(now, call, until)
 }
 
+// loadingRetryAfter returns the retry delay for a model that is expected to be loaded at
+// expectedAt. A client that resumes a stream has little time left and comes back somewhat
+// earlier, since its request may wait.
+func (c *Core) loadingRetryAfter(now time.Time, call *activeCall, expectedAt time.Time) time.Duration {
+	delay := expectedAt.Sub(now) + c.jitter(shortRetryAfter)
+	if !call.continuesStream() {
+		return delay
+	}
+	patience := call.loadWaitDeadline().Sub(call.waitingSince)
+	return max(delay-patience+loadSlack/2, c.jitter(shortRetryAfter))
+}
+
 // loadRetryAfter returns the retry delay for a model or adapter that no
 // endpoint holds or loads. An adapter is loaded soon; a model takes a load that
 // has yet to begin.
