Tell all entries where streams began while several versions serve

Callers whose entry ended together with the leader, or while no entry led, saw their resumed streams refused: only the entry that began a stream and the leader knew its version, and the streams of a leader's own entry were the only ones that the others had heard of.

The class: knowledge that survives one failure and is needed after two that come together. While several software versions serve, the leader's states now tell all entries of the streams that it hears of, 8 bytes each: the leader's own as before, and of the others at most 64 a state, so that the cost doesn't grow with the fleet's square (at 4 states a second up to 2 KB a second to each entry). A new leader is told of all that an entry knows only up to 2,048 streams (16 KB), above that of the entry's own. Lists of beginnings are numbered and searched instead of scanned.

Evidence: TestStreamIsResumedWithoutLeaderAndItsEntry failed and passes; TestStateTellsOfBoundedStarts is new with the mechanism.

--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -69,6 +69,9 @@
 	endpointList   []*endpoint
 	plainEndpoints []*endpoint
 	plainConfig    *topo.Config
+	// serviceVersions holds the software versions of registered endpoints by service, nil
+	// if they must be determined anew.
+	serviceVersions map[string]map[string]bool
 	// endpointChanges are the changes to endpoints, including removals, that must be
 	// sent to other entries.
 	endpointChanges *since.Log[string]
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -94,6 +94,7 @@
 		fresh := newPeer(known.lastSeen, known.connected)
 		fresh.lastSequence = known.lastSequence
 		fresh.startsSent = known.startsSent
+		fresh.learnedSent = known.learnedSent
 		c.peers[host] = fresh
 	}
 	c.logChange("became leader", c.settings.Host, "", 0)
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -267,11 +267,11 @@
 // drainStreamStarts returns the streams that the leader has not been told of.
 func (c *Core) drainStreamStarts() []*wirepb.GateStarts {
 	f := &c.follower
-	starts := c.streams.ownAfter(f.startsReported)
+	starts := c.streams.own.after(f.startsReported)
 	if f.newLeader {
-		starts = c.streams.all()
+		starts = c.streams.retold()
 	}
-	f.startsReported = c.streams.ownCount
+	f.startsReported = c.streams.own.count
 	return encodeStarts(starts)
 }
 
--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -40,8 +40,9 @@
 	// said so.
 	misses map[serviceArtifact]time.Time
 	// startsSent is the number of the last stream of the leader's own that the
-	// entry has been sent.
-	startsSent uint64
+	// entry has been sent, learnedSent that of the last one of another entry.
+	startsSent  uint64
+	learnedSent uint64
 	// poisonSent is the revision of the crash log that the entry has been sent.
 	poisonSent uint64
 	// limitsSent is the revision of the limits that the entry has been sent.
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -29,9 +29,8 @@
 		Permits:     a.permits,
 		Limits:      c.encodeLimits(now, peer.limitsSent),
 		Unrenewed:   c.lease.Unrenewed(now),
-		Starts:      encodeStarts(c.streams.ownAfter(peer.startsSent)),
+		Starts:      encodeStarts(c.streams.startsFor(peer)),
 	}
-	peer.startsSent = c.streams.ownCount
 	state.Poison = poison.Encode(now, c.crashes.log.Since(peer.poisonSent))
 	peer.poisonSent = c.crashes.log.Revision()
 	peer.limitsSent = c.limitRevision
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -31,18 +32,47 @@
 	key     streamKey
 	version string
 	at      time.Time
-	// number counts the streams that this entry began, 0 for all others.
+	// number is its number in a startLog, 0 if it is in none.
 	number uint64
 }
 
 // streamTable holds the software versions that began recent streams.
 type streamTable struct {
 	versions map[streamKey]streamStart
-	// own are the streams that this entry began, oldest first, and ownCount their
-	// number since it started.
-	own      []streamStart
-	ownCount uint64
-	pruneAt  time.Time
+	// own are the streams that this entry began. learned are those that other entries
+	// began while several versions served, as far as this entry heard of them as the
+	// leader.
+	own     startLog
+	learned startLog
+	pruneAt time.Time
+}
+
+// startLog is a list of beginnings of streams, oldest first, which are numbered from 1.
+type startLog struct {
+	starts []streamStart
+	count  uint64
+}
+
+// add appends the beginning of a stream, in place of an earlier one of the same stream.
+func (l *startLog) add(start streamStart, replaces bool) {
+	if replaces {
+		l.starts = slices.DeleteFunc(l.starts, func(s streamStart) bool { return s.key == start.key })
+	}
+	l.count++
+	start.number = l.count
+	l.starts = append(l.starts, start)
+}
+
+// after returns the beginnings after the one with the given number.
+func (l *startLog) after(number uint64) []streamStart {
+	first, _ := slices.BinarySearchFunc(l.starts, number+1, func(s streamStart, n uint64) int {
+		return cmp.Compare(s.number, n)
+	})
+	return l.starts[first:]
+}
+
+func (l *startLog) prune(now time.Time) {
+	l.starts = slices.DeleteFunc(l.starts, func(s streamStart) bool { return now.Sub(s.at) > streamMemory })
 }
 
 func newStreamTable() streamTable { return streamTable{versions: make(map[streamKey]streamStart)} }
@@ -63,13 +93,18 @@
 // recordOwn remembers the version of a stream that this entry began. It replaces
 // that of an earlier attempt, which brought no event.
 func (t *streamTable) recordOwn(now time.Time, key streamKey, version string) {
-	if _, known := t.versions[key]; known {
-		t.own = slices.DeleteFunc(t.own, func(s streamStart) bool { return s.key == key })
-	}
+	_, known := t.versions[key]
+	t.own.add(t.record(now, key, version), known)
+}
+
+// recordLearned remembers the version of a stream that another entry began, for the other
+// entries too.
+func (t *streamTable) recordLearned(now time.Time, key streamKey, version string) {
+	known, isKnown := t.versions[key]
 	start := t.record(now, key, version)
-	t.ownCount++
-	start.number = t.ownCount
-	t.own = append(t.own, start)
+	if !isKnown || known.version != version {
+		t.learned.add(start, isKnown)
+	}
 }
 
 // lookup returns the version that began a stream, and keeps it remembered.
@@ -90,21 +125,35 @@
 	}
 	t.pruneAt = now.Add(streamMemory / 4)
 	maps.DeleteFunc(t.versions, func(_ streamKey, s streamStart) bool { return now.Sub(s.at) > streamMemory })
-	t.own = slices.DeleteFunc(t.own, func(s streamStart) bool { return now.Sub(s.at) > streamMemory })
+	t.own.prune(now)
+	t.learned.prune(now)
 }
 
-// ownAfter returns the streams that this entry began after the one with the given
-// number.
-func (t *streamTable) ownAfter(number uint64) []streamStart {
-	first := slices.IndexFunc(t.own, func(s streamStart) bool { return s.number > number })
-	if first < 0 {
-		return nil
-	}
-	return t.own[first:]
+const (
+	// maxLearnedPerState bounds the streams of other entries of which a state tells, so
+	// that its size doesn't grow with the fleet.
+	maxLearnedPerState = 64
+	// maxRetold is the number of streams up to which a new leader is told of all that an
+	// entry knows; above, only of those that the entry began itself.
+	maxRetold = 2048
+)
+
+// startsFor returns the streams of which the leader tells an entry, and records that it
+// has. If too many are new, the newest of other entries are told.
+func (t *streamTable) startsFor(peer *peer) []streamStart {
+	learned := t.learned.after(peer.learnedSent)
+	learned = learned[max(len(learned)-maxLearnedPerState, 0):]
+	out := slices.Concat(t.own.after(peer.startsSent), learned)
+	peer.startsSent = t.own.count
+	peer.learnedSent = t.learned.count
+	return out
 }
 
-// all returns all remembered streams in the order of their keys.
-func (t *streamTable) all() []streamStart {
+// retold returns the streams of which a new leader is told, in the order of their keys.
+func (t *streamTable) retold() []streamStart {
+	if len(t.versions) > maxRetold {
+		return t.own.after(0)
+	}
 	out := make([]streamStart, 0, len(t.versions))
 	for _, key := range slices.Sorted(maps.Keys(t.versions)) {
 		out = append(out, t.versions[key])
@@ -132,11 +181,42 @@
 func (c *Core) applyStarts(now time.Time, starts []*wirepb.GateStarts) {
 	for _, group := range starts {
 		for _, key := range group.GetStreams() {
-			c.streams.record(now, streamKey(key), group.GetSoftwareVersion())
+			c.recordOtherStart(now, streamKey(key), group.GetSoftwareVersion())
 		}
 	}
 }
 
+// recordOtherStart remembers the version of a stream that another entry began. While
+// several versions serve, the leader tells all entries of it: without a leader they
+// couldn't ask for it.
+func (c *Core) recordOtherStart(now time.Time, key streamKey, version string) {
+	if c.leader == nil || !c.severalVersions() {
+		c.streams.record(now, key, version)
+		return
+	}
+	c.streams.recordLearned(now, key, version)
+}
+
+// severalVersions reports whether the registered endpoints of any service differ in their
+// software version.
+func (c *Core) severalVersions() bool {
+	if c.serviceVersions == nil {
+		c.serviceVersions = make(map[string]map[string]bool)
+		for _, ep := range c.endpoints {
+			if c.serviceVersions[ep.Service] == nil {
+				c.serviceVersions[ep.Service] = make(map[string]bool)
+			}
+			c.serviceVersions[ep.Service][ep.SoftwareVersion] = true
+		}
+	}
+	for _, versions := range c.serviceVersions {
+		if len(versions) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // recordStreamStart remembers the version that begins the stream of a call, unless
 // the call continues one.
 func (c *Core) recordStreamStart(now time.Time, call *activeCall) {
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/topo"
+	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
 )
 
@@ -317,6 +319,50 @@
 	}
 }
 
+// The leader and the entry that began a stream end at the same moment, and no other entry
+// leads yet: the entry that the client comes to next must know the version.
+func TestStreamIsResumedWithoutLeaderAndItsEntry(t *testing.T) {
+	f := newEntryFleet(t)
+	call, first := f.request("front-3", &Request{ID: "r"})
+	f.apply("front-3", FirstByteReceived{Call: call})
+	f.tick()
+	delete(f.cores, "front-1")
+	delete(f.cores, "front-3")
+	f.apply("front-2", LeaderDisconnected{Host: "front-1"})
+	_, second := f.request("front-2", &Request{
+		ID:             "r-again",
+		LastEventID:    "3",
+		ResumedRequest: "r",
+	})
+	if second.SoftwareVersion != first.SoftwareVersion {
+		t.Errorf("stream of %s resumed at %s", first.SoftwareVersion, second.SoftwareVersion)
+	}
+}
+
+// Pattern: hundreds of entries begin streams while versions roll. What a state says of them
+// must be bounded, the leader's own streams first.
+func TestStateTellsOfBoundedStarts(t *testing.T) {
+	h := newLeaderHarness(t)
+	h.endpoints(versionedEngine("llm-2", "v2"))
+	h.apply(PeerConnected{Host: "front-2"})
+	h.core.streams.recordOwn(h.now, newStreamKey("own"), "v2")
+	report := &wirepb.GateReport{Sequence: 1}
+	for i := range 10 * maxLearnedPerState {
+		report.Starts = append(report.Starts, &wirepb.GateStarts{
+			SoftwareVersion: "v2",
+			Streams:         []uint64{uint64(i + 1)},
+		})
+	}
+	state, _ := findEffect[SendState](h.receiveReport(report))
+	var told []uint64
+	for _, group := range state.State.GetStarts() {
+		told = append(told, group.GetStreams()...)
+	}
+	if len(told) != maxLearnedPerState+1 || !slices.Contains(told, uint64(newStreamKey("own"))) {
+		t.Errorf("a state tells of %d streams, want %d, the leader's own among them", len(told), maxLearnedPerState+1)
+	}
+}
+
 // The engines of the version that began a stream hold the model but not the
 // adapter, which another version holds: it must be loaded, and the stream go on.
 func TestResumedStreamWaitsForItsAdapter(t *testing.T) {
@@ -363,7 +409,7 @@
 		table.recordOwn(start, key, versions[0])
 		table.recordOwn(start, key, versions[1])
 		c := &Core{streams: newStreamTable()}
-		c.applyStarts(start, encodeStarts(table.ownAfter(0)))
+		c.applyStarts(start, encodeStarts(table.own.after(0)))
 		if got, _ := c.streams.lookup(start, key); got != versions[1] {
 			t.Errorf("the leader knows version %s, want %s", got, versions[1])
 		}
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -211,6 +211,7 @@
 		c.restoreLimit(known, record)
 		c.endpoints[record.ID] = known
 		c.endpointList = nil
+		c.serviceVersions = nil
 		c.logChange("endpoint added", record.ID, record.Service, 0)
 	} else if record.Draining && !known.Draining {
 		c.logChange("endpoint draining", record.ID, record.Service, 0)
@@ -226,6 +227,7 @@
 	if known.Endpoint == nil || known.Draining != record.Draining || known.Address != record.Address ||
 		known.SoftwareVersion != record.SoftwareVersion {
 		c.endpointChanges.Record(record.ID)
+		c.serviceVersions = nil
 	}
 	known.Endpoint = record
 	c.applyEarlyLimit(now, known)
@@ -259,6 +261,7 @@
 	c.recordVersionDeparture(now, c.endpoints[id].Endpoint)
 	delete(c.endpoints, id)
 	c.endpointList = nil
+	c.serviceVersions = nil
 	c.endpointChanges.Record(id)
 	c.logChange("endpoint removed", id, "", 0)
 	c.emit(CloseEndpoint{Endpoint: id})
