Name the fingerprint of a request in its log line

The log tells that each time a request with the same path of the same customer was under way, but not whether these were the same request: nothing in the line depends on the query or the body.

The line of a request has the field fingerprint, a hash over method, host, path with query, model, prompt, body and customer. Requests that differ only in their ID, deadline or position in a stream have the same one. Neither the key nor the body can be read from it. No decision changes.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -168,6 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
+	request.Content = contentHash(&head, request, body)
 	return &inboundRequest{
 		readAt:       time.Now(),
 		id:           gate.CallID(c.server.nextCallID.Add(1)),
--- a/internal/edge/head.go
+++ b/internal/edge/head.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"hash/maphash"
 	"io"
@@ -240,6 +242,22 @@
 	return r, nil
 }
 
+// contentHash returns a hash of what makes a request the same as another one: its method,
+// host, path with query, prompt and body. Its ID, key, deadline and position in a stream
+// may differ.
+func contentHash(h *fasthttp.RequestHeader, r *gate.Request, body []byte) string {
+	hash := sha256.New()
+	var length [8]byte
+	for _, field := range [][]byte{
+		h.Method(), []byte(r.Host), h.RequestURI(), []byte(r.Model), []byte(r.Adapter), []byte(r.PromptPrefix), body,
+	} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		_, _ = hash.Write(length[:]) // never fails
+		_, _ = hash.Write(field)
+	}
+	return string(hash.Sum(nil))
+}
+
 // decodeSharedParts returns the parts of a prompt but the last, which belongs to the
 // request or its session alone.
 func decodeSharedParts(header string) []poison.Part {
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -221,6 +221,9 @@
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (d decisionLogFields) MarshalZerologObject(e *zerolog.Event) {
+	if d.Fingerprint != 0 {
+		e.Stringer("fingerprint", d.Fingerprint)
+	}
 	e.Str("customer", d.Customer).Int64("configVersion", d.ConfigVersion).Dur("configAgeMs", d.ConfigAge).
 		Dur("registryAgeMs", d.RegistryAge).Str("leader", d.Leader).Bool("assigned", d.AssignedByLeader).
 		Int("running", d.Running).Dur("expectedMs", d.Expected)
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodfold/internal/pick"
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/pkg/fault"
 )
@@ -17,6 +18,9 @@
 	route    *topo.Route
 	customer *topo.Customer
 	service  string
+	// fingerprint stands for all requests of the customer with the same content, 0 if it
+	// isn't known.
+	fingerprint poison.Part
 	// cost is the number of the customer's tokens that the request uses. paid
 	// is true while they are charged.
 	cost float64
@@ -122,10 +126,22 @@
 	if !c.authenticate(now, call) {
 		return
 	}
+	call.setFingerprint()
 	c.recordDemand(now, call)
 	c.chargeCall(now, call)
 }
 
+func (ac *activeCall) setFingerprint() {
+	if ac.request.Content == "" {
+		return
+	}
+	customer := ""
+	if ac.customer != nil {
+		customer = ac.customer.Name
+	}
+	ac.fingerprint = poison.NewFingerprint(customer, ac.request.Content)
+}
+
 // admissionClosed reports whether the entry is stopping and admits no more
 // requests.
 func (c *Core) admissionClosed(now time.Time) bool {
--- a/internal/gate/effect.go
+++ b/internal/gate/effect.go
@@ -17,8 +17,10 @@
 // DecisionContext describes, for the log, what a decision about a request was
 // based on.
 type DecisionContext struct {
-	// Customer is empty until the key has been looked up.
+	// Customer is empty until the key has been looked up, and so is Fingerprint, which
+	// requests of a customer share if their content is the same.
 	Customer      string
+	Fingerprint   poison.Part
 	ConfigVersion int64
 	ConfigAge     time.Duration
 	RegistryAge   time.Duration
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -42,6 +42,9 @@
 	// SharedParts are the parts of the prompt that other requests may share, which
 	// are all but the last.
 	SharedParts []poison.Part
+	// Content is a hash of what an endpoint is sent, without the headers that differ
+	// between attempts and callers. It is empty if it isn't known.
+	Content string
 	// LastEventID is the last event that the client has of a stream that it
 	// resumes, ResumedRequest the ID of the request that brought the first one.
 	// Both are empty for new requests.
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"dogwoodfold/internal/poison"
@@ -231,19 +230,17 @@
 	for _, q := range c.crashes.log.Quarantines() {
 		current[q.Part] = q.Until
 		if until, known := c.crashes.logged[q.Part]; !known || q.Until.After(until) {
-			c.logChange("part under quarantine", partText(q.Part), q.Until.Sub(now).Round(time.Second).String(), 0)
+			c.logChange("part under quarantine", q.Part.String(), q.Until.Sub(now).Round(time.Second).String(), 0)
 		}
 	}
 	for part := range c.crashes.logged {
 		if _, still := current[part]; !still {
-			c.logChange("quarantine lifted", partText(part), "", 0)
+			c.logChange("quarantine lifted", part.String(), "", 0)
 		}
 	}
 	c.crashes.logged = current
 }
 
-func partText(p poison.Part) string { return strconv.FormatUint(uint64(p), 16) }
-
 // suspects returns the parts of a call's prompt that may crash engines.
 func (c *Core) suspects(now time.Time, call *activeCall) []poison.Part {
 	return c.crashes.log.Judge(now, call.request.SharedParts).Suspects
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -108,6 +108,7 @@
 		ConfigAge:   now.Sub(c.configConfirmedAt),
 		RegistryAge: now.Sub(c.registryConfirmedAt),
 		Leader:      c.leaderLink.host,
+		Fingerprint: call.fingerprint,
 	}
 	if c.isLeader(now) {
 		decision.Leader = c.settings.Host
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -303,3 +303,12 @@
 		}
 	}
 }
+
+// Guards against taking a part of a prompt for a fingerprint, which needs less evidence.
+func TestPartsAreNoFingerprints(t *testing.T) {
+	for i := range 5000 {
+		if id := fmt.Sprint("part-", i); NewPart(id).isFingerprint() || !NewFingerprint("acme", id).isFingerprint() {
+			t.Fatalf("%s: part %v, fingerprint %v", id, NewPart(id), NewFingerprint("acme", id))
+		}
+	}
+}
