--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,9 @@
 	"dogwoodfold/platform/fakes"
 )
 
+// healthPath is that of the health checks of plain endpoints.
+const healthPath = "/healthz"
+
 // fakeEndpoint is an endpoint whose responses a test can set.
 type fakeEndpoint struct {
 	id           string
@@ -39,6 +43,9 @@
 	case "/v1/report":
 		_, _ = io.WriteString(w, `{"models":[{"name":"m","adapters":[]}],"busy":false,"seq":0,"born":1}`)
 		return
+	case healthPath:
+		w.Header().Set(platform.HeaderInstanceID, e.id)
+		return
 	case "/v1/order":
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -141,7 +148,7 @@
 			route("notes", "stream", "llm", true), route("chat", "stream", "llm", false),
 		},
 		"services": []any{
-			map[string]any{"name": "shop", "maxConns": 50},
+			map[string]any{"name": "shop", "maxConns": 50, "healthPath": healthPath},
 			map[string]any{"name": "llm", "maxConns": 50, "engine": map[string]any{
 				"slots": 8, "kvTokens": 1000, "weightsMb": 100, "adapterSlots": 2, "loadsPerS": 1,
 				"models": []any{map[string]any{"name": "m", "weightsMb": 50, "loadS": 1}},
@@ -230,7 +237,12 @@
 // send sends a request with a valid API key, unless headers replace it, and reads
 // the response. headers are alternating names and values.
 func (f *fixture) send(ctx context.Context, method, path string, headers ...string) clientResponse {
-	request, err := http.NewRequestWithContext(ctx, method, f.baseURL+path, nil)
+	return f.sendBody(ctx, method, path, "", headers...)
+}
+
+// sendBody is send for requests with a body.
+func (f *fixture) sendBody(ctx context.Context, method, path, content string, headers ...string) clientResponse {
+	request, err := http.NewRequestWithContext(ctx, method, f.baseURL+path, strings.NewReader(content))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -23,24 +23,31 @@
 	eventGap       = 20 * time.Millisecond
 )
 
-// crashingEngine is an engine that crashes when it begins an answer to a prompt with
-// the part "bad", and is back at the same address with a new ID.
-type crashingEngine struct {
+// crashingEndpoint is an endpoint that crashes while it runs certain requests, and is
+// back at the same address with a new ID.
+type crashingEndpoint struct {
 	t       *testing.T
 	store   *fakes.Store
 	name    string
 	address string
+	service string
+	models  []string
+	// downtime is how long the endpoint is gone after a crash.
+	downtime time.Duration
+	// respond answers a request to the incarnation with the given ID, or crashes it.
+	respond func(e *crashingEndpoint, id string, w http.ResponseWriter, r *http.Request)
 	// onRequest is called for each request that reaches the engine.
 	onRequest func(engine string, r *http.Request)
 	onCrash   func()
 
-	mu     sync.Mutex
-	starts int
-	server *http.Server
+	mu      sync.Mutex
+	starts  int
+	stopped bool
+	server  *http.Server
 }
 
 // start begins a new incarnation.
-func (e *crashingEngine) start() {
+func (e *crashingEndpoint) start() {
 	address := e.address
 	if address == "" {
 		address = "127.0.0.1:0"
@@ -59,20 +66,27 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.stopped {
+		_ = l.Close()
+		return
+	}
 	e.starts++
 	e.address = l.Addr().String()
 	id := fmt.Sprintf("%s-%d", e.name, e.starts)
 	endpoint := &fakeEndpoint{id: id, address: e.address}
-	endpoint.handler = func(w http.ResponseWriter, r *http.Request) { e.answer(id, w, r) }
+	endpoint.handler = func(w http.ResponseWriter, r *http.Request) {
+		e.onRequest(id, r)
+		e.respond(e, id, w, r)
+	}
 	e.server = &http.Server{Handler: endpoint}
 	go func(server *http.Server) { _ = server.Serve(l) }(e.server)
-	record := endpoint.registryRecord("llm", "m")
+	record := endpoint.registryRecord(e.service, e.models...)
 	record["born"] = e.starts
 	e.store.Put(fakes.TopicEndpoints, id, record)
 }
 
 // crash ends the incarnation with the given ID and starts another one later.
-func (e *crashingEngine) crash(id string) {
+func (e *crashingEndpoint) crash(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.server == nil || id != fmt.Sprintf("%s-%d", e.name, e.starts) {
@@ -81,23 +95,24 @@
 	_ = e.server.Close()
 	e.server = nil
 	e.onCrash()
-	time.AfterFunc(engineDowntime, func() {
+	time.AfterFunc(e.downtime, func() {
 		e.store.Put(fakes.TopicEndpoints, id, nil)
 		e.start()
 	})
 }
 
-func (e *crashingEngine) stop() {
+func (e *crashingEndpoint) stop() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stopped = true
 	if e.server != nil {
 		_ = e.server.Close()
 	}
 }
 
-// answer streams ten events, or crashes as it begins.
-func (e *crashingEngine) answer(id string, w http.ResponseWriter, r *http.Request) {
-	e.onRequest(id, r)
+// streamOrCrash streams ten events, or crashes the engine as it begins an answer to a
+// prompt with the part "bad".
+func streamOrCrash(e *crashingEndpoint, id string, w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(platform.HeaderServerStamp, "stamp-"+id)
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
@@ -120,7 +135,10 @@
 // newEntries starts entries on one store and returns a fixture for each.
 func newEntries(t *testing.T, store *fakes.Store, count int) []*fixture {
 	storeAddress := netip.MustParseAddrPort(serveLoopback(t, store))
-	store.Put(fakes.TopicOperator, fakes.KeyConfig, testConfig(1, "key-1", "key-2"))
+	config := testConfig(1, "key-1", "key-2")
+	config["tenants"] = append(config["tenants"].([]any),
+		map[string]any{"name": "other", "apiKeys": []string{"key-3"}, "unit": "tokens", "plainTokens": 1})
+	store.Put(fakes.TopicOperator, fakes.KeyConfig, config)
 	var out []*fixture
 	for i := range count {
 		settings := testSettings(t, fmt.Sprint("front-", i+1), storeAddress)
@@ -152,7 +170,10 @@
 	var crashes []time.Time
 	var badSent []time.Time
 	for i := range 4 {
-		e := &crashingEngine{t: t, store: store, name: fmt.Sprint("llm-", i)}
+		e := &crashingEndpoint{
+			t: t, store: store, name: fmt.Sprint("llm-", i), service: "llm", models: []string{"m"},
+			downtime: engineDowntime, respond: streamOrCrash,
+		}
 		e.onCrash = func() {
 			mu.Lock()
 			defer mu.Unlock()
