Keep requests that crash plain endpoints from all endpoints

Cause: the log of crashes was kept for engines and by parts of prompts only. A plain request has no parts, so the end of a plain endpoint was tied to nothing, and an entry sent the same request on to the next endpoint at once. One entry alone fails in the same way.

A call to a plain endpoint has its fingerprint as its only part.

- An answer that was cut off counts once a probe has shown that the endpoint's run is over: nothing listens at its address, another endpoint answers its health check, or it closes two connections without an answer.
Any other answer shows that it runs.
The probe is made after such an ending only, one at a time for each run.
- A request that is sent on at once crashes several endpoints in one episode, and was itself under way in each crash.
So a fingerprint without any answer is tried with one request at a time after two crashes, and kept away after four in two episodes; with answers before, after three, and six in three episodes.
Episodes of other causes don't count, as before.
The first quarantine lasts 20 s, the next one 10 minutes.
- Fingerprints are rivals only if they explain the same crashes, and nothing is concluded until 400 ms after a crash, since entries tell of what they had under way one after the other.
- Trials are granted by the leader, by the question for an assignment without an engine.
Others wait as for a full endpoint, and are refused as not run if that is too long.
A trial ends with its request, however that ends; without a leader there is none.
- A failure that the endpoint answers is an answer.
One that ends with its connection counts as such once the endpoint has gone on for 3 s.
- Answers to fingerprints in no crash are kept in two generations of 8192 and not shared, so that the log doesn't grow with the number of requests.
- Conclusions that need only time are drawn with each tick, so that the lease's record has them.

Tests of three entries: a dead leader, all entries restarted, trials and each of their ends, limits, no leader, ordinary failures.

TestVerdictsDoNotDependOnOrder now draws fingerprints too.

--- a/internal/edge/perform.go
+++ b/internal/edge/perform.go
@@ -153,18 +153,6 @@
 	}
 }
 
-// probeEngine asks an engine for its report to find out whether it still runs.
-func (s *Server) probeEngine(e gate.ProbeEngine) {
-	report, err := s.engines.Report(e.Run.Engine, e.Address)
-	running := errors.Is(err, platform.ErrNoReport) || err == nil && report.Incarnation == e.Run.Incarnation
-	s.log.Info().AnErr("error", err).Str("endpoint", e.Run.Engine).Bool("running", running).
-		Msg("engines: probed after an answer was cut off")
-	s.post(gate.EngineProbed{
-		Run:     e.Run,
-		Running: running,
-	})
-}
-
 func (s *Server) requestEngineReport(e gate.RequestEngineReport) {
 	sentAt := s.clock.Now()
 	report, err := s.engines.Report(e.Engine, e.Address)
--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -32,6 +32,13 @@
 	if peer == nil || !c.isLeader(now) {
 		return
 	}
+	if c.isPlain(e.Request.GetService()) {
+		c.emit(SendAssignment{
+			Host:       e.Host,
+			Assignment: c.grantTrial(now, e.Request),
+		})
+		return
+	}
 	c.prefillRate(e.Request.GetService(), e.Request.GetModel()).MergeRemote(e.Request.GetTokensPerMs(), int(e.Request.GetSamples()))
 	assignment := c.assignEngine(now, e.Request)
 	if assignment.GetVerdict() == wirepb.GateAssignment_ABSENT && peer.holdingsSent != c.leader.holdingChanges.Revision() {
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -151,6 +151,10 @@
 	if call == nil || call.assignment.stage != stageRequested {
 		return // the call has proceeded without a reply
 	}
+	if call.plain {
+		c.applyTrial(now, call, e.Assignment)
+		return
+	}
 	c.applyAssignment(now, call, e.Assignment)
 }
 
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -21,6 +21,11 @@
 	// fingerprint stands for all requests of the customer with the same content, 0 if it
 	// isn't known.
 	fingerprint poison.Part
+	// plain is true if the call's service has no engines. trial are then the parts for
+	// which the leader has granted a trial, trialRequestAt is when it may be asked again.
+	plain          bool
+	trial          []poison.Part
+	trialRequestAt time.Time
 	// cost is the number of the customer's tokens that the request uses. paid
 	// is true while they are charged.
 	cost float64
@@ -123,6 +128,7 @@
 	}
 	call.deadline = request.ArrivedAt.Add(timeout)
 	call.service = c.chooseService(call.route)
+	call.plain = c.isPlain(call.service)
 	if !c.authenticate(now, call) {
 		return
 	}
@@ -204,7 +210,7 @@
 	if !c.resolveStreamVersion(now, call) {
 		return
 	}
-	if service.Engine != nil && !c.checkQuarantine(now, call, service) {
+	if !c.checkQuarantine(now, call, service) {
 		return
 	}
 	endpoints, candidates, limited := c.candidates(now, call, service)
@@ -212,6 +218,9 @@
 		c.waitForArtifact(now, call, service)
 		return
 	}
+	if call.plain && !c.checkTrial(now, call) {
+		return
+	}
 	if c.shouldRequestAssignment(now, call, service) {
 		c.requestAssignment(now, call)
 		return
@@ -272,6 +281,7 @@
 func (c *Core) refuse(
 	now time.Time, call *activeCall, verdict fault.Verdict, code fault.Code, message string, retryAfter time.Duration,
 ) {
+	c.releaseTrial(now, call)
 	if call.resuming {
 		// Part of the response has already reached the client.
 		c.emit(AbortResponse{Call: call.id})
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -245,6 +245,7 @@
 	c.reportIfDue(now)
 	c.updateStoreWatch(now)
 	c.crashes.prune(now)
+	c.crashes.log.Assess(now)
 	c.logQuarantines(now)
 }
 
--- a/internal/gate/effect.go
+++ b/internal/gate/effect.go
@@ -119,10 +119,13 @@
 	Address netip.AddrPort
 }
 
-// ProbeEngine finds out whether an incarnation of an engine is still running.
+// ProbeEngine finds out whether an incarnation of an endpoint is still running. Plain
+// endpoints are asked at HealthPath, if there is one.
 type ProbeEngine struct {
-	Run     poison.Run
-	Address netip.AddrPort
+	Run        poison.Run
+	Address    netip.AddrPort
+	Plain      bool
+	HealthPath string
 }
 
 // WatchStore selects the parts of the store that this entry must read itself.
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -83,7 +83,7 @@
 // the first event.
 type AnswerContinues struct{ Call CallID }
 
-// EngineProbed reports whether an incarnation of an engine was still running when it
+// EngineProbed reports whether an incarnation of an endpoint was still running when it
 // was probed.
 type EngineProbed struct {
 	Run     poison.Run
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -203,6 +203,7 @@
 	if call.assignment.stage == stageAssigned {
 		c.endTrial(now, call.assignment.suspects)
 	}
+	c.releaseTrial(now, call)
 	c.refund(now, call)
 	c.removeCall(call)
 }
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -1,13 +1,11 @@
 package gate
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/topo"
-	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
 )
 
@@ -22,12 +20,12 @@
 	trialRetryAfter = 1500 * time.Millisecond
 )
 
-// crashWatch holds what an entry knows of crashes of engines.
+// crashWatch holds what an entry knows of crashes of endpoints.
 type crashWatch struct {
 	log *poison.Log
-	// endings are answers that ended as if their engine had crashed, by engine.
+	// endings are answers that ended as if their endpoint had crashed, by endpoint.
 	endings map[poison.Run][]ending
-	// probes are the engines that are being probed, and since when.
+	// probes are the endpoints that are being probed, and since when.
 	probes map[poison.Run]time.Time
 	// endedTrials are the suspect parts of requests that ended without showing
 	// anything, of which the leader must be told.
@@ -37,10 +35,13 @@
 	loggedRevision uint64
 }
 
-// ending is the end of an answer without proof that the engine goes on running.
+// ending is the end of an answer without proof that the endpoint goes on running.
 type ending struct {
 	at    time.Time
 	parts []poison.Part
+	// fingerprint is that of a request to a plain endpoint whose answer was complete,
+	// if the endpoint goes on running.
+	fingerprint poison.Part
 	// suspects are the parts for which the request was on trial.
 	suspects []poison.Part
 	// broken is true if the answer was cut off, false if it ended with its
@@ -66,11 +67,23 @@
 func (w *crashWatch) prune(now time.Time) {
 	for run, endings := range w.endings {
 		if _, probing := w.probes[run]; !probing {
-			w.keepEndings(run, slices.DeleteFunc(endings, func(e ending) bool { return now.Sub(e.at) > endingMemory }))
+			w.keepEndings(run, slices.DeleteFunc(endings, func(e ending) bool { return w.expire(now, e) }))
 		}
 	}
 }
 
+// expire reports whether an ending is too old to be that of a crash. An answer that was
+// complete if its endpoint goes on running then counts as one.
+func (w *crashWatch) expire(now time.Time, e ending) bool {
+	if now.Sub(e.at) <= endingMemory {
+		return false
+	}
+	if e.fingerprint != 0 {
+		w.log.AddAnswer(now, []poison.Part{e.fingerprint})
+	}
+	return true
+}
+
 func (w *crashWatch) keepEndings(run poison.Run, endings []ending) {
 	if len(endings) == 0 {
 		delete(w.endings, run)
@@ -86,7 +99,7 @@
 	}
 }
 
-// handleAnswerContinues records that the prompt of a call hasn't crashed its engine.
+// handleAnswerContinues records that a call hasn't crashed its endpoint.
 func (c *Core) handleAnswerContinues(now time.Time, id CallID) {
 	call := c.calls[id]
 	if call == nil || call.endpoint == nil || call.answered {
@@ -98,21 +111,23 @@
 
 func (c *Core) recordAnswer(now time.Time, call *activeCall) {
 	suspect := len(c.suspects(now, call)) > 0
-	c.crashes.log.AddAnswer(now, call.request.SharedParts)
+	c.crashes.log.AddAnswer(now, call.parts())
 	if suspect {
 		c.spreadPoison(now)
 	}
 }
 
-// recordEnding records what the end of an attempt says about the prompt. An answer
-// that was cut off says nothing until it is known whether its engine has crashed.
+// recordEnding records what the end of an attempt says about the request. An answer
+// that was cut off says nothing until it is known whether its endpoint has crashed.
 func (c *Core) recordEnding(now time.Time, call *activeCall, ep *endpoint, result Result) {
 	run := runOf(ep.Endpoint)
+	suspects := call.takeTrial()
+	answered := result.Outcome == OutcomeComplete || result.Outcome == OutcomeFailed && call.plain
 	if result.Reason != ReasonReset {
-		defer c.endTrial(now, call.assignment.suspects)
+		defer c.endTrial(now, suspects)
 	}
 	switch {
-	case len(call.request.SharedParts) == 0 || call.answered || c.engineSpec(ep) == nil:
+	case len(call.parts()) == 0 || call.answered:
 	case ep.Draining || c.endpoints[ep.ID] != ep:
 		// Its end is expected.
 	case result.Reason == ReasonDial:
@@ -120,33 +135,42 @@
 			c.probeEngine(now, run, ep)
 		}
 	case result.Reason == ReasonReset:
-		c.recordCut(now, call, ep)
-	case result.Outcome == OutcomeComplete && (result.CloseDelimited || result.WithoutEvents):
+		c.recordCut(now, call, ep, suspects)
+	case answered && (result.CloseDelimited || result.WithoutEvents):
+		ended := ending{
+			at:    now,
+			parts: call.parts(),
+		}
+		if call.plain {
+			ended.fingerprint = call.fingerprint
+		}
+		c.crashes.endings[run] = append(c.crashes.endings[run], ended)
+	case answered:
+		c.recordAnswer(now, call)
+	case result.Reason == ReasonClientGone && result.Outcome != OutcomeNotRun && call.plain:
 		c.crashes.endings[run] = append(c.crashes.endings[run], ending{
 			at:    now,
-			parts: call.request.SharedParts,
+			parts: call.parts(),
 		})
-	case result.Outcome == OutcomeComplete:
-		c.recordAnswer(now, call)
 	}
 }
 
-// recordCut records an answer that was cut off, and probes its engine unless it is
+// recordCut records an answer that was cut off, and probes its endpoint unless it is
 // known to have crashed.
-func (c *Core) recordCut(now time.Time, call *activeCall, ep *endpoint) {
+func (c *Core) recordCut(now time.Time, call *activeCall, ep *endpoint, suspects []poison.Part) {
 	run := runOf(ep.Endpoint)
 	if c.crashes.log.HasCrash(run) {
 		c.addCrash(now, poison.Crash{
 			Run:   run,
 			At:    now,
-			Parts: call.request.SharedParts,
+			Parts: call.parts(),
 		})
 		return
 	}
 	c.crashes.endings[run] = append(c.crashes.endings[run], ending{
 		at:       now,
-		parts:    call.request.SharedParts,
-		suspects: call.assignment.suspects,
+		parts:    call.parts(),
+		suspects: suspects,
 		broken:   true,
 	})
 	c.probeEngine(now, run, ep)
@@ -157,13 +181,25 @@
 		return
 	}
 	c.crashes.probes[run] = now
-	c.emit(ProbeEngine{
+	probe := ProbeEngine{
 		Run:     run,
 		Address: ep.Address,
-	})
+	}
+	if c.engineSpec(ep) == nil {
+		probe.Plain = true
+		probe.HealthPath = c.healthPath(ep.Service)
+	}
+	c.emit(probe)
 }
 
-// handleEngineProbed handles the result of a probe. If the engine has crashed, the
+func (c *Core) healthPath(service string) string {
+	if c.config == nil || c.config.Services[service] == nil {
+		return ""
+	}
+	return c.config.Services[service].HealthPath
+}
+
+// handleEngineProbed handles the result of a probe. If the endpoint has crashed, the
 // parts of all answers that ended with it are recorded.
 func (c *Core) handleEngineProbed(now time.Time, e EngineProbed) {
 	probedAt := c.crashes.probes[e.Run]
@@ -181,7 +217,7 @@
 	for _, ended := range endings {
 		crash.Parts = append(crash.Parts, ended.parts...)
 	}
-	c.logChange("engine crashed", e.Run.Engine, "", now.Sub(probedAt))
+	c.logChange("endpoint crashed", e.Run.Engine, "", now.Sub(probedAt))
 	c.addCrash(now, crash)
 }
 
@@ -241,37 +277,50 @@
 	c.crashes.logged = current
 }
 
-// suspects returns the parts of a call's prompt that may crash engines.
+// parts returns what may make a call crash its endpoint: its fingerprint or, if it needs
+// an engine, the parts of its prompt that others may share.
+func (ac *activeCall) parts() []poison.Part {
+	switch {
+	case !ac.plain:
+		return ac.request.SharedParts
+	case ac.fingerprint != 0:
+		return []poison.Part{ac.fingerprint}
+	}
+	return nil
+}
+
+// suspects returns the parts of a call that may crash endpoints.
 func (c *Core) suspects(now time.Time, call *activeCall) []poison.Part {
-	return c.crashes.log.Judge(now, call.request.SharedParts).Suspects
+	return c.crashes.log.Judge(now, call.parts()).Suspects
 }
 
-// checkQuarantine refuses a call whose prompt crashes engines. One whose prompt may do
-// so needs the leader, which sends one such request at a time. It reports whether the
-// call can proceed.
+// checkQuarantine refuses a call that crashes endpoints. One that may crash engines needs
+// the leader, which sends one such request at a time. It reports whether the call can
+// proceed.
 func (c *Core) checkQuarantine(now time.Time, call *activeCall, service *topo.Service) bool {
-	judgment := c.crashes.log.Judge(now, call.request.SharedParts)
+	judgment := c.crashes.log.Judge(now, call.parts())
 	switch {
 	case judgment.Verdict == poison.Quarantined:
-		c.refuse(now, call, fault.NotRun, fault.CodeQuarantine, "a part of the prompt crashes engines", judgment.Until.Sub(now))
+		c.refuse(now, call, fault.NotRun, fault.CodeQuarantine, "the request or a part of its prompt crashes endpoints",
+			judgment.Until.Sub(now))
 		return false
-	case judgment.Verdict == poison.Trial && !c.shouldRequestAssignment(now, call, service):
+	case judgment.Verdict == poison.Trial && !call.plain && !c.shouldRequestAssignment(now, call, service):
 		c.refuse(now, call, fault.NotRun, fault.CodeQuarantine, "a part of the prompt may crash engines", c.jitter(trialRetryAfter))
 		return false
 	}
 	return true
 }
 
-// mayRepeatPrompt reports whether a call's prompt may be sent again after an attempt
-// that didn't succeed.
+// mayRepeatPrompt reports whether a call may be sent again after an attempt that didn't
+// succeed.
 func (c *Core) mayRepeatPrompt(now time.Time, call *activeCall) bool {
-	return c.crashes.log.Judge(now, call.request.SharedParts).Verdict == poison.Clear
+	return c.crashes.log.Judge(now, call.parts()).Verdict == poison.Clear
 }
 
 // assignmentStands reports whether the leader knew of all suspect parts when it
 // assigned a call.
 func (c *Core) assignmentStands(now time.Time, call *activeCall) bool {
-	judgment := c.crashes.log.Judge(now, call.request.SharedParts)
+	judgment := c.crashes.log.Judge(now, call.parts())
 	if judgment.Verdict == poison.Quarantined {
 		return false
 	}
@@ -282,44 +331,3 @@
 	}
 	return true
 }
-
-// trialWait returns how long a request must wait, at the leader, until no other one
-// with its suspect parts is on trial, or until their quarantine ends.
-func (c *Core) trialWait(now time.Time, req *wirepb.GateAssignmentAsk) time.Duration {
-	parts := poison.DecodeParts(req.GetSuspects())
-	judgment := c.crashes.log.Judge(now, parts)
-	if judgment.Verdict == poison.Quarantined {
-		return judgment.Until.Sub(now)
-	}
-	for _, p := range parts {
-		t, onTrial := c.leader.trials[p]
-		if onTrial && now.Sub(t.since) < trialTime && !c.crashes.log.ResolvedSince(p, t.since) {
-			return trialRetryAfter
-		}
-	}
-	return 0
-}
-
-// endTrial tells the leader that a request with suspect parts has ended. If its engine
-// has crashed, or the prompt was answered, that is known already.
-func (c *Core) endTrial(now time.Time, suspects []poison.Part) {
-	if len(suspects) == 0 {
-		return
-	}
-	if c.leader != nil {
-		for _, p := range suspects {
-			delete(c.leader.trials, p)
-		}
-		return
-	}
-	c.crashes.endedTrials = append(c.crashes.endedTrials, suspects...)
-	c.sendReport(now)
-}
-
-// startTrials records that a request with suspect parts is being sent.
-func (c *Core) startTrials(now time.Time, req *wirepb.GateAssignmentAsk) {
-	maps.DeleteFunc(c.leader.trials, func(_ poison.Part, t trial) bool { return now.Sub(t.since) >= trialTime })
-	for _, p := range poison.DecodeParts(req.GetSuspects()) {
-		c.leader.trials[p] = trial{since: now}
-	}
-}
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -27,6 +27,11 @@
 	}
 	f.effects[host] = nil
 	f.apply(host, RequestArrived{Call: f.calls, Request: request})
+	return f.await(host)
+}
+
+// await lets time pass until an entry has sent or refused its last request.
+func (f *entryFleet) await(host string) (Send, error) {
 	for range 20 {
 		if send, sent := findEffect[Send](f.effects[host]); sent {
 			return send, nil
--- /dev/null
+++ b/internal/gate/trial_test.go
@@ -0,0 +1,361 @@
+package gate
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/poison"
+	"dogwoodfold/internal/topo"
+	"dogwoodfold/pkg/fault"
+)
+
+const (
+	badContent   = "bad"
+	soundContent = "sound"
+	// crashGap is the time between two crashes in which all entries learn of the first.
+	crashGap = 500 * time.Millisecond
+	// runTime is how long a request runs before its endpoint ends.
+	runTime = 50 * time.Millisecond
+)
+
+// plainFleet is a set of entries with plain endpoints.
+type plainFleet struct {
+	*entryFleet
+	shops int
+}
+
+func newPlainFleet(t *testing.T) *plainFleet {
+	f := &plainFleet{entryFleet: newEntryFleet(t)}
+	for range 3 {
+		f.addShop()
+	}
+	return f
+}
+
+// addShop starts an endpoint under a new ID.
+func (f *plainFleet) addShop() {
+	f.shops++
+	ep := testEndpoint(fmt.Sprint("shop-", f.shops), "shop")
+	f.change(topo.EndpointChange{ID: ep.ID, Endpoint: ep})
+}
+
+func (f *plainFleet) change(changes ...topo.EndpointChange) {
+	for host := range f.cores {
+		f.apply(host, EndpointsRead{SentAt: f.now, Changes: changes})
+	}
+}
+
+// arrivePlain delivers a request with the given content and lets no time pass.
+func (f *plainFleet) arrivePlain(host, path, key, content string) CallID {
+	f.calls++
+	f.effects[host] = nil
+	f.apply(host, RequestArrived{Call: f.calls, Request: &Request{
+		ID: fmt.Sprint("call-", f.calls), Host: "h", Path: path, Key: key, ArrivedAt: f.now, Content: content,
+	}})
+	return f.calls
+}
+
+// tryPlain delivers a request and returns where it was sent, or the error with which it
+// was refused.
+func (f *plainFleet) tryPlain(host, path, content string) (Send, error) {
+	f.arrivePlain(host, path, "k2", content)
+	return f.await(host)
+}
+
+func (f *plainFleet) mustTryPlain(host, path, content string) Send {
+	f.t.Helper()
+	sent, err := f.tryPlain(host, path, content)
+	if err != nil {
+		f.t.Fatalf("%s refused a request with content %q: %v", host, content, err)
+	}
+	return sent
+}
+
+// cut ends the endpoint of a request. It reports whether the entry sent the request again.
+func (f *plainFleet) cut(host string, sent Send) (again bool) {
+	f.now = f.now.Add(runTime)
+	f.effects[host] = nil
+	f.apply(host, AttemptEnded{Call: sent.Call, Result: Result{Outcome: OutcomeMayHaveRun, Reason: ReasonReset}})
+	_, again = findEffect[Send](f.effects[host])
+	probe, probed := findEffect[ProbeEngine](f.effects[host])
+	if probed && !probe.Plain {
+		f.t.Error("a plain endpoint is probed like an engine")
+	}
+	f.apply(host, EngineProbed{Run: poison.Run{Engine: sent.Endpoint, Incarnation: sent.Incarnation}})
+	return again
+}
+
+// crashPlain is cut; another endpoint starts later.
+func (f *plainFleet) crashPlain(host string, sent Send) {
+	f.cut(host, sent)
+	f.change(topo.EndpointChange{ID: sent.Endpoint})
+	f.addShop()
+	f.pass(crashGap)
+}
+
+// pass lets time pass and all entries report.
+func (f *plainFleet) pass(d time.Duration) {
+	for until := f.now.Add(d); f.now.Before(until); {
+		f.tick()
+	}
+}
+
+// crashBad lets the bad request crash endpoints, sent by all entries in turn.
+func (f *plainFleet) crashBad(count int) {
+	f.t.Helper()
+	for i := range count {
+		f.crashPlain(hostOf(i), f.mustTryPlain(hostOf(i), "/charge/1", badContent))
+	}
+}
+
+// wantPlainQuarantined checks that an entry refuses the bad request as not run, and sends
+// another one of its customer.
+func (f *plainFleet) wantPlainQuarantined(host string) {
+	f.t.Helper()
+	_, err := f.tryPlain(host, "/look/1", badContent)
+	if fault.CodeOf(err) != fault.CodeQuarantine || fault.VerdictOf(err) != fault.NotRun {
+		f.t.Errorf("%s answered the bad request with %v, want it refused as not run", host, err)
+	}
+	if after := fault.RetryAfterOf(err); after < 5*time.Second || after > 30*time.Second {
+		f.t.Errorf("%s told to come back after %v, want the end of the quarantine", host, after)
+	}
+	f.answer(host, f.mustTryPlain(host, "/charge/1", soundContent))
+}
+
+// wantOtherCustomerServed checks that an entry sends another customer's request with the
+// bad content.
+func (f *plainFleet) wantOtherCustomerServed(host string) {
+	f.t.Helper()
+	f.arrivePlain(host, "/charge/1", "k1", badContent)
+	other, err := f.await(host)
+	if err != nil {
+		f.t.Errorf("%s answers another customer's request with the same content with %v", host, err)
+		return
+	}
+	f.answer(host, other)
+}
+
+// Guards against entries that each have to lose endpoints of their own to a request.
+func TestCrashesOfPlainRequestAddUp(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(4)
+	for i := range 3 {
+		f.wantPlainQuarantined(hostOf(i))
+		f.wantOtherCustomerServed(hostOf(i))
+	}
+}
+
+// Guards against a quarantine that is lost with the leader, before or after it began.
+func TestPlainQuarantineSurvivesChangeOfLeader(t *testing.T) {
+	for crashes := 1; crashes <= 4; crashes++ {
+		f := newPlainFleet(t)
+		for i := range 4 {
+			if i == crashes {
+				delete(f.cores, "front-1")
+				f.lead("front-2")
+				f.tick()
+			}
+			host := hostOf(i)
+			if f.cores[host] == nil {
+				host = "front-3"
+			}
+			f.crashPlain(host, f.mustTryPlain(host, "/charge/1", badContent))
+		}
+		f.wantPlainQuarantined("front-2")
+		f.wantPlainQuarantined("front-3")
+	}
+}
+
+// Guards against a quarantine that is lost when all entries start anew.
+func TestPlainQuarantineSurvivesAllEntries(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(4)
+	f.pass(time.Second)
+	restarted := newPlainFleet(t)
+	restarted.now = f.now
+	restarted.readStore()
+	for host := range restarted.cores {
+		read := f.leaseRead()
+		read.Era, read.SentAt = 0, f.now
+		restarted.apply(host, read)
+		restarted.wantPlainQuarantined(host)
+	}
+}
+
+// Guards against several trials at a time, and against refusing a sound request that can
+// wait for the trial of its like.
+func TestPlainSuspectIsTriedOnce(t *testing.T) {
+	for _, result := range []Result{{Outcome: OutcomeComplete}, {Outcome: OutcomeFailed, Reason: ReasonStatus, Status: 500}} {
+		f := newPlainFleet(t)
+		f.crashBad(2)
+		trial := f.mustTryPlain("front-3", "/charge/1", badContent)
+		for i := range 3 {
+			_, err := f.tryPlain(hostOf(i), "/charge/1", badContent)
+			if fault.CodeOf(err) != fault.CodeQuarantine || fault.VerdictOf(err) != fault.NotRun || fault.RetryAfterOf(err) == 0 {
+				t.Errorf("%s answered another request during the trial with %v", hostOf(i), err)
+			}
+			f.answer(hostOf(i), f.mustTryPlain(hostOf(i), "/charge/1", soundContent))
+		}
+		waits := f.arrivePlain("front-2", "/charge/1", "k2", badContent)
+		f.apply("front-3", AttemptEnded{Call: trial.Call, Result: result})
+		f.apply("front-1", Tick{})
+		f.apply("front-2", Tick{})
+		if send, sent := findEffect[Send](f.effects["front-2"]); !sent || send.Call != waits {
+			t.Errorf("after %v of the trial the request that waits isn't sent: %+v", result.Outcome, f.effects["front-2"])
+		}
+		for i := range 3 {
+			f.mustTryPlain(hostOf(i), "/charge/1", badContent)
+		}
+	}
+}
+
+// Guards against a trial that blocks the next one though it shows nothing any more.
+func TestPlainTrialEndsWithoutAnswer(t *testing.T) {
+	for name, end := range map[string]func(f *plainFleet, trial Send){
+		"client gone": func(f *plainFleet, trial Send) { f.apply("front-3", ClientDisconnected{Call: trial.Call}) },
+		"client gone from attempt": func(f *plainFleet, trial Send) {
+			f.apply("front-3", AttemptEnded{Call: trial.Call, Result: Result{Reason: ReasonClientGone}})
+		},
+		"refused by the endpoint": func(f *plainFleet, trial Send) {
+			f.apply("front-3", AttemptEnded{Call: trial.Call, Result: Result{Outcome: OutcomeNotRun, Reason: ReasonRefused}})
+		},
+		"cut off by a running endpoint": func(f *plainFleet, trial Send) {
+			f.apply("front-3", AttemptEnded{Call: trial.Call, Result: Result{Reason: ReasonReset}})
+			f.apply("front-3", EngineProbed{Run: poison.Run{Engine: trial.Endpoint, Incarnation: trial.Incarnation}, Running: true})
+		},
+	} {
+		f := newPlainFleet(t)
+		f.crashBad(2)
+		for range 3 {
+			trial, err := f.tryPlain("front-3", "/charge/1", badContent)
+			if err != nil {
+				t.Errorf("%s: the next trial is refused: %v", name, err)
+			}
+			end(f, trial)
+		}
+	}
+}
+
+// Guards against an entry that sends a suspect to the next endpoint by itself.
+func TestPlainSuspectIsNotRepeated(t *testing.T) {
+	f := newPlainFleet(t)
+	if !f.cut("front-1", f.mustTryPlain("front-1", "/look/1", badContent)) {
+		t.Fatal("a request that isn't suspect is not repeated")
+	}
+	f.crashBad(1)
+	if f.cut("front-3", f.mustTryPlain("front-3", "/look/1", badContent)) {
+		t.Error("a suspect is repeated")
+	}
+	f.tick()
+	if _, sent := findEffect[Send](f.effects["front-3"]); sent {
+		t.Error("a suspect is repeated once its endpoint is known to have ended")
+	}
+}
+
+// Guards against a second request on trial while the first one, whose endpoint can't be
+// reached, is sent to another endpoint.
+func TestPlainTrialGoesOnAtAnotherEndpoint(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	trial := f.mustTryPlain("front-3", "/charge/1", badContent)
+	f.effects["front-3"] = nil
+	f.apply("front-3", AttemptEnded{Call: trial.Call, Result: Result{Outcome: OutcomeNotRun, Reason: ReasonDial}})
+	if _, err := f.await("front-3"); err != nil {
+		t.Fatalf("the trial doesn't go on: %v", err)
+	}
+	if _, err := f.tryPlain("front-2", "/charge/1", badContent); fault.CodeOf(err) != fault.CodeQuarantine {
+		t.Errorf("another request is answered with %v during the trial", err)
+	}
+}
+
+// Guards against trials without the leader, which alone knows of all others.
+func TestPlainTrialNeedsLeader(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	f.apply("front-3", LeaderDisconnected{Host: "front-1"})
+	f.apply("front-1", PeerDisconnected{Host: "front-3"})
+	_, err := f.tryPlain("front-3", "/charge/1", badContent)
+	if fault.CodeOf(err) != fault.CodeQuarantine || fault.VerdictOf(err) != fault.NotRun || fault.RetryAfterOf(err) > 3*time.Second {
+		t.Errorf("an entry without a leader answers a suspect with %v", err)
+	}
+	f.answer("front-3", f.mustTryPlain("front-3", "/charge/1", soundContent))
+}
+
+// Guards against a suspect that is never tried because its endpoints name limits, or
+// tried more often than they allow.
+func TestPlainTrialKeepsToLimits(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	for _, ep := range f.cores["front-1"].sortedEndpoints() {
+		if ep.Service == "shop" {
+			f.apply("front-1", LimitNamed{Endpoint: ep.ID, Incarnation: ep.Incarnation, PerSecond: 50})
+		}
+	}
+	f.pass(crashGap)
+	f.answer("front-3", f.mustTryPlain("front-3", "/charge/1", badContent))
+	f.answer("front-2", f.mustTryPlain("front-2", "/charge/1", badContent))
+}
+
+// Guards against an answer that ends with its connection, and is therefore no proof at
+// once, keeping a sound request on trial for good.
+func TestAnswerThatEndsWithConnectionClearsLater(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	trial := f.mustTryPlain("front-3", "/charge/1", badContent)
+	f.apply("front-3", AttemptEnded{Call: trial.Call, Result: Result{Outcome: OutcomeComplete, CloseDelimited: true}})
+	if n := len(f.cores["front-3"].crashes.log.Suspects()); n != 1 {
+		t.Errorf("%d suspects after an answer that may have been cut off, want 1", n)
+	}
+	f.pass(endingMemory + crashGap)
+	for i := range 3 {
+		f.mustTryPlain(hostOf(i), "/charge/1", badContent)
+	}
+}
+
+// Guards against refusing sound requests, which repeat, because their endpoints end for
+// reasons of their own, one after the other or all at once.
+func TestOrdinaryFailuresQuarantineNoPlainRequest(t *testing.T) {
+	f := newPlainFleet(t)
+	for round := range 30 {
+		var sent []Send
+		for i := range 6 {
+			sent = append(sent, f.mustTryPlain(hostOf(i), "/charge/1", fmt.Sprint("content-", (round+i)%7)))
+		}
+		var ended []string
+		for i, send := range sent {
+			if round%3 == 0 || round%3 == 1 && send.Endpoint == sent[0].Endpoint {
+				f.cut(hostOf(i), send)
+				ended = append(ended, send.Endpoint)
+				continue
+			}
+			f.answer(hostOf(i), send)
+		}
+		slices.Sort(ended)
+		for _, id := range slices.Compact(ended) {
+			f.change(topo.EndpointChange{ID: id})
+			f.addShop()
+		}
+		f.pass(2 * time.Second)
+	}
+}
+
+// Guards against a trial that goes on though its request was never sent.
+func TestPlainTrialEndsWithRefusal(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	core := f.cores["front-3"]
+	pause := func(until time.Time) {
+		for _, ep := range core.sortedEndpoints() {
+			if ep.Service == "shop" {
+				ep.stats.RecordRetryAfter(f.now, until.Sub(f.now))
+			}
+		}
+	}
+	pause(f.now.Add(2 * time.Second))
+	if _, err := f.tryPlain("front-3", "/charge/1", badContent); fault.CodeOf(err) != fault.CodeBusy {
+		t.Fatalf("a request whose endpoints have asked for a pause is answered with %v", err)
+	}
+	f.mustTryPlain("front-2", "/charge/1", badContent)
+}
--- a/internal/poison/assess.go
+++ b/internal/poison/assess.go
@@ -23,6 +23,19 @@
 	// Those are the numbers of episodes for a part with answers before the crashes.
 	provenSuspectEpisodes    = 3
 	provenQuarantineEpisodes = 5
+	// Those are the numbers of crashes for fingerprints. A request that is sent on to
+	// the next engine at once crashes several in one episode, so that crashes count, of
+	// all episodes that have no other cause; a quarantine also needs several episodes.
+	fingerprintSuspectCrashes          = 2
+	fingerprintQuarantineCrashes       = 4
+	fingerprintQuarantineEpisodes      = 2
+	provenFingerprintSuspectCrashes    = 3
+	provenFingerprintQuarantineCrashes = 6
+	provenFingerprintEpisodes          = 3
+	// settleTime is how long after a crash all entries that had requests under way at
+	// the engine have told of them. Until then a fingerprint that seems to explain the
+	// crash is only kept waiting.
+	settleTime = 400 * time.Millisecond
 	// A first quarantine after fewer than strongEpisodes episodes lasts for
 	// shortQuarantine, so that a part that is not to blame is soon tried again.
 	strongEpisodes  = 5
@@ -54,6 +67,8 @@
 	// groups holds the parts that explain the same crashes. Requests with all parts
 	// of a group are under quarantine, those with some of them may be tried.
 	groups map[Part][]Part
+	// settling holds the fingerprints that are kept waiting, and until when.
+	settling map[Part]time.Time
 }
 
 // Suspects returns the parts that are tried with one request at a time.
@@ -96,6 +111,9 @@
 	if q := l.quarantines[p]; q != nil && now.Before(q.Until) {
 		return q.Until
 	}
+	if until := l.verdicts.settling[p]; now.Before(until) {
+		return until
+	}
 	if group := l.verdicts.groups[p]; len(group) > 1 && containsAll(parts, group) {
 		return l.lastCrash[p].Add(longQuarantine)
 	}
@@ -117,9 +135,17 @@
 	proven   bool
 	crashes  []*loggedCrash
 	episodes int
+	// counted is the number of crashes in those episodes.
+	counted int
 }
 
 func (t *tally) suspect() bool {
+	if t.part.isFingerprint() {
+		if t.proven {
+			return t.counted >= provenFingerprintSuspectCrashes
+		}
+		return t.counted >= fingerprintSuspectCrashes
+	}
 	if t.proven {
 		return t.episodes >= provenSuspectEpisodes
 	}
@@ -127,6 +153,12 @@
 }
 
 func (t *tally) condemned() bool {
+	if t.part.isFingerprint() {
+		if t.proven {
+			return t.counted >= provenFingerprintQuarantineCrashes && t.episodes >= provenFingerprintEpisodes
+		}
+		return t.counted >= fingerprintQuarantineCrashes && t.episodes >= fingerprintQuarantineEpisodes
+	}
 	if t.proven {
 		return t.episodes >= provenQuarantineEpisodes
 	}
@@ -134,9 +166,14 @@
 }
 
 // rivals reports whether a suspect part explains the crashes almost as well as the one
-// that explains most.
+// that explains most. A fingerprint has to explain all of them: the request itself was
+// under way in each.
 func (t *tally) rivals(best *tally) bool {
-	if !t.suspect() || t.proven != best.proven || len(t.crashes) < len(best.crashes)-1 {
+	least := len(best.crashes) - 1
+	if best.part.isFingerprint() {
+		least++
+	}
+	if !t.suspect() || t.proven != best.proven || len(t.crashes) < least {
 		return false
 	}
 	for _, c := range t.crashes {
@@ -149,23 +186,40 @@
 
 // Assess updates the verdicts. The part that was in most crashes explains them, so
 // that they say nothing of the parts beside it; then the next part is looked for among
-// the other crashes.
+// the other crashes, and fingerprints among those that no part of a prompt explains.
 func (l *Log) Assess(now time.Time) {
 	l.renewQuarantines()
-	if !l.stale {
+	if !l.stale && !l.settled(now) {
 		return
 	}
 	l.stale = false
 	l.verdicts = verdicts{
 		suspects: make(map[Part]bool),
 		groups:   make(map[Part][]Part),
+		settling: make(map[Part]time.Time),
+	}
+	unexplained := l.judgeParts(now, l.unexplainedCrashes(), false)
+	l.judgeParts(now, unexplained, true)
+}
+
+// settled reports whether a fingerprint is no longer to be kept waiting.
+func (l *Log) settled(now time.Time) bool {
+	for _, until := range l.verdicts.settling {
+		if !now.Before(until) {
+			return true
+		}
 	}
-	unexplained := l.unexplainedCrashes()
+	return false
+}
+
+// judgeParts sets the verdicts on parts of prompts, or on fingerprints, and returns the
+// crashes that they don't explain.
+func (l *Log) judgeParts(now time.Time, unexplained []*loggedCrash, fingerprints bool) []*loggedCrash {
 	for {
-		tallies := l.tallies(unexplained)
+		tallies := l.tallies(unexplained, fingerprints)
 		first := slices.IndexFunc(tallies, (*tally).suspect)
 		if first < 0 {
-			return
+			return unexplained
 		}
 		best := tallies[first]
 		l.judgeGroup(now, best, rivalGroup(tallies, best))
@@ -182,6 +236,10 @@
 		}
 	}
 	if best.condemned() && len(group) == 1 {
+		if settled := best.crashes[len(best.crashes)-1].At.Add(settleTime); best.part.isFingerprint() && now.Before(settled) {
+			l.verdicts.settling[best.part] = settled
+			return
+		}
 		duration := longQuarantine
 		if best.episodes < strongEpisodes {
 			duration = shortQuarantine
@@ -249,12 +307,15 @@
 	return out
 }
 
-// tallies counts the crashes of each part since its last answer. Parts without any
-// answer come first, then those in most crashes.
-func (l *Log) tallies(crashes []*loggedCrash) []*tally {
+// tallies counts the crashes of each part of prompts, or of each fingerprint, since its
+// last answer. Those without any answer come first, then those in most crashes.
+func (l *Log) tallies(crashes []*loggedCrash, fingerprints bool) []*tally {
 	byPart := make(map[Part]*tally)
 	for _, c := range crashes {
 		for _, p := range c.Parts {
+			if p.isFingerprint() != fingerprints {
+				continue
+			}
 			a := l.answers[p]
 			if a != nil && !c.At.After(a.at) {
 				continue
@@ -270,6 +331,9 @@
 	}
 	out := make([]*tally, 0, len(byPart))
 	for _, t := range byPart {
+		if fingerprints && len(t.crashes) < fingerprintSuspectCrashes {
+			continue // most requests are unlike all others
+		}
 		t.countEpisodes(crashes)
 		out = append(out, t)
 	}
@@ -296,6 +360,7 @@
 		}
 		if without < minOtherCrashes || without < with*otherCrashRatio {
 			t.episodes++
+			t.counted += with
 		}
 	}
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -81,6 +81,8 @@
 	// quarantineMemory is how long a quarantine that has ended is remembered.
 	quarantineMemory = 24 * time.Hour
 	pruneInterval    = time.Minute
+	// maxRecent bounds the fingerprints in one generation of recent answers.
+	maxRecent = 8192
 )
 
 // Changes are crashes, answers and quarantines that another entry has to know.
@@ -102,6 +104,8 @@
 	crashes     map[Run]*loggedCrash
 	answers     map[Part]*loggedAnswer
 	quarantines map[Part]*loggedQuarantine
+	// recent are the answers to fingerprints that were in no crash.
+	recent recentAnswers
 	// lastCrash is the time of the newest crash with a part.
 	lastCrash map[Part]time.Time
 	// revision is the number of the last change that other entries need.
@@ -134,6 +138,29 @@
 	revision uint64
 }
 
+// recentAnswers holds the newest answers by fingerprint. Most requests are unlike all
+// others, so it forgets the older generation whenever the newer one is full.
+type recentAnswers struct {
+	newer, older map[Part]time.Time
+}
+
+func (r *recentAnswers) add(now time.Time, p Part) {
+	if r.newer == nil || len(r.newer) >= maxRecent {
+		r.older = r.newer
+		r.newer = make(map[Part]time.Time)
+	}
+	r.newer[p] = now
+}
+
+// answeredAt returns the time of the newest answer to a fingerprint that is known.
+func (r *recentAnswers) answeredAt(p Part) (time.Time, bool) {
+	if at, known := r.newer[p]; known {
+		return at, true
+	}
+	at, known := r.older[p]
+	return at, known
+}
+
 // NewLog returns an empty log.
 func NewLog() *Log {
 	return &Log{
@@ -182,6 +209,7 @@
 	known.Parts = parts
 	known.revision = l.nextRevision()
 	known.own = known.own || own
+	l.recallAnswers(now, crash.Parts)
 	for _, p := range crash.Parts {
 		if known.At.After(l.lastCrash[p]) {
 			l.lastCrash[p] = known.At
@@ -190,6 +218,20 @@
 	l.dropOldestCrash()
 }
 
+// recallAnswers moves the recent answers to fingerprints that were in a crash to those
+// that are kept and shared.
+func (l *Log) recallAnswers(now time.Time, parts []Part) {
+	for _, p := range parts {
+		if !p.isFingerprint() {
+			continue
+		}
+		at, known := l.recent.answeredAt(p)
+		if known && now.Sub(at) <= memory && (l.answers[p] == nil || at.After(l.answers[p].at)) {
+			l.answer(p).at = at
+		}
+	}
+}
+
 // shareAll marks the newest answers with the given parts for the other entries where
 // they need them.
 func (l *Log) shareAll(parts []Part) {
@@ -201,12 +243,22 @@
 // AddAnswer records that an engine has answered a request with the given parts.
 func (l *Log) AddAnswer(now time.Time, parts []Part) {
 	for _, p := range parts {
+		if p.isFingerprint() && !l.watches(p) {
+			l.recent.add(now, p)
+			continue
+		}
 		l.answer(p).at = now
 	}
 	l.shareAll(parts)
 	l.prune(now)
 }
 
+// watches reports whether answers to a fingerprint change what is known of it.
+func (l *Log) watches(p Part) bool {
+	_, crashed := l.lastCrash[p]
+	return crashed || l.answers[p] != nil || l.quarantines[p] != nil
+}
+
 func (l *Log) answer(p Part) *loggedAnswer {
 	a := l.answers[p]
 	if a == nil {
@@ -309,6 +361,7 @@
 // AddQuarantine adds a quarantine that another entry has imposed, unless the part was
 // answered since or a longer one is known.
 func (l *Log) AddQuarantine(now time.Time, q Quarantine) {
+	l.recallAnswers(now, []Part{q.Part})
 	known := l.quarantines[q.Part]
 	if known != nil && !q.Until.After(known.Until) || now.Sub(q.Until) > quarantineMemory {
 		return
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -140,6 +140,15 @@
 	}
 }
 
+// drawPart draws a part of a prompt or a fingerprint.
+func drawPart(t *rapid.T) Part {
+	p := Part(rapid.IntRange(1, 6).Draw(t, "part"))
+	if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+		p |= fingerprintTag
+	}
+	return p
+}
+
 // Entries learn of crashes and answers in different orders and more than once, and
 // must come to the same verdicts.
 func TestVerdictsDoNotDependOnOrder(t *testing.T) {
@@ -147,7 +156,7 @@
 		var changes []Changes
 		for i := range rapid.IntRange(1, 25).Draw(rt, "changes") {
 			when := time.Duration(rapid.IntRange(0, 20000).Draw(rt, "ms")) * time.Millisecond
-			parts := union(rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Part { return Part(rapid.IntRange(1, 6).Draw(t, "part")) }), 1, 4).Draw(rt, "parts"), nil)
+			parts := union(rapid.SliceOfN(rapid.Custom(drawPart), 1, 4).Draw(rt, "parts"), nil)
 			if rapid.Bool().Draw(rt, "crash") {
 				changes = append(changes, Changes{Crashes: []Crash{crashOf(fmt.Sprint("e", i), when, parts...)}})
 				continue
@@ -161,6 +170,7 @@
 			}
 			for p := range Part(7) {
 				out = append(out, l.Judge(at(20*time.Second), []Part{p}).Verdict)
+				out = append(out, l.Judge(at(20*time.Second), []Part{p | fingerprintTag}).Verdict)
 			}
 			return out
 		}
