--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -161,6 +161,10 @@
 		return // the call has proceeded without a reply
 	}
 	delete(c.assignments.pending, call.id)
+	if call.plain {
+		c.applyTrial(now, call, e.Assignment)
+		return
+	}
 	c.applyAssignment(now, call, e.Assignment)
 }
 
