Keep identical stream requests that crash engines from all engines

A stream request that comes again, identically, and crashes engine after engine was only told by the parts of its prompt that other requests share. If these are sound, or there are none, it went on from engine to engine: TestIdenticalStreamRequestIsQuarantined has it sent after four crashes by each of three entries, also when it resumes a stream.

A call that needs an engine has its fingerprint beside the shared parts of its prompt. Fingerprints are judged after the parts, on the crashes that no part explains.

The test fails without the fingerprint and passes with it; a sound request with the same shared part goes on being served.

--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -277,16 +277,17 @@
 	c.crashes.logged = current
 }
 
-// parts returns what may make a call crash its endpoint: its fingerprint or, if it needs
+// parts returns what may make a call crash its endpoint: its fingerprint and, if it needs
 // an engine, the parts of its prompt that others may share.
 func (ac *activeCall) parts() []poison.Part {
-	switch {
-	case !ac.plain:
-		return ac.request.SharedParts
-	case ac.fingerprint != 0:
-		return []poison.Part{ac.fingerprint}
+	var out []poison.Part
+	if !ac.plain {
+		out = slices.Clip(ac.request.SharedParts)
+	}
+	if ac.fingerprint != 0 {
+		out = append(out, ac.fingerprint)
 	}
-	return nil
+	return out
 }
 
 // suspects returns the parts of a call that may crash endpoints.
--- a/internal/gate/trial_test.go
+++ b/internal/gate/trial_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -359,3 +360,39 @@
 	}
 	f.mustTryPlain("front-2", "/charge/1", badContent)
 }
+
+// Guards against a stream request that comes again, identically, and crashes engine after
+// engine though all parts of its prompt that others share are sound.
+func TestIdenticalStreamRequestIsQuarantined(t *testing.T) {
+	f := newEntryFleet(t)
+	send := func(host, content, resumes string) (Send, error) {
+		f.calls++
+		f.effects[host] = nil
+		f.apply(host, RequestArrived{Call: f.calls, Request: &Request{
+			ID: fmt.Sprint("call-", f.calls), Host: "h", Path: "/chat/1", Key: "k2", Model: "big", ArrivedAt: f.now,
+			SharedParts: []poison.Part{systemPart}, Content: content, ResumedRequest: resumes,
+		}})
+		return f.await(host)
+	}
+	for i := range 4 {
+		sound, err := send(hostOf(i+1), fmt.Sprint("sound-", i), "")
+		bad, badErr := send(hostOf(i), badContent, "")
+		if err := errors.Join(err, badErr); err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		f.answer(hostOf(i+1), sound)
+		f.now = f.now.Add(runTime)
+		f.crash(hostOf(i), bad, false)
+	}
+	for i := range 3 {
+		for _, resumes := range []string{"", "call-1"} {
+			_, err := send(hostOf(i), badContent, resumes)
+			if fault.CodeOf(err) != fault.CodeQuarantine || fault.VerdictOf(err) != fault.NotRun {
+				t.Errorf("%s answers the request with %v, want it refused as not run", hostOf(i), err)
+			}
+		}
+		if _, err := send(hostOf(i), soundContent, ""); err != nil {
+			t.Errorf("%s refuses a request with the same parts: %v", hostOf(i), err)
+		}
+	}
+}
