Keep calls that crash their endpoints from all endpoints

What callers saw. A plain call that crashes its endpoint, or a prompt whose messages are sound elsewhere, ended endpoint after endpoint: by retries, by repeats at other entries, with a new Idempotency-Key each time.

The crash watch knew calls by the messages of their prompts only; what has none, or only messages that other calls get answered, was tied to no end of an endpoint.

Each call has a fingerprint, the hash of what its endpoint gets: method, path, query, customer and body, not its ID, key and deadline. Entries keep a second log of package poison for fingerprints, share it like the first one in a message of its own, which entries of earlier builds ignore, and refuse and try calls by both. Any answer clears a call. A suspect call is sent on to the holder of its claim; if it is kept from there, the answer is may-have-run, since the holder may have run it.

Answers of calls that have crashed nothing are recorded 10 a second at most, so that the answers of those that have aren't displaced either.

Seen failing without their mechanisms: TestCrashesOfCallAddUpOverEntries (sharing), TestDistinctCallsAreBounded (the bound of new answers; its bound on memory has not been seen failing), TestSuspectCallReachesHolderOfItsClaim (each of both halves), TestRepeatedPromptStaysQuarantined guards against one log.

Each entry still tries a suspect call by itself.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -31,7 +31,8 @@
 	// streamStartedAt is when the first part of a streamed response arrived in the
 	// current attempt, zero before.
 	streamStartedAt time.Time
-	// suspects are the parts of the prompt for which the call is on trial.
+	// suspects are the parts of the prompt, and the fingerprint, for which the call is on
+	// trial.
 	suspects []poison.Part
 	// mayHaveRunErr is the error of the last failed attempt that may have run,
 	// nil if there was none.
@@ -113,6 +114,9 @@
 		return c.failCall(now, call, err)
 	}
 	if err := c.checkQuarantine(now, call); err != nil {
+		if call.claimHolder.Incarnation != 0 {
+			err = errOutcomeUnknown // the holder of the claim may have run the call
+		}
 		return c.failCall(now, call, err)
 	}
 	if call.Model != "" {
@@ -188,7 +192,7 @@
 		return nil
 	}
 	c.recordOutcome(now, call, event.Outcome)
-	c.recordPromptOutcome(now, call, event.Outcome)
+	c.recordCrashEvidence(now, call, event.Outcome)
 	if event.Outcome.Err == nil {
 		c.endCall(now, call, event.Outcome.UsedTokens)
 		return c.finishShutdown(now)
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
 )
@@ -53,8 +56,9 @@
 	sentAt   []time.Time
 	endedAt  []time.Time
 	answered int
-	// refused holds the refusals of sound calls.
-	refused []error
+	// refused holds the errors of sound calls, refusedCrashing those of crashing ones.
+	refused         []error
+	refusedCrashing []error
 }
 
 func newCrashNetwork(t *testing.T) *crashNetwork {
@@ -85,6 +89,7 @@
 			n.apply(name, SessionOpened{Host: agent, Hello: &wirepb.Hello{Incarnation: 1}})
 		}
 	}
+	n.step()
 	return n
 }
 
@@ -123,7 +128,9 @@
 				endsAt: n.now.Add(call.runTime),
 			})
 		case FailCall:
-			if !n.calls[e.ID].crashes {
+			if n.calls[e.ID].crashes {
+				n.refusedCrashing = append(n.refusedCrashing, e.Err)
+			} else {
 				n.refused = append(n.refused, e.Err)
 			}
 		}
@@ -284,6 +291,34 @@
 	}
 }
 
+// What three entries saw adds up: once each has lost an endpoint by the same call, all
+// refuse it at once, as not run and with a true time to return.
+func TestCrashesOfCallAddUpOverEntries(t *testing.T) {
+	n := newCrashNetwork(t)
+	call := crashCall{text: request("/charge", "", "bad"), crashes: true, runTime: separateRunTime}
+	for _, name := range n.entries {
+		n.arrive(name, call)
+		for range 6 {
+			n.step()
+		}
+	}
+	if len(n.endedAt) != 3 {
+		t.Fatalf("%d endpoints have ended, want 3", len(n.endedAt))
+	}
+	n.refusedCrashing = nil
+	for _, name := range n.entries {
+		n.arrive(name, call)
+	}
+	if len(n.refusedCrashing) != 3 || len(n.running) > 0 {
+		t.Fatalf("%d of 3 calls are refused, %d are running", len(n.refusedCrashing), len(n.running))
+	}
+	for _, err := range n.refusedCrashing {
+		if fault.CodeOf(err) != fault.CodeQuarantine || fault.VerdictOf(err) != fault.NotRun || fault.RetryAfterOf(err) < 10*time.Second {
+			t.Errorf("the call is refused with %v, verdict %v, Retry-After %v", err, fault.VerdictOf(err), fault.RetryAfterOf(err))
+		}
+	}
+}
+
 // Endpoints end by themselves, also while they run a call that is often repeated or that
 // takes long: no call may be refused for it.
 func TestEndpointsThatEndQuarantineNoCall(t *testing.T) {
@@ -314,3 +349,102 @@
 		t.Error("the test has not ended endpoints under calls")
 	}
 }
+
+// The fingerprint of a repeated prompt and its message explain the same crashes. That must
+// not weaken the quarantine of either.
+func TestRepeatedPromptStaysQuarantined(t *testing.T) {
+	const body = `{"model":"m","max_tokens":1,"messages":["sys"%s]}`
+	for _, test := range []struct {
+		name  string
+		other func(round int) string
+	}{
+		{name: "same prompt", other: func(int) string { return `,"bad"` }},
+		{name: "other prompts", other: func(round int) string { return fmt.Sprintf(`,"bad","message-%d"`, round) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := newCrashNetwork(t)
+			sound := crashCall{text: request("/chat", "", fmt.Sprintf(body, "")), runTime: 80 * time.Millisecond}
+			n.repeat(25*time.Minute, func(round int) crashCall {
+				return crashCall{text: request("/chat", "", fmt.Sprintf(body, test.other(round))), crashes: true, runTime: separateRunTime}
+			}, sound)
+			n.checkQuarantined(t)
+		})
+	}
+}
+
+// Thousands of distinct calls a second take a bounded memory, and don't displace the
+// answers of a call whose endpoints ended by themselves.
+func TestDistinctCallsAreBounded(t *testing.T) {
+	const (
+		callsPerSecond = 5000
+		seconds        = 120
+		maxGrowth      = 4 << 20
+	)
+	watch := newCrashWatch()
+	repeated := &activeCall{Call: Call{ID: "repeated", Fingerprint: poison.NewPart("repeated")}}
+	now := time.Unix(1000, 0)
+	before := heapInUse()
+	for second := range seconds {
+		if second%15 == 0 {
+			watch.recordCrash(now, repeated, uint64(second+1))
+		}
+		for i := range callsPerSecond {
+			now = now.Add(time.Second / callsPerSecond)
+			watch.recordAnswer(now, &activeCall{Call: Call{Fingerprint: poison.NewPart(fmt.Sprint(second, "-", i))}})
+			if second%15 == 1 && i == 0 {
+				watch.recordAnswer(now, repeated)
+			}
+		}
+		if verdict := watch.calls.Judge(now, repeated.fingerprints()).Verdict; verdict != poison.Clear {
+			t.Fatalf("after %d s the verdict on a sound call is %v", second, verdict)
+		}
+	}
+	if growth := int64(heapInUse()) - int64(before); growth > maxGrowth {
+		t.Errorf("the heap has grown by %d bytes, want at most %d", growth, maxGrowth)
+	}
+	runtime.KeepAlive(watch)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// A suspect call with an idempotency key is sent on to the holder of its claim. If it is
+// kept from there, the holder may have run it.
+func TestSuspectCallReachesHolderOfItsClaim(t *testing.T) {
+	for _, quarantined := range []bool{false, true} {
+		now := time.Unix(1000, 0)
+		core := readyCore(t, now, "a", "b")
+		call := Call{
+			ID:                "1",
+			Route:             core.fold.Config.Routes["charge"],
+			HasIdempotencyKey: true,
+			IdempotencyKey:    dedup.NewKey("", "/charge", "k"),
+			Fingerprint:       poison.NewPart("bad"),
+			Deadline:          now.Add(time.Minute),
+		}
+		crashed := &activeCall{Call: call}
+		for i := range uint64(2) {
+			core.crashes.recordCrash(now.Add(time.Duration(i)*time.Second), crashed, i+1)
+		}
+		now = now.Add(2 * time.Second)
+		first := core.Apply(now, CallArrived{Call: call})[0].(SendAttempt)
+		if quarantined {
+			core.crashes.recordCrash(now, crashed, 3)
+		}
+		holder := map[string]string{"a": "b", "b": "a"}[first.Host]
+		effects := refuseClaimed(core, now, 1, dedup.Process{Host: holder, Incarnation: 1})
+		if quarantined {
+			if verdict := failureVerdict(t, effects); verdict != fault.MayHaveRun {
+				t.Errorf("verdict = %v, want %v", verdict, fault.MayHaveRun)
+			}
+			continue
+		}
+		if sent, ok := effects[0].(SendAttempt); !ok || sent.Host != holder {
+			t.Errorf("effects = %v, want an attempt on %s", effects, holder)
+		}
+	}
+}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -41,6 +41,8 @@
 	PromptBlocks []uint64
 	// PromptParts are the messages of the prompt, which other prompts may share.
 	PromptParts []poison.Part
+	// Fingerprint identifies what the endpoint gets, whoever sends it and when.
+	Fingerprint poison.Part
 	Streaming   bool
 	Deadline    time.Time
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -60,7 +60,7 @@
 	case *wirepb.Envelope_Claim:
 		return c.handleOutcomeReport(now, event, body.Claim.GetReport())
 	case *wirepb.Envelope_Gate:
-		c.mergePoison(now, body.Gate.GetPoison())
+		c.mergePoison(now, body.Gate)
 	case *wirepb.Envelope_Place:
 		return c.handlePlaceMessage(event, body.Place)
 	}
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/prefix"
 	"dogwoodfold/internal/wire/wirepb"
@@ -97,6 +98,7 @@
 	if err := resolved.checkKeyNotForwarded(ctx); err != nil {
 		return nil, err
 	}
+	resolved.call.Fingerprint = fingerprint(resolved.request)
 	if index.Config.Services[route.Service].Kind == config.KindPlain {
 		resolved.call.Tokens = route.TokensPerCall
 		return resolved, nil
@@ -104,6 +106,13 @@
 	return resolved, resolved.resolveCompletion(index)
 }
 
+// fingerprint returns the hash of what a call asks of its endpoint, by which a repeat is
+// recognized whatever its ID, its idempotency key and its deadline are.
+func fingerprint(request *wirepb.CallRequest) poison.Part {
+	return poison.Part(dedup.NewRequestDigest(request.GetMethod(), request.GetPath(), request.GetQuery(),
+		request.GetCustomer(), string(request.GetBody())))
+}
+
 // authenticate determines the customer from the API key of the request.
 func (r *resolvedRequest) authenticate(index *config.Index, ctx *fasthttp.RequestCtx) error {
 	if r.call.Route.Access == config.AccessOpen {
