Let entries try a call one after the other when its quarantine ends

What callers saw. When the quarantine of a call or message ends, each entry tries one call by itself at the same moment: as many endpoints may end as there are entries, and again after each longer quarantine.

The own interface has no leader that grants trials, and entries told each other of crashes only, not whose turn it is.

After a quarantine, rendezvous hashing over the live entries gives their order, and each has 5 s for its trial before the next one may try too, so that a call is served again at whichever entry it arrives. The refusals name that time. A suspect that has not been under quarantine is still tried by each entry.

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -61,13 +61,15 @@
 	refusedCrashing []error
 }
 
-func newCrashNetwork(t *testing.T) *crashNetwork {
+func newCrashNetwork(t *testing.T, entryCount int) *crashNetwork {
 	t.Helper()
 	n := &crashNetwork{
-		entries: []string{"e1", "e2", "e3"},
-		agents:  make(map[string]uint64),
-		calls:   make(map[string]crashCall),
-		read:    make(map[string]int),
+		agents: make(map[string]uint64),
+		calls:  make(map[string]crashCall),
+		read:   make(map[string]int),
+	}
+	for i := range entryCount {
+		n.entries = append(n.entries, fmt.Sprint("e", i+1))
 	}
 	n.testNetwork = newNetwork(t, n.entries...)
 	n.publish(0, keyedConfig(), "")
@@ -282,7 +284,7 @@
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			n := newCrashNetwork(t)
+			n := newCrashNetwork(t, 3)
 			n.repeat(time.Minute, func(round int) crashCall {
 				return crashCall{text: test.text(round), crashes: true, runTime: separateRunTime}
 			}, test.sound)
@@ -294,7 +296,7 @@
 // What three entries saw adds up: once each has lost an endpoint by the same call, all
 // refuse it at once, as not run and with a true time to return.
 func TestCrashesOfCallAddUpOverEntries(t *testing.T) {
-	n := newCrashNetwork(t)
+	n := newCrashNetwork(t, 3)
 	call := crashCall{text: request("/charge", "", "bad"), crashes: true, runTime: separateRunTime}
 	for _, name := range n.entries {
 		n.arrive(name, call)
@@ -319,10 +321,59 @@
 	}
 }
 
+// After a quarantine the entries try the call one after the other, so that a call that
+// still crashes endpoints reaches few of them, however many entries there are.
+func TestEndedQuarantineIsTriedByOneEntry(t *testing.T) {
+	n := newCrashNetwork(t, 8)
+	call := crashCall{text: request("/charge", "", "bad"), crashes: true, runTime: separateRunTime}
+	for range 25 * 60 * 2 {
+		for _, name := range n.entries {
+			n.arrive(name, call)
+		}
+		for range 5 {
+			n.step()
+		}
+	}
+	t.Logf("%d endpoints ended; the call was sent %d times, %d times after the third end", len(n.endedAt), len(n.sentAt), n.sentAfterThirdEnd())
+	if got := n.sentAfterThirdEnd(); got > maxSentAfterThirdEnd {
+		t.Errorf("the call was sent %d times after the third end, want at most %d", got, maxSentAfterThirdEnd)
+	}
+}
+
+// A call that has become sound is served again after its quarantine at whichever entry it
+// arrives, at the time that its refusals have named.
+func TestEndedQuarantineIsTriedByEachEntry(t *testing.T) {
+	for lucky := range 4 {
+		n := newCrashNetwork(t, 4)
+		call := crashCall{text: request("/charge", "", "bad"), crashes: true, runTime: separateRunTime}
+		for len(n.endedAt) < 3 {
+			n.arrive(n.entries[lucky], call)
+			for range 6 {
+				n.step()
+			}
+		}
+		call.crashes = false
+		for end := n.now.Add(time.Minute); n.answered == 0 && n.now.Before(end); {
+			n.refused = nil
+			n.arrive(n.entries[lucky], call)
+			wait := separateRunTime
+			if len(n.refused) > 0 {
+				wait = fault.RetryAfterOf(n.refused[0])
+			}
+			for until := n.now.Add(wait); !n.now.After(until); {
+				n.step()
+			}
+		}
+		if n.answered == 0 {
+			t.Errorf("%s has not served the call within a minute", n.entries[lucky])
+		}
+	}
+}
+
 // Endpoints end by themselves, also while they run a call that is often repeated or that
 // takes long: no call may be refused for it.
 func TestEndpointsThatEndQuarantineNoCall(t *testing.T) {
-	n := newCrashNetwork(t)
+	n := newCrashNetwork(t, 3)
 	slow := crashCall{text: request("/look", "", "slow"), runTime: 900 * time.Millisecond}
 	quick := crashCall{text: request("/look", "", "quick"), runTime: 80 * time.Millisecond}
 	charge := crashCall{text: request("/charge", "", "charge"), runTime: 250 * time.Millisecond}
@@ -362,7 +413,7 @@
 		{name: "other prompts", other: func(round int) string { return fmt.Sprintf(`,"bad","message-%d"`, round) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			n := newCrashNetwork(t)
+			n := newCrashNetwork(t, 3)
 			sound := crashCall{text: request("/chat", "", fmt.Sprintf(body, "")), runTime: 80 * time.Millisecond}
 			n.repeat(25*time.Minute, func(round int) crashCall {
 				return crashCall{text: request("/chat", "", fmt.Sprintf(body, test.other(round))), crashes: true, runTime: separateRunTime}
--- a/internal/entry/poison.go
+++ b/internal/entry/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"dogwoodfold/internal/fleet"
@@ -18,6 +19,9 @@
 	// trialRetryAfter is the Retry-After of a call that may crash endpoints, while
 	// another such call is on trial.
 	trialRetryAfter = 1500 * time.Millisecond
+	// trialTurn is the time that each entry has for its trial after a quarantine, until the
+	// next one may try a call as well.
+	trialTurn = 5 * time.Second
 	// maxNewAnswersPerSecond bounds the answers recorded of calls that have crashed no
 	// endpoint, so that many distinct calls don't displace the answers of those that have.
 	maxNewAnswersPerSecond = 10
@@ -67,29 +71,64 @@
 // suspect call that may be sent on trial.
 func (c *Core) checkQuarantine(now time.Time, call *activeCall) error {
 	messages := c.crashes.messages.Judge(now, call.PromptParts)
-	if err := c.crashes.refusal(now, call, messages, "a part of the prompt"); err != nil {
-		return err
+	if wait := c.trialWait(now, call, c.crashes.messages, messages); wait > 0 {
+		return quarantineError("a part of the prompt", messages.Verdict, wait)
 	}
 	whole := c.crashes.calls.Judge(now, call.fingerprints())
-	if err := c.crashes.refusal(now, call, whole, "this call"); err != nil {
-		return err
+	if wait := c.trialWait(now, call, c.crashes.calls, whole); wait > 0 {
+		return quarantineError("this call", whole.Verdict, wait)
 	}
 	call.suspects = slices.Concat(messages.Suspects, whole.Suspects)
 	return nil
 }
 
-// refusal returns the error that a judgment demands for a call, nil if there is none.
-func (w *crashWatch) refusal(now time.Time, call *activeCall, judgment poison.Judgment, subject string) error {
+func quarantineError(subject string, verdict poison.Verdict, wait time.Duration) error {
+	message := subject + " may crash its endpoint"
+	if verdict == poison.Quarantined {
+		message = subject + " crashes its endpoints"
+	}
+	return fault.WithRetryAfter(fault.New(fault.NotRun, fault.CodeQuarantine, message), wait)
+}
+
+// trialWait returns how long a call must wait by the judgment of a log, 0 if it may be
+// sent.
+func (c *Core) trialWait(now time.Time, call *activeCall, log *poison.Log, judgment poison.Judgment) time.Duration {
 	switch {
+	case judgment.Verdict == poison.Clear:
+		return 0
 	case judgment.Verdict == poison.Quarantined:
-		err := fault.New(fault.NotRun, fault.CodeQuarantine, subject+" crashes its endpoints")
-		return fault.WithRetryAfter(err, judgment.Until.Sub(now))
-	case judgment.Verdict == poison.Trial && (call.isRepeat() || w.onTrial(judgment.Suspects, call.ID)):
-		err := fault.New(fault.NotRun, fault.CodeQuarantine, subject+" may crash its endpoint")
-		return fault.WithRetryAfter(err, trialRetryAfter)
+		return judgment.Until.Sub(now)
+	case call.isRepeat() || c.crashes.onTrial(judgment.Suspects, call.ID):
+		return trialRetryAfter
 	default:
-		return nil
+		return c.trialTurnWait(now, log, judgment.Suspects)
+	}
+}
+
+// trialTurnWait returns how long this entry must leave the trial of parts whose
+// quarantine has ended to other entries, 0 if it may try them now.
+func (c *Core) trialTurnWait(now time.Time, log *poison.Log, suspects []poison.Part) time.Duration {
+	wait := time.Duration(0)
+	for _, quarantine := range log.Quarantines() {
+		if slices.Contains(suspects, quarantine.Part) {
+			turn := time.Duration(c.trialRank(quarantine.Part)) * trialTurn
+			wait = max(wait, quarantine.Until.Add(turn).Sub(now))
+		}
+	}
+	return wait
+}
+
+// trialRank returns how many entries may try a part before this one. Rendezvous hashing
+// over the live entries gives their order.
+func (c *Core) trialRank(part poison.Part) int {
+	key := strconv.FormatUint(uint64(part), 16)
+	own, rank := rendezvousScore(key, c.host), 0
+	for _, peer := range c.fleet.Peers(plat.RoleEntry) {
+		if peer.Linked() && !peer.Leaving && rendezvousScore(key, peer.Host.Name) > own {
+			rank++
+		}
 	}
+	return rank
 }
 
 // isRepeat reports whether the next attempt repeats an earlier one, rather than sends the
