Tell an entry of crashes again when its session has broken

What callers saw. By reading: an entry that missed a message about crashes never got it again, so that a call known to crash endpoints reached two more through it before it was tried with care.

What an entry has been sent was kept by process: messages that were lost with a session counted as sent, and the next session to the same process began after them.

Each new session to an entry begins with all that this entry has observed. Repeats change nothing in the log of the other one.

TestCrashesAreSharedAfterBrokenSession, both for calls and for messages of prompts: verdict clear without the change, quarantined with it.

A broken session delays what entries tell each other, and loses nothing.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -104,6 +104,7 @@
 		return c.handleLogRead(now, ev)
 	case SessionOpened:
 		c.fleet.SessionUp(now, ev.Host, ev.Hello)
+		c.crashes.shareAgain(ev.Host)
 		return append(c.applyQuotaEvent(now, ev), c.sendOutcomeQueries(now, true)...)
 	case SessionClosed:
 		return append(c.handleSessionClosed(ev), c.applyQuotaEvent(now, ev)...)
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -321,6 +321,29 @@
 	}
 }
 
+// Crashes that were on their way to another entry when the session to it broke are sent
+// again over the next session to the same process.
+func TestCrashesAreSharedAfterBrokenSession(t *testing.T) {
+	n := newCrashNetwork(t, 2)
+	bad := &activeCall{Call: Call{Fingerprint: poison.NewPart("bad"), PromptParts: []poison.Part{badMessage}}}
+	n.partitioned["e2"] = true
+	for i := range uint64(3) {
+		n.cores["e1"].crashes.recordCrash(n.now, bad, i+1)
+		n.run(time.Second)
+	}
+	n.partitioned["e2"] = false
+	n.apply("e1", SessionClosed{Host: "e2", Incarnation: 1})
+	n.apply("e1", SessionOpened{Host: "e2", Hello: &wirepb.Hello{Incarnation: 1}})
+	n.run(time.Second)
+	crashes := &n.cores["e2"].crashes
+	if verdict := crashes.calls.Judge(n.now, bad.fingerprints()).Verdict; verdict != poison.Quarantined {
+		t.Errorf("the other entry's verdict on the call is %v", verdict)
+	}
+	if verdict := crashes.messages.Judge(n.now, bad.PromptParts).Verdict; verdict != poison.Quarantined {
+		t.Errorf("the other entry's verdict on the message is %v", verdict)
+	}
+}
+
 // After a quarantine the entries try the call one after the other, so that a call that
 // still crashes endpoints reaches few of them, however many entries there are.
 func TestEndedQuarantineIsTriedByOneEntry(t *testing.T) {
--- a/internal/entry/poison.go
+++ b/internal/entry/poison.go
@@ -244,6 +244,10 @@
 	return effects
 }
 
+// shareAgain lets another entry be told all again, since messages may have been lost with
+// the last session to it.
+func (w *crashWatch) shareAgain(host string) { delete(w.shared, host) }
+
 func poisonMessage(host string, message *wirepb.GateMessage) Effect {
 	return SendMessage{
 		Host:    host,
