Count outcomes that are queried after a broken link as evidence

By reading: if the link to an agent broke while a call that may not be repeated ran, the entry asked the agent for its outcome, and neither an end of the endpoint nor an answer counted for or against the call.

The report had no field for the run that ended, and the entry recorded evidence at the end of attempts only.

OutcomeReport names the ended run, and the entry records what a report says like what an attempt says. Agents of earlier builds leave the field empty, as before.

TestQueriedOutcomesAreEvidence: after two reported ends the verdict on the call is clear without the change, trial with it, and clear again after a reported answer with status 500. TestOutcomeReports has a case for the agent's part.

A broken link no longer hides that a call crashes its endpoint, as long as the agent's process lives.

--- a/internal/agent/once.go
+++ b/internal/agent/once.go
@@ -132,6 +132,7 @@
 		report.Verdict = uint32(fault.VerdictOf(outcome.Err))
 		report.Code = string(fault.CodeOf(outcome.Err))
 		report.Message = outcome.Err.Error()
+		report.EndedRun = fault.EndedRunOf(outcome.Err)
 	} else if !running {
 		report.Status = uint32(outcome.Status)
 		report.ContentType = outcome.ContentType
--- a/internal/agent/once_test.go
+++ b/internal/agent/once_test.go
@@ -180,14 +180,21 @@
 
 func TestOutcomeReports(t *testing.T) {
 	now := time.Unix(1000, 0)
-	core := newTestCore(2)
+	core := newTestCore(3)
 	sendCharge(core, now, 1, "dropped", "")
 	sendCharge(core, now, 2, "canceled", "")
+	sendCharge(core, now, 3, "crashed", "")
 	if r := queryOutcome(core, now, "dropped"); !r.GetRunning() {
 		t.Errorf("running attempt: report = %v, want running", r)
 	}
 	core.Apply(now, CallEnded{Key: 1, Outcome: dedup.Outcome{Status: 200, BodyDropped: true}})
 	core.Apply(now, CallEnded{Key: 2, Outcome: dedup.Outcome{Err: errCanceledBeforeStart}})
+	core.Apply(now, CallEnded{Key: 3, Outcome: dedup.Outcome{
+		Err: fault.WithEndedRun(fault.New(fault.MayHaveRun, fault.CodeEndpoint, "cut"), 7),
+	}})
+	if r := queryOutcome(core, now, "crashed"); r.GetEndedRun() != 7 || fault.Verdict(r.GetVerdict()) != fault.MayHaveRun {
+		t.Errorf("crashed: report = %v, want the ended run 7", r)
+	}
 	for id, want := range map[string]fault.Verdict{
 		"dropped":  fault.Ran,
 		"canceled": fault.NotRun,
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -344,6 +344,43 @@
 	}
 }
 
+// What an agent reports of an attempt after its link has broken counts like what it would
+// have sent: ends of its endpoint, and answers of any status.
+func TestQueriedOutcomesAreEvidence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := readyCore(t, now, "a", "b")
+	call := Call{
+		ID:          "1",
+		Route:       core.fold.Config.Routes["charge"],
+		Fingerprint: poison.NewPart("bad"),
+	}
+	attempt := func(report *wirepb.OutcomeReport) {
+		t.Helper()
+		call.Deadline = now.Add(time.Minute)
+		sent, ok := core.Apply(now, CallArrived{Call: call})[0].(SendAttempt)
+		if !ok {
+			t.Fatal("the call was not sent")
+		}
+		breakConnection(core, now)
+		reportOutcome(core, now, sent.Host, report)
+		now = now.Add(time.Second)
+	}
+	crash := func(run uint64) {
+		t.Helper()
+		attempt(&wirepb.OutcomeReport{Verdict: uint32(fault.MayHaveRun), Code: string(fault.CodeEndpoint), EndedRun: run})
+	}
+	verdict := func() poison.Verdict { return core.crashes.calls.Judge(now, call.fingerprints()).Verdict }
+	crash(1)
+	crash(2)
+	if got := verdict(); got != poison.Trial {
+		t.Errorf("after two crashes the verdict is %v, want %v", got, poison.Trial)
+	}
+	attempt(&wirepb.OutcomeReport{Status: 500, Body: []byte("failed")})
+	if got := verdict(); got != poison.Clear {
+		t.Errorf("after an answer the verdict is %v, want %v", got, poison.Clear)
+	}
+}
+
 // After a quarantine the entries try the call one after the other, so that a call that
 // still crashes endpoints reaches few of them, however many entries there are.
 func TestEndedQuarantineIsTriedByOneEntry(t *testing.T) {
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -132,7 +132,9 @@
 		return nil
 	}
 	call.pendingQuery = nil
-	if report.GetStatus() != 0 {
+	outcome := reportedOutcome(report)
+	c.recordCrashEvidence(now, call, outcome)
+	if outcome.Err == nil {
 		c.endCall(now, call, call.Tokens)
 		deliver := DeliverOutcome{
 			ID:     call.ID,
@@ -140,11 +142,23 @@
 		}
 		return append([]Effect{deliver}, c.finishShutdown(now)...)
 	}
+	return c.retryOrFail(now, call, outcome)
+}
+
+// reportedOutcome returns the outcome of which an agent reports.
+func reportedOutcome(report *wirepb.OutcomeReport) Outcome {
+	if report.GetStatus() != 0 {
+		return Outcome{Verdict: fault.Ran}
+	}
 	verdict := fault.Verdict(report.GetVerdict())
-	return c.retryOrFail(now, call, Outcome{
+	err := fault.New(verdict, fault.Code(report.GetCode()), report.GetMessage())
+	if run := report.GetEndedRun(); run > 0 {
+		err = fault.WithEndedRun(err, run)
+	}
+	return Outcome{
 		Verdict: verdict,
-		Err:     fault.New(verdict, fault.Code(report.GetCode()), report.GetMessage()),
-	})
+		Err:     err,
+	}
 }
 
 // validReport reports whether a report contains a known verdict.
