Don't take a replayed answer as proof that a call is sound

What callers saw. By reading: an answer that an agent repeats for an Idempotency-Key counted as an answer of the endpoint, so that repeats with an old key could clear a call that has crashed endpoints since.

The entry told the reducer of a whole answer, not where it came from.

The outcome says whether the response was replayed, and such an outcome is no evidence.

TestReplayedAnswerIsNoEvidence: after two crashes and a replay the verdict is clear without the change, trial with it. It tests the reducer.

Only what an endpoint has answered clears a call.

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -381,6 +381,27 @@
 	}
 }
 
+// An answer that is repeated by an idempotency key has run nothing, and clears no call.
+func TestReplayedAnswerIsNoEvidence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := readyCore(t, now, "a", "b")
+	call := Call{
+		ID:          "1",
+		Route:       core.fold.Config.Routes["charge"],
+		Fingerprint: poison.NewPart("bad"),
+		Deadline:    now.Add(time.Minute),
+	}
+	for run := range uint64(2) {
+		core.crashes.recordCrash(now, &activeCall{Call: call}, run+1)
+		now = now.Add(time.Second)
+	}
+	sent := core.Apply(now, CallArrived{Call: call})[0].(SendAttempt)
+	core.Apply(now, AttemptEnded{ID: "1", Attempt: sent.Attempt, Outcome: Outcome{Verdict: fault.Ran, Replayed: true}})
+	if verdict := core.crashes.calls.Judge(now, call.fingerprints()).Verdict; verdict != poison.Trial {
+		t.Errorf("after a replayed answer the verdict is %v, want %v", verdict, poison.Trial)
+	}
+}
+
 // After a quarantine the entries try the call one after the other, so that a call that
 // still crashes endpoints reaches few of them, however many entries there are.
 func TestEndedQuarantineIsTriedByOneEntry(t *testing.T) {
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -55,6 +55,9 @@
 	// ResponseStarted says that part of the response has been sent to the
 	// caller.
 	ResponseStarted bool
+	// Replayed says that the response is that of an earlier call with the same
+	// idempotency key, so that the endpoint has run nothing now.
+	Replayed bool
 	// UsedTokens is the number of tokens that the call has used.
 	UsedTokens float64
 	// ClaimHolder is the agent process that holds the claim of the call's
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -185,6 +186,7 @@
 		Attempt: send.Attempt,
 		Outcome: Outcome{
 			Verdict:    fault.Ran,
+			Replayed:   isReplayed(head),
 			UsedTokens: chargedTokens(ex, head, end),
 		},
 	})
@@ -309,14 +311,17 @@
 // chargedTokens returns the number of tokens to charge for a buffered response.
 // It is 0 for a replayed response, which did not run again.
 func chargedTokens(ex *exchange, head *wirepb.Head, end *wirepb.End) float64 {
-	for _, h := range head.GetHeaders() {
-		if h.GetName() == wire.HeaderReplayed {
-			return 0
-		}
+	if isReplayed(head) {
+		return 0
 	}
 	return usedTokens(ex, end, 0)
 }
 
+// isReplayed reports whether a response is a replay of an earlier one.
+func isReplayed(head *wirepb.Head) bool {
+	return slices.ContainsFunc(head.GetHeaders(), func(h *wirepb.Header) bool { return h.GetName() == wire.HeaderReplayed })
+}
+
 // usedTokens returns the number of tokens that a call has used. Without an end
 // frame it is the estimate for the prompt plus one token for each event of the
 // stream.
--- a/internal/entry/poison.go
+++ b/internal/entry/poison.go
@@ -161,6 +161,9 @@
 
 // recordCrashEvidence records what the end of an attempt says about the call.
 func (c *Core) recordCrashEvidence(now time.Time, call *activeCall, outcome Outcome) {
+	if outcome.Replayed {
+		return
+	}
 	streamed := !call.streamStartedAt.IsZero() && now.Sub(call.streamStartedAt) >= answeredTime
 	if outcome.Err == nil || streamed {
 		c.crashes.recordAnswer(now, call)
