Keep answers of messages that have crashed engines from being displaced

What callers saw. By reading and in trials: with hundreds of distinct messages a second a message that is often answered becomes suspect when its engines end by themselves, and calls with it are refused while another one is on trial.

The log of answers holds 8192 parts and drops the oldest ones, also those that were given after a crash; without them the crash counts for the part again.

Messages, like fingerprints, become known by answers at most 10 times a second; answers of parts that are known, or that were in a crash, are always recorded.

TestDistinctCallsAreBounded now gives each call a message too: at 5000 distinct calls a second the sound message is on trial after 15 s without the change, and clear for 120 s with it. Package poison is unchanged: the gateway has the same fault.

On the own interface distinct messages no longer displace evidence. Under such a load a message that was never in a crash is less often known as sound before its first one.

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -513,7 +513,7 @@
 		maxGrowth      = 4 << 20
 	)
 	watch := newCrashWatch()
-	repeated := &activeCall{Call: Call{ID: "repeated", Fingerprint: poison.NewPart("repeated")}}
+	repeated := distinctCall("repeated")
 	now := time.Unix(1000, 0)
 	before := heapInUse()
 	for second := range seconds {
@@ -522,7 +522,7 @@
 		}
 		for i := range callsPerSecond {
 			now = now.Add(time.Second / callsPerSecond)
-			watch.recordAnswer(now, &activeCall{Call: Call{Fingerprint: poison.NewPart(fmt.Sprint(second, "-", i))}})
+			watch.recordAnswer(now, distinctCall(fmt.Sprint(second, "-", i)))
 			if second%15 == 1 && i == 0 {
 				watch.recordAnswer(now, repeated)
 			}
@@ -530,6 +530,9 @@
 		if verdict := watch.calls.Judge(now, repeated.fingerprints()).Verdict; verdict != poison.Clear {
 			t.Fatalf("after %d s the verdict on a sound call is %v", second, verdict)
 		}
+		if verdict := watch.messages.Judge(now, repeated.PromptParts).Verdict; verdict != poison.Clear {
+			t.Fatalf("after %d s the verdict on a sound message is %v", second, verdict)
+		}
 	}
 	if growth := int64(heapInUse()) - int64(before); growth > maxGrowth {
 		t.Errorf("the heap has grown by %d bytes, want at most %d", growth, maxGrowth)
@@ -537,6 +540,15 @@
 	runtime.KeepAlive(watch)
 }
 
+// distinctCall returns a call with a fingerprint and a message of its own.
+func distinctCall(name string) *activeCall {
+	return &activeCall{Call: Call{
+		ID:          name,
+		Fingerprint: poison.NewPart(name),
+		PromptParts: []poison.Part{poison.NewPart("message " + name)},
+	}}
+}
+
 func heapInUse() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
--- a/internal/entry/poison.go
+++ b/internal/entry/poison.go
@@ -22,24 +22,29 @@
 	// trialTurn is the time that each entry has for its trial after a quarantine, until the
 	// next one may try a call as well.
 	trialTurn = 5 * time.Second
-	// maxNewAnswersPerSecond bounds the answers recorded of calls that have crashed no
-	// endpoint, so that many distinct calls don't displace the answers of those that have.
-	maxNewAnswersPerSecond = 10
+	// maxNewPartsPerSecond bounds the parts that become known by their answers, so that
+	// many distinct calls don't displace the answers of those that have crashed endpoints.
+	maxNewPartsPerSecond = 10
 )
 
 // crashWatch holds what an entry knows of calls that crash their endpoints.
 type crashWatch struct {
 	// messages has the messages of prompts as its parts, calls the fingerprints of calls.
 	// In one log, a repeated prompt and its messages would explain each other's crashes.
-	messages *poison.Log
-	calls    *poison.Log
+	messages *partLog
+	calls    *partLog
 	// trials are the calls on trial, by suspect part.
 	trials map[poison.Part]string
 	// shared is what each of the other entries has been sent, by host.
 	shared map[string]sharedRevision
-	// newAnswers counts the answers to calls unknown before, since newAnswersSince.
-	newAnswers      int
-	newAnswersSince time.Time
+}
+
+// partLog is a log whose answers are bounded.
+type partLog struct {
+	*poison.Log
+	// newParts counts the parts that became known by answers since newPartsSince.
+	newParts      int
+	newPartsSince time.Time
 }
 
 // sharedRevision holds the revisions of the logs that a process of another entry has
@@ -52,8 +57,8 @@
 
 func newCrashWatch() crashWatch {
 	return crashWatch{
-		messages: poison.NewLog(),
-		calls:    poison.NewLog(),
+		messages: &partLog{Log: poison.NewLog()},
+		calls:    &partLog{Log: poison.NewLog()},
 		trials:   make(map[poison.Part]string),
 		shared:   make(map[string]sharedRevision),
 	}
@@ -92,7 +97,7 @@
 
 // trialWait returns how long a call must wait by the judgment of a log, 0 if it may be
 // sent.
-func (c *Core) trialWait(now time.Time, call *activeCall, log *poison.Log, judgment poison.Judgment) time.Duration {
+func (c *Core) trialWait(now time.Time, call *activeCall, log *partLog, judgment poison.Judgment) time.Duration {
 	switch {
 	case judgment.Verdict == poison.Clear:
 		return 0
@@ -107,7 +112,7 @@
 
 // trialTurnWait returns how long this entry must leave the trial of parts whose
 // quarantine has ended to other entries, 0 if it may try them now.
-func (c *Core) trialTurnWait(now time.Time, log *poison.Log, suspects []poison.Part) time.Duration {
+func (c *Core) trialTurnWait(now time.Time, log *partLog, suspects []poison.Part) time.Duration {
 	wait := time.Duration(0)
 	for _, quarantine := range log.Quarantines() {
 		if slices.Contains(suspects, quarantine.Part) {
@@ -175,20 +180,28 @@
 }
 
 func (w *crashWatch) recordAnswer(now time.Time, call *activeCall) {
-	w.messages.AddAnswer(now, call.PromptParts)
-	known := w.calls.ResolvedSince(call.Fingerprint, time.Time{})
-	if known || w.allowNewAnswer(now) {
-		w.calls.AddAnswer(now, call.fingerprints())
-	}
+	w.messages.addAnswer(now, call.PromptParts)
+	w.calls.addAnswer(now, call.fingerprints())
 }
 
-// allowNewAnswer reports whether to record an answer to a call of which nothing is known.
-func (w *crashWatch) allowNewAnswer(now time.Time) bool {
-	if now.Sub(w.newAnswersSince) >= time.Second {
-		w.newAnswersSince, w.newAnswers = now, 0
+// addAnswer records an answer to a call with the parts, except for new parts beyond the
+// bound.
+func (l *partLog) addAnswer(now time.Time, parts []poison.Part) {
+	l.AddAnswer(now, slices.DeleteFunc(slices.Clone(parts), func(p poison.Part) bool {
+		return !l.isKnown(p) && !l.allowNewPart(now)
+	}))
+}
+
+// isKnown reports whether an answer to a call with the part, or a crash by one, is logged.
+func (l *partLog) isKnown(p poison.Part) bool { return l.ResolvedSince(p, time.Time{}) }
+
+// allowNewPart reports whether one more part may become known now.
+func (l *partLog) allowNewPart(now time.Time) bool {
+	if now.Sub(l.newPartsSince) >= time.Second {
+		l.newPartsSince, l.newParts = now, 0
 	}
-	w.newAnswers++
-	return w.newAnswers <= maxNewAnswersPerSecond
+	l.newParts++
+	return l.newParts <= maxNewPartsPerSecond
 }
 
 // recordCrash records the end of an endpoint's run, as its agent has numbered it.
