Number each end of an endpoint, also without an answer cut off in between

What callers saw. With real processes a call that crashes its endpoint ended five endpoints before it was refused, where three are enough: the ends of one endpoint that had started again counted as one. The same holds for messages of prompts that crash engines.

An agent took its endpoint for down from its first end until a probe succeeded, and it probes only after an answer was cut off. Calls that were answered, or that crashed the next run, left it down, so that the next end got the number of the last one.

Each connection that was begun after the end of a run shows that the next run has begun, not only that of a probe.

TestEachEndOfEndpointIsNumbered: three ends had the number 1 before, and have 1 to 3 now.

Ends of one endpoint add up.

--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -53,6 +53,7 @@
 // request on it.
 type endpointConn struct {
 	client   *fasthttp.HostClient
+	endpoint *endpointClient
 	mu       sync.Mutex
 	netConn  net.Conn
 	canceled bool
@@ -61,10 +62,10 @@
 	reusable bool
 }
 
-func newEndpointConn(address string) *endpointConn {
-	conn := &endpointConn{}
+func newEndpointConn(endpoint *endpointClient) *endpointConn {
+	conn := &endpointConn{endpoint: endpoint}
 	conn.client = &fasthttp.HostClient{
-		Addr:                      address,
+		Addr:                      endpoint.address,
 		Dial:                      conn.dial,
 		MaxConns:                  1,
 		MaxIdleConnDuration:       idleTimeout,
@@ -79,7 +80,7 @@
 }
 
 func (c *endpointConn) dial(address string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(address, dialTimeout)
+	conn, err := c.endpoint.connect(func() (net.Conn, error) { return fasthttp.DialTimeout(address, dialTimeout) })
 	if err != nil {
 		return nil, errors.Join(errConnect, err)
 	}
@@ -113,7 +114,7 @@
 		c.idleConns = c.idleConns[:n-1]
 		return conn
 	}
-	return newEndpointConn(c.address)
+	return newEndpointConn(c)
 }
 
 // release returns a connection to the idle pool if its last response was
@@ -167,14 +168,13 @@
 	if code := fault.CodeOf(err); code != fault.CodeEndpoint && code != fault.CodeCut {
 		return err
 	}
-	conn, dialErr := net.DialTimeout("tcp", c.address, probeTimeout)
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	conn, dialErr := c.connect(func() (net.Conn, error) { return net.DialTimeout("tcp", c.address, probeTimeout) })
 	if dialErr == nil {
 		_ = conn.Close() // nothing was sent
-		c.down = false
 		return err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.down {
 		c.down = true
 		c.endedRuns++
@@ -182,6 +182,24 @@
 	return fault.WithEndedRun(err, c.endedRuns)
 }
 
+// connect connects to the endpoint with dial. A connection that was begun after the end of
+// a run shows that the next run has begun.
+func (c *endpointClient) connect(dial func() (net.Conn, error)) (net.Conn, error) {
+	c.mu.Lock()
+	endedBefore := c.endedRuns
+	c.mu.Unlock()
+	conn, err := dial()
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.endedRuns == endedBefore {
+		c.down = false
+	}
+	return conn, nil
+}
+
 // buildRequest fills in the request to the endpoint. It copies the headers that
 // the entry has let through.
 func buildRequest(request *fasthttp.Request, call *wirepb.CallRequest, address string) {
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -462,3 +462,30 @@
 	}
 	_ = listener.Close()
 }
+
+// Each end of an endpoint has a number of its own, also if every call since its start
+// crashes it.
+func TestEachEndOfEndpointIsNumbered(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	client := newEndpointClient(address)
+	for want := uint64(1); want <= 3; want++ {
+		done := make(chan struct{})
+		go func(l net.Listener) {
+			defer close(done)
+			serveUntilCrash(t, l, true)
+		}(listener)
+		_, err := runCall(client, false, false)
+		<-done
+		if got := fault.EndedRunOf(err); got != want {
+			t.Errorf("end %d has the number %d", want, got)
+		}
+		if listener, err = net.Listen("tcp", address); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = listener.Close()
+}
