--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -81,9 +81,24 @@
 		return nil, err
 	}
 	resolved.call.Deadline = now.Add(timeout)
-	resolved.request = &wirepb.CallRequest{
-		Id:             id,
-		Customer:       resolved.call.Customer,
+	resolved.buildRequest(index, ctx)
+	if err := resolved.checkKeyNotForwarded(ctx); err != nil {
+		return nil, err
+	}
+	resolved.call.Fingerprint = fingerprint(resolved.request)
+	if index.Config.Services[route.Service].Kind == config.KindPlain {
+		resolved.call.Tokens = route.TokensPerCall
+		return resolved, nil
+	}
+	return resolved, resolved.resolveCompletion(index)
+}
+
+// buildRequest builds the message to the agent.
+func (r *resolvedRequest) buildRequest(index *config.Index, ctx *fasthttp.RequestCtx) {
+	route := r.call.Route
+	r.request = &wirepb.CallRequest{
+		Id:             r.call.ID,
+		Customer:       r.call.Customer,
 		Service:        route.Service,
 		Method:         string(ctx.Method()),
 		Path:           string(ctx.URI().PathOriginal()),
@@ -91,19 +106,10 @@
 		Headers:        forwardedHeaders(index, route, ctx),
 		Body:           ctx.PostBody(),
 		Idempotent:     route.Idempotent,
-		IdempotencyKey: resolved.idempotencyKeyText(),
+		IdempotencyKey: r.idempotencyKeyText(),
 		RunWithoutLog:  route.RunWithoutLog,
 		Batch:          route.Priority == config.PriorityBatch,
 	}
-	if err := resolved.checkKeyNotForwarded(ctx); err != nil {
-		return nil, err
-	}
-	resolved.call.Fingerprint = fingerprint(resolved.request)
-	if index.Config.Services[route.Service].Kind == config.KindPlain {
-		resolved.call.Tokens = route.TokensPerCall
-		return resolved, nil
-	}
-	return resolved, resolved.resolveCompletion(index)
 }
 
 // fingerprint returns the hash of what a call asks of its endpoint, by which a repeat is
