--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,6 +1,7 @@
-// Package poison finds the parts of prompts that crash the engines which answer
-// them. It weighs the crashes and the answers that all entries have observed, so
-// that the crash of an engine for another reason puts no part under quarantine.
+// Package poison finds the parts of prompts, and the requests, that crash the endpoints
+// which answer them. It weighs the crashes and the answers that all entries have
+// observed, so that the crash of an endpoint for another reason puts nothing under
+// quarantine.
 package poison
 
 import (
