Judge only fingerprints that were in several crashes

Each change of the log of crashes counted the crashes of all fingerprints anew, though most requests are unlike all others and were in one crash at most.

The log remembers which parts were in several crashes.

--- a/internal/poison/assess.go
+++ b/internal/poison/assess.go
@@ -313,8 +313,8 @@
 	byPart := make(map[Part]*tally)
 	for _, c := range crashes {
 		for _, p := range c.Parts {
-			if p.isFingerprint() != fingerprints {
-				continue
+			if p.isFingerprint() != fingerprints || fingerprints && !l.repeated[p] {
+				continue // most requests are unlike all others
 			}
 			a := l.answers[p]
 			if a != nil && !c.At.After(a.at) {
@@ -331,9 +331,6 @@
 	}
 	out := make([]*tally, 0, len(byPart))
 	for _, t := range byPart {
-		if fingerprints && len(t.crashes) < fingerprintSuspectCrashes {
-			continue // most requests are unlike all others
-		}
 		t.countEpisodes(crashes)
 		out = append(out, t)
 	}
--- a/internal/poison/fingerprint_test.go
+++ b/internal/poison/fingerprint_test.go
@@ -294,3 +294,26 @@
 		t.Errorf("other entries are told of %d answers, want that of the request in the crashes", len(changes.Answers))
 	}
 }
+
+// BenchmarkAssess measures the verdicts on a full log, with 100 requests that came once
+// and 10 that repeat under way in each crash.
+func BenchmarkAssess(b *testing.B) {
+	l := NewLog()
+	for i := range maxCrashes {
+		when := time.Duration(i) * time.Second
+		var parts []Part
+		for j := range 110 {
+			id := fmt.Sprint("single-", i, "-", j)
+			if j < 10 {
+				id = fmt.Sprint("repeated-", j)
+			}
+			parts = append(parts, NewFingerprint("acme", id))
+		}
+		l.AddCrash(at(when), crashOf(fmt.Sprint("e", i), when, parts...))
+		l.AddAnswer(at(when+500*time.Millisecond), parts[:10])
+	}
+	for b.Loop() {
+		l.stale = true
+		l.Assess(at(maxCrashes * time.Second))
+	}
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -109,6 +109,8 @@
 	recent recentAnswers
 	// lastCrash is the time of the newest crash with a part.
 	lastCrash map[Part]time.Time
+	// repeated holds the parts that were in several crashes.
+	repeated map[Part]bool
 	// revision is the number of the last change that other entries need.
 	revision uint64
 	pruneAt  time.Time
@@ -169,6 +171,7 @@
 		answers:     make(map[Part]*loggedAnswer),
 		quarantines: make(map[Part]*loggedQuarantine),
 		lastCrash:   make(map[Part]time.Time),
+		repeated:    make(map[Part]bool),
 	}
 }
 
@@ -207,6 +210,11 @@
 	if len(parts) == len(known.Parts) {
 		return
 	}
+	for _, p := range crash.Parts {
+		if _, crashed := l.lastCrash[p]; crashed && !slices.Contains(known.Parts, p) {
+			l.repeated[p] = true
+		}
+	}
 	known.Parts = parts
 	known.revision = l.nextRevision()
 	known.own = known.own || own
@@ -400,6 +408,7 @@
 	before := len(l.crashes)
 	maps.DeleteFunc(l.crashes, func(_ Run, c *loggedCrash) bool { return now.Sub(c.At) > memory })
 	maps.DeleteFunc(l.lastCrash, func(_ Part, at time.Time) bool { return now.Sub(at) > memory })
+	maps.DeleteFunc(l.repeated, func(p Part, _ bool) bool { return l.lastCrash[p].IsZero() })
 	maps.DeleteFunc(l.quarantines, func(_ Part, q *loggedQuarantine) bool { return now.Sub(q.Until) > quarantineMemory })
 	l.stale = l.stale || len(l.crashes) != before
 	for age := memory; ; age /= 2 {
