Tell the end of a quarantine that only the leader knows of

A caller whose request was refused because the leader knew of a quarantine, and its entry not yet, was told to come back after half to one and a half times the time that was left. The time is now told as it is; only waits for trials vary.

TestQuarantineKnownToLeaderIsToldTruly: 10.5 s told with 17 s left before, 17 s after.

--- a/internal/gate/trial.go
+++ b/internal/gate/trial.go
@@ -69,7 +69,7 @@
 	}
 	switch {
 	case call.assignment.stage == stageLocal || !c.leaderAnswers(now):
-		c.refuseTrial(now, call, trialRetryAfter)
+		c.refuseTrial(now, call, c.jitter(trialRetryAfter))
 	case now.Before(call.trialRequestAt):
 		c.waitForTrial(now, call)
 	default:
@@ -129,8 +129,10 @@
 		c.dispatch(now, call)
 	case reply.GetVerdict() == wirepb.GateAssignment_BUSY && wait <= trialRetryAfter:
 		c.waitForTrial(now, call)
-	default: // the leader knows of a quarantine, or can't grant trials
-		c.refuseTrial(now, call, max(wait, trialRetryAfter))
+	case reply.GetVerdict() == wirepb.GateAssignment_BUSY: // the leader knows of a quarantine
+		c.refuseTrial(now, call, wait)
+	default: // the leader can't grant trials
+		c.refuseTrial(now, call, c.jitter(trialRetryAfter))
 	}
 }
 
@@ -138,14 +140,14 @@
 func (c *Core) waitForTrial(now time.Time, call *activeCall) {
 	until := c.parkDeadline(call)
 	if !now.Before(until) {
-		c.refuseTrial(now, call, plainTrialRetryAfter)
+		c.refuseTrial(now, call, c.jitter(plainTrialRetryAfter))
 		return
 	}
 	c.park(now, call, until)
 }
 
 func (c *Core) refuseTrial(now time.Time, call *activeCall, retryAfter time.Duration) {
-	c.refuse(now, call, fault.NotRun, fault.CodeQuarantine, "the request may crash endpoints", c.jitter(retryAfter))
+	c.refuse(now, call, fault.NotRun, fault.CodeQuarantine, "the request may crash endpoints", retryAfter)
 }
 
 // releaseTrial ends the trial of a call that isn't sent.
--- a/internal/gate/trial_test.go
+++ b/internal/gate/trial_test.go
@@ -342,6 +342,21 @@
 	}
 }
 
+// Guards against an entry that tells any other time than the end of a quarantine of which
+// only the leader knows.
+func TestQuarantineKnownToLeaderIsToldTruly(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	const remaining = 17 * time.Second
+	f.cores["front-1"].crashes.log.AddQuarantine(f.now, poison.Quarantine{
+		Part: poison.NewFingerprint("free", badContent), Until: f.now.Add(remaining), Duration: 20 * time.Second,
+	})
+	_, err := f.tryPlain("front-3", "/charge/1", badContent)
+	if after := fault.RetryAfterOf(err); fault.CodeOf(err) != fault.CodeQuarantine || after != remaining {
+		t.Errorf("refused with %v and told to come back after %v, want %v", err, after, remaining)
+	}
+}
+
 // Guards against a trial that goes on though its request was never sent.
 func TestPlainTrialEndsWithRefusal(t *testing.T) {
 	f := newPlainFleet(t)
