Keep the proof of a part that was in a crash when answers are many

A sound part of prompts that is under way in a crash now and then was put on trial again and again, though it was answered after each crash: with over 8,192 distinct parts in use, answers are dropped by their age alone, and with the answer the crash counted again. On a site of hundreds of hosts, most requests bring a part of their own.

The class: evidence evicted by what it has nothing to do with. Answers to parts in a known crash are now kept as long as the crash; their number is bounded by that of the crashes.

Evidence: TestProofAfterCrashIsKept failed (on trial after the second crash) and passes.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -422,7 +422,10 @@
 	maps.DeleteFunc(l.quarantines, func(_ Part, q *loggedQuarantine) bool { return now.Sub(q.Until) > quarantineMemory })
 	l.stale = l.stale || len(l.crashes) != before
 	for age := memory; ; age /= 2 {
-		maps.DeleteFunc(l.answers, func(_ Part, a *loggedAnswer) bool { return now.Sub(a.at) > age })
+		maps.DeleteFunc(l.answers, func(p Part, a *loggedAnswer) bool {
+			_, crashed := l.lastCrash[p]
+			return now.Sub(a.at) > memory || !crashed && now.Sub(a.at) > age
+		})
 		if len(l.answers) <= maxAnswers/2 || age < time.Second {
 			return
 		}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -101,6 +101,25 @@
 	}
 }
 
+// A sound part was under way in a crash now and then, and was answered after each. Answers
+// to thousands of other parts must not displace that proof.
+func TestProofAfterCrashIsKept(t *testing.T) {
+	l := NewLog()
+	next := Part(1000)
+	for i := range 6 {
+		now := time.Duration(i) * 15 * time.Second
+		l.AddCrash(at(now), crashOf(fmt.Sprint("e", i), now, rare))
+		l.AddAnswer(at(now+time.Second), []Part{rare})
+		for j := range 2 * maxAnswers {
+			next++
+			l.AddAnswer(at(now+time.Second+time.Duration(j)*time.Millisecond/2), []Part{next})
+		}
+		if v := l.Judge(at(now+14*time.Second), []Part{rare}).Verdict; v != Clear {
+			t.Fatalf("verdict %v after crash %d and an answer, want clear", v, i)
+		}
+	}
+}
+
 // A quarantine ends by itself, after which one request at a time is tried. A crash
 // begins a longer one, an answer lifts it.
 func TestQuarantineEndsWithTrial(t *testing.T) {
