Don't take an assignment for the beginning of a stream

If the assigned engine refuses the request and the stream begins at another version, an entry without a leader resumed it at the wrong one; and the first report of such an entry replaced what the entry that began the stream knew, also at the next leader.

The class: an intention recorded as a fact. The leader still remembers an assignment, for an entry that ends before its next report, but tells nobody of it, and never in place of a beginning. Beginnings are told from reports.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -106,7 +106,7 @@
 	ep.schedule.Reserve(now, option.prefill, c.leader.prefillShare(req.GetService()).Value(now))
 	ep.stats.RecordPrompt(now, promptParts(req))
 	if req.GetStream() != 0 && !req.GetResumes() {
-		c.recordOtherStart(now, streamKey(req.GetStream()), ep.SoftwareVersion)
+		c.streams.recordAssigned(now, streamKey(req.GetStream()), ep.SoftwareVersion)
 	}
 	c.startTrials(now, req)
 	reply.Verdict = wirepb.GateAssignment_SEND
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -32,6 +32,9 @@
 	key     streamKey
 	version string
 	at      time.Time
+	// assigned is true if the version is that of the engine that the leader assigned, at
+	// which the stream may not have begun.
+	assigned bool
 	// number is its number in a startLog, 0 if it is in none.
 	number uint64
 }
@@ -90,11 +93,22 @@
 	return start
 }
 
+// recordAssigned remembers the version of the engine that a stream was assigned to, unless
+// it is known where the stream began. That is told to no other entry.
+func (t *streamTable) recordAssigned(now time.Time, key streamKey, version string) {
+	if known, isKnown := t.versions[key]; isKnown && !known.assigned {
+		return
+	}
+	start := t.record(now, key, version)
+	start.assigned = true
+	t.versions[key] = start
+}
+
 // recordOwn remembers the version of a stream that this entry began. It replaces
 // that of an earlier attempt, which brought no event.
 func (t *streamTable) recordOwn(now time.Time, key streamKey, version string) {
-	_, known := t.versions[key]
-	t.own.add(t.record(now, key, version), known)
+	known, isKnown := t.versions[key]
+	t.own.add(t.record(now, key, version), isKnown && !known.assigned)
 }
 
 // recordLearned remembers the version of a stream that another entry began, for the other
@@ -102,8 +116,8 @@
 func (t *streamTable) recordLearned(now time.Time, key streamKey, version string) {
 	known, isKnown := t.versions[key]
 	start := t.record(now, key, version)
-	if !isKnown || known.version != version {
-		t.learned.add(start, isKnown)
+	if !isKnown || known.assigned || known.version != version {
+		t.learned.add(start, isKnown && !known.assigned)
 	}
 }
 
@@ -156,7 +170,9 @@
 	}
 	out := make([]streamStart, 0, len(t.versions))
 	for _, key := range slices.Sorted(maps.Keys(t.versions)) {
-		out = append(out, t.versions[key])
+		if start := t.versions[key]; !start.assigned {
+			out = append(out, start)
+		}
 	}
 	return out
 }
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -339,6 +339,67 @@
 	}
 }
 
+// assignedElsewhere begins a stream at front-3 which the leader, front-1, has assigned to one
+// version and which begins at the other one, after the assignment has been told. The leader
+// ends before it hears of that.
+func assignedElsewhere(t *testing.T) (f *entryFleet, began Send) {
+	f = newEntryFleet(t)
+	f.calls++
+	call := f.calls
+	f.apply("front-3", RequestArrived{Call: call, Request: &Request{
+		ID: "r", Host: "h", Path: "/notes/1", Key: "k2", Model: "big", ArrivedAt: f.now,
+	}})
+	assigned, sent := findEffect[Send](f.effects["front-3"])
+	if !sent {
+		t.Fatalf("not sent: %+v", f.effects["front-3"])
+	}
+	f.tick() // the leader tells all entries of the assignment
+	f.effects["front-3"] = nil
+	for _, ep := range f.cores["front-3"].sortedEndpoints() {
+		if ep.Service == "llm" && ep.SoftwareVersion == assigned.SoftwareVersion {
+			ep.stats.RecordRetryAfter(f.now, 2*time.Second)
+		}
+	}
+	f.apply("front-3", AttemptEnded{Call: call, Result: Result{Outcome: OutcomeNotRun, Reason: ReasonRefused, Status: 503}})
+	began, sent = findEffect[Send](f.effects["front-3"])
+	if !sent || began.SoftwareVersion == assigned.SoftwareVersion {
+		t.Fatalf("not sent on to the other version: %+v", f.effects["front-3"])
+	}
+	delete(f.cores, "front-1")
+	f.apply("front-3", LeaderDisconnected{Host: "front-1"})
+	f.apply("front-2", LeaderDisconnected{Host: "front-1"})
+	f.apply("front-3", FirstByteReceived{Call: call})
+	f.apply("front-3", AttemptEnded{Call: call, Result: Result{Outcome: OutcomeTruncated, Reason: ReasonClientGone}})
+	return f, began
+}
+
+func (f *entryFleet) wantResumed(host string, began Send) {
+	f.t.Helper()
+	f.calls++
+	f.effects[host] = nil
+	f.apply(host, RequestArrived{Call: f.calls, Request: &Request{
+		ID: "again", Host: "h", Path: "/notes/1", Key: "k2", Model: "big", ArrivedAt: f.now, LastEventID: "3", ResumedRequest: "r",
+	}})
+	if send, sent := findEffect[Send](f.effects[host]); sent && send.SoftwareVersion != began.SoftwareVersion {
+		f.t.Errorf("%s resumed a stream of %s at %s", host, began.SoftwareVersion, send.SoftwareVersion)
+	}
+}
+
+// An entry was told of the assignment only: it must not take it for the beginning.
+func TestAssignedVersionIsNotTakenForTheBeginning(t *testing.T) {
+	f, began := assignedElsewhere(t)
+	f.wantResumed("front-2", began)
+}
+
+// The entry that began the stream leads next, and another one tells it of the assignment.
+func TestAssignedVersionDoesNotReplaceTheBeginning(t *testing.T) {
+	f, began := assignedElsewhere(t)
+	f.lead("front-3")
+	f.tick()
+	f.wantResumed("front-3", began)
+	f.wantResumed("front-2", began)
+}
+
 // Pattern: hundreds of entries begin streams while versions roll. What a state says of them
 // must be bounded, the leader's own streams first.
 func TestStateTellsOfBoundedStarts(t *testing.T) {
