Bound how long a stream of unknown version waits for a leader

While nobody led, as with the store down, a resumed stream that its entry doesn't know was held for as long as its client waits, up to 29 s on a route with a long objective, since a term that has ended made the next leader count as expected at once.

The class: an expectation without an end. The next leader is expected within 5 s of the last word of the one before, then the request is refused at once; a first report is awaited in a leader's first 3 s only.

A request to a silent leader in TestResumedStreamWaitsForLeaderThatKnowsIt is now refused when it arrives, which the test allows beside a refusal later.

--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -19,6 +19,7 @@
 
 // leader is the state of an entry while it leads.
 type leader struct {
+	startedAt time.Time
 	// renewedAt is when the newest acknowledged lease record was sent, renewal its number.
 	renewedAt time.Time
 	renewal   uint64
@@ -64,6 +65,7 @@
 	}
 	plannerSettings := stock.DefaultSettings(c.settings.WeightLoadWindow)
 	c.leader = &leader{
+		startedAt:     now,
 		members:       previous,
 		allotment:     rate.NewAllotment(standingFraction, c.settings.ShareLifetime+c.settings.Lease.Margin, shares),
 		pools:         make(map[string]*rate.Bucket),
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -294,9 +294,17 @@
 // expectsLeader reports whether the leader, which can't be asked now, or the next one is
 // expected before a point in time.
 func (c *Core) expectsLeader(now, until time.Time) bool {
-	return !c.leaderAnswers(now) && c.leaderLink.host != "" && now.Add(c.leaderExpectedIn(now)).Before(until)
+	if c.leaderAnswers(now) || c.leaderLink.host == "" {
+		return false
+	}
+	expectedAt := now.Add(c.leaderExpectedIn(now))
+	return expectedAt.Before(until) && expectedAt.Before(c.follower.lastHeard.Add(leaderChangeTime))
 }
 
+// leaderChangeTime is the time from the last message of a leader within which the first
+// one of the next is expected. If it has passed, nobody can tell when there is one.
+const leaderChangeTime = 5 * time.Second
+
 func (ac *activeCall) setStreamVersion(version string) {
 	ac.softwareVersion = version
 	ac.versionKnown = true
@@ -400,9 +408,12 @@
 	reply.AfterUs = uint64(reportInterval.Microseconds())
 }
 
-// awaitsFirstReport reports whether an entry may still tell this leader, in its first
-// report, of streams that it knows.
+// awaitsFirstReport reports whether an entry may still tell this leader, which has begun
+// just now, of streams that it knows.
 func (c *Core) awaitsFirstReport(now time.Time) bool {
+	if now.Sub(c.leader.startedAt) >= peerGracePeriod {
+		return false
+	}
 	for _, peer := range c.peers {
 		if !peer.reported && (peer.connected || now.Sub(peer.lastSeen) < peerGracePeriod) {
 			return true
