Count the wait for a load from when a stream first asks for its model

A resumed stream that had waited for a leader to tell its version was refused in the same moment ("no endpoint holds the model"): the half second in which the leader begins a load counted from when its client began to wait, and nobody can ask for the model before the version is known.

The class: a bound that counts from another event than the one that it bounds.

--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -35,6 +35,8 @@
 	// waitingSince is since when the client has waited for the first event or, if its
 	// stream was cut, for the next one.
 	waitingSince time.Time
+	// artifactAskedAt is when the call first asked for its model or adapter since then.
+	artifactAskedAt time.Time
 	// parkedAt is when the call began to wait for an endpoint.
 	parkedAt time.Time
 	// parkedUntil is when a parked call is refused.
--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -339,3 +339,31 @@
 		t.Errorf("held for %v", held)
 	}
 }
+
+// A resumed stream has waited for a leader that knows its version. Only then can anybody
+// ask for its model there: it must wait for the leader's decision on the load.
+func TestStreamThatWaitedForItsVersionWaitsForItsModel(t *testing.T) {
+	h := newFollowerHarness(t)
+	h.apply(ConfigRead{Config: liveConfig(), SentAt: h.now})
+	h.endpoints(versionedEngine("llm-1", "v1"))
+	h.endpoints(engineRecord("llm-2", "v2"))
+	_, effects := h.live("began")
+	if _, asked := findEffect[RequestAssignment](effects); !asked {
+		t.Fatalf("the leader was not asked: %+v", effects)
+	}
+	h.advance(leaderReplyTimeout)
+	h.apply(Tick{})
+	h.advance(leaderBackoff)
+	h.effects = nil
+	h.apply(Tick{})
+	ask, asked := findEffect[RequestAssignment](h.effects)
+	if !asked {
+		t.Fatal("the leader was not asked again")
+	}
+	effects = h.apply(AssignmentReceived{Host: "front-2", Assignment: &wirepb.GateAssignment{
+		Call: ask.Request.GetCall(), Verdict: wirepb.GateAssignment_ABSENT, SoftwareVersion: "v2", VersionKnown: true,
+	}})
+	if refuse, refused := findEffect[Refuse](effects); refused {
+		t.Errorf("refused before the leader could order a load: %v", refuse.Err)
+	}
+}
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -123,6 +123,7 @@
 		ep.stats.RecordFailure(now)
 		call.resuming = true
 		call.waitingSince = now
+		call.artifactAskedAt = time.Time{}
 		if !call.versionKnown {
 			call.setStreamVersion(ep.SoftwareVersion)
 		}
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -53,10 +53,13 @@
 		return
 	}
 	c.requestArtifact(now, call)
+	if call.artifactAskedAt.IsZero() {
+		call.artifactAskedAt = now
+	}
 	expectedAt, loading := c.loadArrival(now, call)
 	until := c.parkDeadline(call)
 	if call.continuesStream() && !c.modelLoaded(now, call) {
-		until = earliest(until, call.waitingSince.Add(loadDecisionTime))
+		until = earliest(until, call.artifactAskedAt.Add(loadDecisionTime))
 	}
 	switch {
 	case loading && expectedAt.After(call.loadWaitDeadline()):
