Expect nothing of an engine whose run is over

Streams waited for a load at an engine that had ended, for an adapter that was being loaded there, or were sent there at their assigned time: the proof of its end was used where engines are chosen and copies counted, and not in these three places.

Evidence: TestLoadAtCrashedEngineIsNotExpected, TestAdapterOfCrashedEngineIsLoadedElsewhere and TestAssignedEngineThatCrashedIsNotUsed failed and pass.

--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -215,7 +215,7 @@
 		c.dispatch(now, call)
 		return
 	}
-	if ep == nil || ep.Draining || service == nil || ep.stats.BackingOff(now) || !call.acceptsVersion(ep.SoftwareVersion) {
+	if ep == nil || !c.takesRequests(now, ep) || service == nil || ep.stats.BackingOff(now) || !call.acceptsVersion(ep.SoftwareVersion) {
 		call.assignment.stage = stageLocal
 		c.dispatch(now, call)
 		return
--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/stock"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire/wirepb"
@@ -367,3 +368,21 @@
 		t.Errorf("refused before the leader could order a load: %v", refuse.Err)
 	}
 }
+
+// An engine is found to have crashed while a request waits for its assigned time there: it
+// must go elsewhere.
+func TestAssignedEngineThatCrashedIsNotUsed(t *testing.T) {
+	h := newFollowerHarness(t)
+	h.apply(ConfigRead{Config: liveConfig(), SentAt: h.now})
+	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v1"))
+	_, effects := h.live("")
+	ask, _ := findEffect[RequestAssignment](effects)
+	h.apply(AssignmentReceived{Host: "front-2", Assignment: &wirepb.GateAssignment{
+		Call: ask.Request.GetCall(), Verdict: wirepb.GateAssignment_SEND, Endpoint: "llm-2", AfterUs: 100_000,
+	}})
+	h.core.crashes.log.AddCrash(h.now, poison.Crash{Run: poison.Run{Engine: "llm-2", Incarnation: 1}, At: h.now, EndedAt: h.now})
+	h.advance(110 * time.Millisecond)
+	if send := h.mustSend(h.apply(Tick{})); send.Endpoint == "llm-2" {
+		t.Error("sent to an engine that is known to have crashed")
+	}
+}
--- a/internal/stock/adapters.go
+++ b/internal/stock/adapters.go
@@ -24,7 +24,7 @@
 		if m.SoftwareVersion != "" && e.softwareVersion != m.SoftwareVersion {
 			continue
 		}
-		if e.canServe(a) && e.usable() || e.loading(a) {
+		if e.usable() && (e.canServe(a) || e.loading(a)) {
 			return true
 		}
 		spec := e.spec.Models[a.Model]
--- a/internal/stock/engine.go
+++ b/internal/stock/engine.go
@@ -325,6 +325,13 @@
 	e.service.invalidateLoads(e.pending.order)
 }
 
+// invalidatePending must be called when the engine becomes usable or ceases to be.
+func (e *engine) invalidatePending() {
+	if e.pending != nil {
+		e.service.invalidateLoads(e.pending.order)
+	}
+}
+
 // dropPending removes the pending order.
 func (e *engine) dropPending() {
 	e.service.invalidateLoads(e.pending.order)
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -81,7 +81,10 @@
 	}
 	e.spec = spec
 	e.service.setSpec(spec)
-	e.draining = ep.Draining
+	if e.draining != ep.Draining {
+		e.draining = ep.Draining
+		e.invalidatePending()
+	}
 	e.softwareVersion = ep.SoftwareVersion
 	e.inMemory = toSet(ep.InMemory)
 	e.onDisk = toSet(ep.OnDisk)
@@ -118,8 +121,9 @@
 
 // SetEnded sets whether the run of an engine is over though it is still registered.
 func (p *Planner) SetEnded(id string, ended bool) {
-	if e := p.engines[id]; e != nil {
+	if e := p.engines[id]; e != nil && e.ended != ended {
 		e.ended = ended
+		e.invalidatePending()
 	}
 }
 
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -252,3 +252,60 @@
 		t.Errorf("%d loads of the model, want 1", loads)
 	}
 }
+
+func newVersionedPlanner(spec *topo.EngineSpec) (*Planner, func(id, version string, models ...string)) {
+	p := NewPlanner(startTime, DefaultSettings(5*time.Second), true)
+	return p, func(id, version string, models ...string) {
+		ep := &topo.Endpoint{ID: id, Service: "llm", Incarnation: 1, SoftwareVersion: version}
+		for _, model := range models {
+			ep.Holdings = append(ep.Holdings, topo.Holding{Model: model})
+		}
+		p.SetEndpoint(startTime, ep, spec)
+		p.HandleReport(startTime, startTime, id, Report{Holdings: ep.Holdings})
+	}
+}
+
+// An engine ends while it loads a model. Its load must not be announced any more: requests
+// would wait for it.
+func TestLoadAtCrashedEngineIsNotExpected(t *testing.T) {
+	p, add := newVersionedPlanner(testSpec())
+	add("e1", "v1")
+	p.RecordMiss(startTime, "llm", Miss{Artifact: Artifact{Model: "a"}, SoftwareVersion: "v1"})
+	for _, o := range p.Plan(startTime).Orders {
+		p.HandleOutcome(startTime, o, Accepted)
+	}
+	if _, loading := FirstLoad(p.LoadETAs("llm"), "a", "v1"); !loading {
+		t.Fatal("the model is not being loaded")
+	}
+	p.SetEnded("e1", true)
+	p.Plan(startTime.Add(20 * time.Millisecond))
+	if _, loading := FirstLoad(p.LoadETAs("llm"), "a", "v1"); loading {
+		t.Error("a load at an engine that has crashed is still expected")
+	}
+}
+
+// An engine ends while it loads an adapter. Another engine must get it.
+func TestAdapterOfCrashedEngineIsLoadedElsewhere(t *testing.T) {
+	p, add := newVersionedPlanner(testSpec())
+	add("e1", "v1", "a")
+	add("e2", "v1", "a")
+	m := Miss{Artifact: Artifact{Model: "a", Adapter: "x"}, SoftwareVersion: "v1"}
+	p.RecordMiss(startTime, "llm", m)
+	orders := p.Plan(startTime).Orders
+	if len(orders) == 0 || orders[0].Adapter != "x" {
+		t.Fatalf("orders are %+v, want one for the adapter", orders)
+	}
+	for _, o := range orders[1:] {
+		p.HandleOutcome(startTime, o, Refused)
+	}
+	add("e2", "v1", "a")
+	p.SetEnded(orders[0].Engine, true)
+	now := startTime.Add(20 * time.Millisecond)
+	p.RecordMiss(now, "llm", m)
+	for _, o := range p.Plan(now).Orders {
+		if o.Adapter == "x" && o.Engine != orders[0].Engine {
+			return
+		}
+	}
+	t.Errorf("the adapter is not loaded at the engine that is left")
+}
--- a/internal/stock/service.go
+++ b/internal/stock/service.go
@@ -190,14 +190,15 @@
 	}
 }
 
-// loadETAs returns when the first load of each model is expected to finish.
+// loadETAs returns when the first load of each model at a usable engine is expected to
+// finish.
 func (s *service) loadETAs() map[Load]time.Time {
 	if s.etas != nil {
 		return s.etas
 	}
 	s.etas = make(map[Load]time.Time)
 	for _, e := range s.engines {
-		if e.pending == nil || !e.pending.order.Load || e.pending.order.Adapter != "" {
+		if !e.usable() || e.pending == nil || !e.pending.order.Load || e.pending.order.Adapter != "" {
 			continue
 		}
 		load := Load{
