Don't unload both copies of a model at one version, and back up none by a limit

One plan could unload a model at both engines of a version, since another version still had a copy; and an engine that names a limit counted as the second copy of a model, though it can't take up another engine's streams.

While one engine of a version unloads a model, the others of that version keep it. Engines with a limit count neither as a copy nor as an engine where backups are concerned, and get no load for one.

Evidence: TestBackupIsNotEvictedForOtherVersionsCopy and TestLimitedEngineIsNoBackup failed and pass; TestFirstCopiesAreAtOneVersion passed before. In the second one the other models have copies, since loads of models without any come first.

--- a/internal/stock/backup.go
+++ b/internal/stock/backup.go
@@ -33,17 +33,18 @@
 			copies:          s.copiesOf(model).total,
 			demandRate:      demandRate,
 			softwareVersion: version,
+			backup:          true,
 		})
 	}
 	slices.SortStableFunc(out, func(a, b shortage) int { return -cmp.Compare(a.demandRate, b.demandRate) })
 	return out
 }
 
-// countVersions returns the number of usable engines by software version.
+// countVersions returns the number of usable engines without a limit by software version.
 func (s *service) countVersions() map[string]int {
 	out := make(map[string]int)
 	for _, e := range s.engines {
-		if e.usable() {
+		if e.usable() && !e.limited {
 			out[e.softwareVersion]++
 		}
 	}
@@ -56,7 +57,7 @@
 func (s *service) backupVersion(model string, engines map[string]int) (version string, needed bool) {
 	copies := make(map[string]int)
 	for _, e := range s.copiesOf(model).holders {
-		if !e.keeps(model) {
+		if !e.keeps(model) || e.limited {
 			continue
 		}
 		if copies[e.softwareVersion]++; copies[e.softwareVersion] > 1 {
--- a/internal/stock/load.go
+++ b/internal/stock/load.go
@@ -232,6 +232,9 @@
 
 // helpedBy reports whether a copy at an engine helps against the shortage.
 func (s shortage) helpedBy(e *engine) bool {
+	if s.backup && e.limited {
+		return false
+	}
 	return s.softwareVersion == "" || e.softwareVersion == s.softwareVersion
 }
 
@@ -284,6 +287,9 @@
 		if s.copiesOf(model).serving <= 1 && !s.mayEvictLastCopy(now, model, shortage) {
 			continue
 		}
+		if s.unloadsElsewhere(model, e) {
+			continue
+		}
 		if shortage.worthEvicting(loss) && loss < lowestLoss {
 			victim, lowestLoss = model, loss
 		}
@@ -291,6 +297,15 @@
 	return victim, lowestLoss
 }
 
+// unloadsElsewhere reports whether another engine of the same software version is unloading
+// a model. The streams there could go on only at the given engine.
+func (s *service) unloadsElsewhere(model string, e *engine) bool {
+	return slices.ContainsFunc(s.copiesOf(model).holders, func(other *engine) bool {
+		unloads := other.hasPendingOrder(Artifact{Model: model}) && !other.pending.order.Load
+		return other != e && other.softwareVersion == e.softwareVersion && unloads
+	})
+}
+
 // evictionLoss returns the demand for which one copy less of a model would serve.
 func (s *service) evictionLoss(now time.Time, model string) float64 {
 	return s.demandRate(now, model) / float64(max(s.copiesOf(model).serving-1, 1))
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -103,6 +103,9 @@
 	missed     bool
 	// softwareVersion is the only version of engines that helps, empty if any does.
 	softwareVersion string
+	// backup is true if the copy is to take up the streams of another engine, which an
+	// engine with a limit can't.
+	backup bool
 }
 
 // unservedMiss reports whether requests wait for the model and no engine holds it.
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -309,3 +309,75 @@
 	}
 	t.Errorf("the adapter is not loaded at the engine that is left")
 }
+
+// A model's copies at one version must not be evicted for another model's demand because
+// there is a copy at another version, at which its streams can't go on.
+func TestBackupIsNotEvictedForOtherVersionsCopy(t *testing.T) {
+	spec := testSpec()
+	p, add := newVersionedPlanner(spec)
+	add("e1", "v1", "a", "b", "c")
+	add("e2", "v1", "a", "b", "c")
+	add("e3", "v2", "a", "b", "c")
+	add("e4", "v2", "d")
+	now := startTime.Add(20 * time.Second)
+	for range 50 {
+		for _, m := range []string{"b", "c"} {
+			p.RecordDemand(now, "llm", Artifact{Model: m}, 40*time.Millisecond)
+		}
+		p.RecordDemand(now, "llm", Artifact{Model: "a"}, 15*time.Millisecond)
+	}
+	p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: "e"}, SoftwareVersion: "v1"})
+	p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: "d"}, SoftwareVersion: "v1"})
+	evicted := map[string]int{}
+	for _, o := range p.Plan(now).Orders {
+		if !o.Load && (o.Engine == "e1" || o.Engine == "e2") {
+			evicted[o.Model]++
+		}
+	}
+	for m, n := range evicted {
+		if n > 1 {
+			t.Errorf("both copies of %s at v1 are evicted", m)
+		}
+	}
+}
+
+// A model has no copy at all. The load for its demand and the one for its second copy are
+// planned together and must come to one version, or a third is needed.
+func TestFirstCopiesAreAtOneVersion(t *testing.T) {
+	p, add := newVersionedPlanner(testSpec())
+	add("e1", "v1", "b")
+	add("e2", "v1", "b")
+	add("e3", "v2", "b")
+	add("e4", "v2", "b")
+	p.SetRunning("e3", 10)
+	p.SetRunning("e4", 10)
+	loads := map[string]int{}
+	p.RecordDemand(startTime, "llm", Artifact{Model: "a"}, 50*time.Millisecond)
+	p.RecordMiss(startTime, "llm", Miss{Artifact: Artifact{Model: "a"}})
+	for _, o := range p.Plan(startTime).Orders {
+		if o.Load && o.Model == "a" {
+			loads[p.engines[o.Engine].softwareVersion]++
+		}
+	}
+	if len(loads) > 1 {
+		t.Errorf("loads by version: %v", loads)
+	}
+}
+
+// An engine with a limit takes few requests: it can't be the one that takes up the streams of
+// another.
+func TestLimitedEngineIsNoBackup(t *testing.T) {
+	p, add := newVersionedPlanner(testSpec())
+	add("e1", "v1", "a", "d")
+	add("e2", "v1", "a")
+	add("e3", "v1", "b")
+	add("e4", "v2", "a", "c", "e")
+	p.SetLimited("e2", true)
+	p.RecordDemand(startTime, "llm", Artifact{Model: "a"}, 50*time.Millisecond)
+	for _, o := range p.Plan(startTime).Orders {
+		if o.Load && o.Model == "a" && o.Engine == "e3" {
+			return
+		}
+	}
+	t.Error("no second copy is loaded at an engine of v1 without a limit")
+}
