Split the files of quota by job

What stood in a newcomer's way: node.go held the effects, the election of the coordinator, the messages and the shares of a node in 460 lines; coord.go and moves.go mixed members, views, grants and the balance between shares; and the names ask.go, book.go and moves.go didn't say what they hold.

What changed: declarations moved to effect.go, elect.go, message.go, member.go, view.go, serve.go and balance.go, each with its constants; ask.go is now reserve.go and book.go is logstate.go. No line of code changed but the blocks of constants.

Behaviour is the same: the tests of quota, entry and agent pass.

--- a/internal/quota/lead.go
+++ b/internal/quota/lead.go
@@ -8,19 +8,17 @@
 	"dogwoodfold/internal/wire/wirepb"
 )
 
-// flushEffects adds the coordinator's pending messages and records, and returns
-// all effects.
-func (n *Node) flushEffects(now time.Time) []Effect {
-	if n.coordinator != nil {
-		n.requestReports(now)
-		n.sendGrants(now)
-		n.recordView(now)
-		n.sendViews(now)
-	}
-	out := n.effects
-	n.effects = nil
-	return out
-}
+const (
+	// appendRetryInterval is how long to wait for a view to be read back from
+	// the log before it is appended again.
+	appendRetryInterval = 2 * time.Second
+	// viewRefreshInterval is how often the view is appended again, so that log
+	// retention does not discard the last one.
+	viewRefreshInterval = time.Minute
+	// maxSelfRounds bounds how often the coordinator grants to its own node
+	// within one event.
+	maxSelfRounds = 4
+)
 
 // recordView appends the view to the log, retrying until it is read back, and
 // again before the log discards it.
