Name the steps of quota's longer functions and remove repeated ones

What stood in a newcomer's way: a member's ledger was created in two places and a full report requested in two; when a view is due, a claim is due, or which parts are held was worked out in the middle of longer functions; and the fields of Node and Coordinator had no word on census, pool or the two incarnations. lastCensusAt was the time of a request for reports.

What changed: member.ledger and requestFullReport stand once; viewDue, claimDue, heldParts and stayingMembers are functions of their own; lastCensusAt is reportsRequestedAt; doc comments for fields and functions that had none.

--- a/internal/quota/balance.go
+++ b/internal/quota/balance.go
@@ -31,13 +31,10 @@
 	}
 }
 
+// rebalanceCustomer moves one customer's shares towards the demand of the members
+// that stay.
 func (c *Coordinator) rebalanceCustomer(now time.Time, customer string) {
-	var hosts []string
-	for _, host := range slices.Sorted(maps.Keys(c.members)) {
-		if !c.members[host].leaving {
-			hosts = append(hosts, host)
-		}
-	}
+	hosts := c.stayingMembers()
 	totalDemand, parts := 0.0, float64(c.pool[customer].parts)
 	for _, host := range hosts {
 		l := c.members[host].ledger(customer)
@@ -57,6 +54,17 @@
 	}
 }
 
+// stayingMembers returns the hosts of the members that aren't shutting down, sorted.
+func (c *Coordinator) stayingMembers() []string {
+	var hosts []string
+	for _, host := range slices.Sorted(maps.Keys(c.members)) {
+		if !c.members[host].leaving {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
 // adjustShare moves one member's share towards a target. It reports whether the
 // member must be sent a grant.
 func (c *Coordinator) adjustShare(now time.Time, customer string, l *ledger, target float64) bool {
--- a/internal/quota/coord.go
+++ b/internal/quota/coord.go
@@ -12,14 +12,21 @@
 
 // Coordinator moves shares between the entries for one term.
 type Coordinator struct {
-	term            uint64
-	firstTerm       bool
-	claimedAt       time.Time
-	limits          map[string]Limit
-	agents          map[string]*agentState
+	term uint64
+	// firstTerm reports whether no entry can have held shares in an earlier term.
+	firstTerm bool
+	claimedAt time.Time
+	limits    map[string]Limit
+	agents    map[string]*agentState
+	// previousMembers maps the hosts in the last view before the term to their
+	// incarnations.
 	previousMembers map[string]uint64
 
-	inCensus         bool
+	// inCensus is true at the start of the term, while the members of the previous
+	// view report what they hold.
+	inCensus bool
+	// viewSequence numbers the current view, recordedSequence the newest view of the
+	// term that was read back from the log.
 	viewSequence     uint64
 	recordedSequence uint64
 	members          map[string]*member
@@ -27,7 +34,8 @@
 	// retired holds the incarnations that were members and were fenced. They
 	// can't become members again, as grants to them may still be in flight.
 	retired map[uint64]bool
-	pool    map[string]*share
+	// pool holds the shares, by customer, that no member holds.
+	pool map[string]*share
 	// ownsRemainder reports whether everything that is not held by members or
 	// fenced is in the pool; ownedCustomers are the customers for which it is.
 	ownsRemainder  bool
@@ -89,6 +97,8 @@
 	c.poolShare(now, customer).add(now, t)
 }
 
+// poolShare returns the pool's share of a customer's quota. It creates an empty
+// one if there is none.
 func (c *Coordinator) poolShare(now time.Time, customer string) *share {
 	s, known := c.pool[customer]
 	if !known {
--- a/internal/quota/effect.go
+++ b/internal/quota/effect.go
@@ -32,6 +32,7 @@
 func (Append) isEffect()  {}
 func (Resolve) isEffect() {}
 
+// append adds the append of a record to the effects.
 func (n *Node) append(r logRecord) {
 	data, err := json.Marshal(r)
 	if err != nil {
--- a/internal/quota/elect.go
+++ b/internal/quota/elect.go
@@ -50,7 +50,7 @@
 	}
 	n.coordinator = newCoordinator(now, &n.log, n.agents, n.limits)
 	n.followTerm(now, n.log.Term, n.host)
-	n.lastCensusAt = time.Time{}
+	n.reportsRequestedAt = time.Time{}
 }
 
 // stepDown ends this node's term. The pool becomes part of the node's own
@@ -110,9 +110,19 @@
 // claimTerm appends a claim to the log once the coordinator has been silent for
 // too long.
 func (n *Node) claimTerm(now time.Time) {
-	if !n.log.caughtUp || n.leaving || !n.hasAgentSession() {
+	if !n.log.caughtUp || n.leaving || !n.hasAgentSession() || !n.claimDue(now) {
 		return
 	}
+	n.nextClaimAt = now.Add(minClaimTimeout + n.jitter(claimJitter))
+	n.append(logRecord{Claim: &claimRecord{
+		Host:        n.host,
+		Incarnation: n.processIncarnation,
+	}})
+}
+
+// claimDue reports whether the coordinator has been silent for too long. While it
+// hasn't, the time of the next claim is drawn anew.
+func (n *Node) claimDue(now time.Time) bool {
 	if n.coordinatorHeardAt.IsZero() {
 		n.coordinatorHeardAt = now
 	}
@@ -124,18 +134,12 @@
 	}
 	if now.Sub(n.coordinatorHeardAt) < n.claimTimeout() && n.log.Term != 0 {
 		n.nextClaimAt = time.Time{}
-		return
+		return false
 	}
-	if now.Before(n.nextClaimAt) {
-		return
-	}
-	n.nextClaimAt = now.Add(minClaimTimeout + n.jitter(claimJitter))
-	n.append(logRecord{Claim: &claimRecord{
-		Host:        n.host,
-		Incarnation: n.processIncarnation,
-	}})
+	return !now.Before(n.nextClaimAt)
 }
 
+// jitter returns a random duration below limit.
 func (n *Node) jitter(limit time.Duration) time.Duration {
 	return time.Duration(n.random.Int64N(int64(limit)))
 }
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -67,6 +67,7 @@
 	}
 }
 
+// account returns a customer's account. It creates an empty one if there is none.
 func (h *Holder) account(now time.Time, customer string) *account {
 	a, known := h.accounts[customer]
 	if !known {
@@ -210,6 +211,7 @@
 	return a.demand >= 1 && now.Sub(a.reportedAt) >= activeReportInterval
 }
 
+// holding returns the part of a report that describes the account.
 func (a *account) holding(now time.Time, name string) *wirepb.ShareHolding {
 	return &wirepb.ShareHolding{
 		Customer:            name,
--- a/internal/quota/lead.go
+++ b/internal/quota/lead.go
@@ -52,13 +52,7 @@
 		return
 	}
 	for _, host := range slices.Sorted(maps.Keys(n.agents)) {
-		a := n.agents[host]
-		outdated := a.ackedTerm != c.term || a.ackedSequence < c.viewSequence
-		// Shares are recovered only on recent acknowledgements, so these must
-		// be renewed while any share is fenced.
-		outdated = outdated || len(c.fencedShares) > 0 && now.Sub(a.ackedSentAt) > grantInterval
-		recentlySent := a.sentSequence == c.viewSequence && now.Sub(a.viewSentAt) < grantInterval
-		if a.connected && outdated && !recentlySent {
+		if a := n.agents[host]; a.connected && c.viewDue(now, a) {
 			a.viewSentAt, a.sentSequence = now, c.viewSequence
 			a.attempt++
 			view := c.currentView()
@@ -68,23 +62,38 @@
 	}
 }
 
+// viewDue reports whether an agent should be sent the view now.
+func (c *Coordinator) viewDue(now time.Time, a *agentState) bool {
+	outdated := a.ackedTerm != c.term || a.ackedSequence < c.viewSequence
+	// Shares are recovered only on recent acknowledgements, so these must be
+	// renewed while any share is fenced.
+	ackNeeded := len(c.fencedShares) > 0 && now.Sub(a.ackedSentAt) > grantInterval
+	recentlySent := a.sentSequence == c.viewSequence && now.Sub(a.viewSentAt) < grantInterval
+	return (outdated || ackNeeded) && !recentlySent
+}
+
 // requestReports requests reports from entries that are not members.
 func (n *Node) requestReports(now time.Time) {
-	if now.Sub(n.lastCensusAt) < grantInterval {
+	if now.Sub(n.reportsRequestedAt) < grantInterval {
 		return
 	}
-	n.lastCensusAt = now
+	n.reportsRequestedAt = now
 	hosts := append(slices.Sorted(maps.Keys(n.connectedEntries)), n.host)
 	for _, host := range hosts {
 		if _, known := n.coordinator.members[host]; !known {
-			n.sendGrant(now, host, &wirepb.ShareGrant{
-				Term:   n.coordinator.term,
-				Census: true,
-			})
+			n.requestFullReport(now, host)
 		}
 	}
 }
 
+// requestFullReport requests a report of all shares that an entry holds.
+func (n *Node) requestFullReport(now time.Time, host string) {
+	n.sendGrant(now, host, &wirepb.ShareGrant{
+		Term:   n.coordinator.term,
+		Census: true,
+	})
+}
+
 // sendGrants sends the members their grants. Parts that this node returns to
 // itself can serve other members in another round; after maxSelfRounds the rest
 // waits for the next event.
--- a/internal/quota/logstate.go
+++ b/internal/quota/logstate.go
@@ -76,6 +76,7 @@
 	s.caughtUp = s.caughtUp || s.nextOffset >= page.Next
 }
 
+// applyRecord applies a record, which may be neither a claim nor a view.
 func (s *LogState) applyRecord(offset uint64, r logRecord) {
 	if r.Claim != nil {
 		s.applyClaim(offset, r.Claim)
@@ -86,6 +87,7 @@
 	}
 }
 
+// applyClaim begins the term of a claim.
 func (s *LogState) applyClaim(offset uint64, claim *claimRecord) {
 	s.firstTerm = s.lastView == nil && s.firstOffset == 1
 	s.previousMembers = nil
--- a/internal/quota/member.go
+++ b/internal/quota/member.go
@@ -112,12 +112,7 @@
 		l.shortfall = 0
 	}
 	for _, h := range r.GetHoldings() {
-		l, known := m.ledgers[h.GetCustomer()]
-		if !known {
-			l = &ledger{}
-			m.ledgers[h.GetCustomer()] = l
-		}
-		if returned := l.update(now, h); returned.parts > 0 {
+		if returned := m.ledger(h.GetCustomer()).update(now, h); returned.parts > 0 {
 			c.poolShare(now, h.GetCustomer()).add(now, returned)
 		}
 	}
@@ -149,6 +144,8 @@
 	return !m.connected || now.Sub(m.lastHeardAt) > recallSilenceLimit
 }
 
+// ledger returns the member's ledger for a customer. It creates an empty one if
+// there is none.
 func (m *member) ledger(customer string) *ledger {
 	l, known := m.ledgers[customer]
 	if !known {
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -14,6 +14,7 @@
 	return n.flushEffects(now)
 }
 
+// dispatch passes a message on to its handler.
 func (n *Node) dispatch(now time.Time, from string, message *wirepb.ShareMessage) {
 	switch body := message.GetBody().(type) {
 	case *wirepb.ShareMessage_Report:
@@ -45,6 +46,8 @@
 	}
 }
 
+// handleReport handles an entry's report, if this node is the coordinator of the
+// report's term. A report of a higher term ends its own.
 func (n *Node) handleReport(now time.Time, from string, r *wirepb.ShareReport) {
 	c := n.coordinator
 	if c == nil || r.GetTerm() < c.term {
@@ -56,10 +59,7 @@
 	}
 	switch c.handleReport(now, from, r) {
 	case reportNeedsFull:
-		n.sendGrant(now, from, &wirepb.ShareGrant{
-			Term:   c.term,
-			Census: true,
-		})
+		n.requestFullReport(now, from)
 	case reportFenced:
 		n.sendGrant(now, from, &wirepb.ShareGrant{
 			Term:        c.term,
@@ -108,6 +108,7 @@
 	n.sendMessage(now, n.coordinatorHost, &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Report{Report: r}})
 }
 
+// sendGrant sends a grant to an entry.
 func (n *Node) sendGrant(now time.Time, to string, g *wirepb.ShareGrant) {
 	n.sendMessage(now, to, &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Grant{Grant: g}})
 }
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -11,7 +11,9 @@
 
 // Node holds an entry's shares, requests tokens and can become the coordinator.
 type Node struct {
-	host               string
+	host string
+	// processIncarnation identifies the process in its claims. The incarnation under
+	// which it holds shares is the holder's, which changes when the node rejoins.
 	processIncarnation uint64
 	random             *rand.Rand
 	limits             map[string]Limit
@@ -21,18 +23,26 @@
 	connectedEntries   map[string]bool
 	leaving            bool
 
-	coordinator        *Coordinator
+	// coordinator is nil unless this node is the coordinator.
+	coordinator *Coordinator
+	// coordinatorHost is the coordinator that this node follows, possibly itself.
 	coordinatorHost    string
 	coordinatorHeardAt time.Time
-	nextClaimAt        time.Time
+	// nextClaimAt is when a claim is due if the coordinator stays silent, zero if that
+	// isn't decided yet.
+	nextClaimAt time.Time
 	// lostTerms counts the terms of this node that other entries' claims have
 	// ended since it last heard from another coordinator.
 	lostTerms    int
 	lastReportAt time.Time
-	lastCensusAt time.Time
+	// reportsRequestedAt is when this node, as the coordinator, last requested reports
+	// of the entries that aren't members. Zero requests them at once.
+	reportsRequestedAt time.Time
 
+	// requests are the customers' requests for tokens, by customer.
 	requests map[string]*tokenRequest
-	effects  []Effect
+	// effects are those that the next flushEffects returns.
+	effects []Effect
 }
 
 // NewNode returns a node without shares.
@@ -111,12 +121,13 @@
 // SetEntrySession notes that a session to another entry was established or
 // ended.
 func (n *Node) SetEntrySession(now time.Time, host string, up bool) []Effect {
-	n.connectedEntries[host] = up
-	if !up {
+	if up {
+		n.connectedEntries[host] = true
+	} else {
 		delete(n.connectedEntries, host)
 		n.handleSessionLoss(now, host)
 	}
-	n.lastCensusAt = time.Time{}
+	n.reportsRequestedAt = time.Time{}
 	if n.coordinator != nil {
 		if m, known := n.coordinator.members[host]; known {
 			m.connected = up
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -68,6 +68,7 @@
 	s.resize(now)
 }
 
+// resize sets the bucket to the share's fraction of the customer's limit.
 func (s *share) resize(now time.Time) {
 	fraction := float64(s.parts) / TotalParts
 	s.bucket.Resize(now, s.limit.Rate*fraction, s.limit.Burst*fraction)
--- a/internal/quota/view.go
+++ b/internal/quota/view.go
@@ -113,6 +113,15 @@
 // held and are recovered later.
 func (c *Coordinator) takeRemainder(now time.Time) {
 	c.ownsRemainder = true
+	for customer, parts := range c.heldParts() {
+		c.ownedCustomers[customer] = true
+		c.addToPool(now, customer, c.limits[customer], TotalParts-min(TotalParts, parts), c.firstTerm)
+	}
+}
+
+// heldParts returns the parts that are in the pool, held by members or fenced, by
+// customer.
+func (c *Coordinator) heldParts() map[string]uint64 {
 	held := make(map[string]uint64)
 	for customer := range c.limits {
 		held[customer] = 0
@@ -130,10 +139,7 @@
 			held[customer] += parts
 		}
 	}
-	for customer, parts := range held {
-		c.ownedCustomers[customer] = true
-		c.addToPool(now, customer, c.limits[customer], TotalParts-min(TotalParts, parts), c.firstTerm)
-	}
+	return held
 }
 
 // viewInstalled reports whether the view that fenced a share is recorded in the
