Split the fake engine by what it answers

What stood in a newcomer's way: fakes/engine.go held the engine's state, its orders, its completions and its streams in 457 lines; sendTruncated, which the fake service uses too, stood among them.

No line of code changed.

Behaviour is the same: the tests of fakes and agent pass; demo, cmds and load have none and build.

--- a/internal/fakes/fakes.go
+++ b/internal/fakes/fakes.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -156,3 +158,13 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
+
+// sendTruncated sends half of the response body and closes the connection.
+func sendTruncated(ctx *fasthttp.RequestCtx) {
+	body := append([]byte{}, ctx.Response.Body()...)
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+			len(body), body[:len(body)/2])
+	})
+}
--- /dev/null
+++ b/internal/fakes/orders.go
@@ -0,0 +1,127 @@
+package fakes
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/plat"
+)
+
+// handleOrder handles an order to load or unload, subject to the injected faults.
+func (e *Engine) handleOrder(ctx *fasthttp.RequestCtx) {
+	var o plat.Order
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	faults := e.currentFaults()
+	number := e.nextOrderNumber()
+	if faults.LoseOrders || isEveryNth(faults.LoseOrdersEvery, number) {
+		return
+	}
+	delayed := faults.DelayOrdersMs > 0 && (faults.DelayOrdersEvery == 0 || isEveryNth(faults.DelayOrdersEvery, number))
+	if delayed {
+		time.AfterFunc(time.Duration(faults.DelayOrdersMs)*time.Millisecond, func() { _ = e.Execute(o) })
+		if !faults.DoubleOrders {
+			return
+		}
+	}
+	if err := e.Execute(o); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusConflict)
+	}
+}
+
+// nextOrderNumber returns the number of the next order, starting at 1.
+func (e *Engine) nextOrderNumber() int {
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	e.orders++
+	return e.orders
+}
+
+// isEveryNth reports whether number is a multiple of n. It is false for n = 0.
+func isEveryNth(n, number int) bool { return n > 0 && number%n == 0 }
+
+// Execute executes an order. It returns an error if a load does not fit in memory,
+// where a real engine would crash.
+func (e *Engine) Execute(o plat.Order) error {
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	if e.settings.ChecksFence && o.Fence < e.fence {
+		return fmt.Errorf("fence %d is older than %d", o.Fence, e.fence)
+	}
+	e.fence = max(e.fence, o.Fence)
+	if o.Action == plat.ActionUnload {
+		e.unload(o)
+		return nil
+	}
+	return e.load(o)
+}
+
+func (e *Engine) unload(o plat.Order) {
+	var kept []plat.Resident
+	for _, r := range e.residents {
+		unloaded := r.Model == o.Model && r.Version == o.Version && (o.Adapter == "" || r.Adapter == o.Adapter)
+		if !unloaded {
+			kept = append(kept, r)
+		}
+	}
+	e.residents = kept
+}
+
+func (e *Engine) load(o plat.Order) error {
+	total := o.MemoryBytes
+	for _, r := range e.residents {
+		if r.Model == o.Model && r.Version == o.Version && r.Adapter == o.Adapter {
+			return nil
+		}
+		total += r.MemoryBytes
+	}
+	e.memory.Peak = max(e.memory.Peak, total)
+	if total > e.settings.MemoryBytes {
+		e.memory.Overcommitted = true
+		return fmt.Errorf("out of memory: %d of %d bytes", total, e.settings.MemoryBytes)
+	}
+	resident := plat.Resident{
+		Model:       o.Model,
+		Version:     o.Version,
+		Adapter:     o.Adapter,
+		MemoryBytes: o.MemoryBytes,
+		Ready:       e.settings.LoadTime == 0 && e.settings.WeightStoreURL == "",
+	}
+	e.residents = append(e.residents, resident)
+	if !resident.Ready {
+		time.AfterFunc(e.settings.LoadTime, func() { e.fetchWeights(o) })
+	}
+	return nil
+}
+
+// fetchTimeout bounds a single attempt to fetch weights.
+const fetchTimeout = 5 * time.Minute
+
+// fetchWeights fetches weights from the weight store, if there is one, and marks
+// the resident as loaded. It retries until the fetch succeeds.
+func (e *Engine) fetchWeights(o plat.Order) {
+	for e.settings.WeightStoreURL != "" {
+		status, _, err := fasthttp.GetTimeout(nil, e.settings.WeightStoreURL+"/weights", fetchTimeout)
+		if err == nil && status == fasthttp.StatusOK {
+			break
+		}
+		time.Sleep(time.Second)
+	}
+	e.markReady(o)
+}
+
+// markReady marks a resident as loaded.
+func (e *Engine) markReady(o plat.Order) {
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	for i, r := range e.residents {
+		if r.Model == o.Model && r.Version == o.Version && r.Adapter == o.Adapter {
+			e.residents[i].Ready = true
+		}
+	}
+}
