Log what the fake engine's responses can't report

The fake engine dropped the error of an order that it executed after its answer, and those of its fetches of weights, which it repeats without end: a fleet whose weight store didn't answer looked like one that loads slowly.

It now logs both through EngineSettings.Logger, which the command and the demo set. No response changed.

--- a/internal/cmds/fake.go
+++ b/internal/cmds/fake.go
@@ -73,6 +73,7 @@
 				}
 				settings.Residents = append(settings.Residents, r)
 			}
+			settings.Logger = newLogger(cmd.ErrOrStderr(), "fake engine")
 			return flags.serve(cmd, fakes.NewEngine(settings).Handler())
 		},
 	}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -99,6 +99,7 @@
 		Slots:       endpointSlots,
 		ChecksFence: true,
 		Residents:   residents(parsed),
+		Logger:      f.logger,
 	})
 	engineURL, err := f.serveHTTP("engine URL", f.engine.Handler())
 	if err != nil {
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"dogwoodfold/internal/plat"
@@ -21,6 +22,8 @@
 	// empty, nothing is fetched.
 	LoadTime       time.Duration
 	WeightStoreURL string
+	// Logger receives the errors that no response reports.
+	Logger zerolog.Logger
 }
 
 // Engine is a fake of a model engine. Its output for a prompt depends only on the
--- a/internal/fakes/orders.go
+++ b/internal/fakes/orders.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if faults.delaysOrder(number) {
-		time.AfterFunc(time.Duration(faults.DelayOrdersMs)*time.Millisecond, func() { _ = e.Execute(o) })
+		time.AfterFunc(time.Duration(faults.DelayOrdersMs)*time.Millisecond, func() { e.executeDelayed(o) })
 		if !faults.DoubleOrders {
 			return
 		}
@@ -33,6 +33,14 @@
 	}
 }
 
+// executeDelayed executes an order that was answered before. It logs an error, which
+// no response can report.
+func (e *Engine) executeDelayed(o plat.Order) {
+	if err := e.Execute(o); err != nil {
+		e.settings.Logger.Warn().Err(err).Str("model", o.Model).Msg("delayed order not executed")
+	}
+}
+
 // nextOrderNumber returns the number of the next order, starting at 1.
 func (e *Engine) nextOrderNumber() int {
 	e.stateMu.Lock()
@@ -127,6 +135,7 @@
 		if err == nil && status == fasthttp.StatusOK {
 			break
 		}
+		e.settings.Logger.Warn().Err(err).Int("status", status).Str("model", o.Model).Msg("weights not fetched")
 		time.Sleep(fetchRetryInterval)
 	}
 	e.markReady(o)
