Split the lease into its records, its log and its acquisition

What changed: record.go holds what is written, log.go what is read and appended, acquire.go when this entry may take the lease and issue orders; lease.go keeps the type and its questions. No line of code changed but a block of constants.

Behaviour is the same: the tests of lease, gate, edge and platform pass.

--- /dev/null
+++ b/internal/lease/record.go
@@ -0,0 +1,48 @@
+package lease
+
+import "net/netip"
+
+// Member is an entry that the leader counts as part of the fleet, with its standing
+// share of every customer's rate.
+type Member struct {
+	Host  string  `json:"host"`
+	Share float64 `json:"share"`
+}
+
+// Record starts or renews a term of a leader.
+type Record struct {
+	Host string `json:"host"`
+	// Incarnation identifies a run of the holder's process, Renewal numbers the
+	// records of that run.
+	Incarnation uint64         `json:"incarnation"`
+	Renewal     uint64         `json:"renewal"`
+	PeerAddr    netip.AddrPort `json:"peers"`
+	// Era is the era of the log for which the record was written.
+	Era int64 `json:"era,omitempty"`
+	// Term is the fencing token of the term. It grows with the era of the log and
+	// the offset of the first record of the term.
+	Term int64 `json:"term"`
+	// DurationMs is how long the record is valid from when it was sent, in milliseconds.
+	// Earlier releases don't write it; their records are valid for the order time and the
+	// quiet period together.
+	DurationMs int64 `json:"durationMs,omitempty"`
+	// QuietMs is how long the holder must still issue no orders, in milliseconds, because
+	// of those of an earlier holder. It also binds later processes on its host.
+	QuietMs int64 `json:"quietMs,omitempty"`
+	// Released is true in the last record of a holder that shuts down.
+	Released bool     `json:"released,omitempty"`
+	Members  []Member `json:"members"`
+	// Quarantine holds the parts of prompts that are kept from engines, so that it
+	// outlives all entries.
+	Quarantine []QuarantinedPart `json:"quarantine,omitempty"`
+}
+
+// QuarantinedPart is a part of prompts that is kept from engines.
+type QuarantinedPart struct {
+	Part uint64 `json:"part,string"`
+	// RemainingMs is the time to the end of the quarantine in milliseconds when the
+	// record was written, negative after it; DurationMs is that of the whole
+	// quarantine.
+	RemainingMs int64 `json:"remainingMs"`
+	DurationMs  int64 `json:"durationMs"`
+}
