Name the times that the lease's rules compare

What stood in a newcomer's way: order time plus quiet period was added up in three places for two reasons, whether the holder has told of a renewal was compared in two, and quietUntil added the same period and margin to each of its cases.

What changed: Timing.maxDuration, toldByHolder, isNew and earlierOrdersEnd name these; doc comments for the fields behind them.

--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -1,6 +1,9 @@
 package lease
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // AppendDue reports whether a record should be appended now: a renewal, or a first
 // record because the last holder's term is over.
@@ -13,28 +16,24 @@
 
 // available reports whether no other host can be holding the lease.
 func (l *Lease) available(now time.Time) bool {
-	longest := l.timing.OrderTime + l.timing.QuietPeriod // of the records of any release
-	if l.Stale() {
-		return !now.Before(l.seenAt.Add(longest + l.timing.Margin))
-	}
-	if !l.hasRecord || l.record.Host == l.host {
+	switch {
+	case l.Stale():
+		return !now.Before(l.seenAt.Add(l.timing.maxDuration() + l.timing.Margin))
+	case !l.hasRecord || l.record.Host == l.host:
 		return true
-	}
-	if l.record.Released || l.resigned() {
+	case l.record.Released || l.resigned():
 		return true
+	default:
+		return !now.Before(l.TermEnd())
 	}
-	return !now.Before(l.TermEnd())
 }
 
 // TermEnd returns when the term of another host's newest record is over for certain, if
 // the holder doesn't renew it.
 func (l *Lease) TermEnd() time.Time {
-	duration := time.Duration(l.record.DurationMs) * time.Millisecond
-	if duration == 0 {
-		duration = l.timing.OrderTime + l.timing.QuietPeriod
-	}
+	duration := cmp.Or(time.Duration(l.record.DurationMs)*time.Millisecond, l.timing.maxDuration())
 	sent := l.sentBefore()
-	if l.told.Incarnation == l.record.Incarnation && l.told.SentAfter.After(sent) {
+	if l.toldByHolder() && l.told.SentAfter.After(sent) {
 		sent = l.told.SentAfter // a later record than the one that was read
 	}
 	return sent.Add(duration + l.timing.Margin)
@@ -44,12 +43,15 @@
 // that the log ends where this entry expects. A record of which its holder has told is
 // newer than the one that was read, or the same.
 func (l *Lease) sentBefore() time.Time {
-	if l.told.Incarnation == l.record.Incarnation && l.record.Renewal <= l.told.Number && l.told.SentBefore.Before(l.seenAt) {
+	if l.toldByHolder() && l.record.Renewal <= l.told.Number && l.told.SentBefore.Before(l.seenAt) {
 		return l.told.SentBefore
 	}
 	return l.seenAt
 }
 
+// toldByHolder reports whether the holder of the newest record has told of a renewal.
+func (l *Lease) toldByHolder() bool { return l.told.Incarnation == l.record.Incarnation }
+
 // resigned reports whether the holder of the newest record has ended its term.
 func (l *Lease) resigned() bool {
 	return l.resignedIncarnation == l.record.Incarnation && l.record.Renewal <= l.resignedRenewal
@@ -58,21 +60,27 @@
 // quietUntil returns the time before which this entry must not issue orders because
 // of the orders of an earlier holder.
 func (l *Lease) quietUntil() time.Time {
-	// Orders that a record permits end before this time.
-	ordersEnd := l.sentBefore().Add(l.timing.OrderTime)
 	switch {
-	case l.Stale():
-		return l.seenAt.Add(l.timing.OrderTime + l.timing.QuietPeriod + l.timing.Margin)
-	case !l.hasRecord:
+	case !l.Stale() && !l.hasRecord:
 		return time.Time{}
-	case l.record.Host == l.host:
+	case !l.Stale() && l.record.Host == l.host:
 		return l.seenAt.Add(time.Duration(l.record.QuietMs) * time.Millisecond)
+	default:
+		return l.earlierOrdersEnd().Add(l.timing.QuietPeriod + l.timing.Margin)
+	}
+}
+
+// earlierOrdersEnd returns the time by which another holder's orders have ended.
+func (l *Lease) earlierOrdersEnd() time.Time {
+	switch {
+	case l.Stale():
+		return l.seenAt.Add(l.timing.OrderTime)
 	case l.record.Released:
-		return l.seenAt.Add(l.timing.QuietPeriod + l.timing.Margin)
+		return l.seenAt
 	case l.resigned():
-		return l.resignedAt.Add(l.timing.QuietPeriod + l.timing.Margin)
+		return l.resignedAt
 	default:
-		return ordersEnd.Add(l.timing.QuietPeriod + l.timing.Margin)
+		return l.sentBefore().Add(l.timing.OrderTime)
 	}
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -24,6 +24,9 @@
 	Margin time.Duration
 }
 
+// maxDuration returns the longest time for which a record of any release is valid.
+func (t *Timing) maxDuration() time.Duration { return t.OrderTime + t.QuietPeriod }
+
 // Lease is one entry's view of the lease. It does no I/O: the caller reads and
 // appends records and passes the results on.
 type Lease struct {
@@ -32,7 +35,8 @@
 	peerAddr    netip.AddrPort
 	timing      Timing
 
-	hasRead   bool
+	hasRead bool
+	// record is the newest record that was read, if hasRecord is set.
 	hasRecord bool
 	record    Record
 	// era is the newest era of the log that is known. In a new era the log has lost
@@ -60,7 +64,8 @@
 	resignedIncarnation uint64
 	resignedRenewal     uint64
 	resignedAt          time.Time
-	nextAppendAt        time.Time
+	// nextAppendAt is the time before which this entry appends nothing.
+	nextAppendAt time.Time
 }
 
 // New returns the lease of an entry that has not read the log yet.
--- a/internal/lease/log.go
+++ b/internal/lease/log.go
@@ -26,8 +26,7 @@
 		l.logEnd = 0
 		l.seenAt = now
 	}
-	record := read.Record
-	if read.Exists && (!l.hasRecord || read.Offset+1 > l.logEnd || record.Incarnation != l.record.Incarnation) {
+	if l.isNew(read) {
 		l.seenAt = now
 	}
 	l.logEnd = max(l.logEnd, read.End)
@@ -35,8 +34,14 @@
 		return
 	}
 	l.hasRecord = true
-	l.record = record
-	l.confirm(record)
+	l.record = read.Record
+	l.confirm(read.Record)
+}
+
+// isNew reports whether a read found a record that was not seen before.
+func (l *Lease) isNew(read Read) bool {
+	return read.Exists &&
+		(!l.hasRecord || read.Offset+1 > l.logEnd || read.Record.Incarnation != l.record.Incarnation)
 }
 
 // Stale reports whether the newest record is of an earlier era of the log: records
