--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -4,7 +4,13 @@
 // what each engine of a service should hold.
 package place
 
-import "dogwoodfold/internal/wire/wirepb"
+import (
+	"cmp"
+	"strings"
+
+	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/wire/wirepb"
+)
 
 // Artifact identifies the weights of a version of a model, or an adapter for
 // it.
@@ -40,3 +46,30 @@
 		Adapter: w.GetAdapter(),
 	}
 }
+
+// orderArtifact returns the artifact that an order loads or unloads.
+func orderArtifact(o plat.Order) Artifact {
+	return Artifact{
+		Model:   o.Model,
+		Version: o.Version,
+		Adapter: o.Adapter,
+	}
+}
+
+// residentArtifact returns the artifact that a resident is a replica of.
+func residentArtifact(r plat.Resident) Artifact {
+	return Artifact{
+		Model:   r.Model,
+		Version: r.Version,
+		Adapter: r.Adapter,
+	}
+}
+
+// compareArtifacts orders artifacts by model, version and adapter.
+func compareArtifacts(a, b Artifact) int {
+	return cmp.Or(
+		strings.Compare(a.Model, b.Model),
+		strings.Compare(a.Version, b.Version),
+		strings.Compare(a.Adapter, b.Adapter),
+	)
+}
