Name the steps of a planning round

What stood in a newcomer's way: a worker's memory was reserved in three places, the time a replica was first seen looked up in two; Plan, observe, load and evaluate each did several jobs in a row, among them one that changed a worker and restored it at the end of a longer function.

What changed: Worker.reserve, countLoad, addLoadBudget, newRound, recordFirstSeen, countLoading, isListed and utilizationAfter; firstSeen is used in both places; doc comments for the stages of an unload.

--- a/internal/place/deferred.go
+++ b/internal/place/deferred.go
@@ -37,11 +37,7 @@
 		deferredAt: r.now,
 		victims:    c.victims,
 	}
-	c.worker.FreeBytes -= c.bytes
-	c.worker.Holdings = append(c.worker.Holdings, Holding{
-		Artifact: c.artifact,
-		Bytes:    c.bytes,
-	})
+	c.worker.reserve(c.artifact, c.bytes)
 }
 
 // isObsolete reports whether a deferred load is no longer needed or will not
@@ -72,10 +68,6 @@
 			delete(r.deferredLoads, name)
 			continue
 		}
-		w.FreeBytes -= d.bytes
-		w.Holdings = append(w.Holdings, Holding{
-			Artifact: d.artifact,
-			Bytes:    d.bytes,
-		})
+		w.reserve(d.artifact, d.bytes)
 	}
 }
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -44,6 +44,15 @@
 	return nil
 }
 
+// reserve takes the memory of an artifact that is to be loaded and counts it as held.
+func (w *Worker) reserve(a Artifact, bytes int64) {
+	w.FreeBytes -= bytes
+	w.Holdings = append(w.Holdings, Holding{
+		Artifact: a,
+		Bytes:    bytes,
+	})
+}
+
 // workersHolding returns the workers that hold an artifact or are loading it.
 func workersHolding(workers []Worker, a Artifact) []*Worker {
 	var list []*Worker
--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -29,8 +29,11 @@
 type unloadStage int
 
 const (
+	// awaitingPin means that the keeper hasn't replied yet.
 	awaitingPin unloadStage = iota
+	// draining means that calls still use the artifact.
 	draining
+	// orderSent means that the engine was ordered to unload.
 	orderSent
 )
 
--- a/internal/place/orders.go
+++ b/internal/place/orders.go
@@ -106,6 +106,7 @@
 	return l.report.ChecksFence && l.lastFence >= l.report.Fence+fenceWindow
 }
 
+// newOrder returns an order with a fencing number and the ID made of it.
 func (l *Ledger) newOrder(fence uint64, action plat.Action, a Artifact, bytes int64) plat.Order {
 	return plat.Order{
 		Fence:       fence,
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -113,10 +113,29 @@
 // Plan returns the changes to make now. Models without a replica have priority.
 func (p *Planner) Plan(now time.Time, workers []Worker, models map[string]Model) []PlacementChange {
 	p.demand.Advance(now)
+	p.addLoadBudget(now)
+	r := p.newRound(now, workers, models)
+	r.observe()
+	r.unloadUnlisted()
+	r.startDeferredLoads()
+	r.loadMissing()
+	r.replaceOldVersions()
+	r.loadAdapters()
+	r.addReplicas()
+	r.addSecondReplicas()
+	return r.changes
+}
+
+// addLoadBudget adds the loads that the weight store permits since the last call.
+func (p *Planner) addLoadBudget(now time.Time) {
 	if !p.plannedAt.IsZero() {
 		p.loadBudget = min(loadBurst, p.loadBudget+now.Sub(p.plannedAt).Seconds()*p.settings.LoadsPerSecond)
 	}
 	p.plannedAt = now
+}
+
+// newRound returns a round that works on its own copy of workers.
+func (p *Planner) newRound(now time.Time, workers []Worker, models map[string]Model) *round {
 	r := &round{
 		Planner: p,
 		now:     now,
@@ -127,20 +146,36 @@
 		w.Holdings = slices.Clone(w.Holdings)
 		r.workers = append(r.workers, w)
 	}
-	r.observe()
-	r.unloadUnlisted()
-	r.startDeferredLoads()
-	r.loadMissing()
-	r.replaceOldVersions()
-	r.loadAdapters()
-	r.addReplicas()
-	r.addSecondReplicas()
-	return r.changes
+	return r
 }
 
 // observe records which replicas are new, counts the loads in progress and
 // finds the models without a replica.
 func (r *round) observe() {
+	r.recordFirstSeen()
+	r.countLoading()
+	holdersByModel := currentHolders(r.workers, r.models)
+	for name := range r.models {
+		if len(holdersByModel[name]) == 0 {
+			r.absent[name] = true
+		}
+	}
+}
+
+// unload adds an unload to the changes. It does not count the memory as free,
+// since that takes until a later round.
+func (r *round) unload(w *Worker, a Artifact, keeper, keepVersion string) {
+	r.changes = append(r.changes, PlacementChange{
+		Host:        w.Host,
+		Artifact:    a,
+		Keeper:      keeper,
+		KeepVersion: keepVersion,
+	})
+	w.Holdings = slices.DeleteFunc(w.Holdings, func(h Holding) bool { return h.Artifact == a || h.Base() == a })
+}
+
+// recordFirstSeen records which replicas are new, and forgets those that are gone.
+func (r *round) recordFirstSeen() {
 	seen := make(map[replica]bool)
 	for _, w := range r.workers {
 		for _, h := range w.Holdings {
@@ -152,6 +187,15 @@
 			if _, known := r.firstSeenAt[key]; !known {
 				r.firstSeenAt[key] = r.now
 			}
+		}
+	}
+	maps.DeleteFunc(r.firstSeenAt, func(key replica, _ time.Time) bool { return !seen[key] })
+}
+
+// countLoading counts the loads in progress.
+func (r *round) countLoading() {
+	for _, w := range r.workers {
+		for _, h := range w.Holdings {
 			switch {
 			case h.Ready:
 			case h.Adapter == "":
@@ -161,41 +205,13 @@
 			}
 		}
 	}
-	maps.DeleteFunc(r.firstSeenAt, func(key replica, _ time.Time) bool { return !seen[key] })
-	holdersByModel := currentHolders(r.workers, r.models)
-	for name := range r.models {
-		if len(holdersByModel[name]) == 0 {
-			r.absent[name] = true
-		}
-	}
-}
-
-// unload adds an unload to the changes. It does not count the memory as free,
-// since that takes until a later round.
-func (r *round) unload(w *Worker, a Artifact, keeper, keepVersion string) {
-	r.changes = append(r.changes, PlacementChange{
-		Host:        w.Host,
-		Artifact:    a,
-		Keeper:      keeper,
-		KeepVersion: keepVersion,
-	})
-	w.Holdings = slices.DeleteFunc(w.Holdings, func(h Holding) bool { return h.Artifact == a || h.Base() == a })
 }
 
 // load adds a load to the changes if the limits on loads permit it, and reports
 // whether they do.
 func (r *round) load(w *Worker, a Artifact, bytes int64) bool {
-	if a.Adapter == "" {
-		if r.loadBudget < 1 || r.loadingModels >= r.settings.MaxLoads {
-			return false
-		}
-		r.loadBudget--
-		r.loadingModels++
-	} else {
-		if r.loadingAdapters >= r.settings.MaxAdapterLoads {
-			return false
-		}
-		r.loadingAdapters++
+	if !r.countLoad(a) {
+		return false
 	}
 	r.changes = append(r.changes, PlacementChange{
 		Host:     w.Host,
@@ -203,11 +219,24 @@
 		Artifact: a,
 		Bytes:    bytes,
 	})
-	w.FreeBytes -= bytes
-	w.Holdings = append(w.Holdings, Holding{
-		Artifact: a,
-		Bytes:    bytes,
-	})
+	w.reserve(a, bytes)
+	return true
+}
+
+// countLoad counts the start of a load if the limits on loads permit it, and reports
+// whether they do.
+func (r *round) countLoad(a Artifact) bool {
+	switch {
+	case a.Adapter != "" && r.loadingAdapters >= r.settings.MaxAdapterLoads:
+		return false
+	case a.Adapter != "":
+		r.loadingAdapters++
+	case r.loadBudget < 1 || r.loadingModels >= r.settings.MaxLoads:
+		return false
+	default:
+		r.loadBudget--
+		r.loadingModels++
+	}
 	return true
 }
 
--- a/internal/place/replicas.go
+++ b/internal/place/replicas.go
@@ -123,20 +123,26 @@
 		return nil
 	}
 	c.victims = victims
-	savedHoldings, savedFree := w.Holdings, w.FreeBytes
-	defer func() { w.Holdings, w.FreeBytes = savedHoldings, savedFree }()
-	w.Holdings = slices.DeleteFunc(slices.Clone(savedHoldings), func(h Holding) bool {
-		return slices.ContainsFunc(victims, func(v Holding) bool { return v.Artifact == h.Artifact })
+	c.gain = r.overload(util) - r.overload(r.utilizationAfter(c))
+	if c.gain > 0 && !r.heldInSameZone(c.artifact, w) {
+		c.gain += zoneBonus
+	}
+	return c
+}
+
+// utilizationAfter returns the expected utilization once a candidate has replaced its
+// victims.
+func (r *round) utilizationAfter(c *candidate) utilization {
+	w, saved := c.worker, c.worker.Holdings
+	defer func() { w.Holdings = saved }()
+	w.Holdings = slices.DeleteFunc(slices.Clone(saved), func(h Holding) bool {
+		return slices.ContainsFunc(c.victims, func(v Holding) bool { return v.Artifact == h.Artifact })
 	})
 	w.Holdings = append(w.Holdings, Holding{
 		Artifact: c.artifact,
 	})
 	after, _ := estimateUtilization(r.workers, r.models, r.rate)
-	c.gain = r.overload(util) - r.overload(after)
-	if c.gain > 0 && !r.heldInSameZone(c.artifact, w) {
-		c.gain += zoneBonus
-	}
-	return c
+	return after
 }
 
 // heldInSameZone reports whether another worker in the zone of w holds an
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -49,10 +49,7 @@
 // Replicas first seen less than residency ago stay.
 func (r *round) findVictims(w *Worker, bytes int64, residency time.Duration) (victims []Holding, ok bool) {
 	candidates := slices.DeleteFunc(slices.Clone(w.Holdings), func(h Holding) bool {
-		recent := r.now.Sub(r.firstSeenAt[replica{
-			host:     w.Host,
-			artifact: h.Artifact,
-		}]) < residency
+		recent := r.now.Sub(r.firstSeen(w, h.Artifact)) < residency
 		return recent || h.Adapter != "" || !h.Retained || !r.isSurplus(w, h.Artifact)
 	})
 	slices.SortFunc(candidates, func(a, b Holding) int {
--- a/internal/place/steps.go
+++ b/internal/place/steps.go
@@ -13,17 +13,22 @@
 	for i := range r.workers {
 		w := &r.workers[i]
 		for _, h := range slices.Clone(w.Holdings) {
-			m, listed := r.models[h.Model]
-			if listed && h.Adapter != "" {
-				_, listed = m.Adapters[h.Adapter]
-			}
-			if !listed && h.Retained {
+			if h.Retained && !r.isListed(h.Artifact) {
 				r.unload(w, h.Artifact, "", "")
 			}
 		}
 	}
 }
 
+// isListed reports whether the configuration lists an artifact, in any version.
+func (r *round) isListed(a Artifact) bool {
+	m, listed := r.models[a.Model]
+	if listed && a.Adapter != "" {
+		_, listed = m.Adapters[a.Adapter]
+	}
+	return listed
+}
+
 // loadMissing loads the models without a replica, in order of decreasing
 // demand.
 func (r *round) loadMissing() {
@@ -95,6 +100,7 @@
 	}
 }
 
+// loadAdapter loads an adapter on the holders of its model that have room for it.
 func (r *round) loadAdapter(holders []*Worker, a Artifact, bytes int64) {
 	for _, w := range holders {
 		if base := w.holding(a.Base()); base.Retained && w.holding(a) == nil && w.FreeBytes >= bytes {
