--- a/internal/dedup/claims.go
+++ b/internal/dedup/claims.go
@@ -10,13 +10,6 @@
 	"dogwoodfold/internal/plat"
 )
 
-// Key is the digest of an idempotency key and its scope.
-type Key [16]byte
-
-// RequestDigest is the digest of a request's contents. It detects the reuse of
-// an idempotency key for a different request.
-type RequestDigest uint64
-
 // Process identifies one run of an agent on a host.
 type Process struct {
 	Host        string
--- a/internal/dedup/owner.go
+++ b/internal/dedup/key.go
@@ -6,6 +6,13 @@
 	"encoding/hex"
 )
 
+// Key is the digest of an idempotency key and its scope.
+type Key [16]byte
+
+// RequestDigest is the digest of a request's contents. It detects the reuse of
+// an idempotency key for a different request.
+type RequestDigest uint64
+
 // NewKey returns the digest of a caller's idempotency key in the scope of a
 // customer and a route. Only the digest leaves the entry, never the key itself.
 func NewKey(customer, route, key string) Key {
