Name the steps of deduplication

What stood in a newcomer's way: NextBatch chose the claims of an append, encoded them and numbered the append in one function, and returned nothing for an error that can't occur without saying so; the tag was formatted in two places; ExpireClaims and claimIndex.apply did two jobs in a loop.

What changed: takeQueued, tag, removeAbandoned, addRecord and claimAt; the retry budget's refill tests the time once; a waiter is removed with slices.

--- a/internal/dedup/budget.go
+++ b/internal/dedup/budget.go
@@ -42,10 +42,11 @@
 
 // refill adds the retries earned over time since the last update.
 func (b *RetryBudget) refill(now time.Time) {
-	if !b.updatedAt.IsZero() && now.After(b.updatedAt) {
-		b.tokens = min(maxSavedRetries, b.tokens+minRetriesPerSecond*now.Sub(b.updatedAt).Seconds())
+	if !now.After(b.updatedAt) {
+		return
 	}
-	if now.After(b.updatedAt) {
-		b.updatedAt = now
+	if !b.updatedAt.IsZero() {
+		b.tokens = min(maxSavedRetries, b.tokens+minRetriesPerSecond*now.Sub(b.updatedAt).Seconds())
 	}
+	b.updatedAt = now
 }
--- a/internal/dedup/claimlog.go
+++ b/internal/dedup/claimlog.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"dogwoodfold/internal/plat"
@@ -15,6 +14,7 @@
 
 // Batch is one append of claims.
 type Batch struct {
+	// Tag identifies the batch to AppendDone.
 	Tag  string
 	Data []byte
 }
@@ -29,29 +29,19 @@
 	if wait := cw.lastAppendAt.Add(cw.interval).Sub(now); wait > 0 {
 		return nil, wait
 	}
-	var selected []claim
-	for len(cw.queue) > 0 && len(selected) < maxClaimsPerRecord {
-		key := cw.queue[0]
-		cw.queue = cw.queue[1:]
-		pc, known := cw.pending[key]
-		if !known || pc.callID == 0 {
-			continue
-		}
-		if pc.firstSentAt.IsZero() {
-			pc.firstSentAt = now
-		}
-		selected = append(selected, pc.claim)
-		cw.inFlight = append(cw.inFlight, key)
+	selected := cw.takeQueued(now)
+	if len(selected) == 0 {
+		return nil, 0
 	}
 	data, err := encodeClaims(t.settings.Service, t.settings.Self, selected)
-	if err != nil || len(selected) == 0 {
-		cw.inFlight = nil
+	if err != nil {
+		cw.inFlight = nil // claimRecord always encodes without error
 		return nil, 0
 	}
 	cw.lastAppendAt = now
 	cw.lastTag++
 	return &Batch{
-		Tag:  strconv.FormatUint(cw.lastTag, 10),
+		Tag:  cw.tag(),
 		Data: data,
 	}, 0
 }
@@ -60,7 +50,7 @@
 // sent again. A claim that is in the log twice does no harm.
 func (t *Table) AppendDone(tag string, err error) {
 	cw := t.writer
-	if tag != strconv.FormatUint(cw.lastTag, 10) {
+	if tag != cw.tag() {
 		return
 	}
 	if err != nil {
@@ -135,11 +125,9 @@
 func (t *Table) ExpireClaims(now time.Time) []Decision {
 	t.evictOutcomes(now)
 	t.removeExpiredKeys(now)
+	t.writer.removeAbandoned(now, t.settings.ClaimWindow/2)
 	var decisions []Decision
-	for key, pc := range t.writer.pending {
-		if pc.callID == 0 && now.Sub(pc.waitingSince) >= t.settings.ClaimWindow/2 {
-			delete(t.writer.pending, key)
-		}
+	for _, pc := range t.writer.pending {
 		if pc.callID == 0 || now.Sub(pc.waitingSince) < t.settings.ClaimWait {
 			continue
 		}
--- a/internal/dedup/claims.go
+++ b/internal/dedup/claims.go
@@ -119,16 +119,7 @@
 		Incarnation: record.Incarnation,
 	}
 	for _, cl := range batch {
-		kc, found := c.keys[cl.key]
-		if !found || r.Time.Sub(kc.lastClaimedAt) >= c.window {
-			kc = keyClaim{
-				holder: holder,
-				digest: cl.digest,
-			}
-		}
-		if r.Time.After(kc.lastClaimedAt) {
-			kc.lastClaimedAt = r.Time
-		}
+		kc := c.claimAt(r.Time, cl, holder)
 		kc.readAt = now
 		if holder == c.self {
 			ownKeys = append(ownKeys, cl.key)
@@ -139,6 +130,22 @@
 	return ownKeys, nil
 }
 
+// claimAt returns the state of a key after a claim at the given log time. The
+// claimant becomes the holder if the key is free.
+func (c *claimIndex) claimAt(logTime time.Time, cl claim, claimant Process) keyClaim {
+	kc, found := c.keys[cl.key]
+	if !found || logTime.Sub(kc.lastClaimedAt) >= c.window {
+		kc = keyClaim{
+			holder: claimant,
+			digest: cl.digest,
+		}
+	}
+	if logTime.After(kc.lastClaimedAt) {
+		kc.lastClaimedAt = logTime
+	}
+	return kc
+}
+
 // lookup returns the claim of a key, unless a full window has passed since the
 // claim was read.
 func (c *claimIndex) lookup(now time.Time, key Key) (keyClaim, bool) {
--- a/internal/dedup/submit.go
+++ b/internal/dedup/submit.go
@@ -1,6 +1,7 @@
 package dedup
 
 import (
+	"slices"
 	"time"
 
 	"dogwoodfold/pkg/fault"
@@ -22,6 +23,15 @@
 	if len(t.byID) >= t.settings.MaxRecords || len(t.claims.keys) >= t.settings.MaxKeys {
 		return reject(attempt.CallID, fault.New(fault.NotRun, fault.CodeBusy, "too many outcomes are kept"))
 	}
+	t.addRecord(attempt, id)
+	return Decision{
+		CallID: attempt.CallID,
+		Action: Admit,
+	}
+}
+
+// addRecord adds the record of an attempt that is admitted.
+func (t *Table) addRecord(attempt Attempt, id attemptID) {
 	record := &attemptRecord{
 		Attempt: attempt,
 		ids:     []attemptID{id},
@@ -31,10 +41,6 @@
 	if attempt.HasKey {
 		t.byKey[attempt.Key] = record
 	}
-	return Decision{
-		CallID: attempt.CallID,
-		Action: Admit,
-	}
 }
 
 // decideByKey decides on an attempt whose key is in use here or elsewhere, or
@@ -110,11 +116,8 @@
 		return false
 	}
 	delete(t.waitingOn, callID)
-	for i, waiter := range record.waiters {
-		if waiter == callID {
-			record.waiters = append(record.waiters[:i], record.waiters[i+1:]...)
-			break
-		}
+	if i := slices.Index(record.waiters, callID); i >= 0 {
+		record.waiters = slices.Delete(record.waiters, i, i+1)
 	}
 	return true
 }
--- a/internal/dedup/writer.go
+++ b/internal/dedup/writer.go
@@ -1,6 +1,10 @@
 package dedup
 
-import "time"
+import (
+	"maps"
+	"strconv"
+	"time"
+)
 
 // pendingClaim is a claim that has not been read back from the log.
 type pendingClaim struct {
@@ -20,7 +24,8 @@
 type claimWriter struct {
 	interval time.Duration
 	pending  map[Key]*pendingClaim
-	queue    []Key
+	// queue are the keys to claim in the next appends, oldest first.
+	queue []Key
 	// inFlight are the keys in the append in progress.
 	inFlight []Key
 	// lastTag identifies the newest append.
@@ -31,6 +36,7 @@
 	logUnavailable bool
 }
 
+// newClaimWriter returns a writer that appends at most once per interval.
 func newClaimWriter(interval time.Duration) *claimWriter {
 	return &claimWriter{
 		interval: interval,
@@ -62,6 +68,37 @@
 	}
 }
 
+// takeQueued removes the claims for one append from the queue and marks them as in
+// flight. It skips those whose attempts have stopped waiting.
+func (cw *claimWriter) takeQueued(now time.Time) []claim {
+	var selected []claim
+	for len(cw.queue) > 0 && len(selected) < maxClaimsPerRecord {
+		key := cw.queue[0]
+		cw.queue = cw.queue[1:]
+		pc, known := cw.pending[key]
+		if !known || pc.callID == 0 {
+			continue
+		}
+		if pc.firstSentAt.IsZero() {
+			pc.firstSentAt = now
+		}
+		selected = append(selected, pc.claim)
+		cw.inFlight = append(cw.inFlight, key)
+	}
+	return selected
+}
+
+// tag returns the tag of the newest append.
+func (cw *claimWriter) tag() string { return strconv.FormatUint(cw.lastTag, 10) }
+
+// removeAbandoned removes the claims that no attempt has waited for since the given
+// age.
+func (cw *claimWriter) removeAbandoned(now time.Time, age time.Duration) {
+	maps.DeleteFunc(cw.pending, func(_ Key, pc *pendingClaim) bool {
+		return pc.callID == 0 && now.Sub(pc.waitingSince) >= age
+	})
+}
+
 // sentAt returns the time at which a claim was first sent, or zero if unknown.
 func (cw *claimWriter) sentAt(key Key) time.Time {
 	if pc, known := cw.pending[key]; known {
