Split the commands status and config diff into steps

What stood in a newcomer's way: the status command read, decoded and printed inside its closure, and config diff chose between a file and an offset with an error carried across branches.

What changed: showStatus, statusRows and readDocument.

Behaviour is the same: the e2e tests TestStatusTable and TestStatusShowsShares pass.

--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -163,15 +164,7 @@
 			if err != nil {
 				return err
 			}
-			var newDocument []byte
-			if len(args) == 1 {
-				newDocument, err = os.ReadFile(args[0])
-			} else {
-				var newFold *config.Fold
-				if newFold, err = replayConfig(cmd.Context(), log, to); err == nil {
-					newDocument = newFold.Raw
-				}
-			}
+			newDocument, err := readDocument(cmd.Context(), log, to, args)
 			if err != nil {
 				return err
 			}
@@ -188,6 +181,19 @@
 	return cmd
 }
 
+// readDocument returns the configuration in the file that args name, or else the one in
+// effect at an offset of the log.
+func readDocument(ctx context.Context, log plat.Log, offset uint64, args []string) ([]byte, error) {
+	if len(args) == 1 {
+		return os.ReadFile(args[0])
+	}
+	fold, err := replayConfig(ctx, log, offset)
+	if err != nil {
+		return nil, err
+	}
+	return fold.Raw, nil
+}
+
 // printJSON prints a JSON value with indentation.
 func printJSON(cmd *cobra.Command, data []byte) error {
 	var out bytes.Buffer
@@ -198,6 +204,7 @@
 	return err
 }
 
+// addLogFlag adds the required flag --log.
 func addLogFlag(cmd *cobra.Command, logURL *string) {
 	cmd.Flags().StringVar(logURL, "log", "", "base URL of the log")
 	_ = cmd.MarkFlagRequired("log") // fails only if the flag is undefined
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -22,21 +22,7 @@
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			for _, baseURL := range args {
-				body, err := readSource(baseURL, "/status")
-				if err != nil {
-					return err
-				}
-				if asJSON {
-					if _, err := cmd.OutOrStdout().Write(body); err != nil {
-						return err
-					}
-					continue
-				}
-				var status entry.Status
-				if err := json.Unmarshal(body, &status); err != nil {
-					return fmt.Errorf("%s: %w", baseURL, err)
-				}
-				if err := printStatus(cmd.OutOrStdout(), status); err != nil {
+				if err := showStatus(cmd.OutOrStdout(), baseURL, asJSON); err != nil {
 					return err
 				}
 			}
@@ -47,8 +33,36 @@
 	return cmd
 }
 
+// showStatus prints the status of the entry with the given admin interface.
+func showStatus(w io.Writer, baseURL string, asJSON bool) error {
+	body, err := readSource(baseURL, "/status")
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		_, err := w.Write(body)
+		return err
+	}
+	var status entry.Status
+	if err := json.Unmarshal(body, &status); err != nil {
+		return fmt.Errorf("%s: %w", baseURL, err)
+	}
+	return printStatus(w, status)
+}
+
+// printStatus prints the status of an entry as tables.
 func printStatus(w io.Writer, s entry.Status) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range statusRows(s) {
+		if _, err := fmt.Fprintln(table, row); err != nil {
+			return err
+		}
+	}
+	return table.Flush()
+}
+
+// statusRows returns the rows of all tables, with tabs between the cells.
+func statusRows(s entry.Status) []string {
 	rows := []string{
 		fmt.Sprintf("entry %s\tready %v\tleaving %v\tconfiguration %d\tcalls %d",
 			s.Host, s.Ready, s.Leaving, s.ConfigOffset, s.Calls),
@@ -69,10 +83,5 @@
 	for _, name := range slices.Sorted(maps.Keys(s.Models)) {
 		rows = append(rows, fmt.Sprintf("%s\t%d", name, s.Models[name]))
 	}
-	for _, row := range rows {
-		if _, err := fmt.Fprintln(table, row); err != nil {
-			return err
-		}
-	}
-	return table.Flush()
+	return rows
 }
