Split publishing from its outcomes and exit statuses

What stood in a newcomer's way: publish.go held exit statuses that the whole program uses, the search for a nonce, and publishing in 275 lines.

--- a/internal/cmds/publish.go
+++ b/internal/cmds/publish.go
@@ -17,51 +17,6 @@
 // publish.
 const outcomePollInterval = 500 * time.Millisecond
 
-// Exit statuses of the config publish and config outcome commands.
-const (
-	exitRefused = 3
-	exitUnknown = 4
-)
-
-// ExitError is an error that carries the exit status of the program.
-type ExitError struct {
-	Status int
-	Err    error
-}
-
-// Error implements the error interface.
-func (e *ExitError) Error() string { return e.Err.Error() }
-
-// Unwrap returns the underlying error.
-func (e *ExitError) Unwrap() error { return e.Err }
-
-// ExitStatus returns the exit status for an error: that of the ExitError it wraps,
-// or else 1.
-func ExitStatus(err error) int {
-	var exitErr *ExitError
-	if errors.As(err, &exitErr) {
-		return exitErr.Status
-	}
-	return 1
-}
-
-// refusedError returns the error for a publish that is not accepted.
-func refusedError(err error) error {
-	return &ExitError{
-		Status: exitRefused,
-		Err:    fmt.Errorf("refused: %w", err),
-	}
-}
-
-// unknownOutcomeError returns the error for a publish that may have been accepted
-// or may yet be.
-func unknownOutcomeError(nonce string, cause error) error {
-	return &ExitError{
-		Status: exitUnknown,
-		Err:    errors.Join(fmt.Errorf("unknown: the publish %s may or may not be accepted", nonce), cause),
-	}
-}
-
 // errNoCheckpoint indicates that the configuration can't be recovered from the
 // log.
 var errNoCheckpoint = errors.New("the log has neither all configuration records nor a checkpoint to start from")
@@ -79,14 +34,8 @@
 		if upTo != 0 {
 			end = min(end, upTo+1)
 		}
-		fold.Skip(page.First)
-		for _, r := range page.Records {
-			if r.Offset >= end {
-				break
-			}
-			if err := fold.Apply(r.Offset, r.Data); errors.Is(err, config.ErrFormat) {
-				return nil, err
-			} // a record refused for another reason has no effect
+		if err := applyUntil(fold, page, end); err != nil {
+			return nil, err
 		}
 		switch {
 		case fold.Reached(end):
@@ -99,6 +48,22 @@
 	}
 }
 
+// applyUntil applies the records of a page before the offset end. It returns an error
+// only for a format that this program doesn't know: a record that is refused for
+// another reason has no effect.
+func applyUntil(fold *config.Fold, page plat.Page, end uint64) error {
+	fold.Skip(page.First)
+	for _, r := range page.Records {
+		if r.Offset >= end {
+			break
+		}
+		if err := fold.Apply(r.Offset, r.Data); errors.Is(err, config.ErrFormat) {
+			return err
+		}
+	}
+	return nil
+}
+
 // publisher publishes configurations or merge patches.
 type publisher struct {
 	log   plat.Log
@@ -172,74 +137,6 @@
 	return record, publish.Nonce, err
 }
 
-// findOutcome looks for the nonce in the records after those applied so far. found
-// is false if the nonce is not in the log or the log can't be read to its end.
-func findOutcome(ctx context.Context, log plat.Log, fold *config.Fold, nonce string) (offset uint64, found bool, err error) {
-	for {
-		page, err := log.Read(ctx, plat.StreamConfig, fold.Next, 0)
-		if err != nil {
-			return 0, false, err
-		}
-		fold.Skip(page.First)
-		for _, r := range page.Records {
-			err := fold.Apply(r.Offset, r.Data)
-			if !hasNonce(r.Data, nonce) || !fold.Whole() {
-				continue
-			}
-			if err != nil {
-				return 0, true, refusedError(err)
-			}
-			return r.Offset, true, nil
-		}
-		if fold.Reached(page.Next) || len(page.Records) == 0 {
-			return 0, false, nil
-		}
-	}
-}
-
-func hasNonce(data []byte, nonce string) bool {
-	var r config.Record
-	return json.Unmarshal(data, &r) == nil && r.Publish != nil && r.Publish.Nonce == nonce
-}
-
-// publishOutcome determines the outcome of a publish by an earlier command. It
-// returns the offset if the publish was accepted.
-func publishOutcome(ctx context.Context, log plat.Log, nonce string) (offset uint64, err error) {
-	offset, err = offsetOfNonce(ctx, log, nonce)
-	if err != nil || offset == 0 {
-		return 0, unknownOutcomeError(nonce, err)
-	}
-	fold, err := replayConfig(ctx, log, offset)
-	if err != nil {
-		return 0, unknownOutcomeError(nonce, err)
-	}
-	if fold.Accepted != offset {
-		return 0, refusedError(fmt.Errorf("record %d was not accepted; the configuration in effect was %d", offset, fold.Accepted))
-	}
-	return offset, nil
-}
-
-// offsetOfNonce returns the offset of the first record with the nonce, or 0 if
-// there is none.
-func offsetOfNonce(ctx context.Context, log plat.Log, nonce string) (offset uint64, err error) {
-	next := uint64(1)
-	for {
-		page, err := log.Read(ctx, plat.StreamConfig, next, 0)
-		if err != nil {
-			return 0, err
-		}
-		for _, r := range page.Records {
-			if hasNonce(r.Data, nonce) {
-				return r.Offset, nil
-			}
-			next = r.Offset + 1
-		}
-		if len(page.Records) == 0 || next >= page.Next {
-			return 0, nil
-		}
-	}
-}
-
 // errHasConfiguration indicates that the log still has a configuration and must
 // not be restored.
 var errHasConfiguration = errors.New("the log has a configuration; publish to change it")
