Apply a fold's buffered records in one place

What stood in a newcomer's way: the loop over buffered records stood in Adopt and in resumeFrom, with a word on rejected records but none on those of a later format; applySteps merged the steps and checked the result in one function.

What changed: applyBuffered, whose comment names both cases, and mergeSteps.

--- a/pkg/config/checkpoint.go
+++ b/pkg/config/checkpoint.go
@@ -117,11 +117,7 @@
 	if c.Accepted != 0 && next.resetTo(c.Accepted, c.Text) != nil {
 		return false
 	}
-	for _, b := range f.buffered {
-		if b.offset >= next.Next {
-			_ = next.Apply(b.offset, b.data) // a rejected record changes nothing
-		}
-	}
+	next.applyBuffered(f.buffered)
 	if next.Accepted < f.Accepted {
 		return false
 	}
--- a/pkg/config/fold.go
+++ b/pkg/config/fold.go
@@ -129,6 +129,17 @@
 	return nil
 }
 
+// applyBuffered applies the buffered records from Next on. It ignores errors, since a
+// record that is rejected changes nothing, and one that this release can't evaluate
+// stops the fold, as in Apply.
+func (f *Fold) applyBuffered(records []bufferedRecord) {
+	for _, b := range records {
+		if b.offset >= f.Next {
+			_ = f.Apply(b.offset, b.data)
+		}
+	}
+}
+
 // decodeRecord decodes a record and checks that exactly one of its fields is set.
 func decodeRecord(data []byte) (Record, error) {
 	var r Record
@@ -141,6 +152,7 @@
 	return r, nil
 }
 
+// applyRecord applies a decoded record.
 func (f *Fold) applyRecord(offset uint64, r Record) error {
 	if r.Checkpoint != nil {
 		return f.verifyCheckpoint(offset, r.Checkpoint)
@@ -148,6 +160,8 @@
 	return f.applyPublish(offset, r.Publish)
 }
 
+// applyPublish makes the result of a publish record the accepted configuration, unless
+// the record is to be rejected.
 func (f *Fold) applyPublish(offset uint64, p *Publish) error {
 	if p.Base != f.Accepted {
 		return fmt.Errorf("base %d, current %d: %w", p.Base, f.Accepted, ErrStale)
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -22,6 +22,7 @@
 	patch  json.RawMessage
 }
 
+// size returns the number of bytes that the step counts against maxHistoryBytes.
 func (s step) size() int { return len(s.text) + len(s.patch) }
 
 // appendHistory adds a step and discards the oldest ones beyond the bounds. The
@@ -132,11 +133,7 @@
 	if err := next.applySteps(s); err != nil {
 		return false, err
 	}
-	for _, b := range f.buffered {
-		if b.offset >= next.Next {
-			_ = next.Apply(b.offset, b.data) // a rejected record changes nothing
-		}
-	}
+	next.applyBuffered(f.buffered)
 	changed = next.Accepted != f.Accepted
 	*f = *next
 	return changed, nil
@@ -159,19 +156,9 @@
 	if s.Base != 0 && s.Base != f.Accepted || len(s.Steps) == 0 {
 		return fmt.Errorf("steps from %d, current %d: %w", s.Base, f.Accepted, ErrState)
 	}
-	raw := f.Raw
-	history := append([]step{}, f.history...)
-	for _, next := range s.Steps {
-		var err error
-		if raw, err = merge(raw, next.Text, next.Patch); err != nil {
-			return errors.Join(ErrState, err)
-		}
-		history = append(history, step{
-			offset: next.Offset,
-			sum:    Sum(raw),
-			text:   next.Text,
-			patch:  next.Patch,
-		})
+	raw, history, err := f.mergeSteps(s.Steps)
+	if err != nil {
+		return err
 	}
 	if Sum(raw) != s.Sum || history[len(history)-1].offset != s.Accepted {
 		return fmt.Errorf("sum or offset mismatch at %d: %w", s.Accepted, ErrState)
@@ -186,3 +173,22 @@
 	}
 	return nil
 }
+
+// mergeSteps applies steps to the accepted document. It returns the resulting document,
+// and a copy of the history with the steps at its end.
+func (f *Fold) mergeSteps(steps []Step) (raw json.RawMessage, history []step, err error) {
+	raw = f.Raw
+	history = append([]step{}, f.history...)
+	for _, next := range steps {
+		if raw, err = merge(raw, next.Text, next.Patch); err != nil {
+			return nil, nil, errors.Join(ErrState, err)
+		}
+		history = append(history, step{
+			offset: next.Offset,
+			sum:    Sum(raw),
+			text:   next.Text,
+			patch:  next.Patch,
+		})
+	}
+	return raw, history, nil
+}
