Name the steps of the queue and of the relay

What stood in a newcomer's way: the default weight of a call stood twice; displace searched for the most loaded customer and removed its call; relay sorted its peers by hand and left its rounds and pulls without a word.

What changed: weightOf, mostLoaded and flowOf in queue; isAnswer and handleAnswer in relay, whose fields have doc comments; peerNames gave way to the standard library's.

--- a/internal/queue/class.go
+++ b/internal/queue/class.go
@@ -43,6 +43,7 @@
 	cost int
 }
 
+// newFairQueue returns an empty queue.
 func newFairQueue[T any]() *fairQueue[T] {
 	return &fairQueue[T]{
 		flows:      make(map[string]*flow[T]),
@@ -50,13 +51,9 @@
 	}
 }
 
+// push appends a call to its customer's flow.
 func (fq *fairQueue[T]) push(item Item[T]) {
-	f, known := fq.flows[item.Customer]
-	if !known {
-		fq.evictIdle()
-		f = &flow[T]{customer: item.Customer}
-		fq.flows[item.Customer] = f
-	}
+	f := fq.flowOf(item.Customer)
 	if len(f.items) == 0 {
 		f.counter = max(f.counter, fq.virtualTime)
 		fq.active = append(fq.active, f)
@@ -68,6 +65,17 @@
 	fq.cost += item.Cost
 }
 
+// flowOf returns a customer's flow. It creates an empty one if there is none.
+func (fq *fairQueue[T]) flowOf(customer string) *flow[T] {
+	f, known := fq.flows[customer]
+	if !known {
+		fq.evictIdle()
+		f = &flow[T]{customer: customer}
+		fq.flows[customer] = f
+	}
+	return f
+}
+
 // evictIdle removes the idle customers whose counter is not ahead of the
 // virtual time, if there are at least maxIdleCustomers idle ones. The others
 // are kept, since removing them would erase the charge for which they still
@@ -142,6 +150,7 @@
 	}
 }
 
+// removeMatching removes the calls that match and returns them.
 func (fq *fairQueue[T]) removeMatching(match func(Item[T]) bool) []Item[T] {
 	var removed []Item[T]
 	for _, f := range slices.Clone(fq.active) {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -24,6 +24,14 @@
 	charged float64
 }
 
+// weightOf returns an item's weight, or the default if it has none.
+func weightOf[T any](item Item[T]) float64 {
+	if item.Weight <= 0 {
+		return 1
+	}
+	return item.Weight
+}
+
 // Queue is a bounded queue of calls, fair between customers.
 type Queue[T any] struct {
 	limit       int
@@ -59,9 +67,7 @@
 // by removing the customer's newest batch call. In all other cases ok is false
 // and the queue is unchanged.
 func (q *Queue[T]) Push(_ time.Time, item Item[T]) (displaced []Item[T], ok bool) {
-	if item.Weight <= 0 {
-		item.Weight = 1
-	}
+	item.Weight = weightOf(item)
 	item.Cost = max(item.Cost, 1)
 	if q.Len() >= q.limit {
 		victim, found := q.displace(item)
@@ -91,6 +97,21 @@
 
 // displace removes a call to make room for an item.
 func (q *Queue[T]) displace(item Item[T]) (victim Item[T], ok bool) {
+	customer := q.mostLoaded(item)
+	if victim, ok = q.batch.newest(customer); !ok && customer != item.Customer {
+		victim, ok = q.interactive.newest(customer)
+	}
+	if !ok || (customer == item.Customer && item.Batch) {
+		return victim, false
+	}
+	q.queueFor(victim.Batch).removeNewest(customer)
+	q.uncount(victim)
+	return victim, true
+}
+
+// mostLoaded returns the customer with the most waiting calls relative to its weight,
+// counting the item as waiting. The item's own customer wins a tie.
+func (q *Queue[T]) mostLoaded(item Item[T]) string {
 	ownCalls := 1.0
 	if stats, known := q.customers[item.Customer]; known {
 		ownCalls += float64(stats.calls)
@@ -102,15 +123,7 @@
 			highest, customer = load, name
 		}
 	}
-	if victim, ok = q.batch.newest(customer); !ok && customer != item.Customer {
-		victim, ok = q.interactive.newest(customer)
-	}
-	if !ok || (customer == item.Customer && item.Batch) {
-		return victim, false
-	}
-	q.queueFor(victim.Batch).removeNewest(customer)
-	q.uncount(victim)
-	return victim, true
+	return customer
 }
 
 // Pop removes the call to serve next. It charges the customer the call's cost,
@@ -174,6 +187,7 @@
 	}
 }
 
+// queueFor returns the queue of the class, batch or interactive.
 func (q *Queue[T]) queueFor(batch bool) *fairQueue[T] {
 	if batch {
 		return q.batch
@@ -190,9 +204,7 @@
 // CostAhead estimates the tokens that will be served before an item if it is
 // pushed now and no calls arrive later.
 func (q *Queue[T]) CostAhead(item Item[T]) int {
-	if item.Weight <= 0 {
-		item.Weight = 1
-	}
+	item.Weight = weightOf(item)
 	ahead := q.queueFor(item.Batch).costAhead(item)
 	if item.Batch {
 		maxInteractive := (ahead + float64(item.Cost)) * (1 - minBatchShare) / minBatchShare
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -44,18 +45,25 @@
 
 // peer is the known state of another entry.
 type peer struct {
+	// accepted is the highest offset of a version in effect that the peer has reported.
 	accepted uint64
 }
 
 // Relay is one entry's view of the versions of the other entries.
 type Relay struct {
 	isolationLimit time.Duration
-	peers          map[string]*peer
-	accepted       uint64
-	next           uint64
+	// peers are the entries that have a session with this one, by name.
+	peers map[string]*peer
+	// accepted and next are the offsets of the version in effect on this entry and of
+	// the next record that it reads.
+	accepted uint64
+	next     uint64
 
-	sequence   uint64
-	sentAt     [sentHistory]time.Time
+	// sequence numbers the last round of questions. sentAt holds when the last rounds
+	// were sent, each at its number modulo sentHistory.
+	sequence uint64
+	sentAt   [sentHistory]time.Time
+	// nextTarget counts the peers asked so far, in round-robin order.
 	nextTarget uint64
 
 	// currentAt is the latest time at which the version is known to have been
@@ -69,6 +77,8 @@
 	// behindSince is when a peer was first seen to be ahead, zero if none is.
 	behindSince time.Time
 
+	// pulledFrom is the peer of the last pull, pulledAt the time from which pullTimeout
+	// is measured.
 	pulledFrom string
 	pulledAt   time.Time
 }
@@ -145,9 +155,18 @@
 	}
 	p.accepted = max(p.accepted, s.Accepted)
 	defer r.updateBehind(now)
-	if s.Echo == 0 || s.Echo > r.sequence || r.sequence-s.Echo >= sentHistory {
-		return
+	if r.isAnswer(s) {
+		r.handleAnswer(now, s)
 	}
+}
+
+// isAnswer reports whether a status answers a question whose send time is still kept.
+func (r *Relay) isAnswer(s Status) bool {
+	return s.Echo != 0 && s.Echo <= r.sequence && r.sequence-s.Echo < sentHistory
+}
+
+// handleAnswer records what the answer to a question proves.
+func (r *Relay) handleAnswer(now time.Time, s Status) {
 	if r.firstAnswerAt.IsZero() {
 		r.firstAnswerAt = now
 	}
@@ -182,7 +201,7 @@
 func (r *Relay) StartRound(now time.Time) []string {
 	r.sequence++
 	r.sentAt[r.sequence%sentHistory] = now
-	names := r.peerNames()
+	names := slices.Sorted(maps.Keys(r.peers))
 	if len(names) <= fanout {
 		return names
 	}
@@ -194,15 +213,6 @@
 	return targets
 }
 
-func (r *Relay) peerNames() []string {
-	names := make([]string, 0, len(r.peers))
-	for name := range r.peers {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // NextPull returns the peer to pull the configuration from now; ok is false if no
 // pull is due.
 func (r *Relay) NextPull(now time.Time) (name string, ok bool) {
@@ -221,7 +231,7 @@
 // avoids the peer of the last pull if another one is ahead as well.
 func (r *Relay) newestPeer() string {
 	best := ""
-	for _, name := range r.peerNames() {
+	for _, name := range slices.Sorted(maps.Keys(r.peers)) {
 		p := r.peers[name]
 		if !r.ahead(p) || name == r.pulledFrom {
 			continue
