Name the steps by which the router samples agents

What stood in a newcomer's way: sample counted agents by zone and looked for the fullest cache in one loop; candidates searched for the end of an ejection within another loop; five was a number of doublings without a name.

What changed: sampleByZone, mostCached, earliestEjectionEnd, selectHolders and maxDoublings, and doc comments.

--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -13,6 +13,8 @@
 	// consecutive failure doubles it, up to maxEjection.
 	baseEjection = time.Second
 	maxEjection  = 30 * time.Second
+	// maxDoublings is the number of doublings after which maxEjection is reached.
+	maxDoublings = 5
 	// failurePenalty is added to an agent's cost for each consecutive failure,
 	// up to ejectionThreshold.
 	failurePenalty = 200 * time.Millisecond
@@ -25,14 +27,16 @@
 	ejectedUntil        time.Time
 }
 
+// recordFailure counts a failure and ejects the agent if there were too many.
 func (h *health) recordFailure(now time.Time) {
 	h.consecutiveFailures++
 	if h.consecutiveFailures >= ejectionThreshold {
-		doublings := min(h.consecutiveFailures-ejectionThreshold, 5)
+		doublings := min(h.consecutiveFailures-ejectionThreshold, maxDoublings)
 		h.ejectedUntil = now.Add(min(maxEjection, baseEjection<<doublings))
 	}
 }
 
+// recordSuccess ends a series of failures.
 func (h *health) recordSuccess() { h.consecutiveFailures = 0 }
 
 // ejected reports whether the agent should get no calls. openCalls is the
@@ -41,6 +45,7 @@
 	return h.consecutiveFailures >= ejectionThreshold && (now.Before(h.ejectedUntil) || openCalls > 0)
 }
 
+// penalty returns what the agent's failures add to its cost.
 func (h *health) penalty() time.Duration {
 	return time.Duration(min(h.consecutiveFailures, ejectionThreshold)) * failurePenalty
 }
--- a/internal/route/index.go
+++ b/internal/route/index.go
@@ -27,19 +27,26 @@
 	if known {
 		return peers
 	}
-	var unlisted []*fleet.Peer
+	peers = selectHolders(f, q)
+	x.byKey[key] = peers
+	return peers
+}
+
+// selectHolders returns the agents that hold what a call needs: those that are listed,
+// or else those that aren't.
+func selectHolders(f *fleet.Fleet, q Query) []*fleet.Peer {
+	var listed, unlisted []*fleet.Peer
 	for _, p := range f.AvailableAgents(q.Service) {
 		switch {
 		case p.Load == nil || (q.Model != "" && !p.Serves(q.Model, q.Version, q.Adapter)):
 		case p.Unlisted:
 			unlisted = append(unlisted, p)
 		default:
-			peers = append(peers, p)
+			listed = append(listed, p)
 		}
 	}
-	if len(peers) == 0 {
-		peers = unlisted
+	if len(listed) == 0 {
+		return unlisted
 	}
-	x.byKey[key] = peers
-	return peers
+	return listed
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -121,18 +122,25 @@
 	}
 	minSelected := (len(selected) + len(excluded) + 1) / 2
 	for len(selected) < minSelected {
-		earliest := 0
-		for i, p := range excluded {
-			if r.state(p).health.ejectedUntil.Before(r.state(excluded[earliest]).health.ejectedUntil) {
-				earliest = i
-			}
-		}
-		selected = append(selected, excluded[earliest])
-		excluded = append(excluded[:earliest], excluded[earliest+1:]...)
+		i := r.earliestEjectionEnd(excluded)
+		selected = append(selected, excluded[i])
+		excluded = slices.Delete(excluded, i, i+1)
 	}
 	return selected
 }
 
+// earliestEjectionEnd returns the index of the agent whose ejection ends first, of which
+// there must be one.
+func (r *Router) earliestEjectionEnd(agents []*fleet.Peer) int {
+	earliest := 0
+	for i, p := range agents {
+		if r.state(p).health.ejectedUntil.Before(r.state(agents[earliest]).health.ejectedUntil) {
+			earliest = i
+		}
+	}
+	return earliest
+}
+
 // sample returns the agents to compare for a call: a few in the entry's own
 // zone, a few in other zones, the one expected to have most of the prompt in
 // its cache, and the preferred one for the prompt. preferred is the last of
@@ -141,9 +149,20 @@
 	r.rng.Shuffle(len(holders), func(i, j int) {
 		holders[i], holders[j] = holders[j], holders[i]
 	})
-	preferred = preferredHolder(holders, q)
-	var mostCached *fleet.Peer
-	var mostBlocks float64
+	sampled = r.sampleByZone(holders)
+	if p := r.mostCached(holders, q); p != nil {
+		sampled = append(sampled, p)
+	}
+	if preferred = preferredHolder(holders, q); preferred != nil {
+		sampled = append(sampled, preferred)
+	}
+	return sampled, preferred
+}
+
+// sampleByZone returns the first samplesPerGroup agents in the entry's own zone and in all
+// other zones.
+func (r *Router) sampleByZone(holders []*fleet.Peer) []*fleet.Peer {
+	var sampled []*fleet.Peer
 	sameZone, otherZones := 0, 0
 	for _, p := range holders {
 		count := &otherZones
@@ -154,16 +173,21 @@
 			*count++
 			sampled = append(sampled, p)
 		}
-		if blocks := r.state(p).cache.ExpectedHits(q.BlockHashes); blocks > mostBlocks {
-			mostBlocks, mostCached = blocks, p
-		}
 	}
-	for _, p := range []*fleet.Peer{mostCached, preferred} {
-		if p != nil {
-			sampled = append(sampled, p)
+	return sampled
+}
+
+// mostCached returns the agent expected to have most of the prompt in its cache, or nil
+// if none has any of it.
+func (r *Router) mostCached(holders []*fleet.Peer, q Query) *fleet.Peer {
+	var best *fleet.Peer
+	var mostBlocks float64
+	for _, p := range holders {
+		if blocks := r.state(p).cache.ExpectedHits(q.BlockHashes); blocks > mostBlocks {
+			mostBlocks, best = blocks, p
 		}
 	}
-	return sampled, preferred
+	return best
 }
 
 // preferredHashBlock is the index of the prompt block whose hash selects the
--- a/internal/route/track.go
+++ b/internal/route/track.go
@@ -60,6 +60,8 @@
 	prefillTokens float64
 }
 
+// newAgentState returns the state of an agent to which no call was sent. Its cache
+// estimate holds at most the given number of blocks.
 func newAgentState(incarnation uint64, blocks int) *agentState {
 	return &agentState{
 		incarnation: incarnation,
@@ -180,6 +182,7 @@
 	return stalled || s.health.ejected(now, s.openCalls)
 }
 
+// latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
