Give the transport, the report and the operators' listener doc comments

What stood in a newcomer's way: a third of the functions of wire, burn, load and trace, and many fields of their types, had no word on their job; the multiplexer's configuration stood in newSession; a prefix was compared by hand.

What changed: doc comments; muxConfig, addTotals and addWindows; strings.CutPrefix; one test for the end of a response in load.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,9 +17,12 @@
 )
 
 const (
-	readTimeout   = 10 * time.Second
+	readTimeout = 10 * time.Second
+	// statusTimeout bounds how long a StatusFunc may take.
 	statusTimeout = 2 * time.Second
 	maxBodyBytes  = 4 << 10
+	// pprofPrefix is the path prefix of the profiles.
+	pprofPrefix = "/debug/pprof/"
 )
 
 // StatusFunc returns the status as a value to be encoded as JSON. It must return
@@ -70,6 +74,7 @@
 // Done returns a channel that is closed when Run has returned.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
+// handle serves a request by its path.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	switch path := string(ctx.Path()); path {
 	case "/status":
@@ -79,7 +84,7 @@
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
 	default:
-		if len(path) > len(pprofPrefix) && path[:len(pprofPrefix)] == pprofPrefix {
+		if profile, ok := strings.CutPrefix(path, pprofPrefix); ok && profile != "" {
 			pprofhandler.PprofHandler(ctx)
 			return
 		}
@@ -87,9 +92,7 @@
 	}
 }
 
-// pprofPrefix is the path prefix of the profiles.
-const pprofPrefix = "/debug/pprof/"
-
+// writeStatus writes the status as JSON.
 func (s *Server) writeStatus(ctx *fasthttp.RequestCtx) {
 	statusCtx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
--- a/internal/burn/print.go
+++ b/internal/burn/print.go
@@ -34,6 +34,7 @@
 	return err
 }
 
+// printRow writes the row of one series.
 func printRow(w io.Writer, row Row) error {
 	customer := row.Customer
 	if customer == "" {
@@ -48,6 +49,7 @@
 	return err
 }
 
+// percent converts a fraction.
 func percent(fraction float64) float64 { return 100 * fraction }
 
 const (
--- a/internal/burn/scrape.go
+++ b/internal/burn/scrape.go
@@ -35,6 +35,12 @@
 	if err != nil {
 		return fmt.Errorf("parsing metrics: %w", err)
 	}
+	s.addTotals(families)
+	return s.addWindows(families)
+}
+
+// addTotals adds the metrics that have no window.
+func (s *Scrape) addTotals(families map[string]*dto.MetricFamily) {
 	for _, m := range families[metricAttained].GetMetric() {
 		s.addTotal(m, Count{Attained: m.GetCounter().GetValue()})
 	}
@@ -47,6 +53,10 @@
 	for _, m := range families[metricObjective].GetMetric() {
 		s.Objectives[labelValue(m, labelService)] = m.GetGauge().GetValue()
 	}
+}
+
+// addWindows adds the metrics over sliding windows.
+func (s *Scrape) addWindows(families map[string]*dto.MetricFamily) error {
 	for _, m := range families[metricWindowAttained].GetMetric() {
 		if err := s.addWindow(m, Count{Attained: m.GetGauge().GetValue()}); err != nil {
 			return err
@@ -60,11 +70,13 @@
 	return nil
 }
 
+// addTotal adds a count to the total of a metric's series.
 func (s *Scrape) addTotal(m *dto.Metric, c Count) {
 	key := seriesOf(m)
 	s.Total[key] = s.Total[key].Add(c)
 }
 
+// addWindow adds a count to the window of a metric's series.
 func (s *Scrape) addWindow(m *dto.Metric, c Count) error {
 	window, err := time.ParseDuration(labelValue(m, labelWindow))
 	if err != nil {
@@ -104,6 +116,7 @@
 	return diff
 }
 
+// seriesOf returns the series that a metric's labels name.
 func seriesOf(m *dto.Metric) Series {
 	return Series{
 		Service:  labelValue(m, labelService),
@@ -111,6 +124,7 @@
 	}
 }
 
+// labelValue returns the value of a metric's label, or "" if it has none.
 func labelValue(m *dto.Metric, name string) string {
 	for _, pair := range m.GetLabel() {
 		if pair.GetName() == name {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -19,8 +19,9 @@
 // Plan describes the requests to send.
 type Plan struct {
 	// URLs are used in round-robin order.
-	URLs    []string
-	Method  string
+	URLs   []string
+	Method string
+	// Headers are pairs of a name and a value.
 	Headers [][2]string
 	Body    []byte
 	// RatePerSecond is the mean rate of requests. The intervals between them are
@@ -53,6 +54,8 @@
 }
 
 const (
+	// maxLatencyMicros and significantDigits are the range and the precision of the
+	// histograms.
 	maxLatencyMicros  = int64(10 * time.Minute / time.Microsecond)
 	significantDigits = 3
 	maxConns          = 16 << 10
@@ -101,6 +104,7 @@
 	return r
 }
 
+// newReport returns a report of no requests.
 func newReport() *Report {
 	return &Report{
 		Statuses:  make(map[int]int),
@@ -121,6 +125,7 @@
 	total     time.Duration
 }
 
+// add counts the response to one request.
 func (r *Report) add(res result) {
 	r.Statuses[res.status]++
 	r.Verdicts[res.verdict]++
@@ -158,7 +163,7 @@
 	}
 	req.SetBodyRaw(p.Body)
 	if err := g.client.DoTimeout(req, resp, p.Timeout); err != nil {
-		return result{}
+		return result{} // counted with status 0
 	}
 	res := result{
 		status:  resp.StatusCode(),
@@ -181,11 +186,8 @@
 			r.firstByte = time.Since(due)
 		}
 		r.events += bytes.Count(buffer[:n], []byte("\n\n"))
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			break
-		}
 		if err != nil {
-			r.truncated = true
+			r.truncated = !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 			break
 		}
 	}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -68,6 +68,7 @@
 	return lines, skipped, scanner.Err()
 }
 
+// parseLine parses one line. It reports false for a line that isn't a log line in JSON.
 func parseLine(text []byte) (Line, bool) {
 	start := bytes.IndexByte(text, '{')
 	if start < 0 {
@@ -150,6 +151,7 @@
 	return nil
 }
 
+// print writes one line of the timeline, with its fields in order of name.
 func (t *Timeline) print(w io.Writer, l Line) error {
 	_, err := fmt.Fprintf(w, "%+9.3f s  %s  %s", l.Time.Sub(t.ReadAt).Seconds(), l.Host, l.Message)
 	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
--- a/internal/wire/age.go
+++ b/internal/wire/age.go
@@ -22,6 +22,7 @@
 	peerStampAt time.Time
 }
 
+// newAgeTracker returns a tracker whose own stamps count from start.
 func newAgeTracker(start time.Time) *ageTracker { return &ageTracker{start: start} }
 
 // localMillis returns the milliseconds since the start plus 1, since 0 means that
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -24,13 +24,15 @@
 // Call is the stream of one call. The side that opens it sends a request and
 // receives frames; the other side receives the request and sends frames.
 type Call struct {
-	conn     net.Conn
-	reader   *bufio.Reader
-	writer   *bufio.Writer
+	conn   net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// id is the request's, sequence the number of the next frame.
 	id       string
 	sequence uint32
 }
 
+// newCall returns the call on a stream.
 func newCall(conn net.Conn) *Call {
 	return &Call{
 		conn:   conn,
--- a/internal/wire/coalesce.go
+++ b/internal/wire/coalesce.go
@@ -14,12 +14,15 @@
 	net.Conn
 	mu sync.Mutex
 	// cond signals changes of pending, err and closed.
-	cond    sync.Cond
+	cond sync.Cond
+	// pending are the bytes to write next, spare is a buffer to reuse for them.
 	pending []byte
 	spare   []byte
-	err     error
-	closed  bool
-	done    chan struct{}
+	// err is the error of the underlying connection, if one has occurred.
+	err    error
+	closed bool
+	// done is closed when the write loop has ended.
+	done chan struct{}
 }
 
 // newCoalescingConn wraps a connection and starts its write loop.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -27,11 +27,14 @@
 const ProtocolVersion = 1
 
 const (
-	handshakeTimeout  = 5 * time.Second
-	writeTimeout      = 10 * time.Second
+	handshakeTimeout = 5 * time.Second
+	writeTimeout     = 10 * time.Second
+	// maxQueuedMessages is the number of control messages that may wait to be sent.
 	maxQueuedMessages = 1024
-	acceptBacklog     = 4096
-	maxMessageBytes   = 32 << 20
+	// acceptBacklog is the number of calls that the peer may open before they are
+	// accepted.
+	acceptBacklog   = 4096
+	maxMessageBytes = 32 << 20
 )
 
 // Errors of a session.
@@ -42,11 +45,13 @@
 
 // Session is a multiplexed connection to a peer. Its owner must call Run.
 type Session struct {
-	conn     *coalescingConn
-	mux      *yamux.Session
-	control  net.Conn
-	reader   *bufio.Reader
-	peer     *wirepb.Hello
+	conn *coalescingConn
+	mux  *yamux.Session
+	// control is the stream of control messages, reader its buffered input.
+	control net.Conn
+	reader  *bufio.Reader
+	peer    *wirepb.Hello
+	// outgoing holds the control messages to send.
 	outgoing chan *wirepb.Envelope
 	age      *ageTracker
 	done     chan struct{}
@@ -87,18 +92,26 @@
 	return s, nil
 }
 
-func newSession(conn net.Conn, dialed bool) (*Session, error) {
+// muxConfig returns the configuration of the multiplexer. The ends of its streams report
+// its errors, so it writes no log of its own.
+func muxConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.AcceptBacklog = acceptBacklog
 	config.ConnectionWriteTimeout = writeTimeout
 	config.EnableKeepAlive = false
 	config.LogOutput = io.Discard
+	return config
+}
+
+// newSession starts the multiplexer and opens the control stream, which the side that
+// dialed does.
+func newSession(conn net.Conn, dialed bool) (*Session, error) {
 	newMux := yamux.Server
 	if dialed {
 		newMux = yamux.Client
 	}
 	coalesced := newCoalescingConn(conn)
-	mux, err := newMux(coalesced, config)
+	mux, err := newMux(coalesced, muxConfig())
 	if err != nil {
 		return nil, err
 	}
@@ -120,6 +133,7 @@
 	return s, err
 }
 
+// exchangeHello sends this process's Hello and reads the peer's.
 func (s *Session) exchangeHello(self *wirepb.Hello) error {
 	s.reader = bufio.NewReader(s.control)
 	if err := s.control.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
@@ -182,6 +196,7 @@
 // Done returns a channel that is closed when the session is closed.
 func (s *Session) Done() <-chan struct{} { return s.done }
 
+// readLoop passes control messages to handle until one can't be read.
 func (s *Session) readLoop(handle func(*wirepb.Envelope)) error {
 	for {
 		message := &wirepb.Envelope{}
@@ -193,6 +208,8 @@
 	}
 }
 
+// writeLoop sends the queued control messages until the session is closed. It flushes
+// them when no other message waits.
 func (s *Session) writeLoop() error {
 	writer := bufio.NewWriter(s.control)
 	for {
