Split a fleet's peers from the fleet

What stood in a newcomer's way: a Peer and the Fleet each had a method messageReceived, one of which counts versions; UpdateHosts applied each host in the middle of a loop.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,68 +22,6 @@
 	pauseThreshold = time.Second
 )
 
-// Peer is the state of one known host.
-type Peer struct {
-	Host plat.Host
-	// Incarnation identifies the peer's running process. It is 0 while there
-	// is no session.
-	Incarnation uint64
-	// Leaving reports whether the host is shutting down, according to the
-	// host list or to the peer itself, whichever says so first.
-	Leaving bool
-	// Unlisted reports whether the host has disappeared from the host list
-	// while linked. Its running calls continue; it receives new ones only if
-	// no listed host can take them.
-	Unlisted bool
-	// Suspect reports whether the host is linked but has sent nothing for
-	// suspectTimeout.
-	Suspect bool
-	// LastMessageAt is the time the last message was received. Tick moves it
-	// forward by pauses of this process.
-	LastMessageAt time.Time
-	// ConfigOffset is the highest log offset of a configuration that the peer
-	// has reported to be in effect.
-	ConfigOffset uint64
-	// Load is the last load report, or nil if none has been received.
-	Load           *wirepb.LoadReport
-	LoadReceivedAt time.Time
-
-	// leavingReported is set once the process identified by lastIncarnation
-	// has reported that it is leaving.
-	leavingReported bool
-	lastIncarnation uint64
-}
-
-// Linked reports whether there is a session with the peer.
-func (p *Peer) Linked() bool { return p.Incarnation != 0 }
-
-// updateLeaving derives Leaving from the host list and the peer's own reports.
-func (p *Peer) updateLeaving() {
-	p.Leaving = p.leavingReported || p.Host.State == plat.HostLeaving
-}
-
-// messageReceived records that a message has arrived from the peer.
-func (p *Peer) messageReceived(now time.Time, leaving bool) {
-	p.LastMessageAt = now
-	p.Suspect = false
-	p.leavingReported = p.leavingReported || leaving
-	p.updateLeaving()
-}
-
-// Serves reports whether the peer's endpoint holds the given model version and,
-// unless it is empty, the given adapter.
-func (p *Peer) Serves(model, version, adapter string) bool {
-	for _, held := range p.Load.GetModels() {
-		if held.GetModel() != model || held.GetVersion() != version {
-			continue
-		}
-		if adapter == "" || slices.Contains(held.GetAdapters(), adapter) {
-			return true
-		}
-	}
-	return false
-}
-
 // Fleet is the set of known hosts.
 type Fleet struct {
 	// version is incremented whenever the set of available agents, or the
@@ -96,7 +34,8 @@
 	unlistedSessions map[string]*wirepb.Hello
 	// byRole caches the peers of each role, sorted by name. It is nil after a
 	// change of the set of peers.
-	byRole   map[string][]*Peer
+	byRole map[string][]*Peer
+	// lastTick is the time of the last call of Tick.
 	lastTick time.Time
 }
 
@@ -123,21 +62,9 @@
 	f.version++
 	listedNames := make(map[string]bool)
 	for _, host := range hosts {
-		if host.Name == f.self {
-			continue
-		}
-		listedNames[host.Name] = true
-		p, ok := f.peers[host.Name]
-		if !ok || p.Host.Address != host.Address {
-			p = &Peer{}
-			f.peers[host.Name] = p
-		}
-		p.Host = host
-		p.Unlisted = false
-		p.updateLeaving()
-		if hello := f.unlistedSessions[host.Name]; hello != nil {
-			delete(f.unlistedSessions, host.Name)
-			f.SessionUp(f.lastTick, host.Name, hello)
+		if host.Name != f.self {
+			listedNames[host.Name] = true
+			f.updateHost(host)
 		}
 	}
 	for name, p := range f.peers {
@@ -147,6 +74,22 @@
 	f.byRole = nil
 }
 
+// updateHost applies an entry of the host list. A host with a new address is a new peer.
+func (f *Fleet) updateHost(host plat.Host) {
+	p, ok := f.peers[host.Name]
+	if !ok || p.Host.Address != host.Address {
+		p = &Peer{}
+		f.peers[host.Name] = p
+	}
+	p.Host = host
+	p.Unlisted = false
+	p.updateLeaving()
+	if hello := f.unlistedSessions[host.Name]; hello != nil {
+		delete(f.unlistedSessions, host.Name)
+		f.SessionUp(f.lastTick, host.Name, hello)
+	}
+}
+
 // SessionUp records a new session with a host. State reported by an earlier
 // process of the host is discarded, as it does not apply to the new one.
 func (f *Fleet) SessionUp(now time.Time, name string, hello *wirepb.Hello) {
@@ -163,7 +106,7 @@
 	p.Incarnation = hello.GetIncarnation()
 	p.lastIncarnation = p.Incarnation
 	f.version++
-	p.messageReceived(now, false)
+	p.recordMessage(now, false)
 }
 
 // SessionDown records the end of a session with the given incarnation. It
@@ -223,7 +166,7 @@
 // if it changes the host's availability.
 func (f *Fleet) messageReceived(now time.Time, p *Peer, leaving bool) {
 	before := *p
-	p.messageReceived(now, leaving)
+	p.recordMessage(now, leaving)
 	if before.Leaving != p.Leaving || before.Suspect != p.Suspect {
 		f.version++
 	}
