Give the commands, the fakes and the report doc comments

What stood in a newcomer's way: forty functions of burn, cmds, fakes and pkg/config had no doc comment; windowName cut a text by the length of another one; the closures of two commands parsed and read in loops.

What changed: doc comments; alertRule.fires, parseResidents and readLogFiles; strings.TrimSuffix in windowName.

--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -105,8 +106,10 @@
 	windows map[time.Duration]Count
 }
 
+// newSeriesCounts returns counts of no calls.
 func newSeriesCounts() *seriesCounts { return &seriesCounts{windows: make(map[time.Duration]Count)} }
 
+// countsOf returns the counts of one series.
 func (s *Scrape) countsOf(key Series) *seriesCounts {
 	return &seriesCounts{
 		total:   s.Total[key],
@@ -115,6 +118,7 @@
 	}
 }
 
+// add adds the counts of another series.
 func (s *seriesCounts) add(other *seriesCounts) {
 	s.total = s.total.Add(other.total)
 	s.refused += other.refused
@@ -123,6 +127,7 @@
 	}
 }
 
+// row computes the row of a series with an objective.
 func (s *seriesCounts) row(key Series, objective float64) Row {
 	r := Row{
 		Service:           key.Service,
@@ -137,14 +142,17 @@
 	for _, w := range Windows {
 		r.BurnRates[windowName(w)] = burnRate(s.windows[w], objective)
 	}
-	for _, rule := range alertRules {
-		shortExceeds := burnRate(s.windows[rule.short], objective) > rule.threshold
-		longExceeds := burnRate(s.windows[rule.long], objective) > rule.threshold
-		r.Pages = r.Pages || (shortExceeds && longExceeds)
-	}
+	r.Pages = slices.ContainsFunc(alertRules, func(rule alertRule) bool { return rule.fires(s, objective) })
 	return r
 }
 
+// fires reports whether the burn rates of a series exceed the rule's threshold.
+func (a *alertRule) fires(s *seriesCounts, objective float64) bool {
+	shortExceeds := burnRate(s.windows[a.short], objective) > a.threshold
+	longExceeds := burnRate(s.windows[a.long], objective) > a.threshold
+	return shortExceeds && longExceeds
+}
+
 // burnRate returns the ratio of the share of failed calls to the share that the
 // objective allows. It returns 0 for an objective that allows none.
 func burnRate(c Count, objective float64) float64 {
@@ -157,7 +165,7 @@
 // windowName returns the short name of a window, such as 5m or 1h.
 func windowName(w time.Duration) string {
 	if w%time.Hour == 0 {
-		return w.Truncate(time.Hour).String()[:len(w.String())-len("0m0s")]
+		return strings.TrimSuffix(w.String(), "0m0s")
 	}
-	return w.String()[:len(w.String())-len("0s")]
+	return strings.TrimSuffix(w.String(), "0s")
 }
--- a/internal/burn/window.go
+++ b/internal/burn/window.go
@@ -118,6 +118,7 @@
 	return series
 }
 
+// compareSeries orders series by service and customer.
 func compareSeries(a, b Series) int {
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Customer, b.Customer))
 }
--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -26,6 +26,7 @@
 	return cmd
 }
 
+// newCheckCommand returns the command that checks a configuration file.
 func newCheckCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
@@ -48,6 +49,7 @@
 // defaultPublishWait is how long config publish waits for the outcome by default.
 const defaultPublishWait = 10 * time.Second
 
+// newPublishCommand returns the command that publishes a configuration.
 func newPublishCommand() *cobra.Command {
 	var logURL string
 	var p publisher
@@ -81,6 +83,7 @@
 	return cmd
 }
 
+// newOutcomeCommand returns the command that queries the outcome of a publish.
 func newOutcomeCommand() *cobra.Command {
 	var logURL string
 	cmd := &cobra.Command{
@@ -100,6 +103,8 @@
 	return cmd
 }
 
+// newRestoreCommand returns the command that restores a configuration that the log
+// has lost.
 func newRestoreCommand() *cobra.Command {
 	var logURL string
 	cmd := &cobra.Command{
@@ -126,6 +131,7 @@
 	return cmd
 }
 
+// newShowCommand returns the command that prints the configuration.
 func newShowCommand() *cobra.Command {
 	var logURL string
 	var upTo uint64
@@ -149,6 +155,7 @@
 	return cmd
 }
 
+// newDiffCommand returns the command that compares two configurations.
 func newDiffCommand() *cobra.Command {
 	var logURL string
 	var from, to uint64
--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -49,6 +49,7 @@
 	return cmd
 }
 
+// runDemo runs the steps of the demo and returns errStepFailed if one failed.
 func runDemo(ctx context.Context, f *demo.Fleet, out io.Writer) error {
 	passed, err := demo.Run(ctx, f, out)
 	if err == nil && !passed {
--- a/internal/cmds/fake.go
+++ b/internal/cmds/fake.go
@@ -33,6 +33,7 @@
 	return cmd
 }
 
+// newFakeLogCommand returns the command that runs a fake log.
 func newFakeLogCommand(flags *fakeFlags) *cobra.Command {
 	var retention time.Duration
 	cmd := &cobra.Command{
@@ -47,6 +48,7 @@
 	return cmd
 }
 
+// newFakeHostsCommand returns the command that runs a fake host list.
 func newFakeHostsCommand(flags *fakeFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:   "hosts",
@@ -58,6 +60,7 @@
 	}
 }
 
+// newFakeEngineCommand returns the command that runs a fake model engine.
 func newFakeEngineCommand(flags *fakeFlags) *cobra.Command {
 	settings := fakes.EngineSettings{}
 	var models []string
@@ -66,13 +69,11 @@
 		Short: "Run a fake model engine",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			for _, m := range models {
-				r, err := parseResident(m)
-				if err != nil {
-					return err
-				}
-				settings.Residents = append(settings.Residents, r)
+			residents, err := parseResidents(models)
+			if err != nil {
+				return err
 			}
+			settings.Residents = residents
 			settings.Logger = newLogger(cmd.ErrOrStderr(), "fake engine")
 			return flags.serve(cmd, fakes.NewEngine(settings).Handler())
 		},
@@ -86,6 +87,19 @@
 	return cmd
 }
 
+// parseResidents parses the models that an engine has loaded at startup.
+func parseResidents(specs []string) ([]plat.Resident, error) {
+	var residents []plat.Resident
+	for _, spec := range specs {
+		r, err := parseResident(spec)
+		if err != nil {
+			return nil, err
+		}
+		residents = append(residents, r)
+	}
+	return residents, nil
+}
+
 // parseResident parses MODEL/VERSION[:ADAPTER][=BYTES].
 func parseResident(spec string) (plat.Resident, error) {
 	name, size, hasSize := strings.Cut(spec, "=")
@@ -110,6 +124,7 @@
 	}, nil
 }
 
+// newFakeServiceCommand returns the command that runs a fake plain service.
 func newFakeServiceCommand(flags *fakeFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:   "service",
@@ -121,6 +136,7 @@
 	}
 }
 
+// newFakeWeightsCommand returns the command that runs a fake weight store.
 func newFakeWeightsCommand(flags *fakeFlags) *cobra.Command {
 	settings := fakes.WeightStoreSettings{}
 	cmd := &cobra.Command{
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -47,6 +47,7 @@
 	}
 }
 
+// runGateway runs an entry with the settings until it is shut down.
 func runGateway(cmd *cobra.Command, settings *platform.Settings) error {
 	debug.SetGCPercent(gcPercent)
 	logWriter := diode.NewWriter(cmd.OutOrStdout(), logBufferLines, 0, func(dropped int) {
--- a/internal/cmds/load.go
+++ b/internal/cmds/load.go
@@ -89,6 +89,7 @@
 	EventGapMs  percentiles `json:"betweenMs"`
 }
 
+// percentiles summarizes a histogram.
 type percentiles struct {
 	P50 float64 `json:"p50"`
 	P95 float64 `json:"p95"`
@@ -96,6 +97,7 @@
 	Max float64 `json:"max"`
 }
 
+// summarize returns the JSON form of a report.
 func summarize(r *load.Report) loadSummary {
 	return loadSummary{
 		Report:      r,
@@ -105,6 +107,7 @@
 	}
 }
 
+// percentilesOf returns the percentiles of a histogram of microseconds.
 func percentilesOf(h *hdrhistogram.Histogram) percentiles {
 	const microsPerMilli = 1000
 	return percentiles{
@@ -115,6 +118,7 @@
 	}
 }
 
+// printReport writes a report as text.
 func printReport(w io.Writer, r *load.Report) error {
 	s := summarize(r)
 	_, err := fmt.Fprintf(w, "sent      %d in %v\nstatuses  %v\nverdicts  %v\nbroken    %d\nevents    %d\n"+
@@ -125,6 +129,7 @@
 	return err
 }
 
+// format returns a row of the text form.
 func (p percentiles) format(name string) string {
 	return fmt.Sprintf("%-9s %8.2f %8.2f %8.2f %8.2f\n", name, p.P50, p.P95, p.P99, p.Max)
 }
--- a/internal/cmds/report.go
+++ b/internal/cmds/report.go
@@ -16,6 +16,7 @@
 	"dogwoodfold/internal/trace"
 )
 
+// adminTimeout is the timeout of a request to an admin interface.
 const adminTimeout = 5 * time.Second
 
 // newReportCommand returns the commands that report on metrics and logs.
@@ -28,6 +29,7 @@
 	return cmd
 }
 
+// newBurnCommand returns the command that reports burn rates.
 func newBurnCommand() *cobra.Command {
 	var format string
 	var since []string
@@ -55,6 +57,7 @@
 	return cmd
 }
 
+// writeBurnReport writes a report in a format.
 func writeBurnReport(w io.Writer, format string, report burn.Report) error {
 	switch format {
 	case "text":
@@ -107,16 +110,9 @@
 		Short: "Print the timeline of one request from the logs of all entries, and what decided its outcome",
 		Args:  cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var lines []trace.Line
-			for _, path := range args[1:] {
-				fileLines, skipped, err := readLogFile(path)
-				if err != nil {
-					return err
-				}
-				if skipped > 0 {
-					cmd.PrintErrf("%s: skipped %d malformed lines\n", path, skipped)
-				}
-				lines = append(lines, fileLines...)
+			lines, err := readLogFiles(cmd, args[1:])
+			if err != nil {
+				return err
 			}
 			timeline, err := trace.Find(lines, args[0])
 			if err != nil {
@@ -127,13 +123,30 @@
 	}
 }
 
-func readLogFile(path string) ([]trace.Line, int, error) {
+// readLogFiles reads the lines of all files. It prints how many it skipped.
+func readLogFiles(cmd *cobra.Command, paths []string) ([]trace.Line, error) {
+	var lines []trace.Line
+	for _, path := range paths {
+		fileLines, skipped, err := readLogFile(path)
+		if err != nil {
+			return nil, err
+		}
+		if skipped > 0 {
+			cmd.PrintErrf("%s: skipped %d malformed lines\n", path, skipped)
+		}
+		lines = append(lines, fileLines...)
+	}
+	return lines, nil
+}
+
+// readLogFile reads the lines of a file, and counts those that are malformed.
+func readLogFile(path string) (lines []trace.Line, skipped int, err error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, 0, err
 	}
 	defer func() { _ = file.Close() }() // opened for reading only
-	lines, skipped, err := trace.Read(file)
+	lines, skipped, err = trace.Read(file)
 	if err != nil {
 		return nil, 0, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/fakes/hosts.go
+++ b/internal/fakes/hosts.go
@@ -25,6 +25,7 @@
 // Handler returns the HTTP handler of the host list.
 func (h *Hosts) Handler() fasthttp.RequestHandler { return h.withFaults(h.handle) }
 
+// handle serves the host list.
 func (h *Hosts) handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != "/hosts" {
 		ctx.NotFound()
@@ -59,6 +60,7 @@
 	delete(h.hosts, name)
 }
 
+// list returns the hosts, sorted by name.
 func (h *Hosts) list() []plat.Host {
 	h.stateMu.Lock()
 	defer h.stateMu.Unlock()
--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -46,6 +46,7 @@
 // Handler returns the HTTP handler of the log.
 func (l *Log) Handler() fasthttp.RequestHandler { return l.withFaults(l.handle) }
 
+// handle serves the streams: POST appends a record, GET reads.
 func (l *Log) handle(ctx *fasthttp.RequestCtx) {
 	name, ok := strings.CutPrefix(string(ctx.Path()), "/streams/")
 	if !ok || name == "" {
@@ -64,6 +65,7 @@
 	Offset uint64 `json:"offset"`
 }
 
+// append handles the append of a record to a stream.
 func (l *Log) append(ctx *fasthttp.RequestCtx, name string) {
 	data := append([]byte{}, ctx.PostBody()...)
 	if !json.Valid(data) {
@@ -107,6 +109,8 @@
 	return s
 }
 
+// read handles a read of a stream. Without a record it waits as long as the reader asks,
+// up to maxReadWait.
 func (l *Log) read(ctx *fasthttp.RequestCtx, name string) {
 	from, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("from")), 10, 64)
 	if err != nil {
--- a/internal/fakes/service.go
+++ b/internal/fakes/service.go
@@ -30,6 +30,7 @@
 	Echo string `json:"echo"`
 }
 
+// handle executes a call.
 func (s *Service) handle(ctx *fasthttp.RequestCtx) {
 	faults := s.currentFaults()
 	s.recordRequest(ctx)
--- a/internal/fakes/weights.go
+++ b/internal/fakes/weights.go
@@ -85,6 +85,7 @@
 	Peak    int `json:"peak"`
 }
 
+// stats returns the numbers of loads.
 func (w *WeightStore) stats() loadStats {
 	w.stateMu.Lock()
 	defer w.stateMu.Unlock()
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -59,6 +59,7 @@
 	}, nil
 }
 
+// checkServices adds the errors in the services.
 func (cf *Config) checkServices(errs *strict.FieldErrors) {
 	for name, s := range cf.Services {
 		path := "services." + name
@@ -74,6 +75,7 @@
 	}
 }
 
+// checkModels adds the errors in the models.
 func (cf *Config) checkModels(errs *strict.FieldErrors) {
 	for name, m := range cf.Models {
 		path := "models." + name
@@ -99,6 +101,7 @@
 	}
 }
 
+// checkCustomers adds the errors in the customers.
 func (cf *Config) checkCustomers(errs *strict.FieldErrors) {
 	owners := make(map[Digest]string)
 	for name, c := range cf.Customers {
@@ -122,6 +125,8 @@
 	}
 }
 
+// checkKey adds the errors in a customer's key. owners holds the customers of the keys
+// checked so far.
 func (cf *Config) checkKey(path string, k Key, customer string, owners map[Digest]string, errs *strict.FieldErrors) {
 	digest, ok := parseDigest(k.SHA256)
 	if !ok {
@@ -134,6 +139,7 @@
 	owners[digest] = customer
 }
 
+// checkRoutes adds the errors in the routes.
 func (cf *Config) checkRoutes(errs *strict.FieldErrors) {
 	paths := make(map[string]bool)
 	for name, r := range cf.Routes {
@@ -170,6 +176,7 @@
 	"cookie":              true,
 }
 
+// checkHeaders adds an error for each forwarded header that may carry a key.
 func (r *Route) checkHeaders(path string, errs *strict.FieldErrors) {
 	for _, h := range r.Headers {
 		if credentialHeaders[strings.ToLower(h)] {
