Write a call's messages in one place

SendRequest and SendFrame wrote and flushed a message with the same lines; both now call write. A comment in place says what follows from an unload that the ledger refuses.

Behaviour is the same: the tests of wire, link, place, entry and agent pass; BenchmarkReceiveFrame allocates as much as before.

--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -153,7 +153,7 @@
 	case u.stage == draining && idle(a):
 		o, err := m.Ledger.Unload(now, a)
 		if err != nil {
-			return m.endUnload(a)
+			return m.endUnload(a) // the planner asks again if the artifact is still to go
 		}
 		u.stage = orderSent
 		return []Action{SendOrder{Order: o}}
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"dogwoodfold/internal/wire/wirepb"
 )
@@ -44,10 +45,7 @@
 // SendRequest sends the request. Frames received afterwards must carry its id.
 func (c *Call) SendRequest(r *wirepb.CallRequest) error {
 	c.id = r.GetId()
-	if _, err := protodelim.MarshalTo(c.writer, r); err != nil {
-		return err
-	}
-	return c.writer.Flush()
+	return c.write(r)
 }
 
 // ReceiveRequest reads the request. Frames sent afterwards carry its id.
@@ -65,7 +63,12 @@
 	f.Id = c.id
 	f.Sequence = c.sequence
 	c.sequence++
-	if _, err := protodelim.MarshalTo(c.writer, f); err != nil {
+	return c.write(f)
+}
+
+// write writes a message and flushes it.
+func (c *Call) write(m proto.Message) error {
+	if _, err := protodelim.MarshalTo(c.writer, m); err != nil {
 		return err
 	}
 	return c.writer.Flush()
