--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -25,6 +26,7 @@
 	return cmd
 }
 
+// newCheckCommand returns the command that checks a configuration file.
 func newCheckCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
@@ -47,6 +49,7 @@
 // defaultPublishWait is how long config publish waits for the outcome by default.
 const defaultPublishWait = 10 * time.Second
 
+// newPublishCommand returns the command that publishes a configuration.
 func newPublishCommand() *cobra.Command {
 	var logURL string
 	var p publisher
@@ -80,6 +83,7 @@
 	return cmd
 }
 
+// newOutcomeCommand returns the command that queries the outcome of a publish.
 func newOutcomeCommand() *cobra.Command {
 	var logURL string
 	cmd := &cobra.Command{
@@ -99,6 +103,8 @@
 	return cmd
 }
 
+// newRestoreCommand returns the command that restores a configuration that the log
+// has lost.
 func newRestoreCommand() *cobra.Command {
 	var logURL string
 	cmd := &cobra.Command{
@@ -125,6 +131,7 @@
 	return cmd
 }
 
+// newShowCommand returns the command that prints the configuration.
 func newShowCommand() *cobra.Command {
 	var logURL string
 	var upTo uint64
@@ -148,6 +155,7 @@
 	return cmd
 }
 
+// newDiffCommand returns the command that compares two configurations.
 func newDiffCommand() *cobra.Command {
 	var logURL string
 	var from, to uint64
@@ -163,15 +171,7 @@
 			if err != nil {
 				return err
 			}
-			var newDocument []byte
-			if len(args) == 1 {
-				newDocument, err = os.ReadFile(args[0])
-			} else {
-				var newFold *config.Fold
-				if newFold, err = replayConfig(cmd.Context(), log, to); err == nil {
-					newDocument = newFold.Raw
-				}
-			}
+			newDocument, err := readDocument(cmd.Context(), log, to, args)
 			if err != nil {
 				return err
 			}
@@ -188,6 +188,19 @@
 	return cmd
 }
 
+// readDocument returns the configuration in the file that args name, or else the one in
+// effect at an offset of the log.
+func readDocument(ctx context.Context, log plat.Log, offset uint64, args []string) ([]byte, error) {
+	if len(args) == 1 {
+		return os.ReadFile(args[0])
+	}
+	fold, err := replayConfig(ctx, log, offset)
+	if err != nil {
+		return nil, err
+	}
+	return fold.Raw, nil
+}
+
 // printJSON prints a JSON value with indentation.
 func printJSON(cmd *cobra.Command, data []byte) error {
 	var out bytes.Buffer
@@ -198,6 +211,7 @@
 	return err
 }
 
+// addLogFlag adds the required flag --log.
 func addLogFlag(cmd *cobra.Command, logURL *string) {
 	cmd.Flags().StringVar(logURL, "log", "", "base URL of the log")
 	_ = cmd.MarkFlagRequired("log") // fails only if the flag is undefined
--- /dev/null
+++ b/internal/fakes/completion.go
@@ -0,0 +1,158 @@
+package fakes
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// completionRequest holds the fields of a completion request that the engine
+// uses.
+type completionRequest struct {
+	Model     string          `json:"model"`
+	Prompt    string          `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+// defaultMaxTokens is the length of a completion whose request names none.
+const defaultMaxTokens = 16
+
+// parseCompletion parses the body of a request and sets defaults.
+func parseCompletion(body []byte) (r completionRequest, err error) {
+	if err := json.Unmarshal(body, &r); err != nil {
+		return r, err
+	}
+	if r.MaxTokens <= 0 {
+		r.MaxTokens = defaultMaxTokens
+	}
+	if r.Prompt == "" {
+		r.Prompt = string(r.Messages)
+	}
+	return r, nil
+}
+
+// handleCompletion handles a request for a completion, streamed or whole.
+func (e *Engine) handleCompletion(ctx *fasthttp.RequestCtx) {
+	r, err := parseCompletion(ctx.PostBody())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	faults := e.currentFaults()
+	if faults.Fail {
+		ctx.Error(`{"error":{"code":"engine_failed"}}`, fasthttp.StatusInternalServerError)
+		return
+	}
+	if !e.isLoaded(r.Model) {
+		ctx.Response.Header.Set("Endpoint-Not-Run", "1")
+		ctx.Error(`{"error":{"code":"not_loaded"}}`, fasthttp.StatusConflict)
+		return
+	}
+	e.acquireSlot()
+	e.cache.store(r.Model, ctx.PostBody())
+	if r.Stream {
+		e.writeStream(ctx, r, faults)
+		return
+	}
+	e.writeCompletion(ctx, r, faults)
+}
+
+// isLoaded reports whether a model is loaded, with the adapter that may follow the
+// name after a colon.
+func (e *Engine) isLoaded(name string) bool {
+	model, adapter, _ := strings.Cut(name, ":")
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	for _, r := range e.residents {
+		if r.Ready && r.Model == model && r.Adapter == adapter {
+			return true
+		}
+	}
+	return false
+}
+
+// completionResponse is the response body of a completion that is not streamed.
+type completionResponse struct {
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   usage    `json:"usage"`
+}
+
+// choice is the text of a completion, or of an event in a stream.
+type choice struct {
+	Text string `json:"text"`
+}
+
+// usage is the number of tokens that a completion took.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// usageOf returns the usage of a request's completion.
+func usageOf(r completionRequest) usage {
+	return usage{
+		PromptTokens:     len(strings.Fields(r.Prompt)),
+		CompletionTokens: r.MaxTokens,
+	}
+}
+
+// writeCompletion writes a whole completion.
+func (e *Engine) writeCompletion(ctx *fasthttp.RequestCtx, r completionRequest, faults Faults) {
+	defer e.releaseSlot()
+	time.Sleep(time.Duration(faults.TokenMs*r.MaxTokens) * time.Millisecond)
+	writeJSON(ctx, completionResponse{
+		Model:   r.Model,
+		Choices: []choice{{Text: strings.Join(GenerateTokens(r.Model, r.Prompt, r.MaxTokens), "")}},
+		Usage:   usageOf(r),
+	})
+	if faults.CutAfter > 0 {
+		sendTruncated(ctx)
+	}
+}
+
+// Constants of the linear congruential generator of tokens.
+const (
+	generatorMultiplier = 1664525
+	generatorIncrement  = 1013904223
+)
+
+// GenerateTokens returns limit tokens that depend only on the model and the
+// prompt.
+func GenerateTokens(model, prompt string, limit int) []string {
+	words := [8]string{"hoodie", "tour", "size", "booth", "order", "queue", "venue", "note"}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(model + "\x00" + prompt)) // never fails
+	state := hash.Sum32()
+	tokens := make([]string, limit)
+	for i := range tokens {
+		state = state*generatorMultiplier + generatorIncrement
+		tokens[i] = words[state>>29] + " " // the top 3 bits, which vary the most
+	}
+	return tokens
+}
+
+// acquireSlot waits for a free slot and counts a running request.
+func (e *Engine) acquireSlot() {
+	if e.freeSlots != nil {
+		<-e.freeSlots
+	}
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	e.running++
+}
+
+// releaseSlot releases a slot acquired by acquireSlot.
+func (e *Engine) releaseSlot() {
+	e.stateMu.Lock()
+	e.running--
+	e.stateMu.Unlock()
+	if e.freeSlots != nil {
+		e.freeSlots <- struct{}{}
+	}
+}
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -1,72 +1,19 @@
 package quota
 
 import (
-	"encoding/json"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"dogwoodfold/internal/plat"
-	"dogwoodfold/internal/wire/wirepb"
-)
-
-const (
-	// reportInterval is how often an entry reports to the coordinator.
-	reportInterval = 500 * time.Millisecond
-	// minClaimTimeout is how long a coordinator may be silent before an entry
-	// claims a term; claimJitter keeps the entries from claiming
-	// simultaneously.
-	minClaimTimeout = 2 * time.Second
-	claimJitter     = time.Second
-	// maxClaimTimeout bounds the claim timeout of an entry that has lost terms
-	// to entries from which it receives no messages.
-	maxClaimTimeout = time.Minute
-	// disconnectGrace is how long the coordinator may remain silent once the
-	// session to it has ended.
-	disconnectGrace = 500 * time.Millisecond
-	// initialClaimJitter bounds the random delay of a claim while the log holds
-	// none.
-	initialClaimJitter = 200 * time.Millisecond
-	// appendRetryInterval is how long to wait for a view to be read back from
-	// the log before it is appended again.
-	appendRetryInterval = 2 * time.Second
-	// maxSelfRounds bounds how often the coordinator grants to its own node
-	// within one event.
-	maxSelfRounds = 4
-	// viewRefreshInterval is how often the view is appended again, so that log
-	// retention does not discard the last one.
-	viewRefreshInterval = time.Minute
 )
 
-// Effect is an action that a Node requests from its caller.
-type Effect interface{ isEffect() }
-
-// Effects that a Node returns.
-type (
-	// Send sends a message to an entry or an agent.
-	Send struct {
-		Host    string
-		Message *wirepb.ShareMessage
-	}
-	// Append appends a record to the fleet stream.
-	Append struct{ Data []byte }
-	// Resolve reports the result of a reservation that was Pending.
-	Resolve struct {
-		ID          string
-		OK          bool
-		Reservation Reservation
-		Wait        time.Duration
-	}
-)
-
-func (Send) isEffect()    {}
-func (Append) isEffect()  {}
-func (Resolve) isEffect() {}
+// reportInterval is how often an entry reports to the coordinator.
+const reportInterval = 500 * time.Millisecond
 
 // Node holds an entry's shares, requests tokens and can become the coordinator.
 type Node struct {
-	host               string
+	host string
+	// processIncarnation identifies the process in its claims. The incarnation under
+	// which it holds shares is the holder's, which changes when the node rejoins.
 	processIncarnation uint64
 	random             *rand.Rand
 	limits             map[string]Limit
@@ -76,18 +23,26 @@
 	connectedEntries   map[string]bool
 	leaving            bool
 
-	coordinator        *Coordinator
+	// coordinator is nil unless this node is the coordinator.
+	coordinator *Coordinator
+	// coordinatorHost is the coordinator that this node follows, possibly itself.
 	coordinatorHost    string
 	coordinatorHeardAt time.Time
-	nextClaimAt        time.Time
+	// nextClaimAt is when a claim is due if the coordinator stays silent, zero if that
+	// isn't decided yet.
+	nextClaimAt time.Time
 	// lostTerms counts the terms of this node that other entries' claims have
 	// ended since it last heard from another coordinator.
 	lostTerms    int
 	lastReportAt time.Time
-	lastCensusAt time.Time
+	// reportsRequestedAt is when this node, as the coordinator, last requested reports
+	// of the entries that aren't members. Zero requests them at once.
+	reportsRequestedAt time.Time
 
+	// requests are the customers' requests for tokens, by customer.
 	requests map[string]*tokenRequest
-	effects  []Effect
+	// effects are those that the next flushEffects returns.
+	effects []Effect
 }
 
 // NewNode returns a node without shares.
@@ -166,12 +121,13 @@
 // SetEntrySession notes that a session to another entry was established or
 // ended.
 func (n *Node) SetEntrySession(now time.Time, host string, up bool) []Effect {
-	n.connectedEntries[host] = up
-	if !up {
+	if up {
+		n.connectedEntries[host] = true
+	} else {
 		delete(n.connectedEntries, host)
 		n.handleSessionLoss(now, host)
 	}
-	n.lastCensusAt = time.Time{}
+	n.reportsRequestedAt = time.Time{}
 	if n.coordinator != nil {
 		if m, known := n.coordinator.members[host]; known {
 			m.connected = up
@@ -180,186 +136,6 @@
 	return n.flushEffects(now)
 }
 
-// handleSessionLoss shortens the rest of the claim timeout to disconnectGrace
-// if the session to the coordinator ended, since the sessions of a process end
-// as soon as it exits.
-func (n *Node) handleSessionLoss(now time.Time, host string) {
-	if host != n.coordinatorHost || n.coordinator != nil {
-		return
-	}
-	if adjusted := now.Add(disconnectGrace - n.claimTimeout()); adjusted.Before(n.coordinatorHeardAt) {
-		n.coordinatorHeardAt = adjusted
-		n.nextClaimAt = time.Time{}
-	}
-}
-
-// ApplyLog applies a page of the fleet stream.
-func (n *Node) ApplyLog(now time.Time, page plat.Page) []Effect {
-	before := n.log.Term
-	n.log.Apply(page)
-	if n.coordinator != nil && n.log.lastView != nil {
-		n.coordinator.handleRecordedView(now, n.log.lastView)
-	}
-	if n.log.Term != before {
-		n.nextClaimAt = time.Time{}
-		n.coordinatorHeardAt = now
-		n.handleClaim(now)
-	}
-	return n.flushEffects(now)
-}
-
-// handleClaim handles a new term that was read from the log.
-func (n *Node) handleClaim(now time.Time) {
-	if n.coordinator != nil && n.coordinator.term < n.log.Term {
-		n.stepDown(now)
-		n.lostTerms++
-	}
-	isOwnClaim := n.log.Host == n.host && n.log.Incarnation == n.processIncarnation
-	if !isOwnClaim || n.log.Term <= n.holder.term || n.leaving {
-		return
-	}
-	n.coordinator = newCoordinator(now, &n.log, n.agents, n.limits)
-	n.followTerm(now, n.log.Term, n.host)
-	n.lastCensusAt = time.Time{}
-}
-
-// stepDown ends this node's term. The pool becomes part of the node's own
-// share.
-func (n *Node) stepDown(now time.Time) {
-	for customer, s := range n.coordinator.pool {
-		n.holder.account(now, customer).share.add(now, s.remove(now, s.parts, true))
-	}
-	n.coordinator = nil
-}
-
-// followTerm makes host the coordinator that the node follows, and adopts the
-// term if it is higher.
-func (n *Node) followTerm(now time.Time, term uint64, host string) {
-	if n.coordinator != nil && n.coordinator.term < term {
-		n.stepDown(now)
-	}
-	n.coordinatorHost, n.coordinatorHeardAt = host, now
-	if term > n.holder.term {
-		n.holder.adoptTerm(term)
-	}
-}
-
-// HandleMessage processes a message from a host.
-func (n *Node) HandleMessage(now time.Time, from string, message *wirepb.ShareMessage) []Effect {
-	n.dispatch(now, from, message)
-	return n.flushEffects(now)
-}
-
-func (n *Node) dispatch(now time.Time, from string, message *wirepb.ShareMessage) {
-	switch body := message.GetBody().(type) {
-	case *wirepb.ShareMessage_Report:
-		n.handleReport(now, from, body.Report)
-	case *wirepb.ShareMessage_Grant:
-		n.handleGrant(now, from, body.Grant)
-	case *wirepb.ShareMessage_Ack:
-		if n.coordinator != nil {
-			n.coordinator.handleAck(now, from, body.Ack)
-		}
-	case *wirepb.ShareMessage_Witness:
-		n.forwardWitness(now, from, body.Witness)
-	}
-}
-
-// forwardWitness forwards an agent's query to the other agents, and an answer
-// to the agent that sent the query.
-func (n *Node) forwardWitness(now time.Time, from string, w *wirepb.ShareWitness) {
-	message := &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Witness{Witness: w}}
-	if w.GetAnswered() {
-		n.sendMessage(now, w.GetAsker(), message)
-		return
-	}
-	w.Asker = from
-	for _, host := range slices.Sorted(maps.Keys(n.agents)) {
-		if host != from && n.agents[host].connected {
-			n.sendMessage(now, host, message)
-		}
-	}
-}
-
-func (n *Node) handleReport(now time.Time, from string, r *wirepb.ShareReport) {
-	c := n.coordinator
-	if c == nil || r.GetTerm() < c.term {
-		return
-	}
-	if r.GetTerm() > c.term {
-		n.stepDown(now)
-		return
-	}
-	switch c.handleReport(now, from, r) {
-	case reportNeedsFull:
-		n.sendGrant(now, from, &wirepb.ShareGrant{
-			Term:   c.term,
-			Census: true,
-		})
-	case reportFenced:
-		n.sendGrant(now, from, &wirepb.ShareGrant{
-			Term:        c.term,
-			Incarnation: r.GetIncarnation(),
-			Fenced:      true,
-		})
-	}
-}
-
-// handleGrant applies a coordinator's grant, unless its term is outdated.
-func (n *Node) handleGrant(now time.Time, from string, g *wirepb.ShareGrant) {
-	if g.GetTerm() < n.holder.term {
-		return
-	}
-	n.followTerm(now, g.GetTerm(), from)
-	if from != n.host {
-		n.lostTerms = 0
-	}
-	if g.GetCensus() {
-		n.sendReport(now, true)
-		return
-	}
-	if g.GetIncarnation() != n.holder.incarnation {
-		return
-	}
-	if g.GetFenced() {
-		n.holder.rejoin(now)
-		n.sendReport(now, true)
-		return
-	}
-	returnedAny := n.holder.applyMoves(now, g.GetMoves())
-	n.handleAnswers(now, g)
-	if returnedAny {
-		n.sendReport(now, false)
-	}
-}
-
-// sendReport reports the node's shares to the coordinator.
-func (n *Node) sendReport(now time.Time, full bool) {
-	if n.coordinatorHost == "" {
-		return
-	}
-	n.lastReportAt = now
-	r := n.holder.report(now, full)
-	r.Leaving = n.leaving
-	n.sendMessage(now, n.coordinatorHost, &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Report{Report: r}})
-}
-
-func (n *Node) sendGrant(now time.Time, to string, g *wirepb.ShareGrant) {
-	n.sendMessage(now, to, &wirepb.ShareMessage{Body: &wirepb.ShareMessage_Grant{Grant: g}})
-}
-
-// sendMessage sends a message; one to the node itself is processed at once.
-func (n *Node) sendMessage(now time.Time, to string, m *wirepb.ShareMessage) {
-	if to == n.host {
-		n.dispatch(now, n.host, m)
-		return
-	}
-	n.effects = append(n.effects, Send{
-		Host:    to,
-		Message: m,
-	})
-}
-
 // Leave begins a graceful shutdown.
 func (n *Node) Leave(now time.Time) []Effect {
 	n.leaving = true
@@ -385,67 +161,6 @@
 	return n.flushEffects(now)
 }
 
-// claimTimeout returns how long a coordinator may be silent before this node
-// claims a term. It doubles with each term lost to an entry from which this
-// node receives no messages: entries that share only the log would otherwise
-// keep ending each other's terms.
-func (n *Node) claimTimeout() time.Duration {
-	const maxDoublings = 5
-	return min(maxClaimTimeout, minClaimTimeout<<min(n.lostTerms, maxDoublings))
-}
-
-// hasAgentSession reports whether a view of this node could be installed at any
-// agent. It also returns true if no agents are known.
-func (n *Node) hasAgentSession() bool {
-	for _, a := range n.agents {
-		if a.connected {
-			return true
-		}
-	}
-	return len(n.agents) == 0
-}
-
-// claimTerm appends a claim to the log once the coordinator has been silent for
-// too long.
-func (n *Node) claimTerm(now time.Time) {
-	if !n.log.caughtUp || n.leaving || !n.hasAgentSession() {
-		return
-	}
-	if n.coordinatorHeardAt.IsZero() {
-		n.coordinatorHeardAt = now
-	}
-	if n.nextClaimAt.IsZero() {
-		n.nextClaimAt = n.coordinatorHeardAt.Add(n.claimTimeout() + n.jitter(claimJitter))
-		if n.log.Term == 0 {
-			n.nextClaimAt = n.coordinatorHeardAt.Add(n.jitter(initialClaimJitter))
-		}
-	}
-	if now.Sub(n.coordinatorHeardAt) < n.claimTimeout() && n.log.Term != 0 {
-		n.nextClaimAt = time.Time{}
-		return
-	}
-	if now.Before(n.nextClaimAt) {
-		return
-	}
-	n.nextClaimAt = now.Add(minClaimTimeout + n.jitter(claimJitter))
-	n.append(logRecord{Claim: &claimRecord{
-		Host:        n.host,
-		Incarnation: n.processIncarnation,
-	}})
-}
-
-func (n *Node) jitter(limit time.Duration) time.Duration {
-	return time.Duration(n.random.Int64N(int64(limit)))
-}
-
-func (n *Node) append(r logRecord) {
-	data, err := json.Marshal(r)
-	if err != nil {
-		return // logRecord always encodes without error
-	}
-	n.effects = append(n.effects, Append{Data: data})
-}
-
 // HeldFraction returns the fraction of a customer's quota that this node holds,
 // including the pool.
 func (n *Node) HeldFraction(customer string) float64 {
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"dogwoodfold/internal/wire/wirepb"
 )
@@ -24,13 +25,15 @@
 // Call is the stream of one call. The side that opens it sends a request and
 // receives frames; the other side receives the request and sends frames.
 type Call struct {
-	conn     net.Conn
-	reader   *bufio.Reader
-	writer   *bufio.Writer
+	conn   net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// id is the request's, sequence the number of the next frame.
 	id       string
 	sequence uint32
 }
 
+// newCall returns the call on a stream.
 func newCall(conn net.Conn) *Call {
 	return &Call{
 		conn:   conn,
@@ -42,10 +45,7 @@
 // SendRequest sends the request. Frames received afterwards must carry its id.
 func (c *Call) SendRequest(r *wirepb.CallRequest) error {
 	c.id = r.GetId()
-	if _, err := protodelim.MarshalTo(c.writer, r); err != nil {
-		return err
-	}
-	return c.writer.Flush()
+	return c.write(r)
 }
 
 // ReceiveRequest reads the request. Frames sent afterwards carry its id.
@@ -63,7 +63,12 @@
 	f.Id = c.id
 	f.Sequence = c.sequence
 	c.sequence++
-	if _, err := protodelim.MarshalTo(c.writer, f); err != nil {
+	return c.write(f)
+}
+
+// write writes a message and flushes it.
+func (c *Call) write(m proto.Message) error {
+	if _, err := protodelim.MarshalTo(c.writer, m); err != nil {
 		return err
 	}
 	return c.writer.Flush()
