Let a stopping entry continue the streams that it has admitted

A stream that was cut while its entry stopped, and that waited for its model, was given up once the entry admitted no more requests: a bound of admission applied to a stream that had been admitted long before. Such streams now wait and go on within the time of the shutdown.

Evidence: TestStoppingEntryContinuesCutStream failed and passes.

--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -386,3 +386,23 @@
 		t.Error("sent to an engine that is known to have crashed")
 	}
 }
+
+// A stream was cut and waits for its model while its entry begins to stop. It was admitted
+// long before and must go on within the time of the shutdown.
+func TestStoppingEntryContinuesCutStream(t *testing.T) {
+	h := newLiveHarness(t)
+	h.replaceEngines(engineRecord("e1", "v2", "big"), engineRecord("e2", "v2"))
+	id, effects := h.live("")
+	h.mustSend(effects)
+	h.apply(FirstByteReceived{Call: id})
+	h.apply(ShutdownRequested{})
+	h.advance(h.core.settings.ShutdownAdmission + time.Millisecond)
+	h.apply(ConfigRead{SentAt: h.now})
+	h.apply(AttemptEnded{Call: id, Result: truncated})
+	h.advance(20 * time.Millisecond)
+	h.effects = nil
+	h.apply(Tick{})
+	if abort, aborted := findEffect[AbortResponse](h.effects); aborted {
+		t.Errorf("the stream was given up: %s", abort.Detail)
+	}
+}
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -60,9 +60,7 @@
 func (c *Core) send(now time.Time, call *activeCall, ep *endpoint, candidate pick.Candidate, choice pick.Choice) {
 	delete(c.parked, call.id)
 	delete(c.assignments.pending, call.id)
-	if c.stopping {
-		call.deadline = earliest(call.deadline, c.stoppedAt.Add(c.settings.ShutdownTimeout))
-	}
+	c.limitToShutdown(call)
 	call.endpoint = ep
 	call.sentAt = now
 	call.expectedWork = candidate.ExpectedFirstByte
@@ -101,6 +99,13 @@
 	c.emit(effect)
 }
 
+// limitToShutdown makes a call end before this entry does, if it is stopping.
+func (c *Core) limitToShutdown(call *activeCall) {
+	if c.stopping {
+		call.deadline = earliest(call.deadline, c.stoppedAt.Add(c.settings.ShutdownTimeout))
+	}
+}
+
 // decisionContext returns the state of the entry on which a decision about a
 // call is based.
 func (c *Core) decisionContext(now time.Time, call *activeCall) DecisionContext {
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -160,7 +160,8 @@
 	})
 	for _, call := range parked {
 		delete(c.parked, call.id)
-		if c.admissionClosed(now) {
+		c.limitToShutdown(call)
+		if c.admissionClosed(now) && !call.resuming {
 			c.refuse(now, call, fault.NotRun, fault.CodeLeaving, "the entry is stopping", minRetryAfter)
 			continue
 		}
