Don't refund the tokens of a stream that has run when its client leaves

A stream that was cut and waits for another engine has used what its customer was charged. If its client left then, the tokens were given back, so that the customer could use more than its rate (QUOTA).

Evidence: TestCutStreamIsNotRefundedWhenItsClientLeaves failed and passes.

--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -406,3 +406,26 @@
 		t.Errorf("the stream was given up: %s", abort.Detail)
 	}
 }
+
+// A stream was cut and waits for its model, and its client leaves: the run was charged for
+// what an engine has done.
+func TestCutStreamIsNotRefundedWhenItsClientLeaves(t *testing.T) {
+	h := newLiveHarness(t)
+	h.replaceEngines(engineRecord("e1", "v2", "big"), engineRecord("e2", "v2"))
+	id, effects := h.live("")
+	h.mustSend(effects)
+	h.apply(FirstByteReceived{Call: id})
+	h.core.calls[id].customer = h.core.config.Customers["acme"]
+	h.core.calls[id].cost, h.core.calls[id].paid = 100, true
+	h.core.updateQuotas(h.now)
+	h.advance(500 * time.Millisecond)
+	h.apply(AttemptEnded{Call: id, Result: truncated})
+	call := h.core.calls[id]
+	if call == nil || h.core.parked[id] == nil {
+		t.Fatal("the stream does not wait")
+	}
+	h.apply(ClientDisconnected{Call: id})
+	if !call.paid {
+		t.Error("the tokens of a stream that has run were given back")
+	}
+}
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -213,8 +213,8 @@
 	c.refuse(now, call, fault.MayHaveRun, fault.CodeEndpoint, "the endpoint's answer was lost", 0)
 }
 
-// handleClientDisconnected ends a call whose client disconnected before an
-// attempt was started. An endpoint may already have been chosen.
+// handleClientDisconnected ends a call whose client disconnected before an attempt was
+// started, the first one or a further one. An endpoint may already have been chosen.
 func (c *Core) handleClientDisconnected(now time.Time, id CallID) {
 	call := c.calls[id]
 	if call == nil {
@@ -227,6 +227,8 @@
 		c.endTrial(now, call.assignment.suspects)
 	}
 	c.releaseTrial(now, call)
-	c.refund(now, call)
+	if !call.mayHaveRun {
+		c.refund(now, call)
+	}
 	c.removeCall(call)
 }
