Report a crash once, not for each stream that it cut

Each stream cut by a crash that was known already sent the leader a report: 20 for 20 streams at one moment. Only what is new is told now.

Evidence: TestKnownCrashIsNotReportedForEachStream (20 reports) failed and passes.

--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -429,3 +429,33 @@
 		t.Error("the tokens of a stream that has run were given back")
 	}
 }
+
+// Many streams are cut by a crash that is known already: they tell the leader nothing.
+func TestKnownCrashIsNotReportedForEachStream(t *testing.T) {
+	h := newFollowerHarness(t)
+	h.apply(ConfigRead{Config: liveConfig(), SentAt: h.now})
+	h.endpoints(versionedEngine("llm-1", "v1"))
+	var ids []CallID
+	for range 20 {
+		id, effects := h.live("")
+		ask, _ := findEffect[RequestAssignment](effects)
+		h.apply(AssignmentReceived{Host: "front-2", Assignment: &wirepb.GateAssignment{
+			Call: ask.Request.GetCall(), Verdict: wirepb.GateAssignment_SEND, Endpoint: "llm-1",
+		}})
+		h.apply(FirstByteReceived{Call: id})
+		h.apply(AnswerContinues{Call: id})
+		ids = append(ids, id)
+	}
+	h.core.crashes.log.AddCrash(h.now, poison.Crash{Run: poison.Run{Engine: "llm-1", Incarnation: 1}, At: h.now, EndedAt: h.now})
+	reports := 0
+	for _, id := range ids {
+		for _, effect := range h.apply(AttemptEnded{Call: id, Result: truncated}) {
+			if _, ok := effect.(SendReport); ok {
+				reports++
+			}
+		}
+	}
+	if reports > 2 {
+		t.Errorf("%d reports at one moment for %d cut streams of a known crash", reports, len(ids))
+	}
+}
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -247,8 +247,11 @@
 }
 
 func (c *Core) addCrash(now time.Time, crash poison.Crash) {
+	before := c.crashes.log.Revision()
 	c.crashes.log.AddCrash(now, crash)
-	c.spreadPoison(now)
+	if c.crashes.log.Revision() != before {
+		c.spreadPoison(now)
+	}
 }
 
 // endedRecordLifetime is how long the record of an endpoint whose run is over may stay in
