Keep a resumed stream at the service that began it

A route may split its requests between services. The service is now drawn by the ID of the request that began the stream, which the client names, so that every entry draws the same one without being told.

Evidence: TestResumedStreamKeepsItsService failed and passes.

--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -133,7 +133,7 @@
 		timeout = min(timeout, request.ClientTimeout)
 	}
 	call.deadline = request.ArrivedAt.Add(timeout)
-	call.service = c.chooseService(call.route)
+	call.service = c.chooseService(call)
 	call.plain = c.isPlain(call.service)
 	if !c.authenticate(now, call) {
 		return
@@ -183,22 +183,28 @@
 	return true
 }
 
-// chooseService returns one of a route's services at random, by weight.
-func (c *Core) chooseService(route *topo.Route) string {
+// chooseService returns one of the services of a call's route, by weight: at random, or
+// for streams that may be resumed by the request that begins the stream, so that a resumed
+// one comes to the same service.
+func (c *Core) chooseService(call *activeCall) string {
+	targets := call.route.Targets
 	total := 0
-	for _, t := range route.Targets {
+	for _, t := range targets {
 		total += t.Weight
 	}
-	if total <= 0 {
-		return route.Targets[0].Service
+	if total <= 0 || len(targets) == 1 {
+		return targets[0].Service
 	}
 	n := c.random.IntN(total)
-	for _, t := range route.Targets {
+	if call.route.Kind == topo.Stream && call.route.Resumable {
+		n = int(newStreamKey(call.streamID()) % streamKey(total))
+	}
+	for _, t := range targets {
 		if n -= t.Weight; n < 0 {
 			return t.Service
 		}
 	}
-	return route.Targets[0].Service
+	return targets[0].Service
 }
 
 // dispatch sends a call to the best endpoint, asks the leader for one, parks
--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -459,3 +460,37 @@
 		t.Errorf("%d reports at one moment for %d cut streams of a known crash", reports, len(ids))
 	}
 }
+
+// A route splits its requests between two services: a stream must go on at the one that
+// began it.
+func TestResumedStreamKeepsItsService(t *testing.T) {
+	h := newServingHarness(t)
+	config := liveConfig()
+	config.Services["llm2"] = &topo.Service{Name: "llm2", MaxConns: 300, Engine: config.Services["llm"].Engine}
+	for _, route := range config.Routes {
+		if route.Name == "live" {
+			route.Targets = []topo.Target{{Service: "llm", Weight: 1}, {Service: "llm2", Weight: 1}}
+		}
+	}
+	h.apply(ConfigRead{Config: config.BuildIndex(), SentAt: h.now})
+	other := engineRecord("f1", "v2", "big")
+	other.Service = "llm2"
+	h.replaceEngines(engineRecord("e1", "v1", "big"), other)
+	refused := 0
+	for range 20 {
+		id, effects := h.live("")
+		h.mustSend(effects)
+		h.apply(FirstByteReceived{Call: id})
+		h.apply(AttemptEnded{Call: id, Result: Result{Outcome: OutcomeTruncated, Reason: ReasonClientGone}})
+		resumed, effects := h.live("live-" + strconv.Itoa(int(id)))
+		if _, ok := findEffect[Refuse](effects); ok {
+			refused++
+			continue
+		}
+		h.mustSend(effects)
+		h.apply(AttemptEnded{Call: resumed, Result: Result{Outcome: OutcomeComplete}})
+	}
+	if refused > 0 {
+		t.Errorf("%d of 20 resumed streams were refused", refused)
+	}
+}
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -255,6 +255,15 @@
 	return ac.route.Kind == topo.Stream && ac.route.Resumable && ac.request.LastEventID != ""
 }
 
+// streamID returns the ID of the request that brings the first event of a call's stream, as
+// far as the client names it.
+func (ac *activeCall) streamID() string {
+	if ac.resumesStream() && ac.request.ResumedRequest != "" {
+		return ac.request.ResumedRequest
+	}
+	return ac.request.ID
+}
+
 // acceptsVersion reports whether a call may be sent to an endpoint with the given
 // software version.
 func (ac *activeCall) acceptsVersion(version string) bool {
