Tick in each step of the router's check

The check was wrong: it leaves out the fleet's tick in steps whose agent has no session, so that up to 1.2 s lie between two ticks, which the fleet rightly takes for a pause of the process (over 1 s). Entries and agents tick every 100 ms.

--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -101,6 +101,7 @@
 		var sentCalls []*route.SentCall
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			f.fleet.Tick(now) // a longer time without would count as a pause of the process
 			i := rapid.IntRange(0, agents-1).Draw(t, "agent")
 			changed := &expected[i]
 			switch rapid.IntRange(0, 9).Draw(t, "event") {
