Log why an entry's link to an agent failed or ended

The known failure TestPausedAgent can't be traced: a link had ended, and the pool dropped the errors of the dial and of the session. They are reported to the entry now, which logs them, at most 10 lines a second. No decision has changed.

TestPoolReportsWhySessionsEnd is new with the callback.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -51,6 +51,7 @@
 	options      Options
 	loop         *loop.Loop[Event, Effect]
 	pool         *link.Pool
+	linkLog      zerolog.Logger
 	http         *fasthttp.Server
 	metrics      *metrics
 	index        atomic.Pointer[config.Index]
@@ -81,12 +82,17 @@
 		sessions:  make(map[string]*wire.Session),
 		finished:  make(chan struct{}),
 		done:      make(chan struct{}),
+		linkLog: options.Logger.Sample(&zerolog.BurstSampler{
+			Burst:  maxLinkErrorLines,
+			Period: time.Second,
+		}),
 	}
 	server.loop = loop.New(NewCore(options.Core), server.perform, time.Now)
 	server.pool = link.New(server.dial, link.Handler{
 		OnUp:      server.sessionUp,
 		OnDown:    server.sessionDown,
 		OnMessage: server.receiveMessage,
+		OnError:   server.logLinkError,
 	})
 	server.http = &fasthttp.Server{
 		Handler:                      server.handleRequest,
@@ -199,6 +205,15 @@
 	})
 }
 
+// maxLinkErrorLines is the most log lines about links in a second. A host that is gone is
+// dialed again and again.
+const maxLinkErrorLines = 10
+
+// logLinkError logs why a link to an agent could not be opened or has ended.
+func (s *Server) logLinkError(host plat.Host, err error) {
+	s.linkLog.Warn().Err(err).Str("host", host.Name).Msg("entry: link failed or ended")
+}
+
 func (s *Server) receiveMessage(host plat.Host, session *wire.Session, message *wirepb.Envelope) {
 	s.loop.Post(MessageReceived{
 		Host:        host.Name,
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -24,6 +24,9 @@
 	OnUp      func(plat.Host, *wire.Session)
 	OnDown    func(plat.Host, *wire.Session)
 	OnMessage func(plat.Host, *wire.Session, *wirepb.Envelope)
+	// OnError reports why a session could not be opened or has ended, unless the pool
+	// ended it.
+	OnError func(plat.Host, error)
 }
 
 // Dial opens a session with a host.
@@ -166,10 +169,19 @@
 	defer cancel()
 	session, err := p.dial(dialCtx, host)
 	if err != nil {
+		p.reportError(ctx, host, err)
 		return false
 	}
 	p.handler.OnUp(host, session)
-	_ = session.Run(ctx, func(message *wirepb.Envelope) { p.handler.OnMessage(host, session, message) })
+	err = session.Run(ctx, func(message *wirepb.Envelope) { p.handler.OnMessage(host, session, message) })
 	p.handler.OnDown(host, session)
+	p.reportError(ctx, host, err)
 	return true
 }
+
+// reportError reports the error of a session that the pool has not ended itself.
+func (p *Pool) reportError(ctx context.Context, host plat.Host, err error) {
+	if ctx.Err() == nil && err != nil {
+		p.handler.OnError(host, err)
+	}
+}
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"testing"
@@ -53,6 +54,7 @@
 			OnUp:      func(h plat.Host, _ *wire.Session) { up <- h },
 			OnDown:    func(h plat.Host, _ *wire.Session) { down <- h },
 			OnMessage: func(plat.Host, *wire.Session, *wirepb.Envelope) {},
+			OnError:   func(plat.Host, error) {},
 		})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -86,6 +88,7 @@
 			OnUp:      func(plat.Host, *wire.Session) { events <- "up" },
 			OnDown:    func(plat.Host, *wire.Session) { events <- "down" },
 			OnMessage: func(plat.Host, *wire.Session, *wirepb.Envelope) {},
+			OnError:   func(plat.Host, error) {},
 		})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -113,3 +116,37 @@
 	cancel()
 	<-p.Done()
 }
+
+// A host that can't be dialed, and one whose session ends, must be reported with the
+// reason, or a broken link can't be explained afterwards.
+func TestPoolReportsWhySessionsEnd(t *testing.T) {
+	host, accepted := listen(t)
+	failures := make(chan error, 8)
+	errRefused := errors.New("refused")
+	dials := 0
+	p := link.New(
+		func(ctx context.Context, h plat.Host) (*wire.Session, error) {
+			if dials++; dials == 1 {
+				return nil, errRefused
+			}
+			return wire.Dial(ctx, h.Address, &wirepb.Hello{Host: "entry"}, nil)
+		},
+		link.Handler{
+			OnUp:      func(plat.Host, *wire.Session) {},
+			OnDown:    func(plat.Host, *wire.Session) {},
+			OnMessage: func(plat.Host, *wire.Session, *wirepb.Envelope) {},
+			OnError:   func(_ plat.Host, err error) { failures <- err },
+		})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.Run(ctx)
+	p.SetTargets([]plat.Host{host})
+	if err := <-failures; !errors.Is(err, errRefused) {
+		t.Errorf("reported %v, want the error of the dial", err)
+	}
+	session := <-accepted
+	session.Close()
+	if err := <-failures; err == nil {
+		t.Error("the end of the session has no reason")
+	}
+}
