--- a/internal/gate/scale_test.go
+++ b/internal/gate/scale_test.go
@@ -20,10 +20,12 @@
 	customers int
 	// requestRate is how many requests per second the fleet gets.
 	requestRate int
+	// versions is the number of software versions of the engines.
+	versions int
 }
 
 func (s fleetSize) String() string {
-	return fmt.Sprintf("entries=%d/engines=%d/models=%d", s.entries, s.engines, s.models)
+	return fmt.Sprintf("entries=%d/engines=%d/models=%d/versions=%d", s.entries, s.engines, s.models, s.versions)
 }
 
 // busyFleet is a leader with its fleet, and the events that reach it.
@@ -142,6 +144,7 @@
 	ep := testEndpoint(engineName(i), "llm", f.engines[engineName(i)].holdings()...)
 	ep.Sequence = sequence
 	ep.Slots = 16
+	ep.SoftwareVersion = fmt.Sprint("v", i%f.size.versions)
 	return ep
 }
 
@@ -207,6 +210,11 @@
 			WorkUs:  50_000,
 		})
 	}
+	begun := &wirepb.GateStarts{SoftwareVersion: "v0"}
+	for n := range f.size.requestRate / f.size.entries / 4 {
+		begun.Streams = append(begun.Streams, uint64(entry)<<40+f.sequence[entry]<<8+uint64(n)+1)
+	}
+	report.Starts = append(report.Starts, begun)
 	f.deliver(ReportReceived{Host: entryName(entry), Report: report})
 }
 
@@ -238,6 +246,7 @@
 			PromptTokens: 1000,
 			ObjectiveUs:  800_000,
 			Zone:         "a",
+			Stream:       f.calls,
 			Parts:        []*wirepb.GatePart{{Hash: f.calls % 3, Tokens: 200}, {Hash: f.calls % 141, Tokens: 100}, {Hash: f.calls, Tokens: 700}},
 		},
 	})
@@ -260,10 +269,11 @@
 // time of an operation is that of one second, so 100 ms are a tenth of a core.
 func BenchmarkLeaderSecond(b *testing.B) {
 	sizes := []fleetSize{
-		{entries: 100, engines: 160, models: 266, customers: 40, requestRate: 880},
-		{entries: 400, engines: 160, models: 266, customers: 40, requestRate: 880},
-		{entries: 100, engines: 1000, models: 266, customers: 40, requestRate: 880},
-		{entries: 1000, engines: 160, models: 266, customers: 40, requestRate: 880},
+		{entries: 100, engines: 160, models: 266, customers: 40, requestRate: 880, versions: 1},
+		{entries: 100, engines: 160, models: 266, customers: 40, requestRate: 880, versions: 2},
+		{entries: 400, engines: 160, models: 266, customers: 40, requestRate: 880, versions: 1},
+		{entries: 100, engines: 1000, models: 266, customers: 40, requestRate: 880, versions: 1},
+		{entries: 1000, engines: 160, models: 266, customers: 40, requestRate: 880, versions: 1},
 	}
 	for _, size := range sizes {
 		b.Run(size.String(), func(b *testing.B) {
