Check in the soak that resumed streams go on as often as new ones begin

The users' rule LOST: of 12 or more streams that clients resume at entries in touch, while two endpoints of their version serve, the share that goes on is at least half of the share of new streams that begin. The soak counted resumptions, but checked nothing.

A service of its own (drafting) has four engines of fixed versions: they are rolled from one version to the next, an empty engine starting before an old one drains; they end and come back empty under another ID, at their version or the newest; and they become slow. For the first 5 s of traffic the leader and other entries are killed in series, before the other faults, whose draws stay as they were. Its 16 clients send one stream a second each, with a key that stays, so that what they do counts in no other check of success.

A stream counts if its entry and the store have had no fault for storeContactTime before it is sent and until it ends, and if two engines of its version (of any version for a new one) are registered as ready and reachable when it is sent. It began or went on if an event came within 2 s, after which clients abandon it. Streams of this service are broken off by ends of engines and entries only.

An endpoint of this service that is down refuses connections, as the end of a process does.

The success rate after recovery leaves out the new customer, whose requests would have added to it.

--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -45,13 +45,17 @@
 var softwareVersions = []string{"v1", "v1", "v2"}
 
 // serveStream sends the events after number from, each with the version that wrote
-// it. It may break the stream off within an event.
-func serveStream(w http.ResponseWriter, requestID, version string, from int) {
+// it. It may break the stream off within an event, unless the endpoint is one of those
+// whose streams are broken off by their ends only.
+func (ep *fakeEndpoint) serveStream(w http.ResponseWriter, requestID, version string, from int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	a := newAnswerWriter(w)
 	defer a.end()
-	brokenEvent := 0
-	if rand.IntN(brokenStreamOdds) == 0 {
+	brokenEvent, interval := 0, eventInterval
+	switch {
+	case ep.service == draftService:
+		interval = draftInterval
+	case rand.IntN(brokenStreamOdds) == 0:
 		brokenEvent = from + 1 + rand.IntN(eventsPerStream)
 	}
 	for i := from + 1; i <= eventsPerStream; i++ {
@@ -61,6 +65,6 @@
 		}
 		_, _ = fmt.Fprintf(a.body, "id: %d\ndata: %s\ndata: %s\n\n", i, requestID, version)
 		a.flush()
-		time.Sleep(eventInterval)
+		time.Sleep(interval)
 	}
 }
--- a/internal/soak/book_test.go
+++ b/internal/soak/book_test.go
@@ -37,6 +37,8 @@
 	at     time.Time
 	status int
 	done   bool
+	// firstEventAt is when the first event of a stream came in answer to this request.
+	firstEventAt time.Time
 }
 
 // history records what clients and endpoints observed, and the violations of the
@@ -48,7 +50,7 @@
 	allExecutions []execution
 	orders        map[string][]receivedOrder
 	// recoveredAt is when a host last resumed or last regained a connection, or
-	// will do so at the end of a current fault.
+	// will do so at the end of a current fault; "" stands for the store.
 	recoveredAt map[string]time.Time
 	// stableFrom is the time since which all hosts have been in contact with the
 	// store.
@@ -62,6 +64,10 @@
 	// resumptions counts the requests that resumed a stream, continued those of them
 	// that brought an event.
 	resumptions, continued int
+	// newStreams and resumedStreams are the streams of draftService that the check of
+	// the share that goes on counts, newestHolder is who sent the newest order.
+	newStreams, resumedStreams share
+	newestHolder               string
 }
 
 func newHistory() *history {
@@ -89,7 +95,7 @@
 func (h *history) recordFault(host string, until time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if host != "" && until.After(h.recoveredAt[host]) {
+	if until.After(h.recoveredAt[host]) {
 		h.recoveredAt[host] = until
 	}
 	if stable := until.Add(storeContactTime); stable.After(h.stableFrom) {
@@ -188,6 +194,7 @@
 func (h *history) recordOrder(endpoint string, o receivedOrder) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.newestHolder = o.leaseHolder
 	if o.at.Sub(h.recoveredAt[o.leaseHolder]) < resumeTolerance {
 		return
 	}
@@ -233,6 +240,7 @@
 	h.checkQuota()
 	h.checkPoison()
 	h.checkLimits()
+	h.checkLost()
 	return h.violations
 }
 
@@ -261,14 +269,14 @@
 }
 
 // successRate returns the fraction of the requests sent in a time span that
-// succeeded, and the number of these requests. It leaves out the limited customer
-// and revoked keys.
+// succeeded, and the number of these requests. It leaves out the limited customer,
+// the steady one and revoked keys.
 func (h *history) successRate(from, until time.Time) (rate float64, count int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	ok := 0
 	for _, req := range h.requests {
-		if req.at.Before(from) || req.at.After(until) || customerOf(req.key) == limitedCustomer ||
+		if req.at.Before(from) || req.at.After(until) || customerOf(req.key) != "big" ||
 			isPoison(req.prompt) || !h.revoked[req.key].IsZero() {
 			continue
 		}
--- /dev/null
+++ b/internal/soak/lost_test.go
@@ -0,0 +1,130 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	steadyCustomer = "steady"
+	// steadyKey is never revoked.
+	steadyKey        = steadyCustomer + "-1"
+	draftClientCount = 16
+	// draftPeriod is the time between two new streams of a client, so that a refused
+	// one counts no more often than one that lasts.
+	draftPeriod = eventsPerStream * draftInterval
+	// abandonTime is the time within which a client must get an event of a stream.
+	abandonTime = 2 * time.Second
+	// Of minResumed or more streams that are resumed, the share that goes on must be at
+	// least minResumedShare of the share of new streams that begin.
+	minResumed      = 12
+	minResumedShare = 0.5
+)
+
+// share counts what was tried and what of it went well, and lists the requests that
+// didn't.
+type share struct {
+	good, tried int
+	failed      []string
+}
+
+func (s share) String() string { return fmt.Sprintf("%d of %d", s.good, s.tried) }
+
+func (s share) ratio() float64 { return float64(s.good) / float64(max(s.tried, 1)) }
+
+// startDrafts starts the changes of the engines of drafts and their clients.
+func (en *environment) startDrafts(ctx context.Context, group *sync.WaitGroup, seed uint64, t *testing.T) {
+	group.Go(func() { en.changeDrafters(ctx, rand.New(rand.NewPCG(seed, 11)), t) })
+	for n := range draftClientCount {
+		group.Go(func() { en.runDraftClient(ctx, n, rand.New(rand.NewPCG(seed, uint64(100+n)))) })
+	}
+}
+
+// runDraftClient asks for streams at entries drawn anew, and resumes those that break
+// off, until ctx ends.
+func (en *environment) runDraftClient(ctx context.Context, number int, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		id := fmt.Sprintf("d%d-%d", number, i)
+		sent := &clientRequest{
+			id: id, kind: draftRoute, key: steadyKey, at: time.Now(), model: []string{"m0", "m0", "m1", "m2"}[random.IntN(4)],
+			prompt: fmt.Sprintf("system:10,topic%d:10,%s:5", random.IntN(promptTopics), id), stream: &clientStream{firstRequest: id},
+		}
+		en.history.recordRequest(sent)
+		status, err := en.sendStream(ctx, client, en.entries[random.IntN(entryCount)], sent)
+		en.history.recordStatus(sent, status)
+		if err != nil && sent.stream.lastEvent > 0 {
+			en.resumeStream(ctx, client, sent, random)
+		}
+		pause := time.Duration(20+random.IntN(80)) * time.Millisecond
+		time.Sleep(max(pause, time.Until(sent.at.Add(draftPeriod))))
+	}
+}
+
+// sendStream sends a request for a stream to an entry. It counts the new and the
+// resumed streams of drafts that are sent to hosts in contact, while two engines of the
+// stream's version serve, for a new one of any version.
+func (en *environment) sendStream(ctx context.Context, client *http.Client, e *entry, sent *clientRequest) (int, error) {
+	resumed := sent.stream.lastEvent > 0
+	counted := sent.kind == draftRoute && en.twoServe(sent.stream) && en.history.inContact(e.name)
+	status, err := en.sendRequest(ctx, client, e.frontAddress, sent)
+	if sent.firstEventAt.IsZero() && status == http.StatusOK && err == nil {
+		sent.firstEventAt = time.Now() // the client had all events before
+	}
+	if counted && ctx.Err() == nil && en.history.inContact(e.name) {
+		en.history.recordStream(sent.id, resumed, !sent.firstEventAt.IsZero() && sent.firstEventAt.Sub(sent.at) < abandonTime)
+	}
+	return status, err
+}
+
+// twoServe reports whether two engines of a version of the stream serve, or of any
+// version if it is new.
+func (en *environment) twoServe(stream *clientStream) bool {
+	counts := make(map[string]int)
+	for _, ep := range en.readyDrafters() {
+		version := ep.currentVersion()
+		counts[version]++
+		if counts[version] > 1 && (stream.lastEvent == 0 || version == stream.versions[0]) {
+			return true
+		}
+	}
+	return false
+}
+
+// inContact reports whether a host and the store have been without a fault for
+// storeContactTime.
+func (h *history) inContact(host string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.recoveredAt[host]) > storeContactTime && time.Since(h.recoveredAt[""]) > storeContactTime
+}
+
+func (h *history) recordStream(id string, resumed, good bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := &h.newStreams
+	if resumed {
+		s = &h.resumedStreams
+	}
+	s.tried++
+	if good {
+		s.good++
+	} else {
+		s.failed = append(s.failed, id)
+	}
+}
+
+// checkLost checks that streams which clients resume go on about as often as new ones
+// begin.
+func (h *history) checkLost() {
+	if h.resumedStreams.tried >= minResumed && h.resumedStreams.ratio() < minResumedShare*h.newStreams.ratio() {
+		h.addViolationLocked("LOST: %v resumed streams went on while %v new ones began, not %v",
+			h.resumedStreams, h.newStreams, h.resumedStreams.failed)
+	}
+}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -33,36 +33,48 @@
 
 // proxy relays connections between two processes and injects faults into them.
 type proxy struct {
-	listener net.Listener
-	target   string
+	listenAddress, target string
+	// closesPort is true if refuseConns closes the port, as the end of a process does.
+	closesPort bool
 
-	mu   sync.Mutex
-	mode proxyMode
+	mu       sync.Mutex
+	listener net.Listener
+	mode     proxyMode
 	// modeChanged is closed and replaced whenever mode is set.
 	modeChanged chan struct{}
 	conns       map[net.Conn]bool
 }
 
-func newProxy(t *testing.T, target string) *proxy {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+func newProxy(t *testing.T, target string) *proxy { return newProxyAt(t, "127.0.0.1:0", target) }
+
+func newProxyAt(t *testing.T, address, target string) *proxy {
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{listener: listener, target: target, modeChanged: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	p := &proxy{
+		listener: listener, listenAddress: listener.Addr().String(), target: target,
+		modeChanged: make(chan struct{}), conns: make(map[net.Conn]bool),
+	}
 	t.Cleanup(func() {
-		_ = listener.Close()
+		p.mu.Lock()
+		_ = p.listener.Close()
+		p.mu.Unlock()
 		p.setMode(refuseConns)
 	})
-	go p.serve()
+	go p.serve(listener)
 	return p
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listenAddress }
 
 // setMode sets the mode for new and open connections.
 func (p *proxy) setMode(mode proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closesPort && mode != p.mode {
+		p.switchPortLocked(mode == forwardAll)
+	}
 	p.mode = mode
 	close(p.modeChanged)
 	p.modeChanged = make(chan struct{})
@@ -71,6 +83,19 @@
 	}
 }
 
+// switchPortLocked opens or closes the port.
+func (p *proxy) switchPortLocked(open bool) {
+	if !open {
+		_ = p.listener.Close()
+		return
+	}
+	var err error
+	if p.listener, err = net.Listen("tcp4", p.listenAddress); err != nil {
+		panic(err) // the soak itself is broken
+	}
+	go p.serve(p.listener)
+}
+
 // resetFraction resets each open connection with a probability of fraction.
 func (p *proxy) resetFraction(fraction float64) {
 	p.mu.Lock()
@@ -87,9 +112,9 @@
 	}
 }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,7 +83,7 @@
 // runSeed runs the fleet with the faults of a seed and checks its history.
 func runSeed(t *testing.T, program string, seed uint64) {
 	logDir := t.TempDir()
-	env := newEnvironment(t, program, logDir)
+	env := newEnvironment(t, program, logDir, rand.New(rand.NewPCG(seed, 9)))
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { env.publishRecords(ctx) })
@@ -91,6 +91,8 @@
 	for n := range clientCount {
 		group.Go(func() { env.runClient(ctx, n) })
 	}
+	env.startDrafts(ctx, &group, seed, t)
+	env.killInSeries(rand.New(rand.NewPCG(seed, 10)), t)
 	group.Go(func() { env.injectLimits(ctx, rand.New(rand.NewPCG(seed, 7)), t) })
 	group.Go(func() { env.injectRestores(ctx, rand.New(rand.NewPCG(seed, 6)), t) })
 	env.injectFaults(rand.New(rand.NewPCG(seed, 5)), t)
@@ -102,8 +104,9 @@
 	cancel()
 	group.Wait()
 	rate, count := env.history.successRate(from, until.Add(-requestTimeout/3))
-	t.Logf("seed %d: %d requests; success rate after recovery %.2f of %d; %d of %d resumed streams continued; %d crashes by prompts",
-		seed, len(env.history.requests), rate, count, env.history.continued, env.history.resumptions, len(env.history.poisoned))
+	t.Logf("seed %d: %d requests; success rate after recovery %.2f of %d; %d of %d resumed streams continued; %d crashes by prompts; drafts at hosts in contact: %v new ones began, %v resumed ones went on",
+		seed, len(env.history.requests), rate, count, env.history.continued, env.history.resumptions, len(env.history.poisoned),
+		env.history.newStreams, env.history.resumedStreams)
 	if count < clientCount || rate < minSuccessRate {
 		env.history.addViolation("RECOVER: success rate %.2f of %d requests %v after the last fault", rate, count, recoveryTime)
 	}
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -32,7 +32,7 @@
 		}
 		en.history.recordRequest(again)
 		before := broken.stream.lastEvent
-		status, err := en.sendRequest(ctx, client, en.entries[random.IntN(entryCount)].frontAddress, again)
+		status, err := en.sendStream(ctx, client, en.entries[random.IntN(entryCount)], again)
 		en.history.recordStatus(again, status)
 		en.history.recordResumption(broken.stream.lastEvent > before)
 		if err == nil && status == http.StatusOK {
@@ -54,7 +54,10 @@
 			en.history.addViolation("ORDER: %s got event %s after %d", sent.id, value, stream.lastEvent)
 		case name == "id":
 			stream.lastEvent++
-		case name == "data" && slices.Contains(softwareVersions, value):
+			if sent.firstEventAt.IsZero() {
+				sent.firstEventAt = time.Now()
+			}
+		case name == "data" && (slices.Contains(softwareVersions, value) || slices.Contains(releases, value)):
 			en.checkVersion(sent, value)
 		case name == "data" && value != sent.id:
 			en.history.addViolation("MIXED: %s got an event of %s", sent.id, value)
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,10 +50,12 @@
 	service string
 	proxy   *proxy
 
-	mu             sync.Mutex
-	id             string
-	startCount     int
-	version        string
+	mu         sync.Mutex
+	id         string
+	startCount int
+	version    string
+	// release is the version of each start, "" if each start draws one.
+	release        string
 	incarnation    int64
 	recordSequence int
 	state          string
@@ -64,6 +67,12 @@
 	// second, 0 if it names none.
 	limit  float64
 	orders []receivedOrder
+	// spare is true while the endpoint is down for good, until a roll starts it.
+	spare atomic.Bool
+	// slowUntil is the time until which an engine reads prompts slowly. It reads one
+	// prompt at a time, under reading.
+	slowUntil time.Time
+	reading   sync.Mutex
 }
 
 func newFakeEndpoint(t *testing.T, env *environment, service string, models ...string) *fakeEndpoint {
@@ -75,7 +84,12 @@
 	server := &http.Server{Handler: ep}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	ep.proxy = newProxy(t, listener.Addr().String())
+	if service == "shop" || service == "llm" {
+		ep.proxy = newProxy(t, listener.Addr().String())
+	} else {
+		ep.proxy = newProxyAt(t, fmt.Sprintf("127.0.0.1:%d", findFreePort(t)), listener.Addr().String())
+		ep.proxy.closesPort = true
+	}
 	ep.start(models)
 	return ep
 }
@@ -87,7 +101,9 @@
 	ep.startCount++
 	ep.id = fmt.Sprintf("%s-%s-%d", ep.service, ep.proxy.address(), ep.startCount)
 	ep.incarnation = time.Now().UnixMilli()
-	ep.version = softwareVersions[rand.IntN(len(softwareVersions))]
+	if ep.version = ep.release; ep.release == "" {
+		ep.version = softwareVersions[rand.IntN(len(softwareVersions))]
+	}
 	ep.state, ep.recordSequence, ep.acceptedOrders, ep.loading = "ready", 0, 0, false
 	ep.models, ep.orders, ep.limit = slices.Clone(models), nil, 0
 	ep.drainingSince = time.Time{}
@@ -133,6 +149,12 @@
 // drain announces that the incarnation is draining, stops it after duration and
 // starts a new one.
 func (ep *fakeEndpoint) drain(duration time.Duration) {
+	ep.announceDraining()
+	time.AfterFunc(duration, func() { ep.crash(300 * time.Millisecond) })
+}
+
+// announceDraining announces that the incarnation is draining.
+func (ep *fakeEndpoint) announceDraining() {
 	ep.mu.Lock()
 	ep.state = "draining"
 	ep.mu.Unlock()
@@ -140,16 +162,15 @@
 	ep.mu.Lock()
 	ep.drainingSince = time.Now()
 	ep.mu.Unlock()
-	time.AfterFunc(duration, func() { ep.crash(300 * time.Millisecond) })
 }
 
 // initialModels returns the models that an endpoint of the service has loaded at
 // its start.
 func (ep *fakeEndpoint) initialModels() []string {
-	if ep.service == "shop" {
-		return nil
+	if ep.service == "llm" {
+		return []string{"m0"}
 	}
-	return []string{"m0"}
+	return nil
 }
 
 func (ep *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -226,7 +247,8 @@
 		return
 	}
 	from, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID))
-	serveStream(w, requestID, version, from)
+	ep.readPrompt()
+	ep.serveStream(w, requestID, version, from)
 }
 
 func (ep *fakeEndpoint) serveReport(w http.ResponseWriter) {
@@ -267,6 +289,12 @@
 	return ep.id
 }
 
+func (ep *fakeEndpoint) currentVersion() string {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	return ep.version
+}
+
 func (ep *fakeEndpoint) applyOrder(op, model string, precondition int64) int {
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
@@ -287,7 +315,11 @@
 	}
 	ep.loading = true
 	id := ep.id
-	time.AfterFunc(loadTime, func() {
+	duration := loadTime
+	if ep.service == draftService {
+		duration = ep.env.draftLoadTime
+	}
+	time.AfterFunc(duration, func() {
 		ep.mu.Lock()
 		defer ep.mu.Unlock()
 		if ep.id == id {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -51,7 +51,12 @@
 	storeAddress string
 	entries      []*entry
 	endpoints    []*fakeEndpoint
-	delayOrders  atomic.Bool
+	// drafters are the engines of draftService. draftAttempts is its route's number of
+	// attempts, draftLoadTime how long they take to load a model.
+	drafters      []*fakeEndpoint
+	draftAttempts int
+	draftLoadTime time.Duration
+	delayOrders   atomic.Bool
 
 	mu      sync.Mutex
 	version int
@@ -73,8 +78,10 @@
 	done    chan struct{}
 }
 
-func newEnvironment(t *testing.T, program, logDir string) *environment {
+func newEnvironment(t *testing.T, program, logDir string, random *rand.Rand) *environment {
 	env := &environment{t: t, history: newHistory(), store: fakes.NewStore(), version: 1}
+	env.draftAttempts = 1 + random.IntN(2)
+	env.draftLoadTime = minDraftLoad + time.Duration(random.Int64N(int64(maxDraftLoad-minDraftLoad)))
 	env.keys = []string{"big-1", "big-2", "big-3", "big-4", limitedCustomer + "-1"}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -91,6 +98,7 @@
 		env.endpoints = append(env.endpoints, ep)
 	}
 	env.endpoints[2].models = []string{"m0", "m1"}
+	env.addDrafters(t)
 	for i := range entryCount {
 		binary := program
 		if *otherProgram != "" && i%2 == 1 {
@@ -112,17 +120,25 @@
 			"service": service, "attempts": 2, "resumable": resumable, "gapSloMs": 200,
 		}
 	}
-	models := []any{}
-	for _, m := range []string{"m0", "m1", "m2"} {
-		models = append(models, map[string]any{"name": m, "weightsMb": modelSizeMB, "loadS": loadTime.Seconds()})
+	engine := func(load time.Duration) map[string]any {
+		models := []any{}
+		for _, m := range []string{"m0", "m1", "m2"} {
+			models = append(models, map[string]any{"name": m, "weightsMb": modelSizeMB, "loadS": load.Seconds()})
+		}
+		return map[string]any{
+			"slots": 8, "kvTokens": 10000, "weightsMb": weightCapacityMB, "adapterSlots": 2, "loadsPerS": 4, "models": models,
+		}
 	}
+	drafts := route(draftRoute, "stream", draftService, true)
+	drafts["attempts"] = en.draftAttempts
 	customers := map[string]map[string]any{
 		"big":           {"name": "big", "unit": "tokens", "plainTokens": 10},
 		limitedCustomer: {"name": limitedCustomer, "unit": "tokens", "plainTokens": 10, "ratePerS": limitedRate, "burst": limitedBurst},
+		steadyCustomer:  {"name": steadyCustomer, "unit": "tokens", "plainTokens": 10},
 	}
 	for name, customer := range customers {
 		keys := []string{}
-		for _, key := range en.keys {
+		for _, key := range append(slices.Clone(en.keys), steadyKey) {
 			if customerOf(key) == name {
 				keys = append(keys, key)
 			}
@@ -133,16 +149,15 @@
 		"version": en.version,
 		"routes": []any{
 			route("charge", "nonidempotent", "shop", false), route("look", "idempotent", "shop", false),
-			route("notes", "stream", "llm", true), route("chat", "stream", "llm", false),
+			route("notes", "stream", "llm", true), route("chat", "stream", "llm", false), drafts,
 		},
 		"services": []any{
 			map[string]any{"name": "shop", "maxConns": 60},
-			map[string]any{"name": "llm", "maxConns": 60, "engine": map[string]any{
-				"slots": 8, "kvTokens": 10000, "weightsMb": weightCapacityMB, "adapterSlots": 2, "loadsPerS": 4, "models": models,
-			}},
+			map[string]any{"name": "llm", "maxConns": 60, "engine": engine(loadTime)},
+			map[string]any{"name": draftService, "maxConns": 60, "engine": engine(en.draftLoadTime)},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{customers["big"], customers[limitedCustomer]},
+		"tenants": []any{customers["big"], customers[limitedCustomer], customers[steadyCustomer]},
 	})
 }
 
@@ -271,7 +286,7 @@
 // until ctx ends.
 func (en *environment) publishRecords(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, ep := range en.endpoints {
+		for _, ep := range slices.Concat(en.endpoints, en.drafters) {
 			ep.publishRecord()
 		}
 		time.Sleep(recordInterval)
@@ -338,7 +353,7 @@
 	request.Header.Set(platform.HeaderRequestID, sent.id)
 	request.Header.Set(platform.HeaderAPIKey, sent.key)
 	request.Header.Set(platform.HeaderDeadline, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
-	isStream := sent.kind == "chat" || sent.kind == "notes"
+	isStream := slices.Contains([]string{"chat", "notes", draftRoute}, sent.kind)
 	if isStream {
 		request.Header.Set(platform.HeaderModel, sent.model)
 		request.Header.Set(platform.HeaderTokenUsage, "30,10")
