--- a/internal/soak/book_test.go
+++ b/internal/soak/book_test.go
@@ -37,6 +37,10 @@
 	at     time.Time
 	status int
 	done   bool
+	// path is what follows the route's first path, body the body of a plain request.
+	path, body string
+	// sound is the kind of a sound request beside one that crashes endpoints.
+	sound string
 	// firstEventAt is when the first event of a stream came in answer to this request.
 	firstEventAt time.Time
 }
@@ -64,6 +68,10 @@
 	// resumptions counts the requests that resumed a stream, continued those of them
 	// that brought an event.
 	resumptions, continued int
+	// crasherArrivals are the times at which a plain request that crashes endpoints
+	// reached one, crasherCrashes those at which they ended.
+	crasherArrivals []poisonedExecution
+	crasherCrashes  []time.Time
 	// newStreams and resumedStreams are the streams of draftService that the check of
 	// the share that goes on counts, newestHolder is who sent the newest order.
 	newStreams, resumedStreams share
@@ -225,7 +233,7 @@
 		if req == nil {
 			continue
 		}
-		atMostOnce := req.kind == "charge" || req.kind == "chat"
+		atMostOnce := req.kind == "charge" || req.kind == "buy" || req.kind == "chat"
 		if atMostOnce && len(executions) > 1 {
 			h.addViolationLocked("TWICE: %s %s was executed %d times", req.kind, id, len(executions))
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -93,6 +93,7 @@
 	}
 	env.startDrafts(ctx, &group, seed, t)
 	env.killInSeries(rand.New(rand.NewPCG(seed, 10)), t)
+	env.startCrasher(ctx, &group, seed, t)
 	group.Go(func() { env.injectLimits(ctx, rand.New(rand.NewPCG(seed, 7)), t) })
 	group.Go(func() { env.injectRestores(ctx, rand.New(rand.NewPCG(seed, 6)), t) })
 	env.injectFaults(rand.New(rand.NewPCG(seed, 5)), t)
@@ -104,12 +105,13 @@
 	cancel()
 	group.Wait()
 	rate, count := env.history.successRate(from, until.Add(-requestTimeout/3))
-	t.Logf("seed %d: %d requests; success rate after recovery %.2f of %d; %d of %d resumed streams continued; %d crashes by prompts; drafts at hosts in contact: %v new ones began, %v resumed ones went on",
+	t.Logf("seed %d: %d requests; success rate after recovery %.2f of %d; %d of %d resumed streams continued; %d crashes by prompts; drafts at hosts in contact: %v new ones began, %v resumed ones went on; %d crashes by a plain request",
 		seed, len(env.history.requests), rate, count, env.history.continued, env.history.resumptions, len(env.history.poisoned),
-		env.history.newStreams, env.history.resumedStreams)
+		env.history.newStreams, env.history.resumedStreams, len(env.history.crasherCrashes))
 	if count < clientCount || rate < minSuccessRate {
 		env.history.addViolation("RECOVER: success rate %.2f of %d requests %v after the last fault", rate, count, recoveryTime)
 	}
+	env.history.checkCrasher(until.Add(-requestTimeout / 3))
 	for _, violation := range env.history.check() {
 		t.Error(violation)
 	}
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -206,6 +206,7 @@
 		ep.env.history.checkDrain(id, drainingSince, time.Now())
 		w.Header().Set(platform.HeaderLeaving, "1")
 	}
+	ep.crashOnRequest(r, id)
 	if rand.IntN(20) == 0 {
 		if rand.IntN(2) == 0 {
 			w.Header().Set(platform.HeaderRetryAfter, "0.7")
@@ -235,7 +236,7 @@
 		return
 	}
 	w.Header().Set(platform.HeaderServerStamp, "stamp-"+requestID)
-	if ep.service == "shop" {
+	if ep.service == "shop" || ep.service == kioskService {
 		time.Sleep(time.Duration(20+rand.IntN(100)) * time.Millisecond)
 		a := newAnswerWriter(w)
 		defer a.end()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -54,6 +54,7 @@
 	// drafters are the engines of draftService. draftAttempts is its route's number of
 	// attempts, draftLoadTime how long they take to load a model.
 	drafters      []*fakeEndpoint
+	kiosks        []*fakeEndpoint
 	draftAttempts int
 	draftLoadTime time.Duration
 	delayOrders   atomic.Bool
@@ -99,6 +100,9 @@
 	}
 	env.endpoints[2].models = []string{"m0", "m1"}
 	env.addDrafters(t)
+	for range kioskCount {
+		env.kiosks = append(env.kiosks, newFakeEndpoint(t, env, kioskService))
+	}
 	for i := range entryCount {
 		binary := program
 		if *otherProgram != "" && i%2 == 1 {
@@ -135,10 +139,11 @@
 		"big":           {"name": "big", "unit": "tokens", "plainTokens": 10},
 		limitedCustomer: {"name": limitedCustomer, "unit": "tokens", "plainTokens": 10, "ratePerS": limitedRate, "burst": limitedBurst},
 		steadyCustomer:  {"name": steadyCustomer, "unit": "tokens", "plainTokens": 10},
+		calmCustomer:    {"name": calmCustomer, "unit": "tokens", "plainTokens": 10},
 	}
 	for name, customer := range customers {
 		keys := []string{}
-		for _, key := range append(slices.Clone(en.keys), steadyKey) {
+		for _, key := range append(slices.Clone(en.keys), steadyKey, calmKey) {
 			if customerOf(key) == name {
 				keys = append(keys, key)
 			}
@@ -149,15 +154,17 @@
 		"version": en.version,
 		"routes": []any{
 			route("charge", "nonidempotent", "shop", false), route("look", "idempotent", "shop", false),
+			route("buy", "nonidempotent", kioskService, false), route("read", "idempotent", kioskService, false),
 			route("notes", "stream", "llm", true), route("chat", "stream", "llm", false), drafts,
 		},
 		"services": []any{
 			map[string]any{"name": "shop", "maxConns": 60},
+			map[string]any{"name": kioskService, "maxConns": 60},
 			map[string]any{"name": "llm", "maxConns": 60, "engine": engine(loadTime)},
 			map[string]any{"name": draftService, "maxConns": 60, "engine": engine(en.draftLoadTime)},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{customers["big"], customers[limitedCustomer], customers[steadyCustomer]},
+		"tenants": []any{customers["big"], customers[limitedCustomer], customers[steadyCustomer], customers[calmCustomer]},
 	})
 }
 
@@ -286,7 +293,7 @@
 // until ctx ends.
 func (en *environment) publishRecords(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, ep := range slices.Concat(en.endpoints, en.drafters) {
+		for _, ep := range slices.Concat(en.endpoints, en.drafters, en.kiosks) {
 			ep.publishRecord()
 		}
 		time.Sleep(recordInterval)
@@ -345,7 +352,7 @@
 ) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+"/"+sent.kind+"/x", nil)
+	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+"/"+sent.kind+"/x"+sent.path, strings.NewReader(sent.body))
 	if err != nil {
 		return 0, err
 	}
