--- /dev/null
+++ b/internal/gate/starts.go
@@ -0,0 +1,232 @@
+package gate
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"dogwoodfold/internal/wire/wirepb"
+)
+
+// streamMemory is how long the software version that began a stream is remembered,
+// at least, and how long a version counts whose last endpoint has left. It exceeds
+// the time for which a stream goes on, including what its client resumes.
+const streamMemory = time.Minute
+
+// streamKey identifies a stream: it is a hash of the ID of the request that brought
+// its first event.
+type streamKey uint64
+
+func newStreamKey(requestID string) streamKey {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(requestID)) // never fails
+	return streamKey(h.Sum64())
+}
+
+// streamStart is the beginning of a stream.
+type streamStart struct {
+	key     streamKey
+	version string
+	at      time.Time
+	// assigned is true if the version is that of the engine that the leader assigned, at
+	// which the stream may not have begun.
+	assigned bool
+	// number is its number in a startLog, 0 if it is in none.
+	number uint64
+}
+
+// streamTable holds the software versions that began recent streams.
+type streamTable struct {
+	versions map[streamKey]streamStart
+	// own are the streams that this entry began. learned are those that other entries
+	// began while several versions served, as far as this entry heard of them as the
+	// leader.
+	own     startLog
+	learned startLog
+	pruneAt time.Time
+}
+
+// startLog is a list of beginnings of streams, oldest first, which are numbered from 1.
+type startLog struct {
+	starts []streamStart
+	count  uint64
+}
+
+// add appends the beginning of a stream, in place of an earlier one of the same stream.
+func (l *startLog) add(start streamStart, replaces bool) {
+	if replaces {
+		l.starts = slices.DeleteFunc(l.starts, func(s streamStart) bool { return s.key == start.key })
+	}
+	l.count++
+	start.number = l.count
+	l.starts = append(l.starts, start)
+}
+
+// after returns the beginnings after the one with the given number.
+func (l *startLog) after(number uint64) []streamStart {
+	first, _ := slices.BinarySearchFunc(l.starts, number+1, func(s streamStart, n uint64) int {
+		return cmp.Compare(s.number, n)
+	})
+	return l.starts[first:]
+}
+
+func (l *startLog) prune(now time.Time) {
+	l.starts = slices.DeleteFunc(l.starts, func(s streamStart) bool { return now.Sub(s.at) > streamMemory })
+}
+
+func newStreamTable() streamTable { return streamTable{versions: make(map[streamKey]streamStart)} }
+
+// record remembers the version that began a stream. A later record replaces an
+// earlier one.
+func (t *streamTable) record(now time.Time, key streamKey, version string) streamStart {
+	t.prune(now)
+	start := streamStart{
+		key:     key,
+		version: version,
+		at:      now,
+	}
+	t.versions[key] = start
+	return start
+}
+
+// recordAssigned remembers the version of the engine that a stream was assigned to, unless
+// it is known where the stream began. That is told to no other entry.
+func (t *streamTable) recordAssigned(now time.Time, key streamKey, version string) {
+	if known, isKnown := t.versions[key]; isKnown && !known.assigned {
+		return
+	}
+	start := t.record(now, key, version)
+	start.assigned = true
+	t.versions[key] = start
+}
+
+// recordOwn remembers the version of a stream that this entry began. It replaces
+// that of an earlier attempt, which brought no event.
+func (t *streamTable) recordOwn(now time.Time, key streamKey, version string) {
+	known, isKnown := t.versions[key]
+	t.own.add(t.record(now, key, version), isKnown && !known.assigned)
+}
+
+// recordLearned remembers the version of a stream that another entry began, for the other
+// entries too.
+func (t *streamTable) recordLearned(now time.Time, key streamKey, version string) {
+	known, isKnown := t.versions[key]
+	start := t.record(now, key, version)
+	if !isKnown || known.assigned || known.version != version {
+		t.learned.add(start, isKnown && !known.assigned)
+	}
+}
+
+// lookup returns the version that began a stream, and keeps it remembered.
+func (t *streamTable) lookup(now time.Time, key streamKey) (version string, known bool) {
+	start, known := t.versions[key]
+	if known {
+		start.at = now
+		t.versions[key] = start
+	}
+	return start.version, known
+}
+
+// prune forgets, from time to time, the streams that were not used for
+// streamMemory.
+func (t *streamTable) prune(now time.Time) {
+	if now.Before(t.pruneAt) {
+		return
+	}
+	t.pruneAt = now.Add(streamMemory / 4)
+	maps.DeleteFunc(t.versions, func(_ streamKey, s streamStart) bool { return now.Sub(s.at) > streamMemory })
+	t.own.prune(now)
+	t.learned.prune(now)
+}
+
+const (
+	// maxLearnedPerState bounds the streams of other entries of which a state tells, so
+	// that its size doesn't grow with the fleet.
+	maxLearnedPerState = 64
+	// maxRetold is the number of streams up to which a new leader is told of all that an
+	// entry knows; above, only of those that the entry began itself.
+	maxRetold = 2048
+)
+
+// startsFor returns the streams of which the leader tells an entry, and records that it
+// has. If too many are new, the newest of other entries are told.
+func (t *streamTable) startsFor(peer *peer) []streamStart {
+	learned := t.learned.after(peer.learnedSent)
+	learned = learned[max(len(learned)-maxLearnedPerState, 0):]
+	out := slices.Concat(t.own.after(peer.startsSent), learned)
+	peer.startsSent = t.own.count
+	peer.learnedSent = t.learned.count
+	return out
+}
+
+// retold returns the streams of which a new leader is told, in the order of their keys.
+func (t *streamTable) retold() []streamStart {
+	if len(t.versions) > maxRetold {
+		return t.own.after(0)
+	}
+	out := make([]streamStart, 0, len(t.versions))
+	for _, key := range slices.Sorted(maps.Keys(t.versions)) {
+		if start := t.versions[key]; !start.assigned {
+			out = append(out, start)
+		}
+	}
+	return out
+}
+
+// encodeStarts groups streams by version.
+func encodeStarts(starts []streamStart) []*wirepb.GateStarts {
+	byVersion := make(map[string][]uint64)
+	for _, s := range starts {
+		byVersion[s.version] = append(byVersion[s.version], uint64(s.key))
+	}
+	out := make([]*wirepb.GateStarts, 0, len(byVersion))
+	for _, version := range slices.Sorted(maps.Keys(byVersion)) {
+		out = append(out, &wirepb.GateStarts{
+			SoftwareVersion: version,
+			Streams:         byVersion[version],
+		})
+	}
+	return out
+}
+
+// applyStarts remembers the streams that another entry knows.
+func (c *Core) applyStarts(now time.Time, starts []*wirepb.GateStarts) {
+	for _, group := range starts {
+		for _, key := range group.GetStreams() {
+			c.recordOtherStart(now, streamKey(key), group.GetSoftwareVersion())
+		}
+	}
+}
+
+// recordOtherStart remembers the version of a stream that another entry began. While
+// several versions serve, the leader tells all entries of it: without a leader they
+// couldn't ask for it.
+func (c *Core) recordOtherStart(now time.Time, key streamKey, version string) {
+	if c.leader == nil || !c.severalVersions() {
+		c.streams.record(now, key, version)
+		return
+	}
+	c.streams.recordLearned(now, key, version)
+}
+
+// severalVersions reports whether the registered endpoints of any service differ in their
+// software version.
+func (c *Core) severalVersions() bool {
+	if c.serviceVersions == nil {
+		c.serviceVersions = make(map[string]map[string]bool)
+		for _, ep := range c.endpoints {
+			if c.serviceVersions[ep.Service] == nil {
+				c.serviceVersions[ep.Service] = make(map[string]bool)
+			}
+			c.serviceVersions[ep.Service][ep.SoftwareVersion] = true
+		}
+	}
+	for _, versions := range c.serviceVersions {
+		if len(versions) > 1 {
+			return true
+		}
+	}
+	return false
+}
