--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -261,7 +261,7 @@
 // begun to read is of use to it for as long as it waits.
 func (ac *activeCall) admissionLimit() time.Time {
 	if ac.continuesStream() {
-		return ac.loadWaitDeadline()
+		return ac.abandonedAt()
 	}
 	objective := time.Duration(float64(ac.route.LatencyObjective) * admissionObjectiveRatio)
 	return ac.request.ArrivedAt.Add(objective)
--- a/internal/gate/continue_test.go
+++ b/internal/gate/continue_test.go
@@ -219,7 +219,7 @@
 	if !loading {
 		t.Fatal("the model is not being loaded")
 	}
-	const patience = 2100 * time.Millisecond // of the live route, see loadWaitDeadline
+	const patience = 2100 * time.Millisecond // of the live route, see abandonedAt
 	back := h.now.Add(fault.RetryAfterOf(h.mustRefuse(effects)))
 	if back.After(eta.Add(-patience/2)) || back.Add(patience).Before(eta) {
 		t.Errorf("comes back %v before the model is loaded, want %v to %v", eta.Sub(back), patience/2, patience)
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -65,7 +65,7 @@
 		call.setStreamVersion(version)
 		return true
 	}
-	until := call.loadWaitDeadline()
+	until := call.abandonedAt()
 	if c.expectsLeader(now, until) {
 		// The leader, or the next one, may know.
 		call.assignment = assignment{}
--- a/internal/gate/wait.go
+++ b/internal/gate/wait.go
@@ -29,7 +29,7 @@
 // unreachable endpoint.
 func (c *Core) parkDeadline(call *activeCall) time.Time {
 	if call.continuesStream() {
-		return call.loadWaitDeadline()
+		return call.abandonedAt()
 	}
 	wait := time.Duration(float64(call.route.LatencyObjective) * parkObjectiveFraction)
 	return earliest(call.request.ArrivedAt.Add(wait), call.deadline.Add(-minRemainingTime))
@@ -62,12 +62,12 @@
 		until = earliest(until, call.artifactAskedAt.Add(loadDecisionTime))
 	}
 	switch {
-	case loading && expectedAt.After(call.loadWaitDeadline()):
+	case loading && expectedAt.After(call.abandonedAt()):
 		c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "the model is being loaded",
 			c.loadingRetryAfter(now, call, expectedAt))
 		return
 	case loading:
-		until = earliest(expectedAt.Add(loadSlack), call.loadWaitDeadline())
+		until = earliest(expectedAt.Add(loadSlack), call.abandonedAt())
 	case !now.Before(until):
 		c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "no endpoint holds the model", c.loadRetryAfter(now, call, service))
 		return
@@ -83,7 +83,7 @@
 	if !call.continuesStream() {
 		return delay
 	}
-	patience := call.loadWaitDeadline().Sub(call.waitingSince)
+	patience := call.abandonedAt().Sub(call.waitingSince)
 	return max(delay-patience+loadSlack/2, c.jitter(shortRetryAfter))
 }
 
@@ -121,9 +121,9 @@
 	firstEventReserve = 300 * time.Millisecond
 )
 
-// loadWaitDeadline returns the time after which the client no longer benefits
-// from waiting for an endpoint.
-func (ac *activeCall) loadWaitDeadline() time.Time {
+// abandonedAt returns the time after which the client no longer benefits from waiting for an
+// endpoint: it abandons a stream of which no event comes for long.
+func (ac *activeCall) abandonedAt() time.Time {
 	limit := ac.deadline.Add(-minRemainingTime)
 	if ac.route.Kind != topo.Stream {
 		return limit
