Record the software versions of the last minute in the lease

The last engine of v1 had just ended when an entry was started anew and, before it followed a leader, resumed a stream that it didn't know: one version was registered, so the stream could only have begun there. That holds only for an entry that has seen the last minute.

The class: a conclusion from all that was seen, drawn by one that has seen nothing. The lease's record now names the versions that are registered or left within a minute (about 40 bytes each), and an entry that reads it takes them for versions that may have begun a stream.

Evidence: TestStartedEntryKnowsVersionThatHasLeft failed and passes. What remains: an entry that is asked before it has read the lease.

--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -67,6 +67,7 @@
 	c.appendingLease = true
 	record, offset := c.lease.NextRecord(now, c.nextMembers(now), release)
 	record.Quarantine = c.recordedQuarantine(now)
+	record.Versions = c.recordedVersions(now)
 	c.emit(AppendLease{
 		Record: record,
 		Offset: offset,
@@ -106,6 +107,7 @@
 	}
 	c.lease.HandleRead(now, e.Read)
 	c.applyRecordedQuarantine(now, e.Record.Quarantine)
+	c.applyRecordedVersions(now, e.Record.Versions)
 	if !e.Exists || c.lease.Stale() && (c.lease.Holds(now) || c.leaderLink.connected) {
 		// A stale record says nothing against the leader that this entry knows.
 		return
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -1,9 +1,12 @@
 package gate
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
+	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
@@ -137,16 +140,60 @@
 	return false
 }
 
+// recordedVersions returns the software versions at which streams may have begun for the
+// next record of the lease, in a fixed order.
+func (c *Core) recordedVersions(now time.Time) []lease.ServiceVersion {
+	ages := make(map[lease.ServiceVersion]time.Duration)
+	for service, versions := range c.departedVersions {
+		for version, at := range versions {
+			if age := now.Sub(at); age < streamMemory {
+				ages[lease.ServiceVersion{Service: service, Version: version}] = age
+			}
+		}
+	}
+	for _, ep := range c.endpoints {
+		if c.engineSpec(ep) != nil {
+			ages[lease.ServiceVersion{Service: ep.Service, Version: ep.SoftwareVersion}] = 0
+		}
+	}
+	out := make([]lease.ServiceVersion, 0, len(ages))
+	for v, age := range ages {
+		v.AgeMs = age.Milliseconds()
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b lease.ServiceVersion) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	return out
+}
+
+// applyRecordedVersions remembers the software versions in a record of the lease as ones
+// that have left, unless an engine of them is registered.
+func (c *Core) applyRecordedVersions(now time.Time, recorded []lease.ServiceVersion) {
+	for _, v := range recorded {
+		at := now.Add(-time.Duration(v.AgeMs) * time.Millisecond)
+		c.recordDepartedVersion(now, v.Service, v.Version, at)
+	}
+}
+
 // recordVersionDeparture remembers when an endpoint with its software version was
 // removed.
 func (c *Core) recordVersionDeparture(now time.Time, ep *topo.Endpoint) {
-	versions := c.departedVersions[ep.Service]
+	c.recordDepartedVersion(now, ep.Service, ep.SoftwareVersion, now)
+}
+
+// recordDepartedVersion remembers that a service's last engine of a software version may
+// have left at a point in time.
+func (c *Core) recordDepartedVersion(now time.Time, service, version string, at time.Time) {
+	versions := c.departedVersions[service]
 	if versions == nil {
 		versions = make(map[string]time.Time)
-		c.departedVersions[ep.Service] = versions
+		c.departedVersions[service] = versions
 	}
 	maps.DeleteFunc(versions, func(_ string, at time.Time) bool { return now.Sub(at) > streamMemory })
-	versions[ep.SoftwareVersion] = now
+	if at.After(versions[version]) {
+		versions[version] = at
+	}
 }
 
 // refuseUnknownStream refuses a call that continues a stream of which nobody knows
--- a/internal/gate/unknown_test.go
+++ b/internal/gate/unknown_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
 )
@@ -123,3 +124,36 @@
 		t.Errorf("held for %v", held)
 	}
 }
+
+// An entry that has just started finds one version registered. Streams may have begun at
+// another one, whose last engine has left since: it must learn that from the lease's record.
+func TestStartedEntryKnowsVersionThatHasLeft(t *testing.T) {
+	leader := newLeaderHarness(t)
+	leader.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"))
+	leader.advance(time.Second)
+	appended, found := findEffect[AppendLease](leader.passTime(time.Second))
+	if !found {
+		t.Fatal("the leader did not renew its lease")
+	}
+	h := newHarness(t)
+	h.advance(2 * time.Second)
+	h.apply(ConfigRead{
+		Config: liveConfig(),
+		SentAt: h.now,
+	})
+	h.endpoints(versionedEngine("llm-2", "v2"))
+	record := appended.Record
+	record.Host, record.Incarnation = "front-2", 7
+	h.apply(LeaseRead{
+		Read: lease.Read{
+			Record: record,
+			End:    1,
+			Exists: true,
+		},
+		SentAt: h.now,
+	})
+	_, effects := h.live("began")
+	if send, sent := findEffect[Send](append(effects, h.passTime(3*time.Second)...)); sent {
+		t.Errorf("a stream that may have begun at v1 was resumed at %s", send.SoftwareVersion)
+	}
+}
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -35,6 +35,18 @@
 	// Quarantine holds the parts of prompts that are kept from engines, so that it
 	// outlives all entries.
 	Quarantine []QuarantinedPart `json:"quarantine,omitempty"`
+	// Versions are the software versions at which streams may have begun, so that a process
+	// that starts knows of those that have left.
+	Versions []ServiceVersion `json:"versions,omitempty"`
+}
+
+// ServiceVersion is a software version of a service's engines.
+type ServiceVersion struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// AgeMs is how long ago the last engine of the version left when the record was
+	// written, in milliseconds, 0 while one is registered.
+	AgeMs int64 `json:"ageMs,omitempty"`
 }
 
 // QuarantinedPart is a part of prompts that is kept from engines.
