Simulate resumed streams at the routes of three sites

Sites of simulated fleets now say which routes, models, engines and memory there are; how long clients wait follows from the route's objective as in PROTOCOL.md.

--- a/internal/gate/resume_client_test.go
+++ b/internal/gate/resume_client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -10,16 +9,10 @@
 	"dogwoodfold/pkg/fault"
 )
 
-const (
-	// streamTimeout is how long a client waits for a whole stream, abandonTime how long
-	// for its next event.
-	streamTimeout = 15 * time.Second
-	abandonTime   = 2400 * time.Millisecond
-)
-
 // simStream is a stream that a client asks for.
 type simStream struct {
 	sim      *fleetSim
+	route    *simRoute
 	model    string
 	parts    []poison.Part
 	deadline time.Time
@@ -61,6 +54,8 @@
 type simResult struct {
 	begun, asked    int
 	wentOn, resumed int
+	// begunAt and askedAt are the numbers of new streams by their route.
+	begunAt, askedAt map[string]int
 	// wentOnAfter and resumedAfter are those numbers by what broke the stream.
 	wentOnAfter, resumedAfter map[string]int
 	// uncounted are resumptions that the rule doesn't count.
@@ -71,29 +66,6 @@
 	causes map[string]int
 }
 
-// drawModel returns a model by its popularity.
-func (s *fleetSim) drawModel() string {
-	total := 0.0
-	for i := range s.models {
-		total += 1 / float64(i+1)
-	}
-	x := s.random.Float64() * total
-	for i, model := range s.models {
-		if x -= 1 / float64(i+1); x < 0 {
-			return model
-		}
-	}
-	return s.models[0]
-}
-
-// drawParts returns the shared parts of a prompt: one of a few instructions and one of
-// many documents, by their popularity.
-func (s *fleetSim) drawParts() []poison.Part {
-	const instructions, documents = 5, 300
-	document := int(math.Pow(documents, s.random.Float64()))
-	return []poison.Part{poison.Part(1 + s.random.IntN(instructions)), poison.Part(100 + document)}
-}
-
 // drawEntry returns an entry that takes clients, nil if there is none.
 func (s *fleetSim) drawEntry() *simEntry {
 	up := slices.Clone(s.entries)
@@ -105,12 +77,13 @@
 }
 
 // beginStream makes a client ask for a stream.
-func (s *fleetSim) beginStream(model string) {
+func (s *fleetSim) beginStream(route *simRoute, model string) {
 	stream := &simStream{
 		sim:      s,
+		route:    route,
 		model:    model,
-		parts:    s.drawParts(),
-		deadline: s.now.Add(streamTimeout),
+		parts:    s.drawParts(route),
+		deadline: s.now.Add(route.timeout),
 	}
 	entry := s.drawEntry()
 	if entry == nil {
@@ -135,9 +108,9 @@
 	request := &Request{
 		ID:            a.id,
 		Host:          "h",
-		Path:          "/plan/1",
+		Path:          "/" + st.route.name + "/1",
 		Model:         st.model,
-		PromptTokens:  1500,
+		PromptTokens:  st.route.promptTokens,
 		SharedParts:   st.parts,
 		ClientTimeout: st.deadline.Sub(s.now),
 		ArrivedAt:     s.now,
@@ -148,11 +121,12 @@
 	entry.apply(RequestArrived{Call: a.call, Request: request})
 }
 
-// watch makes the client abandon the request if nothing comes for abandonTime.
+// watch makes the client abandon the request if nothing comes for as long as it
+// is patient.
 func (a *simAttempt) watch() {
 	a.progress++
 	progress := a.progress
-	a.stream.sim.after(abandonTime, func() {
+	a.stream.sim.after(a.stream.route.patience(), func() {
 		if a.ended || a.progress != progress || a.run != nil && !a.run.firstAt.IsZero() {
 			return
 		}
@@ -238,7 +212,9 @@
 		st.id, st.version = a.id, run.engine.version
 		if st.counted {
 			st.sim.result.asked++
+			st.sim.result.askedAt[st.route.name]++
 			st.sim.result.begun++
+			st.sim.result.begunAt[st.route.name]++
 		}
 		st.counted = false
 		st.events = 1
@@ -326,7 +302,7 @@
 		st.retried = true
 		st.again(20*time.Millisecond, why)
 		return
-	case st.events == 0 || st.resumed || st.events >= streamEvents:
+	case st.events == 0 || st.resumed || st.events >= st.route.events || !st.route.resumable:
 		st.fail("broken again: " + why)
 		return
 	}
@@ -377,6 +353,7 @@
 	st.counted = false
 	if !st.resumed {
 		st.sim.result.asked++
+		st.sim.result.askedAt[st.route.name]++
 		return
 	}
 	st.sim.result.resumed++
--- a/internal/gate/resume_engine_test.go
+++ b/internal/gate/resume_engine_test.go
@@ -11,17 +11,9 @@
 )
 
 const (
-	engineSimCount    = 9
-	engineSimSlots    = 64
-	engineSimQueue    = 16
-	engineSimMemoryMB = 200
 	heartbeatInterval = 1200 * time.Millisecond
 	// reportAge is how old the engines' reports of themselves are.
 	reportAge = 200 * time.Millisecond
-	// eventInterval is the time between two events of a stream, streamEvents the
-	// number of events of a stream.
-	eventInterval = 30 * time.Millisecond
-	streamEvents  = 60
 	// drainTime is how long an engine runs on after it has said that it leaves.
 	drainTime = 4 * time.Second
 )
@@ -98,14 +90,14 @@
 // placeModels starts the first engines, with the busy models at several of them.
 func (s *fleetSim) placeModels() {
 	rank := 0
-	for range engineSimCount {
+	for range s.site.engines {
 		s.startEngine(s.newAddress(), "v1", nil)
 	}
-	for range 3 {
+	for range s.site.modelsPerEngine {
 		for _, e := range s.engines {
 			model := s.models[rank%len(s.models)]
 			if rank >= len(s.models) {
-				model = s.drawModel()
+				_, model = s.draw()
 			}
 			if e.models[model] || e.freeMemory() < s.spec(model).SizeMB {
 				continue
@@ -158,7 +150,7 @@
 }
 
 func (e *simEngine) freeMemory() float64 {
-	free := float64(engineSimMemoryMB)
+	free := e.sim.site.memoryMB
 	for model := range e.models {
 		free -= e.sim.spec(model).SizeMB
 	}
@@ -168,8 +160,8 @@
 // keep adds a model, which leaves copies in memory and on the disk.
 func (e *simEngine) keep(model string) {
 	e.models[model] = true
-	e.inMemory = keepRecent(e.inMemory, model, 4)
-	e.onDisk = keepRecent(e.onDisk, model, 8)
+	e.inMemory = keepRecent(e.inMemory, model, e.sim.site.modelsInMemory)
+	e.onDisk = keepRecent(e.onDisk, model, e.sim.site.modelsOnDisk)
 }
 
 func keepRecent(list []string, model string, limit int) []string {
@@ -228,7 +220,7 @@
 			Address:         e.address,
 			Zone:            "a",
 			SoftwareVersion: e.version,
-			Slots:           engineSimSlots,
+			Slots:           e.sim.site.slots,
 			Sequence:        e.sequence,
 			Incarnation:     e.born,
 			Draining:        e.draining,
@@ -343,11 +335,12 @@
 	switch {
 	case !e.models[run.model]:
 		return Result{Outcome: OutcomeNotRun, Reason: ReasonModelMissing, Status: 421}, false
-	case e.unloading == run.model || len(e.runs) >= engineSimSlots+engineSimQueue:
+	case e.unloading == run.model || len(e.runs) >= e.sim.site.slots+e.sim.site.queue:
 		return Result{Outcome: OutcomeNotRun, Reason: ReasonRefused, Status: 503}, false
 	}
 	e.runs = append(e.runs, run)
-	e.promptsUntil = latest(e.promptsUntil, e.sim.now).Add(e.sim.between(50*time.Millisecond, 100*time.Millisecond))
+	readTime := run.attempt.stream.route.readTime
+	e.promptsUntil = latest(e.promptsUntil, e.sim.now).Add(e.sim.between(readTime[0], readTime[1]))
 	e.sim.after(e.promptsUntil.Sub(e.sim.now), run.begin)
 	return Result{}, true
 }
@@ -365,7 +358,7 @@
 			r.attempt.entry.post(s.delay(), AnswerContinues{Call: r.attempt.call})
 		}
 	})
-	s.after(time.Duration(max(streamEvents-r.events-1, 0))*eventInterval, func() {
+	s.after(time.Duration(max(r.attempt.stream.route.events-r.events-1, 0))*s.site.eventInterval, func() {
 		if !r.ended {
 			r.stop()
 			r.attempt.complete()
@@ -378,7 +371,8 @@
 	r.ended = true
 	r.engine.runs = slices.DeleteFunc(r.engine.runs, func(other *simRun) bool { return other == r })
 	if !r.firstAt.IsZero() {
-		events := 1 + int(r.engine.sim.now.Sub(r.firstAt)/eventInterval)
-		r.attempt.stream.events = min(r.events+events, streamEvents)
+		st := r.attempt.stream
+		events := 1 + int(st.sim.now.Sub(r.firstAt)/st.sim.site.eventInterval)
+		st.events = min(r.events+events, st.route.events)
 	}
 }
--- a/internal/gate/resume_sim_test.go
+++ b/internal/gate/resume_sim_test.go
@@ -38,6 +38,7 @@
 
 // fleetSim simulates a fleet of entries with its store, its engines and its clients.
 type fleetSim struct {
+	site       *simSite
 	now        time.Time
 	random     *rand.Rand
 	tasks      simTasks
@@ -65,8 +66,9 @@
 	contactTime = 3 * time.Second
 )
 
-func newFleetSim(seed uint64) *fleetSim {
+func newFleetSim(site *simSite, seed uint64) *fleetSim {
 	s := &fleetSim{
+		site:     site,
 		now:      start,
 		random:   rand.New(rand.NewPCG(seed, 77)),
 		registry: make(map[string]simRecord),
@@ -74,6 +76,8 @@
 		result: simResult{
 			wentOnAfter:  make(map[string]int),
 			resumedAfter: make(map[string]int),
+			begunAt:      make(map[string]int),
+			askedAt:      make(map[string]int),
 			causes:       make(map[string]int),
 		},
 	}
@@ -91,50 +95,6 @@
 	return s
 }
 
-// newConfig returns a configuration with one resumable route and 13 models.
-func (s *fleetSim) newConfig() *topo.Config {
-	models := make(map[string]*topo.Model)
-	for i := range 13 {
-		name := modelName(i)
-		s.models = append(s.models, name)
-		models[name] = &topo.Model{
-			Name:           name,
-			SizeMB:         43 + 30*s.random.Float64(),
-			StoreLoadTime:  s.between(5*time.Second, 8600*time.Millisecond),
-			DiskLoadTime:   2 * time.Second,
-			MemoryLoadTime: time.Second,
-		}
-	}
-	config := &topo.Config{
-		Version: 1,
-		Routes: []*topo.Route{{
-			Name:             "plan",
-			Host:             "h",
-			PathPrefix:       "/plan/",
-			Kind:             topo.Stream,
-			Resumable:        true,
-			MaxAttempts:      2,
-			LatencyObjective: 600 * time.Millisecond,
-			GapObjective:     300 * time.Millisecond,
-			Timeout:          streamTimeout,
-			Targets:          []topo.Target{{Service: "llm", Weight: 1}},
-		}},
-		Services: map[string]*topo.Service{"llm": {
-			Name:     "llm",
-			MaxConns: 300,
-			Engine: &topo.EngineSpec{
-				Slots:          engineSimSlots,
-				KVCacheTokens:  500_000,
-				WeightMemoryMB: engineSimMemoryMB,
-				AdapterSlots:   4,
-				LoadsPerSecond: 1.3,
-				Models:         models,
-			},
-		}},
-	}
-	return config.BuildIndex()
-}
-
 // after schedules a task.
 func (s *fleetSim) after(d time.Duration, run func()) {
 	s.tasksAdded++
--- a/internal/gate/resume_test.go
+++ b/internal/gate/resume_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"testing"
@@ -10,6 +11,9 @@
 // simDay says what happens to a simulated fleet. Troubles whose times are zero never
 // happen.
 type simDay struct {
+	// site is plainSite, length is simLength if not set.
+	site   *simSite
+	length time.Duration
 	// rate is the number of new streams per second.
 	rate float64
 	// engineEnds is the time between two ends of engines, of those whose version has
@@ -26,13 +30,16 @@
 const (
 	simWarmUp = 6 * time.Second
 	simLength = 90 * time.Second
+	// simBurst is how many times the usual number of streams a burst of the sites has.
+	simBurst = 1.7
 )
 
 // play simulates a day.
 func (d simDay) play(seed uint64) simResult {
-	s := newFleetSim(seed)
+	site, length := cmp.Or(d.site, &plainSite), cmp.Or(d.length, simLength)
+	s := newFleetSim(site, seed)
 	s.run(simWarmUp)
-	s.traffic(d.rate, simLength)
+	s.traffic(d.rate, length)
 	s.rollVersions()
 	s.often(d.engineEnds, func() { s.endEngine(d.fewOnly) })
 	s.often(d.entryKills, func() { s.restart(s.entries[s.random.IntN(len(s.entries))]) })
@@ -43,7 +50,7 @@
 		}
 	})
 	s.often(d.bursts, s.burst)
-	s.run(simLength)
+	s.run(length)
 	return s.result
 }
 
@@ -60,21 +67,22 @@
 
 // traffic makes clients ask for streams for a time.
 func (s *fleetSim) traffic(rate float64, d time.Duration) {
-	s.arrivals(rate, s.now.Add(d), s.drawModel)
+	s.arrivals(rate, s.now.Add(d), s.draw)
 }
 
-func (s *fleetSim) arrivals(rate float64, end time.Time, model func() string) {
+func (s *fleetSim) arrivals(rate float64, end time.Time, draw func() (*simRoute, string)) {
 	gap := time.Duration(-math.Log(1-s.random.Float64()) / rate * float64(time.Second))
 	s.after(gap, func() {
 		if s.now.After(end) {
 			return
 		}
-		s.beginStream(model())
-		s.arrivals(rate, end, model)
+		s.beginStream(draw())
+		s.arrivals(rate, end, draw)
 	})
 }
 
-// burst makes clients ask for models that the engines of the newest version hold.
+// burst makes clients ask at the first route for models that the engines of the newest
+// version hold.
 func (s *fleetSim) burst() {
 	newest := ""
 	for _, e := range s.engines {
@@ -88,8 +96,8 @@
 		return
 	}
 	rate := 40 + 60*s.random.Float64()
-	s.arrivals(rate, s.now.Add(s.between(time.Second, 4*time.Second)), func() string {
-		return models[s.random.IntN(len(models))]
+	s.arrivals(rate, s.now.Add(s.between(time.Second, 4*time.Second)), func() (*simRoute, string) {
+		return &s.site.routes[0], models[s.random.IntN(len(models))]
 	})
 }
 
@@ -170,6 +178,32 @@
 		{"leaders", 8, simDay{rate: 35, leaderKills: seconds(5, 12)}},
 		{"entries", 8, simDay{rate: 35, entryKills: seconds(4, 9)}},
 		{"bursts", 8, simDay{rate: 35, engineEnds: seconds(5, 12), bursts: seconds(5, 10)}},
+		{"bookEngines", 12, simDay{
+			site:       &ngomaBook,
+			length:     180 * time.Second,
+			rate:       simBurst * 51.4,
+			engineEnds: seconds(5, 12),
+		}},
+		{"bookIncident", 12, simDay{
+			site:       &ngomaBook,
+			length:     180 * time.Second,
+			rate:       simBurst * 51.4,
+			engineEnds: seconds(11.7, 12.3),
+			entryKills: seconds(58, 58),
+		}},
+		{"giraMixed", 6, simDay{
+			site:       &ttGira,
+			length:     150 * time.Second,
+			rate:       simBurst * 75.1,
+			engineEnds: seconds(5, 12),
+			entryKills: seconds(12, 30),
+		}},
+		{"payslipEngines", 6, simDay{
+			site:       &hanmaruPayslip,
+			length:     60 * time.Second,
+			rate:       simBurst * 124.2,
+			engineEnds: seconds(5, 12),
+		}},
 	}
 	for _, d := range days {
 		for seed := range d.seeds {
@@ -187,6 +221,9 @@
 	resumedShare := float64(r.wentOn) / float64(max(r.resumed, 1))
 	t.Logf("new streams: %d of %d began (%.3f); resumed: %d of %d went on (%.3f); %d not counted",
 		r.begun, r.asked, newShare, r.wentOn, r.resumed, resumedShare, r.uncounted)
+	for _, route := range sortedKeys(r.askedAt) {
+		t.Logf("  at %s: %d of %d began", route, r.begunAt[route], r.askedAt[route])
+	}
 	for _, broke := range sortedKeys(r.resumedAfter) {
 		t.Logf("  after %s: %d of %d went on", broke, r.wentOnAfter[broke], r.resumedAfter[broke])
 	}
