Prove no request sound by one endpoint's failures

A request that had crashed three plain endpoints was answered 500 by one that fails part of its requests. From then on it reached endpoints again as if nothing had been, and crashed seven more: any failure counted as an answer, which clears the crashes before it and makes the request a proven one.

The class: an endpoint that fails by itself vouches for whatever it was sent.

Now a failure ends the trial, so that the next one may be tried at once, but proves nothing by itself. Only a success does, or failures of the request at two endpoints as one entry saw them, with no crash since the first. So a sound request that always fails is tried with one at a time at most until then. A failure that ended with its connection counts once the endpoint is known to go on running, as before.

TestPlainSuspectIsTriedOnce expected that a single 500 clears a request, which is the fault. Its case with a 500 is now TestPlainSuspectThatFailsIsTriedAtOtherEndpoint: the same checks during the trial and of the request that waits, then that the failures of one endpoint clear nothing and those of two clear it for all entries.

Evidence: TestFailureOfFaultyEndpointDoesNotClearBadRequest (7 requests of at most 3, both with and without the end of the connection) and that test failed before and pass now.

--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,6 +19,10 @@
 	trialTime = 5 * time.Second
 	// trialRetryAfter is the retry delay while another request is on trial.
 	trialRetryAfter = 1500 * time.Millisecond
+	// provingFailures is the number of endpoints that must have failed a suspect request,
+	// with no crash since the first of them, before it counts as answered: one endpoint
+	// may fail requests before they run.
+	provingFailures = 2
 )
 
 // crashWatch holds what an entry knows of crashes of endpoints.
@@ -30,6 +35,8 @@
 	// endedTrials are the suspect parts of requests that ended without showing
 	// anything, of which the leader must be told.
 	endedTrials []poison.Part
+	// failures are those of suspect requests to plain endpoints, by fingerprint.
+	failures map[poison.Part]*failureRecord
 	// logged are the quarantines that were logged, with their ends.
 	logged         map[poison.Part]time.Time
 	loggedRevision uint64
@@ -42,6 +49,8 @@
 	// fingerprint is that of a request to a plain endpoint whose answer was complete,
 	// if the endpoint goes on running.
 	fingerprint poison.Part
+	// failed is true if that answer was a failure.
+	failed bool
 	// suspects are the parts for which the request was on trial.
 	suspects []poison.Part
 	// broken is true if the answer was cut off, false if it ended with its
@@ -49,6 +58,12 @@
 	broken bool
 }
 
+// failureRecord holds the endpoints that have failed a suspect request and not crashed.
+type failureRecord struct {
+	since time.Time
+	runs  map[poison.Run]bool
+}
+
 // trial is a request that was sent to find out whether one of its parts crashes
 // engines.
 type trial struct {
@@ -57,28 +72,62 @@
 
 func newCrashWatch() crashWatch {
 	return crashWatch{
-		log:     poison.NewLog(),
-		endings: make(map[poison.Run][]ending),
-		probes:  make(map[poison.Run]time.Time),
+		log:      poison.NewLog(),
+		endings:  make(map[poison.Run][]ending),
+		probes:   make(map[poison.Run]time.Time),
+		failures: make(map[poison.Part]*failureRecord),
 	}
 }
 
-// prune forgets endings that are too old to be those of a crash.
+// prune forgets endings that are too old to be those of a crash, and failures of requests
+// that are no longer suspect.
 func (w *crashWatch) prune(now time.Time) {
 	for run, endings := range w.endings {
 		if _, probing := w.probes[run]; !probing {
-			w.keepEndings(run, slices.DeleteFunc(endings, func(e ending) bool { return w.expire(now, e) }))
+			w.keepEndings(run, slices.DeleteFunc(endings, func(e ending) bool { return w.expire(now, run, e) }))
 		}
 	}
+	maps.DeleteFunc(w.failures, func(p poison.Part, _ *failureRecord) bool { return !w.isSuspect(now, p) })
+}
+
+func (w *crashWatch) isSuspect(now time.Time, p poison.Part) bool {
+	return w.log.Judge(now, []poison.Part{p}).Verdict != poison.Clear
+}
+
+// addFailure records that an endpoint has failed a request to it and goes on running. It
+// reports whether that proves, with earlier failures, that the request is sound.
+func (w *crashWatch) addFailure(now time.Time, run poison.Run, fingerprint poison.Part) (proves bool) {
+	if !w.isSuspect(now, fingerprint) {
+		return false
+	}
+	record := w.failures[fingerprint]
+	if record == nil || w.log.ResolvedSince(fingerprint, record.since) {
+		record = &failureRecord{
+			since: now,
+			runs:  make(map[poison.Run]bool),
+		}
+		w.failures[fingerprint] = record
+	}
+	record.runs[run] = true
+	if len(record.runs) < provingFailures {
+		return false
+	}
+	delete(w.failures, fingerprint)
+	w.log.AddAnswer(now, []poison.Part{fingerprint})
+	return true
 }
 
 // expire reports whether an ending is too old to be that of a crash. An answer that was
 // complete if its endpoint goes on running then counts as one.
-func (w *crashWatch) expire(now time.Time, e ending) bool {
+func (w *crashWatch) expire(now time.Time, run poison.Run, e ending) bool {
 	if now.Sub(e.at) <= endingMemory {
 		return false
 	}
-	if e.fingerprint != 0 {
+	switch {
+	case e.fingerprint == 0:
+	case e.failed:
+		w.addFailure(now, run, e.fingerprint)
+	default:
 		w.log.AddAnswer(now, []poison.Part{e.fingerprint})
 	}
 	return true
@@ -117,12 +166,20 @@
 	}
 }
 
+// recordFailure records that an endpoint has failed a request to it.
+func (c *Core) recordFailure(now time.Time, run poison.Run, fingerprint poison.Part) {
+	if c.crashes.addFailure(now, run, fingerprint) {
+		c.spreadPoison(now)
+	}
+}
+
 // recordEnding records what the end of an attempt says about the request. An answer
 // that was cut off says nothing until it is known whether its endpoint has crashed.
 func (c *Core) recordEnding(now time.Time, call *activeCall, ep *endpoint, result Result) {
 	run := runOf(ep.Endpoint)
 	suspects := call.takeTrial()
-	answered := result.Outcome == OutcomeComplete || result.Outcome == OutcomeFailed && call.plain
+	failed := result.Outcome == OutcomeFailed && call.plain
+	answered := result.Outcome == OutcomeComplete || failed
 	if result.Reason != ReasonReset {
 		defer c.endTrial(now, suspects)
 	}
@@ -152,8 +209,11 @@
 		}
 		if call.plain {
 			ended.fingerprint = call.fingerprint
+			ended.failed = failed
 		}
 		c.crashes.endings[run] = append(c.crashes.endings[run], ended)
+	case failed:
+		c.recordFailure(now, run, call.fingerprint)
 	case answered:
 		c.recordAnswer(now, call)
 	case result.Reason == ReasonClientGone && result.Outcome != OutcomeNotRun && call.plain:
