Tell again what an entry has dropped within a session

A request that crashes endpoints was so counted by a part of the entries only.

The class: what was sent counts as known before the other side has applied it.

An entry that has dropped a state now asks for everything (GateReport.asks_all) as soon as the leader's states are recent again, and the leader then forgets what it has sent. An entry that sees in the echoes that the leader has skipped a report tells it everything again, and asks for everything.

Tokens that a skipped report returns are still lost, as are demands in it.

Found by a review.

--- a/internal/gate/follow_test.go
+++ b/internal/gate/follow_test.go
@@ -193,3 +193,59 @@
 	_, sent := findEffect[Send](effects)
 	return sent
 }
+
+// Guards against an entry that never learns of endpoints, holdings and limits since the
+// state that told of them was too old when it came.
+func TestDroppedStateIsToldAgain(t *testing.T) {
+	h := newLeaderHarness(t)
+	h.apply(PeerConnected{Host: "front-2"})
+	h.receiveReport(&wirepb.GateReport{Sequence: 1})
+	h.endpoints(testEndpoint("shop-1", "shop"), testEndpoint("llm-9", "llm", topo.Holding{Model: "big"}))
+	h.apply(LimitNamed{Endpoint: "shop-1", Incarnation: h.core.endpoints["shop-1"].Incarnation, PerSecond: 50})
+	h.receiveReport(&wirepb.GateReport{Sequence: 2}) // the entry drops the answer
+	if answer, _ := findEffect[SendState](h.receiveReport(&wirepb.GateReport{Sequence: 3})); len(answer.State.GetEndpoints()) > 0 {
+		t.Fatalf("endpoints are told twice without need: %v", answer.State.GetEndpoints())
+	}
+	answer, _ := findEffect[SendState](h.receiveReport(&wirepb.GateReport{Sequence: 4, AsksAll: true}))
+	told := make(map[string]bool)
+	for _, e := range answer.State.GetEndpoints() {
+		told[e.GetId()] = true
+	}
+	if !answer.State.GetEndpointsComplete() || !told["llm-9"] || len(told) != len(h.core.endpoints) {
+		t.Errorf("told of endpoints %v, complete %t, want all", told, answer.State.GetEndpointsComplete())
+	}
+	if holdings := answer.State.GetHoldings(); len(holdings) == 0 || answer.State.GetArrivalsUnchanged() {
+		t.Errorf("told of holdings %v, arrivals left out: %t", holdings, answer.State.GetArrivalsUnchanged())
+	}
+	if limits := answer.State.GetLimits(); len(limits) != 1 {
+		t.Errorf("told of limits %v, want that of shop-1", limits)
+	}
+}
+
+// Guards against asking for everything while the answers are too old, and against asking
+// more than once.
+func TestEntryAsksForAllOnceStatesAreRecent(t *testing.T) {
+	h := newFollowerHarness(t)
+	asks := func() bool {
+		h.advance(reportInterval)
+		report, sent := findEffect[SendReport](h.apply(Tick{}))
+		if !sent {
+			t.Fatal("no report is sent")
+		}
+		return report.Report.GetAsksAll()
+	}
+	h.receiveState(&wirepb.GateState{})
+	h.advance(maxStateAge + time.Millisecond)
+	h.receiveState(&wirepb.GateState{}) // dropped
+	if asks() {
+		t.Error("the entry asks for everything before a state is recent enough")
+	}
+	h.receiveState(&wirepb.GateState{})
+	if !asks() {
+		t.Error("the entry doesn't ask for what it has dropped")
+	}
+	h.receiveState(&wirepb.GateState{})
+	if asks() {
+		t.Error("the entry asks for everything again")
+	}
+}
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -42,11 +42,17 @@
 	// reach the store.
 	leaderUnrenewed  bool
 	requestsTakeover bool
-	// newLeader is true until the first report of a session, which lists all
-	// streams, crashes and quarantines that this entry knows. startsReported is the number of the last
-	// stream of its own that it has reported.
+	// newLeader is true until the first report of a session, and of a leader that has
+	// ignored reports: it lists all streams, crashes, quarantines and limits that this
+	// entry knows. startsReported is the number of the last stream of its own that it has
+	// reported.
 	newLeader      bool
 	startsReported uint64
+	// missedNews is true if news in the leader's states may not have been applied, until
+	// the leader is asked for all of it.
+	missedNews bool
+	// echoed is the number of the last report that the leader has answered.
+	echoed uint64
 	// poisonReported is the revision of the crash log that it has reported.
 	poisonReported uint64
 	// limitsReported is the revision of the limits that it has reported,
@@ -139,6 +145,8 @@
 	}
 	c.leaderLink.connected = true
 	c.follower.newLeader = true
+	c.follower.missedNews = false
+	c.follower.echoed = c.follower.sequence
 	c.logChange("connected to leader", host, "", 0)
 	c.sendReport(now)
 }
@@ -254,6 +262,11 @@
 
 		PermitRequests: f.drainPermitRequests(),
 	}
+	if f.missedNews && c.leaderStateCurrent(now) {
+		// Before, the answer would be dropped as well.
+		report.AsksAll = true
+		f.missedNews = false
+	}
 	f.newLeader = false
 	f.requestsTakeover = false
 	if now.Sub(f.reportedAt) >= reportInterval {
@@ -310,8 +323,10 @@
 		return
 	}
 	state := e.State
+	c.follower.recordEcho(state.GetEcho())
 	sentAt, known := c.follower.reportTimes[state.GetEcho()]
 	if !known || now.Sub(sentAt) > maxStateAge {
+		c.follower.missedNews = true
 		return // too old; dropping its grants may lose tokens but never duplicates them
 	}
 	c.follower.lastHeard = now
@@ -361,6 +376,17 @@
 	c.retryParked(now)
 }
 
+// recordEcho records which report a state answers. The leader answers every report that it
+// applies, in order. What a report said that it has skipped must be told again, and a new
+// term may have begun in which it doesn't know what this entry has missed.
+func (f *follower) recordEcho(sequence uint64) {
+	if sequence > f.echoed+1 {
+		f.newLeader = true
+		f.missedNews = true
+	}
+	f.echoed = max(f.echoed, sequence)
+}
+
 // handleUnrenewed reads the lease if the leader cannot renew its term. If the
 // store answers, this entry asks the leader to resign and takes over.
 func (c *Core) handleUnrenewed(now time.Time, unrenewed bool) {
--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// forgetSent makes the next state tell everything, like the first one of a session.
+func (p *peer) forgetSent() {
+	p.endpointsComplete = false
+	p.endpointsSent = 0
+	p.holdingsSent = 0
+	p.arrivalsSent = 0
+	p.startsSent = 0
+	p.learnedSent = 0
+	p.poisonSent = 0
+	p.limitsSent = 0
+}
+
 func (c *Core) handlePeerConnected(now time.Time, host string) {
 	if peer := c.peers[host]; peer != nil {
 		c.clearPeerLoads(peer)
@@ -95,6 +107,9 @@
 		c.resign(now)
 		return
 	}
+	if e.Report.GetAsksAll() {
+		peer.forgetSent()
+	}
 	c.leader.replaceLoads(peer, e.Report.GetLoads())
 	for _, d := range e.Report.GetDemands() {
 		c.applyDemand(now, peer, d)
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -356,3 +356,53 @@
 		t.Error("the engine was not probed")
 	}
 }
+
+// Guards against news of crashes that are lost for as long as a session lasts, because the
+// state with them is too old for the entry that gets it.
+func TestCrashesInDroppedStateAreToldAgain(t *testing.T) {
+	f := newPlainFleet(t)
+	f.pass(time.Second)
+	for range 2 {
+		// front-3's reports take longer than maxStateAge, so it drops the states meanwhile.
+		f.now = f.now.Add(maxStateAge + 100*time.Millisecond)
+		sent := f.mustTryPlain("front-1", "/charge/1", badContent)
+		f.cut("front-1", sent)
+		f.apply("front-1", Tick{})
+		f.pass(time.Second)
+	}
+	bad := poison.NewFingerprint("free", badContent)
+	for i := range 3 {
+		if !f.cores[hostOf(i)].crashes.log.ResolvedSince(bad, time.Time{}) {
+			t.Errorf("%s, in touch with the leader, doesn't know of the crashes", hostOf(i))
+		}
+	}
+}
+
+// Guards against news of crashes that are lost because the leader's term had just run out
+// when they were reported, and was renewed in the same session.
+func TestReportToLapsedLeaderIsToldAgain(t *testing.T) {
+	f := newPlainFleet(t)
+	f.pass(time.Second)
+	core := f.cores["front-1"]
+	for step := 0; core.isLeader(f.now); step++ {
+		f.now = f.now.Add(100 * time.Millisecond) // the store answers no renewal
+		if step > 200 {
+			t.Fatal("the term doesn't run out")
+		}
+	}
+	f.readStore()
+	f.cut("front-2", f.mustTryPlain("front-2", "/charge/1", badContent))
+	lapsed := f.now
+	f.recordAppend(f.acquireLease("front-1"))
+	silent := f.now.Sub(lapsed)
+	f.pass(2 * time.Second)
+	bad := poison.NewFingerprint("free", badContent)
+	if !core.isLeader(f.now) {
+		t.Fatal("front-1 doesn't lead again")
+	}
+	for i := range 3 {
+		if !f.cores[hostOf(i)].crashes.log.ResolvedSince(bad, time.Time{}) {
+			t.Errorf("%s doesn't know of the crash, reported %v before the leader's next term", hostOf(i), silent)
+		}
+	}
+}
