Count own endings with an end that another entry has proved

A request whose answer had ended with its connection, or whose client had left, when its endpoint crashed, was missing from the crash if another entry was the first to prove the end: its own entry had no more reason to connect, and so to probe. After 3 s the answer even counted as a proof that the request is sound.

The class: evidence that is kept until one's own observation, which another one's makes superfluous.

Each entry now adds such endings to a crash of which it learns that the run is over, if they are within 3 s of that proof.

Evidence: TestEndProvedByAnotherEntryTellsOfOwnEndings failed before and passes now. Found by a review.

--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -247,6 +247,7 @@
 	c.retryParked(now)
 	c.reportIfDue(now)
 	c.updateStoreWatch(now)
+	c.joinProvedEnds(now)
 	c.crashes.prune(now)
 	c.crashes.log.Assess(now)
 	c.logQuarantines(now)
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -275,19 +276,59 @@
 	}
 	delete(c.crashes.endings, e.Run)
 	crash := poison.Crash{
-		Run: e.Run,
-		At:  probedAt,
+		Run:   e.Run,
+		At:    probedAt,
+		Parts: partsOf(endings),
 	}
 	if e.Ended {
 		crash.EndedAt = now
 	}
-	for _, ended := range endings {
-		crash.Parts = append(crash.Parts, ended.parts...)
-	}
 	c.logChange("endpoint crashed", e.Run.Engine, "", now.Sub(probedAt))
 	c.addCrash(now, crash)
 }
 
+// partsOf returns the parts of the requests whose answers have ended.
+func partsOf(endings []ending) []poison.Part {
+	var out []poison.Part
+	for _, e := range endings {
+		out = append(out, e.parts...)
+	}
+	return out
+}
+
+// joinProvedEnds adds what this entry has seen end with a run to the crash of which
+// another entry has proved that the run is over: this one may have no reason left to
+// connect to the endpoint, and so to find it out.
+func (c *Core) joinProvedEnds(now time.Time) {
+	for _, run := range slices.SortedFunc(maps.Keys(c.crashes.endings), compareRuns) {
+		endedAt, proved := c.crashes.log.EndTime(run)
+		if !proved {
+			continue
+		}
+		var joined, others []ending
+		for _, e := range c.crashes.endings[run] {
+			if endedAt.Sub(e.at).Abs() <= endingMemory {
+				joined = append(joined, e)
+			} else {
+				others = append(others, e)
+			}
+		}
+		if len(joined) == 0 {
+			continue
+		}
+		c.crashes.keepEndings(run, others)
+		c.addCrash(now, poison.Crash{
+			Run:   run,
+			At:    joined[0].at,
+			Parts: partsOf(joined),
+		})
+	}
+}
+
+func compareRuns(a, b poison.Run) int {
+	return cmp.Or(cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
 // keepAfterProbe keeps the endings that came after a probe that found the engine
 // running, and probes it again if one of them was cut off.
 func (c *Core) keepAfterProbe(now time.Time, run poison.Run, probedAt time.Time) {
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -406,3 +406,40 @@
 		}
 	}
 }
+
+// Guards against losing an answer that ended with its endpoint because another entry has
+// proved the endpoint's end: this entry then has no reason to connect, and so to probe.
+func TestEndProvedByAnotherEntryTellsOfOwnEndings(t *testing.T) {
+	bad := poison.NewFingerprint("free", badContent)
+	for name, result := range map[string]Result{
+		"ends with its connection": {Outcome: OutcomeComplete, CloseDelimited: true},
+		"client gone":              {Outcome: OutcomeMayHaveRun, Reason: ReasonClientGone},
+	} {
+		f := newPlainFleet(t)
+		sent := f.mustTryPlain("front-2", "/charge/1", badContent)
+		var beside Send
+		for i := 0; beside.Endpoint != sent.Endpoint; i++ {
+			beside = f.mustTryPlain("front-3", "/charge/1", fmt.Sprint("sound-", i))
+		}
+		f.now = f.now.Add(runTime)
+		f.apply("front-2", AttemptEnded{Call: sent.Call, Result: result})
+		f.apply("front-3", AttemptEnded{Call: beside.Call, Result: Result{Outcome: OutcomeMayHaveRun, Reason: ReasonReset}})
+		f.apply("front-3", EngineProbed{
+			Run:   poison.Run{Engine: beside.Endpoint, Incarnation: beside.Incarnation},
+			Ended: true,
+		})
+		f.pass(time.Second)
+		f.change(topo.EndpointChange{ID: sent.Endpoint})
+		f.pass(endingMemory + time.Second)
+		log := f.cores["front-1"].crashes.log
+		if !log.ResolvedSince(bad, time.Time{}) {
+			t.Errorf("%s: the bad request isn't in the crash", name)
+		}
+		own := f.cores["front-2"].crashes.log
+		own.AddCrash(f.now, poison.Crash{Run: poison.Run{Engine: "a"}, At: f.now, Parts: []poison.Part{bad}})
+		own.AddCrash(f.now, poison.Crash{Run: poison.Run{Engine: "b"}, At: f.now, Parts: []poison.Part{bad}})
+		if own.Judge(f.now, []poison.Part{bad}).Verdict == poison.Clear {
+			t.Errorf("%s: the bad request counts as answered, so that two further crashes don't lead to a trial", name)
+		}
+	}
+}
