Take another endpoint at the address for the end of the first

A request whose answers end with their connection, and that ends each endpoint, stayed clear after six of them if others had taken their addresses at once: no connection to an ended endpoint failed, so that nothing led to a probe, and the 421 of the successor counted for the registry only.

The class: one sign of an end that is known, beside another that isn't looked at.

Evidence: TestReusedAddressShowsEnd failed before and passes now. Found by a review.

--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -198,6 +198,8 @@
 			suspects: suspects,
 			broken:   true,
 		})
+	case result.Reason == ReasonAddressReused:
+		c.recordReplaced(now, run)
 	case len(parts) == 0:
 	case result.Reason == ReasonDial:
 		if len(c.crashes.endings[run]) > 0 {
@@ -225,6 +227,22 @@
 	}
 }
 
+// recordReplaced records that another endpoint answers at the address of a run, which has
+// therefore ended. A probe would find the other one.
+func (c *Core) recordReplaced(now time.Time, run poison.Run) {
+	endings := c.crashes.endings[run]
+	if len(endings) == 0 {
+		return
+	}
+	delete(c.crashes.endings, run)
+	c.addCrash(now, poison.Crash{
+		Run:     run,
+		At:      endings[0].at,
+		Parts:   partsOf(endings),
+		EndedAt: now,
+	})
+}
+
 // recordCut records an answer that was cut off, and probes its endpoint unless its run is
 // known to be over.
 func (c *Core) recordCut(now time.Time, ep *endpoint, cut ending) {
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -443,3 +443,29 @@
 		}
 	}
 }
+
+// Guards against missing the end of an endpoint whose address another one has taken at
+// once: no connection to it fails, but its successor says that it is another one.
+func TestReusedAddressShowsEnd(t *testing.T) {
+	f := newPlainFleet(t)
+	bad := poison.NewFingerprint("free", badContent)
+	for i := range 6 {
+		sent, err := f.tryPlain("front-2", "/charge/1", badContent)
+		if err != nil {
+			return // it is kept away
+		}
+		f.now = f.now.Add(runTime)
+		f.apply("front-2", AttemptEnded{Call: sent.Call, Result: Result{Outcome: OutcomeComplete, CloseDelimited: true}})
+		var next Send
+		for j := 0; next.Endpoint != sent.Endpoint; j++ {
+			next = f.mustTryPlain("front-2", "/charge/1", fmt.Sprint("sound-", i, j))
+		}
+		f.apply("front-2", AttemptEnded{Call: next.Call, Result: Result{Outcome: OutcomeNotRun, Reason: ReasonAddressReused}})
+		f.change(topo.EndpointChange{ID: sent.Endpoint})
+		f.addShop()
+		f.pass(endingMemory + time.Second)
+	}
+	if f.cores["front-2"].crashes.log.Judge(f.now, []poison.Part{bad}).Verdict == poison.Clear {
+		t.Error("a request is clear after 6 endpoints have ended with its answer and were replaced at their addresses")
+	}
+}
