See the ends of endpoints that end without a reset

A request that ended six endpoints together with their machines, so that each attempt of it ended at its deadline, stayed clear: an attempt that wasn't answered in time was recorded nowhere, and neither it nor the connections that failed afterwards led to a probe.

The class: a crash is known by one of its signs only, the reset.

An attempt that ends at its deadline is now kept for 3 s like one whose client has left. The endpoint is probed once a connection to it fails, or at once if one has just failed or the request was on trial. The trial then goes on until the probe has answered, so that no further one begins before.

An endpoint whose machine is lost for longer than 3 s before the deadline's end is noticed by its failing connections only while attempts still end at it.

Evidence: TestSilentEndIsSeen, TestSilentTrialEndsWithProbe and TestSilentEndIsSeenAfterConnectionsFailed failed before and pass now. Found by a review.

--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -54,8 +54,9 @@
 	failed bool
 	// suspects are the parts for which the request was on trial.
 	suspects []poison.Part
-	// broken is true if the answer was cut off, false if it ended with its
-	// connection or without any event, as a complete one may.
+	// broken is true if the endpoint is to be probed, as after an answer that was cut off,
+	// false if it ended with its connection or without any event, as a complete one may,
+	// or if its client or its deadline ended it.
 	broken bool
 }
 
@@ -134,6 +135,8 @@
 	return true
 }
 
+func (w *crashWatch) addEnding(run poison.Run, e ending) { w.endings[run] = append(w.endings[run], e) }
+
 func (w *crashWatch) keepEndings(run poison.Run, endings []ending) {
 	if len(endings) == 0 {
 		delete(w.endings, run)
@@ -179,9 +182,9 @@
 func (c *Core) recordEnding(now time.Time, call *activeCall, ep *endpoint, result Result) {
 	run := runOf(ep.Endpoint)
 	suspects := call.takeTrial()
-	failed := result.Outcome == OutcomeFailed && call.plain
-	answered := result.Outcome == OutcomeComplete || failed
-	if result.Reason != ReasonReset {
+	expected := ep.Draining || c.endpoints[ep.ID] != ep
+	cut := result.Reason == ReasonReset || !expected && result.silent() && (len(suspects) > 0 || ep.stats.BackingOff(now))
+	if !cut {
 		defer c.endTrial(now, suspects)
 	}
 	parts := call.parts()
@@ -189,9 +192,8 @@
 		parts = nil // they haven't crashed the endpoint
 	}
 	switch {
-	case ep.Draining || c.endpoints[ep.ID] != ep:
-		// Its end is expected.
-	case result.Reason == ReasonReset:
+	case expected:
+	case cut:
 		c.recordCut(now, ep, ending{
 			at:       now,
 			parts:    parts,
@@ -205,7 +207,26 @@
 		if len(c.crashes.endings[run]) > 0 {
 			c.probeEngine(now, run, ep)
 		}
-	case answered && (result.CloseDelimited || result.WithoutEvents):
+	case result.Outcome == OutcomeComplete || result.Outcome == OutcomeFailed && call.plain:
+		c.recordResponse(now, call, run, result)
+	case result.silent() || result.Reason == ReasonClientGone && result.Outcome != OutcomeNotRun && call.plain:
+		c.crashes.addEnding(run, ending{
+			at:    now,
+			parts: parts,
+		})
+	}
+}
+
+// silent reports whether an endpoint that may have got the request hasn't answered in time,
+// as one whose machine is lost. It is probed once a connection to it fails, and at once if
+// one just has or if the request was on trial.
+func (r Result) silent() bool { return r.Reason == ReasonTimeout && r.Outcome != OutcomeNotRun }
+
+// recordResponse records what a complete response says about the request.
+func (c *Core) recordResponse(now time.Time, call *activeCall, run poison.Run, result Result) {
+	failed := result.Outcome == OutcomeFailed
+	switch {
+	case result.CloseDelimited || result.WithoutEvents:
 		ended := ending{
 			at:    now,
 			parts: call.parts(),
@@ -214,16 +235,11 @@
 			ended.fingerprint = call.fingerprint
 			ended.failed = failed
 		}
-		c.crashes.endings[run] = append(c.crashes.endings[run], ended)
+		c.crashes.addEnding(run, ended)
 	case failed:
 		c.recordFailure(now, run, call.fingerprint)
-	case answered:
+	default:
 		c.recordAnswer(now, call)
-	case result.Reason == ReasonClientGone && result.Outcome != OutcomeNotRun && call.plain:
-		c.crashes.endings[run] = append(c.crashes.endings[run], ending{
-			at:    now,
-			parts: call.parts(),
-		})
 	}
 }
 
@@ -255,7 +271,7 @@
 		})
 		return
 	}
-	c.crashes.endings[run] = append(c.crashes.endings[run], cut)
+	c.crashes.addEnding(run, cut)
 	c.probeEngine(now, run, ep)
 }
 
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -469,3 +469,70 @@
 		t.Error("a request is clear after 6 endpoints have ended with its answer and were replaced at their addresses")
 	}
 }
+
+// Guards against a request that ends its endpoints without a reset, as when the endpoint's
+// machine is lost with it: the attempt ends at its deadline, and nothing listens any more.
+func TestSilentEndIsSeen(t *testing.T) {
+	f := newPlainFleet(t)
+	bad := poison.NewFingerprint("free", badContent)
+	for i := range 6 {
+		sent, err := f.tryPlain("front-2", "/charge/1", badContent)
+		if err != nil {
+			return // it is kept away
+		}
+		f.now = f.now.Add(time.Second)
+		f.readStore()
+		f.effects["front-2"] = nil
+		f.apply("front-2", AttemptEnded{Call: sent.Call, Result: Result{Outcome: OutcomeMayHaveRun, Reason: ReasonTimeout}})
+		var next Send
+		for j := 0; next.Endpoint != sent.Endpoint; j++ {
+			next = f.mustTryPlain("front-2", "/charge/1", fmt.Sprint("sound-", i, j))
+		}
+		f.apply("front-2", AttemptEnded{Call: next.Call, Result: Result{Outcome: OutcomeNotRun, Reason: ReasonDial}})
+		if probe, probed := findEffect[ProbeEngine](f.effects["front-2"]); probed {
+			f.apply("front-2", EngineProbed{Run: probe.Run, Ended: true})
+		}
+		f.change(topo.EndpointChange{ID: sent.Endpoint})
+		f.addShop()
+		f.pass(time.Second)
+	}
+	if f.cores["front-2"].crashes.log.Judge(f.now, []poison.Part{bad}).Verdict == poison.Clear {
+		t.Error("a request is clear after 6 endpoints have ended silently while it was under way")
+	}
+}
+
+// Guards against a trial that ends with its deadline, so that the next one begins, before
+// it is known whether the endpoint has ended, and against one that an endpoint which goes
+// on running keeps for good.
+func TestSilentTrialEndsWithProbe(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	trial := f.mustTryPlain("front-3", "/charge/1", badContent)
+	f.effects["front-3"] = nil
+	f.apply("front-3", AttemptEnded{Call: trial.Call, Result: Result{Outcome: OutcomeMayHaveRun, Reason: ReasonTimeout}})
+	probe, probed := findEffect[ProbeEngine](f.effects["front-3"])
+	if !probed {
+		t.Fatal("the endpoint of a trial that wasn't answered in time is not probed")
+	}
+	f.wantOnTrial()
+	f.apply("front-3", EngineProbed{Run: probe.Run, Running: true})
+	f.mustTryPlain("front-2", "/charge/1", badContent)
+}
+
+// Guards against a request that was still waiting for its deadline when connections to its
+// ended endpoint had failed already.
+func TestSilentEndIsSeenAfterConnectionsFailed(t *testing.T) {
+	f := newPlainFleet(t)
+	sent := f.mustTryPlain("front-2", "/charge/1", badContent)
+	var next Send
+	for i := 0; next.Endpoint != sent.Endpoint; i++ {
+		next = f.mustTryPlain("front-2", "/charge/1", fmt.Sprint("sound-", i))
+	}
+	f.apply("front-2", AttemptEnded{Call: next.Call, Result: Result{Outcome: OutcomeNotRun, Reason: ReasonDial}})
+	f.now = f.now.Add(runTime)
+	f.effects["front-2"] = nil
+	f.apply("front-2", AttemptEnded{Call: sent.Call, Result: Result{Outcome: OutcomeMayHaveRun, Reason: ReasonTimeout}})
+	if _, probed := findEffect[ProbeEngine](f.effects["front-2"]); !probed {
+		t.Error("the endpoint is not probed")
+	}
+}
