End a trial that is granted to nobody

A client left while its entry waited for the leader's grant of a trial, or the entry gave up waiting. The grant then went to nobody, and sound requests with the same content were refused for 5 s, until the trial ended by itself.

The class: a right that is granted after its asker has gone is given back by nobody.

An entry now remembers, for as long as the trial may last, which questions about suspect parts nobody waits for any longer, and ends the trial if the leader grants one.

Evidence: TestTrialGrantedToLeftClientEnds and TestTrialGrantedTooLateEnds failed before and pass now.

--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -20,6 +20,9 @@
 	// pending are calls that wait for the leader's reply, for their assigned
 	// send time, or to ask again.
 	pending map[CallID]*activeCall
+	// abandoned are questions about suspect parts whose calls no longer wait for a reply.
+	// The leader may take them for requests on trial.
+	abandoned map[CallID]abandonedTrial
 	// leaderBackoffUntil is the time before which the leader is not asked,
 	// because it did not answer in time.
 	leaderBackoffUntil time.Time
@@ -27,6 +30,13 @@
 	streamStats map[string]streamStats
 }
 
+// abandonedTrial is a question about suspect parts whose reply nobody waits for. A reply
+// after until has no effect, as the trial has then ended at the leader.
+type abandonedTrial struct {
+	suspects []poison.Part
+	until    time.Time
+}
+
 // streamStats are measurements of the streams of one endpoint.
 type streamStats struct {
 	ended  int
@@ -41,6 +51,7 @@
 func newAssignmentClient() assignmentClient {
 	return assignmentClient{
 		pending:     make(map[CallID]*activeCall),
+		abandoned:   make(map[CallID]abandonedTrial),
 		streamStats: make(map[string]streamStats),
 	}
 }
@@ -156,6 +167,9 @@
 	if e.Host != c.leaderLink.host {
 		return
 	}
+	if c.endAbandonedTrial(now, e.Assignment) {
+		return
+	}
 	call := c.assignments.pending[CallID(e.Assignment.GetCall())]
 	if call == nil || call.assignment.stage != stageRequested {
 		return // the call has proceeded without a reply
@@ -168,6 +182,33 @@
 	c.applyAssignment(now, call, e.Assignment)
 }
 
+// abandonTrial remembers that a call doesn't wait any longer for the reply to a question
+// about suspect parts.
+func (a *assignmentClient) abandonTrial(call *activeCall) {
+	if call.assignment.stage != stageRequested || len(call.assignment.suspects) == 0 {
+		return
+	}
+	a.abandoned[call.id] = abandonedTrial{
+		suspects: call.assignment.suspects,
+		until:    call.assignment.resumeAt.Add(trialTime),
+	}
+}
+
+// endAbandonedTrial ends the trial that the leader has granted to a call that doesn't wait
+// for it any longer. It reports whether the reply was to such a call.
+func (c *Core) endAbandonedTrial(now time.Time, reply *wirepb.GateAssignment) bool {
+	id := CallID(reply.GetCall())
+	asked, abandoned := c.assignments.abandoned[id]
+	if !abandoned {
+		return false
+	}
+	delete(c.assignments.abandoned, id)
+	if reply.GetVerdict() == wirepb.GateAssignment_SEND {
+		c.endTrial(now, asked.suspects)
+	}
+	return true
+}
+
 // applyAssignment carries out the leader's verdict on a call.
 func (c *Core) applyAssignment(now time.Time, call *activeCall, reply *wirepb.GateAssignment) {
 	delay := time.Duration(reply.GetAfterUs()) * time.Microsecond
@@ -231,6 +272,7 @@
 // resumeAssignments resumes the pending calls that are due. Once admission is
 // closed, all of them are.
 func (c *Core) resumeAssignments(now time.Time) {
+	maps.DeleteFunc(c.assignments.abandoned, func(_ CallID, a abandonedTrial) bool { return now.After(a.until) })
 	if len(c.assignments.pending) == 0 {
 		return
 	}
@@ -259,6 +301,7 @@
 		c.dispatch(now, call)
 	default:
 		c.assignments.leaderBackoffUntil = now.Add(leaderBackoff)
+		c.assignments.abandonTrial(call)
 		call.assignment.stage = stageLocal
 		c.dispatch(now, call)
 	}
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -353,6 +353,7 @@
 
 // removeCall removes a call that has ended from all maps and queues.
 func (c *Core) removeCall(call *activeCall) {
+	c.assignments.abandonTrial(call)
 	delete(c.calls, call.id)
 	delete(c.parked, call.id)
 	delete(c.assignments.pending, call.id)
--- a/internal/gate/trial_test.go
+++ b/internal/gate/trial_test.go
@@ -492,3 +492,59 @@
 		}
 	}
 }
+
+// Guards against a trial that stays granted to a client that has left while its entry
+// waited for the grant, and keeps sound requests with the same content waiting.
+func TestTrialGrantedToLeftClientEnds(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	core := f.cores["front-3"]
+	f.calls++
+	id := f.calls
+	asked, ok := findEffect[RequestAssignment](core.Apply(f.now, RequestArrived{Call: id, Request: &Request{
+		ID:        "left",
+		Host:      "h",
+		Path:      "/charge/1",
+		Key:       "k2",
+		ArrivedAt: f.now,
+		Content:   badContent,
+	}}))
+	if !ok {
+		t.Fatal("no trial is asked for")
+	}
+	core.Apply(f.now, ClientDisconnected{Call: id})
+	f.apply("front-1", AssignmentRequested{Host: "front-3", Request: asked.Request})
+	f.pass(time.Second)
+	if _, err := f.tryPlain("front-2", "/charge/1", badContent); err != nil {
+		t.Errorf("a second after a trial was granted to a client that had left, the next one is refused: %v", err)
+	}
+}
+
+// Guards against a trial that stays granted to a call whose entry had already given up
+// waiting for the grant.
+func TestTrialGrantedTooLateEnds(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	core := f.cores["front-3"]
+	f.calls++
+	asked, ok := findEffect[RequestAssignment](core.Apply(f.now, RequestArrived{Call: f.calls, Request: &Request{
+		ID:        "late",
+		Host:      "h",
+		Path:      "/charge/1",
+		Key:       "k2",
+		ArrivedAt: f.now,
+		Content:   badContent,
+	}}))
+	if !ok {
+		t.Fatal("no trial is asked for")
+	}
+	f.now = f.now.Add(leaderReplyTimeout)
+	if refuse, refused := findEffect[Refuse](core.Apply(f.now, Tick{})); !refused {
+		t.Fatalf("the call still waits: %v", refuse)
+	}
+	f.apply("front-1", AssignmentRequested{Host: "front-3", Request: asked.Request})
+	f.pass(time.Second)
+	if _, err := f.tryPlain("front-2", "/charge/1", badContent); err != nil {
+		t.Errorf("a second after a trial was granted too late, the next one is refused: %v", err)
+	}
+}
