Find requests that crash endpoints at the same moments as others do

Three or more bad requests, each of which crashes one endpoint within 250 ms of the others, were sent on for good: after 20 crashes each, all of them were clear.

Cause: an episode in which twice as many endpoints end without a part as with it counts as having another cause. Each bad request saw the others' crashes as that cause. The class: symptoms that are explained away by each other.

Crashes with a part that would be put under quarantine for them, if nothing else had a cause, no longer count as another cause. A first rule, by which any part in crashes at two separate moments since its last answer was enough, was rejected: it refused sound requests in TestOrdinaryFailuresQuarantineNothing and TestOrdinaryFailuresQuarantineNoPlainRequest, where all endpoints end together.

TestBadRequestsAtTheSameTimeAreFound failed with three, four and five such requests and passes; TestCommonFailuresBlameNoAnsweredRequest, of sound ones in repeated common failures, passed and passes.

Found by a review.

--- a/internal/poison/assess.go
+++ b/internal/poison/assess.go
@@ -17,7 +17,9 @@
 	suspectCrashes     = 5
 	quarantineEpisodes = 3
 	// An episode has another cause than a part if at least minOtherCrashes engines
-	// crashed without it, and otherCrashRatio times as many as with it.
+	// crashed without it, and otherCrashRatio times as many as with it. Crashes with
+	// another part that would be put under quarantine for its crashes don't count: that
+	// part may be their cause.
 	minOtherCrashes = 2
 	otherCrashRatio = 2
 	// Those are the numbers of episodes for a part with answers before the crashes.
@@ -331,17 +333,39 @@
 	}
 	out := make([]*tally, 0, len(byPart))
 	for _, t := range byPart {
-		t.countEpisodes(crashes)
+		t.countEpisodes(nil)
+	}
+	causeless := withoutCondemned(crashes, byPart)
+	for _, t := range byPart {
+		t.countEpisodes(causeless)
 		out = append(out, t)
 	}
 	slices.SortFunc(out, compareTallies)
 	return out
 }
 
+// withoutCondemned returns the crashes without any part whose crashes would put it under
+// quarantine. Requests that crash engines at the same moments would otherwise be each
+// one's other cause; those that are answered between common failures have few crashes.
+func withoutCondemned(crashes []*loggedCrash, tallies map[Part]*tally) []*loggedCrash {
+	condemned := func(p Part) bool {
+		t := tallies[p]
+		return t != nil && t.condemned()
+	}
+	var out []*loggedCrash
+	for _, c := range crashes {
+		if !slices.ContainsFunc(c.Parts, condemned) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // countEpisodes counts the episodes of the crashes. One in which most engines crashed
-// without the part has another cause and doesn't count. all are the crashes of all
-// parts, oldest first.
-func (t *tally) countEpisodes(all []*loggedCrash) {
+// without the part has another cause and doesn't count. others are the crashes that may
+// have another cause.
+func (t *tally) countEpisodes(others []*loggedCrash) {
+	t.episodes, t.counted = 0, 0
 	for i := 0; i < len(t.crashes); {
 		began := t.crashes[i].At
 		with := 0
@@ -349,12 +373,7 @@
 			with++
 			i++
 		}
-		without := -with
-		for _, c := range all {
-			if gap := c.At.Sub(began); gap >= -episodeGap && gap <= episodeGap {
-				without++
-			}
-		}
+		without := t.countOthers(others, began)
 		if without < minOtherCrashes || without < with*otherCrashRatio {
 			t.episodes++
 			t.counted += with
@@ -362,6 +381,18 @@
 	}
 }
 
+// countOthers counts the crashes without the part at about the given moment.
+func (t *tally) countOthers(crashes []*loggedCrash, moment time.Time) int {
+	count := 0
+	for _, c := range crashes {
+		gap := c.At.Sub(moment)
+		if gap >= -episodeGap && gap <= episodeGap && !slices.Contains(c.Parts, t.part) {
+			count++
+		}
+	}
+	return count
+}
+
 func compareTallies(a, b *tally) int {
 	proven := func(t *tally) int {
 		if t.proven {
--- a/internal/poison/fingerprint_test.go
+++ b/internal/poison/fingerprint_test.go
@@ -295,6 +295,52 @@
 	}
 }
 
+// Guards against several bad requests whose crashes hide each other: each of them crashes
+// one endpoint, all within episodeGap, and each time the others count as another cause.
+func TestBadRequestsAtTheSameTimeAreFound(t *testing.T) {
+	for count := 2; count <= 5; count++ {
+		l := NewLog()
+		const rounds = 20
+		for round := range rounds {
+			when := time.Duration(round) * 2 * time.Second
+			for i := range count {
+				moment := when + time.Duration(i)*20*time.Millisecond
+				l.AddCrash(at(moment), crashOf(fmt.Sprint("e", round, "-", i), moment, NewFingerprint("acme", fmt.Sprint("bad-", i))))
+			}
+		}
+		now := at(rounds * 2 * time.Second)
+		for i := range count {
+			if v := l.Judge(now, []Part{NewFingerprint("acme", fmt.Sprint("bad-", i))}).Verdict; v == Clear {
+				t.Errorf("%d bad requests, each in %d crashes: number %d is clear", count, rounds, i)
+			}
+		}
+	}
+}
+
+// Guards against blaming sound requests that repeat when all endpoints end at one moment,
+// again and again, and the requests are answered in between.
+func TestCommonFailuresBlameNoAnsweredRequest(t *testing.T) {
+	const endpoints, rounds = 9, 20
+	for count := 1; count <= endpoints; count++ {
+		l := NewLog()
+		request := func(i int) Part { return NewFingerprint("acme", fmt.Sprint("sound-", i%count)) }
+		for round := range rounds {
+			failure := time.Duration(round) * 2 * time.Second
+			for i := range endpoints {
+				moment := failure + time.Duration(i)*20*time.Millisecond
+				l.AddCrash(at(moment), crashOf(fmt.Sprint("e", round, "-", i), moment, request(i)))
+			}
+			l.Assess(at(failure + 500*time.Millisecond))
+			for i := range count {
+				l.AddAnswer(at(failure+time.Second), []Part{request(i)})
+				if v := l.Judge(at(failure+time.Second), []Part{request(i)}).Verdict; v != Clear {
+					t.Fatalf("%d requests: number %d has verdict %v after failure %d and an answer", count, i, v, round)
+				}
+			}
+		}
+	}
+}
+
 // BenchmarkAssess measures the verdicts on a full log, with 100 requests that came once
 // and 10 that repeat under way in each crash.
 func BenchmarkAssess(b *testing.B) {
