Try requests that explain the same crashes one at a time

Cause: the leader excluded trials with the same part only, so that each of these trials was a crash of both, and both went on explaining the same crashes. The class: an experiment that changes two things at once.

The leader now also refuses a trial while one with a rival of its parts is under way. The simulations grant trials in the same way.

Two requests whose quarantines end at the same time may still be tried together.

Found by a review.

--- a/internal/gate/trial.go
+++ b/internal/gate/trial.go
@@ -11,7 +11,7 @@
 )
 
 // trialWait returns how long a request must wait, at the leader, until no other one
-// with its suspect parts is on trial, or until their quarantine ends.
+// with its suspect parts or their rivals is on trial, or until their quarantine ends.
 func (c *Core) trialWait(now time.Time, req *wirepb.GateAssignmentAsk) time.Duration {
 	parts := poison.DecodeParts(req.GetSuspects())
 	judgment := c.crashes.log.Judge(now, parts)
@@ -19,14 +19,20 @@
 		return judgment.Until.Sub(now)
 	}
 	for _, p := range parts {
-		t, onTrial := c.leader.trials[p]
-		if onTrial && now.Sub(t.since) < trialTime && !c.crashes.log.ResolvedSince(p, t.since) {
+		rivals := c.crashes.log.Rivals(p)
+		if c.onTrial(now, p) || slices.ContainsFunc(rivals, func(rival poison.Part) bool { return c.onTrial(now, rival) }) {
 			return trialRetryAfter
 		}
 	}
 	return 0
 }
 
+// onTrial reports whether a request with a part is on trial.
+func (c *Core) onTrial(now time.Time, p poison.Part) bool {
+	t, onTrial := c.leader.trials[p]
+	return onTrial && now.Sub(t.since) < trialTime && !c.crashes.log.ResolvedSince(p, t.since)
+}
+
 // endTrial tells the leader that a request with suspect parts has ended. If its engine
 // has crashed, or the prompt was answered, that is known already.
 func (c *Core) endTrial(now time.Time, suspects []poison.Part) {
--- a/internal/gate/trial_test.go
+++ b/internal/gate/trial_test.go
@@ -411,3 +411,44 @@
 		}
 	}
 }
+
+// triesAfterThird is how many requests with one content may reach endpoints later than
+// shortly after its third crash.
+const triesAfterThird = 3
+
+// Guards against two bad requests that are tried at the same moment, at the only endpoint,
+// and so never told apart.
+func TestTrialsOfRivalsExcludeEachOther(t *testing.T) {
+	f := newPlainFleet(t)
+	f.change(topo.EndpointChange{ID: "shop-2"}, topo.EndpointChange{ID: "shop-3"})
+	const other = "bad too"
+	reached := 0
+	for i := range 12 {
+		var running []Send
+		var hosts []string
+		for j, content := range []string{badContent, other} {
+			if sent, err := f.tryPlain(hostOf(i+j), "/charge/1", content); err == nil {
+				running = append(running, sent)
+				hosts = append(hosts, hostOf(i+j))
+			}
+		}
+		if len(running) == 0 {
+			f.pass(time.Second)
+			continue
+		}
+		reached += len(running)
+		f.now = f.now.Add(runTime)
+		for j, sent := range running {
+			f.apply(hosts[j], AttemptEnded{Call: sent.Call, Result: Result{Outcome: OutcomeMayHaveRun, Reason: ReasonReset}})
+		}
+		for j, sent := range running {
+			f.apply(hosts[j], EngineProbed{Run: poison.Run{Engine: sent.Endpoint, Incarnation: sent.Incarnation}, Ended: true})
+		}
+		f.change(topo.EndpointChange{ID: running[0].Endpoint})
+		f.addShop()
+		f.pass(2 * time.Second)
+	}
+	if reached > 2*(3+triesAfterThird) {
+		t.Errorf("two bad requests reached the only endpoint %d times, want at most %d", reached, 2*(3+triesAfterThird))
+	}
+}
--- a/internal/poison/assess.go
+++ b/internal/poison/assess.go
@@ -69,6 +69,8 @@
 	// groups holds the parts that explain the same crashes. Requests with all parts
 	// of a group are under quarantine, those with some of them may be tried.
 	groups map[Part][]Part
+	// rivals holds the same for all suspects, each one's own part included.
+	rivals map[Part][]Part
 	// settling holds the fingerprints that are kept waiting, and until when.
 	settling map[Part]time.Time
 }
@@ -76,6 +78,10 @@
 // Suspects returns the parts that are tried with one request at a time.
 func (l *Log) Suspects() map[Part]bool { return l.verdicts.suspects }
 
+// Rivals returns the suspects, among them the part itself, that explain the same crashes
+// as a suspect part. Only trials that exclude each other tell them apart.
+func (l *Log) Rivals(p Part) []Part { return l.verdicts.rivals[p] }
+
 // Judgment is the verdict on a request.
 type Judgment struct {
 	Verdict Verdict
@@ -198,6 +204,7 @@
 	l.verdicts = verdicts{
 		suspects: make(map[Part]bool),
 		groups:   make(map[Part][]Part),
+		rivals:   make(map[Part][]Part),
 		settling: make(map[Part]time.Time),
 	}
 	unexplained := l.judgeParts(now, l.unexplainedCrashes(), false)
@@ -233,6 +240,7 @@
 func (l *Log) judgeGroup(now time.Time, best *tally, group []Part) {
 	for _, p := range group {
 		l.verdicts.suspects[p] = true
+		l.verdicts.rivals[p] = group
 		if best.condemned() {
 			l.verdicts.groups[p] = group
 		}
--- a/internal/poison/fingerprint_test.go
+++ b/internal/poison/fingerprint_test.go
@@ -153,7 +153,8 @@
 func (f *plainFleet) arrive(now time.Duration, part Part) {
 	r := plainRequest{part: part, entry: f.random.IntN(len(f.logs))}
 	judgment := f.logs[r.entry].Judge(at(now), []Part{part})
-	if until, tried := f.trials[part]; judgment.Verdict == Trial && tried && now < until {
+	rivals := append(slices.Clip(f.logs[r.entry].Rivals(part)), part)
+	if judgment.Verdict == Trial && slices.ContainsFunc(rivals, func(p Part) bool { return now < f.trials[p] }) {
 		judgment.Verdict = Quarantined
 	}
 	if judgment.Verdict == Quarantined {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -270,7 +270,8 @@
 func (f *simFleet) send(engine int, now time.Duration, r simRequest) {
 	judgment := f.log.Judge(at(now), r.parts)
 	for _, p := range judgment.Suspects {
-		if until, onTrial := f.trials[p]; onTrial && now < until {
+		rivals := append(slices.Clip(f.log.Rivals(p)), p)
+		if slices.ContainsFunc(rivals, func(rival Part) bool { return now < f.trials[rival] }) {
 			judgment.Verdict = Quarantined
 		}
 	}
