Forget answers in passes that are as rare as answers are many

Once more than 8192 requests that were in crashes had been answered, each further answer cost an entry 6 to 7 ms.

Cause: such answers are kept as proof, so that a pass over all of them left more than the bound that begins the next pass. The class: a collector that begins again at once because it can't get below its threshold.

The next pass now begins at twice the number that the last one has left, at least 8192, and only parts in one of the 256 crashes that are kept count as proof. No proof that counts is given up for a bound.

BenchmarkAnswerAfterManyCrashes with 8292 requests, one core of a busy machine: 5.8 ms an answer before, 86 ns now. TestAnswersAfterManyCrashesAreBounded failed (24,584 answers after 793 crashes) and passes.

--- a/internal/poison/fingerprint_test.go
+++ b/internal/poison/fingerprint_test.go
@@ -364,3 +364,48 @@
 		l.Assess(at(maxCrashes * time.Second))
 	}
 }
+
+// Guards against answers to parts of crashes that are kept without a bound, and against
+// losing those that are proof.
+func TestAnswersAfterManyCrashesAreBounded(t *testing.T) {
+	const perCrash = 32
+	l := NewLog()
+	for i := range 8 * maxCrashes {
+		now := time.Duration(i) * 100 * time.Millisecond
+		var parts []Part
+		for j := range perCrash - 1 {
+			parts = append(parts, NewFingerprint("acme", fmt.Sprint("single-", i, "-", j)))
+		}
+		parts = append(parts, soundRequest)
+		l.AddCrash(at(now), crashOf(fmt.Sprint("e", i), now, parts...))
+		l.AddAnswer(at(now+time.Millisecond), parts)
+		if v := l.Judge(at(now+time.Millisecond), []Part{soundRequest}).Verdict; v != Clear {
+			t.Fatalf("after crash %d and an answer the verdict is %v, want clear", i, v)
+		}
+		if n, most := len(l.answers), 3*maxCrashes*perCrash; n > most {
+			t.Fatalf("%d answers are kept after %d crashes, want at most %d", n, i+1, most)
+		}
+	}
+}
+
+// BenchmarkAnswerAfterManyCrashes measures one answer when more than maxAnswers requests
+// were under way in crashes and answered when they were sent again.
+func BenchmarkAnswerAfterManyCrashes(b *testing.B) {
+	for _, known := range []int{maxAnswers / 2, maxAnswers + 100} {
+		b.Run(fmt.Sprint(known), func(b *testing.B) {
+			l := NewLog()
+			for i := range known {
+				when := time.Duration(i) * 10 * time.Millisecond
+				p := NewFingerprint("acme", fmt.Sprint("single-", i))
+				l.AddCrash(at(when), crashOf(fmt.Sprint("e", i/32), when, p))
+				l.AddAnswer(at(when+time.Millisecond), []Part{p})
+			}
+			now := at(time.Duration(known) * 10 * time.Millisecond)
+			part := []Part{NewFingerprint("acme", "another")}
+			b.ResetTimer()
+			for b.Loop() {
+				l.AddAnswer(now, part)
+			}
+		})
+	}
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -79,7 +79,8 @@
 const (
 	// memory is how long crashes and answers count.
 	memory = 10 * time.Minute
-	// maxCrashes and maxAnswers bound the crashes and the answers that are kept.
+	// maxCrashes bounds the crashes that are kept, maxAnswers the answers to parts that
+	// are in none of them.
 	maxCrashes = 256
 	maxAnswers = 8192
 	// quarantineMemory is how long a quarantine that has ended is remembered.
@@ -116,7 +117,10 @@
 	repeated map[Part]bool
 	// revision is the number of the last change that other entries need.
 	revision uint64
-	pruneAt  time.Time
+	// pruneAt and pruneAbove are the time and the number of answers of the next pass that
+	// forgets what no longer counts.
+	pruneAt    time.Time
+	pruneAbove int
 	// stale is true if verdicts no longer match the log.
 	stale    bool
 	verdicts verdicts
@@ -175,6 +179,7 @@
 		quarantines: make(map[Part]*loggedQuarantine),
 		lastCrash:   make(map[Part]time.Time),
 		repeated:    make(map[Part]bool),
+		pruneAbove:  maxAnswers,
 	}
 }
 
@@ -415,7 +420,7 @@
 
 // prune forgets, from time to time, what no longer counts.
 func (l *Log) prune(now time.Time) {
-	if now.Before(l.pruneAt) && len(l.answers) <= maxAnswers {
+	if now.Before(l.pruneAt) && len(l.answers) <= l.pruneAbove {
 		return
 	}
 	l.pruneAt = now.Add(pruneInterval)
@@ -425,15 +430,40 @@
 	maps.DeleteFunc(l.repeated, func(p Part, _ bool) bool { return l.lastCrash[p].IsZero() })
 	maps.DeleteFunc(l.quarantines, func(_ Part, q *loggedQuarantine) bool { return now.Sub(q.Until) > quarantineMemory })
 	l.stale = l.stale || len(l.crashes) != before
-	for age := memory; ; age /= 2 {
+	l.pruneAnswers(now)
+}
+
+// pruneAnswers forgets the oldest answers, except for those to parts that are in the kept
+// crashes: they are proof. However many these are, the next pass comes only after as many
+// new ones.
+func (l *Log) pruneAnswers(now time.Time) {
+	since := l.crashesKeptSince()
+	for age := memory; age >= time.Second; age /= 2 {
 		maps.DeleteFunc(l.answers, func(p Part, a *loggedAnswer) bool {
-			_, crashed := l.lastCrash[p]
-			return now.Sub(a.at) > memory || !crashed && now.Sub(a.at) > age
+			crashedAt, crashed := l.lastCrash[p]
+			proof := crashed && !crashedAt.Before(since)
+			return now.Sub(a.at) > memory || !proof && now.Sub(a.at) > age
 		})
-		if len(l.answers) <= maxAnswers/2 || age < time.Second {
-			return
+		if len(l.answers) <= maxAnswers/2 {
+			break
+		}
+	}
+	l.pruneAbove = max(maxAnswers, 2*len(l.answers))
+}
+
+// crashesKeptSince returns the time of the oldest crash of a full log, zero if none was
+// dropped.
+func (l *Log) crashesKeptSince() time.Time {
+	var since time.Time
+	if len(l.crashes) < maxCrashes {
+		return since
+	}
+	for _, c := range l.crashes {
+		if since.IsZero() || c.At.Before(since) {
+			since = c.At
 		}
 	}
+	return since
 }
 
 func (l *Log) dropOldestCrash() {
