Keep the longest quarantines in the record of the lease

With more than 64 quarantines, those of whole requests were left out of the lease's record, however long they were: after a restart of all entries, these requests reached endpoints again.

Cause: the record took the first 64 in the order of parts, in which fingerprints come last. The class: a bound that cuts by an order that has nothing to do with the worth.

The record now has those with the longest durations, of equal ones those that end last.

TestRecordKeepsLongestQuarantines failed and passes.

--- a/internal/gate/crashlog.go
+++ b/internal/gate/crashlog.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"dogwoodfold/internal/lease"
@@ -64,14 +66,15 @@
 // maxRecordedQuarantines bounds the quarantines in a record of the lease.
 const maxRecordedQuarantines = 64
 
-// recordedQuarantine returns the quarantines for the next record of the lease, the
-// longest ones if there are too many.
+// recordedQuarantine returns the quarantines for the next record of the lease, those with
+// the longest durations if there are too many.
 func (c *Core) recordedQuarantine(now time.Time) []lease.QuarantinedPart {
+	quarantines := c.crashes.log.Quarantines()
+	slices.SortStableFunc(quarantines, func(a, b poison.Quarantine) int {
+		return cmp.Or(cmp.Compare(b.Duration, a.Duration), b.Until.Compare(a.Until))
+	})
 	var out []lease.QuarantinedPart
-	for _, q := range c.crashes.log.Quarantines() {
-		if len(out) == maxRecordedQuarantines {
-			break
-		}
+	for _, q := range quarantines[:min(len(quarantines), maxRecordedQuarantines)] {
 		out = append(out, lease.QuarantinedPart{
 			Part:        uint64(q.Part),
 			RemainingMs: q.Until.Sub(now).Milliseconds(),
--- a/internal/gate/trial_test.go
+++ b/internal/gate/trial_test.go
@@ -452,3 +452,29 @@
 		t.Errorf("two bad requests reached the only endpoint %d times, want at most %d", reached, 2*(3+triesAfterThird))
 	}
 }
+
+// Guards against a record of the lease that drops the quarantines of requests first, and
+// not the shortest ones.
+func TestRecordKeepsLongestQuarantines(t *testing.T) {
+	f := newPlainFleet(t)
+	core := f.cores["front-1"]
+	for i := range maxRecordedQuarantines {
+		core.crashes.log.AddQuarantine(f.now, poison.Quarantine{
+			Part:     poison.NewPart(fmt.Sprint("old-", i)),
+			Until:    f.now.Add(time.Second),
+			Duration: 20 * time.Second,
+		})
+	}
+	bad := poison.NewFingerprint("free", badContent)
+	core.crashes.log.AddQuarantine(f.now, poison.Quarantine{
+		Part:     bad,
+		Until:    f.now.Add(time.Hour),
+		Duration: time.Hour,
+	})
+	for _, q := range core.recordedQuarantine(f.now) {
+		if poison.Part(q.Part) == bad {
+			return
+		}
+	}
+	t.Errorf("of %d quarantines the longest one is not in the record", maxRecordedQuarantines+1)
+}
