--- a/internal/poison/fingerprint_test.go
+++ b/internal/poison/fingerprint_test.go
@@ -153,7 +153,8 @@
 func (f *plainFleet) arrive(now time.Duration, part Part) {
 	r := plainRequest{part: part, entry: f.random.IntN(len(f.logs))}
 	judgment := f.logs[r.entry].Judge(at(now), []Part{part})
-	if until, tried := f.trials[part]; judgment.Verdict == Trial && tried && now < until {
+	rivals := append(slices.Clip(f.logs[r.entry].Rivals(part)), part)
+	if judgment.Verdict == Trial && slices.ContainsFunc(rivals, func(p Part) bool { return now < f.trials[p] }) {
 		judgment.Verdict = Quarantined
 	}
 	if judgment.Verdict == Quarantined {
@@ -295,6 +296,52 @@
 	}
 }
 
+// Guards against several bad requests whose crashes hide each other: each of them crashes
+// one endpoint, all within episodeGap, and each time the others count as another cause.
+func TestBadRequestsAtTheSameTimeAreFound(t *testing.T) {
+	for count := 2; count <= 5; count++ {
+		l := NewLog()
+		const rounds = 20
+		for round := range rounds {
+			when := time.Duration(round) * 2 * time.Second
+			for i := range count {
+				moment := when + time.Duration(i)*20*time.Millisecond
+				l.AddCrash(at(moment), crashOf(fmt.Sprint("e", round, "-", i), moment, NewFingerprint("acme", fmt.Sprint("bad-", i))))
+			}
+		}
+		now := at(rounds * 2 * time.Second)
+		for i := range count {
+			if v := l.Judge(now, []Part{NewFingerprint("acme", fmt.Sprint("bad-", i))}).Verdict; v == Clear {
+				t.Errorf("%d bad requests, each in %d crashes: number %d is clear", count, rounds, i)
+			}
+		}
+	}
+}
+
+// Guards against blaming sound requests that repeat when all endpoints end at one moment,
+// again and again, and the requests are answered in between.
+func TestCommonFailuresBlameNoAnsweredRequest(t *testing.T) {
+	const endpoints, rounds = 9, 20
+	for count := 1; count <= endpoints; count++ {
+		l := NewLog()
+		request := func(i int) Part { return NewFingerprint("acme", fmt.Sprint("sound-", i%count)) }
+		for round := range rounds {
+			failure := time.Duration(round) * 2 * time.Second
+			for i := range endpoints {
+				moment := failure + time.Duration(i)*20*time.Millisecond
+				l.AddCrash(at(moment), crashOf(fmt.Sprint("e", round, "-", i), moment, request(i)))
+			}
+			l.Assess(at(failure + 500*time.Millisecond))
+			for i := range count {
+				l.AddAnswer(at(failure+time.Second), []Part{request(i)})
+				if v := l.Judge(at(failure+time.Second), []Part{request(i)}).Verdict; v != Clear {
+					t.Fatalf("%d requests: number %d has verdict %v after failure %d and an answer", count, i, v, round)
+				}
+			}
+		}
+	}
+}
+
 // BenchmarkAssess measures the verdicts on a full log, with 100 requests that came once
 // and 10 that repeat under way in each crash.
 func BenchmarkAssess(b *testing.B) {
@@ -317,3 +364,48 @@
 		l.Assess(at(maxCrashes * time.Second))
 	}
 }
+
+// Guards against answers to parts of crashes that are kept without a bound, and against
+// losing those that are proof.
+func TestAnswersAfterManyCrashesAreBounded(t *testing.T) {
+	const perCrash = 32
+	l := NewLog()
+	for i := range 8 * maxCrashes {
+		now := time.Duration(i) * 100 * time.Millisecond
+		var parts []Part
+		for j := range perCrash - 1 {
+			parts = append(parts, NewFingerprint("acme", fmt.Sprint("single-", i, "-", j)))
+		}
+		parts = append(parts, soundRequest)
+		l.AddCrash(at(now), crashOf(fmt.Sprint("e", i), now, parts...))
+		l.AddAnswer(at(now+time.Millisecond), parts)
+		if v := l.Judge(at(now+time.Millisecond), []Part{soundRequest}).Verdict; v != Clear {
+			t.Fatalf("after crash %d and an answer the verdict is %v, want clear", i, v)
+		}
+		if n, most := len(l.answers), 3*maxCrashes*perCrash; n > most {
+			t.Fatalf("%d answers are kept after %d crashes, want at most %d", n, i+1, most)
+		}
+	}
+}
+
+// BenchmarkAnswerAfterManyCrashes measures one answer when more than maxAnswers requests
+// were under way in crashes and answered when they were sent again.
+func BenchmarkAnswerAfterManyCrashes(b *testing.B) {
+	for _, known := range []int{maxAnswers / 2, maxAnswers + 100} {
+		b.Run(fmt.Sprint(known), func(b *testing.B) {
+			l := NewLog()
+			for i := range known {
+				when := time.Duration(i) * 10 * time.Millisecond
+				p := NewFingerprint("acme", fmt.Sprint("single-", i))
+				l.AddCrash(at(when), crashOf(fmt.Sprint("e", i/32), when, p))
+				l.AddAnswer(at(when+time.Millisecond), []Part{p})
+			}
+			now := at(time.Duration(known) * 10 * time.Millisecond)
+			part := []Part{NewFingerprint("acme", "another")}
+			b.ResetTimer()
+			for b.Loop() {
+				l.AddAnswer(now, part)
+			}
+		})
+	}
+}
