Judge all calls of the product's own interface by the same numbers

One in 256 of the calls was judged by the numbers for fingerprints, and kept only in their bounded memory of answers: kept from endpoints after four crashes instead of three, and tried earlier.

Cause: the hash of a call became its part as it was, with the tag of fingerprints where its highest bits happened to be those of the tag. The class: a mark in a field that is also random data.

The hash is now cleared of the tag, like those of parts. With the tag in all calls TestCrashesOfCallAddUpOverEntries fails, which wants a call refused once three entries have each lost an endpoint to it; these entries have no leader to grant trials.

TestFingerprintsOfCallsAreOfOneKind failed (48 of 10,000 calls) and passes.

Found by a review.

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -592,3 +592,19 @@
 		}
 	}
 }
+
+// Guards against judging a part of the calls, at random, by the numbers for fingerprints
+// and the others by those for parts of prompts.
+func TestFingerprintsOfCallsAreOfOneKind(t *testing.T) {
+	const tag poison.Part = 0xff << 56
+	tagged := 0
+	const calls = 10000
+	for i := range calls {
+		if fingerprint(&wirepb.CallRequest{Method: "POST", Path: fmt.Sprint("/", i)})&tag == tag {
+			tagged++
+		}
+	}
+	if tagged != 0 && tagged != calls {
+		t.Errorf("%d of %d calls are judged as fingerprints, the others as parts", tagged, calls)
+	}
+}
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -113,10 +113,12 @@
 }
 
 // fingerprint returns the hash of what a call asks of its endpoint, by which a repeat is
-// recognized whatever its ID, its idempotency key and its deadline are.
+// recognized whatever its ID, its idempotency key and its deadline are. It is judged like
+// the parts of prompts: entries share no leader that could grant trials of it.
 func fingerprint(request *wirepb.CallRequest) poison.Part {
-	return poison.Part(dedup.NewRequestDigest(request.GetMethod(), request.GetPath(), request.GetQuery(),
-		request.GetCustomer(), string(request.GetBody())))
+	digest := dedup.NewRequestDigest(request.GetMethod(), request.GetPath(), request.GetQuery(),
+		request.GetCustomer(), string(request.GetBody()))
+	return poison.PartOfHash(uint64(digest))
 }
 
 // authenticate determines the customer from the API key of the request.
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -21,7 +21,12 @@
 // to be that of another part.
 func NewPart(id string) Part {
 	sum := sha256.Sum256([]byte(id))
-	p := Part(binary.BigEndian.Uint64(sum[:]))
+	return PartOfHash(binary.BigEndian.Uint64(sum[:]))
+}
+
+// PartOfHash returns the part whose ID has the given hash.
+func PartOfHash(hash uint64) Part {
+	p := Part(hash)
 	if p.isFingerprint() {
 		p &^= 1 << 63 // the tag is that of fingerprints
 	}
