--- a/internal/gate/trial.go
+++ b/internal/gate/trial.go
@@ -10,6 +10,20 @@
 	"dogwoodfold/pkg/fault"
 )
 
+const (
+	// trialTime is how long a request with a suspect part keeps others with that
+	// part waiting if its outcome isn't reported.
+	trialTime = 5 * time.Second
+	// trialRetryAfter is the retry delay while another request is on trial.
+	trialRetryAfter = 1500 * time.Millisecond
+)
+
+// trial is a request that was sent to find out whether one of its parts crashes
+// engines.
+type trial struct {
+	since time.Time
+}
+
 // trialWait returns how long a request must wait, at the leader, until no other one
 // with its suspect parts or their rivals is on trial, or until their quarantine ends.
 func (c *Core) trialWait(now time.Time, req *wirepb.GateAssignmentAsk) time.Duration {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -342,3 +342,35 @@
 		}
 	}
 }
+
+// Guards against entries that tell each other the same crash again and again: a crash that
+// was on its way for a moment is the same one.
+func TestRepeatedNewsOfAnEndChangesNothing(t *testing.T) {
+	leader, entry := NewLog(), NewLog()
+	crash := crashOf("e0", 0, badRequest)
+	crash.EndedAt = at(0)
+	entry.AddCrash(at(0), crash)
+	now := time.Duration(0)
+	tell := func(from, to *Log) {
+		message := Encode(at(now), from.Since(0))
+		now += time.Millisecond
+		to.Merge(at(now), Decode(at(now), message))
+	}
+	tell(entry, leader)
+	before := entry.Revision()
+	for range 10 {
+		tell(leader, entry)
+		tell(entry, leader)
+	}
+	if after := entry.Revision(); after != before {
+		t.Errorf("10 repeats of the same news made %d changes, want none", after-before)
+	}
+	if ended, _ := entry.EndTime(crash.Run); ended.After(at(2 * time.Millisecond)) {
+		t.Errorf("the end has moved by %v", ended.Sub(at(0)))
+	}
+	crash.EndedAt = at(5 * time.Second)
+	entry.AddCrash(crash.EndedAt, crash)
+	if ended, _ := entry.EndTime(crash.Run); !ended.Equal(crash.EndedAt) {
+		t.Errorf("proved again 5s later, the end is known as that after %v", ended.Sub(at(0)))
+	}
+}
