Ask the leader where a stream began that another entry began

The leader heard of both at once; an entry that had been told of the first by the last state resumed the stream at v1 without asking.

The class: a copy used where its source can be asked. An entry now uses by itself only what it began; what it was told counts if the leader can't be asked or doesn't know. It asks the leader for an engine anyway, so this costs nothing.

--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -224,7 +224,8 @@
 	}
 	switch reply.GetVerdict() {
 	case wirepb.GateAssignment_UNKNOWN:
-		c.refuseUnknownStream(now, call)
+		call.assignment.stage = stageLocal
+		c.dispatch(now, call) // this entry may know what the leader doesn't
 		return
 	case wirepb.GateAssignment_SEND:
 		call.assignment.stage = stageAssigned
--- a/internal/gate/starts.go
+++ b/internal/gate/starts.go
@@ -33,6 +33,8 @@
 	// assigned is true if the version is that of the engine that the leader assigned, at
 	// which the stream may not have begun.
 	assigned bool
+	// own is true if this entry began the stream.
+	own bool
 	// number is its number in a startLog, 0 if it is in none.
 	number uint64
 }
@@ -106,7 +108,10 @@
 // that of an earlier attempt, which brought no event.
 func (t *streamTable) recordOwn(now time.Time, key streamKey, version string) {
 	known, isKnown := t.versions[key]
-	t.own.add(t.record(now, key, version), isKnown && !known.assigned)
+	start := t.record(now, key, version)
+	start.own = true
+	t.versions[key] = start
+	t.own.add(start, isKnown && !known.assigned)
 }
 
 // recordLearned remembers the version of a stream that another entry began, for the other
@@ -119,14 +124,15 @@
 	}
 }
 
-// lookup returns the version that began a stream, and keeps it remembered.
-func (t *streamTable) lookup(now time.Time, key streamKey) (version string, known bool) {
+// lookup returns the version that began a stream and whether this entry began it, and keeps
+// it remembered.
+func (t *streamTable) lookup(now time.Time, key streamKey) (version string, own, known bool) {
 	start, known := t.versions[key]
 	if known {
 		start.at = now
 		t.versions[key] = start
 	}
-	return start.version, known
+	return start.version, start.own, known
 }
 
 // prune forgets, from time to time, the streams that were not used for
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -56,11 +56,14 @@
 	if !call.continuesStream() || call.versionKnown {
 		return true
 	}
-	if version, known := c.streamVersion(now, call.request.ResumedRequest); known {
+	version, own, known := c.streamVersion(now, call.request.ResumedRequest)
+	// What another entry has begun may have begun anew since this one was told.
+	askLeader := call.assignment.stage == stageNone && c.leaderAnswers(now)
+	if known && (own || !askLeader) {
 		call.setStreamVersion(version)
 		return true
 	}
-	if call.assignment.stage == stageNone && c.leaderAnswers(now) {
+	if askLeader {
 		c.requestAssignment(now, call)
 		return false
 	}
@@ -99,10 +102,10 @@
 }
 
 // streamVersion returns the software version that began the stream that a request
-// resumes.
-func (c *Core) streamVersion(now time.Time, resumedRequest string) (version string, known bool) {
+// resumes, and whether this entry began it itself.
+func (c *Core) streamVersion(now time.Time, resumedRequest string) (version string, own, known bool) {
 	if resumedRequest == "" {
-		return "", false
+		return "", false, false
 	}
 	return c.streams.lookup(now, newStreamKey(resumedRequest))
 }
@@ -261,7 +264,7 @@
 		return req.GetSoftwareVersion(), true
 	}
 	if req.GetStream() != 0 {
-		if version, known = c.streams.lookup(now, streamKey(req.GetStream())); known {
+		if version, _, known = c.streams.lookup(now, streamKey(req.GetStream())); known {
 			return version, true
 		}
 	}
