--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -227,7 +227,7 @@
 		l.crashes[crash.Run] = known
 	}
 	parts := union(known.Parts, crash.Parts)
-	provesEnd := crash.EndedAt.After(known.EndedAt)
+	provesEnd := crash.EndedAt.Sub(known.EndedAt) > sameEnd
 	if !isNew && !provesEnd && len(parts) == len(known.Parts) {
 		return
 	}
@@ -411,6 +411,11 @@
 	}
 }
 
+// sameEnd is the difference up to which two ends of a run are the same one, told with the
+// error of its age and the delay of the news. A run that is still registered later is
+// proved to be over again.
+const sameEnd = 3 * time.Second
+
 // sameQuarantine is the difference up to which two ends are those of one quarantine.
 const sameQuarantine = 30 * time.Second
 
