--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -24,6 +24,10 @@
 	"dogwoodfold/internal/fakes"
 	"dogwoodfold/internal/plat"
 	"dogwoodfold/pkg/config"
+
+	// The program is built by its own command: without this import, a result would be taken
+	// from the cache after the program has changed.
+	_ "dogwoodfold/internal/cmds"
 )
 
 // programPath is the path of the binary under test.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -12,6 +12,10 @@
 	"syscall"
 	"testing"
 	"time"
+
+	// The program is built by its own command: without this import, a result would be taken
+	// from the cache after the program has changed.
+	_ "dogwoodfold/internal/cmds"
 )
 
 var (
