--- a/internal/gate/resume_test.go
+++ b/internal/gate/resume_test.go
@@ -160,52 +160,117 @@
 // began, though two engines of their version served.
 func TestResumedStreamsGoOnWhileVersionsRoll(t *testing.T) {
 	playDays(t, []namedDay{
-		{"mixed", 20, simDay{
-			rate:         35,
-			engineEnds:   seconds(5, 12),
-			entryKills:   seconds(12, 30),
-			leaderKills:  seconds(15, 40),
-			leaderPauses: seconds(10, 30),
-			bursts:       seconds(10, 20),
-		}},
-		{"enginesOfFew", 8, simDay{rate: 35, engineEnds: seconds(5, 12), fewOnly: true}},
-		{"incident", 20, simDay{rate: 35, engineEnds: seconds(11.7, 12.3), entryKills: seconds(58, 58)}},
-		{"leaders", 8, simDay{rate: 35, leaderKills: seconds(5, 12)}},
-		{"entries", 8, simDay{rate: 35, entryKills: seconds(4, 9)}},
-		{"bursts", 8, simDay{rate: 35, engineEnds: seconds(5, 12), bursts: seconds(5, 10)}},
-		{"bookEngines", 12, simDay{
-			site:       &ngomaBook,
-			length:     180 * time.Second,
-			rate:       simBurst * 51.4,
-			engineEnds: seconds(5, 12),
-		}},
-		{"bookIncident", 12, simDay{
-			site:       &ngomaBook,
-			length:     180 * time.Second,
-			rate:       simBurst * 51.4,
-			engineEnds: seconds(11.7, 12.3),
-			entryKills: seconds(58, 58),
-		}},
-		{"giraMixed", 6, simDay{
-			site:       &ttGira,
-			length:     150 * time.Second,
-			rate:       simBurst * 75.1,
-			engineEnds: seconds(5, 12),
-			entryKills: seconds(12, 30),
-		}},
-		{"payslipEngines", 6, simDay{
-			site:       &hanmaruPayslip,
-			length:     60 * time.Second,
-			rate:       simBurst * 124.2,
-			engineEnds: seconds(5, 12),
-		}},
+		{
+			name:  "mixed",
+			seeds: 20,
+			day: simDay{
+				rate:         35,
+				engineEnds:   seconds(5, 12),
+				entryKills:   seconds(12, 30),
+				leaderKills:  seconds(15, 40),
+				leaderPauses: seconds(10, 30),
+				bursts:       seconds(10, 20),
+			},
+		},
+		{
+			name:  "enginesOfFew",
+			seeds: 8,
+			day: simDay{
+				rate:       35,
+				engineEnds: seconds(5, 12),
+				fewOnly:    true,
+			},
+		},
+		{
+			name:  "incident",
+			seeds: 20,
+			day: simDay{
+				rate:       35,
+				engineEnds: seconds(11.7, 12.3),
+				entryKills: seconds(58, 58),
+			},
+		},
+		{
+			name:  "leaders",
+			seeds: 8,
+			day: simDay{
+				rate:        35,
+				leaderKills: seconds(5, 12),
+			},
+		},
+		{
+			name:  "entries",
+			seeds: 8,
+			day: simDay{
+				rate:       35,
+				entryKills: seconds(4, 9),
+			},
+		},
+		{
+			name:  "bursts",
+			seeds: 8,
+			day: simDay{
+				rate:       35,
+				engineEnds: seconds(5, 12),
+				bursts:     seconds(5, 10),
+			},
+		},
+		{
+			name:  "bookEngines",
+			seeds: 12,
+			day: simDay{
+				site:       &ngomaBook,
+				length:     180 * time.Second,
+				rate:       simBurst * 51.4,
+				engineEnds: seconds(5, 12),
+			},
+		},
+		{
+			name:  "bookIncident",
+			seeds: 12,
+			day: simDay{
+				site:       &ngomaBook,
+				length:     180 * time.Second,
+				rate:       simBurst * 51.4,
+				engineEnds: seconds(11.7, 12.3),
+				entryKills: seconds(58, 58),
+			},
+		},
+		{
+			name:  "giraMixed",
+			seeds: 6,
+			day: simDay{
+				site:       &ttGira,
+				length:     150 * time.Second,
+				rate:       simBurst * 75.1,
+				engineEnds: seconds(5, 12),
+				entryKills: seconds(12, 30),
+			},
+		},
+		{
+			name:  "payslipEngines",
+			seeds: 6,
+			day: simDay{
+				site:       &hanmaruPayslip,
+				length:     60 * time.Second,
+				rate:       simBurst * 124.2,
+				engineEnds: seconds(5, 12),
+			},
+		},
 	})
 }
 
 // Incident LOST, at its hardest: engines of all versions end more often than their models
 // can be loaded again, and clients wait for little more than two seconds.
 func TestResumedStreamsGoOnAfterFrequentEnds(t *testing.T) {
-	playDays(t, []namedDay{{"engines", 20, simDay{rate: 35, engineEnds: seconds(5, 12)}}})
+	playDays(t, []namedDay{{
+		name:  "engines",
+		seeds: 20,
+		day: simDay{
+			rate:       35,
+			engineEnds: seconds(5, 12),
+		},
+	}})
 }
 
 // namedDay is a simulated day that is played with the seeds below a number.
