--- a/internal/gate/endings.go
+++ b/internal/gate/endings.go
@@ -206,7 +206,7 @@
 }
 
 // silent reports whether an endpoint that may have got the request hasn't answered in time,
-// as one whose machine is lost. It is probed once a connection to it fails, and at once if
+// as one whose host is lost. It is probed once a connection to it fails, and at once if
 // one just has or if the request was on trial.
 func (r Result) silent() bool { return r.Reason == ReasonTimeout && r.Outcome != OutcomeNotRun }
 
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -471,7 +471,7 @@
 }
 
 // Guards against a request that ends its endpoints without a reset, as when the endpoint's
-// machine is lost with it: the attempt ends at its deadline, and nothing listens any more.
+// host is lost with it: the attempt ends at its deadline, and nothing listens any more.
 func TestSilentEndIsSeen(t *testing.T) {
 	f := newPlainFleet(t)
 	bad := poison.NewFingerprint("free", badContent)
--- a/internal/gate/resume_client_test.go
+++ b/internal/gate/resume_client_test.go
@@ -294,7 +294,7 @@
 }
 
 // broken handles a connection that has broken: the client asks again if it has no
-// event yet, and takes up the stream once otherwise.
+// event yet, and resumes the stream once otherwise.
 func (st *simStream) broken(why string) {
 	s := st.sim
 	switch {
@@ -310,7 +310,7 @@
 	s.after(s.between(5*time.Millisecond, 150*time.Millisecond), st.resume)
 }
 
-// resume takes up the stream.
+// resume resumes the stream.
 func (st *simStream) resume() {
 	s := st.sim
 	entry := s.drawEntry()
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -103,7 +103,7 @@
 	missed     bool
 	// softwareVersion is the only version of engines that helps, empty if any does.
 	softwareVersion string
-	// backup is true if the copy is to take up the streams of another engine, which an
+	// backup is true if the copy is to continue the streams of another engine, which an
 	// engine with a limit can't.
 	backup bool
 }
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -364,7 +364,7 @@
 	}
 }
 
-// An engine with a limit takes few requests: it can't be the one that takes up the streams of
+// An engine with a limit takes few requests: it can't be the one that continues the streams of
 // another.
 func TestLimitedEngineIsNoBackup(t *testing.T) {
 	p, add := newVersionedPlanner(testSpec())
