Log what the engines held when a resumed stream of the soak didn't go on

It now logs each counted stream that didn't go on, with its version, its model and the versions, models and loads of the engines when it was sent. Checks and draws stay.

--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -74,6 +75,10 @@
 func (en *environment) sendStream(ctx context.Context, client *http.Client, e *entry, sent *clientRequest) (int, error) {
 	resumed := sent.stream.lastEvent > 0
 	counted := sent.kind == draftRoute && en.twoServe(sent.stream) && en.history.inContact(e.name)
+	engines := ""
+	if counted && resumed {
+		engines = en.describeDrafters(sent)
+	}
 	status, err := en.sendRequest(ctx, client, e.frontAddress, sent)
 	if sent.firstEventAt.IsZero() && status == http.StatusOK && err == nil {
 		sent.firstEventAt = time.Now() // the client had all events before
@@ -81,10 +86,29 @@
 	good := !sent.firstEventAt.IsZero() && sent.firstEventAt.Sub(sent.at) < abandonTime
 	if counted && (good || sent.last) && ctx.Err() == nil && en.history.inContact(e.name) {
 		en.history.recordStream(sent.id, resumed, good)
+		if resumed && !good {
+			en.t.Logf("%v %s at %s, of %s at %v, sent when the engines were%s, got %d %v, retry after %v",
+				time.Now().Format("05.000"), sent.id, e.name, sent.model, sent.stream.versions, engines, status, err, sent.retryAfter)
+		}
 	}
 	return status, err
 }
 
+// describeDrafters returns the versions, models and loads of the engines that serve drafts,
+// those of other versions than a stream's without their models.
+func (en *environment) describeDrafters(sent *clientRequest) string {
+	var out strings.Builder
+	for _, ep := range en.readyDrafters() {
+		ep.mu.Lock()
+		fmt.Fprintf(&out, " %s", ep.version)
+		if ep.version == sent.stream.versions[0] {
+			fmt.Fprintf(&out, "[%s %v loading:%t slow:%t]", ep.id, ep.models, ep.loading, time.Now().Before(ep.slowUntil))
+		}
+		ep.mu.Unlock()
+	}
+	return out.String()
+}
+
 // twoServe reports whether two engines of a version of the stream serve, or of any
 // version if it is new.
 func (en *environment) twoServe(stream *clientStream) bool {
