Keep two copies of light models, and after a release

Cause: a second copy was kept for models with 0.01 seconds of engine time per second, which prompts of 25 tokens don't reach though a model has four streams a second; and only while engines of two versions were registered, not after the last engine of the older version had left, when the new ones have one copy of each model. Ruled out: the rate limit of the weight store, loads that failed, a leader that had just begun (all in the time without faults).

A model now needs a second copy from 0.5 requests a second on, too, and as long as versions have differed within the last minute. Reports to the leader count requests; an older entry's count as one each. Backups still come last among the loads, and evict idle models only, as their demand says.

--- a/internal/gate/assignment_test.go
+++ b/internal/gate/assignment_test.go
@@ -202,7 +202,7 @@
 	empty := stock.Report{Holdings: []topo.Holding{{Model: "small"}}}
 	h.apply(EngineReported{Engine: "llm-1", SentAt: h.now, Report: &stock.Report{Holdings: []topo.Holding{{Model: "big"}}}})
 	for range 20 {
-		h.core.leader.planner.RecordDemand(h.now, "llm", modelArtifact("big"), 200*time.Millisecond)
+		h.core.leader.planner.RecordDemand(h.now, "llm", modelArtifact("big"), 1, 200*time.Millisecond)
 	}
 	h.advance(minPlanInterval)
 	order, ok := findEffect[SendOrder](h.apply(EngineReported{Engine: "llm-2", SentAt: h.now, Report: &empty}))
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -66,7 +66,7 @@
 	// reportTimes holds the send times of recent reports by sequence number.
 	reportTimes   map[uint64]time.Time
 	tokenRequests []*wirepb.GateTokens
-	demand        map[string]map[stock.Artifact]time.Duration
+	demand        map[string]map[stock.Artifact]artifactDemand
 	misses        map[string]map[stock.Miss]bool
 	// arrivals are the expected ends of model loads in progress, by service.
 	arrivals map[string]map[stock.Load]time.Time
@@ -75,7 +75,7 @@
 func newFollower() follower {
 	return follower{
 		reportTimes: make(map[uint64]time.Time),
-		demand:      make(map[string]map[stock.Artifact]time.Duration),
+		demand:      make(map[string]map[stock.Artifact]artifactDemand),
 		misses:      make(map[string]map[stock.Miss]bool),
 		arrivals:    make(map[string]map[stock.Load]time.Time),
 
@@ -159,7 +159,13 @@
 	c.logChange("disconnected from leader", host, "", 0)
 }
 
-// recordDemand records the prefill time of a new request for the planner.
+// artifactDemand is the number of new requests for an artifact and their prefill time.
+type artifactDemand struct {
+	requests int
+	work     time.Duration
+}
+
+// recordDemand records a new request and its prefill time for the planner.
 func (c *Core) recordDemand(now time.Time, call *activeCall) {
 	service := c.config.Services[call.service]
 	if service == nil || service.Engine == nil {
@@ -171,13 +177,16 @@
 	}
 	work := c.prefillRate(call.service, call.request.Model).PrefillTime(call.request.PromptTokens)
 	if c.isLeader(now) {
-		c.leader.planner.RecordDemand(now, call.service, artifact, work)
+		c.leader.planner.RecordDemand(now, call.service, artifact, 1, work)
 		return
 	}
 	if c.follower.demand[call.service] == nil {
-		c.follower.demand[call.service] = make(map[stock.Artifact]time.Duration)
+		c.follower.demand[call.service] = make(map[stock.Artifact]artifactDemand)
 	}
-	c.follower.demand[call.service][artifact] += work
+	demand := c.follower.demand[call.service][artifact]
+	demand.requests++
+	demand.work += work
+	c.follower.demand[call.service][artifact] = demand
 }
 
 // requestArtifact tells the leader that a call waits for its model, or for its
@@ -292,12 +301,13 @@
 func (f *follower) drainDemands() []*wirepb.GateDemand {
 	var out []*wirepb.GateDemand
 	for service, artifacts := range f.demand {
-		for artifact, work := range artifacts {
+		for artifact, demand := range artifacts {
 			out = append(out, &wirepb.GateDemand{
-				Service: service,
-				Model:   artifact.Model,
-				Adapter: artifact.Adapter,
-				WorkUs:  uint64(work.Microseconds()),
+				Service:  service,
+				Model:    artifact.Model,
+				Adapter:  artifact.Adapter,
+				WorkUs:   uint64(demand.work.Microseconds()),
+				Requests: uint32(demand.requests),
 			})
 		}
 	}
--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -160,7 +160,10 @@
 		c.leader.planSoon = true
 		return
 	}
-	c.leader.planner.RecordDemand(now, demand.GetService(), artifact, time.Duration(demand.GetWorkUs())*time.Microsecond)
+	work := time.Duration(demand.GetWorkUs()) * time.Microsecond
+	// Entries of older releases don't count requests.
+	requests := max(int(demand.GetRequests()), 1)
+	c.leader.planner.RecordDemand(now, demand.GetService(), artifact, requests, work)
 }
 
 // waitsForAny reports whether the entry waits for any artifact of a set, and forgets
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -75,6 +75,11 @@
 		c.leader.planner.SetLimited(id, ep.limit.limited())
 		c.leader.planner.SetEnded(id, c.hasEnded(now, ep))
 	}
+	for service, spec := range c.config.Services {
+		if spec.Engine != nil {
+			c.leader.planner.SetVersionsDiffer(service, c.versionsDiffer(now, service))
+		}
+	}
 	plan := c.leader.planner.Plan(now)
 	for _, order := range plan.Orders {
 		ep := c.endpoints[order.Engine]
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -131,6 +131,13 @@
 	return version, only
 }
 
+// versionsDiffer reports whether a service's endpoints have had different software versions
+// within streamMemory.
+func (c *Core) versionsDiffer(now time.Time, service string) bool {
+	_, only := c.onlyVersion(now, service)
+	return !only
+}
+
 // servesVersion reports whether an endpoint that a call has not been sent to has the
 // software version that began the call's stream, and takes requests.
 func (c *Core) servesVersion(now time.Time, call *activeCall) bool {
--- a/internal/stock/backup.go
+++ b/internal/stock/backup.go
@@ -6,22 +6,27 @@
 	"time"
 )
 
-// minBackupDemand is the demand from which a model has a second copy at one software
-// version, in seconds of engine time per second.
-const minBackupDemand = 0.01
+// A model has a second copy at one software version from one of these demands on.
+const (
+	// minBackupDemand is in seconds of engine time per second.
+	minBackupDemand = 0.01
+	// minBackupRate is in requests per second.
+	minBackupRate = 0.5
+)
 
 // backupShortages returns the models whose streams could not go on if one engine ended:
 // those without two copies at any software version. A stream goes on only at the version
-// that began it. Services of one version have copies for their demand, and no more.
+// that began it. Services that have had one version for long have copies for their demand,
+// and no more.
 func (p *Planner) backupShortages(now time.Time, s *service) []shortage {
 	engines := s.countVersions()
-	if len(engines) < 2 {
+	if len(engines) < 2 && !s.versionsDiffer {
 		return nil
 	}
 	var out []shortage
 	for _, model := range s.modelNames {
 		demandRate := s.demandRate(now, model)
-		if demandRate < minBackupDemand {
+		if demandRate < minBackupDemand && s.requestRate(now, model) < minBackupRate {
 			continue
 		}
 		version, needed := s.backupVersion(model, engines)
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -127,10 +127,16 @@
 	}
 }
 
-// RecordDemand records the work of new requests for an artifact.
-func (p *Planner) RecordDemand(now time.Time, service string, a Artifact, work time.Duration) {
+// SetVersionsDiffer sets whether engines of a service have had different software versions
+// lately, so that an engine's streams may not go on at every other one.
+func (p *Planner) SetVersionsDiffer(service string, differ bool) {
+	p.service(service).versionsDiffer = differ
+}
+
+// RecordDemand records a number of new requests for an artifact and their work.
+func (p *Planner) RecordDemand(now time.Time, service string, a Artifact, requests int, work time.Duration) {
 	s := p.service(service)
-	s.recordDemand(now, a.Model, work)
+	s.recordDemand(now, a.Model, requests, work)
 	if a.Adapter == "" {
 		return
 	}
--- a/internal/stock/planner_test.go
+++ b/internal/stock/planner_test.go
@@ -47,13 +47,13 @@
 	holdings[0] = []string{"a", "b", "d"}
 	p := newTestPlanner(spec, holdings...)
 	for range 100 {
-		p.RecordDemand(startTime, "llm", Artifact{Model: "d"}, 100*time.Millisecond)
+		p.RecordDemand(startTime, "llm", Artifact{Model: "d"}, 1, 100*time.Millisecond)
 	}
 	now := startTime.Add(10 * time.Second)
 	unloads := 0
 	for range 20 {
 		for range 10 {
-			p.RecordDemand(now, "llm", Artifact{Model: "d"}, 100*time.Millisecond)
+			p.RecordDemand(now, "llm", Artifact{Model: "d"}, 1, 100*time.Millisecond)
 		}
 		plan := p.Plan(now)
 		unloads += countOrders(plan.Orders, false)
@@ -80,7 +80,7 @@
 	p := newTestPlanner(testSpec(), []string{"a", "b", "c"}, []string{"a", "b", "d"})
 	now := startTime.Add(10 * time.Second)
 	for _, m := range []string{"a", "b", "c", "d"} {
-		p.RecordDemand(now, "llm", Artifact{Model: m}, 10*time.Millisecond)
+		p.RecordDemand(now, "llm", Artifact{Model: m}, 1, 10*time.Millisecond)
 	}
 	p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: "e"}})
 	for _, o := range p.Plan(now).Orders {
@@ -120,11 +120,11 @@
 	now := startTime.Add(10 * time.Second)
 	loads := 0
 	for i := range 40 {
-		p.RecordDemand(now, "llm", Artifact{Model: "a"}, 10*time.Millisecond)
-		p.RecordDemand(now, "llm", Artifact{Model: "b"}, 10*time.Millisecond)
-		p.RecordDemand(now, "llm", Artifact{Model: "c"}, 100*time.Millisecond)
+		p.RecordDemand(now, "llm", Artifact{Model: "a"}, 1, 10*time.Millisecond)
+		p.RecordDemand(now, "llm", Artifact{Model: "b"}, 1, 10*time.Millisecond)
+		p.RecordDemand(now, "llm", Artifact{Model: "c"}, 1, 100*time.Millisecond)
 		if i >= 10 {
-			p.RecordDemand(now, "llm", Artifact{Model: "d"}, time.Second)
+			p.RecordDemand(now, "llm", Artifact{Model: "d"}, 1, time.Second)
 		}
 		orders := p.Plan(now).Orders
 		loads += countOrders(orders, true)
@@ -199,7 +199,7 @@
 		p.SetLimited("e02", limited)
 		loads := map[string]int{}
 		for now := startTime; now.Before(startTime.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
-			p.RecordDemand(now, "llm", Artifact{Model: "a"}, 35*time.Millisecond) // two copies' worth
+			p.RecordDemand(now, "llm", Artifact{Model: "a"}, 1, 35*time.Millisecond) // two copies' worth
 			for _, o := range p.Plan(now).Orders {
 				if o.Load && o.Model == "a" {
 					loads[o.Engine]++
@@ -238,7 +238,7 @@
 	add("e2", "v1", "b", "c")
 	add("e3", "v1", "b", "c")
 	add("e4", "v2", "a")
-	p.RecordDemand(startTime, "llm", Artifact{Model: "a"}, 50*time.Millisecond)
+	p.RecordDemand(startTime, "llm", Artifact{Model: "a"}, 1, 50*time.Millisecond)
 	loads := 0
 	for _, o := range p.Plan(startTime).Orders {
 		if !o.Load || o.Model != "a" {
@@ -322,9 +322,9 @@
 	now := startTime.Add(20 * time.Second)
 	for range 50 {
 		for _, m := range []string{"b", "c"} {
-			p.RecordDemand(now, "llm", Artifact{Model: m}, 40*time.Millisecond)
+			p.RecordDemand(now, "llm", Artifact{Model: m}, 1, 40*time.Millisecond)
 		}
-		p.RecordDemand(now, "llm", Artifact{Model: "a"}, 15*time.Millisecond)
+		p.RecordDemand(now, "llm", Artifact{Model: "a"}, 1, 15*time.Millisecond)
 	}
 	p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: "e"}, SoftwareVersion: "v1"})
 	p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: "d"}, SoftwareVersion: "v1"})
@@ -352,7 +352,7 @@
 	p.SetRunning("e3", 10)
 	p.SetRunning("e4", 10)
 	loads := map[string]int{}
-	p.RecordDemand(startTime, "llm", Artifact{Model: "a"}, 50*time.Millisecond)
+	p.RecordDemand(startTime, "llm", Artifact{Model: "a"}, 1, 50*time.Millisecond)
 	p.RecordMiss(startTime, "llm", Miss{Artifact: Artifact{Model: "a"}})
 	for _, o := range p.Plan(startTime).Orders {
 		if o.Load && o.Model == "a" {
@@ -373,7 +373,7 @@
 	add("e3", "v1", "b")
 	add("e4", "v2", "a", "c", "e")
 	p.SetLimited("e2", true)
-	p.RecordDemand(startTime, "llm", Artifact{Model: "a"}, 50*time.Millisecond)
+	p.RecordDemand(startTime, "llm", Artifact{Model: "a"}, 1, 50*time.Millisecond)
 	for _, o := range p.Plan(startTime).Orders {
 		if o.Load && o.Model == "a" && o.Engine == "e3" {
 			return
--- a/internal/stock/report_test.go
+++ b/internal/stock/report_test.go
@@ -94,7 +94,7 @@
 	for range 60 {
 		now = now.Add(25 * time.Millisecond)
 		p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: "d"}})
-		p.RecordDemand(now, "llm", Artifact{Model: "d"}, 100*time.Millisecond)
+		p.RecordDemand(now, "llm", Artifact{Model: "d"}, 1, 100*time.Millisecond)
 		p.HandleReport(now, now, "e00", Report{AcceptedOrders: 1, Holdings: []topo.Holding{{Model: "a"}, {Model: "b"}}})
 		for _, o := range p.Plan(now).Orders {
 			if o.Load && o.Model != order.Model {
--- a/internal/stock/scale_test.go
+++ b/internal/stock/scale_test.go
@@ -76,7 +76,7 @@
 func shiftDemand(p *Planner, now time.Time, names []string) {
 	for i, name := range names {
 		if i%13 == 0 {
-			p.RecordDemand(now, "llm", Artifact{Model: name}, 400*time.Millisecond)
+			p.RecordDemand(now, "llm", Artifact{Model: name}, 1, 400*time.Millisecond)
 		}
 		if i%11 == 0 {
 			p.RecordMiss(now, "llm", Miss{Artifact: Artifact{Model: name}})
@@ -114,7 +114,7 @@
 		now := startTime.Add(10 * time.Second)
 		for _, name := range names {
 			work := time.Duration(rapid.IntRange(0, 800).Draw(rt, "work")) * time.Millisecond
-			p.RecordDemand(startTime.Add(time.Second), "llm", Artifact{Model: name}, work)
+			p.RecordDemand(startTime.Add(time.Second), "llm", Artifact{Model: name}, 1, work)
 		}
 		for id := range p.engines {
 			p.SetRunning(id, rapid.IntRange(0, 16).Draw(rt, "running"))
--- a/internal/stock/service.go
+++ b/internal/stock/service.go
@@ -31,6 +31,8 @@
 	// etas is the result of loadETAs, nil if it must be determined anew.
 	etas         map[Load]time.Time
 	loadRevision uint64
+	// versionsDiffer is true while streams may go on at different software versions.
+	versionsDiffer bool
 }
 
 // modelCopies are the copies of a model at the engines of a service.
@@ -97,13 +99,13 @@
 	}
 }
 
-func (s *service) recordDemand(now time.Time, model string, work time.Duration) {
+func (s *service) recordDemand(now time.Time, model string, requests int, work time.Duration) {
 	d := s.demand[model]
 	if d == nil {
 		d = &demand{}
 		s.demand[model] = d
 	}
-	d.add(now, work)
+	d.add(now, requests, work)
 }
 
 func (s *service) demandRate(now time.Time, model string) float64 {
@@ -114,6 +116,14 @@
 	return d.rate(now)
 }
 
+func (s *service) requestRate(now time.Time, model string) float64 {
+	d := s.demand[model]
+	if d == nil {
+		return 0
+	}
+	return d.requestRate(now)
+}
+
 // missed reports whether requests are waiting for a model at any engine.
 func (s *service) missed(now time.Time, model string) bool {
 	if len(s.misses) == 0 {
--- a/internal/stock/sim_test.go
+++ b/internal/stock/sim_test.go
@@ -304,7 +304,7 @@
 					a.Adapter = rapid.SampledFrom([]string{"1", "2", "3", "4"}).Draw(rt, "adapter name")
 				}
 				w.planner.RecordMiss(w.now, "llm", Miss{Artifact: a})
-				w.planner.RecordDemand(w.now, "llm", a, 100*time.Millisecond)
+				w.planner.RecordDemand(w.now, "llm", a, 1, 100*time.Millisecond)
 			}
 			if rapid.IntRange(0, 299).Draw(rt, "new planner") == 0 {
 				w.term++
