--- a/internal/gate/release_test.go
+++ b/internal/gate/release_test.go
@@ -18,7 +18,6 @@
 			old = "v1"
 		}
 		e1, e2, last := engineRecord("e1", "v2", "big", "small"), engineRecord("e2", "v2", "small"), engineRecord("e3", old)
-		h.core.departedVersions = make(map[string]map[string]time.Time)
 		h.replaceEngines(e1, e2, last)
 		h.core.departedVersions = make(map[string]map[string]time.Time)
 		h.removeEndpoint(last.ID)
