--- /dev/null
+++ b/internal/gate/entries_test.go
@@ -0,0 +1,180 @@
+package gate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/topo"
+)
+
+// entryFleet is a set of cores that exchange their messages without delay.
+type entryFleet struct {
+	t       *testing.T
+	now     time.Time
+	cores   map[string]*Core
+	leader  string
+	effects map[string][]Effect
+	calls   CallID
+	// lastRecord is the newest record of the lease log, which ends at offset.
+	lastRecord lease.Record
+	offset     int64
+}
+
+// newEntryFleet returns entries named front-1 to front-3, the first of which
+// leads, with engines of two versions.
+func newEntryFleet(t *testing.T) *entryFleet {
+	f := &entryFleet{t: t, now: start, cores: make(map[string]*Core), effects: make(map[string][]Effect)}
+	for i := range 3 {
+		host := fmt.Sprint("front-", i+1)
+		settings := testSettings(host)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7600)
+		f.cores[host] = New(settings, lease.New(host, uint64(i+1), address, settings.Lease), rand.New(rand.NewPCG(uint64(i), 2)))
+	}
+	f.readStore()
+	f.lead("front-1")
+	return f
+}
+
+// readStore delivers a read of the configuration and of all endpoints.
+func (f *entryFleet) readStore() {
+	for host := range f.cores {
+		f.apply(host, ConfigRead{Config: testConfig(), SentAt: f.now})
+		read := EndpointsRead{SentAt: f.now}
+		for i := range 4 {
+			ep := versionedEngine(fmt.Sprint("llm-", i), []string{"v1", "v2"}[i%2])
+			read.Changes = append(read.Changes, topo.EndpointChange{ID: ep.ID, Endpoint: ep})
+		}
+		f.apply(host, read)
+	}
+}
+
+// lead makes an entry acquire the lease and the others follow it.
+func (f *entryFleet) lead(host string) {
+	f.t.Helper()
+	f.follow(host, f.acquireLease(host))
+}
+
+// follow answers an append with which an entry acquires the lease, and makes the others
+// follow it.
+func (f *entryFleet) follow(host string, appended AppendLease) {
+	f.leader = host
+	f.recordAppend(appended)
+	for other := range f.cores {
+		if other == host {
+			continue
+		}
+		f.apply(other, f.leaseRead())
+		f.apply(host, PeerConnected{Host: other})
+		f.apply(other, LeaderConnected{Host: host})
+	}
+}
+
+// recordAppend answers an append of the leader.
+func (f *entryFleet) recordAppend(e AppendLease) {
+	f.offset, f.lastRecord = e.Offset+1, e.Record
+	f.apply(f.leader, LeaseAppendEnded{Record: e.Record, Offset: e.Offset, Result: AppendDone})
+}
+
+func (f *entryFleet) leaseRead() LeaseRead {
+	return LeaseRead{
+		Read:   lease.Read{Record: f.lastRecord, Offset: f.offset - 1, End: f.offset, Exists: f.offset > 0},
+		SentAt: f.now,
+	}
+}
+
+// acquireLease lets time pass until an entry appends to the lease.
+func (f *entryFleet) acquireLease(host string) AppendLease {
+	f.t.Helper()
+	for range 40 {
+		f.effects[host] = nil
+		f.apply(host, Tick{})
+		if appended, ok := findEffect[AppendLease](f.effects[host]); ok {
+			return appended
+		}
+		if _, reads := findEffect[ReadLease](f.effects[host]); reads {
+			f.apply(host, f.leaseRead())
+		}
+		f.now = f.now.Add(250 * time.Millisecond)
+		f.readStore()
+	}
+	f.t.Fatalf("%s does not acquire the lease", host)
+	return AppendLease{}
+}
+
+// apply delivers an event and carries the resulting messages between the cores.
+func (f *entryFleet) apply(host string, e Event) {
+	core := f.cores[host]
+	if core == nil {
+		return
+	}
+	for _, effect := range core.Apply(f.now, e) {
+		switch e := effect.(type) {
+		case SendReport:
+			f.apply(f.leader, ReportReceived{Host: host, Report: e.Report})
+		case SendState:
+			f.apply(e.Host, StateReceived{Host: host, State: e.State})
+		case RequestAssignment:
+			f.apply(f.leader, AssignmentRequested{Host: host, Request: e.Request})
+		case SendAssignment:
+			f.apply(e.Host, AssignmentReceived{Host: host, Assignment: e.Assignment})
+		case AppendLease:
+			f.effects[host] = append(f.effects[host], effect)
+			if host == f.leader {
+				f.recordAppend(e)
+			}
+		default:
+			f.effects[host] = append(f.effects[host], effect)
+		}
+	}
+}
+
+// tick lets time pass until every entry has reported to the leader.
+func (f *entryFleet) tick() {
+	for range 4 {
+		f.now = f.now.Add(reportInterval / 2)
+		for _, host := range []string{"front-1", "front-2", "front-3"} {
+			f.apply(host, ConfigRead{SentAt: f.now})
+			f.apply(host, Tick{})
+		}
+	}
+}
+
+// request delivers a request at an entry and returns where it was sent.
+func (f *entryFleet) request(host string, request *Request) (CallID, Send) {
+	f.t.Helper()
+	f.calls++
+	request.Host, request.Path, request.Key, request.Model, request.ArrivedAt = "h", "/notes/1", "k2", "big", f.now
+	f.effects[host] = nil
+	f.apply(host, RequestArrived{Call: f.calls, Request: request})
+	for range 20 {
+		if send, sent := findEffect[Send](f.effects[host]); sent {
+			return f.calls, send
+		}
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.apply(host, Tick{})
+	}
+	f.t.Fatalf("request at %s was not sent: %+v", host, f.effects[host])
+	return 0, Send{}
+}
+
+// checkResume begins a stream at one entry, lets between happen, and checks that
+// another entry resumes the stream at its version.
+func (f *entryFleet) checkResume(id, from, to string, between func()) {
+	f.t.Helper()
+	call, first := f.request(from, &Request{ID: id})
+	f.apply(from, FirstByteReceived{Call: call})
+	between()
+	f.apply(from, AttemptEnded{Call: call, Result: Result{Outcome: OutcomeTruncated, Reason: ReasonClientGone}})
+	again, second := f.request(to, &Request{ID: id + "-again", LastEventID: "3", ResumedRequest: id})
+	if second.SoftwareVersion != first.SoftwareVersion {
+		f.t.Errorf("stream %s of %s at %s resumed at %s by %s", id, first.SoftwareVersion, from, second.SoftwareVersion, to)
+	}
+	if !second.Decision.AssignedByLeader {
+		f.t.Errorf("stream %s was resumed by %s without the leader", id, to)
+	}
+	f.apply(to, AttemptEnded{Call: again, Result: Result{Outcome: OutcomeComplete}})
+}
