Log skipped records of the shares and claims, and refused unloads

Cause: quota.LogState.Apply skipped records that can't be decoded, and the agent dropped the same error of the claims; ReplicaManager.advanceUnload ended an attempt that the ledger refused. None left a line in the process log.

Change: Apply returns a RecordError with the first such offset, the count and the cause, one for a page. A node passes it on as an effect, a guard as its result. The replica manager returns the action ReportRefusal. The agent gets the effect LogWarning that the entry has. The simulated log of internal/quota also checks that nothing is skipped.

Conclusion: each skipped record and each refused unload can be found in the log.

--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -140,6 +140,11 @@
 	SendOrder struct{ Order plat.Order }
 	// ShutdownFinished reports that a graceful shutdown is complete.
 	ShutdownFinished struct{}
+	// LogWarning writes a warning to the process log.
+	LogWarning struct {
+		Message string
+		Err     error
+	}
 )
 
 func (Start) isEffect()            {}
@@ -151,3 +156,4 @@
 func (AppendRecord) isEffect()     {}
 func (SendOrder) isEffect()        {}
 func (ShutdownFinished) isEffect() {}
+func (LogWarning) isEffect()       {}
--- a/internal/agent/once.go
+++ b/internal/agent/once.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"dogwoodfold/internal/dedup"
@@ -159,14 +160,28 @@
 }
 
 func (c *Core) handleLogRead(now time.Time, e LogRead) []Effect {
-	if e.Stream == plat.StreamFleet {
-		c.applyViews(e.Page)
-	}
-	if e.Stream != plat.StreamClaims {
+	switch e.Stream {
+	case plat.StreamFleet:
+		return c.applyViews(e.Page)
+	case plat.StreamClaims:
+		return c.applyClaims(now, e.Page)
+	default:
 		return nil
 	}
-	decisions, _ := c.dedup.ApplyPage(now, e.Page) // a record that can't be parsed is skipped; it may be of another release
-	return append(c.applyDecisions(now, decisions), c.startCalls(now)...)
+}
+
+// applyClaims applies a page of the stream of claims. A record that can't be
+// decoded is skipped; it may be of another release.
+func (c *Core) applyClaims(now time.Time, page plat.Page) []Effect {
+	var effects []Effect
+	decisions, err := c.dedup.ApplyPage(now, page)
+	if err != nil {
+		effects = append(effects, LogWarning{
+			Message: "records of claims skipped",
+			Err:     err,
+		})
+	}
+	return slices.Concat(effects, c.applyDecisions(now, decisions), c.startCalls(now))
 }
 
 func (c *Core) handleLogReadFailed(e LogReadFailed) []Effect {
--- a/internal/agent/place.go
+++ b/internal/agent/place.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -136,6 +137,11 @@
 			effects = append(effects, placeMessage(relaySession, &wirepb.PlaceMessage{
 				Body: &wirepb.PlaceMessage_PinRelease{PinRelease: pinToWire(a.Pin)},
 			}))
+		case place.ReportRefusal:
+			effects = append(effects, LogWarning{
+				Message: fmt.Sprintf("unload of %v refused", a.Artifact),
+				Err:     a.Err,
+			})
 		}
 	}
 	return effects
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -270,6 +270,8 @@
 		s.sendOrder(e.Order)
 	case ShutdownFinished:
 		s.finishOnce.Do(func() { close(s.finished) })
+	case LogWarning:
+		s.options.Logger.Warn().Err(e.Err).Msg("agent: " + e.Message)
 	}
 }
 
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -52,10 +52,18 @@
 }
 
 // applyViews applies a page of the log stream that carries the views.
-func (c *Core) applyViews(page plat.Page) {
-	if c.guard != nil {
-		c.guard.ApplyLog(page)
+func (c *Core) applyViews(page plat.Page) []Effect {
+	if c.guard == nil {
+		return nil
+	}
+	skipped := c.guard.ApplyLog(page)
+	if skipped == nil {
+		return nil
 	}
+	return []Effect{LogWarning{
+		Message: "records of the shares skipped",
+		Err:     skipped,
+	}}
 }
 
 // checkEntry returns an error for a call that spends a customer's tokens if the
--- a/internal/entry/shares.go
+++ b/internal/entry/shares.go
@@ -91,6 +91,11 @@
 			})
 		case quota.Resolve:
 			effects = append(effects, c.resumeCall(now, e)...)
+		case quota.ReportSkipped:
+			effects = append(effects, LogWarning{
+				Message: "records of the shares skipped",
+				Err:     e.Err,
+			})
 		}
 	}
 	return effects
--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -19,11 +19,18 @@
 	RequestPin struct{ Pin Pin }
 	// ReleasePin tells a keeper that a pin is no longer needed.
 	ReleasePin struct{ Pin Pin }
+	// ReportRefusal reports that the ledger refused to unload an artifact that no
+	// call used any more, so that the attempt has ended.
+	ReportRefusal struct {
+		Artifact Artifact
+		Err      error
+	}
 )
 
-func (SendOrder) isAction()  {}
-func (RequestPin) isAction() {}
-func (ReleasePin) isAction() {}
+func (SendOrder) isAction()     {}
+func (RequestPin) isAction()    {}
+func (ReleasePin) isAction()    {}
+func (ReportRefusal) isAction() {}
 
 // unloadStage is the progress of an attempt to unload.
 type unloadStage int
@@ -153,7 +160,11 @@
 	case u.stage == draining && idle(a):
 		o, err := m.Ledger.Unload(now, a)
 		if err != nil {
-			return m.endUnload(a) // the planner asks again if the artifact is still to go
+			refusal := ReportRefusal{
+				Artifact: a,
+				Err:      err,
+			}
+			return append([]Action{refusal}, m.endUnload(a)...) // the planner asks again if the artifact is still to go
 		}
 		u.stage = orderSent
 		return []Action{SendOrder{Order: o}}
--- a/internal/place/manager_test.go
+++ b/internal/place/manager_test.go
@@ -390,3 +390,24 @@
 		}
 	})
 }
+
+// Guards against an attempt to unload that the ledger ends without a trace.
+func TestRefusedUnloadIsReported(t *testing.T) {
+	c := newSyncedCluster(1)
+	c.load(t, 0, artifactA)
+	c.runWithoutFaults(7)
+	manager := c.nodes[0].manager
+	if _, err := manager.Unload(c.now, artifactA, "", ""); err != nil {
+		t.Fatalf("unload: %v", err)
+	}
+	c.nodes[0].engine.sequence = 0 // the engine has restarted, so that the ledger isn't synced
+	c.advance(time.Millisecond)
+	manager.ApplyReport(c.now, c.now, c.nodes[0].engine.report())
+	want := ReportRefusal{
+		Artifact: artifactA,
+		Err:      ErrNotSynced,
+	}
+	if actions := manager.Step(c.now, func(Artifact) bool { return true }); !slices.Contains(actions, Action(want)) {
+		t.Errorf("actions %v, want %v among them", actions, want)
+	}
+}
--- a/internal/quota/change_test.go
+++ b/internal/quota/change_test.go
@@ -327,7 +327,9 @@
 	} {
 		page.Records = append(page.Records, plat.Record{Offset: uint64(i) + 1, Data: json.RawMessage(data)})
 	}
-	g.ApplyLog(page)
+	if skipped := g.ApplyLog(page); skipped != nil {
+		t.Fatal(skipped)
+	}
 	if ack := g.Install(now, &wirepb.ShareView{Term: 1, Sequence: 3}); ack.GetTerm() != 0 {
 		t.Errorf("enforced view has term %d, want none before term 3", ack.GetTerm())
 	}
--- a/internal/quota/effect.go
+++ b/internal/quota/effect.go
@@ -26,11 +26,14 @@
 		Reservation Reservation
 		Wait        time.Duration
 	}
+	// ReportSkipped reports records of the fleet stream that were skipped.
+	ReportSkipped struct{ Err *RecordError }
 )
 
-func (Send) isEffect()    {}
-func (Append) isEffect()  {}
-func (Resolve) isEffect() {}
+func (Send) isEffect()          {}
+func (Append) isEffect()        {}
+func (Resolve) isEffect()       {}
+func (ReportSkipped) isEffect() {}
 
 // append adds the append of a record to the effects.
 func (n *Node) append(r logRecord) {
--- a/internal/quota/elect.go
+++ b/internal/quota/elect.go
@@ -26,7 +26,9 @@
 // ApplyLog applies a page of the fleet stream.
 func (n *Node) ApplyLog(now time.Time, page plat.Page) []Effect {
 	before := n.log.Term
-	n.log.Apply(page)
+	if skipped := n.log.Apply(page); skipped != nil {
+		n.effects = append(n.effects, ReportSkipped{Err: skipped})
+	}
 	if n.coordinator != nil && n.log.lastView != nil {
 		n.coordinator.handleRecordedView(now, n.log.lastView)
 	}
--- a/internal/quota/guard.go
+++ b/internal/quota/guard.go
@@ -39,8 +39,9 @@
 // NewGuard returns a guard without a view for an incarnation of an agent.
 func NewGuard(incarnation uint64) *Guard { return &Guard{incarnation: incarnation} }
 
-// ApplyLog applies a page of the fleet stream.
-func (g *Guard) ApplyLog(page plat.Page) { g.log.Apply(page) }
+// ApplyLog applies a page of the fleet stream. It returns an error about records
+// that can't be decoded and were skipped, nil if there are none.
+func (g *Guard) ApplyLog(page plat.Page) *RecordError { return g.log.Apply(page) }
 
 // synced reports whether the guard knows which terms are in force.
 func (g *Guard) synced() bool { return g.log.caughtUp || g.peerConfirmed }
--- a/internal/quota/logstate.go
+++ b/internal/quota/logstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 
 	"dogwoodfold/internal/plat"
@@ -53,8 +54,26 @@
 	caughtUp bool
 }
 
-// Apply applies a page of the stream.
-func (s *LogState) Apply(page plat.Page) {
+// RecordError reports records of the stream that can't be decoded and were skipped.
+type RecordError struct {
+	// Offset is the offset of the first such record of a page, Count their number.
+	Offset uint64
+	Count  int
+	// Err is why the first one can't be decoded.
+	Err error
+}
+
+// Error implements error.
+func (e *RecordError) Error() string {
+	return fmt.Sprintf("quota: %d records skipped, the first at offset %d: %v", e.Count, e.Offset, e.Err)
+}
+
+// Unwrap returns why the first record can't be decoded.
+func (e *RecordError) Unwrap() error { return e.Err }
+
+// Apply applies a page of the stream. It skips records that can't be decoded and
+// returns a RecordError about them, nil if there are none.
+func (s *LogState) Apply(page plat.Page) *RecordError {
 	if s.firstOffset == 0 {
 		s.firstOffset = page.First
 	}
@@ -63,17 +82,33 @@
 		s.lastView = nil
 	}
 	s.nextOffset = max(s.nextOffset, page.First)
+	var skipped *RecordError
 	for _, r := range page.Records {
 		if r.Offset < s.nextOffset {
 			continue
 		}
 		s.nextOffset = r.Offset + 1
 		var rec logRecord
-		if json.Unmarshal(r.Data, &rec) == nil {
-			s.applyRecord(r.Offset, rec)
+		if err := json.Unmarshal(r.Data, &rec); err != nil {
+			skipped = skipped.add(r.Offset, err)
+			continue
 		}
+		s.applyRecord(r.Offset, rec)
 	}
 	s.caughtUp = s.caughtUp || s.nextOffset >= page.Next
+	return skipped
+}
+
+// add returns the error with one more record counted. e may be nil.
+func (e *RecordError) add(offset uint64, err error) *RecordError {
+	if e == nil {
+		e = &RecordError{
+			Offset: offset,
+			Err:    err,
+		}
+	}
+	e.Count++
+	return e
 }
 
 // applyRecord applies a record, which may be neither a claim nor a view.
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -210,7 +210,9 @@
 	}
 	h.recordsRead = uint64(len(s.records))
 	if h.guard != nil {
-		h.guard.ApplyLog(page)
+		if skipped := h.guard.ApplyLog(page); skipped != nil {
+			panic(skipped) // all records of the simulated log are the nodes' own
+		}
 		return
 	}
 	s.applyEffects(h, h.node.ApplyLog(s.now, page))
