Move the retry budget to the entry, its only user

Cause: internal/dedup runs each call at most once; how many retries an entry may make is the job of internal/entry, which alone used dedup.RetryBudget.

--- a/internal/dedup/budget.go
+++ b/internal/entry/budget.go
@@ -1,4 +1,4 @@
-package dedup
+package entry
 
 import "time"
 
@@ -13,25 +13,25 @@
 	maxSavedRetries = 50.0
 )
 
-// RetryBudget is a token bucket that limits retries to a fraction of the calls,
+// retryBudget is a token bucket that limits retries to a fraction of the calls,
 // so that retries add little load when the system is overloaded.
-type RetryBudget struct {
+type retryBudget struct {
 	tokens    float64
 	updatedAt time.Time
 }
 
-// NewRetryBudget returns a full budget.
-func NewRetryBudget() *RetryBudget { return &RetryBudget{tokens: maxSavedRetries} }
+// newRetryBudget returns a full budget.
+func newRetryBudget() *retryBudget { return &retryBudget{tokens: maxSavedRetries} }
 
-// RecordCall adds the retries that one call earns.
-func (b *RetryBudget) RecordCall(now time.Time) {
+// recordCall adds the retries that one call earns.
+func (b *retryBudget) recordCall(now time.Time) {
 	b.refill(now)
 	b.tokens = min(maxSavedRetries, b.tokens+retriesPerCall)
 }
 
-// Allow reports whether a retry is permitted, and if so takes it from the
+// allow reports whether a retry is permitted, and if so takes it from the
 // budget.
-func (b *RetryBudget) Allow(now time.Time) bool {
+func (b *retryBudget) allow(now time.Time) bool {
 	b.refill(now)
 	if b.tokens < 1 {
 		return false
@@ -41,7 +41,7 @@
 }
 
 // refill adds the retries earned over time since the last update.
-func (b *RetryBudget) refill(now time.Time) {
+func (b *retryBudget) refill(now time.Time) {
 	if !now.After(b.updatedAt) {
 		return
 	}
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -92,7 +92,7 @@
 		triedHosts: make(map[string]bool),
 	}
 	c.calls[call.ID] = active
-	c.retryBudget.RecordCall(now)
+	c.retryBudget.recordCall(now)
 	return c.sendAttempt(now, active)
 }
 
@@ -241,7 +241,7 @@
 	if call.claimHolder.Incarnation != 0 {
 		return false // no agent but the claim holder may run it
 	}
-	return isFreeRetry(outcome) || c.retryBudget.Allow(now)
+	return isFreeRetry(outcome) || c.retryBudget.allow(now)
 }
 
 // isFreeRetry reports whether a retry does not count against the budget: the
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/fleet"
 	"dogwoodfold/internal/place"
 	"dogwoodfold/internal/plat"
@@ -59,7 +58,7 @@
 	router        *route.Router
 	quota         quotaState
 	calls         map[string]*activeCall
-	retryBudget   *dedup.RetryBudget
+	retryBudget   *retryBudget
 	lastHeartbeat time.Time
 	placement     placement
 	crashes       crashWatch
@@ -82,7 +81,7 @@
 		router:      route.New(peers, settings.Zones, settings.Seed),
 		quota:       newQuotaState(settings),
 		calls:       make(map[string]*activeCall),
-		retryBudget: dedup.NewRetryBudget(),
+		retryBudget: newRetryBudget(),
 		drainDelay:  settings.DrainDelay,
 		placement:   newPlacement(settings.Placement),
 		crashes:     newCrashWatch(),
