Drop the unused time argument of the queue's functions

Cause: Push, Pop and PopEligible of internal/queue took the present time and ignored it; no decision of the queue depends on it. Deadlines are the agent's job.

Change: the argument is gone, and so is the tests' constant for it. The checks stay.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -43,7 +43,7 @@
 		return nil, c.busyError("the queue is longer than the time to the deadline")
 	}
 	c.slotShares.recordArrival(now, item)
-	displaced, queued := c.queue.Push(now, item)
+	displaced, queued := c.queue.Push(item)
 	if !queued {
 		return nil, c.busyError("the endpoint's queue is full")
 	}
@@ -104,7 +104,7 @@
 func (c *Core) startCalls(now time.Time) []Effect {
 	effects := c.refuseExpired(now)
 	for len(c.running) < c.slots {
-		item, ok := c.queue.PopEligible(now, func(name string) bool { return c.slotShares.mayStart(now, name) })
+		item, ok := c.queue.PopEligible(func(name string) bool { return c.slotShares.mayStart(now, name) })
 		if !ok {
 			break
 		}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -66,7 +66,7 @@
 // one. If that customer is the item's own, only an interactive item makes room,
 // by removing the customer's newest batch call. In all other cases ok is false
 // and the queue is unchanged.
-func (q *Queue[T]) Push(_ time.Time, item Item[T]) (displaced []Item[T], ok bool) {
+func (q *Queue[T]) Push(item Item[T]) (displaced []Item[T], ok bool) {
 	item.Weight = weightOf(item)
 	item.Cost = max(item.Cost, 1)
 	if q.Len() >= q.limit {
@@ -128,13 +128,13 @@
 
 // Pop removes the call to serve next. It charges the customer the call's cost,
 // scaled by the average ratio of used tokens to cost.
-func (q *Queue[T]) Pop(now time.Time) (item Item[T], ok bool) {
-	return q.PopEligible(now, func(string) bool { return true })
+func (q *Queue[T]) Pop() (item Item[T], ok bool) {
+	return q.PopEligible(func(string) bool { return true })
 }
 
 // PopEligible is like Pop, but considers only the customers for which eligible
 // returns true.
-func (q *Queue[T]) PopEligible(_ time.Time, eligible func(customer string) bool) (item Item[T], ok bool) {
+func (q *Queue[T]) PopEligible(eligible func(customer string) bool) (item Item[T], ok bool) {
 	interactive, batch := q.interactive.next(eligible), q.batch.next(eligible)
 	switch {
 	case interactive == nil && batch == nil:
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 
@@ -17,8 +16,6 @@
 	limit       = 24
 )
 
-var now = time.Unix(0, 0)
-
 // weights holds the weights of the customers by name.
 var weights = map[string]float64{"a": 1, "b": 1, "c": 2, "d": 4}
 
@@ -48,7 +45,7 @@
 		for step := range rapid.IntRange(1, 150).Draw(t, "steps") {
 			switch rapid.IntRange(0, 5).Draw(t, "action") {
 			case 0:
-				if item, ok := q.Pop(now); ok {
+				if item, ok := q.Pop(); ok {
 					leave(item)
 					q.RecordUsage(item, rapid.IntRange(0, item.Cost).Draw(t, "used"))
 				}
@@ -59,7 +56,7 @@
 				}
 			default:
 				item := drawItem(t, step)
-				displaced, ok := q.Push(now, item)
+				displaced, ok := q.Push(item)
 				for _, d := range displaced {
 					leave(d)
 				}
@@ -89,7 +86,7 @@
 		served := make(map[string]float64)
 		var running []queue.Item[int]
 		push := func(name string) {
-			q.Push(now, queue.Item[int]{
+			q.Push(queue.Item[int]{
 				Customer: name,
 				Weight:   weights[name],
 				Cost:     rapid.IntRange(1, largestCost).Draw(t, "cost"),
@@ -99,7 +96,7 @@
 			push(name)
 		}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
-			item, _ := q.Pop(now)
+			item, _ := q.Pop()
 			push(item.Customer)
 			running = append(running, item)
 			served[item.Customer] += float64(item.Cost) / item.Weight
@@ -138,7 +135,7 @@
 		withinShare := func(name string, n int) bool { return float64(n) <= limit*weights[name]/totalWeight }
 		for step := range rapid.IntRange(1, 150).Draw(t, "steps") {
 			if rapid.IntRange(0, 9).Draw(t, "pop") == 0 {
-				if item, ok := q.Pop(now); ok {
+				if item, ok := q.Pop(); ok {
 					calls[item.Customer]--
 				}
 				continue
@@ -147,7 +144,7 @@
 			if rapid.Bool().Draw(t, "flood") {
 				item.Customer, item.Weight = "a", weights["a"]
 			}
-			displaced, ok := q.Push(now, item)
+			displaced, ok := q.Push(item)
 			if !ok && withinShare(item.Customer, calls[item.Customer]+1) {
 				t.Fatalf("a call of customer %s was refused while it had %d calls in a queue of %d",
 					item.Customer, calls[item.Customer], limit)
@@ -172,7 +169,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		q := queue.New[int](limit)
 		push := func(batch bool) {
-			q.Push(now, queue.Item[int]{
+			q.Push(queue.Item[int]{
 				Customer: fmt.Sprint(batch),
 				Batch:    batch,
 				Cost:     rapid.IntRange(1, largestCost).Draw(t, "cost"),
@@ -182,7 +179,7 @@
 		push(false)
 		var interactive, batch, sinceBatch float64
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
-			item, _ := q.Pop(now)
+			item, _ := q.Pop()
 			push(item.Batch)
 			if item.Batch {
 				batch += float64(item.Cost)
@@ -214,7 +211,7 @@
 				}
 				item.Weight = weights[item.Customer]
 				item.Batch = false
-				q.Push(now, item)
+				q.Push(item)
 			}
 		}
 		fill(0)
@@ -225,12 +222,12 @@
 			Cost:     largestCost,
 		}
 		ahead := q.CostAhead(single)
-		if _, ok := q.Push(now, single); !ok {
+		if _, ok := q.Push(single); !ok {
 			t.Fatal("the call of customer b was refused")
 		}
 		work := 0
 		for step := 1; ; step++ {
-			item, _ := q.Pop(now)
+			item, _ := q.Pop()
 			if item.Value == single.Value {
 				break
 			}
@@ -250,17 +247,17 @@
 func TestIdleCustomerAccruesNoCredit(t *testing.T) {
 	q := queue.New[int](limit)
 	push := func(name string, value int) {
-		q.Push(now, queue.Item[int]{
+		q.Push(queue.Item[int]{
 			Value:    value,
 			Customer: name,
 			Cost:     10,
 		})
 	}
 	push("b", 0)
-	q.Pop(now)
+	q.Pop()
 	for range 100 {
 		push("a", 0)
-		q.Pop(now)
+		q.Pop()
 	}
 	got := ""
 	for range 4 {
@@ -268,7 +265,7 @@
 		push("b", 0)
 	}
 	for range 6 {
-		item, _ := q.Pop(now)
+		item, _ := q.Pop()
 		got += item.Customer
 	}
 	if got != "ababab" && got != "bababa" {
@@ -285,7 +282,7 @@
 			i := 0
 			push := func() {
 				i++
-				q.Push(now, queue.Item[int]{
+				q.Push(queue.Item[int]{
 					Value:    i,
 					Customer: fmt.Sprint(i % customers),
 					Cost:     100 + i%400,
@@ -296,7 +293,7 @@
 			}
 			for b.Loop() {
 				push()
-				item, _ := q.Pop(now)
+				item, _ := q.Pop()
 				q.RecordUsage(item, 100)
 			}
 		})
