Return the answer of quota.Node.Reserve as a struct

Cause: Reserve returned four values, one of which was meaningful only with one decision.

Change: it returns an Answer with named fields, which say when they are set. The entry's reservation from a fixed share is a function of its own.

--- a/internal/entry/shares.go
+++ b/internal/entry/shares.go
@@ -38,25 +38,30 @@
 // reserveTokens reserves the tokens of a call. If the call has to wait for
 // tokens, it is stored as pending and resumed by a quota.Resolve.
 func (c *Core) reserveTokens(now time.Time, call *Call) (pending bool, effects []Effect, err error) {
-	var retryAfter time.Duration
-	decision := quota.Admitted
 	if c.quota.node == nil {
-		var ok bool
-		if call.Reservation, retryAfter, ok = c.quota.fixed.Reserve(now, call.Customer, call.Tokens); !ok {
-			decision = quota.Refused
-		}
-	} else {
-		var quotaEffects []quota.Effect
-		decision, call.Reservation, retryAfter, quotaEffects = c.quota.node.Reserve(now, call.ID, call.Customer, call.Tokens)
-		if decision == quota.Pending {
-			c.quota.pending[call.ID] = *call
-		}
-		effects = c.performQuota(now, quotaEffects)
+		return false, nil, c.reserveFixed(now, call)
 	}
-	if decision == quota.Refused {
-		return false, effects, c.reservationError(retryAfter)
+	answer := c.quota.node.Reserve(now, call.ID, call.Customer, call.Tokens)
+	call.Reservation = answer.Reservation
+	pending = answer.Decision == quota.Pending
+	if pending {
+		c.quota.pending[call.ID] = *call
 	}
-	return decision == quota.Pending, effects, nil
+	effects = c.performQuota(now, answer.Effects)
+	if answer.Decision == quota.Refused {
+		return false, effects, c.reservationError(answer.RetryAfter)
+	}
+	return pending, effects, nil
+}
+
+// reserveFixed reserves the tokens of a call from this entry's fixed share.
+func (c *Core) reserveFixed(now time.Time, call *Call) error {
+	reservation, retryAfter, ok := c.quota.fixed.Reserve(now, call.Customer, call.Tokens)
+	if !ok {
+		return rateError(retryAfter)
+	}
+	call.Reservation = reservation
+	return nil
 }
 
 // reservationError returns why a call got no tokens.
--- a/internal/quota/load_test.go
+++ b/internal/quota/load_test.go
@@ -31,13 +31,13 @@
 		s.finishAttempt(h, a, ok, reservation)
 	case sharesWithRequests:
 		id := fmt.Sprint(s.seq, len(h.calls), s.offered[customer])
-		decision, reservation, _, effects := h.node.Reserve(s.now, id, customer, tokens)
-		if decision == quota.Pending {
+		answer := h.node.Reserve(s.now, id, customer, tokens)
+		if answer.Decision == quota.Pending {
 			h.calls[id] = a
 		} else {
-			s.finishAttempt(h, a, decision == quota.Admitted, reservation)
+			s.finishAttempt(h, a, answer.Decision == quota.Admitted, answer.Reservation)
 		}
-		s.applyEffects(h, effects)
+		s.applyEffects(h, answer.Effects)
 	}
 }
 
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -47,13 +47,26 @@
 	Pending
 )
 
+// Answer is the answer to Node.Reserve.
+type Answer struct {
+	Decision Decision
+	// Reservation is set if the decision is Admitted.
+	Reservation Reservation
+	// RetryAfter is set if the decision is Refused: the time after which to retry,
+	// zero if a retry can't succeed.
+	RetryAfter time.Duration
+	Effects    []Effect
+}
+
 // Reserve reserves tokens for a call. If the entry's share holds too few, it
-// requests more from the coordinator before it refuses the call. With a refusal
-// it returns the time after which to retry, zero if a retry can't succeed.
-func (n *Node) Reserve(now time.Time, id, customer string, tokens float64) (Decision, Reservation, time.Duration, []Effect) {
+// requests more from the coordinator before it refuses the call.
+func (n *Node) Reserve(now time.Time, id, customer string, tokens float64) Answer {
 	reservation, wait, ok := n.TryReserve(now, customer, tokens)
 	if ok {
-		return Admitted, reservation, 0, nil
+		return Answer{
+			Decision:    Admitted,
+			Reservation: reservation,
+		}
 	}
 	req, known := n.requests[customer]
 	if !known {
@@ -62,7 +75,11 @@
 	}
 	unreachable := n.coordinatorHost == "" || now.Sub(n.coordinatorHeardAt) > maxCoordinatorSilence
 	if unreachable || now.Before(req.deniedUntil) || tokens > n.limits[customer].Burst {
-		return Refused, Reservation{}, wait, n.flushEffects(now)
+		return Answer{
+			Decision:   Refused,
+			RetryAfter: wait,
+			Effects:    n.flushEffects(now),
+		}
 	}
 	req.calls = append(req.calls, pendingCall{
 		id:       id,
@@ -70,7 +87,10 @@
 		queuedAt: now,
 	})
 	n.requestTokens(now, customer, req)
-	return Pending, Reservation{}, 0, n.flushEffects(now)
+	return Answer{
+		Decision: Pending,
+		Effects:  n.flushEffects(now),
+	}
 }
 
 // TryReserve reserves tokens from the entry's own share only.
