Resume no stream of unknown version before the lease is read

An entry that has not read the lease now lets such a request wait until it has, as it does for the next leader; clients wait 2 s for the next event, a read takes some milliseconds. Once it is read the request goes on, or is refused as unknown.

TestStreamIsNotResumedBeforeLeaseIsRead failed before. TestResumedStreamOfUnknownVersion and TestDepartedVersionStillCounts resumed at an entry that had read no lease; it reads one without a record first now, and they ask the same otherwise.

--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -67,13 +67,13 @@
 		c.requestAssignment(now, call)
 		return false
 	}
-	if version, only := c.onlyVersion(now, call.service); only {
+	if version, only := c.onlyVersion(now, call.service); only && c.lease.HasRead() {
 		call.setStreamVersion(version)
 		return true
 	}
 	until := call.abandonedAt()
-	if c.expectsLeader(now, until) {
-		// The leader, or the next one, may know.
+	if !c.lease.HasRead() || c.expectsLeader(now, until) {
+		// The record of the lease, the leader or the next one may tell.
 		call.assignment = assignment{}
 		c.park(now, call, until)
 		return false
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -99,6 +99,7 @@
 // sent to either, and with one it can only be that one.
 func TestResumedStreamOfUnknownVersion(t *testing.T) {
 	h := newServingHarness(t)
+	h.apply(LeaseRead{SentAt: h.now}) // else another version may have left before
 	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-3", "v1"))
 	h.mustSend(h.resume("unknown"))
 	h.mustSend(h.resume(""))
@@ -110,6 +111,7 @@
 // A version whose last endpoint has just left may have begun the stream.
 func TestDepartedVersionStillCounts(t *testing.T) {
 	h := newServingHarness(t)
+	h.apply(LeaseRead{SentAt: h.now})
 	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"))
 	h.apply(EndpointsRead{SentAt: h.now, Changes: []topo.EndpointChange{{ID: "llm-1"}}})
 	h.wantNotRun(h.resume("unknown"), fault.CodeNoEndpoint)
--- a/internal/gate/unknown_test.go
+++ b/internal/gate/unknown_test.go
@@ -125,9 +125,9 @@
 	}
 }
 
-// An entry that has just started finds one version registered. Streams may have begun at
-// another one, whose last engine has left since: it must learn that from the lease's record.
-func TestStartedEntryKnowsVersionThatHasLeft(t *testing.T) {
+// startedEntry returns an entry that has read the configuration and the registry, which lists
+// one version, and the lease's record, which names the versions of the last minute.
+func startedEntry(t *testing.T) (*harness, LeaseRead) {
 	leader := newLeaderHarness(t)
 	leader.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"))
 	leader.advance(time.Second)
@@ -144,16 +144,55 @@
 	h.endpoints(versionedEngine("llm-2", "v2"))
 	record := appended.Record
 	record.Host, record.Incarnation = "front-2", 7
-	h.apply(LeaseRead{
+	return h, LeaseRead{
 		Read: lease.Read{
 			Record: record,
 			End:    1,
 			Exists: true,
 		},
 		SentAt: h.now,
-	})
+	}
+}
+
+// An entry that has just started finds one version registered. Streams may have begun at
+// another one, whose last engine has left since: it must learn that from the lease's record.
+func TestStartedEntryKnowsVersionThatHasLeft(t *testing.T) {
+	h, read := startedEntry(t)
+	h.apply(read)
 	_, effects := h.live("began")
 	if send, sent := findEffect[Send](append(effects, h.passTime(3*time.Second)...)); sent {
 		t.Errorf("a stream that may have begun at v1 was resumed at %s", send.SoftwareVersion)
 	}
 }
+
+// ORDER, soak seed 62019: a stream was resumed 5 ms after the entry had started, before it had
+// read the lease.
+func TestStreamIsNotResumedBeforeLeaseIsRead(t *testing.T) {
+	h, read := startedEntry(t)
+	_, effects := h.live("began")
+	effects = append(effects, h.passTime(100*time.Millisecond)...)
+	read.SentAt = h.now
+	effects = append(effects, h.apply(read)...)
+	if send, sent := findEffect[Send](append(effects, h.passTime(3*time.Second)...)); sent {
+		t.Errorf("a stream that may have begun at v1 was resumed at %s", send.SoftwareVersion)
+	}
+}
+
+// The same without another version: the stream waits for the lease to be read and goes on.
+func TestStreamIsResumedOnceLeaseIsRead(t *testing.T) {
+	for _, exists := range []bool{true, false} {
+		h, read := startedEntry(t)
+		_, effects := h.live("began")
+		if refusal, refused := findEffect[Refuse](effects); refused {
+			t.Fatalf("refused before the lease was read: %v", refusal.Err)
+		}
+		h.advance(100 * time.Millisecond)
+		read.SentAt = h.now
+		read.Exists = exists
+		read.Record.Versions = nil
+		effects = h.apply(read)
+		if _, sent := findEffect[Send](append(effects, h.passTime(200*time.Millisecond)...)); !sent {
+			t.Errorf("a stream of the only version did not go on after the lease was read, with a record %v", exists)
+		}
+	}
+}
