Count a resumed stream of the soak only if a load had time

What is left after the second copies of light models are moments at which all engines of the stream's version had started less than a load before ("v4[] v4[]", "v5[] v5[] v5[] v5[] loading"): the soak ends or replaces an engine every two seconds and a load lasts up to 4 s. Nobody could have served these streams.

--- a/internal/soak/rolls_test.go
+++ b/internal/soak/rolls_test.go
@@ -22,6 +22,10 @@
 	minDraftLoad  = 300 * time.Millisecond
 	maxDraftLoad  = 4 * time.Second
 	draftInterval = 80 * time.Millisecond
+	// modelsPerDrafter models fit into an engine of drafts. It gets the first order to load one
+	// within firstOrderTime of its start, after it is registered and has reported.
+	modelsPerDrafter = 2
+	firstOrderTime   = 700 * time.Millisecond
 	// An engine of drafts reads a prompt in readTime, while it is slow in slowReadTime.
 	readTime     = 60 * time.Millisecond
 	slowReadTime = 500 * time.Millisecond
@@ -47,6 +51,7 @@
 		if i%2 == 1 {
 			ep.models[1] = "m2"
 		}
+		ep.fullAt = time.Time{}
 		if i >= drafterCount {
 			ep.spare.Store(true)
 			ep.state = ""
