Load a model from disk beside a slower load that streams wait for

A backup of m005 had begun 60 ms before at another engine, from the weight store, 8.4 s away, and m005 therefore counted as being loaded. Engines that have a model's weights on the disk, as the one that is started again has them, were not asked: 2 s in place of 8.

While versions differ, a model that streams wait for at a version, and that engines of the version only load, is now loaded at another one too if it is there at least a second sooner. That takes no copy of another model, and nothing from the weight store. Services of one version are planned as before.

--- a/internal/stock/load.go
+++ b/internal/stock/load.go
@@ -211,6 +211,9 @@
 	for _, e := range r.cached[shortage.model] {
 		try(e)
 	}
+	if !shortage.loadedAt.IsZero() {
+		return best // a load from the weight store wouldn't finish sooner
+	}
 	if !p.storeAdmitsLoad(now, s) {
 		for _, e := range r.reserved {
 			try(e)
@@ -261,10 +264,16 @@
 	if o.source == fromStore && e.reservedAt.IsZero() && !p.storeAdmitsLoad(now, s) {
 		return nil
 	}
+	if shortage.endsTooLate(now, o.source.duration(spec)) {
+		return nil
+	}
 	o.cost = e.loadCost(o.source)
 	if e.freeMemory() >= spec.SizeMB {
 		return o
 	}
+	if !shortage.loadedAt.IsZero() {
+		return nil // time alone isn't worth a copy of another model
+	}
 	victim, loss := p.chooseVictim(now, s, e, shortage)
 	if victim == "" {
 		return nil
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -106,6 +106,19 @@
 	// backup is true if the copy is to continue the streams of another engine, which an
 	// engine with a limit can't.
 	backup bool
+	// loadedAt is when a load of the model that has begun is expected to finish, so that
+	// only a much faster one helps. It is zero if there is none.
+	loadedAt time.Time
+}
+
+// minLoadLead is how much sooner than a load that has begun another one must finish to
+// be worth beginning.
+const minLoadLead = time.Second
+
+// endsTooLate reports whether a load of the given duration doesn't help since another one
+// has begun.
+func (s shortage) endsTooLate(now time.Time, duration time.Duration) bool {
+	return !s.loadedAt.IsZero() && s.loadedAt.Sub(now) < duration+minLoadLead
 }
 
 // unservedMiss reports whether requests wait for the model and no engine holds it.
@@ -128,11 +141,17 @@
 }
 
 // versionShortages returns the models that requests wait for at engines of one software
-// version, where other versions may hold them.
+// version, where other versions may hold them. While versions differ, that includes those
+// that an engine is loading: another one may have their weights on its disk, as one that was
+// started again does.
 func (p *Planner) versionShortages(now time.Time, s *service) []shortage {
 	var out []shortage
 	for _, m := range s.sortedMisses() {
-		if m.SoftwareVersion == "" || m.Adapter != "" || s.hasCopy(m.Model, m.SoftwareVersion) {
+		if m.SoftwareVersion == "" || m.Adapter != "" {
+			continue
+		}
+		loadedAt, found := s.firstCopy(m.Model, m.SoftwareVersion)
+		if found && (loadedAt.IsZero() || len(s.countVersions()) < 2) {
 			continue
 		}
 		out = append(out, shortage{
@@ -140,6 +159,7 @@
 			demandRate:      s.demandRate(now, m.Model),
 			missed:          true,
 			softwareVersion: m.SoftwareVersion,
+			loadedAt:        loadedAt,
 		})
 	}
 	return out
--- a/internal/stock/service.go
+++ b/internal/stock/service.go
@@ -174,12 +174,21 @@
 	}
 }
 
-// hasCopy reports whether a usable engine of a software version holds or is loading a
-// model.
-func (s *service) hasCopy(model, softwareVersion string) bool {
-	return slices.ContainsFunc(s.copiesOf(model).holders, func(e *engine) bool {
-		return e.softwareVersion == softwareVersion && e.keeps(model)
-	})
+// firstCopy reports whether a usable engine of a software version holds or is loading a
+// model. If none holds it, it returns when the first load is expected to finish.
+func (s *service) firstCopy(model, softwareVersion string) (loadedAt time.Time, found bool) {
+	for _, e := range s.copiesOf(model).holders {
+		if e.softwareVersion != softwareVersion || !e.keeps(model) {
+			continue
+		}
+		if !e.loading(Artifact{Model: model}) {
+			return time.Time{}, true
+		}
+		if !found || e.pending.expectedAt.Before(loadedAt) {
+			loadedAt, found = e.pending.expectedAt, true
+		}
+	}
+	return loadedAt, found
 }
 
 // invalidateLoads must be called when the expected end of an order changes.
