--- a/internal/gate/entries_test.go
+++ b/internal/gate/entries_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +21,8 @@
 	leader  string
 	effects map[string][]Effect
 	calls   CallID
+	// starts counts the processes that were started.
+	starts int
 	// lastRecord is the newest record of the lease log, which ends at offset.
 	lastRecord lease.Record
 	offset     int64
@@ -26,17 +30,25 @@
 
 // newEntryFleet returns entries named front-1 to front-3, the first of which
 // leads, with engines of two versions.
-func newEntryFleet(t *testing.T) *entryFleet {
+func newEntryFleet(t *testing.T) *entryFleet { return newEntryFleetOf(t, 3) }
+
+func newEntryFleetOf(t *testing.T, entries int) *entryFleet {
 	f := &entryFleet{t: t, now: start, cores: make(map[string]*Core), effects: make(map[string][]Effect)}
-	for i := range 3 {
+	f.startEntries(entries)
+	f.readStore()
+	f.lead("front-1")
+	return f
+}
+
+// startEntries starts entries that know nothing, in place of those of the same names.
+func (f *entryFleet) startEntries(entries int) {
+	for i := range entries {
+		f.starts++
 		host := fmt.Sprint("front-", i+1)
 		settings := testSettings(host)
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7600)
-		f.cores[host] = New(settings, lease.New(host, uint64(i+1), address, settings.Lease), rand.New(rand.NewPCG(uint64(i), 2)))
+		f.cores[host] = New(settings, lease.New(host, uint64(f.starts), address, settings.Lease), rand.New(rand.NewPCG(uint64(i), 2)))
 	}
-	f.readStore()
-	f.lead("front-1")
-	return f
 }
 
 // readStore delivers a read of the configuration and of all endpoints.
@@ -136,7 +148,7 @@
 func (f *entryFleet) tick() {
 	for range 4 {
 		f.now = f.now.Add(reportInterval / 2)
-		for _, host := range []string{"front-1", "front-2", "front-3"} {
+		for _, host := range slices.Sorted(maps.Keys(f.cores)) {
 			f.apply(host, ConfigRead{SentAt: f.now})
 			f.apply(host, Tick{})
 		}
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -29,10 +29,14 @@
 type plainFleet struct {
 	*entryFleet
 	shops int
+	// registered are the last changes of endpoints, which a full read tells of.
+	registered []topo.EndpointChange
 }
 
-func newPlainFleet(t *testing.T) *plainFleet {
-	f := &plainFleet{entryFleet: newEntryFleet(t)}
+func newPlainFleet(t *testing.T) *plainFleet { return newPlainFleetOf(t, 3) }
+
+func newPlainFleetOf(t *testing.T, entries int) *plainFleet {
+	f := &plainFleet{entryFleet: newEntryFleetOf(t, entries)}
 	for range 3 {
 		f.addShop()
 	}
@@ -47,6 +51,12 @@
 }
 
 func (f *plainFleet) change(changes ...topo.EndpointChange) {
+	for _, change := range changes {
+		f.registered = slices.DeleteFunc(f.registered, func(r topo.EndpointChange) bool { return r.ID == change.ID })
+		if change.Endpoint != nil {
+			f.registered = append(f.registered, change)
+		}
+	}
 	for host := range f.cores {
 		f.apply(host, EndpointsRead{SentAt: f.now, Changes: changes})
 	}
