Keep the evidence on suspects in the lease's record

The record now holds, beside the quarantines, the crashes and answers on which the verdicts on suspects rest, within bounds. An entry takes them from the first record that it reads. They are told by runs of endpoints, so that an entry which has started anew and one which hasn't count a crash once. The thresholds are as before: one more crash begins a quarantine of 20 s, not one of 10 minutes. Releases before ignore the field, and write none.

The test's restarted fleet had endpoints with the identities of those that had crashed, whose crashes then rightly counted once. It now has those that were running, and the entries read the record themselves; its bound and the number of crashes are unchanged.

--- a/internal/gate/crashlog.go
+++ b/internal/gate/crashlog.go
@@ -1,11 +1,8 @@
 package gate
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/wire/wirepb"
 )
@@ -62,35 +59,3 @@
 	}
 	c.leader.spreadSoon = c.leader.spreadSoon || urgent
 }
-
-// maxRecordedQuarantines bounds the quarantines in a record of the lease.
-const maxRecordedQuarantines = 64
-
-// recordedQuarantine returns the quarantines for the next record of the lease, those with
-// the longest durations if there are too many.
-func (c *Core) recordedQuarantine(now time.Time) []lease.QuarantinedPart {
-	quarantines := c.crashes.log.Quarantines()
-	slices.SortStableFunc(quarantines, func(a, b poison.Quarantine) int {
-		return cmp.Or(cmp.Compare(b.Duration, a.Duration), b.Until.Compare(a.Until))
-	})
-	var out []lease.QuarantinedPart
-	for _, q := range quarantines[:min(len(quarantines), maxRecordedQuarantines)] {
-		out = append(out, lease.QuarantinedPart{
-			Part:        uint64(q.Part),
-			RemainingMs: q.Until.Sub(now).Milliseconds(),
-			DurationMs:  q.Duration.Milliseconds(),
-		})
-	}
-	return out
-}
-
-// applyRecordedQuarantine adds the quarantines in a record of the lease.
-func (c *Core) applyRecordedQuarantine(now time.Time, recorded []lease.QuarantinedPart) {
-	for _, q := range recorded {
-		c.crashes.log.AddQuarantine(now, poison.Quarantine{
-			Part:     poison.Part(q.Part),
-			Until:    now.Add(time.Duration(q.RemainingMs) * time.Millisecond),
-			Duration: time.Duration(q.DurationMs) * time.Millisecond,
-		})
-	}
-}
--- a/internal/gate/evidence_test.go
+++ b/internal/gate/evidence_test.go
@@ -1,23 +1,173 @@
 package gate
 
 import (
+	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
+
+	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/poison"
 )
 
+// restart starts all entries anew. They know only what is in the store.
+func (f *plainFleet) restart() {
+	f.startEntries(len(f.cores))
+	f.readStore()
+	f.change(f.registered...)
+	f.lead("front-1")
+	f.pass(budgetContact) // all entries are in touch again
+}
+
 // Guards against losing the evidence when all entries start anew between the third crash
 // and the quarantine.
 func TestEvidenceOutlivesAllEntries(t *testing.T) {
 	f := newPlainFleet(t)
 	f.crashBad(3)
 	f.pass(budgetContact)
-	restarted := newPlainFleet(t)
-	for _, core := range restarted.cores {
-		core.applyRecordedQuarantine(restarted.now, f.lastRecord.Quarantine)
-	}
-	restarted.pass(budgetContact) // all entries are in touch again
-	if reached := restarted.attack(time.Minute); reached > badRetries {
+	f.restart()
+	if reached := f.attack(time.Minute); reached > badRetries {
 		t.Errorf("after the third crash and a restart of all entries, %d requests reached endpoints, want at most %d",
 			reached, badRetries)
 	}
 }
+
+// Guards against evidence that only part of the entries has, that is counted twice where
+// they meet, or that is lost with a second restart.
+func TestEvidenceOutlivesSeveralRestarts(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	for range 3 {
+		f.pass(budgetContact)
+		f.restart()
+	}
+	for i := range 3 {
+		if v := f.verdictOn(hostOf(i), badContent); v != poison.Trial {
+			t.Errorf("%s: after two crashes and three restarts the verdict is %v, want a trial", hostOf(i), v)
+		}
+	}
+	if reached := 2 + f.attack(time.Minute); reached > 3+badRetries {
+		t.Errorf("%d requests reached endpoints, want at most %d after the third crash", reached, badRetries)
+	}
+}
+
+func (f *plainFleet) verdictOn(host, content string) poison.Verdict {
+	return f.cores[host].crashes.log.Judge(f.now, []poison.Part{poison.NewFingerprint("free", content)}).Verdict
+}
+
+// wantServed checks that all entries send sound requests, and the first ones of a suspect
+// too, which are answered.
+func (f *plainFleet) wantServed(contents ...string) {
+	f.t.Helper()
+	for i := range 6 {
+		for _, content := range contents {
+			f.answer(hostOf(i), f.mustTryPlain(hostOf(i), "/charge/1", content))
+		}
+		f.tick()
+	}
+}
+
+// Guards against refusing sound requests with the path, the customer and most of the
+// content of a bad one after a restart.
+func TestEvidenceOfOneRequestRefusesNoOther(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(3)
+	f.pass(budgetContact)
+	f.restart()
+	f.wantServed(soundContent, badContent+" but for a word")
+	for i := range 3 {
+		f.wantOtherCustomerServed(hostOf(i))
+	}
+}
+
+// Guards against refusing sound requests that were under way when endpoints ended by
+// themselves, seen before all entries started anew. One of them was never answered before.
+func TestSoundRequestsAreServedAfterEndsAndRestart(t *testing.T) {
+	f := newPlainFleet(t)
+	const answered = "answered before"
+	f.wantServed(answered)
+	for i := range 2 {
+		for _, content := range []string{answered, soundContent} {
+			f.crashPlain(hostOf(i), f.mustTryPlain(hostOf(i), "/charge/1", content))
+		}
+	}
+	f.pass(budgetContact)
+	for range 2 {
+		f.restart()
+	}
+	f.wantServed(answered, soundContent)
+	for i := range 3 {
+		for _, content := range []string{answered, soundContent} {
+			if v := f.verdictOn(hostOf(i), content); v != poison.Clear {
+				t.Errorf("%s: %q has verdict %v after its answers, want clear", hostOf(i), content, v)
+			}
+		}
+	}
+	f.restart()
+	f.wantServed(answered, soundContent)
+}
+
+// Guards against a sound request that is kept away for long because one more endpoint ends
+// while it is tried after a restart.
+func TestRecordedSuspectIsKeptAwayShortly(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(3)
+	f.pass(budgetContact)
+	f.restart()
+	f.crashBad(1)
+	f.wantPlainQuarantined("front-1")
+	f.pass(25 * time.Second) // longer than the first quarantine
+	f.wantServed(badContent)
+}
+
+// Guards against a record that older releases, which know no evidence, can't read, and
+// against one that grows with the number of suspects.
+func TestRecordedEvidenceIsBounded(t *testing.T) {
+	f := newPlainFleet(t)
+	log := f.cores["front-1"].crashes.log
+	var parts []poison.Part
+	for i := range 100 {
+		parts = append(parts, poison.NewFingerprint("free", fmt.Sprint("bad-", i)))
+	}
+	for i := range 200 {
+		when := f.now.Add(-time.Duration(i) * time.Second)
+		log.AddCrash(f.now, poison.Crash{
+			Run:   poison.Run{Engine: fmt.Sprint("shop-with-a-long-name-", i), Incarnation: 1 << 62},
+			At:    when,
+			Parts: parts,
+		})
+	}
+	f.pass(time.Second)
+	value, err := json.Marshal(f.lastRecord)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const most = 64 << 10
+	if n := len(f.lastRecord.Evidence.Crashes); n == 0 || len(value) > most {
+		t.Errorf("the record has %d crashes and %d bytes, want some and at most %d", n, len(value), most)
+	}
+	var older struct {
+		Host       string                  `json:"host"`
+		Quarantine []lease.QuarantinedPart `json:"quarantine"`
+	}
+	if err := json.Unmarshal(value, &older); err != nil || older.Host != f.lastRecord.Host {
+		t.Errorf("a reader that knows no evidence reads host %q: %v", older.Host, err)
+	}
+}
+
+// Guards against refusing to read the record of an older release, and against one that a
+// release without crashes to tell of writes otherwise than before.
+func TestRecordWithoutEvidence(t *testing.T) {
+	f := newPlainFleet(t)
+	value, err := json.Marshal(f.lastRecord)
+	if err != nil || strings.Contains(string(value), "evidence") {
+		t.Errorf("a record without evidence is %s: %v", value, err)
+	}
+	var record lease.Record
+	if err := json.Unmarshal([]byte(`{"host":"front-1","term":1,"members":null}`), &record); err != nil {
+		t.Fatal(err)
+	}
+	f.cores["front-2"].applyRecordedCrashes(f.now, &record, true)
+	f.wantServed(badContent, soundContent)
+}
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -66,7 +66,7 @@
 func (c *Core) appendLease(now time.Time, release bool) {
 	c.appendingLease = true
 	record, offset := c.lease.NextRecord(now, c.nextMembers(now), release)
-	record.Quarantine = c.recordedQuarantine(now)
+	c.recordCrashes(now, &record)
 	record.Versions = c.recordedVersions(now)
 	c.emit(AppendLease{
 		Record: record,
@@ -105,8 +105,9 @@
 		c.lease.RetryAfter(now, c.jitter(storeRetryDelay))
 		return
 	}
+	first := !c.lease.HasRead()
 	c.lease.HandleRead(now, e.Read)
-	c.applyRecordedQuarantine(now, e.Record.Quarantine)
+	c.applyRecordedCrashes(now, &e.Record, first)
 	c.applyRecordedVersions(now, e.Record.Versions)
 	if !e.Exists || c.lease.Stale() && (c.lease.Holds(now) || c.leaderLink.connected) {
 		// A stale record says nothing against the leader that this entry knows.
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -35,6 +35,9 @@
 	// Quarantine holds the parts of prompts that are kept from engines, so that it
 	// outlives all entries.
 	Quarantine []QuarantinedPart `json:"quarantine,omitempty"`
+	// Evidence is what is known of parts that are not under quarantine yet, so that it
+	// outlives all entries too. Earlier releases neither write nor read it.
+	Evidence CrashEvidence `json:"evidence,omitzero"`
 	// Versions are the software versions at which streams may have begun, so that a process
 	// that starts knows of those that have left.
 	Versions []ServiceVersion `json:"versions,omitempty"`
@@ -58,3 +61,28 @@
 	RemainingMs int64 `json:"remainingMs"`
 	DurationMs  int64 `json:"durationMs"`
 }
+
+// CrashEvidence holds crashes of endpoints, with the parts that may have caused them, and
+// the newest answers to requests with such parts.
+type CrashEvidence struct {
+	Crashes []RecordedCrash  `json:"crashes,omitempty"`
+	Answers []RecordedAnswer `json:"answers,omitempty"`
+}
+
+// RecordedCrash is the crash of one incarnation of an endpoint.
+type RecordedCrash struct {
+	Endpoint    string `json:"endpoint"`
+	Incarnation int64  `json:"incarnation"`
+	// AgeMs is how long ago it was when the record was written, in milliseconds.
+	AgeMs int64 `json:"ageMs"`
+	// Parts may be empty: the crash shows that others at its moment may have another
+	// cause than their parts.
+	Parts []uint64 `json:"parts,omitempty"`
+}
+
+// RecordedAnswer is an answer to a request with a part.
+type RecordedAnswer struct {
+	Part uint64 `json:"part"`
+	// AgeMs is how long ago it was when the record was written, in milliseconds.
+	AgeMs int64 `json:"ageMs"`
+}
