Tell of crashes without a leader through the entry that led

Entries tell each other of crashes through the leader only.

The sessions with the entry that led remain, though. It now merges what reports tell of crashes and passes that on in messages of the existing type for crashes, which entries of the releases before ignore. They are no states, so nobody takes the sender for the leader, and it grants no trials. The answer keeps the session, which was closed and opened again every 2 s.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -230,6 +230,11 @@
 				Host:  target.Host,
 				State: body.State,
 			})
+		case *wirepb.GateMessage_Poison:
+			l.server.post(gate.PoisonReceived{
+				Host:   target.Host,
+				Poison: body.Poison,
+			})
 		case *wirepb.GateMessage_Assignment:
 			l.server.post(gate.AssignmentReceived{
 				Host:       target.Host,
--- a/internal/edge/perform.go
+++ b/internal/edge/perform.go
@@ -36,6 +36,8 @@
 		s.peerSessions.send(e.Host, &wirepb.GateMessage{Body: &wirepb.GateMessage_Assignment{Assignment: e.Assignment}})
 	case gate.SendState:
 		s.peerSessions.send(e.Host, &wirepb.GateMessage{Body: &wirepb.GateMessage_State{State: e.State}})
+	case gate.SendPoison:
+		s.peerSessions.send(e.Host, &wirepb.GateMessage{Body: &wirepb.GateMessage_Poison{Poison: e.Poison}})
 	case gate.SendOrder:
 		go s.sendOrder(e)
 	case gate.RequestEngineReport:
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -207,6 +207,8 @@
 		c.handleLeaderDisconnected(e.Host)
 	case StateReceived:
 		c.handleStateReceived(now, e)
+	case PoisonReceived:
+		c.handlePoisonReceived(now, e)
 	case PeerConnected:
 		c.handlePeerConnected(now, e.Host)
 	case PeerDisconnected:
@@ -250,6 +252,7 @@
 	c.joinProvedEnds(now)
 	c.crashes.prune(now)
 	c.crashes.log.Assess(now)
+	c.relayPoison(now)
 	c.logQuarantines(now)
 }
 
--- a/internal/gate/effect.go
+++ b/internal/gate/effect.go
@@ -108,6 +108,12 @@
 	State *wirepb.GateState
 }
 
+// SendPoison tells another entry, which follows this one though it doesn't lead, of crashes.
+type SendPoison struct {
+	Host   string
+	Poison *wirepb.GatePoison
+}
+
 // SendOrder sends an order to an engine. Until is the time after which it must
 // not be sent.
 type SendOrder struct {
@@ -170,6 +176,7 @@
 func (RequestAssignment) effect()   {}
 func (SendAssignment) effect()      {}
 func (SendState) effect()           {}
+func (SendPoison) effect()          {}
 func (SendOrder) effect()           {}
 func (RequestEngineReport) effect() {}
 func (ProbeEngine) effect()         {}
--- a/internal/gate/entries_test.go
+++ b/internal/gate/entries_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -13,6 +14,8 @@
 	"dogwoodfold/internal/topo"
 )
 
+var errStoreDown = errors.New("the store is down")
+
 // entryFleet is a set of cores that exchange their messages without delay.
 type entryFleet struct {
 	t       *testing.T
@@ -21,6 +24,8 @@
 	leader  string
 	effects map[string][]Effect
 	calls   CallID
+	// storeDown is true while nothing can be appended to the lease log or read from it.
+	storeDown bool
 	// starts counts the processes that were started.
 	starts int
 	// lastRecord is the newest record of the lease log, which ends at offset.
@@ -129,11 +134,22 @@
 			f.apply(f.leader, ReportReceived{Host: host, Report: e.Report})
 		case SendState:
 			f.apply(e.Host, StateReceived{Host: host, State: e.State})
+		case SendPoison:
+			f.apply(e.Host, PoisonReceived{Host: host, Poison: e.Poison})
 		case RequestAssignment:
 			f.apply(f.leader, AssignmentRequested{Host: host, Request: e.Request})
 		case SendAssignment:
 			f.apply(e.Host, AssignmentReceived{Host: host, Assignment: e.Assignment})
+		case ReadLease:
+			f.effects[host] = append(f.effects[host], effect)
+			if f.storeDown {
+				f.apply(host, LeaseRead{SentAt: f.now, Err: errStoreDown})
+			}
 		case AppendLease:
+			if f.storeDown {
+				f.apply(host, LeaseAppendEnded{Record: e.Record, Offset: e.Offset, Result: AppendUnknown})
+				continue
+			}
 			f.effects[host] = append(f.effects[host], effect)
 			if host == f.leader {
 				f.recordAppend(e)
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -175,6 +175,13 @@
 	State *wirepb.GateState
 }
 
+// PoisonReceived reports what the entry that this one follows, which doesn't lead, has told
+// of crashes.
+type PoisonReceived struct {
+	Host   string
+	Poison *wirepb.GatePoison
+}
+
 // PeerConnected reports that another entry has opened a session to this one.
 type PeerConnected struct{ Host string }
 
@@ -258,6 +265,7 @@
 func (LeaderConnected) event()     {}
 func (LeaderDisconnected) event()  {}
 func (StateReceived) event()       {}
+func (PoisonReceived) event()      {}
 func (PeerConnected) event()       {}
 func (PeerDisconnected) event()    {}
 func (ReportReceived) event()      {}
--- /dev/null
+++ b/internal/gate/leaderless_test.go
@@ -0,0 +1,109 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dogwoodfold/internal/poison"
+)
+
+// loseLeader ends the term of the leader, since the store is down.
+func (f *plainFleet) loseLeader() {
+	f.t.Helper()
+	f.storeDown = true
+	f.pass(testSettings("").Lease.Duration + time.Second)
+	for host, core := range f.cores {
+		if core.isLeader(f.now) {
+			f.t.Fatalf("%s leads without the store", host)
+		}
+	}
+}
+
+// running returns the entries that are running, in turn.
+func (f *plainFleet) running(i int) string {
+	for {
+		host := fmt.Sprint("front-", i%f.starts+1)
+		if f.cores[host] != nil {
+			return host
+		}
+		i++
+	}
+}
+
+// attackAll lets the bad request come to all entries in turn, each time after they could
+// tell each other of the crash before. It returns how often the request reached an endpoint
+// after its third crash.
+func (f *plainFleet) attackAll(d time.Duration) (late int) {
+	f.t.Helper()
+	reached := 0
+	for i, until := 0, f.now.Add(d); f.now.Before(until); i++ {
+		sent, err := f.tryPlain(f.running(i), "/charge/1", badContent)
+		if err != nil {
+			f.pass(crashGap)
+			continue
+		}
+		reached++
+		f.crashPlain(f.running(i), sent)
+		f.pass(budgetContact)
+	}
+	if reached < 2 {
+		f.t.Fatalf("%d requests reached endpoints, so few are no test", reached)
+	}
+	return max(reached-3, 0)
+}
+
+// Guards against entries that each have to lose endpoints of their own to a request while
+// nobody leads, though they still have their sessions with the entry that led.
+func TestCrashesAddUpWithoutLeader(t *testing.T) {
+	for _, entries := range []int{4, 8} {
+		f := newPlainFleetOf(t, entries)
+		f.loseLeader()
+		if late := f.attackAll(time.Minute); late > badRetries {
+			t.Errorf("%d entries without a leader: %d requests reached endpoints after the third crash, want at most %d",
+				entries, late, badRetries)
+		}
+	}
+}
+
+// Guards against the same if the entry that led has ended too: the others have no sessions
+// with each other.
+func TestCrashesAddUpWithoutLeaderAndSessions(t *testing.T) {
+	for _, entries := range []int{4, 8} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			f := newPlainFleetOf(t, entries)
+			f.loseLeader()
+			delete(f.cores, "front-1")
+			for host := range f.cores {
+				f.apply(host, LeaderDisconnected{Host: "front-1"})
+			}
+			if late := f.attackAll(time.Minute); late > badRetries {
+				t.Errorf("%d requests reached endpoints after the third crash, want at most %d", late, badRetries)
+			}
+		})
+	}
+}
+
+// Guards against refusing sound requests without a leader that were under way at crashes
+// of a bad one and that other entries answer.
+func TestSoundRequestsAreServedWithoutLeader(t *testing.T) {
+	f := newPlainFleetOf(t, 4)
+	f.wantServed(soundContent)
+	f.loseLeader()
+	for i := range 3 {
+		host := f.running(i)
+		sound := f.mustTryPlain(host, "/charge/1", soundContent)
+		if bad, err := f.tryPlain(host, "/charge/1", badContent); err == nil {
+			f.cut(host, bad)
+		}
+		f.crashPlain(host, sound)
+		f.answer(f.running(i+1), f.mustTryPlain(f.running(i+1), "/charge/1", soundContent))
+		f.pass(crashGap)
+	}
+	for i := range 4 {
+		if v := f.verdictOn(f.running(i), badContent); v == poison.Clear {
+			t.Errorf("%s: the bad request is clear after crashes at several entries", f.running(i))
+		}
+		f.answer(f.running(i), f.mustTryPlain(f.running(i), "/charge/1", soundContent))
+	}
+}
--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -97,7 +97,11 @@
 // handleReportReceived applies an entry's report and answers it with a state.
 func (c *Core) handleReportReceived(now time.Time, e ReportReceived) {
 	peer := c.peers[e.Host]
-	if peer == nil || !c.isLeader(now) {
+	if peer == nil {
+		return
+	}
+	if !c.isLeader(now) {
+		c.relayReport(now, e.Host, peer, e.Report)
 		return
 	}
 	peer.lastSeen = now
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -18,6 +18,7 @@
 		return
 	}
 	c.sendReport(now)
+	c.relayPoison(now)
 }
 
 // logQuarantines logs the quarantines that began or were lifted since the last call.
