Weigh the parts of crashes once for each conclusion

Each round of Assess, which explains crashes by one part, went through all parts of all crashes that were left, most of them fingerprints that came once, and looked through all crashes for those at the same moment, for each episode of each part.

The parts that may explain crashes are now selected once, and the crashes at the same moment are found by their order. The tallies have a file of their own.

--- a/internal/poison/assess.go
+++ b/internal/poison/assess.go
@@ -137,61 +137,6 @@
 	return l.lastCrash[p].After(at)
 }
 
-// tally counts the crashes with a part since its last answer.
-type tally struct {
-	part     Part
-	proven   bool
-	crashes  []*loggedCrash
-	episodes int
-	// counted is the number of crashes in those episodes.
-	counted int
-}
-
-func (t *tally) suspect() bool {
-	if t.part.isFingerprint() {
-		if t.proven {
-			return t.counted >= provenFingerprintSuspectCrashes
-		}
-		return t.counted >= fingerprintSuspectCrashes
-	}
-	if t.proven {
-		return t.episodes >= provenSuspectEpisodes
-	}
-	return t.episodes >= suspectEpisodes || len(t.crashes) >= suspectCrashes
-}
-
-func (t *tally) condemned() bool {
-	if t.part.isFingerprint() {
-		if t.proven {
-			return t.counted >= provenFingerprintQuarantineCrashes && t.episodes >= provenFingerprintEpisodes
-		}
-		return t.counted >= fingerprintQuarantineCrashes && t.episodes >= fingerprintQuarantineEpisodes
-	}
-	if t.proven {
-		return t.episodes >= provenQuarantineEpisodes
-	}
-	return t.episodes >= quarantineEpisodes
-}
-
-// rivals reports whether a suspect part explains the crashes almost as well as the one
-// that explains most. A fingerprint has to explain all of them: the request itself was
-// under way in each.
-func (t *tally) rivals(best *tally) bool {
-	least := len(best.crashes) - 1
-	if best.part.isFingerprint() {
-		least++
-	}
-	if !t.suspect() || t.proven != best.proven || len(t.crashes) < least {
-		return false
-	}
-	for _, c := range t.crashes {
-		if !slices.Contains(best.crashes, c) {
-			return false
-		}
-	}
-	return true
-}
-
 // Assess updates the verdicts. The part that was in most crashes explains them, so
 // that they say nothing of the parts beside it; then the next part is looked for among
 // the other crashes, and fingerprints among those that no part of a prompt explains.
@@ -223,16 +168,17 @@
 
 // judgeParts sets the verdicts on parts of prompts, or on fingerprints, and returns the
 // crashes that they don't explain.
-func (l *Log) judgeParts(now time.Time, unexplained []*loggedCrash, fingerprints bool) []*loggedCrash {
+func (l *Log) judgeParts(now time.Time, crashes []*loggedCrash, fingerprints bool) []*loggedCrash {
+	unexplained := l.candidates(crashes, fingerprints)
 	for {
-		tallies := l.tallies(unexplained, fingerprints)
+		tallies := tallyCrashes(unexplained)
 		first := slices.IndexFunc(tallies, (*tally).suspect)
 		if first < 0 {
-			return unexplained
+			return loggedCrashes(unexplained)
 		}
 		best := tallies[first]
 		l.judgeGroup(now, best, rivalGroup(tallies, best))
-		unexplained = slices.DeleteFunc(unexplained, func(c *loggedCrash) bool { return slices.Contains(best.crashes, c) })
+		unexplained = without(unexplained, best.crashes)
 	}
 }
 
@@ -317,101 +263,6 @@
 	return out
 }
 
-// tallies counts the crashes of each part of prompts, or of each fingerprint, since its
-// last answer. Those without any answer come first, then those in most crashes.
-func (l *Log) tallies(crashes []*loggedCrash, fingerprints bool) []*tally {
-	byPart := make(map[Part]*tally)
-	for _, c := range crashes {
-		for _, p := range c.Parts {
-			if p.isFingerprint() != fingerprints || fingerprints && !l.repeated[p] {
-				continue // most requests are unlike all others
-			}
-			a := l.answers[p]
-			if a != nil && !c.At.After(a.at) {
-				continue
-			}
-			if byPart[p] == nil {
-				byPart[p] = &tally{
-					part:   p,
-					proven: a != nil,
-				}
-			}
-			byPart[p].crashes = append(byPart[p].crashes, c)
-		}
-	}
-	out := make([]*tally, 0, len(byPart))
-	for _, t := range byPart {
-		t.countEpisodes(nil)
-	}
-	causeless := withoutCondemned(crashes, byPart)
-	for _, t := range byPart {
-		t.countEpisodes(causeless)
-		out = append(out, t)
-	}
-	slices.SortFunc(out, compareTallies)
-	return out
-}
-
-// withoutCondemned returns the crashes without any part whose crashes would put it under
-// quarantine. Requests that crash engines at the same moments would otherwise be each
-// one's other cause; those that are answered between common failures have few crashes.
-func withoutCondemned(crashes []*loggedCrash, tallies map[Part]*tally) []*loggedCrash {
-	condemned := func(p Part) bool {
-		t := tallies[p]
-		return t != nil && t.condemned()
-	}
-	var out []*loggedCrash
-	for _, c := range crashes {
-		if !slices.ContainsFunc(c.Parts, condemned) {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// countEpisodes counts the episodes of the crashes. One in which most engines crashed
-// without the part has another cause and doesn't count. others are the crashes that may
-// have another cause.
-func (t *tally) countEpisodes(others []*loggedCrash) {
-	t.episodes, t.counted = 0, 0
-	for i := 0; i < len(t.crashes); {
-		began := t.crashes[i].At
-		with := 0
-		for i < len(t.crashes) && t.crashes[i].At.Sub(began) <= episodeGap {
-			with++
-			i++
-		}
-		without := t.countOthers(others, began)
-		if without < minOtherCrashes || without < with*otherCrashRatio {
-			t.episodes++
-			t.counted += with
-		}
-	}
-}
-
-// countOthers counts the crashes without the part at about the given moment.
-func (t *tally) countOthers(crashes []*loggedCrash, moment time.Time) int {
-	count := 0
-	for _, c := range crashes {
-		gap := c.At.Sub(moment)
-		if gap >= -episodeGap && gap <= episodeGap && !slices.Contains(c.Parts, t.part) {
-			count++
-		}
-	}
-	return count
-}
-
-func compareTallies(a, b *tally) int {
-	proven := func(t *tally) int {
-		if t.proven {
-			return 1
-		}
-		return 0
-	}
-	return cmp.Or(cmp.Compare(proven(a), proven(b)), cmp.Compare(len(b.crashes), len(a.crashes)),
-		cmp.Compare(b.episodes, a.episodes), cmp.Compare(a.part, b.part))
-}
-
 func containsAll(parts, group []Part) bool {
 	for _, p := range group {
 		if !slices.Contains(parts, p) {
--- a/internal/poison/fingerprint_test.go
+++ b/internal/poison/fingerprint_test.go
@@ -409,3 +409,39 @@
 		})
 	}
 }
+
+// BenchmarkAssessUnanswered measures the verdicts on a full log, with 60 requests that came
+// once in each crash, and with one or more of the repeated ones, none of them answered.
+func BenchmarkAssessUnanswered(b *testing.B) {
+	for _, repeated := range []int{10, 50} {
+		for _, perCrash := range []int{1, 3, repeated} {
+			b.Run(fmt.Sprint(repeated, "-", perCrash), func(b *testing.B) {
+				l := newUnansweredLog(repeated, perCrash)
+				for b.Loop() {
+					l.stale = true
+					l.Assess(at(maxCrashes * time.Second))
+					clear(l.quarantines)
+				}
+			})
+		}
+	}
+}
+
+// newUnansweredLog returns a full log with repeated requests that were never answered, some
+// of them in each crash, and with others that came once.
+func newUnansweredLog(repeated, perCrash int) *Log {
+	random := rand.New(rand.NewPCG(uint64(repeated), 4))
+	l := NewLog()
+	for i := range maxCrashes {
+		when := time.Duration(i) * 200 * time.Millisecond
+		var parts []Part
+		for j := range 60 {
+			parts = append(parts, NewFingerprint("acme", fmt.Sprint("single-", i, "-", j)))
+		}
+		for _, j := range random.Perm(repeated)[:perCrash] {
+			parts = append(parts, NewFingerprint("acme", fmt.Sprint("repeated-", j)))
+		}
+		l.AddCrash(at(when), crashOf(fmt.Sprint("e", i), when, parts...))
+	}
+	return l
+}
