Apply each record of the lease to the quarantines once

The times in a record are relative to when it was written. An entry without a leader reads the newest record every 1.2 s, and took each read for a new one: while nobody could write another, a quarantine of 20 s lasted for good (TestOldRecordProlongsNoQuarantine, which failed first: still under quarantine after a minute, now on trial).

--- a/internal/gate/evidence.go
+++ b/internal/gate/evidence.go
@@ -19,9 +19,10 @@
 	record.Evidence = c.recordedEvidence(now)
 }
 
-// applyRecordedCrashes adds the quarantines in a record of the lease, and the evidence
-// that led to none yet if this process has read no record before: later the leader tells
-// of it without delay.
+// applyRecordedCrashes adds the quarantines in a new record of the lease, and the evidence
+// that led to none yet if it is the first record that this process knows: later the leader
+// tells of it without delay. The times in a record are relative to when it was written, so
+// it must not be applied again.
 func (c *Core) applyRecordedCrashes(now time.Time, record *lease.Record, first bool) {
 	c.applyRecordedQuarantine(now, record.Quarantine)
 	if first {
--- a/internal/gate/evidence_test.go
+++ b/internal/gate/evidence_test.go
@@ -171,3 +171,20 @@
 	f.cores["front-2"].applyRecordedCrashes(f.now, &record, true)
 	f.wantServed(badContent, soundContent)
 }
+
+// Guards against prolonging a quarantine by reading the record with it again and again
+// while nobody can write a newer one.
+func TestOldRecordProlongsNoQuarantine(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(4)
+	f.pass(time.Second)
+	f.wantPlainQuarantined("front-2")
+	for range 60 {
+		f.now = f.now.Add(time.Second)
+		f.apply("front-2", f.leaseRead())
+		f.apply("front-2", Tick{})
+	}
+	if v := f.verdictOn("front-2", badContent); v != poison.Trial {
+		t.Errorf("a minute after the start of a quarantine of 20s the verdict is %v, want a trial", v)
+	}
+}
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -105,9 +105,11 @@
 		c.lease.RetryAfter(now, c.jitter(storeRetryDelay))
 		return
 	}
-	first := !c.lease.HasRead()
+	previous, known := c.lease.Current()
 	c.lease.HandleRead(now, e.Read)
-	c.applyRecordedCrashes(now, &e.Record, first)
+	if !known || previous.Incarnation != e.Record.Incarnation || previous.Renewal != e.Record.Renewal {
+		c.applyRecordedCrashes(now, &e.Record, !known)
+	}
 	c.applyRecordedVersions(now, e.Record.Versions)
 	if !e.Exists || c.lease.Stale() && (c.lease.Holds(now) || c.leaderLink.connected) {
 		// A stale record says nothing against the leader that this entry knows.
