Grant trials without a leader by the entry that led

Without a leader suspects were refused, sound ones too. Now that entries tell each other of crashes then, more of them are suspect at all entries, with nothing that could clear them.

The entry that led grants trials, one at a time, to those that still have their sessions with it, for calls to plain endpoints and to engines. For a moment a leader and an entry that doesn't know of it may grant a trial each.

TestTrialsGoOnWithoutLeader fails without the grants, and with grants that don't wait for each other.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -29,10 +29,14 @@
 // handleAssignmentRequested answers another entry's request for an engine.
 func (c *Core) handleAssignmentRequested(now time.Time, e AssignmentRequested) {
 	peer := c.peers[e.Host]
-	if peer == nil || !c.isLeader(now) {
+	if peer == nil || !c.isLeader(now) && !c.isCrashRelay(now) {
 		return
 	}
-	if c.isPlain(e.Request.GetService()) {
+	onlyTrial := e.Request.GetService() == "" || c.isPlain(e.Request.GetService())
+	if !c.isLeader(now) && !onlyTrial {
+		return
+	}
+	if onlyTrial {
 		c.emit(SendAssignment{
 			Host:       e.Host,
 			Assignment: c.grantTrial(now, e.Request),
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -68,6 +68,8 @@
 	idle           bool
 	// suspects are the suspect parts of the prompt of which the leader was told.
 	suspects []poison.Part
+	// onlyTrial is true if the call waits for a trial and not for an engine.
+	onlyTrial bool
 }
 
 // assignmentStage is a step of engine assignment.
@@ -175,7 +177,7 @@
 		return // the call has proceeded without a reply
 	}
 	delete(c.assignments.pending, call.id)
-	if call.plain {
+	if call.assignment.onlyTrial {
 		c.applyTrial(now, call, e.Assignment)
 		return
 	}
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -21,8 +21,8 @@
 	// fingerprint stands for all requests of the customer with the same content, 0 if it
 	// isn't known.
 	fingerprint poison.Part
-	// plain is true if the call's service has no engines. trial are then the parts for
-	// which the leader has granted a trial, trialRequestAt is when it may be asked again.
+	// plain is true if the call's service has no engines. trial are the parts for which a
+	// trial was granted without an engine, trialRequestAt is when it may be asked again.
 	plain          bool
 	trial          []poison.Part
 	trialRequestAt time.Time
@@ -230,13 +230,13 @@
 		c.waitForArtifact(now, call, service)
 		return
 	}
-	if call.plain && !c.checkTrial(now, call) {
-		return
-	}
 	if c.shouldRequestAssignment(now, call, service) {
 		c.requestAssignment(now, call)
 		return
 	}
+	if !c.checkTrial(now, call) {
+		return
+	}
 	c.requestPermits(now, limited)
 	if len(candidates) == 0 {
 		c.waitForLimit(now, call, limited)
--- a/internal/gate/crashlog.go
+++ b/internal/gate/crashlog.go
@@ -44,9 +44,7 @@
 // applyReportedPoison merges what a peer has reported to the leader, and tells the
 // others soon of new crashes and of answers to suspect prompts.
 func (c *Core) applyReportedPoison(now time.Time, peer *peer, message *wirepb.GatePoison) {
-	for _, p := range poison.DecodeParts(message.GetEndedTrials()) {
-		delete(c.leader.trials, p)
-	}
+	c.crashes.endTrials(poison.DecodeParts(message.GetEndedTrials()))
 	before := c.crashes.log.Revision()
 	suspects := c.crashes.log.Suspects()
 	peer.poisonSent = c.mergePoison(now, message, peer.poisonSent)
--- a/internal/gate/relaypoison.go
+++ b/internal/gate/crashrelay.go
@@ -13,6 +13,7 @@
 // While the store is down nobody does, but the sessions with the entry that led remain.
 // The answer, which may tell nothing, keeps the session.
 func (c *Core) relayReport(now time.Time, host string, peer *peer, report *wirepb.GateReport) {
+	c.crashes.endTrials(poison.DecodeParts(report.GetPoison().GetEndedTrials()))
 	peer.poisonSent = c.mergePoison(now, report.GetPoison(), peer.poisonSent)
 	c.relayPoisonTo(now, host, peer, true)
 	c.relayPoison(now)
@@ -56,6 +57,33 @@
 	if e.Host != c.leaderLink.host {
 		return
 	}
+	c.follower.crashRelayHeard = now
 	c.follower.poisonReported = c.mergePoison(now, e.Poison, c.follower.poisonReported)
 	c.retryParked(now)
 }
+
+// isCrashRelay reports whether this entry passes on what others tell of crashes, and grants
+// trials to them: they followed it when it led, and nobody has led since as far as it
+// knows.
+func (c *Core) isCrashRelay(now time.Time) bool {
+	return !c.isLeader(now) && c.leaderLink.host == "" && c.hasFollowers()
+}
+
+func (c *Core) hasFollowers() bool {
+	for _, peer := range c.peers {
+		if peer.connected {
+			return true
+		}
+	}
+	return false
+}
+
+// crashRelayAnswers reports whether the crash relay, which may be this entry, can be asked for trials
+// in place of a leader.
+func (c *Core) crashRelayAnswers(now time.Time) bool {
+	if c.isCrashRelay(now) {
+		return true
+	}
+	return !c.leaderAnswers(now) && c.leaderLink.connected && now.Sub(c.follower.crashRelayHeard) < maxStateAge &&
+		!now.Before(c.assignments.leaderBackoffUntil)
+}
--- a/internal/gate/endings.go
+++ b/internal/gate/endings.go
@@ -27,8 +27,11 @@
 	endings map[poison.Run][]ending
 	// probes are the endpoints that are being probed, and since when.
 	probes map[poison.Run]time.Time
+	// trials are requests with suspect parts that this entry has let through to see whether
+	// they crash an endpoint, by part.
+	trials map[poison.Part]trial
 	// endedTrials are the suspect parts of requests that ended without showing
-	// anything, of which the leader must be told.
+	// anything, of which the entry that grants trials must be told.
 	endedTrials []poison.Part
 	// failures are those of suspect requests to plain endpoints, by fingerprint.
 	failures map[poison.Part]*failureRecord
@@ -65,6 +68,7 @@
 		log:      poison.NewLog(),
 		endings:  make(map[poison.Run][]ending),
 		probes:   make(map[poison.Run]time.Time),
+		trials:   make(map[poison.Part]trial),
 		failures: make(map[poison.Part]*failureRecord),
 	}
 }
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -9,7 +9,6 @@
 	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/pacer"
 	"dogwoodfold/internal/pick"
-	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/rate"
 	"dogwoodfold/internal/since"
 	"dogwoodfold/internal/stock"
@@ -38,9 +37,6 @@
 	// prefillShares limit the fraction of time that the engines of a service
 	// may spend on prefill.
 	prefillShares map[string]*pacer.PrefillShare
-	// trials are requests with suspect parts that were sent to see whether they crash
-	// an engine, by part.
-	trials map[poison.Part]trial
 	// spreadSoon is true if the other entries must learn of a crash or of the
 	// outcome of a trial.
 	spreadSoon bool
@@ -72,7 +68,6 @@
 		loads:         make(map[string]pick.Load),
 		planner:       stock.NewPlanner(now, plannerSettings, first),
 		prefillShares: make(map[string]*pacer.PrefillShare),
-		trials:        make(map[poison.Part]trial),
 
 		shares:         shares,
 		holdingChanges: since.New[string](),
--- a/internal/gate/leaderless_test.go
+++ b/internal/gate/leaderless_test.go
@@ -107,3 +107,46 @@
 		f.answer(f.running(i), f.mustTryPlain(f.running(i), "/charge/1", soundContent))
 	}
 }
+
+// Guards against a sound suspect that is refused for as long as nobody leads, and against
+// several trials of it at a time.
+func TestTrialsGoOnWithoutLeader(t *testing.T) {
+	for name, try := range map[string]func(f *plainFleet, host string) (Send, error){
+		"plain":  func(f *plainFleet, host string) (Send, error) { return f.tryPlain(host, "/charge/1", soundContent) },
+		"engine": func(f *plainFleet, host string) (Send, error) { return f.try(host, "/chat/1", systemPart) },
+	} {
+		for granter := range 4 {
+			f := newPlainFleetOf(t, 4)
+			f.loseLeader()
+			for i := range 2 {
+				sent, err := try(f, f.running(i+1))
+				if err != nil {
+					t.Fatalf("%s: %v", name, err)
+				}
+				if name == "plain" {
+					f.crashPlain(f.running(i+1), sent)
+				} else {
+					f.crash(f.running(i+1), sent, true)
+				}
+			}
+			host := f.running(granter)
+			trial, err := try(f, host)
+			if err != nil {
+				t.Errorf("%s: %s is refused the trial of a suspect: %v", name, host, err)
+				continue
+			}
+			for i := range 4 {
+				if sent, err := try(f, f.running(i)); err == nil {
+					t.Errorf("%s: %s sends %v while a suspect is on trial", name, f.running(i), sent.Call)
+				}
+			}
+			f.answer(host, trial)
+			f.pass(time.Second)
+			for i := range 4 {
+				if _, err := try(f, f.running(i)); err != nil {
+					t.Errorf("%s: %s refuses a request that was answered: %v", name, f.running(i), err)
+				}
+			}
+		}
+	}
+}
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -53,6 +53,8 @@
 	missedNews bool
 	// echoed is the number of the last report that the leader has answered.
 	echoed uint64
+	// crashRelayHeard is when an entry that doesn't lead has last told of crashes.
+	crashRelayHeard time.Time
 	// poisonReported is the revision of the crash log that it has reported.
 	poisonReported uint64
 	// limitsReported is the revision of the limits that it has reported,
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -62,8 +62,8 @@
 }
 
 // checkQuarantine refuses a call that crashes endpoints. One that may crash engines needs
-// the leader, which sends one such request at a time. It reports whether the call can
-// proceed.
+// the leader, which sends one such request at a time, or the crash relay. It reports whether
+// the call can proceed.
 func (c *Core) checkQuarantine(now time.Time, call *activeCall, service *topo.Service) bool {
 	judgment := c.crashes.log.Judge(now, call.parts())
 	switch {
@@ -71,13 +71,19 @@
 		c.refuse(now, call, fault.NotRun, fault.CodeQuarantine, "the request or a part of its prompt crashes endpoints",
 			judgment.Until.Sub(now))
 		return false
-	case judgment.Verdict == poison.Trial && !call.plain && !c.shouldRequestAssignment(now, call, service):
+	case judgment.Verdict == poison.Trial && !c.mayAskForTrial(now, call, service):
 		c.refuse(now, call, fault.NotRun, fault.CodeQuarantine, "a part of the prompt may crash engines", c.jitter(trialRetryAfter))
 		return false
 	}
 	return true
 }
 
+// mayAskForTrial reports whether a suspect call can wait for a trial. One to a plain endpoint
+// is refused only if it finds nobody to ask.
+func (c *Core) mayAskForTrial(now time.Time, call *activeCall, service *topo.Service) bool {
+	return call.plain || c.shouldRequestAssignment(now, call, service) || c.crashRelayAnswers(now)
+}
+
 // mayRepeatPrompt reports whether a call may be sent again after an attempt that didn't
 // succeed.
 func (c *Core) mayRepeatPrompt(now time.Time, call *activeCall) bool {
--- a/internal/gate/trial.go
+++ b/internal/gate/trial.go
@@ -24,7 +24,7 @@
 	since time.Time
 }
 
-// trialWait returns how long a request must wait, at the leader, until no other one
+// trialWait returns how long a request must wait, at the entry that grants trials, until no other one
 // with its suspect parts or their rivals is on trial, or until their quarantine ends.
 func (c *Core) trialWait(now time.Time, req *wirepb.GateAssignmentAsk) time.Duration {
 	parts := poison.DecodeParts(req.GetSuspects())
@@ -43,20 +43,25 @@
 
 // onTrial reports whether a request with a part is on trial.
 func (c *Core) onTrial(now time.Time, p poison.Part) bool {
-	t, onTrial := c.leader.trials[p]
+	t, onTrial := c.crashes.trials[p]
 	return onTrial && now.Sub(t.since) < trialTime && !c.crashes.log.ResolvedSince(p, t.since)
 }
 
-// endTrial tells the leader that a request with suspect parts has ended. If its engine
-// has crashed, or the prompt was answered, that is known already.
+// endTrials forgets the trials of parts.
+func (w *crashWatch) endTrials(parts []poison.Part) {
+	for _, p := range parts {
+		delete(w.trials, p)
+	}
+}
+
+// endTrial tells the entry that grants trials that a request with suspect parts has ended.
+// If its engine has crashed, or the prompt was answered, that is known already.
 func (c *Core) endTrial(now time.Time, suspects []poison.Part) {
 	if len(suspects) == 0 {
 		return
 	}
-	if c.leader != nil {
-		for _, p := range suspects {
-			delete(c.leader.trials, p)
-		}
+	c.crashes.endTrials(suspects)
+	if c.leader != nil || c.isCrashRelay(now) {
 		return
 	}
 	c.crashes.endedTrials = append(c.crashes.endedTrials, suspects...)
@@ -65,9 +70,9 @@
 
 // startTrials records that a request with suspect parts is being sent.
 func (c *Core) startTrials(now time.Time, req *wirepb.GateAssignmentAsk) {
-	maps.DeleteFunc(c.leader.trials, func(_ poison.Part, t trial) bool { return now.Sub(t.since) >= trialTime })
+	maps.DeleteFunc(c.crashes.trials, func(_ poison.Part, t trial) bool { return now.Sub(t.since) >= trialTime })
 	for _, p := range poison.DecodeParts(req.GetSuspects()) {
-		c.leader.trials[p] = trial{since: now}
+		c.crashes.trials[p] = trial{since: now}
 	}
 }
 
@@ -79,16 +84,17 @@
 	plainTrialRetryAfter = 500 * time.Millisecond
 )
 
-// checkTrial lets a call to a plain endpoint proceed unless it may crash endpoints. Such
-// a call needs the leader, which grants one at a time; until then it waits, as for a full
-// endpoint. checkTrial reports whether the call can proceed.
+// checkTrial lets a call for which the leader assigns no engine proceed unless it may crash
+// endpoints. Such a call needs the leader, or the crash relay without one, which grants one at a
+// time; until then it waits, as for a full endpoint. checkTrial reports whether the call
+// can proceed.
 func (c *Core) checkTrial(now time.Time, call *activeCall) bool {
 	suspects := c.suspects(now, call)
 	if len(suspects) == 0 || containsParts(call.trial, suspects) {
 		return true
 	}
 	switch {
-	case call.assignment.stage == stageLocal || !c.leaderAnswers(now):
+	case call.assignment.stage == stageLocal || !c.leaderAnswers(now) && !c.crashRelayAnswers(now):
 		c.refuseTrial(now, call, c.jitter(trialRetryAfter))
 	case now.Before(call.trialRequestAt):
 		c.waitForTrial(now, call)
@@ -102,21 +108,24 @@
 	return !slices.ContainsFunc(wanted, func(p poison.Part) bool { return !slices.Contains(parts, p) })
 }
 
-// requestTrial asks the leader whether a call to a plain endpoint may be tried, directly
-// if this entry leads.
+// requestTrial asks the leader, or the crash relay, whether a call may be tried, directly if it is
+// this entry. The question names no service if that one has engines.
 func (c *Core) requestTrial(now time.Time, call *activeCall, suspects []poison.Part) {
 	req := &wirepb.GateAssignmentAsk{
 		Call:     uint64(call.id),
-		Service:  call.service,
 		Suspects: poison.EncodeParts(suspects),
 	}
+	if call.plain {
+		req.Service = call.service
+	}
 	call.trialRequestAt = now.Add(trialRequestInterval)
 	call.assignment = assignment{
-		stage:    stageRequested,
-		resumeAt: now.Add(leaderReplyTimeout),
-		suspects: suspects,
+		stage:     stageRequested,
+		resumeAt:  now.Add(leaderReplyTimeout),
+		suspects:  suspects,
+		onlyTrial: true,
 	}
-	if c.isLeader(now) {
+	if c.isLeader(now) || c.isCrashRelay(now) {
 		c.applyTrial(now, call, c.grantTrial(now, req))
 		return
 	}
@@ -124,7 +133,7 @@
 	c.emit(RequestAssignment{Request: req})
 }
 
-// grantTrial answers the question whether a call to a plain endpoint may be tried.
+// grantTrial answers the question whether a call may be tried.
 func (c *Core) grantTrial(now time.Time, req *wirepb.GateAssignmentAsk) *wirepb.GateAssignment {
 	reply := &wirepb.GateAssignment{Call: req.GetCall()}
 	if wait := c.trialWait(now, req); wait > 0 {
@@ -180,7 +189,7 @@
 // takeTrial returns the parts for which the attempt of a call that has ended was a trial.
 // The call needs another one for its next attempt.
 func (ac *activeCall) takeTrial() []poison.Part {
-	if !ac.plain {
+	if !ac.plain && len(ac.trial) == 0 {
 		return ac.assignment.suspects
 	}
 	suspects := ac.trial
