--- a/internal/gate/crashlog.go
+++ b/internal/gate/crashlog.go
@@ -1,11 +1,8 @@
 package gate
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/wire/wirepb"
 )
@@ -47,9 +44,7 @@
 // applyReportedPoison merges what a peer has reported to the leader, and tells the
 // others soon of new crashes and of answers to suspect prompts.
 func (c *Core) applyReportedPoison(now time.Time, peer *peer, message *wirepb.GatePoison) {
-	for _, p := range poison.DecodeParts(message.GetEndedTrials()) {
-		delete(c.leader.trials, p)
-	}
+	c.crashes.endTrials(poison.DecodeParts(message.GetEndedTrials()))
 	before := c.crashes.log.Revision()
 	suspects := c.crashes.log.Suspects()
 	peer.poisonSent = c.mergePoison(now, message, peer.poisonSent)
@@ -62,35 +57,3 @@
 	}
 	c.leader.spreadSoon = c.leader.spreadSoon || urgent
 }
-
-// maxRecordedQuarantines bounds the quarantines in a record of the lease.
-const maxRecordedQuarantines = 64
-
-// recordedQuarantine returns the quarantines for the next record of the lease, those with
-// the longest durations if there are too many.
-func (c *Core) recordedQuarantine(now time.Time) []lease.QuarantinedPart {
-	quarantines := c.crashes.log.Quarantines()
-	slices.SortStableFunc(quarantines, func(a, b poison.Quarantine) int {
-		return cmp.Or(cmp.Compare(b.Duration, a.Duration), b.Until.Compare(a.Until))
-	})
-	var out []lease.QuarantinedPart
-	for _, q := range quarantines[:min(len(quarantines), maxRecordedQuarantines)] {
-		out = append(out, lease.QuarantinedPart{
-			Part:        uint64(q.Part),
-			RemainingMs: q.Until.Sub(now).Milliseconds(),
-			DurationMs:  q.Duration.Milliseconds(),
-		})
-	}
-	return out
-}
-
-// applyRecordedQuarantine adds the quarantines in a record of the lease.
-func (c *Core) applyRecordedQuarantine(now time.Time, recorded []lease.QuarantinedPart) {
-	for _, q := range recorded {
-		c.crashes.log.AddQuarantine(now, poison.Quarantine{
-			Part:     poison.Part(q.Part),
-			Until:    now.Add(time.Duration(q.RemainingMs) * time.Millisecond),
-			Duration: time.Duration(q.DurationMs) * time.Millisecond,
-		})
-	}
-}
--- a/internal/gate/entries_test.go
+++ b/internal/gate/entries_test.go
@@ -1,9 +1,12 @@
 package gate
 
 import (
+	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +14,8 @@
 	"dogwoodfold/internal/topo"
 )
 
+var errStoreDown = errors.New("the store is down")
+
 // entryFleet is a set of cores that exchange their messages without delay.
 type entryFleet struct {
 	t       *testing.T
@@ -19,6 +24,10 @@
 	leader  string
 	effects map[string][]Effect
 	calls   CallID
+	// storeDown is true while nothing can be appended to the lease log or read from it.
+	storeDown bool
+	// starts counts the processes that were started.
+	starts int
 	// lastRecord is the newest record of the lease log, which ends at offset.
 	lastRecord lease.Record
 	offset     int64
@@ -26,17 +35,25 @@
 
 // newEntryFleet returns entries named front-1 to front-3, the first of which
 // leads, with engines of two versions.
-func newEntryFleet(t *testing.T) *entryFleet {
+func newEntryFleet(t *testing.T) *entryFleet { return newEntryFleetOf(t, 3) }
+
+func newEntryFleetOf(t *testing.T, entries int) *entryFleet {
 	f := &entryFleet{t: t, now: start, cores: make(map[string]*Core), effects: make(map[string][]Effect)}
-	for i := range 3 {
+	f.startEntries(entries)
+	f.readStore()
+	f.lead("front-1")
+	return f
+}
+
+// startEntries starts entries that know nothing, in place of those of the same names.
+func (f *entryFleet) startEntries(entries int) {
+	for i := range entries {
+		f.starts++
 		host := fmt.Sprint("front-", i+1)
 		settings := testSettings(host)
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7600)
-		f.cores[host] = New(settings, lease.New(host, uint64(i+1), address, settings.Lease), rand.New(rand.NewPCG(uint64(i), 2)))
+		f.cores[host] = New(settings, lease.New(host, uint64(f.starts), address, settings.Lease), rand.New(rand.NewPCG(uint64(i), 2)))
 	}
-	f.readStore()
-	f.lead("front-1")
-	return f
 }
 
 // readStore delivers a read of the configuration and of all endpoints.
@@ -117,11 +134,22 @@
 			f.apply(f.leader, ReportReceived{Host: host, Report: e.Report})
 		case SendState:
 			f.apply(e.Host, StateReceived{Host: host, State: e.State})
+		case SendPoison:
+			f.apply(e.Host, PoisonReceived{Host: host, Poison: e.Poison})
 		case RequestAssignment:
 			f.apply(f.leader, AssignmentRequested{Host: host, Request: e.Request})
 		case SendAssignment:
 			f.apply(e.Host, AssignmentReceived{Host: host, Assignment: e.Assignment})
+		case ReadLease:
+			f.effects[host] = append(f.effects[host], effect)
+			if f.storeDown {
+				f.apply(host, LeaseRead{SentAt: f.now, Err: errStoreDown})
+			}
 		case AppendLease:
+			if f.storeDown {
+				f.apply(host, LeaseAppendEnded{Record: e.Record, Offset: e.Offset, Result: AppendUnknown})
+				continue
+			}
 			f.effects[host] = append(f.effects[host], effect)
 			if host == f.leader {
 				f.recordAppend(e)
@@ -136,7 +164,7 @@
 func (f *entryFleet) tick() {
 	for range 4 {
 		f.now = f.now.Add(reportInterval / 2)
-		for _, host := range []string{"front-1", "front-2", "front-3"} {
+		for _, host := range slices.Sorted(maps.Keys(f.cores)) {
 			f.apply(host, ConfigRead{SentAt: f.now})
 			f.apply(host, Tick{})
 		}
