Wait for a time or a context in one place

Cause: internal/plat, internal/entry and internal/edge each had a function that waits for a duration or until a context is done. Two of them kept their timer after the context ended.

Change: clock.Sleep serves all three, with the edge's code.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,6 +1,7 @@
 // Package clock provides the time source for deadlines and leases. It is based on
 // CLOCK_BOOTTIME, so that it includes the time for which a host was suspended and
-// is not affected by steps of the wall clock.
+// is not affected by steps of the wall clock. It also provides waits that end with a
+// context.
 package clock
 
 import (
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"dogwoodfold/internal/clock"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/platform"
 )
@@ -45,7 +46,7 @@
 			continue
 		}
 		if err != nil {
-			sleepContext(ctx, retry.next())
+			clock.Sleep(ctx, retry.next())
 			continue
 		}
 		retry.reset()
@@ -123,7 +124,7 @@
 		}
 		if err != nil {
 			s.post(gate.RegistryReadFailed{})
-			sleepContext(ctx, retry.next())
+			clock.Sleep(ctx, retry.next())
 			continue
 		}
 		retry.reset()
@@ -141,14 +142,14 @@
 		})
 		if full {
 			s.refreshStatus(ctx)
-			sleepContext(ctx, fullReadDelay)
+			clock.Sleep(ctx, fullReadDelay)
 			continue
 		}
 		if s.registryWatch.isShared() {
-			sleepContext(ctx, jitter(sharedRegistryInterval))
+			clock.Sleep(ctx, jitter(sharedRegistryInterval))
 			continue
 		}
-		sleepContext(ctx, jitter(localRegistryInterval))
+		clock.Sleep(ctx, jitter(localRegistryInterval))
 	}
 }
 
@@ -251,13 +252,3 @@
 	}
 	return restored
 }
-
-// sleepContext waits for d or until ctx ends.
-func sleepContext(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"dogwoodfold/internal/clock"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/wire"
 	"dogwoodfold/internal/wire/wirepb"
@@ -81,7 +82,7 @@
 		}
 		if err != nil {
 			ss.server.log.Warn().Err(err).Msg("peers: accepting a connection failed")
-			sleepContext(ctx, tickInterval)
+			clock.Sleep(ctx, tickInterval)
 			continue
 		}
 		group.Go(func() { ss.serve(ctx, conn) })
@@ -204,7 +205,7 @@
 func (l *leaderLink) maintain(ctx context.Context, target gate.DialLeader) {
 	for ctx.Err() == nil {
 		l.runSession(ctx, target)
-		sleepContext(ctx, jitter(leaderRedialInterval))
+		clock.Sleep(ctx, jitter(leaderRedialInterval))
 	}
 }
 
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"dogwoodfold/internal/clock"
 	"dogwoodfold/pkg/fault"
 )
 
@@ -19,7 +20,7 @@
 // unknown.
 func (s *Server) cancelDisconnected(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleepContext(ctx, callerCheckInterval)
+		clock.Sleep(ctx, callerCheckInterval)
 		for _, ex := range s.activeExchanges() {
 			if ex.call.Route.Idempotent && peerClosed(ex.conn) {
 				ex.cancel(fault.New(fault.MayHaveRun, fault.CodeCallerGone, "the caller has gone"))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/clock"
 	"dogwoodfold/internal/link"
 	"dogwoodfold/internal/loop"
 	"dogwoodfold/internal/plat"
@@ -332,7 +333,7 @@
 func (s *Server) runTicker(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.loop.Post(Tick{})
-		sleepContext(ctx, tickInterval)
+		clock.Sleep(ctx, tickInterval)
 	}
 }
 
@@ -344,7 +345,7 @@
 		} else {
 			s.loop.Post(HostsRead{Hosts: hosts})
 		}
-		sleepContext(ctx, hostListInterval)
+		clock.Sleep(ctx, hostListInterval)
 	}
 }
 
@@ -380,11 +381,3 @@
 		})
 	})
 }
-
-// sleepContext waits for a duration or for the end of ctx.
-func sleepContext(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/plat/follow.go
+++ b/internal/plat/follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"dogwoodfold/internal/clock"
 )
 
 // FollowWait bounds the time of a long poll on the log. It is short because each
@@ -24,7 +26,7 @@
 			if ctx.Err() == nil {
 				onError(err)
 			}
-			sleep(ctx, followRetry)
+			clock.Sleep(ctx, followRetry)
 			continue
 		}
 		wait = FollowWait
@@ -36,11 +38,3 @@
 		onPage(page)
 	}
 }
-
-// sleep waits for a duration or until ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
