Check the known limits of entries in one function

Cause: three tests of internal/gate/limits_test.go repeated the loop that checks what limit each entry knows.

Change: entryFleet.wantLimit does. The first test named the two entries that are left; it now checks all that are left, which are these.

--- a/internal/gate/limits_test.go
+++ b/internal/gate/limits_test.go
@@ -286,6 +286,16 @@
 	}
 }
 
+// wantLimit checks that all entries know an endpoint's limit.
+func (f *entryFleet) wantLimit(endpoint string, perSecond float64) {
+	f.t.Helper()
+	for host, core := range f.cores {
+		if got := core.endpoints[endpoint].limit.perSecond; got != perSecond {
+			f.t.Errorf("%s knows a limit of %v, want %v", host, got, perSecond)
+		}
+	}
+}
+
 // The leader to which an entry told a limit dies. Its successor must learn of the limit
 // and must not let through at once what the dead one let through just before.
 func TestLimitSurvivesChangeOfLeader(t *testing.T) {
@@ -295,11 +305,7 @@
 	delete(f.cores, "front-1")
 	f.lead("front-3")
 	f.tick()
-	for _, host := range []string{"front-2", "front-3"} {
-		if got := f.cores[host].endpoints["llm-0"].limit.perSecond; got != 2 {
-			t.Errorf("%s knows a limit of %v, want 2", host, got)
-		}
-	}
+	f.wantLimit("llm-0", 2)
 }
 
 // The record of a limited endpoint lapses and is back: it has the limit that it had.
@@ -315,11 +321,7 @@
 		}
 		f.tick()
 	}
-	for host, core := range f.cores {
-		if got := core.endpoints["llm-0"].limit.perSecond; got != 2 {
-			t.Errorf("%s knows a limit of %v after the record is back, want 2", host, got)
-		}
-	}
+	f.wantLimit("llm-0", 2)
 }
 
 // An entry tells the leader of a limit before the leader knows the endpoint.
@@ -331,11 +333,7 @@
 	f.tick()
 	f.apply("front-1", added)
 	f.tick()
-	for host, core := range f.cores {
-		if got := core.endpoints["llm-9"].limit.perSecond; got != 2 {
-			t.Errorf("%s knows a limit of %v, want 2", host, got)
-		}
-	}
+	f.wantLimit("llm-9", 2)
 }
 
 // A new incarnation under the same ID has named nothing.
