Start the entries of internal/e2e in one function

Cause: addEntry and addEntryWith built the same settings and registered the host alike.

Change: addEntry calls addEntryWith, which takes environment variables too.

--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -76,28 +76,6 @@
 	return blocking
 }
 
-// addEntryWith starts an entry with its own log URL and extra settings.
-func (s *system) addEntryWith(t *testing.T, name, log string, extra map[string]any) *process {
-	t.Helper()
-	values := map[string]any{
-		"host": name, "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
-		"log": log, "hosts": s.hosts.url(),
-	}
-	for key, value := range extra {
-		values[key] = value
-	}
-	p := start(t, "entry", "--settings", writeSettings(t, values))
-	s.entries = append(s.entries, p)
-	s.registerHost(t, plat.Host{
-		Name:    name,
-		Role:    plat.RoleEntry,
-		Zone:    "mx-centro-a",
-		Address: p.peers,
-		State:   plat.HostLive,
-	})
-	return p
-}
-
 // completeAt requests a completion from one entry.
 func completeAt(t *testing.T, p *process) callResult {
 	t.Helper()
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"maps"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -256,10 +257,19 @@
 
 func (s *system) addEntry(t testing.TB, name string, share float64, environment ...string) {
 	t.Helper()
-	p := startWithEnv(t, environment, "entry", "--settings", writeSettings(t, map[string]any{
+	s.addEntryWith(t, name, s.log.url(), map[string]any{"staticShare": share}, environment...)
+}
+
+// addEntryWith starts an entry with its own log URL, extra settings and additional
+// environment variables.
+func (s *system) addEntryWith(t testing.TB, name, log string, extra map[string]any, environment ...string) *process {
+	t.Helper()
+	values := map[string]any{
 		"host": name, "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
-		"log": s.log.url(), "hosts": s.hosts.url(), "staticShare": share,
-	}))
+		"log": log, "hosts": s.hosts.url(),
+	}
+	maps.Copy(values, extra)
+	p := startWithEnv(t, environment, "entry", "--settings", writeSettings(t, values))
 	s.entries = append(s.entries, p)
 	s.registerHost(t, plat.Host{
 		Name:    name,
@@ -268,6 +278,7 @@
 		Address: p.peers,
 		State:   plat.HostLive,
 	})
+	return p
 }
 
 // registerHost adds a host to the platform's host list, or replaces it there.
