Give the fleets of each test of internal/e2e their own address

Cause: groundwork for running them side by side. All processes listened on 127.0.0.1 at ports that the system chose. A port that a killed process leaves may be given to a process of another test, to which the first fleet then still sends. The number by which -e2e.other chooses the release of a member was counted over all tests, so that it would depend on how they interleave. Directories, settings and the environment were each test's own already; the program is built once and only read.

--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -262,7 +262,7 @@
 	service := start(t, "fake", "service")
 	agent := start(t, "agent", "--settings", writeSettings(t, map[string]any{
 		"host": "agent-0", "zone": "mx-centro-a", "service": "pedidos", "kind": "service",
-		"listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "tls": fleetCA.tlsSettings(t, "agent"),
+		"listen": loopback(t), "admin": loopback(t), "tls": fleetCA.tlsSettings(t, "agent"),
 		"endpoint": service.address.String(), "slots": 16, "log": s.log.url(), "hosts": s.hosts.url(),
 		"rates": "static",
 	}))
@@ -279,7 +279,7 @@
 		"good": fleetCA.tlsSettings(t, "entry"), "other": foreignCA.tlsSettings(t, "entry"), "none": {},
 	} {
 		entry := start(t, "entry", "--settings", writeSettings(t, map[string]any{
-			"host": "entry-" + name, "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+			"host": "entry-" + name, "zone": "mx-centro-a", "listen": loopback(t), "peers": loopback(t), "admin": loopback(t),
 			"log": s.log.url(), "hosts": s.hosts.url(), "staticShare": 1, "tls": tls,
 		}))
 		eventually(t, "the entry is ready", func() bool { return do(t, "GET", entry.url()+"/readyz", "").status == 200 })
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -16,7 +16,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,9 +37,6 @@
 // entry and agent runs it.
 var otherProgram = flag.String("e2e.other", "", "path of a binary of another release that runs every second entry and agent")
 
-// memberCount is the number of entries and agents started so far.
-var memberCount atomic.Int64
-
 func TestMain(m *testing.M) {
 	os.Exit(buildAndRun(m))
 }
@@ -109,9 +105,13 @@
 func startWithEnv(t testing.TB, environment []string, args ...string) *process {
 	t.Helper()
 	path := programPath
-	isMember := args[0] == "entry" || args[0] == "agent"
-	if *otherProgram != "" && isMember && memberCount.Add(1)%2 == 0 {
-		path = *otherProgram
+	switch args[0] {
+	case "fake":
+		args = append(args, "--listen", loopback(t))
+	case "entry", "agent":
+		if *otherProgram != "" && fleets.countMember(t)%2 == 0 {
+			path = *otherProgram
+		}
 	}
 	p := &process{
 		cmd:     exec.Command(path, args...),
@@ -241,7 +241,7 @@
 	t.Helper()
 	p := start(t, "agent", "--settings", writeSettings(t, map[string]any{
 		"host": name, "zone": "mx-centro-a", "service": service, "kind": kind,
-		"listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
+		"listen": loopback(t), "admin": loopback(t),
 		"endpoint": endpoint.address.String(), "slots": 4096, "log": s.log.url(), "hosts": s.hosts.url(),
 	}))
 	s.agents[name] = p
@@ -265,7 +265,7 @@
 func (s *system) addEntryWith(t testing.TB, name, log string, extra map[string]any, environment ...string) *process {
 	t.Helper()
 	values := map[string]any{
-		"host": name, "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+		"host": name, "zone": "mx-centro-a", "listen": loopback(t), "peers": loopback(t), "admin": loopback(t),
 		"log": log, "hosts": s.hosts.url(),
 	}
 	maps.Copy(values, extra)
--- a/internal/e2e/place_test.go
+++ b/internal/e2e/place_test.go
@@ -62,7 +62,7 @@
 	t.Helper()
 	agent := start(t, "agent", "--settings", writeSettings(t, map[string]any{
 		"host": name, "zone": []string{"mx-centro-a", "mx-centro-b"}[i%2], "service": "lengua", "kind": "engine",
-		"listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "maxOrderDelay": "3s",
+		"listen": loopback(t), "admin": loopback(t), "maxOrderDelay": "3s",
 		"endpoint": p.engines[i].address.String(), "slots": 16, "log": p.log.url(), "hosts": p.hosts.url(),
 	}))
 	p.agents[name] = agent
--- a/internal/e2e/queue_test.go
+++ b/internal/e2e/queue_test.go
@@ -25,7 +25,7 @@
 	s.addAgent(t, "agent-service", "pedidos", "service", s.service)
 	p := start(t, "agent", "--settings", writeSettings(t, map[string]any{
 		"host": "agent-engine", "zone": "mx-centro-a", "service": "lengua", "kind": "engine",
-		"listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
+		"listen": loopback(t), "admin": loopback(t),
 		"endpoint": s.engine.address.String(), "slots": 1, "log": s.log.url(), "hosts": s.hosts.url(),
 	}))
 	s.agents["agent-engine"] = p
--- a/internal/e2e/rates_test.go
+++ b/internal/e2e/rates_test.go
@@ -98,7 +98,7 @@
 		}
 		agent := start(t, "agent", "--settings", writeSettings(t, map[string]any{
 			"host": "agent-1", "zone": "mx-centro-a", "service": "pedidos", "kind": "service", "rates": rates,
-			"listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "endpoint": start(t, "fake", "service").address.String(),
+			"listen": loopback(t), "admin": loopback(t), "endpoint": start(t, "fake", "service").address.String(),
 			"slots": 16, "log": s.log.url(), "hosts": s.hosts.url(),
 		}))
 		s.registerHost(t, plat.Host{
--- a/internal/e2e/stops_test.go
+++ b/internal/e2e/stops_test.go
@@ -140,7 +140,7 @@
 	s := newSystem(t)
 	s.engine.setFaults(t, fakes.Faults{TokenMs: 60}) // a stream takes longer than the drain delay
 	drained := start(t, "entry", "--settings", writeSettings(t, map[string]any{
-		"host": "entry-2", "zone": "mx-centro-a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+		"host": "entry-2", "zone": "mx-centro-a", "listen": loopback(t), "peers": loopback(t), "admin": loopback(t),
 		"log": s.log.url(), "hosts": s.hosts.url(), "drainDelay": "1s",
 	}))
 	s.registerHost(t, plat.Host{
