Let the fake engine's refusals say that nothing has run

Cause: the HTTP library's Error resets the response, so the header Endpoint-Not-Run that was set before it never left the fake: a request of a model that is not loaded was answered with a bare 409, which an entry passes on as an answer. Errors were also text/plain, without a message, a type and a param.

Change: the engine writes its errors itself, in the shape of the OpenAI API and with the header kept.

TestEngineErrors, before: "marked as not run: false, want true", type text/plain, error {"error":{"code":"not_loaded"}}; after: passes. TestEmptyEnginesComeToServeAllModels and TestModelsOfDeadAgentComeUpElsewhere pass with it.

--- a/internal/fakes/completion.go
+++ b/internal/fakes/completion.go
@@ -40,17 +40,16 @@
 func (e *Engine) handleCompletion(ctx *fasthttp.RequestCtx) {
 	r, err := parseCompletion(ctx.PostBody())
 	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		writeBadRequest(ctx, err)
 		return
 	}
 	faults := e.currentFaults()
 	if faults.Fail {
-		ctx.Error(`{"error":{"code":"engine_failed"}}`, fasthttp.StatusInternalServerError)
+		writeFailure(ctx)
 		return
 	}
 	if !e.isLoaded(r.Model) {
-		ctx.Response.Header.Set("Endpoint-Not-Run", "1")
-		ctx.Error(`{"error":{"code":"not_loaded"}}`, fasthttp.StatusConflict)
+		writeNotLoaded(ctx)
 		return
 	}
 	e.acquireSlot()
