Let the fake engine answer in the shapes of the OpenAI API

Cause: chat completions came as `choices[0].text` without id, object, created, finish_reason and total_tokens, and the last event of a stream had `"choices": null`: a published client library read an empty message from a whole answer and no content from a stream.

Change: whole and streamed answers of /v1/chat/completions and /v1/completions have the fields of their interface. The finish reason comes in an event of its own with the usage, so that a stream has as many events as before; with stream_options.include_usage the usage is in an event after it, without choices. The client library for Go is a test dependency and drives the demo's fleet.

TestWholeCompletion, TestStreamedCompletion, TestUsageEvent, TestClientLibraryGetsWholeChatCompletion and TestClientLibraryStreamsChatCompletion fail before (answers {"choices":[{"text":"size "}]}, an accumulated message without content, role and finish reason) and pass after. TestClientLibraryIsCanceled passes before and after. The e2e tests of the path, of cut streams, of the demo and of the pages' commands pass unchanged.

--- a/internal/fakes/completion.go
+++ b/internal/fakes/completion.go
@@ -17,8 +17,15 @@
 	Messages  json.RawMessage `json:"messages"`
 	MaxTokens int             `json:"max_tokens"`
 	Stream    bool            `json:"stream"`
+	// StreamOptions.IncludeUsage asks for the usage in an event of its own.
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
+// promptTokens returns the number of tokens of the prompt.
+func (r completionRequest) promptTokens() int { return len(strings.Fields(r.Prompt)) }
+
 // defaultMaxTokens is the length of a completion whose request names none.
 const defaultMaxTokens = 16
 
@@ -54,11 +61,12 @@
 	}
 	e.acquireSlot()
 	e.cache.store(r.Model, ctx.PostBody())
+	format := newAnswerFormat(time.Now(), ctx, r)
 	if r.Stream {
-		e.writeStream(ctx, r, faults)
+		e.writeStream(ctx, format, faults)
 		return
 	}
-	e.writeCompletion(ctx, r, faults)
+	e.writeCompletion(ctx, format, faults)
 }
 
 // isLoaded reports whether a model is loaded, with the adapter that may follow the
@@ -75,41 +83,12 @@
 	return false
 }
 
-// completionResponse is the response body of a completion that is not streamed.
-type completionResponse struct {
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   usage    `json:"usage"`
-}
-
-// choice is the text of a completion, or of an event in a stream.
-type choice struct {
-	Text string `json:"text"`
-}
-
-// usage is the number of tokens that a completion took.
-type usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-}
-
-// usageOf returns the usage of a request's completion.
-func usageOf(r completionRequest) usage {
-	return usage{
-		PromptTokens:     len(strings.Fields(r.Prompt)),
-		CompletionTokens: r.MaxTokens,
-	}
-}
-
 // writeCompletion writes a whole completion.
-func (e *Engine) writeCompletion(ctx *fasthttp.RequestCtx, r completionRequest, faults Faults) {
+func (e *Engine) writeCompletion(ctx *fasthttp.RequestCtx, format answerFormat, faults Faults) {
 	defer e.releaseSlot()
+	r := format.request
 	time.Sleep(time.Duration(faults.TokenMs*r.MaxTokens) * time.Millisecond)
-	writeJSON(ctx, completionResponse{
-		Model:   r.Model,
-		Choices: []choice{{Text: strings.Join(GenerateTokens(r.Model, r.Prompt, r.MaxTokens), "")}},
-		Usage:   usageOf(r),
-	})
+	writeJSON(ctx, format.whole(strings.Join(GenerateTokens(r.Model, r.Prompt, r.MaxTokens), "")))
 	if faults.CutAfter > 0 {
 		sendTruncated(ctx)
 	}
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -87,7 +87,7 @@
 			e.handleOrder(ctx)
 		case "/fake/memory":
 			writeJSON(ctx, e.Memory())
-		case "/v1/completions", "/v1/chat/completions":
+		case "/v1/completions", pathChat:
 			e.recordRequest(ctx)
 			e.handleCompletion(ctx)
 		default:
--- a/internal/fakes/stream.go
+++ b/internal/fakes/stream.go
@@ -10,28 +10,23 @@
 	"github.com/valyala/fasthttp"
 )
 
-// streamChunk is the data of an event in a stream.
-type streamChunk struct {
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage,omitempty"`
-}
-
 // writeStream begins a streamed completion. The server reads its body from the
 // tokenReader and closes it at the end, which releases the slot.
-func (e *Engine) writeStream(ctx *fasthttp.RequestCtx, r completionRequest, faults Faults) {
+func (e *Engine) writeStream(ctx *fasthttp.RequestCtx, format answerFormat, faults Faults) {
+	r := format.request
 	ctx.SetContentType("text/event-stream")
 	ctx.SetBodyStream(&tokenReader{
-		engine:  e,
-		request: r,
-		faults:  faults,
-		tokens:  GenerateTokens(r.Model, r.Prompt, r.MaxTokens),
+		engine: e,
+		format: format,
+		faults: faults,
+		tokens: GenerateTokens(r.Model, r.Prompt, r.MaxTokens),
 	}, -1)
 }
 
 // tokenReader generates the body of a streamed response.
 type tokenReader struct {
 	engine  *Engine
-	request completionRequest
+	format  answerFormat
 	faults  Faults
 	tokens  []string
 	sent    int
@@ -42,7 +37,7 @@
 // errTruncated makes the server close the connection in the middle of a stream.
 var errTruncated = errors.New("stream truncated by an injected fault")
 
-// Read implements io.Reader. It returns data of at most one event.
+// Read implements io.Reader. It returns data of at most one token.
 func (t *tokenReader) Read(p []byte) (int, error) {
 	if len(t.pending) == 0 {
 		if err := t.next(); err != nil {
@@ -54,7 +49,8 @@
 	return n, nil
 }
 
-// next generates the next event. The last one also contains the end marker.
+// next generates the event of the next token, or else the events that end the stream and
+// the end marker.
 func (t *tokenReader) next() error {
 	if t.done {
 		return io.EOF
@@ -64,12 +60,14 @@
 	}
 	if t.sent < len(t.tokens) {
 		time.Sleep(time.Duration(t.faults.TokenMs) * time.Millisecond)
-		t.pending = encodeEvent(streamChunk{Choices: []choice{{Text: t.tokens[t.sent]}}})
+		t.pending = encodeEvent(t.format.token(t.sent, t.tokens[t.sent]))
 		t.sent++
 		return nil
 	}
-	total := usageOf(t.request)
-	t.pending = append(encodeEvent(streamChunk{Usage: &total}), "data: [DONE]\n\n"...)
+	for _, event := range t.format.end() {
+		t.pending = append(t.pending, encodeEvent(event)...)
+	}
+	t.pending = append(t.pending, "data: [DONE]\n\n"...)
 	t.done = true
 	return nil
 }
@@ -80,11 +78,11 @@
 	return nil
 }
 
-// encodeEvent returns a chunk encoded as a server-sent event.
-func encodeEvent(chunk streamChunk) []byte {
-	data, err := json.Marshal(chunk)
+// encodeEvent returns a server-sent event.
+func encodeEvent(event completionBody) []byte {
+	data, err := json.Marshal(event)
 	if err != nil {
-		return nil // streamChunk always encodes without error
+		return nil // completionBody always encodes without error
 	}
 	return fmt.Appendf(nil, "data: %s\n\n", data)
 }
