Answer errors of chat completions in the format of their interface

Cause: errors of the entry on /v1/chat/completions had no param, and one over the rate the type invalid_request_error, so that clients that go by the type took it for a request that must not be repeated. The models of /v1/models had no created time.

Change: errors of this path, also those in a stream, have message, type, code and param beside the verdict, and the type rate_limit_error for 429. Other paths keep their format. Models have created, always 0, because the configuration doesn't say when they were created.

--- a/internal/demo/openai_test.go
+++ b/internal/demo/openai_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -73,7 +75,61 @@
 	return chunks, stream.Err()
 }
 
+// streamedContent returns the content of all chunks of a stream.
+func streamedContent(chunks []openai.ChatCompletionChunk) string {
+	var content strings.Builder
+	for _, chunk := range chunks {
+		for _, choice := range chunk.Choices {
+			content.WriteString(choice.Delta.Content)
+		}
+	}
+	return content.String()
+}
+
+// checkAPIError checks that err is an error of the API with a status, a type, a code and
+// the request's parameter that caused it, and returns the header of the response.
+func checkAPIError(t *testing.T, err error, status int, errorType, code, param string) http.Header {
+	t.Helper()
+	var apiErr *openai.Error
+	if !errors.As(err, &apiErr) {
+		t.Fatalf("error %v, want one of the API", err)
+	}
+	if apiErr.StatusCode != status || apiErr.Type != errorType || apiErr.Code != code || apiErr.Param != param {
+		t.Errorf("error %d %q %q %q, want %d %q %q %q", apiErr.StatusCode, apiErr.Type, apiErr.Code, apiErr.Param,
+			status, errorType, code, param)
+	}
+	if apiErr.Message == "" || apiErr.JSON.Param.Raw() == "" {
+		t.Errorf("error without a message or param: %s", apiErr.RawJSON())
+	}
+	return apiErr.Response.Header
+}
+
+func TestClientLibraryListsModels(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t)
+	client := openAIClient(f, Customers()[0].Key)
+	page, err := client.Models.List(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ids []string
+	for _, model := range page.Data {
+		ids = append(ids, model.ID)
+		if model.Object != "model" || model.OwnedBy != "lengua" || !model.JSON.Created.Valid() {
+			t.Errorf("model %s", model.RawJSON())
+		}
+	}
+	if got := strings.Join(ids, " "); got != "lengua-01 lengua-01:big-tour" {
+		t.Errorf("models %q", got)
+	}
+	unknown := openAIClient(f, "no-such-key")
+	if _, err := unknown.Models.List(t.Context()); err == nil {
+		t.Error("models are listed for an unknown key")
+	}
+}
+
 func TestClientLibraryGetsWholeChatCompletion(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t)
 	client := openAIClient(f, Customers()[0].Key)
 	completion, err := client.Chat.Completions.New(t.Context(), chatParams(8))
@@ -100,6 +156,7 @@
 }
 
 func TestClientLibraryStreamsChatCompletion(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t)
 	client := openAIClient(f, Customers()[0].Key)
 	for _, includeUsage := range []bool{false, true} {
@@ -138,9 +195,78 @@
 	}
 }
 
+func TestClientLibraryReadsRefusals(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t)
+	client := openAIClient(f, Customers()[0].Key)
+	unknownKey := openAIClient(f, "no-such-key")
+
+	_, err := unknownKey.Chat.Completions.New(t.Context(), chatParams(8))
+	checkAPIError(t, err, http.StatusUnauthorized, "invalid_request_error", "invalid_key", "")
+
+	params := chatParams(8)
+	params.Model = "no-such-model"
+	_, err = client.Chat.Completions.New(t.Context(), params)
+	checkAPIError(t, err, http.StatusNotFound, "invalid_request_error", "unknown_model", "model")
+
+	_, err = client.Chat.Completions.New(t.Context(), chatParams(0))
+	checkAPIError(t, err, http.StatusBadRequest, "invalid_request_error", "bad_request", "max_tokens")
+
+	f.engine.SetFaults(fakes.Faults{Fail: true})
+	_, err = client.Chat.Completions.New(t.Context(), chatParams(8))
+	checkAPIError(t, err, http.StatusInternalServerError, "server_error", "engine_failed", "")
+}
+
+func TestClientLibraryWaitsForRetryAfter(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t)
+	client := openAIClient(f, Customers()[1].Key)
+	if _, err := client.Chat.Completions.New(t.Context(), chatParams(150)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := client.Chat.Completions.New(t.Context(), chatParams(40))
+	header := checkAPIError(t, err, http.StatusTooManyRequests, "rate_limit_error", "rate_limited", "")
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 1 {
+		t.Fatalf("Retry-After %q", header.Get("Retry-After"))
+	}
+	// The library repeats the request after the time of Retry-After.
+	started := time.Now()
+	if _, err := client.Chat.Completions.New(t.Context(), chatParams(40), option.WithMaxRetries(2)); err != nil {
+		t.Errorf("after %v with retries: %v", time.Since(started), err)
+	}
+}
+
+func TestClientLibrarySeesCutStream(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t)
+	client := openAIClient(f, Customers()[0].Key)
+	const sent = 5
+	f.engine.SetFaults(fakes.Faults{CutAfter: sent})
+	chunks, err := readStream(t, client.Chat.Completions.NewStreaming(t.Context(), chatParams(20)))
+	if got := streamedContent(chunks); got != wantContent(sent) {
+		t.Errorf("content %q, want %q", got, wantContent(sent))
+	}
+	for _, chunk := range chunks {
+		if len(chunk.Choices) != 1 || chunk.Choices[0].FinishReason != "" {
+			t.Errorf("chunk %s of a cut stream", chunk.RawJSON())
+		}
+	}
+	var streamErr *ssestream.StreamError
+	if !errors.As(err, &streamErr) {
+		t.Fatalf("cut stream ends with the error %v", err)
+	}
+	for _, field := range []string{`"type":"server_error"`, `"code":"answer_cut"`, `"param":null`} {
+		if !strings.Contains(string(streamErr.Event.Data), field) {
+			t.Errorf("last event %s, want %s", streamErr.Event.Data, field)
+		}
+	}
+}
+
 // TestClientLibraryIsCanceled checks that a canceled stream ends with the cancelation and
 // not as a complete one.
 func TestClientLibraryIsCanceled(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t)
 	client := openAIClient(f, Customers()[0].Key)
 	f.engine.SetFaults(fakes.Faults{TokenMs: 50})
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -2,64 +2,17 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"io"
-	"math"
 	"os"
-	"strconv"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/wire"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
 )
 
-// errorBody is the JSON encoding of an error, in the format of the OpenAI API.
-type errorBody struct {
-	Error errorFields `json:"error"`
-}
-
-type errorFields struct {
-	Message string `json:"message"`
-	Type    string `json:"type"`
-	Code    string `json:"code"`
-	Verdict string `json:"verdict"`
-}
-
-// marshalError encodes an error for the response body.
-func marshalError(err error) []byte {
-	errorType := "server_error"
-	if fault.StatusOf(err) < fasthttp.StatusInternalServerError {
-		errorType = "invalid_request_error"
-	}
-	body, marshalErr := json.Marshal(errorBody{Error: errorFields{
-		Message: err.Error(),
-		Type:    errorType,
-		Code:    string(fault.CodeOf(err)),
-		Verdict: fault.VerdictOf(err).String(),
-	}})
-	if marshalErr != nil {
-		return []byte(`{"error":{"code":"internal"}}`)
-	}
-	return body
-}
-
-// writeError writes an error response.
-func writeError(ctx *fasthttp.RequestCtx, err error) {
-	ctx.SetStatusCode(fault.StatusOf(err))
-	ctx.SetContentType("application/json")
-	ctx.Response.Header.Set(headerVerdict, fault.VerdictOf(err).String())
-	if retryAfter := fault.RetryAfterOf(err); retryAfter > 0 {
-		seconds := int(math.Ceil(retryAfter.Seconds()))
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
-	}
-	ctx.SetBody(marshalError(err))
-}
-
 // receiveFrame reads the next frame of a call. A failure frame and a transport
 // error are both returned as errors with a verdict.
 func receiveFrame(call *wire.Call, deadline time.Time) (*wirepb.CallFrame, error) {
@@ -152,8 +105,10 @@
 // If the stream fails, it writes an error event and then returns an error,
 // which closes the connection, so that a truncated stream never looks complete.
 type streamReader struct {
-	call       *wire.Call
-	deadline   time.Time
+	call     *wire.Call
+	deadline time.Time
+	// path is the path of the request, which determines the format of errors.
+	path       string
 	pending    []byte
 	received   uint64
 	eventCount int
@@ -218,7 +173,7 @@
 	}
 	if err = r.reportEnd(err, end); err != nil {
 		r.err = err
-		r.pending = append([]byte("data: "), marshalError(err)...)
+		r.pending = append([]byte("data: "), marshalError(r.path, err)...)
 		r.pending = append(r.pending, eventTerminator...)
 	}
 }
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -282,6 +282,7 @@
 	ex.ctx.SetBodyStream(&streamReader{
 		call:     call,
 		deadline: ex.call.Deadline,
+		path:     string(ex.ctx.Path()),
 		onFirst: func() {
 			s.metrics.observeFirstToken(ex, time.Since(ex.started))
 			s.loop.Post(StreamStarted{
@@ -353,8 +354,10 @@
 }
 
 type modelItem struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	// Created is always 0: the configuration doesn't say when a model was created.
+	Created int64  `json:"created"`
 	OwnedBy string `json:"owned_by"`
 }
 
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -179,13 +179,13 @@
 	name, adapter, _ := strings.Cut(body.Model, ":")
 	model, ok := index.Config.Models[name]
 	if !ok || model.Service != r.call.Route.Service {
-		return fault.New(fault.NotRun, fault.CodeNoModel, "no such model")
+		return fault.WithParam(fault.New(fault.NotRun, fault.CodeNoModel, "no such model"), "model")
 	}
 	if _, ok := model.Adapters[adapter]; adapter != "" && !ok {
-		return fault.New(fault.NotRun, fault.CodeNoModel, "no such adapter")
+		return fault.WithParam(fault.New(fault.NotRun, fault.CodeNoModel, "no such adapter"), "model")
 	}
 	if permissions := index.Config.Customers[r.call.Customer]; r.call.Authenticated && !permissions.MayUse(name) {
-		return fault.New(fault.NotRun, fault.CodeForbidden, "the customer may not use this model")
+		return fault.WithParam(fault.New(fault.NotRun, fault.CodeForbidden, "the customer may not use this model"), "model")
 	}
 	return r.setTokens(body, name, model.Version, adapter)
 }
@@ -199,7 +199,8 @@
 		r.request.Body = withMaxTokens(r.request.GetBody(), maxTokens)
 	}
 	if maxTokens < 1 || maxTokens > maxTokensLimit {
-		return fault.New(fault.NotRun, fault.CodeBadRequest, "max_tokens is out of range")
+		err := fault.New(fault.NotRun, fault.CodeBadRequest, "max_tokens is out of range")
+		return fault.WithParam(err, "max_tokens")
 	}
 	promptTokens := len(r.request.GetBody())/bytesPerToken + 1
 	r.call.Model, r.call.Version, r.call.Adapter = model, version, adapter
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -72,6 +72,7 @@
 	verdictKey    struct{}
 	codeKey       struct{}
 	retryAfterKey struct{}
+	paramKey      struct{}
 	endedRunKey   struct{}
 )
 
@@ -120,6 +121,18 @@
 	return d
 }
 
+// WithParam attaches the name of the field of the request that caused the error.
+func WithParam(err error, param string) error {
+	return merry.Wrap(err, merry.NoCaptureStack(), merry.WithValue(paramKey{}, param))
+}
+
+// ParamOf returns the name of the field attached to err, or an empty string if there is
+// none.
+func ParamOf(err error) string {
+	param, _ := merry.Value(err, paramKey{}).(string)
+	return param
+}
+
 // WithEndedRun states that the endpoint ended while it answered the call, and which of
 // its runs that was.
 func WithEndedRun(err error, run uint64) error {
--- a/pkg/fault/fault_test.go
+++ b/pkg/fault/fault_test.go
@@ -17,11 +17,14 @@
 
 func TestValuesSurviveWrapping(t *testing.T) {
 	err := fault.WithRetryAfter(fault.New(fault.NotRun, fault.CodeRate, "slow down"), time.Second)
-	err = fmt.Errorf("entry: %w", err)
+	err = fmt.Errorf("entry: %w", fault.WithParam(err, "model"))
 	if fault.VerdictOf(err) != fault.NotRun || fault.CodeOf(err) != fault.CodeRate {
 		t.Errorf("verdict, code = %v, %v", fault.VerdictOf(err), fault.CodeOf(err))
 	}
 	if fault.RetryAfterOf(err) != time.Second || fault.StatusOf(err) != 429 {
 		t.Errorf("retry after, status = %v, %d", fault.RetryAfterOf(err), fault.StatusOf(err))
 	}
+	if fault.ParamOf(err) != "model" {
+		t.Errorf("param = %q, want model", fault.ParamOf(err))
+	}
 }
