Reserve what max_completion_tokens allows

Cause: the entry read only max_tokens. A chat completion with max_completion_tokens, the name that client libraries use now, reserved the default of 256 tokens: too much for a small request, which was refused over the rate, and too little for a larger one, which could run beyond its reservation; and the entry added max_tokens as a second limit.

Change: on /v1/chat/completions the larger of the two limits is reserved, and max_tokens is added only to a request that names neither. The fake engine honours the newer name.

The test configuration of the entry has a chat route more.

--- a/internal/demo/openai_test.go
+++ b/internal/demo/openai_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"github.com/openai/openai-go/v3/packages/param"
 	"github.com/openai/openai-go/v3/packages/ssestream"
 	"github.com/rs/zerolog"
 
@@ -87,16 +88,16 @@
 }
 
 // checkAPIError checks that err is an error of the API with a status, a type, a code and
-// the request's parameter that caused it, and returns the header of the response.
-func checkAPIError(t *testing.T, err error, status int, errorType, code, param string) http.Header {
+// the request's field that caused it, and returns the header of the response.
+func checkAPIError(t *testing.T, err error, status int, errorType, code, field string) http.Header {
 	t.Helper()
 	var apiErr *openai.Error
 	if !errors.As(err, &apiErr) {
 		t.Fatalf("error %v, want one of the API", err)
 	}
-	if apiErr.StatusCode != status || apiErr.Type != errorType || apiErr.Code != code || apiErr.Param != param {
+	if apiErr.StatusCode != status || apiErr.Type != errorType || apiErr.Code != code || apiErr.Param != field {
 		t.Errorf("error %d %q %q %q, want %d %q %q %q", apiErr.StatusCode, apiErr.Type, apiErr.Code, apiErr.Param,
-			status, errorType, code, param)
+			status, errorType, code, field)
 	}
 	if apiErr.Message == "" || apiErr.JSON.Param.Raw() == "" {
 		t.Errorf("error without a message or param: %s", apiErr.RawJSON())
@@ -237,6 +238,33 @@
 	}
 }
 
+// TestClientLibraryLimitsCompletionTokens checks that max_completion_tokens, which has taken
+// the place of max_tokens, is what a call reserves and gets.
+func TestClientLibraryLimitsCompletionTokens(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t)
+	params := chatParams(0)
+	params.MaxTokens = param.Opt[int64]{}
+	for _, test := range []struct {
+		customer Customer
+		limit    int64
+	}{
+		{customer: Customers()[1], limit: 20},  // its burst is 200 tokens
+		{customer: Customers()[0], limit: 400}, // more than the default of 256
+	} {
+		params.MaxCompletionTokens = openai.Int(test.limit)
+		client := openAIClient(f, test.customer.Key)
+		completion, err := client.Chat.Completions.New(t.Context(), params)
+		if err != nil {
+			t.Errorf("limit %d: %v", test.limit, err)
+			continue
+		}
+		if completion.Usage.CompletionTokens != test.limit {
+			t.Errorf("limit %d: usage %s", test.limit, completion.Usage.RawJSON())
+		}
+	}
+}
+
 func TestClientLibrarySeesCutStream(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t)
--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -183,6 +183,7 @@
  "services":["lengua","pedidos"],"models":["m"]}},
 "routes":{
  "complete":{"path":"/v1/completions","service":"lengua","access":"keyed","priority":"interactive","idempotent":true},
+ "chat":{"path":"/v1/chat/completions","service":"lengua","access":"keyed","priority":"interactive","idempotent":true},
  "charge":{"path":"/charge","service":"pedidos","access":"keyed","priority":"interactive","query":["q"],"headers":["X-Note"]},
  "hidden":{"path":"/hidden","service":"secret","access":"keyed","priority":"interactive"},
  "stock":{"path":"/stock","service":"pedidos","access":"open","priority":"interactive","idempotent":true}}}`))
--- a/internal/entry/resolve.go
+++ b/internal/entry/resolve.go
@@ -47,6 +47,8 @@
 	Model     string `json:"model"`
 	Stream    bool   `json:"stream"`
 	MaxTokens *int   `json:"max_tokens"`
+	// MaxCompletionTokens is the newer name of MaxTokens in chat completions.
+	MaxCompletionTokens *int `json:"max_completion_tokens"`
 	// Prompt or Messages contains the prompt. It is only used to hash the
 	// prompt's blocks.
 	Prompt   json.RawMessage `json:"prompt"`
@@ -192,15 +194,9 @@
 
 // setTokens estimates the tokens of a completion request and sets its model.
 func (r *resolvedRequest) setTokens(body completionRequest, model, version, adapter string) error {
-	maxTokens := defaultMaxTokens
-	if body.MaxTokens != nil {
-		maxTokens = *body.MaxTokens
-	} else {
-		r.request.Body = withMaxTokens(r.request.GetBody(), maxTokens)
-	}
-	if maxTokens < 1 || maxTokens > maxTokensLimit {
-		err := fault.New(fault.NotRun, fault.CodeBadRequest, "max_tokens is out of range")
-		return fault.WithParam(err, "max_tokens")
+	maxTokens, err := r.limitOutput(body)
+	if err != nil {
+		return err
 	}
 	promptTokens := len(r.request.GetBody())/bytesPerToken + 1
 	r.call.Model, r.call.Version, r.call.Adapter = model, version, adapter
@@ -216,6 +212,39 @@
 	return nil
 }
 
+// limitOutput returns the highest number of tokens that the endpoint may generate. It adds
+// the default to a request that names no limit.
+func (r *resolvedRequest) limitOutput(body completionRequest) (int, error) {
+	maxTokens := 0
+	if limit := body.MaxTokens; limit != nil {
+		if err := checkOutputLimit(*limit, "max_tokens"); err != nil {
+			return 0, err
+		}
+		maxTokens = *limit
+	}
+	// Which of two limits counts is up to the endpoint.
+	if limit := body.MaxCompletionTokens; limit != nil && r.request.GetPath() == pathChat {
+		if err := checkOutputLimit(*limit, "max_completion_tokens"); err != nil {
+			return 0, err
+		}
+		maxTokens = max(maxTokens, *limit)
+	}
+	if maxTokens == 0 {
+		maxTokens = defaultMaxTokens
+		r.request.Body = withMaxTokens(r.request.GetBody(), maxTokens)
+	}
+	return maxTokens, nil
+}
+
+// checkOutputLimit checks the limit in a field of a completion request.
+func checkOutputLimit(limit int, field string) error {
+	if limit >= 1 && limit <= maxTokensLimit {
+		return nil
+	}
+	err := fault.New(fault.NotRun, fault.CodeBadRequest, field+" is out of range")
+	return fault.WithParam(err, field)
+}
+
 // promptParts returns the messages of a prompt, or the whole prompt if it has none.
 func promptParts(body completionRequest) []poison.Part {
 	var messages []json.RawMessage
--- a/internal/fakes/completion.go
+++ b/internal/fakes/completion.go
@@ -16,7 +16,9 @@
 	Prompt    string          `json:"prompt"`
 	Messages  json.RawMessage `json:"messages"`
 	MaxTokens int             `json:"max_tokens"`
-	Stream    bool            `json:"stream"`
+	// MaxCompletionTokens is the newer name of MaxTokens in chat completions.
+	MaxCompletionTokens int  `json:"max_completion_tokens"`
+	Stream              bool `json:"stream"`
 	// StreamOptions.IncludeUsage asks for the usage in an event of its own.
 	StreamOptions struct {
 		IncludeUsage bool `json:"include_usage"`
@@ -30,10 +32,13 @@
 const defaultMaxTokens = 16
 
 // parseCompletion parses the body of a request and sets defaults.
-func parseCompletion(body []byte) (r completionRequest, err error) {
+func parseCompletion(path string, body []byte) (r completionRequest, err error) {
 	if err := json.Unmarshal(body, &r); err != nil {
 		return r, err
 	}
+	if path == pathChat && r.MaxCompletionTokens > 0 {
+		r.MaxTokens = r.MaxCompletionTokens
+	}
 	if r.MaxTokens <= 0 {
 		r.MaxTokens = defaultMaxTokens
 	}
@@ -45,7 +50,7 @@
 
 // handleCompletion handles a request for a completion, streamed or whole.
 func (e *Engine) handleCompletion(ctx *fasthttp.RequestCtx) {
-	r, err := parseCompletion(ctx.PostBody())
+	r, err := parseCompletion(string(ctx.Path()), ctx.PostBody())
 	if err != nil {
 		writeBadRequest(ctx, err)
 		return
