Name the service in the gateway's request lines

Cause: a request's log line names its path but not its service, so that logs could not be counted by service; and the metric of requests had an empty service for refused ones, as only an attempt set it.

Change: the decision that the line shows holds the service, also for refusals. The line has the field service, empty if no route was found. The fields of a log line can be read by type, for what counts them.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -337,6 +337,7 @@
 			}
 		case gate.Refuse:
 			in.decision = e.Decision
+			in.service = e.Decision.Service
 			in.writeRefusal(e.Err)
 			return
 		case gate.ForwardFailure:
--- a/internal/edge/fakes_test.go
+++ b/internal/edge/fakes_test.go
@@ -191,7 +191,12 @@
 
 // startServer runs an entry until the end of the test.
 func startServer(t *testing.T, settings *platform.Settings, incarnation uint64) *Server {
-	server := New(settings, zerolog.Nop(), incarnation)
+	return startServerWithLog(t, settings, incarnation, zerolog.Nop())
+}
+
+// startServerWithLog is startServer with a log.
+func startServerWithLog(t *testing.T, settings *platform.Settings, incarnation uint64, log zerolog.Logger) *Server {
+	server := New(settings, log, incarnation)
 	ctx, cancel := context.WithCancel(context.Background())
 	runErr := make(chan error, 1)
 	go func() { runErr <- server.Run(ctx) }()
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -193,7 +193,8 @@
 	if !s.requestLog.allow(time.Now()) {
 		return
 	}
-	s.log.Info().Str("request", in.request.ID).Str("path", in.request.Path).Str("model", in.request.Model).
+	s.log.Info().Str("request", in.request.ID).Str("path", in.request.Path).
+		Str("service", in.service).Str("model", in.request.Model).
 		Int("status", in.status).Str("verdict", in.verdict).Str("reason", in.reason).Str("detail", in.detail).
 		Str("promptPrefix", in.promptPrefix()).
 		Str("framing", in.framing).Bool("endedInEvent", in.endedInEvent).
--- a/internal/gate/effect.go
+++ b/internal/gate/effect.go
@@ -19,8 +19,10 @@
 type DecisionContext struct {
 	// Customer is empty until the key has been looked up, and so is Fingerprint, which
 	// requests of a customer share if their content is the same.
-	Customer      string
-	Fingerprint   poison.Part
+	Customer    string
+	Fingerprint poison.Part
+	// Service is empty until the route has been found.
+	Service       string
 	ConfigVersion int64
 	ConfigAge     time.Duration
 	RegistryAge   time.Duration
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -114,6 +114,7 @@
 		RegistryAge: now.Sub(c.registryConfirmedAt),
 		Leader:      c.leaderLink.host,
 		Fingerprint: call.fingerprint,
+		Service:     call.service,
 	}
 	if c.isLeader(now) {
 		decision.Leader = c.settings.Host
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -25,22 +25,34 @@
 	Fields map[string]any
 }
 
-// stringField returns the value of a string field, or "" if there is none.
-func (l *Line) stringField(name string) string {
+// StringField returns the value of a string field, or "" if there is none.
+func (l *Line) StringField(name string) string {
 	value, _ := l.Fields[name].(string)
 	return value
 }
 
+// NumberField returns the value of a number field, or 0 if there is none.
+func (l *Line) NumberField(name string) float64 {
+	value, _ := l.Fields[name].(float64)
+	return value
+}
+
+// BoolField returns the value of a field that is true or false, and whether there is one.
+func (l *Line) BoolField(name string) (value, ok bool) {
+	value, ok = l.Fields[name].(bool)
+	return value, ok
+}
+
 // durationField returns the value of a field in milliseconds, or 0 if there is
 // none.
 func (l *Line) durationField(name string) time.Duration {
-	ms, _ := l.Fields[name].(float64)
-	return time.Duration(ms * float64(time.Millisecond))
+	return time.Duration(l.NumberField(name) * float64(time.Millisecond))
 }
 
+// RequestEnded is the message that is logged when a request has ended.
+const RequestEnded = "requests: ended"
+
 const (
-	// requestEndMessage is the message that is logged when a request has ended.
-	requestEndMessage = "requests: ended"
 	// requestMessagePrefix is the prefix of messages about single requests.
 	requestMessagePrefix = "requests:"
 	// maxLineBytes is the maximum length of a log line.
@@ -78,13 +90,13 @@
 	if json.Unmarshal(text[start:], &line.Fields) != nil {
 		return Line{}, false
 	}
-	timestamp, err := time.Parse(time.RFC3339Nano, line.stringField("time"))
+	timestamp, err := time.Parse(time.RFC3339Nano, line.StringField("time"))
 	if err != nil {
 		return Line{}, false
 	}
 	line.Time = timestamp
-	line.Host = line.stringField("host")
-	line.Message = line.stringField("message")
+	line.Host = line.StringField("host")
+	line.Message = line.StringField("message")
 	for _, name := range []string{"time", "host", "message", "level"} {
 		delete(line.Fields, name)
 	}
@@ -111,7 +123,7 @@
 // they come from the host of the request, or name its endpoint or model, and were
 // logged between lookback before the request was read and its end.
 func Find(lines []Line, id string) (*Timeline, error) {
-	i := slices.IndexFunc(lines, func(l Line) bool { return l.Message == requestEndMessage && l.stringField("request") == id })
+	i := slices.IndexFunc(lines, func(l Line) bool { return l.Message == RequestEnded && l.StringField("request") == id })
 	if i < 0 {
 		return nil, ErrRequestNotFound
 	}
@@ -132,14 +144,14 @@
 
 // isRelated reports whether a line names the endpoint or model of the request.
 func (t *Timeline) isRelated(l *Line) bool {
-	endpoint, model := t.Request.stringField("endpoint"), t.Request.stringField("model")
-	return endpoint != "" && (l.stringField("endpoint") == endpoint || l.stringField("subject") == endpoint) ||
-		model != "" && l.stringField("model") == model
+	endpoint, model := t.Request.StringField("endpoint"), t.Request.StringField("model")
+	return endpoint != "" && (l.StringField("endpoint") == endpoint || l.StringField("subject") == endpoint) ||
+		model != "" && l.StringField("model") == model
 }
 
 // Print writes the timeline, with times relative to when the request was read.
 func (t *Timeline) Print(w io.Writer) error {
-	if _, err := fmt.Fprintf(w, "request %s, read at %s by %s\n", t.Request.stringField("request"),
+	if _, err := fmt.Fprintf(w, "request %s, read at %s by %s\n", t.Request.StringField("request"),
 		t.ReadAt.Format("2006-01-02T15:04:05.000Z07:00"), t.Request.Host); err != nil {
 		return err
 	}
