Report on a whole fleet from its logs as one page

`dogwoodfold report fleet LOG...` writes an HTML page of the logs of all entries: requests by outcome, reason, service, customer, entry and who chose the endpoint, leader changes, expired shares of the rates and orders to engines, each with its totals and its events a second. The plots are SVG images inside the page, drawn by a charting library, so that it opens without a network. Values beyond the eight most frequent ones share a line; logs of more than 15 minutes have fewer points than seconds.

The logs don't hold how large the shares of the rates are, so the page shows only when standing shares expired and how many endpoints the leader chose.

--- a/internal/cmds/report.go
+++ b/internal/cmds/report.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dogwoodfold/internal/burn"
+	"dogwoodfold/internal/report"
 	"dogwoodfold/internal/trace"
 )
 
@@ -25,7 +26,7 @@
 		Use:   "report",
 		Short: "Report on a running or recorded fleet, or on one request",
 	}
-	cmd.AddCommand(newBurnCommand(), newRequestCommand())
+	cmd.AddCommand(newBurnCommand(), newRequestCommand(), newFleetCommand())
 	return cmd
 }
 
@@ -58,14 +59,14 @@
 }
 
 // writeBurnReport writes a report in a format.
-func writeBurnReport(w io.Writer, format string, report burn.Report) error {
+func writeBurnReport(w io.Writer, format string, r burn.Report) error {
 	switch format {
 	case "text":
-		return burn.Print(w, report)
+		return burn.Print(w, r)
 	case "json":
-		return json.NewEncoder(w).Encode(report)
+		return json.NewEncoder(w).Encode(r)
 	case "html":
-		return burn.WriteHTML(w, report)
+		return burn.WriteHTML(w, r)
 	default:
 		return fmt.Errorf("format %q is not text, json or html", format)
 	}
@@ -123,6 +124,26 @@
 	}
 }
 
+// newFleetCommand returns the command that summarizes the logs of a fleet.
+func newFleetCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "fleet LOG...",
+		Short: "Write an HTML page on the requests, leader changes, shares and loads in the logs of all entries",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			lines, err := readLogFiles(cmd, args)
+			if err != nil {
+				return err
+			}
+			fleet, err := report.New(lines)
+			if err != nil {
+				return err
+			}
+			return fleet.WriteHTML(cmd.OutOrStdout())
+		},
+	}
+}
+
 // readLogFiles reads the lines of all files. It prints how many it skipped.
 func readLogFiles(cmd *cobra.Command, paths []string) ([]trace.Line, error) {
 	var lines []trace.Line
