Check the format of errors of chat completions that can't be read

The error of a request whose body is too large is written by the HTTP library's error handler, which already knows the path. TestParseErrorFormat fails with the format of the path switched off and passes with it.

--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -1,10 +1,14 @@
 package entry
 
 import (
+	"bufio"
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
 
 	"dogwoodfold/pkg/fault"
 )
@@ -72,3 +76,31 @@
 		}
 	}
 }
+
+// TestParseErrorFormat checks that a request whose body is too large to be read gets an error
+// in the format of its path.
+func TestParseErrorFormat(t *testing.T) {
+	listener := fasthttputil.NewInmemoryListener()
+	server := New(Options{}).http
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	conn, err := listener.Dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", pathChat, maxRequestBytes+1); err != nil {
+		t.Fatal(err)
+	}
+	response := &fasthttp.Response{}
+	if err := response.Read(bufio.NewReader(conn)); err != nil {
+		t.Fatal(err)
+	}
+	const want = `{"error":{"message":"the body is too large","type":"invalid_request_error","code":"request_too_large",` +
+		`"verdict":"not-run","param":null}}`
+	if got := string(response.Body()); response.StatusCode() != fasthttp.StatusRequestEntityTooLarge || got != want {
+		t.Errorf("status %d, %s, want %s", response.StatusCode(), got, want)
+	}
+	if err := errors.Join(conn.Close(), listener.Close(), <-served); err != nil {
+		t.Error(err)
+	}
+}
