--- a/internal/fakes/completion.go
+++ b/internal/fakes/completion.go
@@ -16,17 +16,29 @@
 	Prompt    string          `json:"prompt"`
 	Messages  json.RawMessage `json:"messages"`
 	MaxTokens int             `json:"max_tokens"`
-	Stream    bool            `json:"stream"`
+	// MaxCompletionTokens is the newer name of MaxTokens in chat completions.
+	MaxCompletionTokens int  `json:"max_completion_tokens"`
+	Stream              bool `json:"stream"`
+	// StreamOptions.IncludeUsage asks for the usage in an event of its own.
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
+// promptTokens returns the number of tokens of the prompt.
+func (r completionRequest) promptTokens() int { return len(strings.Fields(r.Prompt)) }
+
 // defaultMaxTokens is the length of a completion whose request names none.
 const defaultMaxTokens = 16
 
 // parseCompletion parses the body of a request and sets defaults.
-func parseCompletion(body []byte) (r completionRequest, err error) {
+func parseCompletion(path string, body []byte) (r completionRequest, err error) {
 	if err := json.Unmarshal(body, &r); err != nil {
 		return r, err
 	}
+	if path == pathChat && r.MaxCompletionTokens > 0 {
+		r.MaxTokens = r.MaxCompletionTokens
+	}
 	if r.MaxTokens <= 0 {
 		r.MaxTokens = defaultMaxTokens
 	}
@@ -38,28 +50,28 @@
 
 // handleCompletion handles a request for a completion, streamed or whole.
 func (e *Engine) handleCompletion(ctx *fasthttp.RequestCtx) {
-	r, err := parseCompletion(ctx.PostBody())
+	r, err := parseCompletion(string(ctx.Path()), ctx.PostBody())
 	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		writeBadRequest(ctx, err)
 		return
 	}
 	faults := e.currentFaults()
 	if faults.Fail {
-		ctx.Error(`{"error":{"code":"engine_failed"}}`, fasthttp.StatusInternalServerError)
+		writeFailure(ctx)
 		return
 	}
 	if !e.isLoaded(r.Model) {
-		ctx.Response.Header.Set("Endpoint-Not-Run", "1")
-		ctx.Error(`{"error":{"code":"not_loaded"}}`, fasthttp.StatusConflict)
+		writeNotLoaded(ctx)
 		return
 	}
 	e.acquireSlot()
 	e.cache.store(r.Model, ctx.PostBody())
+	format := newAnswerFormat(time.Now(), ctx, r)
 	if r.Stream {
-		e.writeStream(ctx, r, faults)
+		e.writeStream(ctx, format, faults)
 		return
 	}
-	e.writeCompletion(ctx, r, faults)
+	e.writeCompletion(ctx, format, faults)
 }
 
 // isLoaded reports whether a model is loaded, with the adapter that may follow the
@@ -76,41 +88,12 @@
 	return false
 }
 
-// completionResponse is the response body of a completion that is not streamed.
-type completionResponse struct {
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   usage    `json:"usage"`
-}
-
-// choice is the text of a completion, or of an event in a stream.
-type choice struct {
-	Text string `json:"text"`
-}
-
-// usage is the number of tokens that a completion took.
-type usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-}
-
-// usageOf returns the usage of a request's completion.
-func usageOf(r completionRequest) usage {
-	return usage{
-		PromptTokens:     len(strings.Fields(r.Prompt)),
-		CompletionTokens: r.MaxTokens,
-	}
-}
-
 // writeCompletion writes a whole completion.
-func (e *Engine) writeCompletion(ctx *fasthttp.RequestCtx, r completionRequest, faults Faults) {
+func (e *Engine) writeCompletion(ctx *fasthttp.RequestCtx, format answerFormat, faults Faults) {
 	defer e.releaseSlot()
+	r := format.request
 	time.Sleep(time.Duration(faults.TokenMs*r.MaxTokens) * time.Millisecond)
-	writeJSON(ctx, completionResponse{
-		Model:   r.Model,
-		Choices: []choice{{Text: strings.Join(GenerateTokens(r.Model, r.Prompt, r.MaxTokens), "")}},
-		Usage:   usageOf(r),
-	})
+	writeJSON(ctx, format.whole(strings.Join(GenerateTokens(r.Model, r.Prompt, r.MaxTokens), "")))
 	if faults.CutAfter > 0 {
 		sendTruncated(ctx)
 	}
