--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -134,7 +134,7 @@
 	case <-ctx.Done():
 		shutdownCtx, stop := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer stop()
-		err = errors.Join(s.http.ShutdownWithContext(shutdownCtx), <-served)
+		err = errors.Join(s.http.ShutdownWithContext(shutdownCtx), closeListener(listener), <-served)
 	case err = <-served:
 	}
 	cancel()
@@ -143,6 +143,15 @@
 	return err
 }
 
+// closeListener closes a listener, unless it is closed already. A shutdown of the HTTP
+// server closes it only if the server has begun to serve.
+func closeListener(listener net.Listener) error {
+	if err := listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
 // Registry returns the metrics registry of the entry.
 func (s *Server) Registry() *prometheus.Registry { return s.metrics.registry }
 
