Print the addresses of the demo once its entries serve

It now waits, as the steps of the demo do, until every entry passes its readiness check and has served a call to each service.

--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -36,8 +36,7 @@
 				return err
 			}
 			if hold {
-				err = demo.Print(f, cmd.OutOrStdout())
-				<-ctx.Done()
+				err = demo.Hold(ctx, f, cmd.OutOrStdout())
 			} else {
 				err = runDemo(ctx, f, cmd.OutOrStdout())
 			}
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -42,7 +42,7 @@
 	return passed, table.Flush()
 }
 
-// waitUntilReady waits until every entry can reach every service.
+// waitUntilReady waits until every entry is ready and reaches every service.
 func (f *Fleet) waitUntilReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
 	for i := range f.EntryURLs {
@@ -56,8 +56,16 @@
 	return nil
 }
 
-// isReady reports whether an entry reaches all services.
+// isReady reports whether an entry passes its readiness check and reaches all services.
 func (f *Fleet) isReady(entry int) bool {
+	ready := f.send(request{
+		entry:  entry,
+		method: fasthttp.MethodGet,
+		path:   "/readyz",
+	})
+	if ready.status != fasthttp.StatusOK {
+		return false
+	}
 	stock := f.send(request{
 		entry:  entry,
 		method: fasthttp.MethodGet,
@@ -67,8 +75,24 @@
 	return stock.status == fasthttp.StatusOK && chat.status == fasthttp.StatusOK
 }
 
-// Print prints the URLs and keys of a running fleet and a sample curl command.
-func Print(f *Fleet, out io.Writer) error {
+// Hold waits until every entry is ready and serves calls, prints the URLs and keys of
+// the fleet and keeps it running until ctx ends.
+func Hold(ctx context.Context, f *Fleet, out io.Writer) error {
+	if err := f.waitUntilReady(ctx); err != nil {
+		if ctx.Err() != nil {
+			return nil // interrupted
+		}
+		return err
+	}
+	if err := printFleet(f, out); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// printFleet prints the URLs and keys of a running fleet and a sample curl command.
+func printFleet(f *Fleet, out io.Writer) error {
 	var b bytes.Buffer
 	for _, u := range f.URLs {
 		fmt.Fprintf(&b, "%s %s\n", u.Name, u.URL)
