--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -18,7 +18,8 @@
 	}
 	root.AddCommand(newEntryCommand(), newAgentCommand(), newGatewayCommand())
 	root.AddCommand(newConfigCommand(), newKeyCommand(), newFakeCommand(), newLoadCommand(), newDemoCommand(),
-		newReportCommand(), newStatusCommand())
+		newReportCommand(), newStatusCommand(), newVersionCommand())
+	addVersionFlag(root)
 	return root
 }
 
