Name each unknown key by its path

An unknown key of a settings file was reported as ": has invalid keys: x", one within a map as "customers.c: has invalid keys: x, y": without the path of the key, several in a line. Package strict now finds them itself and reports each as "path: unknown key", beside the other errors, with dots before keys of maps as the other checks write them. The tests were seen failing with the old messages.

--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -37,6 +37,9 @@
 	return f
 }
 
+// jsonTag is the key of the struct tags that name fields of JSON objects.
+const jsonTag = "json"
+
 // Decode decodes a JSON value into out, a pointer to a struct with json tags.
 // Durations and addresses are given as strings, such as "1.2s". If data is valid
 // JSON that does not match out, the error is a FieldErrors.
@@ -46,9 +49,8 @@
 		return err
 	}
 	decoder, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
-		TagName:     "json",
-		ErrorUnused: true,
-		Result:      out,
+		TagName: jsonTag,
+		Result:  out,
 		DecodeHook: mapstructure.ComposeDecodeHookFunc(
 			rejectNumbers,
 			mapstructure.StringToTimeDurationHookFunc(),
@@ -61,6 +63,9 @@
 	}
 	var errs FieldErrors
 	flatten(decoder.Decode(raw), &errs)
+	for _, path := range UnknownKeys(raw, out, jsonTag) {
+		errs.Add(path, UnknownKey)
+	}
 	return errs.Err()
 }
 
@@ -100,7 +105,7 @@
 			flatten(e, errs)
 		}
 	case *mapstructure.DecodeError:
-		errs.Add(wrapped.Name(), "%v", wrapped.Unwrap())
+		errs.Add(dottedPath(wrapped.Name()), "%v", wrapped.Unwrap())
 	case interface{ Unwrap() error }:
 		flatten(wrapped.Unwrap(), errs)
 	default:
--- a/internal/strict/strict_test.go
+++ b/internal/strict/strict_test.go
@@ -59,3 +59,42 @@
 		t.Errorf("error = %v, want one that names both fields", err)
 	}
 }
+
+func TestDecodeNamesUnknownKeysByTheirPaths(t *testing.T) {
+	var s testSettings
+	err := strict.Decode([]byte(`{"extra":1,"other":{},"parts":{"a":{"count":1,"size":2}}}`), &s)
+	want := "extra: unknown key\nother: unknown key\nparts.a.size: unknown key"
+	if err == nil || err.Error() != want {
+		t.Errorf("error = %v, want\n%s", err, want)
+	}
+}
+
+func TestDecodeReportsUnknownKeysBesideOtherErrors(t *testing.T) {
+	var s testSettings
+	err := strict.Decode([]byte(`{"extra":1,"parts":{"a":{"count":"x","size":2}}}`), &s)
+	if err == nil {
+		t.Fatal("no error")
+	}
+	for _, want := range []string{"extra: unknown key", "parts.a.size: unknown key", "parts.a.count: "} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no error begins with %q in:\n%v", want, err)
+		}
+	}
+}
+
+func TestUnknownKeysOfListsAndPointers(t *testing.T) {
+	var out struct {
+		Items []*struct {
+			Name string `yaml:"name"`
+		} `yaml:"items"`
+		Hidden string `yaml:"-"`
+	}
+	document := map[string]any{
+		"items":  []any{map[string]any{"name": "a"}, map[string]any{"nam": "b"}, "c"},
+		"Hidden": "x",
+	}
+	got := strings.Join(strict.UnknownKeys(document, &out, "yaml"), " ")
+	if want := "Hidden items[1].nam"; got != want {
+		t.Errorf("unknown keys %q, want %q", got, want)
+	}
+}
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -135,7 +135,7 @@
 	var errs strict.FieldErrors
 	for name := range d.fields {
 		if name != "format" {
-			errs.Add(name, "is not a configuration field")
+			errs.Add(name, strict.UnknownKey)
 		}
 	}
 	if previous == nil {
