Let a gateway tell operators what it believes

/status of a gateway encoded the reducer's summary with Go's names and durations in nanoseconds, without host, lease, endpoints or quarantines. A new event asks the reducer for all that it believes, with the times from which the beliefs date, and the admin interface encodes it in camel case with ages in milliseconds, -1 for what isn't known. The summary for readiness and metrics stays as small as it was. The settings know the path of their file, and the server since when they are in force.

Readers of the old names at /status must change; no code here read them.

--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -15,7 +15,6 @@
 
 	"dogwoodfold/internal/admin"
 	"dogwoodfold/internal/gate"
-	"dogwoodfold/internal/loop"
 	"dogwoodfold/internal/stock"
 	"dogwoodfold/platform"
 )
@@ -264,12 +263,7 @@
 
 // serveMetrics serves the status and the metrics to operators.
 func (s *Server) serveMetrics(ctx context.Context, listener net.Listener) {
-	status := func(ctx context.Context) (any, error) {
-		return loop.Ask(ctx, s.loop, func(reply chan<- gate.Status) gate.Event {
-			return gate.StatusRequested{Reply: reply}
-		})
-	}
-	if err := admin.New(status, s.metrics.registry).Run(ctx, listener); err != nil && ctx.Err() == nil {
+	if err := admin.New(s.status, s.metrics.registry).Run(ctx, listener); err != nil && ctx.Err() == nil {
 		s.log.Error().Err(err).Msg("metrics: listener failed")
 	}
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -49,6 +49,7 @@
 	clientConns    map[*clientConn]bool
 	limits         clientLimits
 	gracePeriod    time.Duration
+	settingsStatus SettingsStatus
 	stopping       bool
 	clientListener net.Listener
 
@@ -123,6 +124,7 @@
 		clientConns:    make(map[*clientConn]bool),
 		limits:         defaultClientLimits,
 		gracePeriod:    settings.GracePeriod,
+		settingsStatus: newSettingsStatus(time.Now(), settings),
 		configWatch:    newWatchControl(),
 		registryWatch:  newWatchControl(),
 		drained:        make(chan struct{}),
@@ -237,6 +239,7 @@
 func (s *Server) Reload(settings *platform.Settings) {
 	s.mu.Lock()
 	s.gracePeriod = settings.GracePeriod
+	s.settingsStatus = newSettingsStatus(time.Now(), settings)
 	s.mu.Unlock()
 	s.post(gate.SettingsReloaded{Settings: gateSettings(settings)})
 }
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -179,6 +179,8 @@
 		c.stop(now)
 	case StatusRequested:
 		e.Reply <- c.status(now)
+	case BeliefsRequested:
+		e.Reply <- c.beliefs(now)
 	default:
 		c.applyFleetEvent(now, event)
 	}
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -269,6 +269,7 @@
 func (SettingsReloaded) event()    {}
 func (ShutdownRequested) event()   {}
 func (StatusRequested) event()     {}
+func (BeliefsRequested) event()    {}
 
 // Outcome tells whether a request ran in an attempt, and how much of the
 // response was forwarded.
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -53,10 +53,7 @@
 			return false
 		}
 	}
-	holdings := ep.Holdings
-	if ep.leaderHoldings != nil && (leaderStateCurrent || now.Sub(ep.leaderHoldingsAt) < leaderHoldingsLifetime) {
-		holdings = ep.leaderHoldings
-	}
+	holdings, _ := ep.currentHoldings(now, leaderStateCurrent)
 	for _, h := range holdings {
 		if h.Model == model {
 			return adapter == "" || slices.Contains(h.Adapters, adapter)
@@ -65,6 +62,14 @@
 	return false
 }
 
+// currentHoldings returns what the endpoint holds, and whether the leader has said so.
+func (ep *endpoint) currentHoldings(now time.Time, leaderStateCurrent bool) (holdings []topo.Holding, fromLeader bool) {
+	if ep.leaderHoldings != nil && (leaderStateCurrent || now.Sub(ep.leaderHoldingsAt) < leaderHoldingsLifetime) {
+		return ep.leaderHoldings, true
+	}
+	return ep.Holdings, false
+}
+
 // sortedEndpoints returns the endpoints ordered by ID.
 func (c *Core) sortedEndpoints() []*endpoint {
 	if c.endpointList == nil {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -124,5 +124,20 @@
 // Current returns the newest known record, if there is one.
 func (l *Lease) Current() (Record, bool) { return l.record, l.hasRecord }
 
+// ConfirmedAt returns when the newest known record of the lease was sent or, if that isn't
+// known, first read. It is zero if there is no record.
+func (l *Lease) ConfirmedAt() time.Time {
+	if !l.hasRecord {
+		return time.Time{}
+	}
+	if sentAt, own := l.SentAt(l.record.Renewal); own && l.record.Incarnation == l.incarnation {
+		return sentAt
+	}
+	if l.toldByHolder() && l.told.SentAfter.After(l.seenAt) {
+		return l.told.SentAfter
+	}
+	return l.seenAt
+}
+
 // HasRead reports whether the log has been read at least once.
 func (l *Lease) HasRead() bool { return l.hasRead }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -412,3 +412,30 @@
 		}
 	}
 }
+
+func TestConfirmedAtIsTheSendingOfTheNewestKnownRecord(t *testing.T) {
+	holder, record := newHeldLease()
+	if got := holder.ConfirmedAt(); !got.Equal(startTime) {
+		t.Errorf("the holder's record is of %v, want its sending at %v", got, startTime)
+	}
+	follower := newLease("b", 2)
+	if got := follower.ConfirmedAt(); !got.IsZero() {
+		t.Errorf("without a record: %v, want no time", got)
+	}
+	readAt := startTime.Add(time.Second)
+	follower.HandleRead(readAt, readOf(record, 0))
+	if got := follower.ConfirmedAt(); !got.Equal(readAt) {
+		t.Errorf("after a read: %v, want the time of the read, %v", got, readAt)
+	}
+	sentAt := readAt.Add(time.Second)
+	follower.HolderRenewed(Renewal{
+		Host:        record.Host,
+		Incarnation: record.Incarnation,
+		Number:      record.Renewal + 1,
+		SentAfter:   sentAt,
+		SentBefore:  sentAt.Add(time.Millisecond),
+	})
+	if got := follower.ConfirmedAt(); !got.Equal(sentAt) {
+		t.Errorf("after the holder told of a renewal: %v, want its sending at %v", got, sentAt)
+	}
+}
--- a/internal/pick/track.go
+++ b/internal/pick/track.go
@@ -92,6 +92,9 @@
 	s.remoteAt = now
 }
 
+// RemoteAt returns when the load of other entries was last set, zero if it never was.
+func (s *EndpointStats) RemoteAt() time.Time { return s.remoteAt }
+
 // Load returns the load from all entries. That from other entries counts only for
 // remoteLoadLifetime after it was set.
 func (s *EndpointStats) Load(now time.Time) Load {
