Take and check the settings file of a gateway by the command line

The flag names the file, and SIGHUP reads the same one; without it the platform's environment variable does as before. config check takes what doesn't begin with a brace for settings of a gateway. It reports unknown keys by their paths on standard error and accepts them: the platform writes keys that a gateway doesn't read.

--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -12,7 +12,9 @@
 	"github.com/spf13/cobra"
 
 	"dogwoodfold/internal/plat"
+	"dogwoodfold/internal/strict"
 	"dogwoodfold/pkg/config"
+	"dogwoodfold/platform"
 )
 
 // newConfigCommand returns the commands that manage the published configuration.
@@ -26,18 +28,25 @@
 	return cmd
 }
 
-// newCheckCommand returns the command that checks a configuration file.
+// newCheckCommand returns the command that checks a configuration file or the settings
+// file of a gateway.
 func newCheckCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
-		Short: "Validate a configuration file and report all errors",
-		Args:  cobra.ExactArgs(1),
+		Short: "Validate a configuration or the settings of a gateway and report all errors",
+		Long: `Validate a configuration or the settings file of a gateway and report all errors,
+each with its path.
+
+A configuration begins with a brace; all else is taken for settings. The platform
+writes settings that a gateway doesn't read: such unknown keys are reported on
+standard error and are no errors.`,
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			data, err := os.ReadFile(args[0])
 			if err != nil {
 				return err
 			}
-			if _, err := config.Parse(data); err != nil {
+			if err := checkFile(cmd, data); err != nil {
 				return err
 			}
 			_, err = fmt.Fprintln(cmd.OutOrStdout(), "ok")
@@ -46,6 +55,19 @@
 	}
 }
 
+// checkFile validates a configuration or the settings of a gateway.
+func checkFile(cmd *cobra.Command, data []byte) error {
+	if bytes.HasPrefix(bytes.TrimSpace(data), []byte("{")) {
+		_, err := config.Parse(data)
+		return err
+	}
+	unknownKeys, err := platform.CheckSettings(data)
+	for _, path := range unknownKeys {
+		cmd.PrintErrf("%s: %s, ignored\n", path, strict.UnknownKey)
+	}
+	return err
+}
+
 // defaultPublishWait is how long config publish waits for the outcome by default.
 const defaultPublishWait = 10 * time.Second
 
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -29,14 +30,18 @@
 // newGatewayCommand returns the command that runs an entry on the users'
 // platform.
 func newGatewayCommand() *cobra.Command {
-	return &cobra.Command{
+	var file string
+	cmd := &cobra.Command{
 		Use:   "gateway",
 		Short: "Run an entry that calls endpoints directly on the platform",
-		Args:  cobra.NoArgs,
+		Long: "Run an entry that calls endpoints directly on the platform. Without --settings,\n" +
+			"the environment variable " + platform.SettingsEnvVar + " names the settings file. SIGHUP reads it again.",
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			path := os.Getenv(platform.SettingsEnvVar)
+			path := cmp.Or(file, os.Getenv(platform.SettingsEnvVar))
 			if path == "" {
-				return fmt.Errorf("environment variable %s must be set to the path of the settings file", platform.SettingsEnvVar)
+				return fmt.Errorf("the settings file must be named by --settings or the environment variable %s",
+					platform.SettingsEnvVar)
 			}
 			settings, err := platform.ReadSettings(path)
 			if err != nil {
@@ -45,6 +50,8 @@
 			return runGateway(cmd, settings)
 		},
 	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file (YAML)")
+	return cmd
 }
 
 // runGateway runs an entry with the settings until it is shut down.
@@ -60,14 +67,14 @@
 	log.Info().Str("zone", settings.Zone).Uint64("incarnation", incarnation).Msg("entry: starting")
 	defer log.Info().Msg("entry: stopped")
 	return serve(cmd, server, settings.GracePeriod, 0, func(ctx context.Context) error {
-		go reloadOnSignal(ctx, server, log)
+		go reloadOnSignal(ctx, server, settings.Path, log)
 		return server.Run(ctx)
 	})
 }
 
-// reloadOnSignal reloads the settings on each SIGHUP. If they can't be read, the
-// current settings remain in effect.
-func reloadOnSignal(ctx context.Context, server *edge.Server, log zerolog.Logger) {
+// reloadOnSignal reloads the settings from a file on each SIGHUP. If they can't be read,
+// the current settings remain in effect.
+func reloadOnSignal(ctx context.Context, server *edge.Server, path string, log zerolog.Logger) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -77,7 +84,7 @@
 			return
 		case <-signals:
 		}
-		settings, err := platform.ReadSettings(os.Getenv(platform.SettingsEnvVar))
+		settings, err := platform.ReadSettings(path)
 		if err != nil {
 			log.Error().Err(err).Msg("entry: settings not reloaded")
 			continue
