--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"dogwoodfold/internal/edge"
 	"dogwoodfold/internal/entry"
 )
 
@@ -18,7 +19,7 @@
 	var asJSON bool
 	cmd := &cobra.Command{
 		Use:   "status URL...",
-		Short: "Show the status of entries, given the base URLs of their admin interfaces",
+		Short: "Show the status of entries and gateways, given the base URLs of their admin interfaces",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			for _, baseURL := range args {
@@ -43,17 +44,36 @@
 		_, err := w.Write(body)
 		return err
 	}
-	var status entry.Status
-	if err := json.Unmarshal(body, &status); err != nil {
+	rows, err := decodeStatusRows(body)
+	if err != nil {
 		return fmt.Errorf("%s: %w", baseURL, err)
 	}
-	return printStatus(w, status)
+	return printRows(w, rows)
+}
+
+// decodeStatusRows returns the rows of the tables of a status in JSON, that of a gateway
+// or of another entry.
+func decodeStatusRows(body []byte) ([]string, error) {
+	var kind struct {
+		Role string `json:"role"`
+	}
+	if err := json.Unmarshal(body, &kind); err != nil {
+		return nil, err
+	}
+	if kind.Role == edge.RoleGateway {
+		var status edge.Status
+		err := json.Unmarshal(body, &status)
+		return gatewayRows(status), err
+	}
+	var status entry.Status
+	err := json.Unmarshal(body, &status)
+	return statusRows(status), err
 }
 
-// printStatus prints the status of an entry as tables.
-func printStatus(w io.Writer, s entry.Status) error {
+// printRows prints rows, whose cells are separated by tabs, as aligned tables.
+func printRows(w io.Writer, rows []string) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	for _, row := range statusRows(s) {
+	for _, row := range rows {
 		if _, err := fmt.Fprintln(table, row); err != nil {
 			return err
 		}
@@ -61,7 +81,7 @@
 	return table.Flush()
 }
 
-// statusRows returns the rows of all tables, with tabs between the cells.
+// statusRows returns the rows of all tables of an entry, with tabs between the cells.
 func statusRows(s entry.Status) []string {
 	rows := []string{
 		fmt.Sprintf("entry %s\tready %v\tleaving %v\tconfiguration %d\tcalls %d",
