--- a/internal/cmds/report.go
+++ b/internal/cmds/report.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -108,9 +110,11 @@
 	return &cobra.Command{
 		Use:   "request ID LOG...",
 		Short: "Print the timeline of one request from the logs of all entries, and what decided its outcome",
-		Args:  cobra.MinimumNArgs(2),
+		Long: "Print the timeline of one request from the logs of all entries, and what decided its\n" +
+			"outcome. Each LOG is a file, or a directory whose files are all read.",
+		Args: cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			lines, err := readLogFiles(cmd, args[1:])
+			lines, err := readLogs(cmd, args[1:])
 			if err != nil {
 				return err
 			}
@@ -123,10 +127,15 @@
 	}
 }
 
-// readLogFiles reads the lines of all files. It prints how many it skipped.
-func readLogFiles(cmd *cobra.Command, paths []string) ([]trace.Line, error) {
+// readLogs reads the lines of all files, and of all files below directories. It prints how
+// many it skipped.
+func readLogs(cmd *cobra.Command, paths []string) ([]trace.Line, error) {
+	files, err := listFiles(paths)
+	if err != nil {
+		return nil, err
+	}
 	var lines []trace.Line
-	for _, path := range paths {
+	for _, path := range files {
 		fileLines, skipped, err := readLogFile(path)
 		if err != nil {
 			return nil, err
@@ -139,6 +148,23 @@
 	return lines, nil
 }
 
+// listFiles returns the paths with each directory replaced by the files below it, in order.
+func listFiles(paths []string) ([]string, error) {
+	var files []string
+	for _, path := range paths {
+		err := filepath.WalkDir(path, func(file string, entry fs.DirEntry, err error) error {
+			if err == nil && !entry.IsDir() {
+				files = append(files, file)
+			}
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return files, nil
+}
+
 // readLogFile reads the lines of a file, and counts those that are malformed.
 func readLogFile(path string) (lines []trace.Line, skipped int, err error) {
 	file, err := os.Open(path)
