Resume a stream at another engine than the one that ran it last

An engine that falls silent without closing its connections keeps its place among the candidates: nothing proves that it has ended. A client that gave up waiting there and resumed its stream was sent back to it, for the part of the prompt that the engine keeps, and clients resume once.

The leader and the entry that began the stream remember the endpoint that ran it last. The leader adds 500 ms to the cost of returning there, an entry that decides alone goes elsewhere if another engine of the version is usable. An engine that is the only one with the model is used as before.

TestResumedStreamDoesNotReturnToSilentEngine failed before, with and without a leader.

Open: if the entry of a stream has continued it at a second engine, another entry that leads still takes the first one for the last.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -108,6 +108,9 @@
 	if req.GetStream() != 0 && !req.GetResumes() {
 		c.streams.recordAssigned(now, streamKey(req.GetStream()), ep.SoftwareVersion)
 	}
+	if req.GetStream() != 0 {
+		c.streams.recordRun(streamKey(req.GetStream()), ep.ID)
+	}
 	c.startTrials(now, req)
 	reply.Verdict = wirepb.GateAssignment_SEND
 	reply.Endpoint = ep.ID
@@ -147,6 +150,7 @@
 	}
 	parts := promptParts(req)
 	rate := c.prefillRate(req.GetService(), req.GetModel())
+	ranAt := c.streams.ranAt(streamKey(req.GetStream()))
 	holders := make(map[string]int)
 	var options []*engineOption
 	for id, ep := range c.endpoints {
@@ -167,6 +171,9 @@
 		if beginsResumableStream(req) && holders[option.endpoint.SoftwareVersion] == 1 && len(holders) > 1 {
 			option.cost += loneHolderPenalty
 		}
+		if req.GetResumes() && option.endpoint.ID == ranAt {
+			option.cost += returnPenalty
+		}
 		if best == nil || option.cost < best.cost || option.cost == best.cost && option.endpoint.ID < best.endpoint.ID {
 			best = option
 		}
@@ -178,6 +185,10 @@
 // version that holds its model: if that engine ends, the stream can't go on.
 const loneHolderPenalty = 150 * time.Millisecond
 
+// returnPenalty is the cost of resuming a stream at the engine that ran it last, which may
+// have fallen silent: it keeps the stream's prompt, but a client resumes only once.
+const returnPenalty = 500 * time.Millisecond
+
 // beginsResumableStream reports whether a request begins a stream that may be resumed.
 func beginsResumableStream(req *wirepb.GateAssignmentAsk) bool {
 	return req.GetStream() != 0 && !req.GetResumes()
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -242,6 +242,7 @@
 		c.waitForLimit(now, call, limited)
 		return
 	}
+	endpoints, candidates = c.preferOthers(now, call, endpoints, candidates)
 	choice := pick.Choose(now, c.random, candidates)
 	best := endpoints[choice.Index]
 	if best.stats.BackingOff(now) {
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"dogwoodfold/internal/pick"
@@ -40,6 +41,23 @@
 	return endpoints, out, limited
 }
 
+// preferOthers leaves out the candidate that ran the stream last that a call resumes, if
+// there is another one: the endpoint may have fallen silent.
+func (c *Core) preferOthers(
+	now time.Time, call *activeCall, endpoints []*endpoint, candidates []pick.Candidate,
+) ([]*endpoint, []pick.Candidate) {
+	if !call.resumesStream() {
+		return endpoints, candidates
+	}
+	ranAt := c.streams.ranAt(newStreamKey(call.streamID()))
+	last := slices.IndexFunc(endpoints, func(ep *endpoint) bool { return ep.ID == ranAt })
+	other := slices.ContainsFunc(endpoints, func(ep *endpoint) bool { return ep.ID != ranAt && ep.stats.Usable(now) })
+	if last < 0 || !other {
+		return endpoints, candidates
+	}
+	return slices.Delete(endpoints, last, last+1), slices.Delete(candidates, last, last+1)
+}
+
 func (c *Core) newCandidate(now time.Time, call *activeCall, ep *endpoint, service *topo.Service) pick.Candidate {
 	candidate := pick.Candidate{
 		Stats:             ep.stats,
--- a/internal/gate/starts.go
+++ b/internal/gate/starts.go
@@ -30,6 +30,8 @@
 	key     streamKey
 	version string
 	at      time.Time
+	// endpoint is the one that ran the stream last, as far as this entry knows.
+	endpoint string
 	// assigned is true if the version is that of the engine that the leader assigned, at
 	// which the stream may not have begun.
 	assigned bool
@@ -81,7 +83,7 @@
 func newStreamTable() streamTable { return streamTable{versions: make(map[streamKey]streamStart)} }
 
 // record remembers the version that began a stream. A later record replaces an
-// earlier one.
+// earlier one, but for the endpoint if that has the version.
 func (t *streamTable) record(now time.Time, key streamKey, version string) streamStart {
 	t.prune(now)
 	start := streamStart{
@@ -89,10 +91,24 @@
 		version: version,
 		at:      now,
 	}
+	if known := t.versions[key]; known.version == version {
+		start.endpoint = known.endpoint
+	}
 	t.versions[key] = start
 	return start
 }
 
+// recordRun remembers the endpoint that runs a stream.
+func (t *streamTable) recordRun(key streamKey, endpoint string) {
+	if start, known := t.versions[key]; known {
+		start.endpoint = endpoint
+		t.versions[key] = start
+	}
+}
+
+// ranAt returns the endpoint that ran a stream last, empty if that isn't known.
+func (t *streamTable) ranAt(key streamKey) string { return t.versions[key].endpoint }
+
 // recordAssigned remembers the version of the engine that a stream was assigned to, unless
 // it is known where the stream began. That is told to no other entry.
 func (t *streamTable) recordAssigned(now time.Time, key streamKey, version string) {
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -12,13 +12,18 @@
 	"dogwoodfold/pkg/fault"
 )
 
-// recordStreamStart remembers the version that begins the stream of a call, unless
-// the call continues one.
+// recordStreamStart remembers the endpoint that runs the stream of a call, and the version
+// that begins it unless the call continues one.
 func (c *Core) recordStreamStart(now time.Time, call *activeCall) {
-	if call.route.Kind != topo.Stream || !call.route.Resumable || call.continuesStream() {
+	if call.route.Kind != topo.Stream || !call.route.Resumable {
 		return
 	}
-	c.streams.recordOwn(now, newStreamKey(call.request.ID), call.endpoint.SoftwareVersion)
+	key := newStreamKey(call.streamID())
+	defer c.streams.recordRun(key, call.endpoint.ID)
+	if call.continuesStream() {
+		return
+	}
+	c.streams.recordOwn(now, key, call.endpoint.SoftwareVersion)
 	if call.assignment.stage != stageAssigned || len(call.triedEndpoints) > 1 {
 		c.sendReport(now) // the leader doesn't know the endpoint, or takes another one for it
 	}
