Split what a follower tells, hears and wants from its state

Cause: internal/gate/member.go (449 lines) held the follower's state, its reports to the leader, what it applies of the leader's state, and the demand of requests.

--- /dev/null
+++ b/internal/gate/demand.go
@@ -0,0 +1,89 @@
+package gate
+
+import (
+	"time"
+
+	"dogwoodfold/internal/stock"
+)
+
+// artifactDemand is the number of new requests for an artifact and their prefill time.
+type artifactDemand struct {
+	requests int
+	work     time.Duration
+}
+
+// recordDemand records a new request and its prefill time for the planner.
+func (c *Core) recordDemand(now time.Time, call *activeCall) {
+	service := c.config.Services[call.service]
+	if service == nil || service.Engine == nil {
+		return
+	}
+	artifact := stock.Artifact{
+		Model:   call.request.Model,
+		Adapter: call.request.Adapter,
+	}
+	work := c.prefillRate(call.service, call.request.Model).PrefillTime(call.request.PromptTokens)
+	if c.isLeader(now) {
+		c.leader.planner.RecordDemand(now, call.service, artifact, 1, work)
+		return
+	}
+	if c.follower.demand[call.service] == nil {
+		c.follower.demand[call.service] = make(map[stock.Artifact]artifactDemand)
+	}
+	demand := c.follower.demand[call.service][artifact]
+	demand.requests++
+	demand.work += work
+	c.follower.demand[call.service][artifact] = demand
+}
+
+// requestArtifact tells the leader that a call waits for its model, or for its
+// adapter if the model is loaded.
+func (c *Core) requestArtifact(now time.Time, call *activeCall) {
+	wanted := stock.Miss{
+		Artifact:        stock.Artifact{Model: call.request.Model},
+		SoftwareVersion: call.softwareVersion,
+	}
+	if c.modelLoaded(now, call) {
+		wanted.Adapter = call.request.Adapter
+	}
+	if c.isLeader(now) {
+		c.leader.planner.RecordMiss(now, call.service, wanted)
+		c.leader.planSoon = true
+		return
+	}
+	if c.follower.misses[call.service] == nil {
+		c.follower.misses[call.service] = make(map[stock.Miss]bool)
+	}
+	if !c.follower.misses[call.service][wanted] {
+		c.follower.misses[call.service][wanted] = true
+		if call.parkedAt.IsZero() {
+			c.sendReport(now)
+		}
+	}
+}
+
+// modelLoaded reports whether any usable endpoint that may run a call holds its
+// model.
+func (c *Core) modelLoaded(now time.Time, call *activeCall) bool {
+	leaderCurrent := c.leaderStateCurrent(now)
+	for _, ep := range c.endpoints {
+		if ep.Service == call.service && c.takesRequests(now, ep) && call.acceptsVersion(ep.SoftwareVersion) &&
+			ep.holds(now, leaderCurrent, call.request.Model, "") {
+			return true
+		}
+	}
+	return false
+}
+
+// loadArrival returns when a call's model is expected to be loaded at an endpoint
+// that may run it, if a load is in progress.
+func (c *Core) loadArrival(now time.Time, call *activeCall) (time.Time, bool) {
+	etas := c.follower.arrivals[call.service]
+	if c.isLeader(now) {
+		etas = c.leader.planner.LoadETAs(call.service)
+	} else if !c.leaderStateCurrent(now) {
+		return time.Time{}, false
+	}
+	eta, loading := stock.FirstLoad(etas, call.request.Model, call.softwareVersion)
+	return latest(eta, now), loading
+}
