Ask in one place whether a service's versions are mixed

Loads from the disk beside slower ones stopped with the last engine of the older version, where second copies are kept for another minute. Both ask the same now.

--- a/internal/stock/backup.go
+++ b/internal/stock/backup.go
@@ -19,10 +19,10 @@
 // that began it. Services that have had one version for long have copies for their demand,
 // and no more.
 func (p *Planner) backupShortages(now time.Time, s *service) []shortage {
-	engines := s.countVersions()
-	if len(engines) < 2 && !s.versionsDiffer {
+	if !s.versionsMixed() {
 		return nil
 	}
+	engines := s.countVersions()
 	var out []shortage
 	for _, model := range s.modelNames {
 		demandRate := s.demandRate(now, model)
@@ -45,6 +45,9 @@
 	return out
 }
 
+// versionsMixed reports whether the engines have different software versions, or had lately.
+func (s *service) versionsMixed() bool { return s.versionsDiffer || len(s.countVersions()) > 1 }
+
 // countVersions returns the number of usable engines without a limit by software version.
 func (s *service) countVersions() map[string]int {
 	out := make(map[string]int)
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		loadedAt, found := s.firstCopy(m.Model, m.SoftwareVersion)
-		if found && (loadedAt.IsZero() || len(s.countVersions()) < 2) {
+		if found && (loadedAt.IsZero() || !s.versionsMixed()) {
 			continue
 		}
 		out = append(out, shortage{
