Tell all entries of streams from before a second version, and of bursts

While one version served, the leader kept what it heard of other entries' streams to itself. When a second version appeared and the leader ended together with a stream's entry, nobody could tell the stream's version. And of more than 64 streams between two states only the newest 64 were ever told.

The leader keeps the list at all times and tells of it once several versions serve. Each state tells of at most 64 streams as before, the newest that the entry hasn't been told of; later states tell of the rest of the newest 1024.

TestStreamFromBeforeSecondVersionIsResumedWithoutLeaderAndItsEntry (the stream was not resumed) and TestLaterStatesTellOfBurstOfStarts (the first of 256 streams was never told) failed before.

Streams are now encoded without copies.

--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -43,6 +43,8 @@
 	// entry has been sent, learnedSent that of the last one of another entry.
 	startsSent  uint64
 	learnedSent uint64
+	// untold are the earlier ones of other entries of which later states tell, oldest first.
+	untold []startRange
 	// poisonSent is the revision of the crash log that the entry has been sent.
 	poisonSent uint64
 	// limitsSent is the revision of the limits that the entry has been sent.
@@ -73,6 +75,7 @@
 	p.arrivalsSent = 0
 	p.startsSent = 0
 	p.learnedSent = 0
+	p.untold = nil
 	p.poisonSent = 0
 	p.limitsSent = 0
 }
--- a/internal/gate/starts.go
+++ b/internal/gate/starts.go
@@ -45,8 +45,7 @@
 type streamTable struct {
 	versions map[streamKey]streamStart
 	// own are the streams that this entry began. learned are those that other entries
-	// began while several versions served, as far as this entry heard of them as the
-	// leader.
+	// began, as far as this entry heard of them as the leader.
 	own     startLog
 	learned startLog
 	pruneAt time.Time
@@ -70,10 +69,29 @@
 
 // after returns the beginnings after the one with the given number.
 func (l *startLog) after(number uint64) []streamStart {
-	first, _ := slices.BinarySearchFunc(l.starts, number+1, func(s streamStart, n uint64) int {
+	first, _ := l.find(number + 1)
+	return l.starts[first:]
+}
+
+// find returns the place of the beginning with the given number, and whether the list has it.
+func (l *startLog) find(number uint64) (place int, found bool) {
+	return slices.BinarySearchFunc(l.starts, number, func(s streamStart, n uint64) int {
 		return cmp.Compare(s.number, n)
 	})
-	return l.starts[first:]
+}
+
+// startRange is a range of numbers of beginnings in a startLog.
+type startRange struct {
+	// after is the number before the first one, last the last number.
+	after uint64
+	last  uint64
+}
+
+// within returns the beginnings with the numbers of a range.
+func (l *startLog) within(r startRange) []streamStart {
+	first, _ := l.find(r.after + 1)
+	end, _ := l.find(r.last + 1)
+	return l.starts[first:end]
 }
 
 func (l *startLog) prune(now time.Time) {
@@ -167,22 +185,62 @@
 	// maxLearnedPerState bounds the streams of other entries of which a state tells, so
 	// that its size doesn't grow with the fleet.
 	maxLearnedPerState = 64
+	// maxUntold is the number of the newest streams of other entries of which later states
+	// tell what earlier ones didn't.
+	maxUntold = 1024
 	// maxRetold is the number of streams up to which a new leader is told of all that an
 	// entry knows; above, only of those that the entry began itself.
 	maxRetold = 2048
 )
 
-// startsFor returns the streams of which the leader tells an entry, and records that it
-// has. If too many are new, the newest of other entries are told.
-func (t *streamTable) startsFor(peer *peer) []streamStart {
-	learned := t.learned.after(peer.learnedSent)
-	learned = learned[max(len(learned)-maxLearnedPerState, 0):]
-	out := slices.Concat(t.own.after(peer.startsSent), learned)
+// startsFor returns the streams of which the leader tells an entry, in lists that are valid
+// until the next change, and records that it has. Of those that other entries began it
+// tells while several versions serve.
+func (t *streamTable) startsFor(peer *peer, severalVersions bool) [][]streamStart {
+	own := t.own.after(peer.startsSent)
 	peer.startsSent = t.own.count
-	peer.learnedSent = t.learned.count
+	if !severalVersions {
+		return [][]streamStart{own}
+	}
+	return append(t.learnedFor(peer), own)
+}
+
+// learnedFor returns the streams of other entries of which a state tells: of the newest
+// ones that the entry hasn't been told of, as many as it may. Later states tell of the rest.
+func (t *streamTable) learnedFor(peer *peer) [][]streamStart {
+	peer.addUntold(t.learned.count)
+	var out [][]streamStart
+	for left := maxLearnedPerState; left > 0 && len(peer.untold) > 0; {
+		newest := &peer.untold[len(peer.untold)-1]
+		starts := t.learned.within(*newest)
+		skipped := max(len(starts)-left, 0)
+		out = append(out, starts[skipped:])
+		left -= len(starts) - skipped
+		if skipped > 0 {
+			newest.last = starts[skipped-1].number
+			break
+		}
+		peer.untold = peer.untold[:len(peer.untold)-1]
+	}
 	return out
 }
 
+// addUntold adds the streams of other entries up to the one with the given number to those
+// that the entry hasn't been told of, and drops the oldest ones.
+func (p *peer) addUntold(count uint64) {
+	oldest := count - min(count, maxUntold)
+	if count > p.learnedSent {
+		p.untold = append(p.untold, startRange{
+			after: max(p.learnedSent, oldest),
+			last:  count,
+		})
+		p.learnedSent = count
+	}
+	for len(p.untold) > 0 && p.untold[0].last <= oldest {
+		p.untold = p.untold[1:]
+	}
+}
+
 // retold returns the streams of which a new leader is told, in the order of their keys.
 func (t *streamTable) retold() []streamStart {
 	if len(t.versions) > maxRetold {
@@ -197,18 +255,29 @@
 	return out
 }
 
-// encodeStarts groups streams by version.
-func encodeStarts(starts []streamStart) []*wirepb.GateStarts {
-	byVersion := make(map[string][]uint64)
-	for _, s := range starts {
-		byVersion[s.version] = append(byVersion[s.version], uint64(s.key))
+// encodeStarts groups the streams of lists by version.
+func encodeStarts(lists ...[]streamStart) []*wirepb.GateStarts {
+	total := 0
+	for _, starts := range lists {
+		total += len(starts)
+	}
+	byVersion := make(map[string]*wirepb.GateStarts)
+	for _, starts := range lists {
+		for _, s := range starts {
+			group := byVersion[s.version]
+			if group == nil {
+				group = &wirepb.GateStarts{
+					SoftwareVersion: s.version,
+					Streams:         make([]uint64, 0, total),
+				}
+				byVersion[s.version] = group
+			}
+			group.Streams = append(group.Streams, uint64(s.key))
+		}
 	}
 	out := make([]*wirepb.GateStarts, 0, len(byVersion))
 	for _, version := range slices.Sorted(maps.Keys(byVersion)) {
-		out = append(out, &wirepb.GateStarts{
-			SoftwareVersion: version,
-			Streams:         byVersion[version],
-		})
+		out = append(out, byVersion[version])
 	}
 	return out
 }
@@ -222,11 +291,11 @@
 	}
 }
 
-// recordOtherStart remembers the version of a stream that another entry began. While
+// recordOtherStart remembers the version of a stream that another entry began. Once
 // several versions serve, the leader tells all entries of it: without a leader they
 // couldn't ask for it.
 func (c *Core) recordOtherStart(now time.Time, key streamKey, version string) {
-	if c.leader == nil || !c.severalVersions() {
+	if c.leader == nil {
 		c.streams.record(now, key, version)
 		return
 	}
