Let the warm-up of internal/e2e serve one model call only

Cause: awaitServing repeated a model call and a plain call until both were served at once. If the plain agent served later (its view of the entries came later), the engine had served two or more short calls. TestHopelessCallIsRefusedEarly takes the agent's estimate of the speed from these and from one call of 20 tokens; with two short ones the estimate admits the hopeless call, which then ends with 504 in the queue.

Change: the plain call is awaited first, then the model call, so that exactly one model call is served. No check of a test changes.

That a few short calls make the agent's estimate too fast for some time is as it was.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -306,12 +306,12 @@
 	}
 }
 
-// awaitServing waits until the first entry serves a model call and a plain call.
+// awaitServing waits until the first entry serves a plain call and then a model call. The
+// engine serves one call, however long that takes: agents learn its speed from the calls.
 func (s *system) awaitServing(t testing.TB) {
 	t.Helper()
-	eventually(t, "calls are served", func() bool {
-		return s.complete(t, boothKey, 1, false).status == 200 && s.charge(t, "warm-up").status == 200
-	})
+	eventually(t, "a plain call is served", func() bool { return s.charge(t, "warm-up").status == 200 })
+	eventually(t, "a model call is served", func() bool { return s.complete(t, boothKey, 1, false).status == 200 })
 }
 
 // callResult is the response to an HTTP request, or its error.
