--- /dev/null
+++ b/internal/gate/probe.go
@@ -0,0 +1,72 @@
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"dogwoodfold/internal/poison"
+)
+
+func (c *Core) probeEngine(now time.Time, run poison.Run, ep *endpoint) {
+	if _, probing := c.crashes.probes[run]; probing {
+		return
+	}
+	c.crashes.probes[run] = now
+	probe := ProbeEngine{
+		Run:     run,
+		Address: ep.Address,
+	}
+	if c.engineSpec(ep) == nil {
+		probe.Plain = true
+		probe.HealthPath = c.healthPath(ep.Service)
+	}
+	c.emit(probe)
+}
+
+func (c *Core) healthPath(service string) string {
+	if c.config == nil || c.config.Services[service] == nil {
+		return ""
+	}
+	return c.config.Services[service].HealthPath
+}
+
+// handleEngineProbed handles the result of a probe. If the endpoint has crashed, the
+// parts of all answers that ended with it are recorded.
+func (c *Core) handleEngineProbed(now time.Time, e EngineProbed) {
+	probedAt := c.crashes.probes[e.Run]
+	delete(c.crashes.probes, e.Run)
+	endings := c.crashes.endings[e.Run]
+	if e.Running {
+		c.keepAfterProbe(now, e.Run, probedAt)
+		return
+	}
+	delete(c.crashes.endings, e.Run)
+	crash := poison.Crash{
+		Run:   e.Run,
+		At:    probedAt,
+		Parts: partsOf(endings),
+	}
+	if e.Ended {
+		crash.EndedAt = now
+	}
+	c.logChange("endpoint crashed", e.Run.Engine, "", now.Sub(probedAt))
+	c.addCrash(now, crash)
+}
+
+// keepAfterProbe keeps the endings that came after a probe that found the engine
+// running, and probes it again if one of them was cut off.
+func (c *Core) keepAfterProbe(now time.Time, run poison.Run, probedAt time.Time) {
+	var later []ending
+	for _, ended := range c.crashes.endings[run] {
+		if ended.at.After(probedAt) {
+			later = append(later, ended)
+			continue
+		}
+		c.endTrial(now, ended.suspects)
+	}
+	c.crashes.keepEndings(run, later)
+	ep := c.endpoints[run.Engine]
+	if ep != nil && slices.ContainsFunc(later, func(e ending) bool { return e.broken }) {
+		c.probeEngine(now, run, ep)
+	}
+}
