Let tests of gateways share what they do twice

Cause: four tests ended the leader and made another one lead, two of them then took the next entry that is left, and two asked for a trial of which the leader doesn't hear, in the same lines each.

Change: entryFleet.replaceLeader, hostLeft and plainFleet.askForTrial. Requests, times and checks are as before.

--- a/internal/gate/entries_test.go
+++ b/internal/gate/entries_test.go
@@ -75,6 +75,14 @@
 	f.follow(host, f.acquireLease(host))
 }
 
+// replaceLeader ends the first leader, and makes another entry lead.
+func (f *entryFleet) replaceLeader(host string) {
+	f.t.Helper()
+	delete(f.cores, "front-1")
+	f.lead(host)
+	f.tick()
+}
+
 // follow answers an append with which an entry acquires the lease, and makes the others
 // follow it.
 func (f *entryFleet) follow(host string, appended AppendLease) {
--- a/internal/gate/limits_test.go
+++ b/internal/gate/limits_test.go
@@ -302,9 +302,7 @@
 	f := newEntryFleet(t)
 	f.apply("front-1", LimitNamed{Endpoint: "llm-0", Incarnation: 1, PerSecond: 2})
 	f.tick()
-	delete(f.cores, "front-1")
-	f.lead("front-3")
-	f.tick()
+	f.replaceLeader("front-3")
 	f.wantLimit("llm-0", 2)
 }
 
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -183,14 +183,9 @@
 		f := newPlainFleet(t)
 		for i := range 4 {
 			if i == crashes {
-				delete(f.cores, "front-1")
-				f.lead("front-2")
-				f.tick()
-			}
-			host := hostOf(i)
-			if f.cores[host] == nil {
-				host = "front-3"
+				f.replaceLeader("front-2")
 			}
+			host := f.hostLeft(i)
 			f.crashPlain(host, f.mustTryPlain(host, "/charge/1", badContent))
 		}
 		f.wantPlainQuarantined("front-2")
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -99,6 +99,14 @@
 // hostOf returns the i-th entry, in turn.
 func hostOf(i int) string { return fmt.Sprint("front-", i%3+1) }
 
+// hostLeft returns the i-th entry, in turn, or the third if that one has ended.
+func (f *entryFleet) hostLeft(i int) string {
+	if host := hostOf(i); f.cores[host] != nil {
+		return host
+	}
+	return hostOf(2)
+}
+
 // newCrashedFleet returns entries each of which has lost an engine to the part bad, and
 // has had an answer to a sound prompt in between.
 func newCrashedFleet(t *testing.T, sameID bool) *entryFleet {
@@ -130,14 +138,9 @@
 		f.answer("front-2", f.mustTry("front-2", "/chat/1", systemPart))
 		for i := range 3 {
 			if i == crashes {
-				delete(f.cores, "front-1")
-				f.lead("front-2")
-				f.tick()
-			}
-			host := hostOf(i)
-			if f.cores[host] == nil {
-				host = "front-3"
+				f.replaceLeader("front-2")
 			}
+			host := f.hostLeft(i)
 			f.crash(host, f.mustTry(host, "/chat/1", systemPart, badPart), true)
 		}
 		f.wantQuarantined("front-2", badPart)
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -140,9 +140,7 @@
 		from := []string{"front-1", "front-3"}[i%2]
 		f.checkResume("r", from, "front-2", func() {
 			f.tick()
-			delete(f.cores, "front-1")
-			f.lead("front-2")
-			f.tick()
+			f.replaceLeader("front-2")
 		})
 		if from == "front-1" {
 			f.checkResume("s", "front-2", "front-3", f.tick)
--- a/internal/gate/trial_test.go
+++ b/internal/gate/trial_test.go
@@ -220,16 +220,13 @@
 	f.mustTryPlain("front-2", "/charge/1", badContent)
 }
 
-// Guards against a trial that stays granted to a client that has left while its entry
-// waited for the grant, and keeps sound requests with the same content waiting.
-func TestTrialGrantedToLeftClientEnds(t *testing.T) {
-	f := newPlainFleet(t)
-	f.crashBad(2)
-	core := f.cores["front-3"]
+// askForTrial delivers a request with a suspect content whose entry asks for a trial, and
+// returns what it asks the leader, which doesn't hear of it.
+func (f *plainFleet) askForTrial(host, id string) RequestAssignment {
+	f.t.Helper()
 	f.calls++
-	id := f.calls
-	asked, ok := findEffect[RequestAssignment](core.Apply(f.now, RequestArrived{Call: id, Request: &Request{
-		ID:        "left",
+	asked, ok := findEffect[RequestAssignment](f.cores[host].Apply(f.now, RequestArrived{Call: f.calls, Request: &Request{
+		ID:        id,
 		Host:      "h",
 		Path:      "/charge/1",
 		Key:       "k2",
@@ -237,9 +234,18 @@
 		Content:   badContent,
 	}}))
 	if !ok {
-		t.Fatal("no trial is asked for")
+		f.t.Fatal("no trial is asked for")
 	}
-	core.Apply(f.now, ClientDisconnected{Call: id})
+	return asked
+}
+
+// Guards against a trial that stays granted to a client that has left while its entry
+// waited for the grant, and keeps sound requests with the same content waiting.
+func TestTrialGrantedToLeftClientEnds(t *testing.T) {
+	f := newPlainFleet(t)
+	f.crashBad(2)
+	asked := f.askForTrial("front-3", "left")
+	f.cores["front-3"].Apply(f.now, ClientDisconnected{Call: f.calls})
 	f.apply("front-1", AssignmentRequested{Host: "front-3", Request: asked.Request})
 	f.pass(time.Second)
 	if _, err := f.tryPlain("front-2", "/charge/1", badContent); err != nil {
@@ -252,21 +258,9 @@
 func TestTrialGrantedTooLateEnds(t *testing.T) {
 	f := newPlainFleet(t)
 	f.crashBad(2)
-	core := f.cores["front-3"]
-	f.calls++
-	asked, ok := findEffect[RequestAssignment](core.Apply(f.now, RequestArrived{Call: f.calls, Request: &Request{
-		ID:        "late",
-		Host:      "h",
-		Path:      "/charge/1",
-		Key:       "k2",
-		ArrivedAt: f.now,
-		Content:   badContent,
-	}}))
-	if !ok {
-		t.Fatal("no trial is asked for")
-	}
+	asked := f.askForTrial("front-3", "late")
 	f.now = f.now.Add(leaderReplyTimeout)
-	if refuse, refused := findEffect[Refuse](core.Apply(f.now, Tick{})); !refused {
+	if refuse, refused := findEffect[Refuse](f.cores["front-3"].Apply(f.now, Tick{})); !refused {
 		t.Fatalf("the call still waits: %v", refuse)
 	}
 	f.apply("front-1", AssignmentRequested{Host: "front-3", Request: asked.Request})
