--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -75,11 +75,7 @@
 		c.leader.planner.SetLimited(id, ep.limit.limited())
 		c.leader.planner.SetEnded(id, c.hasEnded(now, ep))
 	}
-	for service, spec := range c.config.Services {
-		if spec.Engine != nil {
-			c.leader.planner.SetVersionsDiffer(service, c.versionsDiffer(now, service))
-		}
-	}
+	c.updatePlannerVersions(now)
 	plan := c.leader.planner.Plan(now)
 	for _, order := range plan.Orders {
 		ep := c.endpoints[order.Engine]
@@ -105,6 +101,19 @@
 	c.publishHoldings(now)
 }
 
+// updatePlannerVersions tells the planner of which services the software versions differ, or
+// did lately.
+func (c *Core) updatePlannerVersions(now time.Time) {
+	if c.config == nil {
+		return // there are no services yet
+	}
+	for service, spec := range c.config.Services {
+		if spec.Engine != nil {
+			c.leader.planner.SetVersionsDiffer(service, c.versionsDiffer(now, service))
+		}
+	}
+}
+
 // collectHoldings applies the changes of engines' holdings since the last call to this
 // entry, and returns the engines whose holdings have changed.
 func (c *Core) collectHoldings(now time.Time) []string {
--- a/internal/gate/release_test.go
+++ b/internal/gate/release_test.go
@@ -41,3 +41,24 @@
 		Changes: []topo.EndpointChange{{ID: id}},
 	})
 }
+
+// A new fleet has a leader before the operator has written the first configuration.
+func TestLeaderPlansWithoutConfig(t *testing.T) {
+	h := newHarness(t)
+	h.apply(Tick{})
+	h.apply(LeaseRead{SentAt: h.now})
+	appendLease, ok := findEffect[AppendLease](h.apply(Tick{}))
+	if !ok {
+		t.Fatal("a free lease was not acquired")
+	}
+	h.apply(LeaseAppendEnded{
+		Record: appendLease.Record,
+		Offset: appendLease.Offset,
+		Result: AppendDone,
+	})
+	h.advance(planInterval)
+	h.apply(Tick{}) // plans, and must not panic
+	if !h.core.isLeader(h.now) || h.core.leader.plannedAt != h.now {
+		t.Error("the entry did not plan as the leader")
+	}
+}
