--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,10 +27,13 @@
 )
 
 const (
-	startupTime    = 4 * time.Second
-	faultDuration  = 14 * time.Second
-	recoveryTime   = 12 * time.Second
-	recoveryWindow = 3 * time.Second
+	startupTime = 4 * time.Second
+	// firstConfigDelay is the time after which the first configuration is written: a leader
+	// is there before it.
+	firstConfigDelay = 1200 * time.Millisecond
+	faultDuration    = 14 * time.Second
+	recoveryTime     = 12 * time.Second
+	recoveryWindow   = 3 * time.Second
 	// minSuccessRate is the fraction of requests that must succeed after
 	// recoveryTime.
 	minSuccessRate    = 0.5
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -92,7 +92,7 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	env.storeAddress = listener.Addr().String()
-	env.publishConfig()
+	time.AfterFunc(firstConfigDelay, env.publishConfig)
 	for _, service := range []string{"shop", "shop", "llm", "llm", "llm"} {
 		ep := newFakeEndpoint(t, env, service)
 		ep.models = ep.initialModels()
