Run the tests of internal/e2e four at a time

Change: each test that starts processes is parallel. Four run at a time unless -parallel says otherwise, since a host that is short of processor time would break the bounds of some. All checks and bounds are as before.

--- a/internal/e2e/claims_test.go
+++ b/internal/e2e/claims_test.go
@@ -154,6 +154,7 @@
 }
 
 func TestRepeatsThroughAnyEntry(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 3, 2)
 	s.setServiceDelay(t, 200)
 	var wg sync.WaitGroup
@@ -183,6 +184,7 @@
 }
 
 func TestRepeatAfterTheAgentDied(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 3, 2)
 	s.setServiceDelay(t, 1500)
 	first := s.chargeInBackground(t, "hoodie", "key-1")
@@ -212,6 +214,7 @@
 }
 
 func TestRepeatAfterTheEntryDied(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 3, 2)
 	s.setServiceDelay(t, 1000)
 	first := s.chargeInBackground(t, "hoodie", "key-1")
@@ -229,6 +232,7 @@
 }
 
 func TestLogOutageRefusesKeyedCalls(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 2, 1)
 	s.log.setFaults(t, fakes.Faults{Down: true})
 	for range 2 {
@@ -258,6 +262,7 @@
 }
 
 func TestLogThatLosesAnswers(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 2, 2)
 	for i := range 12 {
 		s.log.setFaults(t, fakes.Faults{LoseAnswers: i%2 == 0})
@@ -286,6 +291,7 @@
 }
 
 func TestSlowLog(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 2, 1)
 	s.log.setFaults(t, fakes.Faults{DelayMs: 300})
 	if res := s.chargeVia(t, 0, "/charge", "hoodie", "key-1"); res.status != 200 {
@@ -347,6 +353,7 @@
 }
 
 func TestBrokenLinkBringsTheAnswer(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 1, 1)
 	proxy := newBreakableProxy(t, s.agents["agent-0"].address)
 	s.registerHost(t, plat.Host{
@@ -380,6 +387,7 @@
 }
 
 func TestPausedAgent(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 2, 2)
 	s.setServiceDelay(t, 300)
 	first := s.chargeInBackground(t, "hoodie", "key-1")
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -89,6 +89,7 @@
 }
 
 func TestRacingOperators(t *testing.T) {
+	t.Parallel()
 	s := &system{log: start(t, "fake", "log")}
 	first := writeFile(t, configText())
 	if status, out := s.configCommand(t, "publish", first); status != 0 {
@@ -122,6 +123,7 @@
 }
 
 func TestPublishWithLostAnswers(t *testing.T) {
+	t.Parallel()
 	s := &system{log: start(t, "fake", "log")}
 	s.log.setFaults(t, fakes.Faults{LoseAnswers: true})
 	status, out := s.configCommand(t, "publish", writeFile(t, configText()), "--wait", "1s")
@@ -189,6 +191,7 @@
 }
 
 func TestShowAndDiff(t *testing.T) {
+	t.Parallel()
 	s := &system{log: start(t, "fake", "log")}
 	s.publish(t, configText())
 	s.publish(t, `{"customers":{"other":{"ratePerSecond":11}}}`, "--patch")
@@ -209,6 +212,7 @@
 }
 
 func TestSlowLogAtOneEntry(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	logProxy := newBlockingProxy(t, s.log.url())
 	slow := s.addEntryWith(t, "entry-2", logProxy.URL, nil)
@@ -223,6 +227,7 @@
 }
 
 func TestFreshEntryWhileLogIsDown(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	s.log.setFaults(t, fakes.Faults{Down: true})
 	fresh := s.addEntryWith(t, "entry-2", s.log.url(), nil)
@@ -242,6 +247,7 @@
 }
 
 func TestIsolatedEntryStopsAdmitting(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	logProxy := newBlockingProxy(t, s.log.url())
 	isolated := s.addEntryWith(t, "entry-2", logProxy.URL, map[string]any{"isolationLimit": "6s"})
@@ -268,6 +274,7 @@
 }
 
 func TestWithdrawnKeyEndsStream(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	s.engine.setFaults(t, fakes.Faults{TokenMs: 50})
 	conn, err := net.Dial("tcp", s.entries[0].address.String())
@@ -309,6 +316,7 @@
 }
 
 func TestRetentionWithCheckpoints(t *testing.T) {
+	t.Parallel()
 	s := &system{
 		log:   start(t, "fake", "log", "--retention", "4s"),
 		hosts: start(t, "fake", "hosts"),
@@ -331,6 +339,7 @@
 }
 
 func TestUnknownFormatIsNotPublished(t *testing.T) {
+	t.Parallel()
 	s := &system{log: start(t, "fake", "log")}
 	if status, out := s.configCommand(t, "publish", writeFile(t, `{"format":2}`)); status != 1 ||
 		!strings.Contains(out, "later release") {
@@ -339,6 +348,7 @@
 }
 
 func TestLeavingAgentLosesNewWorkThoughListed(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	other := start(t, "fake", "service")
 	s.addAgent(t, "agent-other", "pedidos", "service", other)
@@ -375,6 +385,7 @@
 }
 
 func TestRestoreInALogThatHasLostTheText(t *testing.T) {
+	t.Parallel()
 	s := &system{
 		log:   start(t, "fake", "log", "--retention", "1s"),
 		hosts: start(t, "fake", "hosts"),
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -120,6 +120,7 @@
 // another key. After the third end it is refused as not run, and sound charges of the
 // same customer are served.
 func TestCrashingCallIsKeptFromEndpoints(t *testing.T) {
+	t.Parallel()
 	s, endpoints := newCrashingSystem(t)
 	var last callResult
 	for i := range 12 {
--- a/internal/e2e/docs_test.go
+++ b/internal/e2e/docs_test.go
@@ -68,6 +68,7 @@
 
 // TestDemo runs the demo command of the README.
 func TestDemo(t *testing.T) {
+	t.Parallel()
 	out, err := exec.Command(programPath, "demo").CombinedOutput()
 	if err != nil || strings.Count(string(out), "true") == 0 || strings.Contains(string(out), "false") {
 		t.Errorf("demo: %v\n%s", err, out)
@@ -78,6 +79,7 @@
 // run, from the root, with the program on the path and the addresses of a
 // running demo in ENTRY, ADMIN, ADMINS, LOG and KEY.
 func TestPagesCommands(t *testing.T) {
+	t.Parallel()
 	var pages []string
 	for _, pattern := range []string{"../../*.md", "../../docs/*.md", "../../docs/*/*.md"} {
 		found, err := filepath.Glob(pattern)
--- a/internal/e2e/endless_test.go
+++ b/internal/e2e/endless_test.go
@@ -10,6 +10,7 @@
 // A plain service answers without end: the caller must get a failure soon, which doesn't
 // say that the call has not run, and the next calls must be served.
 func TestAnswerWithoutEndIsCutOff(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 1, 1)
 	s.services[0].setFaults(t, fakes.Faults{Endless: true})
 	began := time.Now()
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -23,6 +23,7 @@
 )
 
 func TestKeysGoNowhere(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 1, 1)
 	base := s.entries[0].url()
 	for i, headers := range [][]string{
@@ -92,6 +93,7 @@
 // reach the endpoint. Neither may a path that leads to another route once it is
 // normalized.
 func TestSmuggling(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 1, 1)
 	hidden := "POST /charge HTTP/1.1\r\nHost: x\r\nX-Api-Key: " + boothKey + "\r\nContent-Length: 6\r\n\r\nhidden"
 	chunk := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden)
@@ -122,6 +124,7 @@
 }
 
 func TestOversizedInput(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 1, 1)
 	res := sendRaw(t, s.entries[0],
 		"POST /charge HTTP/1.1\r\nHost: x\r\nX-Api-Key: "+boothKey+"\r\nX-Big: "+strings.Repeat("x", 64<<10)+"\r\n\r\n")
@@ -146,6 +149,7 @@
 // TestDatedKey checks an idempotency key whose embedded time, a UUIDv7 of 2023, is
 // older than the deduplication window.
 func TestDatedKey(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 1, 1)
 	const keyFrom2023 = "018b0000-0000-7000-8000-000000000000"
 	res := s.chargeVia(t, 0, "/charge", "old", keyFrom2023)
@@ -157,6 +161,7 @@
 // TestEachCallerGetsItsOwnAnswer makes concurrent calls while a service truncates,
 // delays and drops responses. No caller may receive the answer to another call.
 func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 2, 2)
 	load := &loadGenerator{}
 	load.start(16, func(n int64) callResult {
@@ -253,6 +258,7 @@
 // TestPeersNeedCertificates runs an agent with mutual TLS behind entries with a
 // certificate of the same authority, of another authority, and without one.
 func TestPeersNeedCertificates(t *testing.T) {
+	t.Parallel()
 	fleetCA, foreignCA := newAuthority(t), newAuthority(t)
 	s := &system{
 		log:    start(t, "fake", "log"),
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -34,10 +35,19 @@
 var programPath string
 
 // otherProgram is the path of a binary of another release. If set, every second
-// entry and agent runs it.
+// entry and agent of a test runs it.
 var otherProgram = flag.String("e2e.other", "", "path of a binary of another release that runs every second entry and agent")
 
+// sideBySide is the number of tests that run at the same time, unless -parallel names
+// another one. They mostly wait, but a host that is short of processor time would break
+// the bounds of some.
+const sideBySide = 4
+
 func TestMain(m *testing.M) {
+	if err := flag.Set("test.parallel", strconv.Itoa(sideBySide)); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	os.Exit(buildAndRun(m))
 }
 
--- a/internal/e2e/order_test.go
+++ b/internal/e2e/order_test.go
@@ -287,6 +287,7 @@
 // refused as not run, and each caller must receive only the answer to its own
 // call, and only once.
 func TestOrderOfMessages(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNetwork(t)
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
--- a/internal/e2e/outage_test.go
+++ b/internal/e2e/outage_test.go
@@ -9,6 +9,7 @@
 // TestAgentThatStartsWhileTheLogIsDownServes kills the only agent of a service
 // while the log is down. Its replacement must serve calls.
 func TestAgentThatStartsWhileTheLogIsDownServes(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	s.addEntry(t, "entry-2", 0) // a single entry would stop admitting calls as isolated
 	eventually(t, "the second entry is ready", func() bool {
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -31,6 +31,7 @@
 }
 
 func TestPath(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	want := strings.Join(fakes.GenerateTokens("lengua-8b", "order of two hoodies", 40), "")
 
@@ -73,6 +74,7 @@
 }
 
 func TestCutStreamIsNotComplete(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	s.engine.setFaults(t, fakes.Faults{CutAfter: 5})
 	res := s.complete(t, boothKey, 40, true)
@@ -85,6 +87,7 @@
 }
 
 func TestWithdrawnKey(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	s.publish(t, `{"customers":{"booth":{"keys":{"a":null}}}}`, "--patch")
 	eventually(t, "the withdrawn key is refused", func() bool {
--- a/internal/e2e/place_test.go
+++ b/internal/e2e/place_test.go
@@ -112,12 +112,14 @@
 }
 
 func TestEmptyEnginesComeToServeAllModels(t *testing.T) {
+	t.Parallel()
 	p := newPlacementSystem(t, 2, "--checks-fence")
 	p.awaitModels(t)
 	p.checkMemory(t)
 }
 
 func TestModelsOfDeadAgentComeUpElsewhere(t *testing.T) {
+	t.Parallel()
 	p := newPlacementSystem(t, 3, "--checks-fence")
 	p.awaitModels(t)
 	if err := p.agents["agent-0"].cmd.Process.Kill(); err != nil {
@@ -129,6 +131,7 @@
 }
 
 func TestVersionChangeLosesNoCall(t *testing.T) {
+	t.Parallel()
 	p := newPlacementSystem(t, 2)
 	p.awaitModels(t)
 	stop, failures := make(chan struct{}), make(chan []string)
@@ -195,31 +198,39 @@
 }
 
 func TestMemoryHoldsWhenOrdersGoWrong(t *testing.T) {
-	for _, checks := range []string{"--checks-fence=true", "--checks-fence=false"} {
-		t.Run(checks, func(t *testing.T) {
-			p := newPlacementSystem(t, 2, checks)
-			for _, e := range p.engines {
-				e.setFaults(t, fakes.Faults{LoseOrdersEvery: 5, DelayOrdersEvery: 2, DelayOrdersMs: 800, DoubleOrders: true})
-			}
-			p.floodWishes(t, "agent-0")
-			p.awaitModels(t)
-			if err := p.agents["agent-1"].cmd.Process.Kill(); err != nil {
-				t.Fatal(err)
-			}
-			p.addEngineAgent(t, "agent-1", 1)
-			p.floodWishes(t, "agent-1")
-			p.publish(t, placementConfig("v2"))
-			eventually(t, "v2 is held", func() bool {
-				found := make(map[string]bool)
-				for i := range p.engines {
-					for _, r := range p.engineReport(t, i).Residents {
-						found[r.Model+"/"+r.Version] = r.Ready || found[r.Model+"/"+r.Version]
-					}
-				}
-				return found["lengua-a/v2"] && found["lengua-b/v2"] && found["lengua-c/v2"]
-			})
-			p.awaitModels(t)
-			p.checkMemory(t)
-		})
+	t.Parallel()
+	checkMemoryUnderFaults(t, "--checks-fence=true")
+}
+
+func TestMemoryHoldsAtEnginesWithoutFences(t *testing.T) {
+	t.Parallel()
+	checkMemoryUnderFaults(t, "--checks-fence=false")
+}
+
+// checkMemoryUnderFaults checks the memory of engines that lose, delay and repeat orders,
+// with a planner that asks for too much.
+func checkMemoryUnderFaults(t *testing.T, checks string) {
+	p := newPlacementSystem(t, 2, checks)
+	for _, e := range p.engines {
+		e.setFaults(t, fakes.Faults{LoseOrdersEvery: 5, DelayOrdersEvery: 2, DelayOrdersMs: 800, DoubleOrders: true})
+	}
+	p.floodWishes(t, "agent-0")
+	p.awaitModels(t)
+	if err := p.agents["agent-1"].cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
 	}
+	p.addEngineAgent(t, "agent-1", 1)
+	p.floodWishes(t, "agent-1")
+	p.publish(t, placementConfig("v2"))
+	eventually(t, "v2 is held", func() bool {
+		found := make(map[string]bool)
+		for i := range p.engines {
+			for _, r := range p.engineReport(t, i).Residents {
+				found[r.Model+"/"+r.Version] = r.Ready || found[r.Model+"/"+r.Version]
+			}
+		}
+		return found["lengua-a/v2"] && found["lengua-b/v2"] && found["lengua-c/v2"]
+	})
+	p.awaitModels(t)
+	p.checkMemory(t)
 }
--- a/internal/e2e/queue_test.go
+++ b/internal/e2e/queue_test.go
@@ -75,6 +75,7 @@
 // TestDepartedCallersFreeTheEngine checks that a stream ends at the engine when its
 // caller disconnects, and that a queued call whose caller disconnects never runs.
 func TestDepartedCallersFreeTheEngine(t *testing.T) {
+	t.Parallel()
 	s := newSingleSlotSystem(t)
 	s.engine.setFaults(t, fakes.Faults{TokenMs: 50})
 	first := s.startCompletion(t, "first stays a while", 10_000, true)
@@ -97,6 +98,7 @@
 // TestHopelessCallIsRefusedEarly checks that a call that can't end by its deadline
 // is refused early, as not run and overloaded.
 func TestHopelessCallIsRefusedEarly(t *testing.T) {
+	t.Parallel()
 	s := newSingleSlotSystem(t)
 	s.engine.setFaults(t, fakes.Faults{TokenMs: 50})
 	if res := s.complete(t, boothKey, 20, false); res.status != 200 {
@@ -115,6 +117,7 @@
 // TestLongPromptStaysWithItsCache checks that calls with the same long prompt are
 // routed to the engine that has it cached.
 func TestLongPromptStaysWithItsCache(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	second := start(t, "fake", "engine", "--model", "lengua-8b/v1")
 	s.addAgent(t, "agent-engine-2", "lengua", "engine", second)
--- a/internal/e2e/rates_test.go
+++ b/internal/e2e/rates_test.go
@@ -50,6 +50,7 @@
 // recovered: the call needs more of the burst than the share of the remaining entry
 // and the pool can hold.
 func TestKilledEntrysShareComesBack(t *testing.T) {
+	t.Parallel()
 	for killed := range 2 {
 		t.Run(fmt.Sprintf("entry-%d", killed+1), func(t *testing.T) {
 			t.Parallel()
@@ -120,6 +121,7 @@
 // TestStatusShowsShares checks that the status pages of the entries name the same
 // coordinator, and that the shares of a customer's rate don't exceed the whole.
 func TestStatusShowsShares(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	s.addEntry(t, "entry-2", 0)
 	type status struct {
--- a/internal/e2e/stops_test.go
+++ b/internal/e2e/stops_test.go
@@ -111,6 +111,7 @@
 }
 
 func TestAgentStopsUnderLoad(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	second := start(t, "fake", "engine", "--model", "lengua-8b/v1")
 	s.addAgent(t, "agent-engine-2", "lengua", "engine", second)
@@ -137,6 +138,7 @@
 }
 
 func TestEntryStopsUnderLoad(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t)
 	s.engine.setFaults(t, fakes.Faults{TokenMs: 60}) // a stream takes longer than the drain delay
 	drained := start(t, "entry", "--settings", writeSettings(t, map[string]any{
@@ -174,6 +176,7 @@
 // SIGTERM while a charge runs. The process must exit, and the caller must be told
 // that the charge may have run.
 func TestSecondSignalEndsWithTrueVerdicts(t *testing.T) {
+	t.Parallel()
 	for _, role := range []string{"entry", "agent"} {
 		s := newPlainSystem(t, 1, 1)
 		s.setServiceDelay(t, 60_000)
@@ -204,6 +207,7 @@
 
 // TestPausedEntry checks that an entry returns correct verdicts after a pause.
 func TestPausedEntry(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 2, 2)
 	s.setServiceDelay(t, 300)
 	first := s.chargeInBackground(t, "hoodie", "key-1")
@@ -229,6 +233,7 @@
 }
 
 func TestListedAsLeaving(t *testing.T) {
+	t.Parallel()
 	s := newPlainSystem(t, 2, 1)
 	s.registerHost(t, plat.Host{
 		Name:    "agent-0",
@@ -253,6 +258,7 @@
 // TestAgentStopsWhileTheLogFails stops one of two agents while the log is down, and
 // again while the log loses responses.
 func TestAgentStopsWhileTheLogFails(t *testing.T) {
+	t.Parallel()
 	for _, f := range []fakes.Faults{{Down: true}, {LoseAnswers: true}} {
 		s := newPlainSystem(t, 2, 1)
 		s.setServiceDelay(t, 700) // longer than an agent stays up after its last call
