Log from where an entry knows the version of a continued stream

The log named the versions to which a request was sent, but not whether the entry had remembered the stream's version, had it from the leader, or took the only registered one. With the age of the registry, which is there, this tells apart the hypotheses on streams of two versions.

--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -226,6 +226,7 @@
 	}
 	e.Str("customer", d.Customer).Int64("configVersion", d.ConfigVersion).Dur("configAgeMs", d.ConfigAge).
 		Dur("registryAgeMs", d.RegistryAge).Str("leader", d.Leader).Bool("assigned", d.AssignedByLeader).
+		Str("versionFrom", string(d.VersionSource)).
 		Int("running", d.Running).Dur("expectedMs", d.Expected)
 }
 
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -222,7 +222,7 @@
 		suspects:       call.assignment.suspects,
 	}
 	if reply.GetVersionKnown() && !call.versionKnown {
-		call.setStreamVersion(reply.GetSoftwareVersion())
+		call.setStreamVersion(reply.GetSoftwareVersion(), versionFromLeader)
 	}
 	switch reply.GetVerdict() {
 	case wirepb.GateAssignment_UNKNOWN:
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -61,6 +61,7 @@
 	// continues, if versionKnown.
 	softwareVersion string
 	versionKnown    bool
+	versionSource   VersionSource
 	// answered is true once the current attempt's response has gone on for so long
 	// that its prompt hasn't crashed the endpoint.
 	answered bool
--- a/internal/gate/effect.go
+++ b/internal/gate/effect.go
@@ -30,6 +30,8 @@
 	Leader string
 	// AssignedByLeader is true if the leader chose the endpoint.
 	AssignedByLeader bool
+	// VersionSource is empty unless the request continues a stream.
+	VersionSource VersionSource
 	// Running is the number of requests known to be running at the endpoint,
 	// Expected the expected time to the first byte.
 	Running  int
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -125,7 +125,7 @@
 		call.waitingSince = now
 		call.artifactAskedAt = time.Time{}
 		if !call.versionKnown {
-			call.setStreamVersion(ep.SoftwareVersion)
+			call.setStreamVersion(ep.SoftwareVersion, versionForwarded)
 		}
 		denial := c.continueStream(now, call, result)
 		if denial == "" {
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -133,6 +133,8 @@
 		Leader:      c.leaderLink.host,
 		Fingerprint: call.fingerprint,
 		Service:     call.service,
+
+		VersionSource: call.versionSource,
 	}
 	if c.isLeader(now) {
 		decision.Leader = c.settings.Host
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -65,7 +65,7 @@
 	// What another entry has begun may have begun anew since this one was told.
 	askLeader := call.assignment.stage == stageNone && c.leaderAnswers(now)
 	if known && (own || !askLeader) {
-		call.setStreamVersion(version)
+		call.setStreamVersion(version, versionRemembered)
 		return true
 	}
 	if askLeader {
@@ -73,7 +73,7 @@
 		return false
 	}
 	if version, only := c.onlyVersion(now, call.service); only && c.lease.HasRead() {
-		call.setStreamVersion(version)
+		call.setStreamVersion(version, versionOnly)
 		return true
 	}
 	until := call.abandonedAt()
@@ -101,9 +101,24 @@
 // one of the next is expected. If it has passed, nobody can tell when there is one.
 const leaderChangeTime = 5 * time.Second
 
-func (ac *activeCall) setStreamVersion(version string) {
+// VersionSource says from where an entry knows the software version that a stream needs.
+type VersionSource string
+
+const (
+	// versionForwarded is the version whose events this entry has forwarded itself.
+	versionForwarded VersionSource = "forwarded"
+	// versionRemembered is the one that the stream is known to have begun at.
+	versionRemembered VersionSource = "remembered"
+	// versionFromLeader is the one that the leader has told for this request.
+	versionFromLeader VersionSource = "leader"
+	// versionOnly is the only one that the service's endpoints have.
+	versionOnly VersionSource = "only"
+)
+
+func (ac *activeCall) setStreamVersion(version string, source VersionSource) {
 	ac.softwareVersion = version
 	ac.versionKnown = true
+	ac.versionSource = source
 }
 
 // streamVersion returns the software version that began the stream that a request
