Don't take the only version of an old registry for a stream's

If nobody knew where the stream began, the entry took the only version in its registry for the stream's, however old that was: an entry whose reads failed, or that had been stopped or cut off, didn't know of a version that had come since. So did a leader.

The only version now counts while the registry's data are younger than the age at which entries begin to read them themselves. Before, the stream waits for the next read; it is refused if none came for 5 s.

TestDepartedVersionStillCounts let three minutes pass without any read of the registry and then wanted the only version to count; it reads the registry now, as an entry does, and checks the same.

--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -72,11 +72,16 @@
 		c.requestAssignment(now, call)
 		return false
 	}
-	if version, only := c.onlyVersion(now, call.service); only && c.lease.HasRead() {
+	if version, only := c.provenOnlyVersion(now, call.service); only {
 		call.setStreamVersion(version, versionOnly)
 		return true
 	}
 	until := call.abandonedAt()
+	if !c.versionsDiffer(now, call.service) && c.expectsRegistry(now) {
+		call.assignment = assignment{}
+		c.park(now, call, earliest(until, c.registryConfirmedAt.Add(registryReturnTime)))
+		return false
+	}
 	if !c.lease.HasRead() || c.expectsLeader(now, until) {
 		// The record of the lease, the leader or the next one may tell.
 		call.assignment = assignment{}
@@ -130,6 +135,31 @@
 	return c.streams.lookup(now, newStreamKey(resumedRequest))
 }
 
+// registryReturnTime is the time from the last read of the registry within which the next one
+// is expected. If it has passed, nobody can tell when there is one.
+const registryReturnTime = 5 * time.Second
+
+// registryCurrent reports whether the registry was read so recently that it tells of all
+// endpoints that may have got requests.
+func (c *Core) registryCurrent(now time.Time) bool {
+	return now.Sub(c.registryConfirmedAt) < maxRelayAge
+}
+
+// expectsRegistry reports whether the registry's data are old and newer ones are expected.
+func (c *Core) expectsRegistry(now time.Time) bool {
+	return !c.registryCurrent(now) && now.Before(c.registryConfirmedAt.Add(registryReturnTime))
+}
+
+// provenOnlyVersion returns the software version at which all streams of a service have
+// begun if there was only one within streamMemory. It demands that this entry has read of
+// the others: from the registry those that serve, from the lease those that have left.
+func (c *Core) provenOnlyVersion(now time.Time, service string) (version string, proven bool) {
+	if !c.lease.HasRead() || !c.registryCurrent(now) {
+		return "", false
+	}
+	return c.onlyVersion(now, service)
+}
+
 // onlyVersion returns the software version of a service's endpoints if all that
 // were registered within streamMemory had the same one, so that no stream can have
 // begun at another.
@@ -295,5 +325,5 @@
 			return version, true
 		}
 	}
-	return c.onlyVersion(now, req.GetService())
+	return c.provenOnlyVersion(now, req.GetService())
 }
--- a/internal/gate/streams_test.go
+++ b/internal/gate/streams_test.go
@@ -117,6 +117,7 @@
 	h.wantNotRun(h.resume("unknown"), fault.CodeNoEndpoint)
 	h.advance(3 * time.Minute)
 	h.apply(ConfigRead{SentAt: h.now})
+	h.apply(EndpointsRead{SentAt: h.now})
 	h.mustSend(h.resume("unknown"))
 }
 
