Log how an endpoint's response was told from those to other requests

Nothing told whether a response without a request ID, or responses to earlier requests, had come on a connection that carried another request before. The line of a request has keptConnection, responseId (own, other or none) and extraResponses now.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -8,8 +8,6 @@
 	"strconv"
 
 	"github.com/valyala/fasthttp"
-
-	"dogwoodfold/platform"
 )
 
 // endpointResponse is an endpoint's response.
@@ -183,8 +181,3 @@
 func isReusable(h *fasthttp.ResponseHeader, b *responseBody, r *bufio.Reader) bool {
 	return b.atEnd && !b.closeDelimited && !h.ConnectionClose() && r.Buffered() == 0
 }
-
-// isResponseTo reports whether a response carries the ID of the given request.
-func isResponseTo(h *fasthttp.ResponseHeader, id string) bool {
-	return string(h.Peek(platform.HeaderRequestID)) == id
-}
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -64,6 +64,13 @@
 	reason           string
 	// framing is how the end of the endpoint's last response was marked.
 	framing string
+	// origin tells how the endpoint's last response was recognized, extraResponses
+	// counts the responses to other requests that were discarded before it.
+	origin         responseOrigin
+	extraResponses int
+	// keptConn is true if the connection of the last attempt had carried another
+	// request before.
+	keptConn bool
 	// namedLimit is the limit that the endpoint's last response named, as it was sent.
 	namedLimit string
 	// endedInEvent is true if the last stream that an endpoint sent ended within
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -197,6 +197,7 @@
 		Int("status", in.status).Str("verdict", in.verdict).Str("reason", in.reason).Str("detail", in.detail).
 		Str("promptPrefix", in.promptPrefix()).
 		Str("framing", in.framing).Bool("endedInEvent", in.endedInEvent).
+		Bool("keptConnection", in.keptConn).Stringer("responseId", in.origin).Int("extraResponses", in.extraResponses).
 		Str("namedLimit", in.namedLimit[:min(len(in.namedLimit), maxLoggedLimit)]).
 		Str("endpoint", in.endpoint).Strs("softwareVersions", in.softwareVersions).
 		Str("resumes", in.request.ResumedRequest).Str("lastEventId", in.request.LastEventID).Int("tries", in.attempts).
--- a/internal/edge/reply.go
+++ b/internal/edge/reply.go
@@ -36,6 +36,7 @@
 // readResponseHead reads the head of the response to this request. Interim
 // responses and responses to earlier requests on the connection are discarded.
 func (x *exchange) readResponseHead() (*responseBody, error) {
+	x.in.keptConn = x.conn.reused
 	for range maxMismatchedResponses {
 		if err := x.readHead(); err != nil {
 			return nil, err
@@ -44,12 +45,14 @@
 			continue
 		}
 		b := newResponseBody(x.conn.reader, &x.head, x.readTrailer)
-		if isResponseTo(&x.head, x.in.request.ID) || isRefusalWithoutID(&x.head) {
+		x.in.origin = originOf(&x.head, x.in.request.ID)
+		if x.in.origin == ownID || isRefusalWithoutID(&x.head) {
 			return b, nil
 		}
-		if b.closeDelimited || len(x.head.Peek(platform.HeaderRequestID)) == 0 {
+		if b.closeDelimited || x.in.origin == noID {
 			return nil, errMismatchedResponse
 		}
+		x.in.extraResponses++
 		if _, err := x.readBuffered(b); err != nil {
 			return nil, err
 		}
