--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -160,6 +160,8 @@
 // or malformed. It reports whether the response was read completely.
 func (x *exchange) handleResponse(b *responseBody) (gate.Result, bool) {
 	x.in.framing = b.framing()
+	x.in.endpointStatus = x.head.StatusCode()
+	x.in.contentType = string(x.head.Peek(fasthttp.HeaderContentType))
 	unlimited := x.recordLimit()
 	if platform.IsLeaving(x.head.Peek(platform.HeaderLeaving)) {
 		x.post(gate.EndpointLeaving{
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -89,6 +89,7 @@
 			}, true
 		case err != nil:
 			in.endedInEvent = buffered > 0
+			in.interruption = err.Error()
 			return x.classifyInterruption(err), false
 		case buffered >= maxBufferedBody:
 			return x.classifyInterruption(errEventTooLong), false
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -62,8 +62,13 @@
 	softwareVersions []string
 	verdict          string
 	reason           string
-	// framing is how the end of the endpoint's last response was marked.
-	framing string
+	// framing is how the end of the endpoint's last response was marked, endpointStatus and
+	// contentType are its status and Content-Type.
+	framing        string
+	endpointStatus int
+	contentType    string
+	// interruption is why the endpoint's last stream was taken as broken off.
+	interruption string
 	// namedLimit is the limit that the endpoint's last response named, as it was sent.
 	namedLimit string
 	// endedInEvent is true if the last stream that an endpoint sent ended within
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -197,6 +197,8 @@
 		Int("status", in.status).Str("verdict", in.verdict).Str("reason", in.reason).Str("detail", in.detail).
 		Str("promptPrefix", in.promptPrefix()).
 		Str("framing", in.framing).Bool("endedInEvent", in.endedInEvent).
+		Int("endpointStatus", in.endpointStatus).Str("contentType", in.contentType[:min(len(in.contentType), maxLoggedType)]).
+		Str("interruption", in.interruption).
 		Str("namedLimit", in.namedLimit[:min(len(in.namedLimit), maxLoggedLimit)]).
 		Str("endpoint", in.endpoint).Strs("softwareVersions", in.softwareVersions).
 		Str("resumes", in.request.ResumedRequest).Str("lastEventId", in.request.LastEventID).Int("tries", in.attempts).
@@ -211,6 +213,9 @@
 // maxLoggedLimit is the length to which a named limit is cut in the log.
 const maxLoggedLimit = 16
 
+// maxLoggedType is the length to which an endpoint's Content-Type is cut in the log.
+const maxLoggedType = 64
+
 // promptPrefix returns the parts of the prompt as the client named them.
 func (in *inboundRequest) promptPrefix() string {
 	return in.request.PromptPrefix[:min(len(in.request.PromptPrefix), maxLoggedPrefix)]
