--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -62,8 +62,13 @@
 	softwareVersions []string
 	verdict          string
 	reason           string
-	// framing is how the end of the endpoint's last response was marked.
-	framing string
+	// framing is how the end of the endpoint's last response was marked, endpointStatus and
+	// contentType are its status and Content-Type.
+	framing        string
+	endpointStatus int
+	contentType    string
+	// interruption is why the endpoint's last stream was taken as broken off.
+	interruption string
 	// origin tells how the endpoint's last response was recognized, extraResponses
 	// counts the responses to other requests that were discarded before it.
 	origin         responseOrigin
