--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -68,6 +68,9 @@
 		report.AsksAll = true
 		f.missedNews = false
 	}
+	if f.newLeader {
+		report.PeerAddress = c.lease.PeerAddr().String()
+	}
 	f.newLeader = false
 	f.reportsSoon = false
 	f.requestsTakeover = false
