End a response that has begun instead of writing an error into it

No caller is known to have seen it: a failure that the reducer forwards for a call with a partial response would have stood, with its head, in the caller's stream, and so would a refusal. The edge reports no failure once a part was sent, so only that kept the two apart; refuse checked it, the two places that forward a failure did not.

The reducer now aborts such a call, and the entry writes neither a refusal nor a failure once a part of the response was sent.

TestNoResultAnswersWithinStream failed before in 10 of its 55 cases (every failure: "a failure was forwarded within its stream"), TestEntryWritesNoErrorIntoStream in both ("wrote \"HTTP/1.1 503 Service Unavailable...\""). TestNoReasonOfTheEntryAnswersWithinStream (deadline, withdrawn key, shutdown, no endpoint, no retry left and others while a cut stream waits) passed before too.

--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -176,12 +176,17 @@
 	return err
 }
 
-// writeRefusal responds with an error of the entry itself.
+// writeRefusal responds with an error of the entry itself. It ends a response that has
+// begun instead.
 func (in *inboundRequest) writeRefusal(err error) {
-	in.status = clientStatus(err)
 	in.verdict = fault.VerdictOf(err).String()
 	in.reason = string(fault.CodeOf(err))
 	in.detail = err.Error()
+	if in.started {
+		in.connBroken = true
+		return
+	}
+	in.status = clientStatus(err)
 	body := []byte(err.Error())
 	out := in.writeBuffer[:0]
 	out = appendStatus(out, in.status)
@@ -230,9 +235,10 @@
 	return append(out, "\r\n"...)
 }
 
-// forwardFailure forwards the failure response that an endpoint returned.
+// forwardFailure forwards the failure response that an endpoint returned. It ends a response
+// that has begun instead.
 func (in *inboundRequest) forwardFailure() {
-	if in.bufferedFailure == nil {
+	if in.bufferedFailure == nil || in.started {
 		in.connBroken = true
 		return
 	}
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -341,13 +341,23 @@
 // gets the last failure or, if there is none, an error that says so.
 func (c *Core) endAfterRun(now time.Time, call *activeCall) {
 	if call.failed {
-		c.emit(ForwardFailure{Call: call.id})
-		c.removeCall(call)
+		c.forwardFailure(call)
 		return
 	}
 	c.refuse(now, call, fault.MayHaveRun, fault.CodeEndpoint, "the endpoint's answer was lost", 0)
 }
 
+// forwardFailure ends a call with the failure of its last attempt. A call with a partial
+// response is aborted instead.
+func (c *Core) forwardFailure(call *activeCall) {
+	if call.resuming {
+		c.abort(call, "the endpoint failed")
+		return
+	}
+	c.emit(ForwardFailure{Call: call.id})
+	c.removeCall(call)
+}
+
 // minRetryAfter is the shortest retry delay given to clients. It keeps them
 // from retrying immediately.
 const minRetryAfter = 100 * time.Millisecond
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -117,8 +117,7 @@
 		if call.route.MayRepeat() && c.retry(now, call) {
 			return
 		}
-		c.emit(ForwardFailure{Call: call.id})
-		c.removeCall(call)
+		c.forwardFailure(call)
 	case OutcomeTruncated:
 		ep.stats.RecordFailure(now)
 		call.resuming = true
