Forward only the next event of a stream, and continue it only with a stream of events

What callers got: a stream had begun and broke off, the next endpoint answered 200 with the text of an error, and its lines stood in the caller's stream, which then ended as complete. The same if an endpoint wrote an error, or the head of one, into its own stream, or answered a stream that is taken up from its first event on, or with one left out.

Cause: a block of lines counted as an event if any line had a colon, IDs were recorded but not checked, and neither the status nor the Content-Type of a continuation was looked at.

A stream is continued by a 200 with text/event-stream only. What else arrives ends the attempt as a stream that broke off: it goes on elsewhere, or the caller's connection is closed without the last chunk.

Evidence: before, TestErrorAfterBrokenStreamIsNoPartOfIt failed in 30 of 71 cases, and so did TestErrorForTakenUpStreamIsNoPartOfIt; TestErrorWithinStreamIsNoPartOfIt failed in 23 of 25 ("the stream looked complete: status 200, body \"...HTTP/1.1 500 Internal: Error\nContent-Type: text/plain\n\n\"").

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"mime"
 	"net/http/httputil"
 	"strconv"
 
@@ -188,3 +189,12 @@
 func isResponseTo(h *fasthttp.ResponseHeader, id string) bool {
 	return string(h.Peek(platform.HeaderRequestID)) == id
 }
+
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// isEventStreamHead reports whether h is the head of a stream of events.
+func isEventStreamHead(h *fasthttp.ResponseHeader) bool {
+	mediaType, _, err := mime.ParseMediaType(string(h.Peek(fasthttp.HeaderContentType)))
+	return err == nil && mediaType == eventStreamType && h.StatusCode() == fasthttp.StatusOK
+}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -58,9 +58,13 @@
 		in:        in,
 		send:      send,
 		conn:      conn,
+		events:    newEventParser(in.lastEventID),
 		writeDone: make(chan error, 1),
 		post:      s.post,
 	}
+	if !send.Route.Resumable && in.lastEventID != "" {
+		x.events.positioned = false // such a stream may also begin anew
+	}
 	if !in.attachUpstream(conn) {
 		_ = conn.Close() // unused
 		return notRunResult(gate.ReasonClientGone)
@@ -184,6 +188,9 @@
 	if len(x.head.Peek(platform.HeaderServerStamp)) == 0 || len(x.head.Peek("Content-Encoding")) > 0 {
 		return mayHaveRunResult(gate.ReasonMalformed), false
 	}
+	if x.continuesStream() && !isEventStreamHead(&x.head) {
+		return x.classifyInterruption(errNotContinued), false
+	}
 	x.post(gate.FirstByteReceived{
 		Call:      x.in.id,
 		Unlimited: unlimited,
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -89,7 +89,6 @@
 			}, true
 		case err != nil:
 			in.endedInEvent = buffered > 0
-			in.interruption = err.Error()
 			return x.classifyInterruption(err), false
 		case buffered >= maxBufferedBody:
 			return x.classifyInterruption(errEventTooLong), false
@@ -102,19 +101,23 @@
 // isEventStream reports whether the response is a stream of events.
 func (x *exchange) isEventStream() bool { return x.send.Route.Kind == topo.Stream }
 
+// continuesStream reports whether the response must continue a stream of which the client
+// has a part.
+func (x *exchange) continuesStream() bool {
+	return x.isEventStream() && x.send.Route.Resumable && x.in.lastEventID != ""
+}
+
 // sendableLength returns how much of p, which starts with an event if the response
 // is a stream, can be forwarded. It records the ID of the last event. Bytes that are no
-// event are an error.
+// event, and an event that isn't the next one, are an error.
 func (x *exchange) sendableLength(p []byte) (int, error) {
 	if !x.isEventStream() {
 		return len(p), nil
 	}
-	length, id, err := x.events.complete(p)
+	length, err := x.events.complete(p)
 	if length > 0 {
 		x.recordEvents(time.Now())
-	}
-	if id != "" {
-		x.in.lastEventID = id
+		x.in.lastEventID = x.events.lastID()
 	}
 	return length, err
 }
@@ -150,6 +153,7 @@
 // part of it was sent to the client, it discards what was buffered.
 func (x *exchange) classifyInterruption(err error) gate.Result {
 	result := x.classifyError(err)
+	x.in.interruption = err.Error()
 	if x.in.started {
 		result.Outcome = gate.OutcomeTruncated
 		return result
--- a/internal/edge/reply.go
+++ b/internal/edge/reply.go
@@ -27,6 +27,8 @@
 	errMismatchedResponse = errors.New("response belongs to another request")
 	errEventTooLong       = errors.New("event exceeds the buffer limit")
 	errNoEvent            = errors.New("the stream holds bytes that are no event")
+	errEventOrder         = errors.New("an event of the stream isn't the next one")
+	errNotContinued       = errors.New("response does not continue the stream")
 )
 
 // maxMismatchedResponses bounds the number of response heads that are read to
@@ -131,6 +133,8 @@
 	errMismatchedResponse,
 	errEventTooLong,
 	errNoEvent,
+	errEventOrder,
+	errNotContinued,
 	errResponseTooLarge,
 	errEndlessResponse,
 	errBodyTooLarge,
