Don't take an answer without an event for the end of a broken stream

What callers got: their stream broke off, the next endpoint answered an empty 200, or failed before its first event with its framing whole, and the stream ended as complete without its last events.

Cause: the end of a framing was the end of the stream, also of a continuation that brought nothing; where only the end of the connection marked it, an empty answer was refused for new streams only. An endpoint that has nothing left to send answers alike, but a stream on the users' platform has no last event, so nothing proves which it was.

The rest of a stream, and a stream that its client takes up, must hold an event to count as complete. A stream that broke off after its last event is now seen to be cut, though it has all its events.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -137,13 +137,14 @@
 // checkStreamEnd returns io.EOF if a response is complete whose framing has ended
 // with unfinished bytes after the last event, and otherwise io.ErrUnexpectedEOF.
 // The framing alone proves nothing: an endpoint that fails may still end it. A
-// stream whose only end is that of its connection must hold at least one event
-// unless it continues another one.
+// stream whose only end is that of its connection must hold at least one event, and so
+// must the rest of a stream that was broken off: one without an event is as likely that of
+// an endpoint that has failed as of one that has nothing left to send.
 func (x *exchange) checkStreamEnd(b *responseBody, unfinished int) error {
 	if unfinished > 0 {
 		return io.ErrUnexpectedEOF
 	}
-	if x.isEventStream() && b.closeDelimited && x.firstEventAt.IsZero() && x.in.lastEventID == "" {
+	if x.isEventStream() && x.firstEventAt.IsZero() && (b.closeDelimited || x.continuesStream()) {
 		return io.ErrUnexpectedEOF
 	}
 	return io.EOF
--- a/internal/edge/stream_error_test.go
+++ b/internal/edge/stream_error_test.go
@@ -136,12 +136,15 @@
 func errorAnswers(last int, framing rawFraming) map[string]rawAnswer {
 	next := events(last+1, last+2, "\n")
 	out := map[string]rawAnswer{
+		"200 empty":         {framing: framing},
+		"200 empty unended": {framing: framing, unended: true, reset: true},
 		"interim and 500": {
 			before: "HTTP/1.1 103 Early Hints\r\n\r\n", status: "500 E", framing: framing, body: next,
 		},
-		"no stamp":     {framing: framing, unstamped: true, body: next},
-		"other answer": {framing: framing, id: "other", body: next},
-		"encoded":      {framing: framing, headers: "Content-Encoding: br\r\n", body: next},
+		"interim and empty": {before: "HTTP/1.1 100 Continue\r\n\r\n", framing: framing},
+		"no stamp":          {framing: framing, unstamped: true, body: next},
+		"other answer":      {framing: framing, id: "other", body: next},
+		"encoded":           {framing: framing, headers: "Content-Encoding: br\r\n", body: next},
 	}
 	for name, text := range errorTexts {
 		out["200 "+name] = rawAnswer{framing: framing, body: positioned(text, last)}
