--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"mime"
 	"net/http/httputil"
 	"strconv"
 
@@ -181,3 +182,11 @@
 func isReusable(h *fasthttp.ResponseHeader, b *responseBody, r *bufio.Reader) bool {
 	return b.atEnd && !b.closeDelimited && !h.ConnectionClose() && r.Buffered() == 0
 }
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// isEventStreamHead reports whether h is the head of a stream of events.
+func isEventStreamHead(h *fasthttp.ResponseHeader) bool {
+	mediaType, _, err := mime.ParseMediaType(string(h.Peek(fasthttp.HeaderContentType)))
+	return err == nil && mediaType == eventStreamType && h.StatusCode() == fasthttp.StatusOK
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -89,7 +89,6 @@
 			}, true
 		case err != nil:
 			in.endedInEvent = buffered > 0
-			in.interruption = err.Error()
 			return x.classifyInterruption(err), false
 		case buffered >= maxBufferedBody:
 			return x.classifyInterruption(errEventTooLong), false
@@ -102,19 +101,23 @@
 // isEventStream reports whether the response is a stream of events.
 func (x *exchange) isEventStream() bool { return x.send.Route.Kind == topo.Stream }
 
+// continuesStream reports whether the response must continue a stream of which the client
+// has a part.
+func (x *exchange) continuesStream() bool {
+	return x.isEventStream() && x.send.Route.Resumable && x.in.lastEventID != ""
+}
+
 // sendableLength returns how much of p, which starts with an event if the response
 // is a stream, can be forwarded. It records the ID of the last event. Bytes that are no
-// event are an error.
+// event, and an event that isn't the next one, are an error.
 func (x *exchange) sendableLength(p []byte) (int, error) {
 	if !x.isEventStream() {
 		return len(p), nil
 	}
-	length, id, err := x.events.complete(p)
+	length, err := x.events.complete(p)
 	if length > 0 {
 		x.recordEvents(time.Now())
-	}
-	if id != "" {
-		x.in.lastEventID = id
+		x.in.lastEventID = x.events.lastID()
 	}
 	return length, err
 }
@@ -134,13 +137,14 @@
 // checkStreamEnd returns io.EOF if a response is complete whose framing has ended
 // with unfinished bytes after the last event, and otherwise io.ErrUnexpectedEOF.
 // The framing alone proves nothing: an endpoint that fails may still end it. A
-// stream whose only end is that of its connection must hold at least one event
-// unless it continues another one.
+// stream whose only end is that of its connection must hold at least one event, and so
+// must the rest of a stream that was broken off: one without an event is as likely that of
+// an endpoint that has failed as of one that has nothing left to send.
 func (x *exchange) checkStreamEnd(b *responseBody, unfinished int) error {
 	if unfinished > 0 {
 		return io.ErrUnexpectedEOF
 	}
-	if x.isEventStream() && b.closeDelimited && x.firstEventAt.IsZero() && x.in.lastEventID == "" {
+	if x.isEventStream() && x.firstEventAt.IsZero() && (b.closeDelimited || x.continuesStream()) {
 		return io.ErrUnexpectedEOF
 	}
 	return io.EOF
@@ -150,6 +154,7 @@
 // part of it was sent to the client, it discards what was buffered.
 func (x *exchange) classifyInterruption(err error) gate.Result {
 	result := x.classifyError(err)
+	x.in.interruption = err.Error()
 	if x.in.started {
 		result.Outcome = gate.OutcomeTruncated
 		return result
