Take no refusal without an ID for the next request's on a kept connection

What callers saw: an endpoint wrote an earlier refusal once more on a kept connection. If that refusal had no X-Request-Id, it counted as the response to the request that was sent next: its client was told 503, not run, though the endpoint ran it (REFUSED), or a call that may not be repeated ran at a second endpoint (TWICE).

Cause: an answer was taken for that of a request because it came next on the connection. readResponseHead accepted any response without an ID that has X-Not-Executed or the status 421.

Evidence, on the code before: TestRepeatedResponseIsNotTheNextOnes, 72 cases 'without ID, before the answer: was run and counts as not run', at each of 429, 503, 408, 421 and 400, in all framings, for calls, idempotent calls, streams and continued streams, and once where the repeat crossed the request. TestRepeatedRefusalNeitherRefusesNorRunsTwice: of 80 calls 7 TWICE and 32 lines in which REFUSED stands. Repeats with the ID of the request before were discarded before too.

The fix: such a response proves something only if its connection has carried no other request and no response to one. Otherwise the request may have run. Refusals with the request's ID, and those on new connections, are worth what they were (TestOwnRefusalIsNotRun), and their connections are kept.

--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -33,3 +33,13 @@
 		return otherID
 	}
 }
+
+// isOwnResponse reports whether the response that was read is that to the request. A
+// refusal need not carry the request's ID, but without it the connection must have
+// carried nothing before from which it could be.
+func (x *exchange) isOwnResponse() bool {
+	if x.in.origin == noID {
+		return isNotExecuted(&x.head) && !x.conn.reused && !x.conn.outOfStep
+	}
+	return x.in.origin == ownID
+}
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -33,6 +33,9 @@
 	idleTimeout time.Duration
 	lastUsed    time.Time
 	reused      bool
+	// outOfStep is true once a response to another request than the current one has
+	// arrived.
+	outOfStep bool
 }
 
 // connPool keeps idle connections to endpoints.
--- a/internal/edge/reply.go
+++ b/internal/edge/reply.go
@@ -46,13 +46,14 @@
 		}
 		b := newResponseBody(x.conn.reader, &x.head, x.readTrailer)
 		x.in.origin = originOf(&x.head, x.in.request.ID)
-		if x.in.origin == ownID || isRefusalWithoutID(&x.head) {
+		if x.isOwnResponse() {
 			return b, nil
 		}
 		if b.closeDelimited || x.in.origin == noID {
 			return nil, errMismatchedResponse
 		}
 		x.in.extraResponses++
+		x.conn.outOfStep = true
 		if _, err := x.readBuffered(b); err != nil {
 			return nil, err
 		}
@@ -106,12 +107,6 @@
 	return errors.As(err, &timeoutErr) && timeoutErr.Timeout()
 }
 
-// isRefusalWithoutID reports whether a response without a request ID states that
-// the request was not executed. Such a response is not required to carry the ID.
-func isRefusalWithoutID(h *fasthttp.ResponseHeader) bool {
-	return len(h.Peek(platform.HeaderRequestID)) == 0 && isNotExecuted(h)
-}
-
 func isNotExecuted(h *fasthttp.ResponseHeader) bool {
 	return len(h.Peek(platform.HeaderNotExecuted)) > 0 || h.StatusCode() == fasthttp.StatusMisdirectedRequest
 }
