Send a request once at most on each connection to an endpoint

What callers saw in a test: a client sends a request again under its ID, the entry sends it on the kept connection on which the endpoint had turned it away, and the endpoint writes that refusal once more while it runs the request. The client is told that it hasn't run (REFUSED).

Cause: a response was recognized by the request's ID alone, which is the same for each attempt on the connection.

Evidence, on the code before: TestRepeatedResponseIsNotTheSameRequestsNextOne, 75 cases 'with ID: was run and counts as not run', 12 'has the failure of an earlier one', 8 with the text of an earlier answer.

The fix: a connection knows the IDs that it has carried, and a request whose ID is among them gets another one. It is closed after 256 requests, which bounds what it knows.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -44,7 +44,7 @@
 	if remaining < minAttemptTimeout {
 		return notRunResult(gate.ReasonTimeout)
 	}
-	conn, err := s.pool.get(now, send.Endpoint, send.Address, remaining)
+	conn, err := s.pool.get(now, send.Endpoint, send.Address, in.request.ID, remaining)
 	if in.isDisconnected() {
 		if err == nil {
 			_ = conn.Close() // unused
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,6 +23,8 @@
 	keepAliveFraction = 0.5
 	// endpointDialTimeout bounds the time to open a connection to an endpoint.
 	endpointDialTimeout = 400 * time.Millisecond
+	// maxCarried is the number of requests after which a connection isn't kept.
+	maxCarried = 256
 )
 
 // endpointConn is a connection to an endpoint.
@@ -36,6 +39,8 @@
 	// outOfStep is true once a response to another request than the current one has
 	// arrived.
 	outOfStep bool
+	// carried are the IDs of the requests that were sent on the connection.
+	carried map[string]bool
 }
 
 // connPool keeps idle connections to endpoints.
@@ -48,15 +53,20 @@
 	return &connPool{idle: make(map[string][]*endpointConn)}
 }
 
-// get returns an idle connection that is still open, or dials a new one.
-func (p *connPool) get(now time.Time, endpoint string, address netip.AddrPort, timeout time.Duration) (*endpointConn, error) {
+// get returns a connection for a request, an idle one that is still open or a new one. A
+// request gets no connection twice: its ID wouldn't tell a second response to the first
+// attempt from the response to the next one.
+func (p *connPool) get(
+	now time.Time, endpoint string, address netip.AddrPort, requestID string, timeout time.Duration,
+) (*endpointConn, error) {
 	for {
-		conn := p.pop(endpoint)
+		conn := p.pop(endpoint, requestID)
 		if conn == nil {
 			break
 		}
 		if now.Sub(conn.lastUsed) < conn.idleTimeout && isOpenAndIdle(conn) {
 			conn.reused = true
+			conn.carried[requestID] = true
 			return conn, nil
 		}
 		_ = conn.Close() // expired, closed by the endpoint or with unsolicited data
@@ -69,23 +79,31 @@
 		Conn:        raw,
 		reader:      bufio.NewReaderSize(raw, endpointReadBuffer),
 		idleTimeout: maxIdleTime,
+		carried:     map[string]bool{requestID: true},
 	}, nil
 }
 
-func (p *connPool) pop(endpoint string) *endpointConn {
+// pop removes the connection that was used last and hasn't carried the request, and
+// returns it, nil if there is none.
+func (p *connPool) pop(endpoint, requestID string) *endpointConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[endpoint]
-	if len(conns) == 0 {
-		return nil
+	for i, conn := range slices.Backward(conns) {
+		if !conn.carried[requestID] {
+			p.idle[endpoint] = slices.Delete(conns, i, i+1)
+			return conn
+		}
 	}
-	last := conns[len(conns)-1]
-	p.idle[endpoint] = conns[:len(conns)-1]
-	return last
+	return nil
 }
 
-// put adds a connection to the pool.
+// put adds a connection to the pool, or closes it if it has carried maxCarried requests.
 func (p *connPool) put(now time.Time, endpoint string, conn *endpointConn) {
+	if len(conn.carried) >= maxCarried {
+		_ = conn.Close() // idle
+		return
+	}
 	conn.lastUsed = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/edge/repeated_test.go
+++ b/internal/edge/repeated_test.go
@@ -210,6 +210,10 @@
 // hasn't run, or it is sent to another endpoint, though the endpoint runs it.
 func TestRepeatedResponseIsNotTheNextOnes(t *testing.T) { playRepeats(t, false) }
 
+// The same where the ID doesn't tell: the entry or a client sends a request again, with its
+// ID, to the endpoint that has turned it away.
+func TestRepeatedResponseIsNotTheSameRequestsNextOne(t *testing.T) { playRepeats(t, true) }
+
 // playRepeats plays each repeat, on three requests or on the same request three times.
 func playRepeats(t *testing.T, sameRequest bool) {
 	for name, response := range repeatedResponses {
