--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -44,7 +44,7 @@
 	if remaining < minAttemptTimeout {
 		return notRunResult(gate.ReasonTimeout)
 	}
-	conn, err := s.pool.get(now, send.Endpoint, send.Address, remaining)
+	conn, err := s.pool.get(now, send.Endpoint, send.Address, in.request.ID, remaining)
 	if in.isDisconnected() {
 		if err == nil {
 			_ = conn.Close() // unused
@@ -114,7 +114,7 @@
 	}
 	result, complete := x.handleResponse(body)
 	result.CloseDelimited = body.closeDelimited
-	if !complete || !isReusable(&x.head, body, x.conn.reader) {
+	if !complete || x.conn.outOfStep || !isReusable(&x.head, body, x.conn.reader) {
 		return result, false
 	}
 	select {
