--- a/internal/gate/resume_client_test.go
+++ b/internal/gate/resume_client_test.go
@@ -69,7 +69,7 @@
 // drawEntry returns an entry that takes clients, nil if there is none.
 func (s *fleetSim) drawEntry() *simEntry {
 	up := slices.Clone(s.entries)
-	up = slices.DeleteFunc(up, func(e *simEntry) bool { return e.core == nil || !e.core.ready(s.now) })
+	up = slices.DeleteFunc(up, func(e *simEntry) bool { return e.core == nil || !e.core.ready(s.now.Add(-s.site.readinessDelay)) })
 	if len(up) == 0 {
 		return nil
 	}
--- a/internal/gate/resume_engine_test.go
+++ b/internal/gate/resume_engine_test.go
@@ -67,7 +67,7 @@
 // newAddress returns an address that no engine had.
 func (s *fleetSim) newAddress() netip.AddrPort {
 	s.addresses++
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(s.addresses)}), 80)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(s.addresses >> 8), byte(s.addresses)}), 80)
 }
 
 // startEngine starts an engine without any model.
--- a/internal/gate/resume_fleet_test.go
+++ b/internal/gate/resume_fleet_test.go
@@ -12,6 +12,11 @@
 
 // simSite says what a simulated fleet is made of.
 type simSite struct {
+	// entries is simEntries if not set.
+	entries int
+	// readinessDelay is how long clients come to an entry that is no longer ready.
+	readinessDelay time.Duration
+
 	engines       int
 	slots         int
 	queue         int
--- a/internal/gate/resume_links_test.go
+++ b/internal/gate/resume_links_test.go
@@ -24,7 +24,7 @@
 		switch {
 		case e.dialed != target || e.toLeader != nil && !e.toLeader.closed:
 			return
-		case leader.core == nil || e.sim.now.Before(leader.pausedUntil):
+		case leader.core == nil || e.sim.now.Before(leader.pausedUntil) || e.isolated() || leader.isolated():
 			e.connect(target, e.sim.between(100*time.Millisecond, 300*time.Millisecond))
 			return
 		}
@@ -58,7 +58,8 @@
 		to, direction = x.dialer, 0
 	}
 	s := from.sim
-	at := latest(s.now.Add(s.delay()), x.lastArrival[direction])
+	sent := latest(s.now, latest(from.isolatedUntil, to.isolatedUntil)) // by a repetition
+	at := latest(sent.Add(s.delay()), x.lastArrival[direction])
 	x.lastArrival[direction] = at
 	to.whileRunning(at.Sub(s.now), func() {
 		if !x.closed {
@@ -117,6 +118,10 @@
 }
 
 func (e *simEntry) readConfig(then func()) {
+	if e.isolated() {
+		e.post(e.sim.delay(), ConfigFetchEnded{})
+		return
+	}
 	sentAt := e.sim.now
 	e.whileRunning(e.sim.delay(), func() {
 		e.apply(ConfigRead{Config: e.sim.config, SentAt: sentAt})
@@ -127,6 +132,10 @@
 // readRegistry reads all records. Those of engines that ended stay for three
 // heartbeats.
 func (e *simEntry) readRegistry() {
+	if e.isolated() {
+		e.post(e.sim.delay(), RegistryReadFailed{})
+		return
+	}
 	read := EndpointsRead{
 		Full:   true,
 		SentAt: e.sim.now,
@@ -148,6 +157,13 @@
 func (e *simEntry) readLease() {
 	s := e.sim
 	sentAt := s.now
+	if e.isolated() {
+		e.post(s.delay(), LeaseRead{
+			SentAt: sentAt,
+			Err:    errStoreDown,
+		})
+		return
+	}
 	e.whileRunning(s.delay(), func() {
 		e.post(s.delay(), LeaseRead{
 			Read: lease.Read{
@@ -168,6 +184,11 @@
 		Offset: a.Offset,
 		Result: AppendConflict,
 	}
+	if e.isolated() {
+		ended.Result = AppendUnknown
+		e.post(e.sim.delay(), ended)
+		return
+	}
 	if a.Offset == e.sim.leaseEnd {
 		ended.Result = AppendDone
 		e.sim.lastRecord = a.Record
--- a/internal/gate/resume_sim_test.go
+++ b/internal/gate/resume_sim_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -61,6 +62,7 @@
 }
 
 const (
+	// simEntries is the number of entries of a site that names none.
 	simEntries = 4
 	// contactTime is how long an entry must have been undisturbed to be in touch.
 	contactTime = 3 * time.Second
@@ -83,7 +85,7 @@
 	}
 	s.config = s.newConfig()
 	s.placeModels()
-	for i := range simEntries {
+	for i := range cmp.Or(site.entries, simEntries) {
 		e := &simEntry{
 			sim:     s,
 			host:    fmt.Sprint("front-", i+1),
@@ -145,7 +147,9 @@
 	// held are the events that arrive while the entry is paused.
 	pausedUntil time.Time
 	held        []Event
-	// disturbedAt is when the entry was last started, killed or paused.
+	// isolatedUntil is until when the entry reaches neither the store nor the other entries.
+	isolatedUntil time.Time
+	// disturbedAt is when the entry was last started, killed, paused or isolated.
 	disturbedAt time.Time
 	watch       WatchStore
 	watchNumber int
@@ -219,9 +223,21 @@
 	})
 }
 
+// isolate cuts the entry off from the store and the other entries for a time. Clients and
+// engines still reach it.
+func (e *simEntry) isolate(d time.Duration) {
+	if e.core == nil {
+		return
+	}
+	e.isolatedUntil = latest(e.isolatedUntil, e.sim.now.Add(d))
+	e.whileRunning(d, func() { e.disturbedAt = e.sim.now })
+}
+
+func (e *simEntry) isolated() bool { return e.sim.now.Before(e.isolatedUntil) }
+
 // inTouch reports whether the entry was undisturbed for contactTime.
 func (e *simEntry) inTouch() bool {
-	return e.core != nil && !e.sim.now.Before(e.pausedUntil) && e.sim.now.Sub(e.disturbedAt) >= contactTime
+	return e.core != nil && !e.sim.now.Before(e.pausedUntil) && !e.isolated() && e.sim.now.Sub(e.disturbedAt) >= contactTime
 }
 
 // whileRunning schedules a task that is dropped if the entry's process ends before.
--- a/internal/gate/resume_sites_test.go
+++ b/internal/gate/resume_sites_test.go
@@ -23,6 +23,7 @@
 ngoma-book       9 64 192 130206 150 2 2 5 1.1 21 51.39
 tt-gira         12 64 134 147444 220 3 2 6 1.4 21 75.07
 hanmaru-payslip 18 32  67 128464 150 2 2 5 2.6 27 124.2
+tt-gira-large  160 16  33  64342 220 3 2 6  23 66    53
 `
 
 // simRoutes has a row for each route of a site: the new streams per second, whether they are
@@ -40,6 +41,7 @@
 tt-gira         booth-hint             26.6 false 1 0   500 300 10000 35  646 16  48 3  50 0.3  0  4 0.4
 hanmaru-payslip deduction-explain      86.3 true  2 1   250 250 12000 58  826 11  32 3 183 0.3  0  9 0.4
 hanmaru-payslip sheet-draft-night      12.0 false 1 1  4000 250 20000 58  826 11  32 1   2 0.3 10 25 0.4
+tt-gira-large   recon-notes              53 true  2 1 10000 400 30000 29 1110  30  90 1   2 0.3  0 99 0.4
 hanmaru-payslip sample-dispute-summary 25.9 true  2 0   400 250  3000  5 2368 31  92 3  54 0.3  0  9 0.4
 `
 
