Let the soak play fleets of many entries, and check the runs of a stream

Each event names its run. The client checks that no run's events come again after those of another one, and that all events of a stream that may not be resumed are of one run; so far it checked ids, request, versions and the end.

--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,8 +46,13 @@
 // endpoint draws one.
 var softwareVersions = []string{"v1", "v1", "v2"}
 
-// serveStream sends the events after number from, each with the version that wrote
-// it. It may break the stream off within an event, unless the endpoint is one of those
+// runCounter counts the runs of streams, runPrefix begins the name of each.
+var runCounter atomic.Uint64
+
+const runPrefix = "run-"
+
+// serveStream sends the events after number from, each with the version and the run that
+// wrote it. It may break the stream off within an event, unless the endpoint is one of those
 // whose streams are broken off by their ends only.
 func (ep *fakeEndpoint) serveStream(w http.ResponseWriter, requestID, version string, from int) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -58,12 +65,13 @@
 	case rand.IntN(brokenStreamOdds) == 0:
 		brokenEvent = from + 1 + rand.IntN(eventsPerStream)
 	}
+	run := runPrefix + strconv.FormatUint(runCounter.Add(1), 10)
 	for i := from + 1; i <= eventsPerStream; i++ {
 		if i == brokenEvent {
 			_, _ = fmt.Fprintf(a.body, "id: %d\ndata: ", i)
 			return
 		}
-		_, _ = fmt.Fprintf(a.body, "id: %d\ndata: %s\ndata: %s\n\n", i, requestID, version)
+		_, _ = fmt.Fprintf(a.body, "id: %d\ndata: %s\ndata: %s\ndata: %s\n\n", i, requestID, version, run)
 		a.flush()
 		time.Sleep(interval)
 	}
--- a/internal/soak/crasher_test.go
+++ b/internal/soak/crasher_test.go
@@ -89,7 +89,7 @@
 func (en *environment) sendPlain(ctx context.Context, random *rand.Rand, sent *clientRequest) {
 	sent.at = time.Now()
 	en.history.recordRequest(sent)
-	status, _ := en.sendRequest(ctx, http.DefaultClient, en.entries[random.IntN(entryCount)].frontAddress, sent)
+	status, _ := en.sendRequest(ctx, http.DefaultClient, en.entries[random.IntN(len(en.entries))].frontAddress, sent)
 	en.history.recordStatus(sent, status)
 }
 
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -14,8 +14,11 @@
 const (
 	steadyCustomer = "steady"
 	// steadyKey is never revoked.
-	steadyKey        = steadyCustomer + "-1"
+	steadyKey = steadyCustomer + "-1"
+	// draftClientCount is the number of clients that ask a fleet of usualEntries for drafts.
 	draftClientCount = 16
+	// One in leaverOdds drafts is left by its client, which resumes it at once elsewhere.
+	leaverOdds = 8
 	// draftPeriod is the time between two new streams of a client, so that a refused
 	// one counts no more often than one that lasts.
 	draftPeriod = eventsPerStream * draftInterval
@@ -41,7 +44,7 @@
 // startDrafts starts the changes of the engines of drafts and their clients.
 func (en *environment) startDrafts(ctx context.Context, group *sync.WaitGroup, seed uint64, t *testing.T) {
 	group.Go(func() { en.changeDrafters(ctx, rand.New(rand.NewPCG(seed, 11)), t) })
-	for n := range draftClientCount {
+	for n := range scaled(draftClientCount) {
 		group.Go(func() { en.runDraftClient(ctx, n, rand.New(rand.NewPCG(seed, uint64(100+n)))) })
 	}
 }
@@ -58,8 +61,11 @@
 			prompt: fmt.Sprintf("system:10,topic%d:10,%s:5", random.IntN(promptTopics), id), stream: &clientStream{firstRequest: id},
 			last: true,
 		}
+		if random.IntN(leaverOdds) == 0 {
+			sent.stream.leaveAfter = 2 + random.IntN(eventsPerStream-2)
+		}
 		en.history.recordRequest(sent)
-		status, err := en.sendStream(ctx, client, en.entries[random.IntN(entryCount)], sent)
+		status, err := en.sendStream(ctx, client, en.entries[random.IntN(len(en.entries))], sent)
 		en.history.recordStatus(sent, status)
 		if err != nil && sent.stream.lastEvent > 0 {
 			en.resumeStream(ctx, client, sent, random)
--- a/internal/soak/rolls_test.go
+++ b/internal/soak/rolls_test.go
@@ -14,8 +14,8 @@
 const (
 	draftService = "drafting"
 	draftRoute   = "draft"
-	// drafterCount engines serve drafts, and spareCount places are kept for those that
-	// a roll starts.
+	// Of a fleet of usualEntries, drafterCount engines serve drafts, and spareCount places
+	// are kept for those that a roll starts. Larger fleets have more in proportion.
 	drafterCount = 4
 	spareCount   = 3
 	// Loads of an engine of drafts last minDraftLoad to maxDraftLoad, by seed.
@@ -42,16 +42,20 @@
 // other.
 var releases = []string{"v3", "v4", "v5", "v6", "v7", "v8", "v9"}
 
+// scaled returns what a fleet has of something of which one of usualEntries has n.
+func scaled(n int) int { return max(n**entryCount/usualEntries, 1) }
+
 // addDrafters adds the engines of drafts, each with two models, and the spare places.
 func (en *environment) addDrafters(t *testing.T) {
-	for i := range drafterCount + spareCount {
+	drafters, spares := scaled(drafterCount), scaled(spareCount)
+	for i := range drafters + spares {
 		ep := newFakeEndpoint(t, en, draftService)
 		ep.release, ep.version, ep.models = releases[0], releases[0], []string{"m0", "m1"}
 		if i%2 == 1 {
 			ep.models[1] = "m2"
 		}
 		ep.loadedAt = time.Time{}
-		if i >= drafterCount {
+		if i >= drafters {
 			ep.spare.Store(true)
 			ep.state = ""
 			ep.proxy.setMode(refuseConns)
@@ -129,7 +133,7 @@
 			return true
 		}
 	}
-	if len(ready) > drafterCount {
+	if len(ready) > scaled(drafterCount) {
 		ready[i].leave()
 	}
 	return true
@@ -197,7 +201,7 @@
 		if time.Now().After(end) {
 			return
 		}
-		e := en.entries[random.IntN(entryCount)]
+		e := en.entries[random.IntN(len(en.entries))]
 		killLeader := random.IntN(2) == 0
 		en.history.mu.Lock()
 		leader := en.history.newestHolder
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,7 @@
 	firstSeed     = flag.Uint64("soak.first", 0, "first seed; 0 runs the seeds of CI")
 	parallelSeeds = flag.Int("soak.beside", 3, "number of seeds to run in parallel")
 	failedLogDir  = flag.String("soak.keep", "", "directory in which to keep the logs of failed seeds")
+	entryCount    = flag.Int("soak.entries", usualEntries, "number of entries of a fleet")
 	otherProgram  = flag.String("soak.other", "", "program of another release to run as every second entry")
 )
 
@@ -36,8 +37,10 @@
 	recoveryWindow   = 3 * time.Second
 	// minSuccessRate is the fraction of requests that must succeed after
 	// recoveryTime.
-	minSuccessRate    = 0.5
+	minSuccessRate = 0.5
+	// meanFaultInterval is the mean time between two faults of a fleet of usualEntries.
 	meanFaultInterval = 900 * time.Millisecond
+	usualEntries      = 3
 	resetInterval     = 150 * time.Millisecond
 	// maxRestores is how often the store may be restored from a copy in a run,
 	// restoreTime how long it is away each time.
@@ -137,7 +140,7 @@
 	end := time.Now().Add(faultDuration)
 	lastEnd := time.Now()
 	for time.Now().Before(end) {
-		time.Sleep(time.Duration(random.ExpFloat64() * float64(meanFaultInterval)))
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(meanFaultInterval) / float64(scaled(1))))
 		duration := time.Duration(200+random.IntN(4500)) * time.Millisecond
 		name := en.injectFault(random, duration)
 		t.Logf("%v %s for %v", time.Now().Format("05.000"), name, duration)
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -18,8 +19,18 @@
 	firstRequest string
 	lastEvent    int
 	versions     []string
+	// run is the run at an endpoint that wrote the newest event, earlierRuns are those
+	// before it.
+	run         string
+	earlierRuns []string
+	// leaveAfter is the event after which the client closes its connection once, 0 if it
+	// doesn't.
+	leaveAfter int
 }
 
+// errLeft reports that the client closed its connection within a stream.
+var errLeft = errors.New("the client left")
+
 // maxResumptions is how often a client resumes one stream.
 const maxResumptions = 2
 
@@ -33,7 +44,7 @@
 		en.history.recordRequest(again)
 		before := broken.stream.lastEvent
 		again.last = n == maxResumptions-1
-		status, err := en.sendStream(ctx, client, en.entries[random.IntN(entryCount)], again)
+		status, err := en.sendStream(ctx, client, en.entries[random.IntN(len(en.entries))], again)
 		en.history.recordStatus(again, status)
 		en.history.recordResumption(broken.stream.lastEvent > before)
 		if err == nil && status == http.StatusOK {
@@ -45,8 +56,8 @@
 	}
 }
 
-// checkStream checks that the events arrive in order and without a gap, that all
-// are of one software version, and that a stream that ends without an error has all
+// checkStream checks that the events arrive in order and without a gap, that the runs that
+// wrote them follow each other, that all are of one software version, and that a stream that ends without an error has all
 // its events.
 func (en *environment) checkStream(response *http.Response, sent *clientRequest) (int, error) {
 	stream := sent.stream
@@ -63,6 +74,11 @@
 			}
 		case name == "data" && (slices.Contains(softwareVersions, value) || slices.Contains(releases, value)):
 			en.checkVersion(sent, value)
+		case name == "data" && strings.HasPrefix(value, runPrefix):
+			en.checkRun(sent, value)
+		case name == "" && stream.leaveAfter > 0 && stream.lastEvent >= stream.leaveAfter:
+			stream.leaveAfter = 0
+			return 0, errLeft
 		case name == "data" && value != sent.id:
 			en.history.addViolation("MIXED: %s got an event of %s", sent.id, value)
 		}
@@ -76,6 +92,23 @@
 	return response.StatusCode, nil
 }
 
+// checkRun checks that no run's events come again after those of another one, and that all
+// events of a stream that may not be resumed are of one run.
+func (en *environment) checkRun(sent *clientRequest, run string) {
+	stream := sent.stream
+	if run == stream.run {
+		return
+	}
+	if slices.Contains(stream.earlierRuns, run) {
+		en.history.addViolation("ORDER: stream %s has events of %s again after %s", sent.id, run, stream.run)
+	}
+	if stream.run != "" && sent.kind == "chat" {
+		en.history.addViolation("ORDER: stream %s, which may not be resumed, has events of %s after %s", sent.id, run, stream.run)
+	}
+	stream.earlierRuns = append(stream.earlierRuns, stream.run)
+	stream.run = run
+}
+
 // checkVersion checks that an event is of the same software version as those
 // before it in the stream.
 func (en *environment) checkVersion(sent *clientRequest, version string) {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -27,7 +27,6 @@
 )
 
 const (
-	entryCount      = 3
 	clientCount     = 14
 	eventsPerStream = 12
 	requestTimeout  = 3 * time.Second
@@ -103,7 +102,7 @@
 	for range kioskCount {
 		env.kiosks = append(env.kiosks, newFakeEndpoint(t, env, kioskService))
 	}
-	for i := range entryCount {
+	for i := range *entryCount {
 		binary := program
 		if *otherProgram != "" && i%2 == 1 {
 			binary = *otherProgram
@@ -311,7 +310,7 @@
 	random := rand.New(rand.NewPCG(uint64(number), 11))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	defer client.CloseIdleConnections()
-	target := en.entries[number%entryCount]
+	target := en.entries[number%len(en.entries)]
 	for i := 0; ctx.Err() == nil; i++ {
 		en.mu.Lock()
 		key := en.keys[random.IntN(len(en.keys))]
@@ -332,7 +331,7 @@
 			en.resumeStream(ctx, client, sent, random)
 		}
 		if err != nil || status == http.StatusServiceUnavailable || random.IntN(20) == 0 {
-			target = en.entries[random.IntN(entryCount)]
+			target = en.entries[random.IntN(len(en.entries))]
 			time.Sleep(time.Duration(20+random.IntN(80)) * time.Millisecond)
 		}
 		time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
