--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -182,6 +182,7 @@
 func isReusable(h *fasthttp.ResponseHeader, b *responseBody, r *bufio.Reader) bool {
 	return b.atEnd && !b.closeDelimited && !h.ConnectionClose() && r.Buffered() == 0
 }
+
 // eventStreamType is the media type of a stream of events.
 const eventStreamType = "text/event-stream"
 
