Let streams go on after all entries have lost power at once

Two software versions of the endpoints were in service, all entries were killed at once and started again. Clients that took their streams up were all answered 503, "the version that began the stream is not known", for as long as they tried. Streams of two versions were not seen.

The version at which a stream began was in the memory of entries only. It outlived the end of some of them, but not of all.

The lease's record, which an entry reads before it resumes any stream, now names the streams that began in the last minute, while the engines of a service have had several versions in that time. The leader then writes it 200 ms after the last record if a stream has begun since, and entries tell the leader of streams after 100 ms instead of 250. At one version neither the record nor the calls grow. Only beginnings are recorded, no assignments, so that a late or restored record can't make a wrong version known.

The soak's restart delay and the interval of drafts are fields of its environment now, with the values that they had.

--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -102,6 +102,7 @@
 	readingLease   bool
 	nextLeaseRead  time.Time
 	appendingLease bool
+	lastRecord     lastRecord
 	// leaseFreeSince is when the lease became free to acquire, zero if it is
 	// not free.
 	leaseFreeSince time.Time
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -45,6 +45,7 @@
 		c.emit(ReadLease{})
 		return
 	}
+	c.hastenRecord(now)
 	if !c.lease.AppendDue(now) {
 		c.leaseFreeSince = time.Time{}
 		return
@@ -67,7 +68,7 @@
 	c.appendingLease = true
 	record, offset := c.lease.NextRecord(now, c.nextMembers(now), release)
 	c.recordCrashes(now, &record)
-	record.Versions = c.recordedVersions(now)
+	c.recordStreams(now, &record)
 	c.emit(AppendLease{
 		Record: record,
 		Offset: offset,
@@ -111,6 +112,7 @@
 		c.applyRecordedCrashes(now, &e.Record, !known)
 	}
 	c.applyRecordedVersions(now, e.Record.Versions)
+	c.applyRecordedStreams(now, e.Record.Streams)
 	if !e.Exists || c.lease.Stale() && (c.lease.Holds(now) || c.leaderLink.connected) {
 		// A stale record says nothing against the leader that this entry knows.
 		return
@@ -186,6 +188,7 @@
 	record := e.Record
 	previous, existed := c.lease.Current()
 	c.lease.HandleAppended(now, record, e.Offset, e.Era)
+	c.lastRecord.appended = true
 	if record.Released {
 		c.released = true
 		c.leader = nil
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -58,7 +58,9 @@
 	// permitsRequestedAt is when a report was last sent only for such requests.
 	permitsRequestedAt time.Time
 	reportedAt         time.Time
-	sequence           uint64
+	// returnedAt is when a report last returned surplus tokens.
+	returnedAt time.Time
+	sequence   uint64
 	// reportTimes holds the send times of recent reports by sequence number.
 	reportTimes   map[uint64]time.Time
 	tokenRequests []*wirepb.GateTokens
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -14,15 +14,16 @@
 	maxTrackedReports = 64
 )
 
-// reportIfDue sends the regular report to the leader.
+// reportIfDue sends the regular report to the leader, sooner if it tells of streams.
 func (c *Core) reportIfDue(now time.Time) {
-	if c.leaderLink.connected && now.Sub(c.follower.reportedAt) >= reportInterval {
+	if c.leaderLink.connected && (now.Sub(c.follower.reportedAt) >= reportInterval || c.startsDue(now)) {
 		c.sendReport(now)
 	}
 }
 
 // sendReport sends the leader this entry's loads, demand, token requests and
-// stream statistics. Regular reports also return surplus tokens.
+// stream statistics. From time to time they also return surplus
+// tokens.
 func (c *Core) sendReport(now time.Time) {
 	if !c.leaderLink.connected || c.lease.Holds(now) {
 		return
@@ -51,8 +52,9 @@
 	}
 	f.newLeader = false
 	f.requestsTakeover = false
-	if now.Sub(f.reportedAt) >= reportInterval {
+	if now.Sub(f.returnedAt) >= reportInterval {
 		report.Returns = c.takeSurplus(now)
+		f.returnedAt = now
 	}
 	f.tokenRequests = nil
 	f.reportedAt = now
--- a/internal/gate/starts.go
+++ b/internal/gate/starts.go
@@ -48,6 +48,8 @@
 	// began, as far as this entry heard of them as the leader.
 	own     startLog
 	learned startLog
+	// begun are all streams of which it is known where they began.
+	begun   startLog
 	pruneAt time.Time
 }
 
@@ -103,6 +105,17 @@
 // record remembers the version that began a stream. A later record replaces an
 // earlier one, but for the endpoint if that has the version.
 func (t *streamTable) record(now time.Time, key streamKey, version string) streamStart {
+	known, isKnown := t.versions[key]
+	isKnown = isKnown && !known.assigned
+	start := t.remember(now, key, version)
+	if !isKnown || known.version != version {
+		t.begun.add(start, isKnown)
+	}
+	return start
+}
+
+// remember sets the version of a stream.
+func (t *streamTable) remember(now time.Time, key streamKey, version string) streamStart {
 	t.prune(now)
 	start := streamStart{
 		key:     key,
@@ -133,7 +146,7 @@
 	if known, isKnown := t.versions[key]; isKnown && !known.assigned {
 		return
 	}
-	start := t.record(now, key, version)
+	start := t.remember(now, key, version)
 	start.assigned = true
 	t.versions[key] = start
 }
@@ -179,6 +192,7 @@
 	maps.DeleteFunc(t.versions, func(_ streamKey, s streamStart) bool { return now.Sub(s.at) > streamMemory })
 	t.own.prune(now)
 	t.learned.prune(now)
+	t.begun.prune(now)
 }
 
 const (
@@ -305,19 +319,25 @@
 // severalVersions reports whether the registered endpoints of any service differ in their
 // software version.
 func (c *Core) severalVersions() bool {
-	if c.serviceVersions == nil {
-		c.serviceVersions = make(map[string]map[string]bool)
-		for _, ep := range c.endpoints {
-			if c.serviceVersions[ep.Service] == nil {
-				c.serviceVersions[ep.Service] = make(map[string]bool)
-			}
-			c.serviceVersions[ep.Service][ep.SoftwareVersion] = true
-		}
-	}
-	for _, versions := range c.serviceVersions {
+	for _, versions := range c.registeredVersions() {
 		if len(versions) > 1 {
 			return true
 		}
 	}
 	return false
 }
+
+// registeredVersions returns the software versions of the registered endpoints by service.
+func (c *Core) registeredVersions() map[string]map[string]bool {
+	if c.serviceVersions != nil {
+		return c.serviceVersions
+	}
+	c.serviceVersions = make(map[string]map[string]bool)
+	for _, ep := range c.endpoints {
+		if c.serviceVersions[ep.Service] == nil {
+			c.serviceVersions[ep.Service] = make(map[string]bool)
+		}
+		c.serviceVersions[ep.Service][ep.SoftwareVersion] = true
+	}
+	return c.serviceVersions
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,7 +1,9 @@
 package lease
 
 import (
+	"math"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -439,3 +441,22 @@
 		t.Errorf("after the holder told of a renewal: %v, want its sending at %v", got, sentAt)
 	}
 }
+
+// The keys of streams must be read from the log as they were written, and damaged ones be
+// refused as a whole.
+func TestStreamKeysAreReadAsWritten(t *testing.T) {
+	keys := StreamKeys{0, 1, math.MaxUint64}
+	text, err := keys.MarshalText()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read StreamKeys
+	if err := read.UnmarshalText(text); err != nil || !slices.Equal(read, keys) {
+		t.Errorf("read %v, %v, want %v", read, err, keys)
+	}
+	for _, damaged := range []string{"AAAA", "!"} {
+		if err := read.UnmarshalText([]byte(damaged)); err == nil {
+			t.Errorf("%q was read", damaged)
+		}
+	}
+}
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -1,6 +1,11 @@
 package lease
 
-import "net/netip"
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+)
 
 // Member is an entry that the leader counts as part of the fleet, with its standing
 // share of every customer's rate.
@@ -41,6 +46,48 @@
 	// Versions are the software versions at which streams may have begun, so that a process
 	// that starts knows of those that have left.
 	Versions []ServiceVersion `json:"versions,omitempty"`
+	// Streams are the streams that began lately, while several versions serve, so that they
+	// can go on at their versions after the end of all entries. Earlier releases neither
+	// write nor read them.
+	Streams []BegunStreams `json:"streams,omitempty"`
+}
+
+// BegunStreams are streams that engines of a software version have begun.
+type BegunStreams struct {
+	Version string     `json:"version"`
+	Keys    StreamKeys `json:"keys"`
+}
+
+// StreamKeys are hashes of the IDs of streams. Their text form takes about eleven bytes
+// each.
+type StreamKeys []uint64
+
+// streamKeyBytes is the size of a key before it is encoded as text.
+const streamKeyBytes = 8
+
+// MarshalText implements encoding.TextMarshaler.
+func (k StreamKeys) MarshalText() ([]byte, error) {
+	raw := make([]byte, 0, streamKeyBytes*len(k))
+	for _, key := range k {
+		raw = binary.BigEndian.AppendUint64(raw, key)
+	}
+	return base64.RawStdEncoding.AppendEncode(nil, raw), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *StreamKeys) UnmarshalText(text []byte) error {
+	raw, err := base64.RawStdEncoding.AppendDecode(nil, text)
+	if err != nil {
+		return fmt.Errorf("keys of streams: %w", err)
+	}
+	if len(raw)%streamKeyBytes != 0 {
+		return fmt.Errorf("keys of streams: %d bytes, not a multiple of %d", len(raw), streamKeyBytes)
+	}
+	*k = make(StreamKeys, 0, len(raw)/streamKeyBytes)
+	for ; len(raw) > 0; raw = raw[streamKeyBytes:] {
+		*k = append(*k, binary.BigEndian.Uint64(raw))
+	}
+	return nil
 }
 
 // ServiceVersion is a software version of a service's engines.
--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -54,7 +54,7 @@
 	brokenEvent, interval := 0, eventInterval
 	switch {
 	case ep.service == draftService:
-		interval = draftInterval
+		interval = ep.env.draftInterval
 	case rand.IntN(brokenStreamOdds) == 0:
 		brokenEvent = from + 1 + rand.IntN(eventsPerStream)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,18 +65,10 @@
 }
 
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "dogwoodfold")
-	build := exec.Command("go", "build", "-o", program, "dogwoodfold/cmd/dogwoodfold")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		t.Fatal(err)
-	}
+	program := buildProgram(t)
 	seeds := ciSeeds
 	if *firstSeed > 0 {
-		seeds = nil
-		for i := range uint64(*seedCount) {
-			seeds = append(seeds, *firstSeed+i)
-		}
+		seeds = chosenSeeds()
 	}
 	semaphore := make(chan struct{}, *parallelSeeds)
 	var group sync.WaitGroup
@@ -90,6 +82,26 @@
 	}
 }
 
+// buildProgram builds the program under test and returns its path.
+func buildProgram(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "dogwoodfold")
+	build := exec.Command("go", "build", "-o", program, "dogwoodfold/cmd/dogwoodfold")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		t.Fatal(err)
+	}
+	return program
+}
+
+// chosenSeeds returns the seeds from the first one that the flags name on.
+func chosenSeeds() []uint64 {
+	var seeds []uint64
+	for i := range uint64(*seedCount) {
+		seeds = append(seeds, *firstSeed+i)
+	}
+	return seeds
+}
+
 // runSeed runs the fleet with the faults of a seed and checks its history.
 func runSeed(t *testing.T, program string, seed uint64) {
 	logDir := t.TempDir()
@@ -125,10 +137,16 @@
 	for _, violation := range env.history.check() {
 		t.Error(violation)
 	}
-	if t.Failed() && *failedLogDir != "" {
-		if err := os.CopyFS(filepath.Join(*failedLogDir, fmt.Sprint(seed)), os.DirFS(logDir)); err != nil {
-			t.Error(err)
-		}
+	keepLogs(t, logDir, fmt.Sprint(seed))
+}
+
+// keepLogs keeps the logs of a failed run under a name.
+func keepLogs(t *testing.T, logDir, name string) {
+	if !t.Failed() || *failedLogDir == "" {
+		return
+	}
+	if err := os.CopyFS(filepath.Join(*failedLogDir, name), os.DirFS(logDir)); err != nil {
+		t.Error(err)
 	}
 }
 
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -57,6 +57,10 @@
 	kiosks        []*fakeEndpoint
 	draftAttempts int
 	draftLoadTime time.Duration
+	// draftInterval is the time between two events of a draft, restartDelay the time
+	// after which an entry that has ended starts again.
+	draftInterval time.Duration
+	restartDelay  time.Duration
 	delayOrders   atomic.Bool
 
 	mu      sync.Mutex
@@ -80,7 +84,9 @@
 }
 
 func newEnvironment(t *testing.T, program, logDir string, random *rand.Rand) *environment {
-	env := &environment{t: t, history: newHistory(), store: fakes.NewStore(), version: 1}
+	env := &environment{
+		t: t, history: newHistory(), store: fakes.NewStore(), version: 1, draftInterval: draftInterval, restartDelay: restartDelay,
+	}
 	env.draftAttempts = 1 + random.IntN(2)
 	env.draftLoadTime = minDraftLoad + time.Duration(random.Int64N(int64(maxDraftLoad-minDraftLoad)))
 	env.keys = []string{"big-1", "big-2", "big-3", "big-4", limitedCustomer + "-1"}
@@ -271,7 +277,7 @@
 		if err := command.Wait(); err != nil && strings.Contains(err.Error(), "exit status") {
 			e.env.history.addViolation("FAULT: %s exited on its own: %v", e.name, err)
 		}
-		time.Sleep(restartDelay)
+		time.Sleep(e.env.restartDelay)
 	}
 }
 
