--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -70,6 +70,8 @@
 	// permitsRequestedAt is when a report was last sent only for such requests.
 	permitsRequestedAt time.Time
 	reportedAt         time.Time
+	// returnedAt is when a report last returned surplus tokens.
+	returnedAt time.Time
 	// reportsSoon is true while the leader isn't told of streams that it must know soon.
 	reportsSoon bool
 	sequence    uint64
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -16,13 +16,9 @@
 	maxTrackedReports = 64
 )
 
-// reportIfDue sends the regular report to the leader.
+// reportIfDue sends the regular report to the leader, sooner if it tells of streams.
 func (c *Core) reportIfDue(now time.Time) {
-	interval := reportInterval
-	if c.follower.reportsSoon {
-		interval = minReportInterval
-	}
-	if c.leaderLink.connected && now.Sub(c.follower.reportedAt) >= interval {
+	if c.leaderLink.connected && (now.Sub(c.follower.reportedAt) >= reportInterval || c.startsDue(now)) {
 		c.sendReport(now)
 	}
 }
@@ -41,7 +37,8 @@
 }
 
 // sendReport sends the leader this entry's loads, demand, token requests and
-// stream statistics. Regular reports also return surplus tokens.
+// stream statistics. From time to time they also return surplus
+// tokens.
 func (c *Core) sendReport(now time.Time) {
 	if !c.leaderLink.connected || c.lease.Holds(now) {
 		return
@@ -74,8 +71,9 @@
 	f.newLeader = false
 	f.reportsSoon = false
 	f.requestsTakeover = false
-	if now.Sub(f.reportedAt) >= reportInterval {
+	if now.Sub(f.returnedAt) >= reportInterval {
 		report.Returns = c.takeSurplus(now)
+		f.returnedAt = now
 	}
 	f.tokenRequests = nil
 	f.reportedAt = now
