Forward only sound events of an engine's stream

What callers of the project's own interface got: an engine failed within a stream and wrote the text, the head or the JSON object of an error into it, and the agent forwarded that; if the engine then sent its last event, as engines do after an error, the stream counted as complete. So did a 200 whose body was no stream of events but ended like one.

Cause: the agent looked only at the last bytes of a stream, not at what came before them.

The agent now takes whole events from a stream and checks each: its lines are data or comments, its data one JSON object that is no error, or the end marker, after which nothing comes. What is anything else ends the call as a stream that was cut, and the entry ends the caller's stream with its error and without the last chunk. A response of another type than text/event-stream is no stream, and nothing of it is forwarded.

--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -253,8 +253,13 @@
 	return fault.New(fault.NotRun, fault.CodeBusy, "the endpoint refused the request: "+refusal.Error.Code)
 }
 
-// forwardResponse forwards a response and checks that it is complete.
+// forwardResponse forwards a response and checks that it is complete. Of a stream it
+// forwards sound events only.
 func forwardResponse(response *fasthttp.Response, stream bool, send frameSink) error {
+	stream = stream && response.StatusCode() == fasthttp.StatusOK
+	if stream && !isEventStream(response) {
+		return fault.New(fault.MayHaveRun, fault.CodeEndpoint, "the endpoint's answer is no stream")
+	}
 	head := &wirepb.Head{Status: uint32(response.StatusCode())}
 	head.Headers = []*wirepb.Header{{
 		Name:  "Content-Type",
@@ -263,7 +268,7 @@
 	if err := send(&wirepb.CallFrame{Head: head}); err != nil {
 		return fault.Wrap(err, fault.Ran, fault.CodeLink)
 	}
-	tail := newResponseTail(stream && response.StatusCode() == fasthttp.StatusOK)
+	tail := newResponseTail(stream)
 	total, err := copyBody(response.BodyStream(), tail, send)
 	if err != nil {
 		return err
@@ -297,23 +302,34 @@
 	return nil
 }
 
+// copyBody forwards the body of a response and returns how much of it was forwarded. It
+// forwards a stream in whole events.
 func copyBody(body io.Reader, tail *responseTail, send frameSink) (total uint64, err error) {
 	buffer := make([]byte, readBufferSize)
 	counted := 0
+	var events eventReader
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			total += uint64(n)
 			if counted += max(n, minReadBytes); counted > maxResponseBytes {
 				return total, fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer has no end")
 			}
-			tail.write(buffer[:n])
-			data := &wirepb.CallFrame{Data: buffer[:n]}
-			if err := send(data); err != nil {
-				return total, fault.Wrap(err, fault.MayHaveRun, fault.CodeLink)
+			part, eventErr := buffer[:n], error(nil)
+			if tail.stream {
+				part, eventErr = events.take(part)
+			}
+			if err := forwardPart(part, tail, send); err != nil {
+				return total, err
+			}
+			total += uint64(len(part))
+			if eventErr != nil {
+				return total, eventErr
 			}
 		}
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			if events.endsWithinEvent() {
+				return total, fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended within an event")
+			}
 			return total, nil
 		}
 		if err != nil {
@@ -322,6 +338,18 @@
 	}
 }
 
+// forwardPart forwards a part of a response, unless it is empty.
+func forwardPart(part []byte, tail *responseTail, send frameSink) error {
+	if len(part) == 0 {
+		return nil
+	}
+	tail.write(part)
+	if err := send(&wirepb.CallFrame{Data: part}); err != nil {
+		return fault.Wrap(err, fault.MayHaveRun, fault.CodeLink)
+	}
+	return nil
+}
+
 // tailSize is large enough for the last events of a stream, including usage.
 const tailSize = 4 << 10
 
