End a failed stream with an error that is an event of its own

What callers of the project's own interface got: a stream broke off within an event, and the entry wrote its error after what had arrived of it, on the same line ("data: {\"id\":\"chatdata: {\"error\":...").

The entry now ends an unfinished event before its error.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -112,7 +112,9 @@
 	pending    []byte
 	received   uint64
 	eventCount int
-	err        error
+	// withinEvent is true if the last frame ended within an event.
+	withinEvent bool
+	err         error
 	// onFirst is called when the first data of the response is received.
 	onFirst func()
 	// cancelCause replaces the error of a stream that the entry itself
@@ -163,9 +165,11 @@
 	r.pending = frame.GetData()
 	r.received += uint64(len(r.pending))
 	r.eventCount += bytes.Count(r.pending, eventTerminator)
+	r.withinEvent = !bytes.HasSuffix(r.pending, eventTerminator)
 }
 
-// finish ends the stream, with an error event if it failed.
+// finish ends the stream, with an error event if it failed. What has arrived of another
+// event must not become one with it.
 func (r *streamReader) finish(err error, end *wirepb.End) {
 	r.err = io.EOF
 	if r.cancelCause != nil {
@@ -173,7 +177,12 @@
 	}
 	if err = r.reportEnd(err, end); err != nil {
 		r.err = err
-		r.pending = append([]byte("data: "), marshalError(r.path, err)...)
+		r.pending = nil
+		if r.withinEvent {
+			r.pending = append(r.pending, eventTerminator...)
+		}
+		r.pending = append(r.pending, "data: "...)
+		r.pending = append(r.pending, marshalError(r.path, err)...)
 		r.pending = append(r.pending, eventTerminator...)
 	}
 }
