Play an error after the head of a stream and before its first event

Its caller has seen nothing of the stream yet, so the whole answer may still be a failure, but not a success with an error in it.

--- a/internal/edge/stream_error_test.go
+++ b/internal/edge/stream_error_test.go
@@ -290,3 +290,23 @@
 		}
 	}
 }
+
+// Guards against an error that a caller gets as a success: an endpoint sends the head of a
+// stream and breaks off before its first event, of which the caller has seen nothing, and
+// the next one answers with an error. What is no event must not reach the caller.
+func TestErrorBeforeFirstEventIsNoStream(t *testing.T) {
+	broken := rawAnswer{framing: framedByChunks, unended: true}
+	for n, name := range slices.Sorted(maps.Keys(errorTexts)) {
+		for _, framing := range chosen(allFramings, n) {
+			t.Run(name+"/"+framing, func(t *testing.T) {
+				t.Parallel()
+				f := streamFixture(t, broken, rawAnswer{framing: allFramings[framing], body: positioned(errorTexts[name], 0)})
+				r := f.send(context.Background(), "POST", "/notes/1", platform.HeaderModel, "m")
+				sound := name == "from the first" && r.body == events(1, 6, "\n")
+				if r.status == http.StatusOK && !sound {
+					t.Errorf("an error was answered with a success: %+v", r)
+				}
+			})
+		}
+	}
+}
