Answer continued streams of the soak with errors, and report every line that no endpoint wrote

The soak's endpoints went on with a stream or refused it, and its client passed over lines that it didn't know, so that an error within a stream could not be seen.

The client judges whole lines only: with the check of unknown lines, a part of a line that a broken connection leaves would be a violation.

--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -9,8 +9,8 @@
 )
 
 // One in unframedOdds responses has neither a length nor chunks and ends with its
-// connection. One in brokenStreamOdds streams ends within an event, in a framing
-// that is whole.
+// connection. One in brokenStreamOdds streams ends within an event or with an error, in
+// a framing that is whole.
 const (
 	unframedOdds     = 4
 	brokenStreamOdds = 12
@@ -45,9 +45,14 @@
 var softwareVersions = []string{"v1", "v1", "v2"}
 
 // serveStream sends the events after number from, each with the version that wrote
-// it. It may break the stream off within an event, unless the endpoint is one of those
-// whose streams are broken off by their ends only.
+// it. It may break the stream off within an event or with an error, or answer with an error
+// if the stream has begun, unless the endpoint is one of those whose streams are broken off
+// by their ends only.
 func (ep *fakeEndpoint) serveStream(w http.ResponseWriter, requestID, version string, from int) {
+	if from > 0 && ep.service != draftService && rand.IntN(streamErrorOdds) == 0 {
+		sendStreamError(w, requestID, version, from)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	a := newAnswerWriter(w)
 	defer a.end()
@@ -60,7 +65,7 @@
 	}
 	for i := from + 1; i <= eventsPerStream; i++ {
 		if i == brokenEvent {
-			_, _ = fmt.Fprintf(a.body, "id: %d\ndata: ", i)
+			_, _ = io.WriteString(a.body, errorWithinStream(i))
 			return
 		}
 		_, _ = fmt.Fprintf(a.body, "id: %d\ndata: %s\ndata: %s\n\n", i, requestID, version)
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -46,13 +48,20 @@
 }
 
 // checkStream checks that the events arrive in order and without a gap, that all
-// are of one software version, and that a stream that ends without an error has all
-// its events.
+// are of one software version, that there are no other lines, and that a stream that ends
+// without an error has all its events.
 func (en *environment) checkStream(response *http.Response, sent *clientRequest) (int, error) {
 	stream := sent.stream
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		name, value, _ := strings.Cut(lines.Text(), ": ")
+	lines := bufio.NewReader(response.Body)
+	for {
+		line, err := lines.ReadString('\n')
+		if err != nil && !errors.Is(err, io.EOF) {
+			return 0, err // a part of a line may have arrived
+		}
+		if errors.Is(err, io.EOF) && line == "" {
+			break
+		}
+		name, value, _ := strings.Cut(strings.TrimSuffix(line, "\n"), ": ")
 		switch {
 		case name == "id" && value != strconv.Itoa(stream.lastEvent+1):
 			en.history.addViolation("ORDER: %s got event %s after %d", sent.id, value, stream.lastEvent)
@@ -65,11 +74,10 @@
 			en.checkVersion(sent, value)
 		case name == "data" && value != sent.id:
 			en.history.addViolation("MIXED: %s got an event of %s", sent.id, value)
+		case name != "data" && line != "\n":
+			en.history.addViolation("MIXED: %s got the line %q, which no stream has", sent.id, line)
 		}
 	}
-	if lines.Err() != nil {
-		return 0, lines.Err()
-	}
 	if stream.lastEvent != eventsPerStream {
 		en.history.addViolation("ORDER: stream %s ended without an error after event %d", sent.id, stream.lastEvent)
 	}
