--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -9,8 +9,6 @@
 	"strconv"
 
 	"github.com/valyala/fasthttp"
-
-	"dogwoodfold/platform"
 )
 
 // endpointResponse is an endpoint's response.
@@ -185,11 +183,6 @@
 	return b.atEnd && !b.closeDelimited && !h.ConnectionClose() && r.Buffered() == 0
 }
 
-// isResponseTo reports whether a response carries the ID of the given request.
-func isResponseTo(h *fasthttp.ResponseHeader, id string) bool {
-	return string(h.Peek(platform.HeaderRequestID)) == id
-}
-
 // eventStreamType is the media type of a stream of events.
 const eventStreamType = "text/event-stream"
 
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -69,6 +69,13 @@
 	contentType    string
 	// interruption is why the endpoint's last stream was taken as broken off.
 	interruption string
+	// origin tells how the endpoint's last response was recognized, extraResponses
+	// counts the responses to other requests that were discarded before it.
+	origin         responseOrigin
+	extraResponses int
+	// keptConn is true if the connection of the last attempt had carried another
+	// request before.
+	keptConn bool
 	// namedLimit is the limit that the endpoint's last response named, as it was sent.
 	namedLimit string
 	// endedInEvent is true if the last stream that an endpoint sent ended within
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -197,6 +197,7 @@
 		Int("status", in.status).Str("verdict", in.verdict).Str("reason", in.reason).Str("detail", in.detail).
 		Str("promptPrefix", in.promptPrefix()).
 		Str("framing", in.framing).Bool("endedInEvent", in.endedInEvent).
+		Bool("keptConnection", in.keptConn).Stringer("responseId", in.origin).Int("extraResponses", in.extraResponses).
 		Int("endpointStatus", in.endpointStatus).Str("contentType", in.contentType[:min(len(in.contentType), maxLoggedType)]).
 		Str("interruption", in.interruption).
 		Str("namedLimit", in.namedLimit[:min(len(in.namedLimit), maxLoggedLimit)]).
@@ -231,6 +232,7 @@
 	}
 	e.Str("customer", d.Customer).Int64("configVersion", d.ConfigVersion).Dur("configAgeMs", d.ConfigAge).
 		Dur("registryAgeMs", d.RegistryAge).Str("leader", d.Leader).Bool("assigned", d.AssignedByLeader).
+		Str("versionFrom", string(d.VersionSource)).
 		Int("running", d.Running).Dur("expectedMs", d.Expected)
 }
 
--- a/internal/gate/effect.go
+++ b/internal/gate/effect.go
@@ -30,6 +30,8 @@
 	Leader string
 	// AssignedByLeader is true if the leader chose the endpoint.
 	AssignedByLeader bool
+	// VersionSource is empty unless the request continues a stream.
+	VersionSource VersionSource
 	// Running is the number of requests known to be running at the endpoint,
 	// Expected the expected time to the first byte.
 	Running  int
@@ -85,8 +87,8 @@
 	Offset int64
 }
 
-// DialLeader opens a session to the leader and closes any other. If Address is
-// not valid, it only closes.
+// DialLeader opens a session to the leader, or to the crash relay, and closes any other.
+// If Address is not valid, it only closes.
 type DialLeader struct {
 	Host    string
 	Address netip.AddrPort
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -130,9 +130,11 @@
 	decision := DecisionContext{
 		ConfigAge:   now.Sub(c.configConfirmedAt),
 		RegistryAge: now.Sub(c.registryConfirmedAt),
-		Leader:      c.leaderLink.host,
+		Leader:      c.leaderLink.leader(),
 		Fingerprint: call.fingerprint,
 		Service:     call.service,
+
+		VersionSource: call.versionSource,
 	}
 	if c.isLeader(now) {
 		decision.Leader = c.settings.Host
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -24,8 +24,8 @@
 		return
 	}
 	c.streams.recordOwn(now, key, call.endpoint.SoftwareVersion)
-	if call.assignment.stage != stageAssigned || len(call.triedEndpoints) > 1 {
-		c.sendReport(now) // the leader doesn't know the endpoint, or takes another one for it
+	if c.versionsDiffer(now, call.service) {
+		c.reportSoon(now)
 	}
 }
 
@@ -65,18 +65,23 @@
 	// What another entry has begun may have begun anew since this one was told.
 	askLeader := call.assignment.stage == stageNone && c.leaderAnswers(now)
 	if known && (own || !askLeader) {
-		call.setStreamVersion(version)
+		call.setStreamVersion(version, versionRemembered)
 		return true
 	}
 	if askLeader {
 		c.requestAssignment(now, call)
 		return false
 	}
-	if version, only := c.onlyVersion(now, call.service); only && c.lease.HasRead() {
-		call.setStreamVersion(version)
+	if version, only := c.provenOnlyVersion(now, call.service); only {
+		call.setStreamVersion(version, versionOnly)
 		return true
 	}
 	until := call.abandonedAt()
+	if !c.versionsDiffer(now, call.service) && c.expectsRegistry(now) {
+		call.assignment = assignment{}
+		c.park(now, call, earliest(until, c.registryConfirmedAt.Add(registryReturnTime)))
+		return false
+	}
 	if !c.lease.HasRead() || c.expectsLeader(now, until) {
 		// The record of the lease, the leader or the next one may tell.
 		call.assignment = assignment{}
@@ -101,9 +106,24 @@
 // one of the next is expected. If it has passed, nobody can tell when there is one.
 const leaderChangeTime = 5 * time.Second
 
-func (ac *activeCall) setStreamVersion(version string) {
+// VersionSource says from where an entry knows the software version that a stream needs.
+type VersionSource string
+
+const (
+	// versionForwarded is the version whose events this entry has forwarded itself.
+	versionForwarded VersionSource = "forwarded"
+	// versionRemembered is the one that the stream is known to have begun at.
+	versionRemembered VersionSource = "remembered"
+	// versionFromLeader is the one that the leader has told for this request.
+	versionFromLeader VersionSource = "leader"
+	// versionOnly is the only one that the service's endpoints have.
+	versionOnly VersionSource = "only"
+)
+
+func (ac *activeCall) setStreamVersion(version string, source VersionSource) {
 	ac.softwareVersion = version
 	ac.versionKnown = true
+	ac.versionSource = source
 }
 
 // streamVersion returns the software version that began the stream that a request
@@ -115,6 +135,31 @@
 	return c.streams.lookup(now, newStreamKey(resumedRequest))
 }
 
+// registryReturnTime is the time from the last read of the registry within which the next one
+// is expected. If it has passed, nobody can tell when there is one.
+const registryReturnTime = 5 * time.Second
+
+// registryCurrent reports whether the registry was read so recently that it tells of all
+// endpoints that may have got requests.
+func (c *Core) registryCurrent(now time.Time) bool {
+	return now.Sub(c.registryConfirmedAt) < maxRelayAge
+}
+
+// expectsRegistry reports whether the registry's data are old and newer ones are expected.
+func (c *Core) expectsRegistry(now time.Time) bool {
+	return !c.registryCurrent(now) && now.Before(c.registryConfirmedAt.Add(registryReturnTime))
+}
+
+// provenOnlyVersion returns the software version at which all streams of a service have
+// begun if there was only one within streamMemory. It demands that this entry has read of
+// the others: from the registry those that serve, from the lease those that have left.
+func (c *Core) provenOnlyVersion(now time.Time, service string) (version string, proven bool) {
+	if !c.lease.HasRead() || !c.registryCurrent(now) {
+		return "", false
+	}
+	return c.onlyVersion(now, service)
+}
+
 // onlyVersion returns the software version of a service's endpoints if all that
 // were registered within streamMemory had the same one, so that no stream can have
 // begun at another.
@@ -280,5 +325,5 @@
 			return version, true
 		}
 	}
-	return c.onlyVersion(now, req.GetService())
+	return c.provenOnlyVersion(now, req.GetService())
 }
