Give each call of an agent a connection of its own to its endpoint

What callers saw in a test of the project's own interface: the endpoint writes its first answer once more on a kept connection, and the next caller gets it in place of its own; a repeated refusal says that a call which runs has not run.

Cause: as on the users' platform, an answer was taken for that of a call because it came next on the connection. Here nothing in it names the call, as the contract asks endpoints to echo nothing. Calls that aren't idempotent had connections of their own already, idempotent ones took kept ones.

The fix: no connection is kept, and the request says so (Connection: close). Tests that took a connection from the pool open one now; what they check is unchanged, but for the comment of TestCloseAfterLastFrameKeepsConnection, which spoke of the kept connection. The cost is a connection on the host for each idempotent call; it was not measured.

--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -62,7 +62,7 @@
 // entry closes it. A non-idempotent call is left to finish, so that its outcome
 // is known.
 func (s *Server) forward(callClosed <-chan struct{}, request *wirepb.CallRequest, send frameSink) error {
-	conn := s.endpoint.acquire(!request.GetIdempotent())
+	conn := s.endpoint.newConn()
 	timeout := time.Duration(request.GetTimeoutMs()) * time.Millisecond
 	if !request.GetIdempotent() {
 		callClosed = nil
@@ -87,7 +87,7 @@
 	err := s.endpoint.run(conn, request, send)
 	close(done)
 	<-watcherDone
-	s.endpoint.release(conn)
+	conn.cancel() // it carries no other call
 	return err
 }
 
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -18,10 +18,7 @@
 const (
 	dialTimeout = 2 * time.Second
 	// probeTimeout bounds the connection that shows whether the endpoint still runs.
-	probeTimeout = 500 * time.Millisecond
-	// idleTimeout is kept short so that an endpoint rarely closes a connection
-	// at the moment it is reused.
-	idleTimeout     = 2 * time.Second
+	probeTimeout    = 500 * time.Millisecond
 	readBufferSize  = 16 << 10
 	maxResponseHead = 64 << 10
 	// maxResponseBytes is the size from which a response counts as one without end.
@@ -35,11 +32,11 @@
 // sent.
 var errConnect = errors.New("endpoint can't be reached")
 
-// endpointClient sends calls to the endpoint over a pool of connections.
+// endpointClient sends calls to the endpoint, each on a connection of its own: responses
+// carry nothing that tells them from an earlier one that the endpoint repeats.
 type endpointClient struct {
-	address   string
-	mu        sync.Mutex
-	idleConns []*endpointConn
+	address string
+	mu      sync.Mutex
 	// endedRuns counts the runs of the endpoint that were seen to end, down is true
 	// from such an end to the next connection.
 	endedRuns uint64
@@ -49,26 +46,24 @@
 // newEndpointClient returns a client for the endpoint at host:port.
 func newEndpointClient(address string) *endpointClient { return &endpointClient{address: address} }
 
-// endpointConn is one connection to the endpoint. Closing it cancels the
-// request on it.
+// endpointConn is the connection of one call to the endpoint. Closing it cancels the
+// call.
 type endpointConn struct {
 	client   *fasthttp.HostClient
 	endpoint *endpointClient
 	mu       sync.Mutex
 	netConn  net.Conn
 	canceled bool
-	// reusable is set after a complete response by the goroutine that runs the
-	// call.
-	reusable bool
 }
 
-func newEndpointConn(endpoint *endpointClient) *endpointConn {
-	conn := &endpointConn{endpoint: endpoint}
+// newConn returns a connection for one call. It is opened when the call is run, so a
+// failure to dial it proves that nothing has run.
+func (c *endpointClient) newConn() *endpointConn {
+	conn := &endpointConn{endpoint: c}
 	conn.client = &fasthttp.HostClient{
-		Addr:                      endpoint.address,
+		Addr:                      c.address,
 		Dial:                      conn.dial,
 		MaxConns:                  1,
-		MaxIdleConnDuration:       idleTimeout,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		StreamResponseBody:        true,
@@ -103,36 +98,6 @@
 	}
 }
 
-// acquire returns an idle connection or, if newConn is set, always a new one.
-// The endpoint can't have closed a new connection before the request, so a
-// failure to dial it proves that nothing has run.
-func (c *endpointClient) acquire(newConn bool) *endpointConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if n := len(c.idleConns); n > 0 && !newConn {
-		conn := c.idleConns[n-1]
-		c.idleConns = c.idleConns[:n-1]
-		return conn
-	}
-	return newEndpointConn(c)
-}
-
-// release returns a connection to the idle pool if its last response was
-// complete. The request and response must have been released, and the
-// connection must no longer be canceled by anyone.
-func (c *endpointClient) release(conn *endpointConn) {
-	conn.mu.Lock()
-	reusable := conn.reusable && !conn.canceled
-	conn.reusable = false
-	conn.mu.Unlock()
-	if !reusable {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idleConns = append(c.idleConns, conn)
-}
-
 // frameSink receives the frames of a response.
 type frameSink func(*wirepb.CallFrame) error
 
@@ -151,14 +116,12 @@
 		return c.checkEnd(fault.Wrap(err, fault.MayHaveRun, fault.CodeEndpoint))
 	}
 	if err := refusalError(response); err != nil {
-		conn.reusable = true
 		return err
 	}
 	if err := forwardResponse(response, call.GetStream(), send); err != nil {
 		conn.cancel()
 		return c.checkEnd(err)
 	}
-	conn.reusable = true
 	return nil
 }
 
@@ -204,6 +167,7 @@
 // the entry has let through.
 func buildRequest(request *fasthttp.Request, call *wirepb.CallRequest, address string) {
 	request.Header.SetMethod(call.GetMethod())
+	request.Header.SetConnectionClose()
 	request.URI().DisablePathNormalizing = true
 	request.SetRequestURI("http://" + address + call.GetPath())
 	request.URI().SetQueryString(call.GetQuery())
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -82,9 +82,7 @@
 		Idempotent: idempotent,
 		Stream:     stream,
 	}
-	conn := client.acquire(!idempotent)
-	defer client.release(conn)
-	err := client.run(conn, request, func(f *wirepb.CallFrame) error {
+	err := client.run(client.newConn(), request, func(f *wirepb.CallFrame) error {
 		if f.GetData() != nil { // the buffer is reused
 			f = &wirepb.CallFrame{Data: append([]byte{}, f.GetData()...)}
 		}
@@ -254,14 +252,14 @@
 		Path:   "/charge",
 	}
 	recorder := newResponseRecorder(request, func(*wirepb.CallFrame) error { return io.ErrClosedPipe })
-	outcome := recorder.result(client.run(client.acquire(true), request, recorder.handleFrame))
+	outcome := recorder.result(client.run(client.newConn(), request, recorder.handleFrame))
 	if outcome.Err != nil || outcome.Status != 201 || string(outcome.Body) != "receipt" ||
 		!strings.HasPrefix(outcome.ContentType, "text/plain") {
 		t.Errorf("outcome = %+v, want the complete response", outcome)
 	}
 	request.Idempotent = true
 	recorder = newResponseRecorder(request, func(*wirepb.CallFrame) error { return io.ErrClosedPipe })
-	if err := client.run(client.acquire(false), request, recorder.handleFrame); !errors.Is(err, io.ErrClosedPipe) {
+	if err := client.run(client.newConn(), request, recorder.handleFrame); !errors.Is(err, io.ErrClosedPipe) {
 		t.Errorf("idempotent call after its entry disconnected: got error %v, want the forwarding error", err)
 	}
 }
@@ -282,8 +280,7 @@
 }
 
 // TestCloseAfterLastFrameKeepsConnection closes each call as soon as its last
-// frame has arrived, as an entry does. The connection to the endpoint must
-// remain usable for the next call.
+// frame has arrived, as an entry does. No call may fail for that, nor the next one.
 func TestCloseAfterLastFrameKeepsConnection(t *testing.T) {
 	endpoint := newScriptedEndpoint(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false)
 	s := &Server{endpoint: newEndpointClient(endpoint.address)}
@@ -315,7 +312,7 @@
 	for i, want := range []fault.Verdict{fault.Ran, fault.MayHaveRun, fault.Ran} {
 		client := newEndpointClient(endpoint.address)
 		frames := 0
-		err := client.run(client.acquire(true), &wirepb.CallRequest{Method: "GET", Path: "/"}, func(*wirepb.CallFrame) error {
+		err := client.run(client.newConn(), &wirepb.CallRequest{Method: "GET", Path: "/"}, func(*wirepb.CallFrame) error {
 			frames++
 			if frames > i {
 				return io.ErrClosedPipe
