Keep no connection to an engine's control interface

What could be seen in a test of the project's own interface: an engine writes an earlier response once more on a kept connection. From then on the agent took each report but the newest for the newest, and a repeated 409 for the answer to an order that the engine carries out.

The fix: each request of HTTPEngine has a connection of its own. The platform's log and host list keep theirs.

--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -22,6 +22,8 @@
 type client struct {
 	base string
 	http *fasthttp.Client
+	// closesConns is true if each request has a connection of its own.
+	closesConns bool
 }
 
 func newClient(base string) client {
@@ -75,6 +77,9 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
+	if c.closesConns {
+		request.Header.SetConnectionClose()
+	}
 	request.SetRequestURI(c.base + path)
 	if body != nil {
 		request.Header.SetContentType("application/json")
@@ -148,8 +153,13 @@
 // HTTPEngine is a client of an engine's control interface.
 type HTTPEngine struct{ client }
 
-// NewHTTPEngine returns a client of an engine at a base URL.
-func NewHTTPEngine(base string) *HTTPEngine { return &HTTPEngine{client: newClient(base)} }
+// NewHTTPEngine returns a client of an engine at a base URL. It keeps no connection: the
+// responses carry nothing that tells them from an earlier one that the engine repeats.
+func NewHTTPEngine(base string) *HTTPEngine {
+	e := &HTTPEngine{client: newClient(base)}
+	e.closesConns = true
+	return e
+}
 
 // Report implements Engine.
 func (e *HTTPEngine) Report(ctx context.Context) (Report, error) {
