Repeat refusals on kept connections in the soak

The fake endpoints write the last refusal on a connection once more before the answer to a request that they run, with the ID of the refused request or without one, and orders after a conflict likewise. No check is changed.

--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -83,7 +83,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: ep}
+	server := &http.Server{
+		Handler:     ep,
+		ConnContext: withRefusals,
+	}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	if service == "shop" || service == "llm" {
@@ -183,8 +186,7 @@
 	ep.mu.Unlock()
 	w.Header().Set(platform.HeaderInstanceID, id)
 	if expected := r.Header.Get(platform.HeaderExpectInstance); expected != "" && expected != id {
-		w.Header().Set(platform.HeaderNotExecuted, "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		refuse(w, r, http.StatusMisdirectedRequest)
 		return
 	}
 	switch r.URL.Path {
@@ -201,8 +203,7 @@
 		w.Header().Set(platform.HeaderLimit, strconv.FormatFloat(limit, 'f', 1, 64))
 	}
 	if model := r.Header.Get(platform.HeaderModel); model != "" && !slices.Contains(models, model) {
-		w.Header().Set(platform.HeaderNotExecuted, "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		refuse(w, r, http.StatusMisdirectedRequest)
 		return
 	}
 	if !drainingSince.IsZero() {
@@ -214,10 +215,10 @@
 		if rand.IntN(2) == 0 {
 			w.Header().Set(platform.HeaderRetryAfter, "0.7")
 		}
-		w.Header().Set(platform.HeaderNotExecuted, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w, r, http.StatusServiceUnavailable)
 		return
 	}
+	repeatRefusal(r)
 	ep.serve(w, r, id, version)
 }
 
@@ -284,7 +285,12 @@
 		})
 		panic(http.ErrAbortHandler)
 	}
-	w.WriteHeader(ep.applyOrder(o.Op, o.Model, o.Precondition))
+	repeatRefusal(r)
+	status := ep.applyOrder(o.Op, o.Model, o.Precondition)
+	if status == http.StatusConflict {
+		rememberRefusal(r, status)
+	}
+	w.WriteHeader(status)
 }
 
 func (ep *fakeEndpoint) currentID() string {
