--- a/internal/plat/engine_test.go
+++ b/internal/plat/engine_test.go
@@ -1,60 +1,22 @@
-package plat
+package plat_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+
+	"dogwoodfold/internal/fakes"
+	"dogwoodfold/internal/plat"
 )
 
 // repeatingEngine answers reports with their number and carries out all orders but the first
-// on each connection. On a kept connection it writes its first response once more before each
-// further one.
+// on each connection.
 type repeatingEngine struct {
-	listener net.Listener
-	reports  atomic.Uint64
-	orders   atomic.Uint64
-}
-
-func newRepeatingEngine(t *testing.T) *repeatingEngine {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	e := &repeatingEngine{listener: listener}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(conn)
-		}
-	}()
-	return e
-}
-
-func (e *repeatingEngine) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	first := ""
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		response := e.respond(request, first == "")
-		_, _ = io.WriteString(conn, first+response)
-		if first == "" {
-			first = response
-		}
-	}
+	reports atomic.Uint64
+	orders  atomic.Uint64
 }
 
 func (e *repeatingEngine) respond(r *http.Request, first bool) string {
@@ -72,16 +34,23 @@
 // Guards against taking an engine's repeat of an earlier response for its newest report, or
 // for the refusal of an order that it carries out.
 func TestRepeatedResponseIsNotTheEnginesNextOne(t *testing.T) {
-	e := newRepeatingEngine(t)
-	base := "http://" + e.listener.Addr().String()
-	reports, orders := NewHTTPEngine(base), NewHTTPEngine(base)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var e repeatingEngine
+	server := &fakes.Repeater{Respond: e.respond}
+	go server.Serve(listener)
+	base := "http://" + listener.Addr().String()
+	reports, orders := plat.NewHTTPEngine(base), plat.NewHTTPEngine(base)
 	for i := range 3 {
 		report, err := reports.Report(context.Background())
 		if newest := e.reports.Load(); err != nil || report.Sequence != newest {
 			t.Errorf("report %d: got number %d and error %v, want %d", i, report.Sequence, err, newest)
 		}
 		before := e.orders.Load()
-		if err := orders.Order(context.Background(), Order{}); err != nil && e.orders.Load() > before {
+		if err := orders.Order(context.Background(), plat.Order{}); err != nil && e.orders.Load() > before {
 			t.Errorf("order %d is carried out, the error is %v", i, err)
 		}
 	}
