Simulate adapters on their way to engines, and shifts of what is requested

The planner's simulation knew no adapters in transit, which take places and memory until they arrive, and little memory for adapters; evictions ended once each model had an engine. TestAdaptersInTransitNeverOvercommit has adapters that arrive up to 6 s late, models that are unloaded meanwhile and less memory than places for adapters.

The simulated engine has a file of its own now.

--- a/internal/stock/sim_test.go
+++ b/internal/stock/sim_test.go
@@ -28,130 +28,6 @@
 	return spec
 }
 
-// engineState is the state that an engine reports at a point in time.
-type engineState struct {
-	at       time.Time
-	busy     bool
-	accepted int64
-	holdings []topo.Holding
-}
-
-// simEngine simulates a model engine. It checks the expected number of accepted
-// orders. A real engine crashes if it is ordered to hold more than it can; this one
-// fails the test.
-type simEngine struct {
-	t         *rapid.T
-	id        string
-	spec      *topo.EngineSpec
-	accepted  int64
-	models    map[string]map[string]bool
-	loading   string
-	unloading string
-	busyUntil time.Time
-	history   []engineState
-	// pendingRemovals are unloaded adapters that requests still use.
-	pendingRemovals []pendingRemoval
-}
-
-type pendingRemoval struct {
-	at     time.Time
-	target Artifact
-}
-
-func (e *simEngine) step(now time.Time) {
-	if !now.Before(e.busyUntil) {
-		if e.loading != "" {
-			e.models[e.loading] = map[string]bool{}
-		}
-		if e.unloading != "" {
-			delete(e.models, e.unloading)
-		}
-		e.loading, e.unloading = "", ""
-	}
-	e.pendingRemovals = slices.DeleteFunc(e.pendingRemovals, func(r pendingRemoval) bool {
-		if now.Before(r.at) {
-			return false
-		}
-		delete(e.models[r.target.Model], r.target.Adapter)
-		return true
-	})
-	s := engineState{at: now, busy: now.Before(e.busyUntil), accepted: e.accepted}
-	for _, m := range slices.Sorted(maps.Keys(e.models)) {
-		s.holdings = append(s.holdings, topo.Holding{Model: m, Adapters: slices.Sorted(maps.Keys(e.models[m]))})
-	}
-	e.history = append(e.history, s)
-}
-
-// stateAt returns the last state of the engine that is not newer than t.
-func (e *simEngine) stateAt(t time.Time) engineState {
-	latest := e.history[0]
-	for _, s := range e.history {
-		if !s.at.After(t) {
-			latest = s
-		}
-	}
-	return latest
-}
-
-func (e *simEngine) adapterCount() int {
-	n := 0
-	for _, a := range e.models {
-		n += len(a)
-	}
-	return n
-}
-
-// handleOrder executes an order or rejects it.
-func (e *simEngine) handleOrder(now time.Time, o Order) Outcome {
-	if now.Before(e.busyUntil) || o.ExpectedAccepted != e.accepted {
-		return Conflict
-	}
-	if o.Adapter != "" {
-		return e.handleAdapterOrder(now, o)
-	}
-	_, held := e.models[o.Model]
-	if held == o.Load {
-		return AlreadyApplied
-	}
-	e.accepted++
-	if !o.Load {
-		e.unloading = o.Model
-		e.busyUntil = now.Add(100 * time.Millisecond)
-		return Accepted
-	}
-	if (len(e.models)+1)*60 > 200 {
-		e.t.Fatalf("%s was ordered to load %s in addition to %v", e.id, o.Model, slices.Sorted(maps.Keys(e.models)))
-	}
-	e.loading = o.Model
-	source := rapid.SampledFrom([]int{200, 400, 900}).Draw(e.t, "load time")
-	e.busyUntil = now.Add(time.Duration(source) * time.Millisecond)
-	return Accepted
-}
-
-func (e *simEngine) handleAdapterOrder(now time.Time, o Order) Outcome {
-	adapters, held := e.models[o.Model]
-	if !held {
-		return Refused
-	}
-	if adapters[o.Adapter] == o.Load {
-		return AlreadyApplied
-	}
-	e.accepted++
-	if !o.Load && rapid.Bool().Draw(e.t, "in use") {
-		e.pendingRemovals = append(e.pendingRemovals, pendingRemoval{at: now.Add(800 * time.Millisecond), target: o.Artifact})
-		return Accepted
-	}
-	if !o.Load {
-		delete(adapters, o.Adapter)
-		return AlreadyApplied
-	}
-	if e.adapterCount() >= e.spec.AdapterSlots {
-		e.t.Fatalf("%s was ordered to load adapter %v in addition to %d", e.id, o.Artifact, e.adapterCount())
-	}
-	adapters[o.Adapter] = true
-	return Accepted
-}
-
 // scheduledCall is a call to make at a point in time.
 type scheduledCall struct {
 	at  time.Time
@@ -263,7 +139,9 @@
 	s := w.engines[id].stateAt(w.now.Add(-200 * time.Millisecond))
 	sentAt := w.now
 	w.tellPlanner(simStep, func() {
-		w.planner.HandleReport(w.now, sentAt, id, Report{Busy: s.busy, AcceptedOrders: s.accepted, Holdings: s.holdings})
+		w.planner.HandleReport(w.now, sentAt, id, Report{
+			Busy: s.busy, AcceptedOrders: s.accepted, Holdings: s.holdings, IncomingAdapters: s.incoming,
+		})
 	})
 }
 
@@ -278,28 +156,71 @@
 // TestEnginesAreNeverOvercommitted checks that no engine is ordered to hold more than
 // it can while demand shifts, planners replace each other, and orders are lost or
 // executed up to 12 s late.
-func TestEnginesAreNeverOvercommitted(t *testing.T) { checkNeverOvercommitted(t, false) }
+func TestEnginesAreNeverOvercommitted(t *testing.T) {
+	checkNeverOvercommitted(t, simDay{spec: testSpec()})
+}
 
 // TestStalledPlannerNeverOvercommits checks the same while the planner's process stalls
 // for up to 5 s at any point between a plan, the sending of its orders and their answers.
-func TestStalledPlannerNeverOvercommits(t *testing.T) { checkNeverOvercommitted(t, true) }
+func TestStalledPlannerNeverOvercommits(t *testing.T) {
+	checkNeverOvercommitted(t, simDay{spec: testSpec(), stalls: true})
+}
+
+// TestAdaptersInTransitNeverOvercommit checks the same while adapters are on their way for up
+// to 6 s, also to models that are unloaded meanwhile because others are requested. Adapters
+// and models share memory that is scarce.
+func TestAdaptersInTransitNeverOvercommit(t *testing.T) {
+	spec := testSpec()
+	for _, m := range spec.Models {
+		m.AdapterSizeMB = 8
+	}
+	for _, stalls := range []bool{false, true} {
+		checkNeverOvercommitted(t, simDay{spec: spec, maxTransit: 6 * time.Second, shiftSteps: 100, stalls: stalls})
+	}
+}
 
-func checkNeverOvercommitted(t *testing.T, stalls bool) {
+// simDay says what happens to the engines and the planner of a simulation.
+type simDay struct {
+	spec       *topo.EngineSpec
+	maxTransit time.Duration
+	// shiftSteps is after how many steps other models are requested than before. If it is
+	// 0, all models are requested all the time.
+	shiftSteps int
+	// stalls is true if the planner's process stalls.
+	stalls bool
+}
+
+// requestedModels returns the models that are requested until the next shift.
+func (d *simDay) requestedModels(t *rapid.T) []string {
+	models := []string{"a", "b", "c", "d", "e"}
+	if d.shiftSteps == 0 {
+		return models
+	}
+	first := rapid.IntRange(0, len(models)-2).Draw(t, "first model")
+	return models[first : first+2]
+}
+
+func checkNeverOvercommitted(t *testing.T, day simDay) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := &simWorld{t: rt, now: startTime, engines: map[string]*simEngine{}, stalls: stalls}
+		w := &simWorld{t: rt, now: startTime, engines: map[string]*simEngine{}, stalls: day.stalls}
 		for _, id := range []string{"e1", "e2"} {
 			w.engines[id] = &simEngine{
-				t: rt, id: id, spec: testSpec(), models: map[string]map[string]bool{"a": {}, "b": {}},
+				t: rt, id: id, spec: day.spec, models: map[string]map[string]bool{"a": {}, "b": {}},
+				maxTransit: day.maxTransit,
 			}
 			w.engines[id].step(w.now)
 		}
 		w.planner = NewPlanner(w.now, DefaultSettings(5*time.Second), true)
+		models := day.requestedModels(rt)
 		for i := range 1000 {
+			if day.shiftSteps > 0 && i%day.shiftSteps == 0 {
+				models = day.requestedModels(rt)
+			}
 			if i%30 == 0 {
 				w.updateRegistry(time.Duration(rapid.IntRange(800, 2600).Draw(rt, "lag")) * time.Millisecond)
 			}
 			if i%5 == 0 {
-				a := Artifact{Model: rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(rt, "model")}
+				a := Artifact{Model: rapid.SampledFrom(models).Draw(rt, "model")}
 				if rapid.Bool().Draw(rt, "adapter") {
 					a.Adapter = rapid.SampledFrom([]string{"1", "2", "3", "4"}).Draw(rt, "adapter name")
 				}
