--- /dev/null
+++ b/internal/agent/response.go
@@ -0,0 +1,175 @@
+package agent
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/wire/wirepb"
+	"dogwoodfold/pkg/fault"
+)
+
+const (
+	// maxResponseBytes is the size from which a response counts as one without end.
+	maxResponseBytes = 32 << 20
+	// minReadBytes is what each part that arrives counts as at least, so that tiny
+	// chunks don't take long to reach maxResponseBytes.
+	minReadBytes = 256
+)
+
+// refusalBody is the body of an engine's response to a request that it has not
+// started.
+type refusalBody struct {
+	Error struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+// headerEndpointNotRun is the header that an endpoint sets in its response to a
+// request that it did not run.
+const headerEndpointNotRun = "Endpoint-Not-Run"
+
+// refusalError returns an error if the response says that the endpoint did not
+// run the request.
+func refusalError(response *fasthttp.Response) error {
+	if len(response.Header.Peek(headerEndpointNotRun)) == 0 {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(response.BodyStream(), maxResponseHead))
+	if err != nil {
+		return fault.Wrap(err, fault.NotRun, fault.CodeEndpoint)
+	}
+	var refusal refusalBody
+	if err := json.Unmarshal(body, &refusal); err != nil || refusal.Error.Code == "" {
+		return fault.New(fault.NotRun, fault.CodeBusy, "the endpoint refused the request")
+	}
+	return fault.New(fault.NotRun, fault.CodeBusy, "the endpoint refused the request: "+refusal.Error.Code)
+}
+
+// forwardResponse forwards a response and checks that it is complete.
+func forwardResponse(response *fasthttp.Response, stream bool, send frameSink) error {
+	head := &wirepb.Head{Status: uint32(response.StatusCode())}
+	head.Headers = []*wirepb.Header{{
+		Name:  "Content-Type",
+		Value: string(response.Header.ContentType()),
+	}}
+	if err := send(&wirepb.CallFrame{Head: head}); err != nil {
+		return fault.Wrap(err, fault.Ran, fault.CodeLink)
+	}
+	tail := newResponseTail(stream && response.StatusCode() == fasthttp.StatusOK)
+	total, err := copyBody(response.BodyStream(), tail, send)
+	if err != nil {
+		return err
+	}
+	if err := checkComplete(response, tail, total); err != nil {
+		return err
+	}
+	prompt, completion := tail.usage()
+	end := &wirepb.End{
+		Bytes:            total,
+		PromptTokens:     prompt,
+		CompletionTokens: completion,
+	}
+	if err := send(&wirepb.CallFrame{End: end}); err != nil {
+		return fault.Wrap(err, fault.Ran, fault.CodeLink)
+	}
+	return nil
+}
+
+// checkComplete returns an error unless the response is complete. One that has
+// neither a length nor chunks ends with its connection; a reset is an error of the
+// read before.
+func checkComplete(response *fasthttp.Response, tail *responseTail, total uint64) error {
+	if !tail.isComplete() {
+		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended early")
+	}
+	length := response.Header.ContentLength()
+	if length >= 0 && uint64(length) != total {
+		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer was cut")
+	}
+	return nil
+}
+
+func copyBody(body io.Reader, tail *responseTail, send frameSink) (total uint64, err error) {
+	buffer := make([]byte, readBufferSize)
+	counted := 0
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			total += uint64(n)
+			if counted += max(n, minReadBytes); counted > maxResponseBytes {
+				return total, fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer has no end")
+			}
+			tail.write(buffer[:n])
+			data := &wirepb.CallFrame{Data: buffer[:n]}
+			if err := send(data); err != nil {
+				return total, fault.Wrap(err, fault.MayHaveRun, fault.CodeLink)
+			}
+		}
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return total, nil
+		}
+		if err != nil {
+			return total, fault.Wrap(err, fault.MayHaveRun, fault.CodeCut)
+		}
+	}
+}
+
+// tailSize is large enough for the last events of a stream, including usage.
+const tailSize = 4 << 10
+
+// doneEvent ends every complete event stream of a model engine.
+var doneEvent = []byte("data: [DONE]\n\n")
+
+// responseTail keeps the end of a response body and counts its events.
+type responseTail struct {
+	stream     bool
+	eventCount uint32
+	buffer     []byte
+}
+
+func newResponseTail(stream bool) *responseTail { return &responseTail{stream: stream} }
+
+func (t *responseTail) write(p []byte) {
+	if t.stream {
+		t.eventCount += uint32(bytes.Count(p, []byte("\n\n")))
+	}
+	t.buffer = append(t.buffer, p...)
+	if excess := len(t.buffer) - tailSize; excess > tailSize {
+		t.buffer = append(t.buffer[:0], t.buffer[excess:]...)
+	}
+}
+
+// isComplete reports whether a stream has ended with doneEvent. It is always
+// true for other responses.
+func (t *responseTail) isComplete() bool {
+	return !t.stream || bytes.HasSuffix(t.buffer, doneEvent)
+}
+
+// usageBody is the part of a model engine's response that reports token usage.
+type usageBody struct {
+	Usage struct {
+		PromptTokens     uint32 `json:"prompt_tokens"`
+		CompletionTokens uint32 `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+// usage returns the token counts that the engine reported. If it reported none,
+// the completion tokens are estimated from the number of events.
+func (t *responseTail) usage() (prompt, completion uint32) {
+	object := t.buffer
+	if t.stream {
+		events, _, _ := bytes.Cut(t.buffer, doneEvent)
+		events = bytes.TrimRight(events, "\n")
+		object = events[bytes.LastIndexByte(events, '\n')+1:]
+		object = bytes.TrimPrefix(object, []byte("data: "))
+	}
+	var body usageBody
+	if err := json.Unmarshal(object, &body); err != nil || body.Usage.CompletionTokens == 0 {
+		return 0, max(t.eventCount, 1) - 1
+	}
+	return body.Usage.PromptTokens, body.Usage.CompletionTokens
+}
