--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -11,6 +11,35 @@
 	"dogwoodfold/pkg/fault"
 )
 
+// modelList is the response to GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	// Created is always 0: the configuration doesn't say when a model was created.
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels lists the models that the customer may use.
+func (s *Server) serveModels(ctx *fasthttp.RequestCtx) {
+	snapshot := s.index.Load()
+	if snapshot == nil {
+		writeError(ctx, fault.New(fault.NotRun, fault.CodeNotReady, "this entry has no configuration yet"))
+		return
+	}
+	list, err := listModels(snapshot, presentedKey(ctx))
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	writeJSON(ctx, list)
+}
+
 // listModels returns the models and adapters that the customer of an API key
 // may use.
 func listModels(index *config.Index, key []byte) (modelList, error) {
