Keep sessions and exchanges apart from the server in internal/entry

server.go builds and runs the entry; the sessions to agents are in session.go, the calls that callers wait for in exchange.go. No change of behaviour.

--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -1,69 +1,15 @@
 package entry
 
 import (
-	"net"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
-	"dogwoodfold/internal/wire"
 	"dogwoodfold/internal/wire/wirepb"
-	"dogwoodfold/pkg/config"
 	"dogwoodfold/pkg/fault"
 )
 
-// exchange is a caller's request and its response.
-type exchange struct {
-	*resolvedRequest
-	ctx      *fasthttp.RequestCtx
-	conn     net.Conn
-	started  time.Time
-	effects  chan Effect
-	host     string
-	attempts int
-	// latencyTarget, firstTokenLatency and eventCount determine whether the
-	// call met its service's latency target.
-	latencyTarget     config.Target
-	firstTokenLatency time.Duration
-	eventCount        int
-
-	mu        sync.Mutex
-	wireCall  *wire.Call
-	cancelErr error
-}
-
-// cancel ends the running attempt; the caller gets err.
-func (ex *exchange) cancel(err error) {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	ex.cancelErr = err
-	if ex.wireCall != nil {
-		_ = ex.wireCall.Close() // unblocks the reader
-	}
-}
-
-// setCall records the stream of the running attempt. It returns the error of an
-// earlier cancel.
-func (ex *exchange) setCall(call *wire.Call) error {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	ex.wireCall = call
-	return ex.cancelErr
-}
-
-// cancelCause returns the error with which the attempt was canceled, if it was,
-// and otherwise err.
-func (ex *exchange) cancelCause(err error) error {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	if err != nil && ex.cancelErr != nil {
-		return ex.cancelErr
-	}
-	return err
-}
-
 // handleRequest serves one HTTP request.
 func (s *Server) handleRequest(ctx *fasthttp.RequestCtx) {
 	if s.stopping.Load() {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -189,101 +189,6 @@
 	writeError(ctx, fault.New(fault.NotRun, code, message))
 }
 
-func (s *Server) dial(ctx context.Context, host plat.Host) (*wire.Session, error) {
-	return wire.Dial(ctx, host.Address, s.options.Hello, s.options.TLS)
-}
-
-func (s *Server) sessionUp(host plat.Host, session *wire.Session) {
-	s.mu.Lock()
-	s.sessions[host.Name] = session
-	s.mu.Unlock()
-	s.loop.Post(SessionOpened{
-		Host:  host.Name,
-		Hello: session.Peer(),
-	})
-}
-
-func (s *Server) sessionDown(host plat.Host, session *wire.Session) {
-	s.mu.Lock()
-	if s.sessions[host.Name] == session {
-		delete(s.sessions, host.Name)
-	}
-	s.mu.Unlock()
-	s.loop.Post(SessionClosed{
-		Host:        host.Name,
-		Incarnation: session.Peer().GetIncarnation(),
-	})
-}
-
-// maxLinkErrorLines is the most log lines about links in a second. A host that is gone is
-// dialed again and again.
-const maxLinkErrorLines = 10
-
-// logLinkError logs why a link to an agent could not be opened or has ended.
-func (s *Server) logLinkError(host plat.Host, err error) {
-	s.linkLog.Warn().Err(err).Str("host", host.Name).Msg("entry: link failed or ended")
-}
-
-func (s *Server) receiveMessage(host plat.Host, session *wire.Session, message *wirepb.Envelope) {
-	s.loop.Post(MessageReceived{
-		Host:        host.Name,
-		Incarnation: session.Peer().GetIncarnation(),
-		Message:     message,
-	})
-}
-
-// session returns the session to an incarnation of a host, nil if there is
-// none.
-func (s *Server) session(host string, incarnation uint64) *wire.Session {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	session, ok := s.sessions[host]
-	if !ok || session.Peer().GetIncarnation() != incarnation {
-		return nil
-	}
-	return session
-}
-
-func (s *Server) register(ex *exchange) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.exchanges[ex.call.ID] = ex
-}
-
-func (s *Server) findExchange(id string) *exchange {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.exchanges[id]
-}
-
-// endExchange removes a call and records its end.
-func (s *Server) endExchange(ex *exchange, err error) {
-	s.mu.Lock()
-	delete(s.exchanges, ex.call.ID)
-	s.mu.Unlock()
-	s.recordEnd(ex, err)
-}
-
-// recordEnd updates the metrics and writes the log entry of a call.
-func (s *Server) recordEnd(ex *exchange, err error) {
-	now := time.Now()
-	s.metrics.recordRequest(ex, err, now)
-	event := s.options.Logger.Info()
-	verdict := fault.Ran
-	if err != nil {
-		verdict = fault.VerdictOf(err)
-		event = event.Str("code", string(fault.CodeOf(err))).Str("cause", err.Error())
-	}
-	event.Str("id", ex.call.ID).
-		Str("customer", ex.call.Customer).
-		Str("service", ex.call.Route.Service).
-		Str("endpoint", ex.host).
-		Int("attempts", ex.attempts).
-		Stringer("verdict", verdict).
-		Dur("took", now.Sub(ex.started)).
-		Msg("entry: call ended")
-}
-
 // perform carries out one effect.
 func (s *Server) perform(effect Effect) {
 	switch e := effect.(type) {
@@ -319,26 +224,6 @@
 	}
 }
 
-// sendEffect passes an effect to the goroutine that serves a call. It drops
-// effects for a call whose response stream has begun, which are no longer read.
-func (s *Server) sendEffect(id string, effect Effect) {
-	if ex := s.findExchange(id); ex != nil {
-		select {
-		case ex.effects <- effect:
-		default:
-		}
-	}
-}
-
-func (s *Server) sendMessage(host string, message *wirepb.Envelope) {
-	s.mu.Lock()
-	session := s.sessions[host]
-	s.mu.Unlock()
-	if session != nil {
-		session.Send(message)
-	}
-}
-
 func (s *Server) runTicker(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.loop.Post(Tick{})
