--- a/internal/gate/recorded.go
+++ b/internal/gate/recorded.go
@@ -15,8 +15,6 @@
 	// streamRecordInterval is the time between two records of the lease while several
 	// versions serve and streams begin.
 	streamRecordInterval = 200 * time.Millisecond
-	// startReportInterval is the same for an entry's reports to the leader.
-	startReportInterval = 100 * time.Millisecond
 )
 
 // lastRecord is what is known of the record of the lease that this entry sent last.
@@ -85,16 +83,6 @@
 	}
 }
 
-// startsDue reports whether the leader must be told of streams before the regular report.
-func (c *Core) startsDue(now time.Time) bool {
-	f := &c.follower
-	sinceLast := now.Sub(f.reportedAt)
-	if f.reportsSoon && sinceLast >= minReportInterval {
-		return true
-	}
-	return f.startsReported < c.streams.own.count && sinceLast >= startReportInterval && c.streamVersionsDiffer(now)
-}
-
 // recorded returns the streams for a record of the lease, the newest first. One that was only
 // assigned is not among them: it may begin at another version.
 func (t *streamTable) recorded(now time.Time) []lease.BegunStreams {
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -18,7 +18,11 @@
 
 // reportIfDue sends the regular report to the leader, sooner if it tells of streams.
 func (c *Core) reportIfDue(now time.Time) {
-	if c.leaderLink.connected && (now.Sub(c.follower.reportedAt) >= reportInterval || c.startsDue(now)) {
+	interval := reportInterval
+	if c.follower.reportsSoon {
+		interval = minReportInterval
+	}
+	if c.leaderLink.connected && now.Sub(c.follower.reportedAt) >= interval {
 		c.sendReport(now)
 	}
 }
--- a/internal/soak/power_test.go
+++ b/internal/soak/power_test.go
@@ -168,7 +168,7 @@
 		sent.id = fmt.Sprintf("%s-%d", stream.firstRequest, random.Uint32())
 	}
 	p.history.recordRequest(sent)
-	status, err := p.sendRequest(ctx, client, p.entries[random.IntN(entryCount)].frontAddress, sent)
+	status, err := p.sendRequest(ctx, client, p.entries[random.IntN(len(p.entries))].frontAddress, sent)
 	p.history.recordStatus(sent, status)
 	if stream.lastEvent == before {
 		pause := max(min(sent.retryAfter, requestTimeout/3), 150*time.Millisecond)
