Record the streams from before a second version as soon as it comes

If all entries lost power within 0.7 s after the second software version of an engine appeared, no stream could be taken up: the leader's record from before that moment names none, and only a stream that began afterwards hastened the next one.

The streams of a record that names none now count as unrecorded.

TestSecondVersionHastensRecord failed before: "appended false, with the streams []".

--- a/internal/gate/recorded.go
+++ b/internal/gate/recorded.go
@@ -24,7 +24,8 @@
 	sentAt time.Time
 	// appended is true once the log has acknowledged it.
 	appended bool
-	// begun is the number of beginnings of streams that it could name.
+	// begun is the number of beginnings of streams up to which it names them, 0 if it names
+	// none.
 	begun uint64
 }
 
@@ -32,11 +33,9 @@
 // streams that clients may take up then.
 func (c *Core) recordStreams(now time.Time, record *lease.Record) {
 	record.Versions = c.recordedVersions(now)
-	c.lastRecord = lastRecord{
-		sentAt: now,
-		begun:  c.streams.begun.count,
-	}
+	c.lastRecord = lastRecord{sentAt: now}
 	if c.streamVersionsDiffer(now) {
+		c.lastRecord.begun = c.streams.begun.count
 		record.Streams = c.streams.recorded(now)
 	}
 }
--- a/internal/gate/recorded_test.go
+++ b/internal/gate/recorded_test.go
@@ -163,3 +163,25 @@
 		}
 	}
 }
+
+// Streams that began while all engines had one version are in no record: a second version must
+// bring them into one soon.
+func TestSecondVersionHastensRecord(t *testing.T) {
+	h := newLeaderHarness(t)
+	h.advance(h.core.settings.Lease.RenewalInterval)
+	h.core.streams.recordOwn(h.now, newStreamKey("r"), "v1")
+	appended, ok := findEffect[AppendLease](h.apply(Tick{}))
+	if !ok || len(appended.Record.Streams) > 0 {
+		t.Fatalf("appended %t, %+v", ok, appended.Record)
+	}
+	h.apply(LeaseAppendEnded{
+		Record: appended.Record,
+		Offset: appended.Offset,
+		Result: AppendDone,
+	})
+	h.endpoints(versionedEngine("llm-2", "v2"))
+	h.advance(streamRecordInterval)
+	if appended, ok = findEffect[AppendLease](h.apply(Tick{})); !ok || len(appended.Record.Streams) == 0 {
+		t.Errorf("appended %t, with the streams %+v", ok, appended.Record.Streams)
+	}
+}
