--- a/internal/edge/ending_test.go
+++ b/internal/edge/ending_test.go
@@ -146,3 +146,16 @@
 		t.Errorf("a stream that ended before its first event looked complete: %+v", r)
 	}
 }
+
+// A stream of a route that can't be resumed is asked for with a Last-Event-Id: its endpoint
+// may begin it anew, or go on.
+func TestStreamThatCannotBeResumedMayBeginAnew(t *testing.T) {
+	f := newFixture(t)
+	for _, body := range []string{events(1, 3, "\n"), events(3, 5, "\n")} {
+		f.streamRaw(framedByChunks, func(string) string { return body }, false)
+		r := f.send(context.Background(), "POST", "/chat/1", platform.HeaderModel, "m", platform.HeaderLastEventID, "2")
+		if r.status != http.StatusOK || r.err != nil || r.body != body {
+			t.Errorf("unexpected response %+v", r)
+		}
+	}
+}
