Tell the leader at once of a stream that begins anew

Seen failing before: TestLeaderIsToldAtOnceOfStreamThatBeginsAnew 'the leader knows version "v1", want v2'.

--- a/internal/gate/assigned_version_test.go
+++ b/internal/gate/assigned_version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"dogwoodfold/internal/wire/wirepb"
 )
@@ -53,3 +54,33 @@
 		t.Errorf("stream of %s resumed at %s", first.SoftwareVersion, second.SoftwareVersion)
 	}
 }
+
+// A stream that had begun at one endpoint without any event begins anew at another version: the leader
+// was told of the first beginning and must be told of the second at once, since it would be wrong.
+func TestLeaderIsToldAtOnceOfStreamThatBeginsAnew(t *testing.T) {
+	f := newEntryFleet(t)
+	call, first := f.request("front-3", &Request{ID: "r"})
+	f.apply("front-3", FirstByteReceived{Call: call})
+	other, _ := f.request("front-3", &Request{ID: "s"})
+	f.tick()
+	for _, ep := range f.cores["front-3"].sortedEndpoints() {
+		if ep.SoftwareVersion == first.SoftwareVersion {
+			ep.stats.RecordRetryAfter(f.now, unusableTime)
+		}
+	}
+	f.effects["front-3"] = nil
+	f.apply("front-3", AttemptEnded{Call: call, Result: Result{Outcome: OutcomeMayHaveRun, Reason: ReasonReset}})
+	second, sent := findEffect[Send](f.effects["front-3"])
+	if !sent || second.SoftwareVersion == first.SoftwareVersion {
+		t.Fatalf("not sent on to the other version: %+v", f.effects["front-3"])
+	}
+	f.apply("front-3", FirstByteReceived{Call: other}) // is reported
+	f.apply("front-3", FirstByteReceived{Call: call})
+	version, _, known := f.cores["front-1"].streams.lookup(f.now, newStreamKey("r"))
+	if !known || version != second.SoftwareVersion {
+		t.Errorf("the leader knows version %q, want %s", version, second.SoftwareVersion)
+	}
+}
+
+// unusableTime is how long an entry of a test sends nothing to an endpoint.
+const unusableTime = 2 * time.Second
--- a/internal/gate/streams.go
+++ b/internal/gate/streams.go
@@ -24,7 +24,10 @@
 		return
 	}
 	c.streams.recordOwn(now, key, call.endpoint.SoftwareVersion)
-	if c.versionsDiffer(now, call.service) {
+	switch {
+	case len(call.triedEndpoints) > 1:
+		c.sendReport(now) // the leader may know of a beginning at another version
+	case c.versionsDiffer(now, call.service):
 		c.reportSoon(now)
 	}
 }
