--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -1,10 +1,7 @@
 package agent
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -18,28 +15,20 @@
 const (
 	dialTimeout = 2 * time.Second
 	// probeTimeout bounds the connection that shows whether the endpoint still runs.
-	probeTimeout = 500 * time.Millisecond
-	// idleTimeout is kept short so that an endpoint rarely closes a connection
-	// at the moment it is reused.
-	idleTimeout     = 2 * time.Second
+	probeTimeout    = 500 * time.Millisecond
 	readBufferSize  = 16 << 10
 	maxResponseHead = 64 << 10
-	// maxResponseBytes is the size from which a response counts as one without end.
-	maxResponseBytes = 32 << 20
-	// minReadBytes is what each part that arrives counts as at least, so that tiny
-	// chunks don't take long to reach maxResponseBytes.
-	minReadBytes = 256
 )
 
 // errConnect marks a failure that occurred before any byte of the request was
 // sent.
 var errConnect = errors.New("endpoint can't be reached")
 
-// endpointClient sends calls to the endpoint over a pool of connections.
+// endpointClient sends calls to the endpoint, each on a connection of its own: responses
+// carry nothing that tells them from an earlier one that the endpoint repeats.
 type endpointClient struct {
-	address   string
-	mu        sync.Mutex
-	idleConns []*endpointConn
+	address string
+	mu      sync.Mutex
 	// endedRuns counts the runs of the endpoint that were seen to end, down is true
 	// from such an end to the next connection.
 	endedRuns uint64
@@ -49,26 +38,24 @@
 // newEndpointClient returns a client for the endpoint at host:port.
 func newEndpointClient(address string) *endpointClient { return &endpointClient{address: address} }
 
-// endpointConn is one connection to the endpoint. Closing it cancels the
-// request on it.
+// endpointConn is the connection of one call to the endpoint. Closing it cancels the
+// call.
 type endpointConn struct {
 	client   *fasthttp.HostClient
 	endpoint *endpointClient
 	mu       sync.Mutex
 	netConn  net.Conn
 	canceled bool
-	// reusable is set after a complete response by the goroutine that runs the
-	// call.
-	reusable bool
 }
 
-func newEndpointConn(endpoint *endpointClient) *endpointConn {
-	conn := &endpointConn{endpoint: endpoint}
+// newConn returns a connection for one call. It is opened when the call is run, so a
+// failure to dial it proves that nothing has run.
+func (c *endpointClient) newConn() *endpointConn {
+	conn := &endpointConn{endpoint: c}
 	conn.client = &fasthttp.HostClient{
-		Addr:                      endpoint.address,
+		Addr:                      c.address,
 		Dial:                      conn.dial,
 		MaxConns:                  1,
-		MaxIdleConnDuration:       idleTimeout,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		StreamResponseBody:        true,
@@ -103,36 +90,6 @@
 	}
 }
 
-// acquire returns an idle connection or, if newConn is set, always a new one.
-// The endpoint can't have closed a new connection before the request, so a
-// failure to dial it proves that nothing has run.
-func (c *endpointClient) acquire(newConn bool) *endpointConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if n := len(c.idleConns); n > 0 && !newConn {
-		conn := c.idleConns[n-1]
-		c.idleConns = c.idleConns[:n-1]
-		return conn
-	}
-	return newEndpointConn(c)
-}
-
-// release returns a connection to the idle pool if its last response was
-// complete. The request and response must have been released, and the
-// connection must no longer be canceled by anyone.
-func (c *endpointClient) release(conn *endpointConn) {
-	conn.mu.Lock()
-	reusable := conn.reusable && !conn.canceled
-	conn.reusable = false
-	conn.mu.Unlock()
-	if !reusable {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idleConns = append(c.idleConns, conn)
-}
-
 // frameSink receives the frames of a response.
 type frameSink func(*wirepb.CallFrame) error
 
@@ -151,14 +108,12 @@
 		return c.checkEnd(fault.Wrap(err, fault.MayHaveRun, fault.CodeEndpoint))
 	}
 	if err := refusalError(response); err != nil {
-		conn.reusable = true
 		return err
 	}
 	if err := forwardResponse(response, call.GetStream(), send); err != nil {
 		conn.cancel()
 		return c.checkEnd(err)
 	}
-	conn.reusable = true
 	return nil
 }
 
@@ -204,6 +159,7 @@
 // the entry has let through.
 func buildRequest(request *fasthttp.Request, call *wirepb.CallRequest, address string) {
 	request.Header.SetMethod(call.GetMethod())
+	request.Header.SetConnectionClose()
 	request.URI().DisablePathNormalizing = true
 	request.SetRequestURI("http://" + address + call.GetPath())
 	request.URI().SetQueryString(call.GetQuery())
@@ -223,157 +179,3 @@
 	}
 	return "u=2"
 }
-
-// refusalBody is the body of an engine's response to a request that it has not
-// started.
-type refusalBody struct {
-	Error struct {
-		Code string `json:"code"`
-	} `json:"error"`
-}
-
-// headerEndpointNotRun is the header that an endpoint sets in its response to a
-// request that it did not run.
-const headerEndpointNotRun = "Endpoint-Not-Run"
-
-// refusalError returns an error if the response says that the endpoint did not
-// run the request.
-func refusalError(response *fasthttp.Response) error {
-	if len(response.Header.Peek(headerEndpointNotRun)) == 0 {
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(response.BodyStream(), maxResponseHead))
-	if err != nil {
-		return fault.Wrap(err, fault.NotRun, fault.CodeEndpoint)
-	}
-	var refusal refusalBody
-	if err := json.Unmarshal(body, &refusal); err != nil || refusal.Error.Code == "" {
-		return fault.New(fault.NotRun, fault.CodeBusy, "the endpoint refused the request")
-	}
-	return fault.New(fault.NotRun, fault.CodeBusy, "the endpoint refused the request: "+refusal.Error.Code)
-}
-
-// forwardResponse forwards a response and checks that it is complete.
-func forwardResponse(response *fasthttp.Response, stream bool, send frameSink) error {
-	head := &wirepb.Head{Status: uint32(response.StatusCode())}
-	head.Headers = []*wirepb.Header{{
-		Name:  "Content-Type",
-		Value: string(response.Header.ContentType()),
-	}}
-	if err := send(&wirepb.CallFrame{Head: head}); err != nil {
-		return fault.Wrap(err, fault.Ran, fault.CodeLink)
-	}
-	tail := newResponseTail(stream && response.StatusCode() == fasthttp.StatusOK)
-	total, err := copyBody(response.BodyStream(), tail, send)
-	if err != nil {
-		return err
-	}
-	if err := checkComplete(response, tail, total); err != nil {
-		return err
-	}
-	prompt, completion := tail.usage()
-	end := &wirepb.End{
-		Bytes:            total,
-		PromptTokens:     prompt,
-		CompletionTokens: completion,
-	}
-	if err := send(&wirepb.CallFrame{End: end}); err != nil {
-		return fault.Wrap(err, fault.Ran, fault.CodeLink)
-	}
-	return nil
-}
-
-// checkComplete returns an error unless the response is complete. One that has
-// neither a length nor chunks ends with its connection; a reset is an error of the
-// read before.
-func checkComplete(response *fasthttp.Response, tail *responseTail, total uint64) error {
-	if !tail.isComplete() {
-		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended early")
-	}
-	length := response.Header.ContentLength()
-	if length >= 0 && uint64(length) != total {
-		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer was cut")
-	}
-	return nil
-}
-
-func copyBody(body io.Reader, tail *responseTail, send frameSink) (total uint64, err error) {
-	buffer := make([]byte, readBufferSize)
-	counted := 0
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			total += uint64(n)
-			if counted += max(n, minReadBytes); counted > maxResponseBytes {
-				return total, fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer has no end")
-			}
-			tail.write(buffer[:n])
-			data := &wirepb.CallFrame{Data: buffer[:n]}
-			if err := send(data); err != nil {
-				return total, fault.Wrap(err, fault.MayHaveRun, fault.CodeLink)
-			}
-		}
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return total, nil
-		}
-		if err != nil {
-			return total, fault.Wrap(err, fault.MayHaveRun, fault.CodeCut)
-		}
-	}
-}
-
-// tailSize is large enough for the last events of a stream, including usage.
-const tailSize = 4 << 10
-
-// doneEvent ends every complete event stream of a model engine.
-var doneEvent = []byte("data: [DONE]\n\n")
-
-// responseTail keeps the end of a response body and counts its events.
-type responseTail struct {
-	stream     bool
-	eventCount uint32
-	buffer     []byte
-}
-
-func newResponseTail(stream bool) *responseTail { return &responseTail{stream: stream} }
-
-func (t *responseTail) write(p []byte) {
-	if t.stream {
-		t.eventCount += uint32(bytes.Count(p, []byte("\n\n")))
-	}
-	t.buffer = append(t.buffer, p...)
-	if excess := len(t.buffer) - tailSize; excess > tailSize {
-		t.buffer = append(t.buffer[:0], t.buffer[excess:]...)
-	}
-}
-
-// isComplete reports whether a stream has ended with doneEvent. It is always
-// true for other responses.
-func (t *responseTail) isComplete() bool {
-	return !t.stream || bytes.HasSuffix(t.buffer, doneEvent)
-}
-
-// usageBody is the part of a model engine's response that reports token usage.
-type usageBody struct {
-	Usage struct {
-		PromptTokens     uint32 `json:"prompt_tokens"`
-		CompletionTokens uint32 `json:"completion_tokens"`
-	} `json:"usage"`
-}
-
-// usage returns the token counts that the engine reported. If it reported none,
-// the completion tokens are estimated from the number of events.
-func (t *responseTail) usage() (prompt, completion uint32) {
-	object := t.buffer
-	if t.stream {
-		events, _, _ := bytes.Cut(t.buffer, doneEvent)
-		events = bytes.TrimRight(events, "\n")
-		object = events[bytes.LastIndexByte(events, '\n')+1:]
-		object = bytes.TrimPrefix(object, []byte("data: "))
-	}
-	var body usageBody
-	if err := json.Unmarshal(object, &body); err != nil || body.Usage.CompletionTokens == 0 {
-		return 0, max(t.eventCount, 1) - 1
-	}
-	return body.Usage.PromptTokens, body.Usage.CompletionTokens
-}
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -4,12 +4,11 @@
 	"bufio"
 	"errors"
 	"io"
+	"mime"
 	"net/http/httputil"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
-
-	"dogwoodfold/platform"
 )
 
 // endpointResponse is an endpoint's response.
@@ -184,7 +183,11 @@
 	return b.atEnd && !b.closeDelimited && !h.ConnectionClose() && r.Buffered() == 0
 }
 
-// isResponseTo reports whether a response carries the ID of the given request.
-func isResponseTo(h *fasthttp.ResponseHeader, id string) bool {
-	return string(h.Peek(platform.HeaderRequestID)) == id
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// isEventStreamHead reports whether h is the head of a stream of events.
+func isEventStreamHead(h *fasthttp.ResponseHeader) bool {
+	mediaType, _, err := mime.ParseMediaType(string(h.Peek(fasthttp.HeaderContentType)))
+	return err == nil && mediaType == eventStreamType && h.StatusCode() == fasthttp.StatusOK
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -44,7 +44,7 @@
 	if remaining < minAttemptTimeout {
 		return notRunResult(gate.ReasonTimeout)
 	}
-	conn, err := s.pool.get(now, send.Endpoint, send.Address, remaining)
+	conn, err := s.pool.get(now, send.Endpoint, send.Address, in.request.ID, remaining)
 	if in.isDisconnected() {
 		if err == nil {
 			_ = conn.Close() // unused
@@ -58,9 +58,13 @@
 		in:        in,
 		send:      send,
 		conn:      conn,
+		events:    newEventParser(in.lastEventID),
 		writeDone: make(chan error, 1),
 		post:      s.post,
 	}
+	if !send.Route.Resumable && in.lastEventID != "" {
+		x.events.positioned = false // such a stream may also begin anew
+	}
 	if !in.attachUpstream(conn) {
 		_ = conn.Close() // unused
 		return notRunResult(gate.ReasonClientGone)
@@ -110,7 +114,7 @@
 	}
 	result, complete := x.handleResponse(body)
 	result.CloseDelimited = body.closeDelimited
-	if !complete || !isReusable(&x.head, body, x.conn.reader) {
+	if !complete || x.conn.outOfStep || !isReusable(&x.head, body, x.conn.reader) {
 		return result, false
 	}
 	select {
@@ -160,6 +164,8 @@
 // or malformed. It reports whether the response was read completely.
 func (x *exchange) handleResponse(b *responseBody) (gate.Result, bool) {
 	x.in.framing = b.framing()
+	x.in.endpointStatus = x.head.StatusCode()
+	x.in.contentType = string(x.head.Peek(fasthttp.HeaderContentType))
 	unlimited := x.recordLimit()
 	if platform.IsLeaving(x.head.Peek(platform.HeaderLeaving)) {
 		x.post(gate.EndpointLeaving{
@@ -182,6 +188,9 @@
 	if len(x.head.Peek(platform.HeaderServerStamp)) == 0 || len(x.head.Peek("Content-Encoding")) > 0 {
 		return mayHaveRunResult(gate.ReasonMalformed), false
 	}
+	if x.continuesStream() && !isEventStreamHead(&x.head) {
+		return x.classifyInterruption(errNotContinued), false
+	}
 	x.post(gate.FirstByteReceived{
 		Call:      x.in.id,
 		Unlimited: unlimited,
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -62,8 +62,20 @@
 	softwareVersions []string
 	verdict          string
 	reason           string
-	// framing is how the end of the endpoint's last response was marked.
-	framing string
+	// framing is how the end of the endpoint's last response was marked, endpointStatus and
+	// contentType are its status and Content-Type.
+	framing        string
+	endpointStatus int
+	contentType    string
+	// interruption is why the endpoint's last stream was taken as broken off.
+	interruption string
+	// origin tells how the endpoint's last response was recognized, extraResponses
+	// counts the responses to other requests that were discarded before it.
+	origin         responseOrigin
+	extraResponses int
+	// keptConn is true if the connection of the last attempt had carried another
+	// request before.
+	keptConn bool
 	// namedLimit is the limit that the endpoint's last response named, as it was sent.
 	namedLimit string
 	// endedInEvent is true if the last stream that an endpoint sent ended within
@@ -171,12 +183,17 @@
 	return err
 }
 
-// writeRefusal responds with an error of the entry itself.
+// writeRefusal responds with an error of the entry itself. It ends a response that has
+// begun instead.
 func (in *inboundRequest) writeRefusal(err error) {
-	in.status = clientStatus(err)
 	in.verdict = fault.VerdictOf(err).String()
 	in.reason = string(fault.CodeOf(err))
 	in.detail = err.Error()
+	if in.started {
+		in.connBroken = true
+		return
+	}
+	in.status = clientStatus(err)
 	body := []byte(err.Error())
 	out := in.writeBuffer[:0]
 	out = appendStatus(out, in.status)
@@ -225,9 +242,10 @@
 	return append(out, "\r\n"...)
 }
 
-// forwardFailure forwards the failure response that an endpoint returned.
+// forwardFailure forwards the failure response that an endpoint returned. It ends a response
+// that has begun instead.
 func (in *inboundRequest) forwardFailure() {
-	if in.bufferedFailure == nil {
+	if in.bufferedFailure == nil || in.started {
 		in.connBroken = true
 		return
 	}
--- a/internal/edge/reply.go
+++ b/internal/edge/reply.go
@@ -27,6 +27,8 @@
 	errMismatchedResponse = errors.New("response belongs to another request")
 	errEventTooLong       = errors.New("event exceeds the buffer limit")
 	errNoEvent            = errors.New("the stream holds bytes that are no event")
+	errEventOrder         = errors.New("an event of the stream isn't the next one")
+	errNotContinued       = errors.New("response does not continue the stream")
 )
 
 // maxMismatchedResponses bounds the number of response heads that are read to
@@ -36,6 +38,7 @@
 // readResponseHead reads the head of the response to this request. Interim
 // responses and responses to earlier requests on the connection are discarded.
 func (x *exchange) readResponseHead() (*responseBody, error) {
+	x.in.keptConn = x.conn.reused
 	for range maxMismatchedResponses {
 		if err := x.readHead(); err != nil {
 			return nil, err
@@ -44,12 +47,15 @@
 			continue
 		}
 		b := newResponseBody(x.conn.reader, &x.head, x.readTrailer)
-		if isResponseTo(&x.head, x.in.request.ID) || isRefusalWithoutID(&x.head) {
+		x.in.origin = originOf(&x.head, x.in.request.ID)
+		if x.isOwnResponse() {
 			return b, nil
 		}
-		if b.closeDelimited || len(x.head.Peek(platform.HeaderRequestID)) == 0 {
+		if b.closeDelimited || x.in.origin == noID {
 			return nil, errMismatchedResponse
 		}
+		x.in.extraResponses++
+		x.conn.outOfStep = true
 		if _, err := x.readBuffered(b); err != nil {
 			return nil, err
 		}
@@ -103,12 +109,6 @@
 	return errors.As(err, &timeoutErr) && timeoutErr.Timeout()
 }
 
-// isRefusalWithoutID reports whether a response without a request ID states that
-// the request was not executed. Such a response is not required to carry the ID.
-func isRefusalWithoutID(h *fasthttp.ResponseHeader) bool {
-	return len(h.Peek(platform.HeaderRequestID)) == 0 && isNotExecuted(h)
-}
-
 func isNotExecuted(h *fasthttp.ResponseHeader) bool {
 	return len(h.Peek(platform.HeaderNotExecuted)) > 0 || h.StatusCode() == fasthttp.StatusMisdirectedRequest
 }
@@ -131,6 +131,8 @@
 	errMismatchedResponse,
 	errEventTooLong,
 	errNoEvent,
+	errEventOrder,
+	errNotContinued,
 	errResponseTooLarge,
 	errEndlessResponse,
 	errBodyTooLarge,
--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -45,6 +45,7 @@
 		c.emit(ReadLease{})
 		return
 	}
+	c.hastenRecord(now)
 	if !c.lease.AppendDue(now) {
 		c.leaseFreeSince = time.Time{}
 		return
@@ -67,7 +68,7 @@
 	c.appendingLease = true
 	record, offset := c.lease.NextRecord(now, c.nextMembers(now), release)
 	c.recordCrashes(now, &record)
-	record.Versions = c.recordedVersions(now)
+	c.recordStreams(now, &record)
 	c.emit(AppendLease{
 		Record: record,
 		Offset: offset,
@@ -111,6 +112,7 @@
 		c.applyRecordedCrashes(now, &e.Record, !known)
 	}
 	c.applyRecordedVersions(now, e.Record.Versions)
+	c.applyRecordedStreams(now, e.Record.Streams)
 	if !e.Exists || c.lease.Stale() && (c.lease.Holds(now) || c.leaderLink.connected) {
 		// A stale record says nothing against the leader that this entry knows.
 		return
@@ -120,7 +122,7 @@
 		c.follower.members = len(record.Members)
 		c.applyShare(now, record.Members, e.SentAt)
 	}
-	c.connectLeader(record)
+	c.connectLeader(now, record)
 	if c.follower.leaderUnrenewed && record.Host == c.leaderLink.host && c.leaderLink.connected && !c.stopping {
 		c.follower.requestsTakeover = true
 		c.sendReport(now)
@@ -129,8 +131,12 @@
 }
 
 // connectLeader dials the holder of a record, unless it is already dialed. If
-// the lease was released or this entry holds it, the session is closed instead.
-func (c *Core) connectLeader(record lease.Record) {
+// the lease was released or this entry holds it, the session is closed instead. An entry
+// that follows a crash relay goes on until a term has begun.
+func (c *Core) connectLeader(now time.Time, record lease.Record) {
+	if c.leaderLink.crashRelay && !now.Before(c.lease.TermEnd()) {
+		return
+	}
 	if record.Released || record.Host == c.settings.Host {
 		c.disconnectLeader()
 		return
@@ -148,10 +154,11 @@
 }
 
 func (c *Core) disconnectLeader() {
-	if c.leaderLink.host == "" {
+	dialed := c.leaderLink.host != ""
+	c.leaderLink = leaderLink{}
+	if !dialed {
 		return
 	}
-	c.leaderLink = leaderLink{}
 	c.dialedIncarnation = 0
 	c.emit(DialLeader{})
 }
@@ -186,6 +193,7 @@
 	record := e.Record
 	previous, existed := c.lease.Current()
 	c.lease.HandleAppended(now, record, e.Offset, e.Era)
+	c.lastRecord.appended = true
 	if record.Released {
 		c.released = true
 		c.leader = nil
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -16,7 +16,7 @@
 	maxTrackedReports = 64
 )
 
-// reportIfDue sends the regular report to the leader.
+// reportIfDue sends the regular report to the leader, sooner if it tells of streams.
 func (c *Core) reportIfDue(now time.Time) {
 	interval := reportInterval
 	if c.follower.reportsSoon {
@@ -41,7 +41,8 @@
 }
 
 // sendReport sends the leader this entry's loads, demand, token requests and
-// stream statistics. Regular reports also return surplus tokens.
+// stream statistics. From time to time they also return surplus
+// tokens.
 func (c *Core) sendReport(now time.Time) {
 	if !c.leaderLink.connected || c.lease.Holds(now) {
 		return
@@ -68,11 +69,15 @@
 		report.AsksAll = true
 		f.missedNews = false
 	}
+	if f.newLeader {
+		report.PeerAddress = c.lease.PeerAddr().String()
+	}
 	f.newLeader = false
 	f.reportsSoon = false
 	f.requestsTakeover = false
-	if now.Sub(f.reportedAt) >= reportInterval {
+	if now.Sub(f.returnedAt) >= reportInterval {
 		report.Returns = c.takeSurplus(now)
+		f.returnedAt = now
 	}
 	f.tokenRequests = nil
 	f.reportedAt = now
