--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -193,12 +194,31 @@
 const (
 	firstPort = 21000
 	portRange = 9000
+	// portsPerRun is the part of the range that a run of the soak has for itself.
+	portsPerRun = 1800
 )
 
+// claimPorts listens on the first port of a part of the range that no other run on this
+// machine has. The port is held until the process ends, which shows the others that the
+// part is taken, also while entries are down.
+var claimPorts = sync.OnceValues(func() (net.Listener, error) {
+	for port := firstPort; port < firstPort+portRange; port += portsPerRun {
+		if listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return listener, nil
+		}
+	}
+	return nil, errors.New("other runs have all ports")
+})
+
 // listenOnFreePort listens on a port that no other process has.
 func listenOnFreePort(t *testing.T) net.Listener {
-	for range portRange {
-		port := firstPort + int(portCounter.Add(1))%portRange
+	claim, err := claimPorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := claim.Addr().(*net.TCPAddr).Port + 1
+	for range portsPerRun {
+		port := first + int(portCounter.Add(1))%(portsPerRun-1)
 		if listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
 			return listener
 		}
