Take a stream for begun with its first whole event

An entry recorded at which software version a stream begins, and told the leader, when the head of the answer came. If the engine ended before the first whole event, of which the client then has nothing, the stream began anew, maybe at another version.

That a stream was resumed wrongly by this was not shown.

The reducer now hears of the answer to a stream with its first whole event, before the client gets it.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -30,6 +30,8 @@
 	events eventParser
 	// firstEventAt is when the endpoint sent its first complete event, by time.Now.
 	firstEventAt time.Time
+	// unlimited is true if the answer has begun and the endpoint names no limit in it.
+	unlimited bool
 	// continued is true once the reducer was told that the answer continues.
 	continued bool
 	// writeDone receives the result of writing the request.
@@ -191,16 +193,24 @@
 	if x.continuesStream() && !isEventStreamHead(&x.head) {
 		return x.classifyInterruption(errNotContinued), false
 	}
-	x.post(gate.FirstByteReceived{
-		Call:      x.in.id,
-		Unlimited: unlimited,
-	})
+	x.unlimited = unlimited
+	if !x.isEventStream() {
+		x.postFirstByte() // else its first event counts
+	}
 	if x.isEventStream() || x.in.started {
 		return x.streamResponse(b, nil)
 	}
 	return x.forwardWhole(b)
 }
 
+// postFirstByte tells the reducer that the answer has begun.
+func (x *exchange) postFirstByte() {
+	x.post(gate.FirstByteReceived{
+		Call:      x.in.id,
+		Unlimited: x.unlimited,
+	})
+}
+
 // recordLimit tells the reducer of a limit that the endpoint names in its response. It
 // reports whether the endpoint names none.
 func (x *exchange) recordLimit() (unlimited bool) {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -128,6 +128,7 @@
 	switch {
 	case x.firstEventAt.IsZero():
 		x.firstEventAt = now
+		x.postFirstByte()
 	case !x.continued && now.Sub(x.firstEventAt) >= continuedAnswerTime:
 		x.continued = true
 		x.post(gate.AnswerContinues{Call: x.in.id})
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -64,8 +64,8 @@
 	Request *Request
 }
 
-// FirstByteReceived reports that an endpoint has begun its response. Unlimited is true
-// if the response names no limit.
+// FirstByteReceived reports that an endpoint has begun its response, a stream with its first
+// whole event. Unlimited is true if the response names no limit.
 type FirstByteReceived struct {
 	Call      CallID
 	Unlimited bool
