--- a/internal/agent/response.go
+++ b/internal/agent/response.go
@@ -101,48 +101,72 @@
 // copyBody forwards the body of a response and returns how much of it was forwarded. It
 // forwards a stream in whole events.
 func copyBody(body io.Reader, tail *responseTail, send frameSink) (total uint64, err error) {
+	c := bodyCopier{
+		tail: tail,
+		send: send,
+	}
 	buffer := make([]byte, readBufferSize)
-	counted := 0
-	var events eventReader
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			if counted += max(n, minReadBytes); counted > maxResponseBytes {
-				return total, fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer has no end")
-			}
-			part, eventErr := buffer[:n], error(nil)
-			if tail.stream {
-				part, eventErr = events.take(part)
-			}
-			if err := forwardPart(part, tail, send); err != nil {
-				return total, err
-			}
-			total += uint64(len(part))
-			if eventErr != nil {
-				return total, eventErr
+			if err := c.copy(buffer[:n]); err != nil {
+				return c.total, err
 			}
 		}
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			if events.endsWithinEvent() {
-				return total, fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended within an event")
-			}
-			return total, nil
+			return c.total, c.checkEnd()
 		}
 		if err != nil {
-			return total, fault.Wrap(err, fault.MayHaveRun, fault.CodeCut)
+			return c.total, fault.Wrap(err, fault.MayHaveRun, fault.CodeCut)
 		}
 	}
 }
 
-// forwardPart forwards a part of a response, unless it is empty.
-func forwardPart(part []byte, tail *responseTail, send frameSink) error {
+// bodyCopier forwards the parts of a response's body.
+type bodyCopier struct {
+	tail   *responseTail
+	send   frameSink
+	events eventReader
+	// counted is the size of the parts that arrived, each of at least minReadBytes.
+	counted int
+	// total is the number of bytes that were forwarded.
+	total uint64
+}
+
+// copy forwards a part, of a stream the events that are complete with it.
+func (c *bodyCopier) copy(part []byte) error {
+	c.counted += max(len(part), minReadBytes)
+	if c.counted > maxResponseBytes {
+		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer has no end")
+	}
+	if !c.tail.stream {
+		return c.forward(part)
+	}
+	events, eventErr := c.events.take(part)
+	if err := c.forward(events); err != nil {
+		return err
+	}
+	return eventErr
+}
+
+// forward sends a part on, unless it is empty.
+func (c *bodyCopier) forward(part []byte) error {
 	if len(part) == 0 {
 		return nil
 	}
-	tail.write(part)
-	if err := send(&wirepb.CallFrame{Data: part}); err != nil {
+	c.tail.write(part)
+	if err := c.send(&wirepb.CallFrame{Data: part}); err != nil {
 		return fault.Wrap(err, fault.MayHaveRun, fault.CodeLink)
 	}
+	c.total += uint64(len(part))
+	return nil
+}
+
+// checkEnd returns an error if the body has ended within an event.
+func (c *bodyCopier) checkEnd() error {
+	if c.events.endsWithinEvent() {
+		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended within an event")
+	}
 	return nil
 }
 
