Keep what a stream's beginner told when others tell a new leader of it

A stream whose first endpoint answered without an event may begin again at one of another version. Entries that were told only of the first one told a new leader so, and the last report won: if it came after that of the entry that began the stream, the leader named the wrong version and a take-up was joined from two (ORDER), for as long as the leader's term.

An entry now marks in its first report to a leader which streams others began, and the leader lets no such report replace what the beginner has told. Reports of earlier builds have no mark and count as before.

--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -87,12 +87,12 @@
 // drainStreamStarts returns the streams that the leader has not been told of.
 func (c *Core) drainStreamStarts() []*wirepb.GateStarts {
 	f := &c.follower
-	starts := c.streams.own.after(f.startsReported)
+	reported := f.startsReported
+	f.startsReported = c.streams.own.count
 	if f.newLeader {
-		starts = c.streams.retold()
+		return c.streams.encodeRetold()
 	}
-	f.startsReported = c.streams.own.count
-	return encodeStarts(starts)
+	return encodeStarts(c.streams.own.after(reported))
 }
 
 // drainDemands returns and resets the demand since the last report.
--- a/internal/gate/starts.go
+++ b/internal/gate/starts.go
@@ -35,8 +35,10 @@
 	// assigned is true if the version is that of the engine that the leader assigned. It
 	// isn't known then at which one the stream began: the entry may have sent it elsewhere.
 	assigned bool
-	// own is true if this entry began the stream.
-	own bool
+	// own is true if this entry began the stream, toldByBeginner if the one that did has told
+	// this one as the leader.
+	own            bool
+	toldByBeginner bool
 	// number is its number in a startLog, 0 if it is in none.
 	number uint64
 }
@@ -163,10 +165,16 @@
 }
 
 // recordLearned remembers the version of a stream that another entry began, for the other
-// entries too.
-func (t *streamTable) recordLearned(now time.Time, key streamKey, version string) {
+// entries too. What a third entry has heard of it, which may be outdated, doesn't replace
+// what the one that began it has told.
+func (t *streamTable) recordLearned(now time.Time, key streamKey, version string, toldByBeginner bool) {
 	known, isKnown := t.versions[key]
+	if !toldByBeginner && (known.own || known.toldByBeginner) {
+		return
+	}
 	start := t.record(now, key, version)
+	start.toldByBeginner = toldByBeginner
+	t.versions[key] = start
 	if !isKnown || known.assigned || known.version != version {
 		t.learned.add(start, isKnown && !known.assigned)
 	}
@@ -257,17 +265,39 @@
 	}
 }
 
-// retold returns the streams of which a new leader is told, in the order of their keys.
-func (t *streamTable) retold() []streamStart {
+// retold returns the streams of which a new leader is told: those that this entry began, and
+// those of which it has only heard.
+func (t *streamTable) retold() (own, learned []streamStart) {
+	own = slices.DeleteFunc(slices.Clone(t.own.starts), t.isSuperseded)
 	if len(t.versions) > maxRetold {
-		return t.own.after(0)
+		return own, nil
+	}
+	told := make(map[streamKey]bool, len(own))
+	for _, start := range own {
+		told[start.key] = true
 	}
-	out := make([]streamStart, 0, len(t.versions))
 	for _, key := range slices.Sorted(maps.Keys(t.versions)) {
-		if start := t.versions[key]; !start.assigned {
-			out = append(out, start)
+		if start := t.versions[key]; !start.assigned && !told[key] {
+			learned = append(learned, start)
 		}
 	}
+	return own, learned
+}
+
+// isSuperseded reports whether a stream is known to have begun anew at another version.
+func (t *streamTable) isSuperseded(s streamStart) bool {
+	known, isKnown := t.versions[s.key]
+	return isKnown && known.version != s.version
+}
+
+// encodeRetold encodes the streams of which a new leader is told.
+func (t *streamTable) encodeRetold() []*wirepb.GateStarts {
+	own, learned := t.retold()
+	out := encodeStarts(own)
+	for _, group := range encodeStarts(learned) {
+		group.Learned = true
+		out = append(out, group)
+	}
 	return out
 }
 
@@ -302,7 +332,7 @@
 func (c *Core) applyStarts(now time.Time, starts []*wirepb.GateStarts) {
 	for _, group := range starts {
 		for _, key := range group.GetStreams() {
-			c.recordOtherStart(now, streamKey(key), group.GetSoftwareVersion())
+			c.recordOtherStart(now, streamKey(key), group.GetSoftwareVersion(), !group.GetLearned())
 		}
 	}
 }
@@ -310,12 +340,12 @@
 // recordOtherStart remembers the version of a stream that another entry began. Once
 // several versions serve, the leader tells all entries of it: without a leader they
 // couldn't ask for it.
-func (c *Core) recordOtherStart(now time.Time, key streamKey, version string) {
+func (c *Core) recordOtherStart(now time.Time, key streamKey, version string, toldByBeginner bool) {
 	if c.leader == nil {
 		c.streams.record(now, key, version)
 		return
 	}
-	c.streams.recordLearned(now, key, version)
+	c.streams.recordLearned(now, key, version, toldByBeginner)
 }
 
 // severalVersions reports whether the registered endpoints of any service differ in their
