Tell entries where streams began for as long as versions differ

The leader told the other entries of each other's streams only while engines of several versions were registered. A stream whose first engine answered without an event and left, as the last one of its version, began anew at another version, and entries that had been told of the first one weren't told. Without a leader they took it up at the version that had left: at nobody (LOST), or at an engine of it that came back (ORDER); and a new leader was told of it by them.

The leader now tells of them until streamMemory after a version has left, as the lease's record and the early reports do.

TestBeginningAnewIsToldAfterVersionHasLeft failed before: "told []".

--- a/internal/gate/began_anew_test.go
+++ b/internal/gate/began_anew_test.go
@@ -1,6 +1,12 @@
 package gate
 
-import "testing"
+import (
+	"slices"
+	"testing"
+
+	"dogwoodfold/internal/topo"
+	"dogwoodfold/internal/wire/wirepb"
+)
 
 // beginAnew begins a stream at front-3 whose first endpoint answers without an event, so that
 // it begins again at another one. It returns both.
@@ -54,3 +60,27 @@
 		t.Fatal("no stream began again at another version")
 	}
 }
+
+// Guards against entries that go on believing where a stream seemed to begin, since the last
+// engine of that version left before the stream began anew at another: without a leader they
+// would take it up at the wrong one (ORDER), or nowhere (LOST).
+func TestBeginningAnewIsToldAfterVersionHasLeft(t *testing.T) {
+	h := newLeaderHarness(t)
+	h.apply(PeerConnected{Host: "front-2"})
+	h.endpoints(versionedEngine("llm-1", "v1"), versionedEngine("llm-2", "v2"))
+	key := newStreamKey("r")
+	h.core.streams.recordLearned(h.now, key, "v1", true)
+	h.receiveReport(&wirepb.GateReport{Sequence: 1})
+	h.apply(EndpointsRead{
+		SentAt:  h.now,
+		Changes: []topo.EndpointChange{{ID: "llm-1"}},
+	})
+	h.core.streams.recordLearned(h.now, key, "v2", true)
+	state, _ := findEffect[SendState](h.receiveReport(&wirepb.GateReport{Sequence: 2}))
+	for _, group := range state.State.GetStarts() {
+		if group.GetSoftwareVersion() == "v2" && slices.Contains(group.GetStreams(), uint64(key)) {
+			return
+		}
+	}
+	t.Errorf("told %v", state.State.GetStarts())
+}
--- a/internal/gate/starts.go
+++ b/internal/gate/starts.go
@@ -219,11 +219,11 @@
 
 // startsFor returns the streams of which the leader tells an entry, in lists that are valid
 // until the next change, and records that it has. Of those that other entries began it
-// tells while several versions serve.
-func (t *streamTable) startsFor(peer *peer, severalVersions bool) [][]streamStart {
+// tells while versions differ.
+func (t *streamTable) startsFor(peer *peer, versionsDiffer bool) [][]streamStart {
 	own := t.own.after(peer.startsSent)
 	peer.startsSent = t.own.count
-	if !severalVersions {
+	if !versionsDiffer {
 		return [][]streamStart{own}
 	}
 	return append(t.learnedFor(peer), own)
@@ -338,7 +338,7 @@
 }
 
 // recordOtherStart remembers the version of a stream that another entry began. Once
-// several versions serve, the leader tells all entries of it: without a leader they
+// versions differ, the leader tells all entries of it: without a leader they
 // couldn't ask for it.
 func (c *Core) recordOtherStart(now time.Time, key streamKey, version string, toldByBeginner bool) {
 	if c.leader == nil {
@@ -348,17 +348,6 @@
 	c.streams.recordLearned(now, key, version, toldByBeginner)
 }
 
-// severalVersions reports whether the registered endpoints of any service differ in their
-// software version.
-func (c *Core) severalVersions() bool {
-	for _, versions := range c.registeredVersions() {
-		if len(versions) > 1 {
-			return true
-		}
-	}
-	return false
-}
-
 // registeredVersions returns the software versions of the registered endpoints by service.
 func (c *Core) registeredVersions() map[string]map[string]bool {
 	if c.serviceVersions != nil {
