--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -116,7 +116,7 @@
 	}
 	result, complete := x.handleResponse(body)
 	result.CloseDelimited = body.closeDelimited
-	if !complete || x.conn.outOfStep || !isReusable(&x.head, body, x.conn.reader) {
+	if !complete || x.conn.outOfSync || !isReusable(&x.head, body, x.conn.reader) {
 		return result, false
 	}
 	select {
--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -39,7 +39,7 @@
 // carried nothing before from which it could be.
 func (x *exchange) isOwnResponse() bool {
 	if x.in.origin == noID {
-		return isNotExecuted(&x.head) && !x.conn.reused && !x.conn.outOfStep
+		return isNotExecuted(&x.head) && !x.conn.reused && !x.conn.outOfSync
 	}
 	return x.in.origin == ownID
 }
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -36,9 +36,9 @@
 	idleTimeout time.Duration
 	lastUsed    time.Time
 	reused      bool
-	// outOfStep is true once a response to another request than the current one has
+	// outOfSync is true once a response to another request than the current one has
 	// arrived.
-	outOfStep bool
+	outOfSync bool
 	// carried are the IDs of the requests that were sent on the connection.
 	carried map[string]bool
 }
--- a/internal/edge/reply.go
+++ b/internal/edge/reply.go
@@ -55,7 +55,7 @@
 			return nil, errMismatchedResponse
 		}
 		x.in.extraResponses++
-		x.conn.outOfStep = true
+		x.conn.outOfSync = true
 		if _, err := x.readBuffered(b); err != nil {
 			return nil, err
 		}
