--- a/internal/edge/poison_request_test.go
+++ b/internal/edge/poison_request_test.go
@@ -51,6 +51,10 @@
 	entries []*fixture
 	shops   []*crashingEndpoint
 	began   time.Time
+	// badPath is the path of the bad request.
+	badPath string
+	// onBad responds to the bad request.
+	onBad func(e *crashingEndpoint, id string, w http.ResponseWriter)
 
 	mu sync.Mutex
 	// crashes are the times at which the request has crashed an endpoint, reached those
@@ -60,7 +64,13 @@
 }
 
 func newShopFleet(t *testing.T, entries int) *shopFleet {
-	f := &shopFleet{t: t, sent: make(map[string]int), served: make(map[string]int)}
+	return newShopFleetWith(t, startedInTurn(t), entries)
+}
+
+// newShopFleetWith returns a fleet whose entries are started by start.
+func newShopFleetWith(t *testing.T, start func(*platform.Settings), entries int) *shopFleet {
+	f := &shopFleet{t: t, badPath: badPath, sent: make(map[string]int), served: make(map[string]int)}
+	f.onBad = f.crashUnanswered
 	store := fakes.NewStore()
 	for i := range 3 {
 		shop := &crashingEndpoint{
@@ -71,7 +81,7 @@
 		t.Cleanup(shop.stop)
 		f.shops = append(f.shops, shop)
 	}
-	f.entries = newEntries(t, store, entries)
+	f.entries = newEntriesWith(t, store, start, entries)
 	f.began = time.Now()
 	return f
 }
@@ -82,15 +92,11 @@
 	if err != nil {
 		return
 	}
-	if r.URL.RequestURI() == badPath && string(body) == badBody && r.Header.Get(platform.HeaderCustomer) == badCustomer {
+	if r.URL.RequestURI() == f.badPath && string(body) == badBody && r.Header.Get(platform.HeaderCustomer) == badCustomer {
 		f.mu.Lock()
 		f.reached = append(f.reached, time.Now())
 		f.mu.Unlock()
-		time.Sleep(crashDelay)
-		f.mu.Lock()
-		f.crashes = append(f.crashes, time.Now())
-		f.mu.Unlock()
-		e.crash(id)
+		f.onBad(e, id, w)
 		return
 	}
 	time.Sleep(answerTime)
@@ -98,6 +104,19 @@
 	_, _ = io.WriteString(w, "answer")
 }
 
+// crashUnanswered crashes an endpoint while it runs the bad request.
+func (f *shopFleet) crashUnanswered(e *crashingEndpoint, id string, _ http.ResponseWriter) {
+	time.Sleep(crashDelay)
+	f.recordCrash()
+	e.crash(id)
+}
+
+func (f *shopFleet) recordCrash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashes = append(f.crashes, time.Now())
+}
+
 // endByThemselves ends one endpoint after the other, at the given interval.
 func (f *shopFleet) endByThemselves(interval, duration time.Duration) {
 	for i := 0; time.Since(f.began) < duration-interval; i++ {
@@ -187,12 +206,13 @@
 	}
 }
 
-func checkCrashingRequest(t *testing.T, entries int) {
+// checkCrashingRequest lets the bad request and sound ones come, and checks that few of the
+// former reach endpoints and that the latter are served.
+func checkCrashingRequest(f *shopFleet) {
 	const (
 		duration   = 13 * time.Second
 		countAfter = 6 * time.Second
 	)
-	f := newShopFleet(t, entries)
 	var group sync.WaitGroup
 	group.Go(func() { f.sendBad(duration) })
 	group.Go(func() { f.endByThemselves(3*time.Second, duration) })
@@ -204,7 +224,7 @@
 	group.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t.Logf("reached %d, crashes %d, served %v of %v", len(f.reached), len(f.crashes), f.served, f.sent)
+	f.t.Logf("reached %d, crashes %d, served %v of %v", len(f.reached), len(f.crashes), f.served, f.sent)
 	f.checkReached()
 	f.checkServed()
 }
@@ -213,11 +233,11 @@
 // refusing sound requests that are like it or are under way when an endpoint ends.
 func TestRequestThatCrashesEndpointsIsQuarantined(t *testing.T) {
 	t.Parallel()
-	checkCrashingRequest(t, 1)
+	checkCrashingRequest(newShopFleet(t, 1))
 }
 
 // Guards against the same where several entries have to learn of it from each other.
 func TestRequestThatCrashesEndpointsIsQuarantinedByAllEntries(t *testing.T) {
 	t.Parallel()
-	checkCrashingRequest(t, 3)
+	checkCrashingRequest(newShopFleet(t, 3))
 }
--- /dev/null
+++ b/internal/edge/poison_restart_test.go
@@ -0,0 +1,158 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dogwoodfold/platform"
+)
+
+const (
+	// All entries end between minKillDelay and maxKillDelay after an endpoint, and start
+	// again entryDowntime later.
+	minKillDelay  = 30 * time.Millisecond
+	maxKillDelay  = 400 * time.Millisecond
+	entryDowntime = 250 * time.Millisecond
+	// badInterval is the time between two bad requests.
+	badInterval = 200 * time.Millisecond
+	// chargePath is that of a request that is sent to one endpoint only.
+	chargePath = "/charge/7"
+	// shortShopDowntime lets endpoints be there whenever entries are.
+	shortShopDowntime = 700 * time.Millisecond
+)
+
+// restartableEntry is an entry that ends without notice and starts again at its addresses.
+type restartableEntry struct {
+	t        *testing.T
+	settings *platform.Settings
+	// runs counts the processes that were started.
+	runs uint64
+	end  func()
+}
+
+func (e *restartableEntry) start() {
+	e.runs++
+	server := New(e.settings, zerolog.Nop(), uint64(e.settings.PeerAddr.Port())<<16|e.runs)
+	ctx, cancel := context.WithCancel(context.Background())
+	runErr := make(chan error, 1)
+	go func() { runErr <- server.Run(ctx) }()
+	e.end = func() {
+		cancel()
+		if err := <-runErr; err != nil {
+			e.t.Error(err)
+		}
+	}
+}
+
+// entryKiller ends all entries soon after each end of an endpoint.
+type entryKiller struct {
+	mu      sync.Mutex
+	entries []*restartableEntry
+	// pending is true from an end of an endpoint until all entries run again.
+	pending bool
+	stopped bool
+	kills   int
+	group   sync.WaitGroup
+}
+
+// endpointEnded ends all entries soon, unless they are about to end already.
+func (k *entryKiller) endpointEnded() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.pending || k.stopped {
+		return
+	}
+	k.pending = true
+	k.group.Go(func() {
+		time.Sleep(minKillDelay + rand.N(maxKillDelay-minKillDelay))
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		for _, e := range k.entries {
+			e.end()
+		}
+		k.kills++
+		time.Sleep(entryDowntime)
+		for _, e := range k.entries {
+			e.start()
+		}
+		k.pending = false
+	})
+}
+
+// stop ends the entries for good.
+func (k *entryKiller) stop() {
+	k.mu.Lock()
+	k.stopped = true
+	k.mu.Unlock()
+	k.group.Wait()
+	for _, e := range k.entries {
+		e.end()
+	}
+}
+
+// newKilledShopFleet returns a fleet whose entries all end soon after each end of an endpoint.
+func newKilledShopFleet(t *testing.T, entries int) (*shopFleet, *entryKiller) {
+	k := &entryKiller{}
+	f := newShopFleetWith(t, func(settings *platform.Settings) {
+		e := &restartableEntry{t: t, settings: settings}
+		e.start()
+		k.entries = append(k.entries, e)
+	}, entries)
+	for _, shop := range f.shops {
+		shop.onCrash = k.endpointEnded
+		shop.downtime = shortShopDowntime
+	}
+	t.Cleanup(k.stop)
+	return f, k
+}
+
+// sendBadAfterCrashes sends the bad request again and again, after a crash once the entries
+// have started again.
+func (f *shopFleet) sendBadAfterCrashes(duration time.Duration) {
+	for time.Since(f.began) < duration {
+		before := f.crashCount()
+		entry := f.entries[rand.IntN(len(f.entries))]
+		entry.sendBody(context.Background(), "POST", f.badPath, badBody, platform.HeaderAPIKey, badKey)
+		time.Sleep(badInterval)
+		if f.crashCount() > before {
+			time.Sleep(maxKillDelay + entryDowntime)
+		}
+	}
+}
+
+func (f *shopFleet) crashCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.crashes)
+}
+
+// Guards against BUDGET by a request that crashes endpoints while all entries end soon
+// after each crash: what they have seen must be in the store by then.
+func TestCrashesAddUpOverEndsOfAllEntries(t *testing.T) {
+	t.Parallel()
+	const duration = 20 * time.Second
+	f, k := newKilledShopFleet(t, 3)
+	f.badPath = chargePath
+	var group sync.WaitGroup
+	group.Go(func() { f.sendBadAfterCrashes(duration) })
+	for _, entry := range f.entries {
+		for _, s := range soundRequests {
+			group.Go(func() { f.sendSound(entry, s, 0, duration) })
+		}
+	}
+	group.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.Logf("reached %d, crashes %d, all entries ended %d times, served %v of %v", len(f.reached), len(f.crashes), k.kills, f.served, f.sent)
+	f.checkReached()
+	for _, s := range soundRequests {
+		if f.served[s.name] == 0 {
+			t.Errorf("%s: none of %d sound requests served", s.name, f.sent[s.name])
+		}
+	}
+}
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -134,6 +134,20 @@
 
 // newEntries starts entries on one store and returns a fixture for each.
 func newEntries(t *testing.T, store *fakes.Store, count int) []*fixture {
+	return newEntriesWith(t, store, startedInTurn(t), count)
+}
+
+// startedInTurn returns a function that runs entries until the end of the test.
+func startedInTurn(t *testing.T) func(*platform.Settings) {
+	incarnation := uint64(0)
+	return func(settings *platform.Settings) {
+		incarnation++
+		startServer(t, settings, incarnation)
+	}
+}
+
+// newEntriesWith is newEntries with a function that starts each entry.
+func newEntriesWith(t *testing.T, store *fakes.Store, start func(*platform.Settings), count int) []*fixture {
 	storeAddress := netip.MustParseAddrPort(serveLoopback(t, store))
 	config := testConfig(1, "key-1", "key-2")
 	config["tenants"] = append(config["tenants"].([]any),
@@ -142,8 +156,9 @@
 	var out []*fixture
 	for i := range count {
 		settings := testSettings(t, fmt.Sprint("front-", i+1), storeAddress)
+		start(settings)
 		out = append(out, &fixture{
-			t: t, store: store, server: startServer(t, settings, uint64(i+1)),
+			t: t, store: store,
 			baseURL:  "http://" + settings.ListenAddr.String(),
 			readyURL: "http://" + settings.ReadyAddr.String() + platform.PathReady,
 		})
--- a/internal/gate/evidence_test.go
+++ b/internal/gate/evidence_test.go
@@ -9,6 +9,7 @@
 
 	"dogwoodfold/internal/lease"
 	"dogwoodfold/internal/poison"
+	"dogwoodfold/internal/topo"
 )
 
 // restart starts all entries anew. They know only what is in the store.
@@ -188,3 +189,35 @@
 		t.Errorf("a minute after the start of a quarantine of 20s the verdict is %v, want a trial", v)
 	}
 }
+
+// Guards against BUDGET by a request that crashes endpoints while all entries end soon after
+// each crash: what one entry has seen must outlive it before the next renewal of the lease.
+func TestCrashesAddUpOverEndsOfAllEntries(t *testing.T) {
+	for _, delay := range []time.Duration{0, 50 * time.Millisecond, 400 * time.Millisecond} {
+		f := newPlainFleet(t)
+		var reached []time.Time
+		for i, until := 0, f.now.Add(time.Minute); f.now.Before(until); i++ {
+			sent, err := f.tryPlain(hostOf(i), "/charge/1", badContent)
+			if err != nil {
+				f.pass(crashGap)
+				continue
+			}
+			reached = append(reached, f.now)
+			f.cut(hostOf(i), sent)
+			f.change(topo.EndpointChange{ID: sent.Endpoint})
+			f.addShop()
+			f.now = f.now.Add(delay)
+			f.restart()
+		}
+		later := 0
+		for _, at := range reached[min(len(reached), 3):] {
+			if at.Sub(reached[2]) > budgetContact {
+				later++
+			}
+		}
+		if later > badRetries {
+			t.Errorf("all entries end %v after each crash: %d of %d requests reached endpoints later than %v after the third, want at most %d",
+				delay, later, len(reached), budgetContact, badRetries)
+		}
+	}
+}
