Take a whole answer for proof only once its endpoint has gone on running

Cause: an entry took each complete response for proof that the request is sound, at once. The bad request was therefore in none of the crashes, and each of its answers ended its trial and cleared what was known of it.

Change: complete responses (answers, and failures of plain endpoints) are kept for each run until the endpoint has shown a sign of life 1 s later, or 3 s have passed without a crash; only then are they proofs for the fingerprint. If the run is proved to be over before, they join the crash. A trial goes on until its response is proved; a probe after 1 s shortens the wait. Parts of prompts are proved at once as before.

--- a/internal/edge/poison_late_test.go
+++ b/internal/edge/poison_late_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -9,28 +10,31 @@
 	"dogwoodfold/platform"
 )
 
-// lateCrashDelay is the time between the whole answer to the bad request and the crash.
-const lateCrashDelay = 40 * time.Millisecond
-
-// answerThenCrash answers the bad request as a whole and crashes the endpoint later.
-func (f *shopFleet) answerThenCrash(e *crashingEndpoint, id string, w http.ResponseWriter) {
-	w.Header().Set(platform.HeaderServerStamp, "stamp-"+id)
-	_, _ = io.WriteString(w, "answer")
-	time.AfterFunc(lateCrashDelay, func() {
-		f.recordCrash()
-		e.crash(id)
-	})
+// answerThenCrash returns a function that answers the bad request as a whole and crashes the
+// endpoint after a delay.
+func (f *shopFleet) answerThenCrash(delay time.Duration) func(*crashingEndpoint, string, http.ResponseWriter) {
+	return func(e *crashingEndpoint, id string, w http.ResponseWriter) {
+		w.Header().Set(platform.HeaderServerStamp, "stamp-"+id)
+		_, _ = io.WriteString(w, "answer")
+		time.AfterFunc(delay, func() {
+			f.recordCrash()
+			e.crash(id)
+		})
+	}
 }
 
 // Guards against BUDGET by a request whose endpoint ends just after it has answered it as a
 // whole: the answer is no proof that the request is sound.
 func TestRequestThatCrashesEndpointsAfterItsAnswerIsQuarantined(t *testing.T) {
 	t.Parallel()
-	for name, entries := range map[string]int{"one entry": 1, "three entries": 3} {
-		t.Run(name, func(t *testing.T) {
+	for _, c := range []struct {
+		entries int
+		delay   time.Duration
+	}{{1, 40 * time.Millisecond}, {3, 40 * time.Millisecond}, {3, 800 * time.Millisecond}} {
+		t.Run(fmt.Sprint(c.entries, " entries, ", c.delay), func(t *testing.T) {
 			t.Parallel()
-			f := newShopFleet(t, entries)
-			f.onBad = f.answerThenCrash
+			f := newShopFleet(t, c.entries)
+			f.onBad = f.answerThenCrash(c.delay)
 			checkCrashingRequest(f)
 		})
 	}
--- a/internal/gate/answered_crash_test.go
+++ b/internal/gate/answered_crash_test.go
@@ -13,7 +13,7 @@
 // finds out.
 func (f *plainFleet) answerThenEnd(host string, sent Send) {
 	f.now = f.now.Add(runTime)
-	f.answer(host, sent)
+	f.entryFleet.answer(host, sent)
 	f.now = f.now.Add(40 * time.Millisecond)
 	var beside Send
 	for i := 0; beside.Endpoint != sent.Endpoint; i++ {
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -256,6 +256,7 @@
 	c.reportIfDue(now)
 	c.updateStoreWatch(now)
 	c.joinProvedEnds(now)
+	c.settleOldAnswers(now)
 	c.crashes.prune(now)
 	c.crashes.log.Assess(now)
 	c.relayPoison(now)
--- a/internal/gate/crashwatch.go
+++ b/internal/gate/crashwatch.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// endingMemory is how long an answer that was cut off may turn out to be one of
-	// an engine that has crashed.
+	// endingMemory is how long an attempt that has ended may turn out to be one of an
+	// endpoint that has crashed.
 	endingMemory = 3 * time.Second
 	// provingFailures is the number of endpoints that must have failed a suspect request,
 	// with no crash since the first of them, before it counts as answered: one endpoint
@@ -38,15 +38,16 @@
 	loggedRevision uint64
 }
 
-// ending is the end of an answer without proof that the endpoint goes on running.
+// ending is the end of an attempt after which the endpoint may have ended too.
 type ending struct {
 	at    time.Time
 	parts []poison.Part
-	// fingerprint is that of a request to a plain endpoint whose answer was complete,
-	// if the endpoint goes on running.
-	fingerprint poison.Part
-	// failed is true if that answer was a failure.
-	failed bool
+	// complete is true if the response was complete, unless its endpoint has cut it off, and
+	// whole if its framing proves that it was. failed is true if it was a failure.
+	complete, whole, failed bool
+	// proves are the parts that a complete response proves to be sound once its endpoint has
+	// gone on running.
+	proves []poison.Part
 	// suspects are the parts for which the request was on trial.
 	suspects []poison.Part
 	// broken is true if the endpoint is to be probed, as after an answer that was cut off,
@@ -71,14 +72,8 @@
 	}
 }
 
-// prune forgets endings that are too old to be those of a crash, and failures of requests
-// that are no longer suspect.
+// prune forgets failures of requests that are no longer suspect.
 func (w *crashWatch) prune(now time.Time) {
-	for run, endings := range w.endings {
-		if _, probing := w.probes[run]; !probing {
-			w.keepEndings(run, slices.DeleteFunc(endings, func(e ending) bool { return w.expire(now, run, e) }))
-		}
-	}
 	maps.DeleteFunc(w.failures, func(p poison.Part, _ *failureRecord) bool { return !w.isSuspect(now, p) })
 }
 
@@ -109,22 +104,6 @@
 	return true
 }
 
-// expire reports whether an ending is too old to be that of a crash. An answer that was
-// complete if its endpoint goes on running then counts as one.
-func (w *crashWatch) expire(now time.Time, run poison.Run, e ending) bool {
-	if now.Sub(e.at) <= endingMemory {
-		return false
-	}
-	switch {
-	case e.fingerprint == 0:
-	case e.failed:
-		w.addFailure(now, run, e.fingerprint)
-	default:
-		w.log.AddAnswer(now, []poison.Part{e.fingerprint})
-	}
-	return true
-}
-
 func (w *crashWatch) addEnding(run poison.Run, e ending) { w.endings[run] = append(w.endings[run], e) }
 
 func (w *crashWatch) keepEndings(run poison.Run, endings []ending) {
@@ -134,3 +113,21 @@
 	}
 	w.endings[run] = endings
 }
+
+// takeEndings removes the endings of a run that match and returns them.
+func (w *crashWatch) takeEndings(run poison.Run, match func(*ending) bool) []ending {
+	endings := w.endings[run]
+	if !slices.ContainsFunc(endings, func(e ending) bool { return match(&e) }) {
+		return nil
+	}
+	var taken, others []ending
+	for _, e := range endings {
+		if match(&e) {
+			taken = append(taken, e)
+		} else {
+			others = append(others, e)
+		}
+	}
+	w.keepEndings(run, others)
+	return taken
+}
--- a/internal/gate/endings.go
+++ b/internal/gate/endings.go
@@ -24,21 +24,26 @@
 		return
 	}
 	call.answered = true
-	c.recordAnswer(now, call)
+	c.recordAnswer(now, now, call.promptParts())
 }
 
-func (c *Core) recordAnswer(now time.Time, call *activeCall) {
-	suspect := len(c.suspects(now, call)) > 0
-	c.crashes.log.AddAnswer(now, call.parts())
+// recordAnswer records that a request with the given parts was answered, at the given time, by
+// an endpoint that has gone on running.
+func (c *Core) recordAnswer(now, answeredAt time.Time, parts []poison.Part) {
+	suspect := slices.ContainsFunc(parts, func(p poison.Part) bool { return c.crashes.isSuspect(now, p) })
+	c.crashes.log.AddAnswer(answeredAt, parts)
 	if suspect {
 		c.spreadPoison(now)
 	}
 }
 
-// recordFailure records that an endpoint has failed a request to it.
-func (c *Core) recordFailure(now time.Time, run poison.Run, fingerprint poison.Part) {
-	if c.crashes.addFailure(now, run, fingerprint) {
-		c.spreadPoison(now)
+// recordFailure records that an endpoint has failed a request with the given parts and has
+// gone on running.
+func (c *Core) recordFailure(now time.Time, run poison.Run, parts []poison.Part) {
+	for _, p := range parts {
+		if c.crashes.addFailure(now, run, p) {
+			c.spreadPoison(now)
+		}
 	}
 }
 
@@ -49,6 +54,12 @@
 	suspects := call.takeTrial()
 	expected := ep.Draining || c.endpoints[ep.ID] != ep
 	cut := result.Reason == ReasonReset || !expected && result.silent() && (len(suspects) > 0 || ep.stats.BackingOff(now))
+	complete := !expected && result.complete(call.plain)
+	if complete {
+		c.settleAnswers(now, run, now)
+		c.recordResponse(now, call, run, result, suspects)
+		return
+	}
 	if !cut {
 		defer c.endTrial(now, suspects)
 	}
@@ -72,8 +83,6 @@
 		if len(c.crashes.endings[run]) > 0 {
 			c.probeEngine(now, run, ep)
 		}
-	case result.Outcome == OutcomeComplete || result.Outcome == OutcomeFailed && call.plain:
-		c.recordResponse(now, call, run, result)
 	case result.silent() || result.Reason == ReasonClientGone && result.Outcome != OutcomeNotRun && call.plain:
 		c.crashes.addEnding(run, ending{
 			at:    now,
@@ -87,25 +96,10 @@
 // one just has or if the request was on trial.
 func (r Result) silent() bool { return r.Reason == ReasonTimeout && r.Outcome != OutcomeNotRun }
 
-// recordResponse records what a complete response says about the request.
-func (c *Core) recordResponse(now time.Time, call *activeCall, run poison.Run, result Result) {
-	failed := result.Outcome == OutcomeFailed
-	switch {
-	case result.CloseDelimited || result.WithoutEvents:
-		ended := ending{
-			at:    now,
-			parts: call.parts(),
-		}
-		if call.plain {
-			ended.fingerprint = call.fingerprint
-			ended.failed = failed
-		}
-		c.crashes.addEnding(run, ended)
-	case failed:
-		c.recordFailure(now, run, call.fingerprint)
-	default:
-		c.recordAnswer(now, call)
-	}
+// complete reports whether an attempt has ended with a complete response: an answer or, from
+// a plain endpoint, a failure.
+func (r Result) complete(plain bool) bool {
+	return r.Outcome == OutcomeComplete || r.Outcome == OutcomeFailed && plain
 }
 
 // recordReplaced records that another endpoint answers at the address of a run, which has
@@ -158,18 +152,10 @@
 		if !proved {
 			continue
 		}
-		var joined, others []ending
-		for _, e := range c.crashes.endings[run] {
-			if endedAt.Sub(e.at).Abs() <= endingMemory {
-				joined = append(joined, e)
-			} else {
-				others = append(others, e)
-			}
-		}
+		joined := c.crashes.takeEndings(run, func(e *ending) bool { return endedAt.Sub(e.at).Abs() <= endingMemory })
 		if len(joined) == 0 {
 			continue
 		}
-		c.crashes.keepEndings(run, others)
 		c.addCrash(now, poison.Crash{
 			Run:   run,
 			At:    joined[0].at,
--- a/internal/gate/entries_test.go
+++ b/internal/gate/entries_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dogwoodfold/internal/lease"
+	"dogwoodfold/internal/poison"
 	"dogwoodfold/internal/topo"
 )
 
@@ -33,6 +34,8 @@
 	offset     int64
 	// followed is the entry with which each of the others has a session.
 	followed map[string]string
+	// ended are the runs of endpoints that a probe has found to be over.
+	ended map[poison.Run]bool
 }
 
 // newEntryFleet returns entries named front-1 to front-3, the first of which
@@ -42,7 +45,7 @@
 func newEntryFleetOf(t *testing.T, entries int) *entryFleet {
 	f := &entryFleet{
 		t: t, now: start, cores: make(map[string]*Core), effects: make(map[string][]Effect),
-		followed: make(map[string]string),
+		followed: make(map[string]string), ended: make(map[poison.Run]bool),
 	}
 	f.startEntries(entries)
 	f.readStore()
@@ -160,8 +163,17 @@
 	if core == nil {
 		return
 	}
+	if probed, ok := e.(EngineProbed); ok && !probed.Running {
+		f.ended[probed.Run] = true
+	}
+	_, ticked := e.(Tick)
 	for _, effect := range core.Apply(f.now, e) {
 		switch e := effect.(type) {
+		case ProbeEngine:
+			f.effects[host] = append(f.effects[host], effect)
+			if ticked && !f.ended[e.Run] { // tests answer the probes after cut answers themselves
+				f.apply(host, EngineProbed{Run: e.Run, Running: true})
+			}
 		case SendReport:
 			f.apply(f.followed[host], ReportReceived{Host: host, Report: e.Report})
 		case SendState:
--- a/internal/gate/leaderless_test.go
+++ b/internal/gate/leaderless_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodfold/internal/poison"
+	"dogwoodfold/internal/topo"
 )
 
 // loseLeader ends the term of the leader, since the store is down.
@@ -89,6 +90,8 @@
 		sound := f.mustTryPlain(host, "/charge/1", soundContent)
 		if bad, err := f.tryPlain(host, "/charge/1", badContent); err == nil {
 			f.cut(host, bad)
+			f.change(topo.EndpointChange{ID: bad.Endpoint})
+			f.addShop()
 		}
 		f.crashPlain(host, sound)
 		f.answer(f.running(i+1), f.mustTryPlain(f.running(i+1), "/charge/1", soundContent))
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -102,6 +102,12 @@
 	return again
 }
 
+// answer completes a request, which its endpoint outlives.
+func (f *plainFleet) answer(host string, sent Send) {
+	f.entryFleet.answer(host, sent)
+	f.pass(answerSettleTime)
+}
+
 // crashPlain is cut; another endpoint starts later.
 func (f *plainFleet) crashPlain(host string, sent Send) {
 	f.cut(host, sent)
--- a/internal/gate/probe.go
+++ b/internal/gate/probe.go
@@ -35,12 +35,11 @@
 func (c *Core) handleEngineProbed(now time.Time, e EngineProbed) {
 	probedAt := c.crashes.probes[e.Run]
 	delete(c.crashes.probes, e.Run)
-	endings := c.crashes.endings[e.Run]
 	if e.Running {
 		c.keepAfterProbe(now, e.Run, probedAt)
 		return
 	}
-	delete(c.crashes.endings, e.Run)
+	endings := c.crashes.takeEndings(e.Run, func(ended *ending) bool { return ended.joins(e.Ended) })
 	crash := poison.Crash{
 		Run:   e.Run,
 		At:    probedAt,
@@ -53,18 +52,15 @@
 	c.addCrash(now, crash)
 }
 
-// keepAfterProbe keeps the endings that came after a probe that found the engine
-// running, and probes it again if one of them was cut off.
+// keepAfterProbe keeps the endings that came after a probe that found the endpoint
+// running, and the responses that it doesn't prove yet. It probes the endpoint again if one of
+// them was cut off.
 func (c *Core) keepAfterProbe(now time.Time, run poison.Run, probedAt time.Time) {
-	var later []ending
-	for _, ended := range c.crashes.endings[run] {
-		if ended.at.After(probedAt) {
-			later = append(later, ended)
-			continue
-		}
+	c.settleAnswers(now, run, probedAt)
+	for _, ended := range c.crashes.takeEndings(run, func(e *ending) bool { return !e.complete && !e.at.After(probedAt) }) {
 		c.endTrial(now, ended.suspects)
 	}
-	c.crashes.keepEndings(run, later)
+	later := c.crashes.endings[run]
 	ep := c.endpoints[run.Engine]
 	if ep != nil && slices.ContainsFunc(later, func(e ending) bool { return e.broken }) {
 		c.probeEngine(now, run, ep)
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -46,14 +46,23 @@
 // parts returns what may make a call crash its endpoint: its fingerprint and, if it needs
 // an engine, the parts of its prompt that others may share.
 func (ac *activeCall) parts() []poison.Part {
-	var out []poison.Part
-	if !ac.plain {
-		out = slices.Clip(ac.request.SharedParts)
+	return append(ac.promptParts(), ac.ownPart()...)
+}
+
+// promptParts returns the parts of the prompt of a call that needs an engine.
+func (ac *activeCall) promptParts() []poison.Part {
+	if ac.plain {
+		return nil
 	}
-	if ac.fingerprint != 0 {
-		out = append(out, ac.fingerprint)
+	return slices.Clip(ac.request.SharedParts)
+}
+
+// ownPart returns the part of a call that only identical ones have, if it is known.
+func (ac *activeCall) ownPart() []poison.Part {
+	if ac.fingerprint == 0 {
+		return nil
 	}
-	return out
+	return []poison.Part{ac.fingerprint}
 }
 
 // suspects returns the parts of a call that may crash endpoints.
--- a/internal/gate/trial_test.go
+++ b/internal/gate/trial_test.go
@@ -20,14 +20,21 @@
 	}
 }
 
-// wantWaitForTrial checks that the suspect request is tried with one at a time, and that
-// one that waits is sent no later than the given time after the trial ends with a result.
+// wantWaitForTrial checks that the suspect request is tried with one at a time until its
+// endpoint has outlived the result, and that one that waits then is sent no later than the
+// given time after that.
 func (f *plainFleet) wantWaitForTrial(result Result, within time.Duration) (trial, next Send) {
 	f.t.Helper()
 	trial = f.mustTryPlain("front-3", "/charge/1", badContent)
 	f.wantOnTrial()
-	waits := f.arrivePlain("front-2", "/charge/1", "k2", badContent)
 	f.apply("front-3", AttemptEnded{Call: trial.Call, Result: result})
+	began := f.now
+	f.wantOnTrial()
+	f.now = began.Add(answerSettleTime - trialRequestInterval)
+	f.apply("front-3", Tick{})
+	waits := f.arrivePlain("front-2", "/charge/1", "k2", badContent)
+	f.now = began.Add(answerSettleTime)
+	f.apply("front-3", Tick{})
 	f.now = f.now.Add(within)
 	f.apply("front-1", Tick{})
 	f.apply("front-2", Tick{})
@@ -47,7 +54,7 @@
 		if fault.CodeOf(err) != fault.CodeQuarantine || fault.VerdictOf(err) != fault.NotRun || fault.RetryAfterOf(err) == 0 {
 			f.t.Errorf("%s answered another request during the trial with %v", hostOf(i), err)
 		}
-		f.answer(hostOf(i), f.mustTryPlain(hostOf(i), "/charge/1", soundContent))
+		f.entryFleet.answer(hostOf(i), f.mustTryPlain(hostOf(i), "/charge/1", soundContent))
 	}
 }
 
@@ -67,6 +74,7 @@
 		trial := f.mustTryPlain("front-3", "/charge/1", badContent)
 		f.wantOnTrial()
 		f.apply("front-3", AttemptEnded{Call: trial.Call, Result: failure})
+		f.pass(answerSettleTime)
 		if trial.Endpoint != first.Endpoint {
 			break
 		}
