Tell the store of a crash at once, and read it before serving

Cause: what is known of crashes was in the memory of entries, and in the lease's record, which the leader alone writes every 0.7 s and which names suspects only: a first crash was in no record, and later ones came too late or, without a leader, not at all. The class is acknowledged state that is durable only later: the fleet acted on knowledge (one trial at a time) that a restart took away.

Change: the entry that has seen a crash writes what it knows to the store at once, in a record of its own host; entries read all of these before they take a configuration, so before they send anything. An endpoint that has left the registry or crashed proves no answer of its last 3 s any more.

New tests: odd records, ages, bounds, writes until acknowledged, a store that doesn't tell.

Weighed: writing the requests under way before they are sent (a write for each), a quicker renewal of the lease (only the leader writes it, and there is none for seconds after all have ended), records of the first sight of a cut answer before the probe (also for answers that are cut for other reasons).

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -61,7 +61,13 @@
 }
 
 // handleConfigBatch applies a configuration read that was sent at the given time.
+// The first one waits until crashes were read: without a configuration no request is sent.
 func (s *Server) handleConfigBatch(ctx context.Context, sentAt time.Time, batch platform.ConfigBatch) {
+	select {
+	case <-s.crashesRead:
+	case <-ctx.Done():
+		return
+	}
 	if batch.Config != nil {
 		s.mu.Lock()
 		s.limits = clientLimits{batch.Config.Limits}
--- a/internal/edge/perform.go
+++ b/internal/edge/perform.go
@@ -26,6 +26,8 @@
 		go s.readLease()
 	case gate.AppendLease:
 		go s.appendLease(e)
+	case gate.RecordCrashes:
+		go s.recordCrashes(e)
 	case gate.DialLeader:
 		s.leaderLink.setTarget(e)
 	case gate.SendReport:
--- a/internal/edge/poison_restart_test.go
+++ b/internal/edge/poison_restart_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -10,12 +13,12 @@
 	"github.com/rs/zerolog"
 
 	"dogwoodfold/platform"
+	"dogwoodfold/platform/fakes"
 )
 
 const (
-	// All entries end between minKillDelay and maxKillDelay after an endpoint, and start
-	// again entryDowntime later.
-	minKillDelay  = 30 * time.Millisecond
+	// All entries end within maxKillDelay after an endpoint, and start again entryDowntime
+	// later.
 	maxKillDelay  = 400 * time.Millisecond
 	entryDowntime = 250 * time.Millisecond
 	// badInterval is the time between two bad requests.
@@ -60,7 +63,7 @@
 	group   sync.WaitGroup
 }
 
-// endpointEnded ends all entries soon, unless they are about to end already.
+// endpointEnded ends all entries within maxKillDelay, unless they are about to end already.
 func (k *entryKiller) endpointEnded() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -69,7 +72,7 @@
 	}
 	k.pending = true
 	k.group.Go(func() {
-		time.Sleep(minKillDelay + rand.N(maxKillDelay-minKillDelay))
+		time.Sleep(rand.N(maxKillDelay))
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		for _, e := range k.entries {
@@ -131,8 +134,8 @@
 	return len(f.crashes)
 }
 
-// Guards against BUDGET by a request that crashes endpoints while all entries end soon
-// after each crash: what they have seen must be in the store by then.
+// Guards against BUDGET by a request that crashes endpoints while all entries end
+// within 0.4 s after each crash: what they have seen must be in the store by then.
 func TestCrashesAddUpOverEndsOfAllEntries(t *testing.T) {
 	t.Parallel()
 	const duration = 20 * time.Second
@@ -156,3 +159,26 @@
 		}
 	}
 }
+
+// Guards against an entry that never serves, or serves at once without what is known of
+// crashes, because the store fails to tell it.
+func TestEntryStartsWithoutCrashRecords(t *testing.T) {
+	t.Parallel()
+	store := fakes.NewStore()
+	failing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Query().Get("topic"), "-crashes") {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		store.ServeHTTP(w, r)
+	})
+	store.Put(fakes.TopicOperator, fakes.KeyConfig, testConfig(1, "key-1"))
+	settings := testSettings(t, "front-1", netip.MustParseAddrPort(serveLoopback(t, failing)))
+	began := time.Now()
+	startServer(t, settings, 7)
+	f := &fixture{t: t, store: store, readyURL: "http://" + settings.ReadyAddr.String() + platform.PathReady}
+	f.waitFor("the entry is ready", func() bool { return f.getStatus(f.readyURL) == http.StatusOK })
+	if waited := time.Since(began); waited < maxCrashReadTime {
+		t.Errorf("ready after %v, want it to try for %v", waited, maxCrashReadTime)
+	}
+}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -53,6 +53,10 @@
 	stopping       bool
 	clientListener net.Listener
 
+	// crashesRead is closed once this entry knows what others had told the store of crashes,
+	// or has given up reading it.
+	crashesRead chan struct{}
+
 	ready   atomic.Bool
 	drained chan struct{}
 	done    chan struct{}
@@ -127,6 +131,7 @@
 		settingsStatus: newSettingsStatus(time.Now(), settings),
 		configWatch:    newWatchControl(),
 		registryWatch:  newWatchControl(),
+		crashesRead:    make(chan struct{}),
 		drained:        make(chan struct{}),
 		done:           make(chan struct{}),
 	}
@@ -189,6 +194,7 @@
 	var group sync.WaitGroup
 	tasks := []func(context.Context){
 		s.loop.Run,
+		s.readCrashes,
 		s.watchConfig,
 		s.watchEndpoints,
 		s.runTicker,
--- a/internal/gate/answers.go
+++ b/internal/gate/answers.go
@@ -63,19 +63,23 @@
 }
 
 // settleOldAnswers forgets endings that are too old to be those of a crash. Complete responses
-// among them count as proofs. Endpoints on whose responses a trial depends are probed.
+// among them count as proofs if their endpoint is still there. Endpoints on whose responses a
+// trial depends are probed.
 func (c *Core) settleOldAnswers(now time.Time) {
 	for _, run := range slices.SortedFunc(maps.Keys(c.crashes.endings), compareRuns) {
 		if _, probing := c.crashes.probes[run]; probing {
 			continue
 		}
+		ep := c.endpoints[run.Engine]
+		registered := ep != nil && runOf(ep.Endpoint) == run
 		for _, e := range c.crashes.takeEndings(run, func(e *ending) bool { return now.Sub(e.at) > endingMemory }) {
-			if e.complete {
+			if e.complete && registered && !c.crashes.log.CrashedSince(run, e.at) {
 				c.settleAnswer(now, run, e)
+				continue
 			}
+			c.endTrial(now, e.suspects)
 		}
-		ep := c.endpoints[run.Engine]
-		if ep != nil && runOf(ep.Endpoint) == run && c.crashes.awaitsProof(now, run) {
+		if registered && c.crashes.awaitsProof(now, run) {
 			c.probeEngine(now, run, ep)
 		}
 	}
@@ -84,8 +88,10 @@
 // awaitsProof reports whether a sign of life of an endpoint would end a trial, or prove that a
 // suspect request is sound.
 func (w *crashWatch) awaitsProof(now time.Time, run poison.Run) bool {
+	suspects := w.log.Suspects()
+	isSuspect := func(p poison.Part) bool { return suspects[p] }
 	return slices.ContainsFunc(w.endings[run], func(e ending) bool {
-		return e.settledBy(now) && (len(e.suspects) > 0 || slices.ContainsFunc(e.proves, func(p poison.Part) bool { return w.log.Suspects()[p] }))
+		return e.settledBy(now) && (len(e.suspects) > 0 || slices.ContainsFunc(e.proves, isSuspect))
 	})
 }
 
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -92,6 +92,7 @@
 	assignments  assignmentClient
 	streams      streamTable
 	crashes      crashWatch
+	crashRecords crashRecords
 	// departedVersions holds, by service, the software versions of endpoints that
 	// were removed, and when the last of each was.
 	departedVersions map[string]map[string]time.Time
@@ -228,6 +229,10 @@
 		c.handleOrderAnswered(now, e)
 	case EngineReported:
 		c.handleEngineReported(now, e)
+	case CrashesRead:
+		c.handleCrashesRead(now, e)
+	case CrashesRecorded:
+		c.handleCrashesRecorded(now, e)
 	}
 }
 
@@ -260,6 +265,7 @@
 	c.crashes.prune(now)
 	c.crashes.log.Assess(now)
 	c.relayPoison(now)
+	c.recordNewCrashes(now)
 	c.logQuarantines(now)
 }
 
--- a/internal/gate/endings.go
+++ b/internal/gate/endings.go
@@ -171,8 +171,13 @@
 func (c *Core) addCrash(now time.Time, crash poison.Crash) {
 	before := c.crashes.log.Revision()
 	c.crashes.log.AddCrash(now, crash)
-	if c.crashes.log.Revision() != before {
-		c.spreadPoison(now)
+	if c.crashes.log.Revision() == before {
+		return
+	}
+	c.spreadPoison(now)
+	if len(crash.Parts) > 0 {
+		c.crashRecords.due = true
+		c.recordNewCrashes(now)
 	}
 }
 
--- a/internal/gate/entries_test.go
+++ b/internal/gate/entries_test.go
@@ -34,10 +34,38 @@
 	offset     int64
 	// followed is the entry with which each of the others has a session.
 	followed map[string]string
+	// crashRecords holds what each entry has told the store of crashes, and when.
+	crashRecords map[string]crashRecord
 	// ended are the runs of endpoints that a probe has found to be over.
 	ended map[poison.Run]bool
 }
 
+// crashRecord is what an entry has told the store of crashes, and when.
+type crashRecord struct {
+	at       time.Time
+	evidence lease.CrashEvidence
+}
+
+// crashesRead returns a read of what entries have told the store of crashes.
+func (f *entryFleet) crashesRead() CrashesRead {
+	var read CrashesRead
+	for _, host := range slices.Sorted(maps.Keys(f.crashRecords)) {
+		record := f.crashRecords[host]
+		age := f.now.Sub(record.at).Milliseconds()
+		var aged lease.CrashEvidence
+		for _, crash := range record.evidence.Crashes {
+			crash.AgeMs += age
+			aged.Crashes = append(aged.Crashes, crash)
+		}
+		for _, answer := range record.evidence.Answers {
+			answer.AgeMs += age
+			aged.Answers = append(aged.Answers, answer)
+		}
+		read.Evidence = append(read.Evidence, aged)
+	}
+	return read
+}
+
 // newEntryFleet returns entries named front-1 to front-3, the first of which
 // leads, with engines of two versions.
 func newEntryFleet(t *testing.T) *entryFleet { return newEntryFleetOf(t, 3) }
@@ -46,6 +74,7 @@
 	f := &entryFleet{
 		t: t, now: start, cores: make(map[string]*Core), effects: make(map[string][]Effect),
 		followed: make(map[string]string), ended: make(map[poison.Run]bool),
+		crashRecords: make(map[string]crashRecord),
 	}
 	f.startEntries(entries)
 	f.readStore()
@@ -67,6 +96,7 @@
 // readStore delivers a read of the configuration and of all endpoints.
 func (f *entryFleet) readStore() {
 	for host := range f.cores {
+		f.apply(host, f.crashesRead())
 		f.apply(host, ConfigRead{Config: testConfig(), SentAt: f.now})
 		read := EndpointsRead{SentAt: f.now}
 		for i := range 4 {
@@ -169,6 +199,11 @@
 	_, ticked := e.(Tick)
 	for _, effect := range core.Apply(f.now, e) {
 		switch e := effect.(type) {
+		case RecordCrashes:
+			if !f.storeDown {
+				f.crashRecords[host] = crashRecord{at: f.now, evidence: e.Evidence}
+			}
+			f.apply(host, CrashesRecorded{Acknowledged: !f.storeDown})
 		case ProbeEngine:
 			f.effects[host] = append(f.effects[host], effect)
 			if ticked && !f.ended[e.Run] { // tests answer the probes after cut answers themselves
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -93,6 +93,12 @@
 	Ended bool
 }
 
+// CrashesRead reports what entries had told the store of crashes when this one started.
+type CrashesRead struct{ Evidence []lease.CrashEvidence }
+
+// CrashesRecorded reports whether the store has acknowledged a RecordCrashes.
+type CrashesRecorded struct{ Acknowledged bool }
+
 // EndpointLeaving reports that an endpoint has said in an answer that it leaves.
 type EndpointLeaving struct {
 	Endpoint    string
@@ -251,6 +257,8 @@
 func (RequestArrived) event()      {}
 func (FirstByteReceived) event()   {}
 func (AnswerContinues) event()     {}
+func (CrashesRead) event()         {}
+func (CrashesRecorded) event()     {}
 func (EngineProbed) event()        {}
 func (EndpointLeaving) event()     {}
 func (LimitNamed) event()          {}
--- a/internal/gate/evidence.go
+++ b/internal/gate/evidence.go
@@ -16,7 +16,7 @@
 // lease.
 func (c *Core) recordCrashes(now time.Time, record *lease.Record) {
 	record.Quarantine = c.recordedQuarantine(now)
-	record.Evidence = c.recordedEvidence(now)
+	record.Evidence = encodeEvidence(now, c.crashes.log.Evidence(now))
 }
 
 // applyRecordedCrashes adds the quarantines in a new record of the lease, and the evidence
@@ -59,9 +59,8 @@
 	}
 }
 
-// recordedEvidence returns the evidence for the next record of the lease.
-func (c *Core) recordedEvidence(now time.Time) lease.CrashEvidence {
-	evidence := c.crashes.log.Evidence(now)
+// encodeEvidence returns evidence as records in the store hold it.
+func encodeEvidence(now time.Time, evidence poison.Changes) lease.CrashEvidence {
 	var out lease.CrashEvidence
 	for _, crash := range evidence.Crashes {
 		out.Crashes = append(out.Crashes, lease.RecordedCrash{
@@ -80,7 +79,7 @@
 	return out
 }
 
-// applyRecordedEvidence adds the evidence in a record of the lease.
+// applyRecordedEvidence adds the evidence in a record of the store.
 func (c *Core) applyRecordedEvidence(now time.Time, recorded lease.CrashEvidence) {
 	var evidence poison.Changes
 	for _, crash := range recorded.Crashes {
@@ -89,15 +88,23 @@
 				Engine:      crash.Endpoint,
 				Incarnation: crash.Incarnation,
 			},
-			At:    now.Add(-time.Duration(crash.AgeMs) * time.Millisecond),
+			At:    now.Add(-recordedAge(crash.AgeMs)),
 			Parts: poison.DecodeParts(crash.Parts),
 		})
 	}
 	for _, answer := range recorded.Answers {
 		evidence.Answers = append(evidence.Answers, poison.Answer{
 			Part: poison.Part(answer.Part),
-			At:   now.Add(-time.Duration(answer.AgeMs) * time.Millisecond),
+			At:   now.Add(-recordedAge(answer.AgeMs)),
 		})
 	}
 	c.crashes.log.AddEvidence(now, evidence)
 }
+
+// maxRecordedAge bounds the ages in records, which any writer may have written.
+const maxRecordedAge = 24 * time.Hour
+
+// recordedAge returns an age that a record gives in milliseconds.
+func recordedAge(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxRecordedAge.Milliseconds())) * time.Millisecond
+}
--- a/internal/gate/evidence_test.go
+++ b/internal/gate/evidence_test.go
@@ -221,3 +221,77 @@
 		}
 	}
 }
+
+// Guards against records of another writer whose ages are no times: such a crash must not
+// count for ever.
+func TestRecordedAgesAreBounded(t *testing.T) {
+	f := newPlainFleet(t)
+	bad := poison.NewFingerprint("free", badContent)
+	var evidence lease.CrashEvidence
+	for i, age := range []int64{-1 << 62, 1 << 62} {
+		evidence.Crashes = append(evidence.Crashes, lease.RecordedCrash{
+			Endpoint: fmt.Sprint("odd-", i),
+			AgeMs:    age,
+			Parts:    []uint64{uint64(bad)},
+		})
+	}
+	f.apply("front-1", CrashesRead{Evidence: []lease.CrashEvidence{evidence}})
+	for _, crash := range f.cores["front-1"].crashes.log.Recent().Crashes {
+		if crash.At.After(f.now) {
+			t.Errorf("a crash of %v is known at %v", crash.At, f.now)
+		}
+	}
+	if n := len(f.cores["front-1"].crashes.log.Recent().Crashes); n != 1 {
+		t.Errorf("%d crashes are known, want the one without an age", n)
+	}
+}
+
+// Guards against a crash that the store doesn't learn of because it refused the first write, or
+// because another write was in progress.
+func TestCrashIsWrittenUntilAcknowledged(t *testing.T) {
+	f := newPlainFleet(t)
+	f.storeDown = true
+	f.crashBad(1)
+	if len(f.crashRecords) > 0 {
+		t.Fatal("written while the store is down")
+	}
+	f.storeDown = false
+	f.pass(time.Second)
+	if n := len(f.crashRecords["front-1"].evidence.Crashes); n != 1 {
+		t.Errorf("%d crashes in the store a second after its return, want 1", n)
+	}
+	core := f.cores["front-2"]
+	core.crashRecords.writing = true
+	f.crashBad(2)
+	f.apply("front-2", CrashesRecorded{Acknowledged: true})
+	if n := len(f.crashRecords["front-2"].evidence.Crashes); n < 2 {
+		t.Errorf("%d crashes in the record of front-2 after the write in progress, want its own too", n)
+	}
+}
+
+// What is written to the store must not grow with what is asked for beside crashes, and
+// nothing is written without a crash.
+func TestCrashRecordIsBounded(t *testing.T) {
+	f := newPlainFleet(t)
+	f.wantServed(soundContent)
+	if len(f.crashRecords) > 0 {
+		t.Error("written without a crash")
+	}
+	log := f.cores["front-1"].crashes.log
+	for i := range 300 {
+		var parts []poison.Part
+		for j := range 100 {
+			parts = append(parts, poison.NewFingerprint("free", fmt.Sprint(i, "-", j)))
+		}
+		log.AddCrash(f.now, poison.Crash{
+			Run:   poison.Run{Engine: fmt.Sprint("shop-with-a-long-name-", i), Incarnation: 1 << 62},
+			At:    f.now.Add(-time.Duration(i) * time.Second),
+			Parts: parts,
+		})
+	}
+	value, err := json.Marshal(encodeEvidence(f.now, log.Recent()))
+	const most = 64 << 10
+	if err != nil || len(value) > most {
+		t.Errorf("the record has %d bytes, want at most %d: %v", len(value), most, err)
+	}
+}
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -45,6 +46,40 @@
 	return out
 }
 
+// maxRecentParts bounds the parts in the crashes that Recent returns.
+const maxRecentParts = 2048
+
+// Recent returns the newest crashes, oldest first, and the answers to requests with their
+// parts, whatever the verdicts on these are.
+func (l *Log) Recent() Changes {
+	crashes := slices.SortedFunc(maps.Values(l.crashes), func(a, b *loggedCrash) int {
+		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	var out Changes
+	var parts []Part
+	for _, c := range crashes[:min(len(crashes), maxEvidenceCrashes)] {
+		if len(parts)+len(c.Parts) > maxRecentParts {
+			break
+		}
+		parts = append(parts, c.Parts...)
+		out.Crashes = append(out.Crashes, Crash{
+			Run:   c.Run,
+			At:    c.At,
+			Parts: c.Parts,
+		})
+	}
+	slices.Reverse(out.Crashes)
+	for _, p := range union(parts, nil) {
+		if a := l.answers[p]; a != nil {
+			out.Answers = append(out.Answers, Answer{
+				Part: p,
+				At:   a.at,
+			})
+		}
+	}
+	return out
+}
+
 // strongestSuspects returns the suspects that were in most of the crashes.
 func (l *Log) strongestSuspects(crashes []*loggedCrash) []Part {
 	counts := make(map[Part]int)
--- a/internal/poison/log.go
+++ b/internal/poison/log.go
@@ -110,6 +110,12 @@
 	return crash.EndedAt, true
 }
 
+// CrashedSince reports whether a run is known to have crashed at a point in time or later.
+func (l *Log) CrashedSince(run Run, at time.Time) bool {
+	crash := l.crashes[run]
+	return crash != nil && !crash.At.Before(at)
+}
+
 // AddCrash adds a crash, or its parts to what is known of it.
 func (l *Log) AddCrash(now time.Time, crash Crash) {
 	l.prune(now)
