--- a/internal/edge/poison_restart_test.go
+++ b/internal/edge/poison_restart_test.go
@@ -33,14 +33,16 @@
 type restartableEntry struct {
 	t        *testing.T
 	settings *platform.Settings
-	// runs counts the processes that were started.
-	runs uint64
-	end  func()
+	// runs counts the processes that were started, server is the newest.
+	runs   uint64
+	server *Server
+	end    func()
 }
 
 func (e *restartableEntry) start() {
 	e.runs++
 	server := New(e.settings, zerolog.Nop(), uint64(e.settings.PeerAddr.Port())<<16|e.runs)
+	e.server = server
 	ctx, cancel := context.WithCancel(context.Background())
 	runErr := make(chan error, 1)
 	go func() { runErr <- server.Run(ctx) }()
--- a/internal/gate/answered_crash_test.go
+++ b/internal/gate/answered_crash_test.go
@@ -35,7 +35,7 @@
 func TestAnswerJustBeforeCrashIsNoProof(t *testing.T) {
 	f := newPlainFleet(t)
 	reached := 0
-	for i, until := 0, f.now.Add(time.Minute); f.now.Before(until); i++ {
+	for i, until := 0, f.now.Add(attackTime); f.now.Before(until); i++ {
 		sent, err := f.tryPlain(hostOf(i), "/charge/1", badContent)
 		if err != nil {
 			f.pass(crashGap)
@@ -49,3 +49,68 @@
 	}
 	f.answer("front-1", f.mustTryPlain("front-1", "/charge/1", soundContent))
 }
+
+// streamThenEnd streams an answer as a whole and then ends its engine, which another entry
+// finds out by a stream of its own.
+func (f *entryFleet) streamThenEnd(host string, sent Send) {
+	f.t.Helper()
+	f.apply(host, FirstByteReceived{Call: sent.Call})
+	f.now = f.now.Add(runTime)
+	f.answer(host, sent)
+	f.now = f.now.Add(40 * time.Millisecond)
+	core := f.cores[host]
+	run := poison.Run{Engine: sent.Endpoint, Incarnation: sent.Incarnation}
+	beside := &activeCall{request: &Request{SharedParts: []poison.Part{systemPart}}}
+	core.recordEnding(f.now, beside, core.endpoints[sent.Endpoint], Result{Outcome: OutcomeMayHaveRun, Reason: ReasonReset})
+	f.apply(host, EngineProbed{Run: run, Ended: true})
+	next := versionedEngine(sent.Endpoint, "v1")
+	next.Incarnation = sent.Incarnation + 1
+	for other := range f.cores {
+		f.apply(other, EndpointsRead{SentAt: f.now, Changes: []topo.EndpointChange{{ID: next.ID, Endpoint: next}}})
+	}
+	f.now = f.now.Add(time.Second)
+	f.tick()
+}
+
+// attackStreams lets streams come for a minute, each of which ends its engine just after its
+// whole answer, and returns how many reached an engine.
+func (f *entryFleet) attackStreams(content func(i int) string, parts ...poison.Part) (reached int) {
+	f.t.Helper()
+	for i, until := 0, f.now.Add(attackTime); f.now.Before(until); i++ {
+		host := hostOf(i)
+		f.calls++
+		f.effects[host] = nil
+		f.apply(host, RequestArrived{Call: f.calls, Request: &Request{
+			ID: fmt.Sprint("call-", f.calls), Host: "h", Path: "/chat/1", Key: "k2", Model: "big", ArrivedAt: f.now,
+			SharedParts: parts, Content: content(i),
+		}})
+		sent, err := f.await(host)
+		if err != nil {
+			f.now = f.now.Add(500 * time.Millisecond)
+			f.tick()
+			continue
+		}
+		reached++
+		f.streamThenEnd(host, sent)
+	}
+	return reached
+}
+
+// Guards against BUDGET by a stream that comes again, identically, and whose engines end just
+// after they have answered it as a whole.
+func TestStreamAnsweredJustBeforeCrashIsNoProof(t *testing.T) {
+	f := newEntryFleet(t)
+	reached := f.attackStreams(func(int) string { return badContent }, systemPart)
+	if most := 3 + badRetries; reached > most {
+		t.Errorf("%d requests reached engines, want at most %d", reached, most)
+	}
+}
+
+// Guards against the same by a part of prompts that differ otherwise.
+func TestPromptPartAnsweredJustBeforeCrashIsNoProof(t *testing.T) {
+	f := newEntryFleet(t)
+	reached := f.attackStreams(func(i int) string { return fmt.Sprint("distinct ", i) }, systemPart, badPart)
+	if most := 5 + badRetries; reached > most {
+		t.Errorf("%d requests reached engines, want at most %d", reached, most)
+	}
+}
--- a/internal/gate/evidence_test.go
+++ b/internal/gate/evidence_test.go
@@ -28,7 +28,7 @@
 	f.crashBad(3)
 	f.pass(budgetContact)
 	f.restart()
-	if reached := f.attack(time.Minute); reached > badRetries {
+	if reached := f.attack(); reached > badRetries {
 		t.Errorf("after the third crash and a restart of all entries, %d requests reached endpoints, want at most %d",
 			reached, badRetries)
 	}
@@ -48,7 +48,7 @@
 			t.Errorf("%s: after two crashes and three restarts the verdict is %v, want a trial", hostOf(i), v)
 		}
 	}
-	if reached := 2 + f.attack(time.Minute); reached > 3+badRetries {
+	if reached := 2 + f.attack(); reached > 3+badRetries {
 		t.Errorf("%d requests reached endpoints, want at most %d after the third crash", reached, badRetries)
 	}
 }
@@ -196,7 +196,7 @@
 	for _, delay := range []time.Duration{0, 50 * time.Millisecond, 400 * time.Millisecond} {
 		f := newPlainFleet(t)
 		var reached []time.Time
-		for i, until := 0, f.now.Add(time.Minute); f.now.Before(until); i++ {
+		for i, until := 0, f.now.Add(attackTime); f.now.Before(until); i++ {
 			sent, err := f.tryPlain(hostOf(i), "/charge/1", badContent)
 			if err != nil {
 				f.pass(crashGap)
@@ -295,3 +295,17 @@
 		t.Errorf("the record has %d bytes, want at most %d: %v", len(value), most, err)
 	}
 }
+
+// Guards against BUDGET by a request that crashes endpoints while the store is down, if all
+// entries end before it is back.
+func TestCrashesAddUpOverEndOfAllEntriesWithoutStore(t *testing.T) {
+	f := newPlainFleet(t)
+	f.storeDown = true
+	f.crashBad(3)
+	f.storeDown = false
+	f.restart()
+	if reached := f.attack(); reached > badRetries {
+		t.Errorf("after the third crash without the store and a restart of all entries, %d requests reached endpoints, want at most %d",
+			reached, badRetries)
+	}
+}
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -23,6 +23,8 @@
 	// bad requests may reach endpoints.
 	budgetContact = 3 * time.Second
 	badRetries    = 3
+	// attackTime is how long the bad request comes again and again.
+	attackTime = time.Minute
 )
 
 // plainFleet is a set of entries with plain endpoints.
@@ -131,10 +133,10 @@
 	}
 }
 
-// attack lets the bad request come for a time, and returns how often it reached an endpoint.
-func (f *plainFleet) attack(d time.Duration) (reached int) {
+// attack lets the bad request come for attackTime, and returns how often it reached an endpoint.
+func (f *plainFleet) attack() (reached int) {
 	f.t.Helper()
-	for i, until := 0, f.now.Add(d); f.now.Before(until); i++ {
+	for i, until := 0, f.now.Add(attackTime); f.now.Before(until); i++ {
 		sent, err := f.tryPlain(hostOf(i), "/charge/1", badContent)
 		if err != nil {
 			f.pass(crashGap)
--- a/internal/gate/trial_test.go
+++ b/internal/gate/trial_test.go
@@ -99,7 +99,7 @@
 			CloseDelimited: closeDelimited,
 		}})
 		f.pass(endingMemory + crashGap)
-		if reached := f.attack(time.Minute); 1+reached > badRetries {
+		if reached := f.attack(); 1+reached > badRetries {
 			t.Errorf("%d requests reached endpoints later than %v after the third crash, want at most %d",
 				1+reached, budgetContact, badRetries)
 		}
