Let requests of the soak crash endpoints after their answers, too

An answer that is told late no longer takes the place of a newer one in the log of crashes (found by reading; TestLateAnswerReplacesNoNewerOne). It could make a crash between the two count again.

--- a/internal/poison/fingerprint_test.go
+++ b/internal/poison/fingerprint_test.go
@@ -445,3 +445,18 @@
 	}
 	return l
 }
+
+// Guards against an older answer, told late, that takes the place of a newer one and so makes
+// a crash between the two count again.
+func TestLateAnswerReplacesNoNewerOne(t *testing.T) {
+	bad := NewFingerprint("acme", "content")
+	l := NewLog()
+	for i := range 2 {
+		l.AddCrash(at(time.Second), Crash{Run: Run{Engine: fmt.Sprint(i)}, At: at(time.Second), Parts: []Part{bad}})
+	}
+	l.AddAnswer(at(2*time.Second), []Part{bad})
+	l.AddAnswer(at(500*time.Millisecond), []Part{bad})
+	if v := l.Judge(at(3*time.Second), []Part{bad}).Verdict; v != Clear {
+		t.Errorf("the verdict after an answer is %v, want clear", v)
+	}
+}
--- a/internal/poison/log.go
+++ b/internal/poison/log.go
@@ -72,12 +72,15 @@
 	newer, older map[Part]time.Time
 }
 
-func (r *recentAnswers) add(now time.Time, p Part) {
+func (r *recentAnswers) add(at time.Time, p Part) {
+	if known, ok := r.newer[p]; ok && known.After(at) {
+		return
+	}
 	if r.newer == nil || len(r.newer) >= maxRecent {
 		r.older = r.newer
 		r.newer = make(map[Part]time.Time)
 	}
-	r.newer[p] = now
+	r.newer[p] = at
 }
 
 // answeredAt returns the time of the newest answer to a fingerprint that is known.
@@ -175,17 +178,20 @@
 	}
 }
 
-// AddAnswer records that an engine has answered a request with the given parts.
-func (l *Log) AddAnswer(now time.Time, parts []Part) {
+// AddAnswer records that an engine has answered a request with the given parts at the given
+// time, which may be past.
+func (l *Log) AddAnswer(at time.Time, parts []Part) {
 	for _, p := range parts {
 		if p.isFingerprint() && !l.watches(p) {
-			l.recent.add(now, p)
+			l.recent.add(at, p)
 			continue
 		}
-		l.answer(p).at = now
+		if a := l.answer(p); at.After(a.at) {
+			a.at = at
+		}
 	}
 	l.shareAll(parts)
-	l.prune(now)
+	l.prune(at)
 }
 
 // watches reports whether answers to a fingerprint change what is known of it.
--- a/internal/soak/crasher_test.go
+++ b/internal/soak/crasher_test.go
@@ -60,7 +60,9 @@
 	kind := []string{"read", "read", "buy"}[random.IntN(3)]
 	begin := time.Duration(random.Int64N(int64(faultDuration)))
 	end := time.Now().Add(crasherMinTime + time.Duration(random.Int64N(int64(crasherExtraTime))))
-	t.Logf("%v a request to %s crashes endpoints, from in %v on", time.Now().Format("05.000"), kind, begin)
+	en.crashesAfterAnswer = random.IntN(2) == 0
+	t.Logf("%v a request to %s crashes endpoints, after its answer: %t, from in %v on",
+		time.Now().Format("05.000"), kind, en.crashesAfterAnswer, begin)
 	for n, sound := range soundRequests {
 		random := rand.New(rand.NewPCG(seed, uint64(200+n)))
 		group.Go(func() {
@@ -93,14 +95,15 @@
 	en.history.recordStatus(sent, status)
 }
 
-// crashOnRequest crashes the endpoint if the request is the one that does.
-func (ep *fakeEndpoint) crashOnRequest(r *http.Request, id string) {
+// crashOnRequest crashes the endpoint if the request is the one that does, before or after it
+// has answered. It reports whether it has answered.
+func (ep *fakeEndpoint) crashOnRequest(w http.ResponseWriter, r *http.Request, id string) (answered bool) {
 	customer := r.Header.Get(platform.HeaderCustomer)
 	if ep.service != kioskService || customer != steadyCustomer || !strings.HasSuffix(r.URL.Path, "/x") {
-		return
+		return false
 	}
 	if body, err := io.ReadAll(r.Body); err != nil || string(body) != crasherBody {
-		return
+		return false
 	}
 	h, now := ep.env.history, time.Now()
 	h.recordExecution(execution{
@@ -110,15 +113,29 @@
 	h.crasherArrivals = append(h.crasherArrivals, poisonedExecution{at: now, inContact: now.After(h.stableFrom)})
 	h.mu.Unlock()
 	time.Sleep(time.Duration(20+rand.IntN(100)) * time.Millisecond)
-	if ep.end(id) {
-		ep.crash(time.Duration(300+rand.IntN(2700)) * time.Millisecond)
-		h.mu.Lock()
-		h.crasherCrashes = append(h.crasherCrashes, time.Now())
-		h.mu.Unlock()
+	if ep.env.crashesAfterAnswer {
+		requestID := r.Header.Get(platform.HeaderRequestID)
+		w.Header().Set(platform.HeaderServerStamp, "stamp-"+requestID)
+		_, _ = io.WriteString(w, "ran "+requestID)
+		time.AfterFunc(time.Duration(20+rand.IntN(180))*time.Millisecond, func() { ep.crashByRequest(id) })
+		return true
 	}
+	ep.crashByRequest(id)
 	panic(http.ErrAbortHandler)
 }
 
+// crashByRequest crashes an incarnation of the endpoint, unless it has ended.
+func (ep *fakeEndpoint) crashByRequest(id string) {
+	if !ep.end(id) {
+		return
+	}
+	ep.crash(time.Duration(300+rand.IntN(2700)) * time.Millisecond)
+	h := ep.env.history
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.crasherCrashes = append(h.crasherCrashes, time.Now())
+}
+
 // checkCrasher checks that the request that crashes endpoints is kept from them, and
 // that sound requests sent until a time aren't.
 func (h *history) checkCrasher(until time.Time) {
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -210,7 +210,9 @@
 		ep.env.history.checkDrain(id, drainingSince, time.Now())
 		w.Header().Set(platform.HeaderLeaving, "1")
 	}
-	ep.crashOnRequest(r, id)
+	if ep.crashOnRequest(w, r, id) {
+		return
+	}
 	if rand.IntN(20) == 0 {
 		if rand.IntN(2) == 0 {
 			w.Header().Set(platform.HeaderRetryAfter, "0.7")
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -43,9 +43,11 @@
 // environment is a fleet of entries with the store, endpoints and clients around
 // it.
 type environment struct {
-	t       *testing.T
-	history *history
-	store   *fakes.Store
+	// crashesAfterAnswer is true if endpoints answer the request that crashes them.
+	crashesAfterAnswer bool
+	t                  *testing.T
+	history            *history
+	store              *fakes.Store
 	// storeAddress is the address of the store itself. Each entry connects to it
 	// through its own proxy.
 	storeAddress string
