--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -38,7 +38,7 @@
 	}
 	result, err := probe(e)
 	s.log.Info().AnErr("error", err).Str("endpoint", e.Run.Engine).Bool("running", result.running).
-		Bool("ended", result.ended).Msg("endpoints: probed after an answer was cut off")
+		Bool("ended", result.ended).Msg("endpoints: probed")
 	s.post(gate.EngineProbed{
 		Run:     e.Run,
 		Running: result.running,
