Notice the end of an endpoint by the registry after a whole answer

Cause: the end of an endpoint was noticed only by a cut answer or a connection that failed. If its record was removed first, nobody connected any more, and the answer counted as proof 3 s later, while records of ended endpoints stay for three heartbeats and longer.

Change: an endpoint whose record is removed without notice is probed if it has responses that are unproved, one whose record is replaced by that of another run is over; a whole response without a later sign of life is kept for 6 s, so longer than the registry keeps the record.

Before and after: TestEndSeenByRegistryOnly failed for removals after 40 ms and replaced records before the probe, and for removals after 4.5 s without the longer memory; it passes.

--- a/internal/gate/answered_crash_test.go
+++ b/internal/gate/answered_crash_test.go
@@ -114,3 +114,41 @@
 		t.Errorf("%d requests reached engines, want at most %d", reached, most)
 	}
 }
+
+// Guards against the end of an endpoint that nobody sees, because its record is removed, or
+// replaced by that of its next run, before another request is sent there. A record that nobody
+// renews is removed seconds later.
+func TestEndSeenByRegistryOnly(t *testing.T) {
+	for _, c := range []struct {
+		replaced bool
+		after    time.Duration
+	}{{true, 40 * time.Millisecond}, {false, 40 * time.Millisecond}, {false, 4500 * time.Millisecond}} {
+		f := newPlainFleet(t)
+		bad := poison.NewFingerprint("free", badContent)
+		for range 6 {
+			sent, err := f.tryPlain("front-2", "/charge/1", badContent)
+			if err != nil {
+				break // it is kept away
+			}
+			f.entryFleet.answer("front-2", sent)
+			f.pass(c.after)
+			f.effects["front-2"] = nil
+			run := poison.Run{Engine: sent.Endpoint, Incarnation: sent.Incarnation}
+			if c.replaced {
+				next := testEndpoint(sent.Endpoint, "shop")
+				next.Incarnation = sent.Incarnation + 1
+				f.change(topo.EndpointChange{ID: next.ID, Endpoint: next})
+			} else {
+				f.change(topo.EndpointChange{ID: sent.Endpoint})
+				f.addShop()
+			}
+			if probe, probed := findEffect[ProbeEngine](f.effects["front-2"]); probed && probe.Run == run {
+				f.apply("front-2", EngineProbed{Run: run, Ended: true})
+			}
+			f.pass(time.Second)
+		}
+		if f.cores["front-2"].crashes.log.Judge(f.now, []poison.Part{bad}).Verdict == poison.Clear {
+			t.Errorf("%+v: a request is clear after 6 endpoints have ended just after they answered it", c)
+		}
+	}
+}
--- a/internal/gate/answers.go
+++ b/internal/gate/answers.go
@@ -12,6 +12,11 @@
 // that proves that the request doesn't crash it.
 const answerSettleTime = time.Second
 
+// answerMemory is how long a whole response without a later sign of life of its endpoint may
+// turn out to be one before the endpoint's end: longer than the registry keeps the record of
+// an endpoint that has ended.
+const answerMemory = 6 * time.Second
+
 // recordResponse keeps what a complete response says about the request until its endpoint has
 // gone on running, or has ended. Parts of prompts are proved sound at once: most requests
 // share them, so that a later proof would leave them suspect for as long as engines end.
@@ -44,6 +49,15 @@
 	return e.complete && aliveAt.Sub(e.at) >= answerSettleTime
 }
 
+// memory returns how long the end of an attempt may turn out to be one of an endpoint that has
+// ended.
+func (e *ending) memory() time.Duration {
+	if e.whole {
+		return answerMemory
+	}
+	return endingMemory
+}
+
 // settleAnswers counts the complete responses of a run as proofs that are followed by a sign
 // of life at the given time.
 func (c *Core) settleAnswers(now time.Time, run poison.Run, aliveAt time.Time) {
@@ -72,7 +86,7 @@
 		}
 		ep := c.endpoints[run.Engine]
 		registered := ep != nil && runOf(ep.Endpoint) == run
-		for _, e := range c.crashes.takeEndings(run, func(e *ending) bool { return now.Sub(e.at) > endingMemory }) {
+		for _, e := range c.crashes.takeEndings(run, func(e *ending) bool { return now.Sub(e.at) > e.memory() }) {
 			if e.complete && registered && !c.crashes.log.CrashedSince(run, e.at) {
 				c.settleAnswer(now, run, e)
 				continue
--- a/internal/gate/crashwatch.go
+++ b/internal/gate/crashwatch.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// endingMemory is how long an attempt that has ended may turn out to be one of an
-	// endpoint that has crashed.
+	// endingMemory is how long the end of an attempt without a whole response may turn out
+	// to be one of an endpoint that has crashed.
 	endingMemory = 3 * time.Second
 	// provingFailures is the number of endpoints that must have failed a suspect request,
 	// with no crash since the first of them, before it counts as answered: one endpoint
--- a/internal/gate/endings.go
+++ b/internal/gate/endings.go
@@ -152,7 +152,7 @@
 		if !proved {
 			continue
 		}
-		joined := c.crashes.takeEndings(run, func(e *ending) bool { return endedAt.Sub(e.at).Abs() <= endingMemory })
+		joined := c.crashes.takeEndings(run, func(e *ending) bool { return endedAt.Sub(e.at).Abs() <= e.memory() })
 		if len(joined) == 0 {
 			continue
 		}
--- a/internal/gate/probe.go
+++ b/internal/gate/probe.go
@@ -23,6 +23,15 @@
 	c.emit(probe)
 }
 
+// probeRemoved probes an endpoint that is removed without having announced it, if it may have
+// ended with requests of this entry: nobody connects to it any more.
+func (c *Core) probeRemoved(now time.Time, ep *endpoint) {
+	run := runOf(ep.Endpoint)
+	if !ep.Draining && len(c.crashes.endings[run]) > 0 {
+		c.probeEngine(now, run, ep)
+	}
+}
+
 func (c *Core) healthPath(service string) string {
 	if c.config == nil || c.config.Services[service] == nil {
 		return ""
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -205,6 +205,9 @@
 		record.Draining = true
 	}
 	if known != nil && known.Incarnation != record.Incarnation {
+		if !known.Draining {
+			c.recordReplaced(now, runOf(known.Endpoint))
+		}
 		c.removeEndpoint(now, record.ID)
 		known = nil
 	}
@@ -262,6 +265,7 @@
 	if c.endpoints[id] == nil {
 		return
 	}
+	c.probeRemoved(now, c.endpoints[id])
 	c.recordDeparture(now, c.endpoints[id])
 	c.recordVersionDeparture(now, c.endpoints[id].Endpoint)
 	delete(c.endpoints, id)
