--- a/internal/gate/answered_crash_test.go
+++ b/internal/gate/answered_crash_test.go
@@ -34,16 +34,7 @@
 // whole: such an answer is no proof that the request is sound.
 func TestAnswerJustBeforeCrashIsNoProof(t *testing.T) {
 	f := newPlainFleet(t)
-	reached := 0
-	for i, until := 0, f.now.Add(attackTime); f.now.Before(until); i++ {
-		sent, err := f.tryPlain(hostOf(i), "/charge/1", badContent)
-		if err != nil {
-			f.pass(crashGap)
-			continue
-		}
-		reached++
-		f.answerThenEnd(hostOf(i), sent)
-	}
+	reached := len(f.attackWith(f.answerThenEnd))
 	if most := 3 + badRetries; reached > most {
 		t.Errorf("%d requests reached endpoints, want at most %d", reached, most)
 	}
--- a/internal/gate/evidence_test.go
+++ b/internal/gate/evidence_test.go
@@ -195,20 +195,13 @@
 func TestCrashesAddUpOverEndsOfAllEntries(t *testing.T) {
 	for _, delay := range []time.Duration{0, 50 * time.Millisecond, 400 * time.Millisecond} {
 		f := newPlainFleet(t)
-		var reached []time.Time
-		for i, until := 0, f.now.Add(attackTime); f.now.Before(until); i++ {
-			sent, err := f.tryPlain(hostOf(i), "/charge/1", badContent)
-			if err != nil {
-				f.pass(crashGap)
-				continue
-			}
-			reached = append(reached, f.now)
-			f.cut(hostOf(i), sent)
+		reached := f.attackWith(func(host string, sent Send) {
+			f.cut(host, sent)
 			f.change(topo.EndpointChange{ID: sent.Endpoint})
 			f.addShop()
 			f.now = f.now.Add(delay)
 			f.restart()
-		}
+		})
 		later := 0
 		for _, at := range reached[min(len(reached), 3):] {
 			if at.Sub(reached[2]) > budgetContact {
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -135,6 +135,13 @@
 
 // attack lets the bad request come for attackTime, and returns how often it reached an endpoint.
 func (f *plainFleet) attack() (reached int) {
+	f.t.Helper()
+	return len(f.attackWith(f.crashPlain))
+}
+
+// attackWith lets the bad request come for attackTime, with the given consequence. It returns
+// the times at which it reached an endpoint.
+func (f *plainFleet) attackWith(consequence func(host string, sent Send)) (reachedAt []time.Time) {
 	f.t.Helper()
 	for i, until := 0, f.now.Add(attackTime); f.now.Before(until); i++ {
 		sent, err := f.tryPlain(hostOf(i), "/charge/1", badContent)
@@ -142,10 +149,10 @@
 			f.pass(crashGap)
 			continue
 		}
-		reached++
-		f.crashPlain(hostOf(i), sent)
+		reachedAt = append(reachedAt, f.now)
+		consequence(hostOf(i), sent)
 	}
-	return reached
+	return reachedAt
 }
 
 // wantPlainQuarantined checks that an entry refuses the bad request as not run, and sends
