--- a/internal/edge/poison_restart_test.go
+++ b/internal/edge/poison_restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -136,13 +137,28 @@
 	return len(f.crashes)
 }
 
-// Guards against BUDGET by a request that crashes endpoints while all entries end
-// within 0.4 s after each crash: what they have seen must be in the store by then.
+// Guards against BUDGET by a request that crashes endpoints, before or after it is answered,
+// while all entries end within 0.4 s after each crash: what they have seen must be in the
+// store by then.
 func TestCrashesAddUpOverEndsOfAllEntries(t *testing.T) {
 	t.Parallel()
+	for _, answers := range []bool{false, true} {
+		t.Run(fmt.Sprint("answers first ", answers), func(t *testing.T) {
+			t.Parallel()
+			f, k := newKilledShopFleet(t, 3)
+			f.badPath = chargePath
+			if answers {
+				f.onBad = f.answerThenCrash(40 * time.Millisecond)
+			}
+			f.checkKilled(k)
+		})
+	}
+}
+
+// checkKilled lets the bad request and sound ones come, and checks that few of the former reach
+// endpoints and that the latter are served.
+func (f *shopFleet) checkKilled(k *entryKiller) {
 	const duration = 20 * time.Second
-	f, k := newKilledShopFleet(t, 3)
-	f.badPath = chargePath
 	var group sync.WaitGroup
 	group.Go(func() { f.sendBadAfterCrashes(duration) })
 	for _, entry := range f.entries {
@@ -153,11 +169,12 @@
 	group.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t.Logf("reached %d, crashes %d, all entries ended %d times, served %v of %v", len(f.reached), len(f.crashes), k.kills, f.served, f.sent)
+	f.t.Logf("reached %d, crashes %d, all entries ended %d times, served %v of %v",
+		len(f.reached), len(f.crashes), k.kills, f.served, f.sent)
 	f.checkReached()
 	for _, s := range soundRequests {
 		if f.served[s.name] == 0 {
-			t.Errorf("%s: none of %d sound requests served", s.name, f.sent[s.name])
+			f.t.Errorf("%s: none of %d sound requests served", s.name, f.sent[s.name])
 		}
 	}
 }
