Show a moved route at the old service after silent connections

Cause: after the connections to the store have gone silent, the lease goes to a gateway that still reads the configuration by one of them. The clients of three cases share one loop, and a play that is told to stop ends its gateways.

--- a/review/_stand/client.go
+++ b/review/_stand/client.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -40,9 +43,7 @@
 var lastID atomic.Int64
 
 // nextID returns the ID of a new request.
-func nextID(name string) string {
-	return name + "-" + formatMs(time.Duration(lastID.Add(1))*time.Millisecond)
-}
+func nextID(name string) string { return fmt.Sprint(name, "-", lastID.Add(1)) }
 
 // send sends a request and waits for its answer.
 func (c *client) send(ctx context.Context, name, key string, deadline time.Duration, headers ...string) sent {
@@ -60,7 +61,7 @@
 	request.Host = "shop.example"
 	request.Header.Set("X-Request-Id", s.id)
 	request.Header.Set("X-Api-Key", key)
-	request.Header.Set("X-Deadline-Ms", formatMs(deadline))
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	for i := 0; i < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
@@ -81,3 +82,34 @@
 	}
 	return s
 }
+
+// load sends requests of one kind with n clients, spread over the gateways, each one after the other
+// with a gap between them. The returned function ends that and returns all requests.
+func (p *play) load(n int, gap time.Duration, name, key string, deadline time.Duration) (stop func() []sent) {
+	ended := make(chan struct{})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var all []sent
+	for i := range n {
+		c := newClient(p.fronts[i%len(p.fronts)], p.record)
+		group.Go(func() {
+			defer c.close()
+			for {
+				select {
+				case <-ended:
+					return
+				case <-time.After(gap):
+				}
+				s := c.send(p.ctx, name, key, deadline)
+				mu.Lock()
+				all = append(all, s)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() []sent {
+		close(ended)
+		group.Wait()
+		return all
+	}
+}
--- a/review/_stand/drain.go
+++ b/review/_stand/drain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 )
 
@@ -49,27 +48,7 @@
 	if err := waitReady(p.fronts, 20*time.Second); err != nil {
 		return false, err
 	}
-	stop := make(chan struct{})
-	var group sync.WaitGroup
-	var mu sync.Mutex
-	var all []sent
-	for i := range drainClients {
-		group.Go(func() {
-			c := newClient(p.fronts[i%len(p.fronts)], p.record)
-			defer c.close()
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(chargeGap):
-				}
-				s := c.send(p.ctx, "charge", "key-a", 1500*time.Millisecond)
-				mu.Lock()
-				all = append(all, s)
-				mu.Unlock()
-			}
-		})
-	}
+	stop := p.load(drainClients, chargeGap, "charge", "key-a", 1500*time.Millisecond)
 	time.Sleep(2 * time.Second)
 	reader := p.frequentReader()
 	for reader != <-p.store.serversRead {
@@ -91,9 +70,7 @@
 	workers[0].exit()
 	p.record.say("%s ends", workers[0].id)
 	time.Sleep(time.Second)
-	close(stop)
-	group.Wait()
-	return p.checkDrain(all, workers[0], silentAt, removedAt)
+	return p.checkDrain(stop(), workers[0], silentAt, removedAt)
 }
 
 // frequentReader returns the gateway that reads the workers' entries most often.
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -11,6 +11,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -20,8 +23,10 @@
 	dir     string
 	record  *record
 	store   *store
-	fronts  []*front
 	trouble bool
+
+	mu     sync.Mutex
+	fronts []*front
 }
 
 // maxPlayTime bounds a play.
@@ -30,8 +35,8 @@
 var cases = map[string]func(*play) (broken bool, err error){
 	"leaseRaised":          leaseRaised,
 	"removedBehindSilence": removedBehindSilence,
+	"movedBehindSilence":   movedBehindSilence,
 	"graceRaised":          graceRaised,
-	"secondTermination":    secondTermination,
 	"revokedBehindCut":     revokedBehindCut,
 }
 
@@ -68,11 +73,10 @@
 		store:   newStore(),
 		trouble: os.Getenv("TROUBLE") != "0",
 	}
+	go p.stopOnSignal()
 	r.say("%s, with the disruption: %v", name, p.trouble)
 	broken, err := cases[name](p)
-	for _, f := range p.fronts {
-		f.close()
-	}
+	p.close()
 	switch {
 	case err != nil:
 		r.say("the case couldn't run: %v", err)
@@ -85,11 +89,33 @@
 	return 0
 }
 
+// stopOnSignal ends the gateways with the play if it is told to stop early.
+func (p *play) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	p.close()
+	os.Exit(2)
+}
+
+// close ends the gateways.
+func (p *play) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range p.fronts {
+		f.close()
+	}
+	p.fronts = nil
+}
+
 // addFront starts a gateway that reaches the store at an address.
 func (p *play) addFront(name, store string, b bounds) (*front, error) {
 	f, err := newFront(name, store, p.dir, b, p.record)
-	if err == nil {
-		p.fronts = append(p.fronts, f)
+	if err != nil {
+		return nil, err
 	}
-	return f, err
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fronts = append(p.fronts, f)
+	return f, nil
 }
--- a/review/_stand/revoke.go
+++ b/review/_stand/revoke.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
-	"syscall"
 	"time"
 )
 
@@ -34,34 +32,13 @@
 	go w.register(p.ctx)
 	p.putConfig(10, "key-a", "key-b")
 	link := newProxy(serveHTTP(p.store), linkBytesPerSecond)
-	f, err := p.addFront("front-1", link.address(), usualBounds)
-	if err != nil {
+	if _, err := p.addFront("front-1", link.address(), usualBounds); err != nil {
 		return false, err
 	}
 	if err := waitReady(p.fronts, 20*time.Second); err != nil {
 		return false, err
 	}
-	stop := make(chan struct{})
-	var group sync.WaitGroup
-	var mu sync.Mutex
-	var all []sent
-	for range keyClients {
-		group.Go(func() {
-			c := newClient(f, p.record)
-			defer c.close()
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(keyGap):
-				}
-				s := c.send(p.ctx, "lookup", "key-a", 3*time.Second)
-				mu.Lock()
-				all = append(all, s)
-				mu.Unlock()
-			}
-		})
-	}
+	stop := p.load(keyClients, keyGap, "lookup", "key-a", 3*time.Second)
 	time.Sleep(3 * time.Second)
 	if p.trouble {
 		link.cut()
@@ -88,10 +65,7 @@
 		p.record.say("the partition is over")
 	}
 	time.Sleep(8 * time.Second)
-	close(stop)
-	group.Wait()
-	f.signal(syscall.SIGTERM)
-	return p.checkWithdrawal(all, w, withdrawnAt)
+	return p.checkWithdrawal(stop(), w, withdrawnAt)
 }
 
 // putConfig writes a version of the configuration and returns its size.
--- a/review/_stand/stop.go
+++ b/review/_stand/stop.go
@@ -44,22 +44,7 @@
 		}
 		time.Sleep(3 * time.Second)
 	}
-	return p.stopUnderLoad(workers, nil)
-}
-
-// secondTermination plays a planned stop in which a second one of the same process follows the
-// first. Without the disruption there is only the first.
-func secondTermination(p *play) (broken bool, err error) {
-	workers, err := p.startStopPlay(usualBounds)
-	if err != nil {
-		return false, err
-	}
-	return p.stopUnderLoad(workers, func(f *front) {
-		if p.trouble {
-			time.Sleep(time.Second)
-			f.signal(syscall.SIGTERM)
-		}
-	})
+	return p.stopUnderLoad(workers)
 }
 
 // startStopPlay starts two gateways before workers with long requests.
@@ -90,8 +75,8 @@
 }
 
 // stopUnderLoad stops the first gateway while requests run, and reports whether one of them was
-// lost. after is called once the gateway was told to stop.
-func (p *play) stopUnderLoad(workers []*worker, after func(*front)) (broken bool, err error) {
+// lost.
+func (p *play) stopUnderLoad(workers []*worker) (broken bool, err error) {
 	f := p.fronts[0]
 	time.Sleep(2 * time.Second)
 	var mu sync.Mutex
@@ -119,9 +104,6 @@
 	f.signal(syscall.SIGTERM)
 	kill := time.AfterFunc(raisedGrace, func() { f.signal(syscall.SIGKILL) })
 	defer kill.Stop()
-	if after != nil {
-		after(f)
-	}
 	group.Wait()
 	return p.checkLost(all, workers, stoppedAt)
 }
--- a/review/_stand/worker.go
+++ b/review/_stand/worker.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -290,5 +289,3 @@
 		},
 	}
 }
-
-func formatMs(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
