End the process in time while the store is silent

Cause: the end of the entry waits for its tasks, and these wait for calls to the store that nothing cancels: a long poll of 0.9 s, sent again after 0.6 s with 1.5 s more. The grace period leaves 0.5 s for the exit, so a process whose drain has used all of it was killed if the store answered nothing. The same holds for a session's handshake. Change: the client of the store is closed with the entry, which ends its calls; handshakes end with the context of their session.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -90,7 +90,11 @@
 }
 
 func (ss *peerSessions) serve(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() {
+		_ = conn.Close() // a handshake in progress fails
+	})
 	session, err := wire.Accept(conn, ss.hello, nil)
+	stop()
 	if err != nil {
 		ss.server.log.Info().Err(err).Msg("peers: session handshake failed")
 		return
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -209,6 +209,7 @@
 	}
 	<-ctx.Done()
 	s.closeClientConns()
+	s.store.Close()
 	group.Wait()
 	s.requestLog.logDropped()
 	return nil
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -68,6 +68,13 @@
 	if tlsConfig != nil {
 		conn = tls.Client(conn, tlsConfig)
 	}
+	// The deadline of ctx bounds only the connection: a busy peer may take longer to answer.
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			_ = conn.Close() // the handshake fails
+		}
+	})
+	defer stop()
 	return handshake(conn, self, true)
 }
 
