Estimate plain endpoints by their slots

Cause: the estimate for a plain endpoint added the work of all requests that run there, as if it ran them one after the other. Change: plain endpoints are expected to answer at once while slots are free, after the wait for a slot otherwise. The choice between them still prefers the one with the fewest requests, since loads of other entries are known late. Tests: two in pick_test.go, the first one failed before with 180 ms for 6 requests.

--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -65,6 +65,7 @@
 		SameZone:          ep.Zone == c.settings.Zone,
 		Cold:              now.Before(ep.coldUntil),
 		ExpectedFirstByte: plainRequestTime,
+		Concurrent:        service.Engine == nil,
 	}
 	if service.Engine != nil {
 		uncached := call.request.PromptTokens - ep.stats.CachedTokens(now, call.request.PromptParts)
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -19,6 +19,9 @@
 	ExpectedFirstByte time.Duration
 	// DelayPerRunning is how much each running request adds to ExpectedFirstByte.
 	DelayPerRunning time.Duration
+	// Concurrent is whether the endpoint runs the requests in its slots side by side, as plain
+	// endpoints do. Engines process prompts one after the other.
+	Concurrent bool
 }
 
 const (
@@ -36,6 +39,9 @@
 
 // Estimate returns the expected time to the first byte of the response.
 func Estimate(now time.Time, c Candidate) time.Duration {
+	if c.Concurrent {
+		return EstimateUnqueued(now, c) // the wait for a slot is all that other requests cost
+	}
 	prefill := time.Duration(float64(c.Stats.Load(now).PendingPrefill) * c.Stats.Slowdown(now))
 	return prefill + EstimateUnqueued(now, c)
 }
@@ -87,9 +93,22 @@
 	return sum
 }
 
-// slotHoldTime estimates how long a request holds its slot, as a multiple of its
-// time to the first byte. The estimate ignores the length of the response.
+// occupancyCost is the cost of the requests that run at a plain endpoint: they don't delay
+// another one while slots are free, but the loads of other entries are known late, and an
+// endpoint may slow down when it is nearly full.
+func occupancyCost(now time.Time, c Candidate) time.Duration {
+	if !c.Concurrent {
+		return 0
+	}
+	return time.Duration(c.Stats.Load(now).Running) * c.ExpectedFirstByte / time.Duration(max(c.Slots, 1))
+}
+
+// slotHoldTime estimates how long a request holds its slot: until the first byte at a plain
+// endpoint, otherwise a multiple of that. The estimate ignores the length of the response.
 func slotHoldTime(c Candidate) time.Duration {
+	if c.Concurrent {
+		return c.ExpectedFirstByte
+	}
 	return max(c.ExpectedFirstByte*slotHoldFactor, minSlotHoldTime)
 }
 
@@ -115,7 +134,7 @@
 	for i, c := range candidates {
 		estimate := Estimate(now, c)
 		usable := c.Stats.Usable(now)
-		cost := estimate + time.Duration(random.Int64N(int64(jitter))) + Penalty(c)
+		cost := estimate + time.Duration(random.Int64N(int64(jitter))) + Penalty(c) + occupancyCost(now, c)
 		if !usable {
 			cost += unhealthyCost
 		}
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -130,3 +130,46 @@
 		t.Errorf("partly cached prompts at a busy endpoint changed the rate to %.0f", rate)
 	}
 }
+
+// Guards against refusals of plain requests at endpoints with free slots: requests that run side
+// by side don't wait for each other, and beyond the slots the wait is that for a slot.
+func TestConcurrentEndpointIsExpectedToBeFreeUntilItsSlotsAreTaken(t *testing.T) {
+	const work = 30 * time.Millisecond
+	for _, c := range []struct {
+		running int
+		want    time.Duration
+	}{
+		{running: 0, want: work},
+		{running: 5, want: work},
+		{running: 6, want: work + work/6},
+		{running: 11, want: 2 * work},
+	} {
+		stats := NewEndpointStats()
+		stats.Local = Load{
+			Running:        c.running,
+			PendingPrefill: time.Duration(c.running) * work,
+		}
+		got := Estimate(startTime, Candidate{
+			Stats:             stats,
+			Slots:             6,
+			ExpectedFirstByte: work,
+			Concurrent:        true,
+		})
+		if got.Round(time.Millisecond) != c.want {
+			t.Errorf("%d requests at 6 slots: expected after %v, want %v", c.running, got, c.want)
+		}
+	}
+}
+
+// Guards against a queue at one plain endpoint beside others that are idle: of those with free
+// slots the least loaded one is chosen.
+func TestChoosePrefersLeastLoadedConcurrentEndpoint(t *testing.T) {
+	candidates := testCandidates(3)
+	for i, running := range []int{4, 1, 3} {
+		candidates[i].Concurrent = true
+		candidates[i].Stats.Local = Load{Running: running}
+	}
+	if i := Choose(startTime, rand.New(rand.NewPCG(1, 2)), candidates).Index; i != 1 {
+		t.Errorf("chose endpoint %d, want the one with the fewest requests", i)
+	}
+}
