Count the decoding of requests as demand for their model

Cause: the planner's demand for a model was the time for the prompts alone. A model whose prompts are processed fast is bound by the places in the batch. Change: each request also counts its part of the time that its engine takes to decode a full batch, learned from complete responses. Models that aren't configured count for nothing, so that clients can't grow that state.

--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -53,6 +53,8 @@
 	// uncachedTokens is the number of prompt tokens that need prefill.
 	uncachedTokens  int
 	responseStarted bool
+	// firstByteAt is when the response of the current attempt began, if responseStarted.
+	firstByteAt time.Time
 	// resuming is true once a part of the response has been forwarded and the
 	// attempt that returned it has ended.
 	resuming bool
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -94,6 +94,7 @@
 	// leaving holds endpoints that have said in an answer that they leave.
 	leaving      map[string]leavingEndpoint
 	prefillRates map[string]*pick.PrefillRate
+	decodeTimes  map[string]*pick.DecodeTime
 	calls        map[CallID]*activeCall
 	parked       map[CallID]*activeCall
 	assignments  assignmentClient
@@ -147,6 +148,7 @@
 		departed:         make(map[string]departedEndpoint),
 		earlyLimits:      make(map[string]earlyLimit),
 		prefillRates:     make(map[string]*pick.PrefillRate),
+		decodeTimes:      make(map[string]*pick.DecodeTime),
 		calls:            make(map[CallID]*activeCall),
 		parked:           make(map[CallID]*activeCall),
 		assignments:      newAssignmentClient(),
--- a/internal/gate/demand.go
+++ b/internal/gate/demand.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodfold/internal/pick"
 	"dogwoodfold/internal/stock"
 )
 
@@ -12,17 +13,20 @@
 	work     time.Duration
 }
 
-// recordDemand records a new request and its prefill time for the planner.
+// recordDemand records a new request and its work for the planner: the time that an engine
+// takes for its prompt, and its part of the time that the engine takes to decode a full batch.
+// A model whose prompts are processed fast is often bound by the places in the batch.
 func (c *Core) recordDemand(now time.Time, call *activeCall) {
 	service := c.config.Services[call.service]
-	if service == nil || service.Engine == nil {
-		return
+	if service == nil || service.Engine == nil || service.Engine.Models[call.request.Model] == nil {
+		return // what isn't configured is not kept, so that clients can't grow the state
 	}
 	artifact := stock.Artifact{
 		Model:   call.request.Model,
 		Adapter: call.request.Adapter,
 	}
-	work := c.prefillRate(call.service, call.request.Model).PrefillTime(call.request.PromptTokens)
+	work := c.prefillRate(call.service, call.request.Model).PrefillTime(call.request.PromptTokens) +
+		c.decodeTime(call.service, call.request.Model).EngineShare(service.Engine.Slots)
 	if c.isLeader(now) {
 		c.leader.planner.RecordDemand(now, call.service, artifact, 1, work)
 		return
@@ -36,6 +40,24 @@
 	c.follower.demand[call.service][artifact] = demand
 }
 
+// decodeTime returns the decode time of a model's requests, creating it if necessary.
+func (c *Core) decodeTime(service, model string) *pick.DecodeTime {
+	key := service + "/" + model
+	estimate := c.decodeTimes[key]
+	if estimate == nil {
+		estimate = &pick.DecodeTime{}
+		c.decodeTimes[key] = estimate
+	}
+	return estimate
+}
+
+// recordDecode records how long a complete response took after its first event.
+func (c *Core) recordDecode(now time.Time, call *activeCall) {
+	if call.request.Model != "" && call.responseStarted && !call.resuming {
+		c.decodeTime(call.service, call.request.Model).Observe(now.Sub(call.firstByteAt))
+	}
+}
+
 // requestArtifact tells the leader that a call waits for its model, or for its
 // adapter if the model is loaded.
 func (c *Core) requestArtifact(now time.Time, call *activeCall) {
--- a/internal/gate/outcome.go
+++ b/internal/gate/outcome.go
@@ -55,6 +55,7 @@
 		return
 	}
 	call.responseStarted = true
+	call.firstByteAt = now
 	if e.Unlimited {
 		c.recordUnlimited(now, call.endpoint, call.sentAt)
 	}
@@ -109,6 +110,7 @@
 	case OutcomeComplete:
 		ep.stats.RecordSuccess()
 		c.recordStream(call, ep, result.MaxGap)
+		c.recordDecode(now, call)
 		c.removeCall(call)
 	case OutcomeNotRun:
 		c.handleNotRun(now, call, ep, result)
