Evacuate availability zones by records of the operator

Operators must be able to take a zone out of use without ending its endpoints. The reads of the configuration now fold the records evacuate/ZONE of the same topic, ordered by the store's era and the offset; states and reports carry the set between entries. One function, mayTake, decides for every choice of an endpoint; the planner counts copies in the zone as gone and sends no orders there.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -80,6 +80,11 @@
 		Config: batch.Config,
 		SentAt: sentAt,
 		Era:    batch.Era,
+		Zones: &gate.ZonesRead{
+			Changes:    batch.Zones,
+			Complete:   batch.Complete,
+			NextOffset: batch.NextOffset,
+		},
 	})
 	if batch.Config != nil {
 		s.refreshStatus(ctx)
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -159,6 +159,7 @@
 		LeaseAcquireDelay:   time.Duration(float64(maxLeaseAcquireDelay) * max(0, 1-s.Cores/undelayedLeaseCores)),
 		RetryRatio:          s.RetryRatio * retryBudgetFraction,
 		RetryBurst:          s.RetrySlack * retryBudgetFraction,
+		EvacuationBound:     s.EvacuationBound,
 		Lease: lease.Timing{
 			Duration:        leaseDuration,
 			OrderTime:       leaseOrderTime,
--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -156,10 +156,11 @@
 	rate := c.prefillRate(req.GetService(), req.GetModel())
 	ranAt := c.streams.ranAt(streamKey(req.GetStream()))
 	confined := c.confinedPart(now, req)
+	place := c.askedPlacement(now, req, reply)
 	holders := make(map[string]int)
 	var options []*engineOption
 	for id, ep := range c.endpoints {
-		if ep.Service != req.GetService() || !c.takesRequests(now, ep) || !ep.holds(now, true, req.GetModel(), req.GetAdapter()) {
+		if ep.Service != req.GetService() || !c.mayTake(now, ep, place) || !ep.holds(now, true, req.GetModel(), req.GetAdapter()) {
 			continue
 		}
 		if reply.GetVersionKnown() && ep.SoftwareVersion != reply.GetSoftwareVersion() {
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -249,7 +249,8 @@
 		c.dispatch(now, call)
 		return
 	}
-	usable := ep != nil && c.takesRequests(now, ep) && !ep.stats.BackingOff(now) && call.acceptsVersion(ep.SoftwareVersion)
+	usable := ep != nil && c.mayTake(now, ep, c.placementOf(now, call)) && !ep.stats.BackingOff(now) &&
+		call.acceptsVersion(ep.SoftwareVersion)
 	if !usable || service == nil {
 		call.assignment.stage = stageLocal
 		c.dispatch(now, call)
--- a/internal/gate/beliefs.go
+++ b/internal/gate/beliefs.go
@@ -44,6 +44,8 @@
 	EndpointDraining EndpointState = "draining"
 	// EndpointEnded means that the endpoint's run is proved to be over.
 	EndpointEnded EndpointState = "ended"
+	// EndpointEvacuated means that the endpoint's zone is evacuated.
+	EndpointEvacuated EndpointState = "evacuated"
 	// EndpointMissing means that the registry has lacked the endpoint since an outage.
 	EndpointMissing EndpointState = "missing"
 	// EndpointPausing means that the endpoint has refused a request or a connection.
@@ -134,6 +136,8 @@
 		return EndpointEnded
 	case ep.Draining:
 		return EndpointDraining
+	case c.isEvacuated(ep.Zone):
+		return EndpointEvacuated
 	case missing:
 		return EndpointMissing
 	case ep.stats.BackingOff(now):
--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -123,6 +123,9 @@
 	}
 	endpoints, candidates, limited := c.candidates(now, call, service)
 	if len(candidates)+len(limited) == 0 {
+		if c.refuseExcluded(now, call, c.placementOf(now, call)) {
+			return
+		}
 		c.waitForArtifact(now, call, service)
 		return
 	}
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -35,6 +35,9 @@
 	// number of retries that all entries together may save up and send at once.
 	RetryRatio float64
 	RetryBurst float64
+	// EvacuationBound is the time after the store's acknowledgement from which an evacuated
+	// zone must get no requests.
+	EvacuationBound time.Duration
 	// LeaseAcquireDelay is how long this entry leaves a free lease to other
 	// entries.
 	LeaseAcquireDelay time.Duration
@@ -97,6 +100,7 @@
 	calls        map[CallID]*activeCall
 	parked       map[CallID]*activeCall
 	assignments  assignmentClient
+	evacuation   evacuation
 	streams      streamTable
 	crashes      crashWatch
 	crashRecords crashRecords
@@ -150,6 +154,7 @@
 		calls:            make(map[CallID]*activeCall),
 		parked:           make(map[CallID]*activeCall),
 		assignments:      newAssignmentClient(),
+		evacuation:       evacuation{zones: make(map[string]*evacuatedZone)},
 		streams:          newStreamTable(),
 		crashes:          newCrashWatch(),
 		departedVersions: make(map[string]map[string]time.Time),
@@ -264,6 +269,7 @@
 	c.maintainLease(now)
 	c.followCrashRelay(now)
 	c.expireMissingEndpoints(now)
+	c.expireZones(now)
 	c.expireQuotas(now)
 	c.updateLeader(now)
 	c.resumeAssignments(now)
@@ -307,6 +313,7 @@
 		ConfigAge:   now.Sub(c.configConfirmedAt),
 		RegistryAge: now.Sub(c.registryConfirmedAt),
 		Endpoints:   len(c.endpoints),
+		Evacuated:   len(c.evacuation.zones),
 		Waiting:     len(c.parked),
 		Running:     len(c.calls),
 		IsLeader:    c.lease.Holds(now),
--- a/internal/gate/core_test.go
+++ b/internal/gate/core_test.go
@@ -38,6 +38,7 @@
 		WeightLoadWindow:    5 * time.Second,
 		RetryRatio:          0.1,
 		RetryBurst:          32,
+		EvacuationBound:     5 * time.Second,
 		ShutdownAdmission:   2800 * time.Millisecond,
 		ShutdownTimeout:     7 * time.Second,
 		Lease: lease.Timing{
--- a/internal/gate/demand.go
+++ b/internal/gate/demand.go
@@ -66,8 +66,9 @@
 // model.
 func (c *Core) modelLoaded(now time.Time, call *activeCall) bool {
 	leaderCurrent := c.leaderStateCurrent(now)
+	place := c.placementOf(now, call)
 	for _, ep := range c.endpoints {
-		if ep.Service == call.service && c.takesRequests(now, ep) && call.acceptsVersion(ep.SoftwareVersion) &&
+		if ep.Service == call.service && c.mayTake(now, ep, place) && call.acceptsVersion(ep.SoftwareVersion) &&
 			ep.holds(now, leaderCurrent, call.request.Model, "") {
 			return true
 		}
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -124,6 +124,8 @@
 	SentAt time.Time
 	// Era is the era of the store. It rises when the store comes back from a copy.
 	Era int64
+	// Zones is what the read has of evacuated zones, nil if that isn't known.
+	Zones *ZonesRead
 }
 
 // EndpointsRead reports a read of the endpoint registry. Full is true if
@@ -251,11 +253,13 @@
 	ConfigAge     time.Duration
 	RegistryAge   time.Duration
 	Endpoints     int
-	Waiting       int
-	Running       int
-	IsLeader      bool
-	Leader        string
-	Stopping      bool
+	// Evacuated is the number of evacuated zones.
+	Evacuated int
+	Waiting   int
+	Running   int
+	IsLeader  bool
+	Leader    string
+	Stopping  bool
 }
 
 func (RequestArrived) event()      {}
--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -125,6 +125,8 @@
 	if e.Report.GetAsksAll() {
 		peer.forgetSent()
 	}
+	c.applyEvacuation(now, e.Report.GetEvacuation())
+	c.spreadZones(now)
 	c.leader.replaceLoads(peer, e.Report.GetLoads())
 	for _, d := range e.Report.GetDemands() {
 		c.applyDemand(now, peer, d)
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -74,6 +74,7 @@
 		c.leader.planner.SetRunning(id, ep.stats.Load(now).Running)
 		c.leader.planner.SetLimited(id, ep.limit.limited())
 		c.leader.planner.SetEnded(id, c.hasEnded(now, ep))
+		c.leader.planner.SetEvacuated(id, c.isEvacuated(ep.Zone))
 	}
 	c.updatePlannerVersions(now)
 	plan := c.leader.planner.Plan(now)
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -46,6 +46,7 @@
 			c.configConfirmedAt = configConfirmedAt
 		}
 	}
+	c.applyRelayedEvacuation(now, configConfirmedAt, state.GetEvacuation())
 	c.previousRegistryAt = c.registryConfirmedAt
 	for _, e := range state.GetEndpoints() {
 		if record, ok := decodeEndpoint(e); ok {
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -62,6 +62,7 @@
 		Poison:    c.drainPoison(now),
 		Limits:    c.drainLimits(now),
 
+		Evacuation:     c.encodeEvacuation(now),
 		PermitRequests: f.drainPermitRequests(),
 	}
 	if f.missedNews && c.leaderStateCurrent(now) {
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -17,9 +17,10 @@
 	now time.Time, call *activeCall, service *topo.Service,
 ) (endpoints []*endpoint, out []pick.Candidate, limited []*endpoint) {
 	leaderCurrent := c.leaderStateCurrent(now)
+	place := c.placementOf(now, call)
 	for _, ep := range c.sortedEndpoints() {
 		id := ep.ID
-		if ep.Service != call.service || !c.takesRequests(now, ep) || !call.acceptsVersion(ep.SoftwareVersion) {
+		if ep.Service != call.service || !c.mayTake(now, ep, place) || !call.acceptsVersion(ep.SoftwareVersion) {
 			continue
 		}
 		if len(call.triedEndpoints) >= call.route.MaxAttempts && !call.triedEndpoints[id] {
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -30,6 +30,7 @@
 		Limits:      c.encodeLimits(now, peer.limitsSent),
 		Unrenewed:   c.lease.Unrenewed(now),
 		Starts:      encodeStarts(c.streams.startsFor(peer, c.streamVersionsDiffer(now))...),
+		Evacuation:  c.encodeEvacuation(now),
 	}
 	state.Poison = poison.Encode(now, c.crashes.log.Since(peer.poisonSent))
 	peer.poisonSent = c.crashes.log.Revision()
--- a/internal/gate/versions.go
+++ b/internal/gate/versions.go
@@ -134,8 +134,9 @@
 // servesVersion reports whether an endpoint that a call has not been sent to has the
 // software version that began the call's stream, and takes requests.
 func (c *Core) servesVersion(now time.Time, call *activeCall) bool {
+	place := c.placementOf(now, call)
 	for _, ep := range c.endpoints {
-		if ep.Service == call.service && c.takesRequests(now, ep) && ep.SoftwareVersion == call.softwareVersion &&
+		if ep.Service == call.service && c.mayTake(now, ep, place) && ep.SoftwareVersion == call.softwareVersion &&
 			!call.triedEndpoints[ep.ID] {
 			return true
 		}
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -103,6 +103,7 @@
 // ignored.
 func (c *Core) handleConfigRead(now time.Time, e ConfigRead) {
 	wasReady := c.ready(now)
+	c.applyZonesRead(now, e)
 	if e.Config != nil && (c.config == nil || e.Config.Version > c.config.Version) {
 		c.config = e.Config
 		c.logChange("applied configuration", "", "", now.Sub(e.SentAt))
@@ -120,6 +121,7 @@
 	if ready := c.ready(now); ready != wasReady {
 		c.logChange("readiness", readinessText(ready), "", now.Sub(c.configConfirmedAt))
 	}
+	c.spreadZones(now)
 	c.retryParked(now)
 }
 
--- a/internal/stock/engine.go
+++ b/internal/stock/engine.go
@@ -69,6 +69,7 @@
 	softwareVersion string
 	draining        bool
 	ended           bool
+	evacuated       bool
 	runningRequests int
 	// limited is true while the engine takes fewer requests than it could run.
 	limited bool
@@ -197,7 +198,7 @@
 }
 
 // usable reports whether the engine takes requests.
-func (e *engine) usable() bool { return !e.draining && !e.ended }
+func (e *engine) usable() bool { return !e.draining && !e.ended && !e.evacuated }
 
 // canAcceptOrder reports whether an order can be sent to the engine now.
 func (e *engine) canAcceptOrder() bool { return e.usable() && e.synced && e.pending == nil }
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -127,6 +127,15 @@
 	}
 }
 
+// SetEvacuated sets whether an engine is in an evacuated zone, where its copies count for
+// nothing and no orders are sent.
+func (p *Planner) SetEvacuated(id string, evacuated bool) {
+	if e := p.engines[id]; e != nil && e.evacuated != evacuated {
+		e.evacuated = evacuated
+		e.invalidatePending()
+	}
+}
+
 // SetVersionsDiffer sets whether engines of a service have had different software versions
 // lately, so that an engine's streams may not go on at every other one.
 func (p *Planner) SetVersionsDiffer(service string, differ bool) {
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -210,6 +210,14 @@
 	Err      error
 }
 
+// ZoneChange is a record of the operator that evacuates a zone or ends its evacuation.
+type ZoneChange struct {
+	Zone      string
+	Evacuated bool
+	// Offset is that of the record in the operator's topic.
+	Offset int64
+}
+
 // OlderThan reports whether a record of an endpoint was written before another.
 func (e *Endpoint) OlderThan(other *Endpoint) bool {
 	if e.Incarnation != other.Incarnation {
