Limit what cold endpoints get from all entries together

A cold endpoint crashes if all entries send it their usual requests, and the budget of coldPerS can't be divided by each entry alone. It is now a limit of the endpoint that is implied while it is cold: the smaller one of it and the named limit is paced by the leader, and a quarter of it is left to entries without a leader. Endpoints that become cold again are told to all entries, and a zone that comes back counts as cold for coldStartS. Services without coldPerS are served as before.

--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -115,6 +115,7 @@
 	set("registryAgeSeconds", s.RegistryAge.Seconds())
 	set("endpoints", float64(s.Endpoints))
 	set("evacuatedZones", float64(s.Evacuated))
+	set("coldEndpoints", float64(s.Cold))
 	set("waiting", float64(s.Waiting))
 	set("running", float64(s.Running))
 	flag("ready", s.Ready)
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -30,6 +30,9 @@
 	// ended is true if the run is over for every entry. A run that is neither running nor
 	// ended doesn't answer this one.
 	ended bool
+	// cold is how much longer the endpoint is cold, if coldKnown.
+	cold      time.Duration
+	coldKnown bool
 }
 
 // probeEngine finds out whether an endpoint still runs.
@@ -46,6 +49,9 @@
 		Running: result.running,
 		AnyRun:  result.anyRun,
 		Ended:   result.ended,
+
+		Cold:      result.cold,
+		ColdKnown: result.coldKnown,
 	})
 }
 
@@ -83,14 +89,11 @@
 				anyRun:  true,
 			}, conn.Close()
 		}
-		answered, err := checkHealth(conn, e)
+		result, err := checkHealth(conn, e)
 		_ = conn.Close() // it carries no other request
 		switch {
 		case err == nil:
-			return probeResult{
-				running: answered,
-				ended:   !answered,
-			}, nil
+			return result, nil
 		case isTimeout(err):
 			return probeResult{running: true}, err
 		}
@@ -106,10 +109,10 @@
 	return isTimeout(err) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH)
 }
 
-// checkHealth does a health check and reports whether the endpoint itself has answered.
-func checkHealth(conn net.Conn, e gate.ProbeEngine) (running bool, err error) {
+// checkHealth does a health check. The run goes on if the endpoint itself has answered.
+func checkHealth(conn net.Conn, e gate.ProbeEngine) (probeResult, error) {
 	if err := conn.SetDeadline(time.Now().Add(healthCheckTimeout)); err != nil {
-		return false, err
+		return probeResult{}, err
 	}
 	var request fasthttp.RequestHeader
 	request.SetMethod(fasthttp.MethodGet)
@@ -119,12 +122,19 @@
 	request.Set(platform.HeaderExpectInstance, e.Run.Engine)
 	request.SetConnectionClose()
 	if _, err := conn.Write(request.Header()); err != nil {
-		return false, err
+		return probeResult{}, err
 	}
 	var response fasthttp.ResponseHeader
 	if err := response.Read(bufio.NewReader(conn)); err != nil {
-		return false, err
+		return probeResult{}, err
 	}
 	id := response.Peek(platform.HeaderInstanceID)
-	return response.StatusCode() != fasthttp.StatusMisdirectedRequest && (len(id) == 0 || string(id) == e.Run.Engine), nil
+	running := response.StatusCode() != fasthttp.StatusMisdirectedRequest && (len(id) == 0 || string(id) == e.Run.Engine)
+	cold, known := platform.ParseCold(response.Peek(platform.HeaderCold))
+	return probeResult{
+		running:   running,
+		ended:     !running,
+		cold:      cold,
+		coldKnown: known && running,
+	}, nil
 }
--- a/internal/gate/beliefs.go
+++ b/internal/gate/beliefs.go
@@ -113,7 +113,7 @@
 		State:           c.endpointState(now, ep),
 		Slots:           ep.Slots,
 		Running:         ep.stats.Load(now).Running,
-		Limit:           ep.limit.perSecond,
+		Limit:           ep.limit.perSecondNow(),
 	}
 	if c.isLeader(now) || c.engineSpec(ep) == nil {
 		b.LoadAt = ep.stats.RemoteAt() // followers aren't told the loads of engines
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -73,6 +73,8 @@
 	registryRestoredAt time.Time
 
 	endpoints map[string]*endpoint
+	// coldEndpoints are those that have a limit since they are cold.
+	coldEndpoints map[string]*endpoint
 	// endpointList holds the same endpoints in order, plainEndpoints those of them that
 	// are no engines according to plainConfig. Both are nil if they must be determined
 	// anew.
@@ -145,6 +147,7 @@
 		settings:         settings,
 		random:           random,
 		endpoints:        make(map[string]*endpoint),
+		coldEndpoints:    make(map[string]*endpoint),
 		endpointChanges:  since.New[string](),
 		missingUntil:     make(map[string]time.Time),
 		leaving:          make(map[string]leavingEndpoint),
@@ -270,6 +273,7 @@
 	c.followCrashRelay(now)
 	c.expireMissingEndpoints(now)
 	c.expireZones(now)
+	c.endColdLimits(now)
 	c.expireQuotas(now)
 	c.updateLeader(now)
 	c.resumeAssignments(now)
@@ -314,6 +318,7 @@
 		RegistryAge: now.Sub(c.registryConfirmedAt),
 		Endpoints:   len(c.endpoints),
 		Evacuated:   len(c.evacuation.zones),
+		Cold:        len(c.coldEndpoints),
 		Waiting:     len(c.parked),
 		Running:     len(c.calls),
 		IsLeader:    c.lease.Holds(now),
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -94,6 +94,9 @@
 	// Ended is true if the probe proves that the run is over, whoever asks: nothing
 	// listens at the address, or another run answers there.
 	Ended bool
+	// Cold is how much longer the endpoint is cold by its answer, if ColdKnown.
+	Cold      time.Duration
+	ColdKnown bool
 }
 
 // CrashesRead reports what entries had told the store of crashes when this one started.
@@ -253,8 +256,10 @@
 	ConfigAge     time.Duration
 	RegistryAge   time.Duration
 	Endpoints     int
-	// Evacuated is the number of evacuated zones.
+	// Evacuated is the number of evacuated zones, Cold that of endpoints that have a limit
+	// since they are cold.
 	Evacuated int
+	Cold      int
 	Waiting   int
 	Running   int
 	IsLeader  bool
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -77,7 +77,7 @@
 		c.updatePlannerEndpoint(now, ep)
 		if ep.limit.limited() {
 			// The leader before may just have let a request through.
-			ep.limit.pace.Restart(now, ep.limit.perSecond, limitBurst)
+			ep.limit.pace.Restart(now, ep.limit.perSecondNow(), limitBurst)
 		}
 	}
 	for _, m := range previous {
--- a/internal/gate/leaving.go
+++ b/internal/gate/leaving.go
@@ -81,8 +81,9 @@
 	if now.Before(d.backoffUntil) {
 		ep.stats.RecordRetryAfter(now, d.backoffUntil.Sub(now))
 	}
-	if d.limit.limited() {
+	if d.limit.named() {
 		ep.limit = d.limit
+		ep.limit.cold = 0
 		c.limitRevision++
 		ep.limit.revision = c.limitRevision
 	}
--- a/internal/gate/limits.go
+++ b/internal/gate/limits.go
@@ -30,10 +30,13 @@
 	localLimitFraction = 0.25
 )
 
-// endpointLimit is the limit that an endpoint has named, for all entries together.
+// endpointLimit is the limit that an endpoint has named, or has while it is cold, for all
+// entries together.
 type endpointLimit struct {
-	// perSecond is the limit in requests per second, 0 if there is none.
+	// perSecond is the named limit in requests per second, 0 if there is none. cold is that of
+	// an endpoint that is cold, 0 otherwise.
 	perSecond float64
+	cold      float64
 	// at is when the endpoint was last known to name the limit, or to name none.
 	at time.Time
 	// revision is the number of the last change that other entries need.
@@ -67,7 +70,9 @@
 	}
 }
 
-func (l *endpointLimit) limited() bool { return l.perSecond > 0 }
+// limited reports whether a limit is in force, named whether the endpoint has named one.
+func (l *endpointLimit) limited() bool { return l.perSecondNow() > 0 }
+func (l *endpointLimit) named() bool   { return l.perSecond > 0 }
 
 // handleLimitNamed handles an answer in which an endpoint has named its limit.
 func (c *Core) handleLimitNamed(now time.Time, e LimitNamed) {
@@ -81,7 +86,7 @@
 // recordUnlimited handles an answer, to a request sent at sentAt, in which an endpoint
 // has named no limit.
 func (c *Core) recordUnlimited(now time.Time, ep *endpoint, sentAt time.Time) {
-	if ep.limit.limited() && sentAt.After(ep.limit.at) {
+	if ep.limit.named() && sentAt.After(ep.limit.at) {
 		c.setLimit(now, ep, 0, now)
 		c.spreadLimits(now)
 	}
@@ -126,13 +131,13 @@
 	if !ep.limit.limited() {
 		return now
 	}
-	return ep.limit.pace.Next(now, ep.limit.perSecond)
+	return ep.limit.pace.Next(now, ep.limit.perSecondNow())
 }
 
 // reserveLimit counts a request that the leader assigns to an endpoint.
 func (ep *endpoint) reserveLimit(now time.Time) {
 	if ep.limit.limited() {
-		ep.limit.pace.Reserve(now, ep.limit.perSecond)
+		ep.limit.pace.Reserve(now, ep.limit.perSecondNow())
 	}
 }
 
@@ -143,12 +148,12 @@
 	case !l.limited():
 		return true
 	case c.isLeader(now):
-		return !l.pace.Next(now, l.perSecond).After(now)
+		return !l.pace.Next(now, l.perSecondNow()).After(now)
 	case c.leaderAnswers(now):
 		l.localSince = time.Time{}
 		return now.Before(l.permitUntil)
 	}
-	localRate := c.localLimit(l.perSecond)
+	localRate := c.localLimit(l.perSecondNow())
 	if l.localSince.IsZero() {
 		l.localSince = now
 		l.localPace.Restart(now, localRate, 1)
@@ -168,11 +173,11 @@
 	switch {
 	case !l.limited():
 	case c.isLeader(now):
-		l.pace.Reserve(now, l.perSecond)
+		l.pace.Reserve(now, l.perSecondNow())
 	case now.Before(l.permitUntil):
 		l.permitUntil = time.Time{}
 	default:
-		l.localPace.Reserve(now, c.localLimit(l.perSecond))
+		l.localPace.Reserve(now, c.localLimit(l.perSecondNow()))
 	}
 }
 
@@ -217,7 +222,7 @@
 	case c.leaderAnswers(now):
 		return ep.limit.nextPermitAt
 	}
-	return ep.limit.localPace.Next(now, c.localLimit(ep.limit.perSecond))
+	return ep.limit.localPace.Next(now, c.localLimit(ep.limit.perSecondNow()))
 }
 
 // drainPermitRequests returns the endpoints for which this entry needs permits.
@@ -255,7 +260,7 @@
 		}
 		ep.limit.nextPermitAt = now.Add(wirepb.Microseconds(permit.GetAfterUs()))
 		if permit.GetAfterUs() == 0 {
-			ep.limit.permitUntil = now.Add(permitLifetime)
+			ep.limit.permitUntil = now.Add(ep.limit.permitTime())
 		}
 	}
 }
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -72,7 +72,7 @@
 	c.leader.plannedAt = now
 	for id, ep := range c.endpoints {
 		c.leader.planner.SetRunning(id, ep.stats.Load(now).Running)
-		c.leader.planner.SetLimited(id, ep.limit.limited())
+		c.leader.planner.SetLimited(id, ep.limit.named())
 		c.leader.planner.SetEnded(id, c.hasEnded(now, ep))
 		c.leader.planner.SetEvacuated(id, c.isEvacuated(ep.Zone))
 	}
--- a/internal/gate/probe.go
+++ b/internal/gate/probe.go
@@ -44,6 +44,7 @@
 func (c *Core) handleEngineProbed(now time.Time, e EngineProbed) {
 	probedAt := c.crashes.probes[e.Run]
 	delete(c.crashes.probes, e.Run)
+	c.recordProbedCold(now, e)
 	if e.Running {
 		if e.AnyRun {
 			c.crashes.markProbed(e.Run)
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -51,6 +51,7 @@
 	for _, e := range state.GetEndpoints() {
 		if record, ok := decodeEndpoint(e); ok {
 			c.setEndpoint(now, record)
+			c.recordRelayedCold(now, record)
 		}
 	}
 	for _, id := range state.GetGone() {
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -27,6 +27,8 @@
 	learnedAt time.Time
 	// coldUntil is when the endpoint will have warmed up.
 	coldUntil time.Time
+	// doubtfulUntil is the time until which it counts as cold whatever its record says.
+	doubtfulUntil time.Time
 	// missingArtifacts maps "model/adapter" to the time at which the endpoint
 	// reported that it lacks the model or adapter. It is cleared when the
 	// leader reports the endpoint's holdings.
@@ -107,6 +109,7 @@
 	if e.Config != nil && (c.config == nil || e.Config.Version > c.config.Version) {
 		c.config = e.Config
 		c.logChange("applied configuration", "", "", now.Sub(e.SentAt))
+		c.updateColdLimits(now)
 		c.updateQuotas(now)
 		c.refuseRevokedKeys(now)
 		c.sendStates(now)
@@ -246,10 +249,11 @@
 		c.endpointChanges.Record(record.ID)
 		c.serviceVersions = nil
 	}
+	again := known.Endpoint != nil && known.Sequence == record.Sequence
 	known.Endpoint = record
 	known.learnedAt = now
 	c.applyEarlyLimit(now, known)
-	known.coldUntil = now.Add(record.ColdRemaining)
+	c.recordCold(now, known, record, again)
 	c.updatePlannerEndpoint(now, known)
 }
 
@@ -279,6 +283,7 @@
 	c.recordDeparture(now, c.endpoints[id])
 	c.recordVersionDeparture(now, c.endpoints[id].Endpoint)
 	delete(c.endpoints, id)
+	delete(c.coldEndpoints, id)
 	c.endpointList = nil
 	c.serviceVersions = nil
 	c.endpointChanges.Record(id)
--- a/internal/gate/zones.go
+++ b/internal/gate/zones.go
@@ -155,6 +155,7 @@
 	}
 	delete(c.evacuation.zones, name)
 	c.logChange("zone in use again", name, "", now.Sub(c.evacuation.confirmedAt))
+	c.doubtWarmth(now, name)
 	c.zonesChanged()
 }
 
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -114,6 +114,10 @@
 	Name       string
 	HealthPath string
 	MaxConns   int
+	// ColdPerSecond is how many requests per second a cold endpoint takes from all entries
+	// together, 0 if that isn't limited. ColdStart is how long an endpoint is cold.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 	// Engine is nil for services that don't run models.
 	Engine *EngineSpec
 }
