Confine requests to the regions of their route and customer

Routes and customers may name allowedRegions, and the settings' table zones gives the region of each zone. mayTake, which decides on evacuations, checks them too, so that first sends, retries, resumed streams and assignments follow. The leader gets the regions with the question for an engine; the entry checks its answer, since older releases ignore them. A zone that the table lacks is in no region.

Tested by internal/gate/residency_test.go and platform/zones_test.go.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -150,6 +150,7 @@
 	return gate.Settings{
 		Host:                s.Host,
 		Zone:                s.Zone,
+		Regions:             s.Regions,
 		ConfigMaxAge:        max(s.RevokeBound-configMaxAgeMargin, time.Second),
 		ShareLifetime:       standingShareLifetime,
 		RegistryGracePeriod: registryGracePeriod,
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -127,6 +127,8 @@
 		PassedUs:     uint64(max(now.Sub(call.request.ArrivedAt), 0).Microseconds()),
 		Rank:         uint32(call.route.Priority),
 		Zone:         c.settings.Zone,
+
+		AllowedRegions: residencyOf(call).regions,
 	}
 	c.encodeStreamQuestion(call, req)
 	for _, p := range call.request.PromptParts {
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -15,6 +15,8 @@
 type Settings struct {
 	Host string
 	Zone string
+	// Regions holds the region of each zone.
+	Regions map[string]string
 	// ConfigMaxAge is how long requests with a key are admitted after the
 	// configuration was last confirmed, counted from when the read was sent.
 	ConfigMaxAge time.Duration
--- a/internal/gate/placement.go
+++ b/internal/gate/placement.go
@@ -10,13 +10,16 @@
 // placement tells which endpoints may take a request, apart from their service, software
 // version and models.
 type placement struct {
+	// regions are those whose endpoints may take the request, if restricted.
+	regions    []string
+	restricted bool
 	// lone is true if no endpoint outside evacuated zones holds the request's model.
 	lone bool
 }
 
 // mayTake reports whether an endpoint may take a request.
 func (c *Core) mayTake(now time.Time, ep *endpoint, p placement) bool {
-	if !c.takesRequests(now, ep) {
+	if !c.takesRequests(now, ep) || !c.allowsRegion(p, ep.Zone) {
 		return false
 	}
 	zone := c.evacuation.zones[ep.Zone]
@@ -25,14 +28,14 @@
 
 // placementOf returns the placement of a call.
 func (c *Core) placementOf(now time.Time, call *activeCall) placement {
-	var p placement
+	p := residencyOf(call)
 	p.lone = c.nothingElseHolds(now, p, call.service, call.request.Model, c.leaderStateCurrent(now), call.acceptsVersion)
 	return p
 }
 
 // askedPlacement returns the placement of a request for which another entry asks for an engine.
 func (c *Core) askedPlacement(now time.Time, req *wirepb.GateAssignmentAsk, reply *wirepb.GateAssignment) placement {
-	var p placement
+	p := askedResidency(req)
 	p.lone = c.nothingElseHolds(now, p, req.GetService(), req.GetModel(), true, func(version string) bool {
 		return !reply.GetVersionKnown() || version == reply.GetSoftwareVersion()
 	})
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -64,6 +64,8 @@
 	Public bool
 	// Resumable streams may be continued by another endpoint after their last event.
 	Resumable bool
+	// AllowedRegions are those whose endpoints may get the requests; all if empty.
+	AllowedRegions []string
 }
 
 // MayRepeat reports whether a request may run more than once.
@@ -83,6 +85,8 @@
 	// if requests are counted instead of tokens.
 	DefaultTokens float64
 	ByTokens      bool
+	// AllowedRegions are those whose endpoints may get the customer's requests; all if empty.
+	AllowedRegions []string
 }
 
 // Model describes a model that the engines of a service may hold.
