Evacuate zones in the product's own configuration

Format 2 of the text adds evacuatedZones: agents of these zones get no calls and count for nothing in the planner.

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -28,7 +28,7 @@
 		},
 	}
 	root.AddCommand(newEntryCommand(), newAgentCommand(), newGatewayCommand())
-	root.AddCommand(newConfigCommand(), newKeyCommand(), newFakeCommand(), newLoadCommand(), newDemoCommand(),
+	root.AddCommand(newConfigCommand(), newEvacuateCommand(), newKeyCommand(), newFakeCommand(), newLoadCommand(), newDemoCommand(),
 		newReportCommand(), newStatusCommand(), newVersionCommand())
 	addVersionFlag(root)
 	return root
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -58,6 +58,7 @@
 // too.
 func (c *Core) installConfig(now time.Time) []Effect {
 	c.index = config.NewIndex(c.fold.Config)
+	c.router.SetEvacuated(c.isEvacuated)
 	effects := c.setCustomerLimits(now, c.fold.Config.Customers)
 	effects = append(effects, InstallConfig{
 		Index:  c.index,
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -179,11 +179,11 @@
 }
 
 // placementAgents returns the agents of a service that are listed and not
-// leaving. It includes those without a session, so that a short disconnection
-// moves no models.
+// leaving, outside evacuated zones. It includes those without a session, so that a
+// short disconnection moves no models.
 func (c *Core) placementAgents(service string) []*fleet.Peer {
 	return slices.DeleteFunc(c.fleet.Peers(plat.RoleAgent), func(peer *fleet.Peer) bool {
-		return peer.Host.Service != service || peer.Leaving || peer.Unlisted
+		return peer.Host.Service != service || peer.Leaving || peer.Unlisted || c.isEvacuated(peer.Host.Zone)
 	})
 }
 
@@ -283,6 +283,9 @@
 	}
 	heldVersion := ""
 	for _, peer := range c.fleet.PreferredAgents(call.Route.Service) {
+		if c.isEvacuated(peer.Host.Zone) {
+			continue
+		}
 		for _, model := range peer.Load.GetModels() {
 			if model.GetModel() != call.Model || !peer.Serves(call.Model, model.GetVersion(), call.Adapter) {
 				continue
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -79,6 +79,8 @@
 	// baseline is the moving average of the ratio of actual to expected latency
 	// over all agents.
 	baseline float64
+	// evacuated reports whether the agents of a zone get no calls.
+	evacuated func(zone string) bool
 }
 
 // New returns a router over a fleet. Its random source is seeded with seed.
@@ -89,9 +91,13 @@
 		rng:       rand.New(rand.NewPCG(seed, 0)),
 		agents:    make(map[string]*agentState),
 		baseline:  1,
+		evacuated: func(string) bool { return false },
 	}
 }
 
+// SetEvacuated sets which zones' agents get no calls.
+func (r *Router) SetEvacuated(evacuated func(zone string) bool) { r.evacuated = evacuated }
+
 // Pick returns the agent to send a call to, or nil if none can take it.
 func (r *Router) Pick(now time.Time, q Query) *fleet.Peer {
 	var best *fleet.Peer
@@ -113,7 +119,7 @@
 	var selected, excluded []*fleet.Peer
 	for _, p := range r.index.holders(r.fleet, q) {
 		switch {
-		case q.Tried[p.Host.Name]:
+		case q.Tried[p.Host.Name], r.evacuated(p.Host.Zone):
 		case r.state(p).unavailable(now):
 			excluded = append(excluded, p)
 		default:
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -19,6 +19,7 @@
 // rule needs a new format.
 var decoderByFormat = map[int]func(d *document, previous *parsedConfig) (*Config, error){
 	1: decodeFormat1,
+	2: decodeFormat2,
 }
 
 // Parse decodes and validates a document by the rules of its format. It reports
@@ -39,7 +40,7 @@
 // previous configuration if that is not nil and has the same format.
 func parse(d *document, previous *parsedConfig) (*parsedConfig, error) {
 	var format int
-	if err := json.Unmarshal(d.fields["format"], &format); err != nil || format < 1 {
+	if err := json.Unmarshal(d.fields[fieldFormat], &format); err != nil || format < 1 {
 		return nil, strict.FieldErrors{"format: is missing or not a positive integer"}
 	}
 	decode, known := decoderByFormat[format]
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -10,7 +10,7 @@
 
 // Format is the newest version of the configuration format that this release
 // supports.
-const Format = 1
+const Format = 2
 
 // Config is a decoded configuration document.
 type Config struct {
@@ -19,6 +19,8 @@
 	Models    map[string]Model    `json:"models"`
 	Customers map[string]Customer `json:"customers"`
 	Routes    map[string]Route    `json:"routes"`
+	// EvacuatedZones are the zones whose agents get no calls, from format 2 on.
+	EvacuatedZones map[string]EvacuatedZone `json:"evacuatedZones"`
 }
 
 // ServiceKind distinguishes model services from plain HTTP services.
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
 
@@ -128,13 +129,22 @@
 	doc    *document
 }
 
+// fieldFormat is the field with the document's format.
+const fieldFormat = "format"
+
 // decodeFormat1 decodes and validates a document in format 1. Items whose JSON
 // equals that in the previous configuration are reused from it.
 func decodeFormat1(d *document, previous *parsedConfig) (*Config, error) {
-	cfg := &Config{Format: 1}
 	var errs strict.FieldErrors
+	cfg := decodeSections(d, previous, []string{fieldFormat}, &errs)
+	cfg.Format = 1
+	return cfg.checked(&errs)
+}
+
+// decodeSections decodes the sections of a document, which may have the given other fields.
+func decodeSections(d *document, previous *parsedConfig, otherFields []string, errs *strict.FieldErrors) *Config {
 	for name := range d.fields {
-		if name != "format" {
+		if !slices.Contains(otherFields, name) {
 			errs.Add(name, strict.UnknownKey)
 		}
 	}
@@ -144,18 +154,24 @@
 			doc:    &document{},
 		}
 	}
-	cfg.Services = decodeItems("services", d, previous.doc, previous.config.Services, &errs)
-	cfg.Models = decodeItems("models", d, previous.doc, previous.config.Models, &errs)
-	cfg.Customers = decodeItems("customers", d, previous.doc, previous.config.Customers, &errs)
-	cfg.Routes = decodeItems("routes", d, previous.doc, previous.config.Routes, &errs)
+	return &Config{
+		Services:  decodeItems("services", d, previous.doc, previous.config.Services, errs),
+		Models:    decodeItems("models", d, previous.doc, previous.config.Models, errs),
+		Customers: decodeItems("customers", d, previous.doc, previous.config.Customers, errs),
+		Routes:    decodeItems("routes", d, previous.doc, previous.config.Routes, errs),
+	}
+}
+
+// checked returns the configuration if it could be decoded and is valid.
+func (c *Config) checked(errs *strict.FieldErrors) (*Config, error) {
 	if err := errs.Err(); err != nil {
 		return nil, err
 	}
-	cfg.checkServices(&errs)
-	cfg.checkModels(&errs)
-	cfg.checkCustomers(&errs)
-	cfg.checkRoutes(&errs)
-	return cfg, errs.Err()
+	c.checkServices(errs)
+	c.checkModels(errs)
+	c.checkCustomers(errs)
+	c.checkRoutes(errs)
+	return c, errs.Err()
 }
 
 // decodeItems decodes one section. It reuses the decoded values of items that
