Load models in the regions of the requests that wait for them

A model that only engines of another region held was never loaded where a confined request could use it, since its copies counted as enough. A miss now has regions beside the software version, and expected ends of loads have the engine's region.

Tested by internal/stock/region_test.go and TestWaitingRequestsNameTheirRegions, seen failing when the leader ignores the regions.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -132,7 +132,7 @@
 	now time.Time, req *wirepb.GateAssignmentAsk, softwareVersion string, estimate time.Duration,
 ) time.Duration {
 	etas := c.leader.planner.LoadETAs(req.GetService())
-	if at, loading := stock.FirstLoad(etas, req.GetModel(), softwareVersion); loading {
+	if at, loading := stock.FirstLoadIn(etas, req.GetModel(), softwareVersion, stock.NewRegions(req.GetAllowedRegions())); loading {
 		return max(estimate, at.Sub(now))
 	}
 	return estimate
--- a/internal/gate/demand.go
+++ b/internal/gate/demand.go
@@ -42,6 +42,7 @@
 	wanted := stock.Miss{
 		Artifact:        stock.Artifact{Model: call.request.Model},
 		SoftwareVersion: call.softwareVersion,
+		Regions:         stock.NewRegions(residencyOf(call).regions),
 	}
 	if c.modelLoaded(now, call) {
 		wanted.Adapter = call.request.Adapter
@@ -85,6 +86,6 @@
 	} else if !c.leaderStateCurrent(now) {
 		return time.Time{}, false
 	}
-	eta, loading := stock.FirstLoad(etas, call.request.Model, call.softwareVersion)
+	eta, loading := stock.FirstLoadIn(etas, call.request.Model, call.softwareVersion, stock.NewRegions(residencyOf(call).regions))
 	return latest(eta, now), loading
 }
--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -130,6 +130,7 @@
 		load := stock.Load{
 			Model:           a.GetModel(),
 			SoftwareVersion: a.GetSoftwareVersion(),
+			Region:          a.GetRegion(),
 		}
 		loads[load] = now.Add(time.Duration(a.GetAfterUs()) * time.Microsecond)
 	}
--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -169,6 +169,7 @@
 		c.leader.planner.RecordMiss(now, demand.GetService(), stock.Miss{
 			Artifact:        artifact,
 			SoftwareVersion: demand.GetSoftwareVersion(),
+			Regions:         stock.NewRegions(demand.GetAllowedRegions()),
 		})
 		peer.misses[serviceArtifact{
 			service:  demand.GetService(),
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -24,6 +24,7 @@
 	}
 	if spec := c.engineSpec(ep); spec != nil {
 		c.leader.planner.SetEndpoint(now, ep.Endpoint, spec)
+		c.leader.planner.SetRegion(ep.ID, c.settings.Regions[ep.Zone])
 	}
 }
 
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -118,6 +118,7 @@
 				Adapter:         miss.Adapter,
 				Missing:         true,
 				SoftwareVersion: miss.SoftwareVersion,
+				AllowedRegions:  miss.Regions.Names(),
 			})
 		}
 	}
--- a/internal/gate/residency_test.go
+++ b/internal/gate/residency_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -107,3 +108,41 @@
 		t.Errorf("sent to %s outside the region", send.Endpoint)
 	}
 }
+
+// Guards against a model that is loaded outside the regions of the requests that wait for it:
+// what the entry tells the leader, and what the leader tells of loads.
+func TestWaitingRequestsNameTheirRegions(t *testing.T) {
+	h := newFollowerHarness(t)
+	region := newRegionHarness(t, "west")
+	h.core.settings, h.core.config = region.core.settings, region.core.config
+	h.endpoints(zonedEndpoint("llm-3", "llm", "c"))
+	h.advance(reportInterval)
+	id, effects := h.arriveRequest(&Request{Host: "h", Path: "/notes/1", Key: "k2", Model: "big", ArrivedAt: h.now})
+	report, reports := findEffect[SendReport](effects)
+	missing := func(d *wirepb.GateDemand) bool {
+		return d.GetMissing() && slices.Equal(d.GetAllowedRegions(), []string{"west"})
+	}
+	if !reports || !slices.ContainsFunc(report.Report.GetDemands(), missing) {
+		t.Fatalf("the leader isn't told where the model is missing: %+v", report.Report.GetDemands())
+	}
+	for _, load := range []struct {
+		region string
+		want   bool
+	}{{"east", false}, {"west", true}} {
+		h.receiveState(&wirepb.GateState{Arrivals: []*wirepb.GateArrival{
+			{Service: "llm", Model: "big", AfterUs: 1_000_000, Region: load.region},
+		}})
+		if _, loading := h.core.loadArrival(h.now, h.core.calls[id]); loading != load.want {
+			t.Errorf("a load in %s counts: %t, want %t", load.region, loading, load.want)
+		}
+	}
+	leader := newLeaderHarness(t)
+	leader.core.settings.Regions = region.core.settings.Regions
+	leader.endpoints(zonedEndpoint("llm-1", "llm", "a", topo.Holding{Model: "big"}), zonedEndpoint("llm-3", "llm", "c"))
+	leader.core.applyDemand(leader.now, newPeer(leader.now, true), report.Report.GetDemands()[slices.IndexFunc(report.Report.GetDemands(), missing)])
+	orders := leader.planFor(500 * time.Millisecond)
+	loadsThere := func(o SendOrder) bool { return o.Order.Engine == "llm-3" && o.Order.Load && o.Order.Model == "big" }
+	if !slices.ContainsFunc(orders, loadsThere) {
+		t.Errorf("the model isn't loaded in the region: %+v", orders)
+	}
+}
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -97,6 +97,7 @@
 				Model:           load.Model,
 				AfterUs:         uint64(max(at.Sub(now), 0).Microseconds()),
 				SoftwareVersion: load.SoftwareVersion,
+				Region:          load.Region,
 			})
 		}
 	}
--- a/internal/stock/adapters.go
+++ b/internal/stock/adapters.go
@@ -21,7 +21,7 @@
 	var free, full *engine
 	a := m.Artifact
 	for _, e := range s.copiesOf(a.Model).holders {
-		if m.SoftwareVersion != "" && e.softwareVersion != m.SoftwareVersion {
+		if !m.helpedBy(e) {
 			continue
 		}
 		if e.usable() && (e.canServe(a) || e.loading(a)) {
--- a/internal/stock/engine.go
+++ b/internal/stock/engine.go
@@ -24,12 +24,16 @@
 	// SoftwareVersion is the only version of engines that can run the requests,
 	// empty if any can.
 	SoftwareVersion string
+	// Regions are the only regions of engines that can run the requests, empty if any can.
+	Regions Regions
 }
 
-// Load is a model that engines of one software version are loading.
+// Load is a model that engines of one software version in one region are loading.
 type Load struct {
 	Model           string
 	SoftwareVersion string
+	// Region is the region of the engines.
+	Region string
 }
 
 // Report is the state that an engine reports of itself.
@@ -70,6 +74,7 @@
 	draining        bool
 	ended           bool
 	evacuated       bool
+	region          string
 	runningRequests int
 	// limited is true while the engine takes fewer requests than it could run.
 	limited bool
--- a/internal/stock/load.go
+++ b/internal/stock/load.go
@@ -141,7 +141,7 @@
 	if s.backup && e.limited {
 		return false
 	}
-	return s.softwareVersion == "" || e.softwareVersion == s.softwareVersion
+	return (s.softwareVersion == "" || e.softwareVersion == s.softwareVersion) && s.regions.allow(e.region)
 }
 
 // evaluateLoad returns how an engine could load a model, or nil if it can't do so
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -103,6 +103,8 @@
 	missed     bool
 	// softwareVersion is the only version of engines that helps, empty if any does.
 	softwareVersion string
+	// regions are the only regions of engines that help, empty if any does.
+	regions Regions
 	// backup is true if the copy is to continue the streams of another engine, which an
 	// engine with a limit can't.
 	backup bool
@@ -141,16 +143,16 @@
 }
 
 // versionShortages returns the models that requests wait for at engines of one software
-// version, where other versions may hold them. While versions differ, that includes those
+// version or of some regions, where others may hold them. While versions differ, that includes those
 // that an engine is loading: another one may have their weights on its disk, as one that was
 // started again does.
 func (p *Planner) versionShortages(now time.Time, s *service) []shortage {
 	var out []shortage
 	for _, m := range s.sortedMisses() {
-		if m.SoftwareVersion == "" || m.Adapter != "" {
+		if !m.confined() || m.Adapter != "" {
 			continue
 		}
-		loadedAt, found := s.firstCopy(m.Model, m.SoftwareVersion)
+		loadedAt, found := s.firstCopy(m)
 		if found && (loadedAt.IsZero() || !s.versionsMixed()) {
 			continue
 		}
@@ -159,6 +161,7 @@
 			demandRate:      s.demandRate(now, m.Model),
 			missed:          true,
 			softwareVersion: m.SoftwareVersion,
+			regions:         m.Regions,
 			loadedAt:        loadedAt,
 		})
 	}
--- a/internal/stock/planner.go
+++ b/internal/stock/planner.go
@@ -327,8 +327,13 @@
 // FirstLoad returns when the first load of a model is expected to finish, at any
 // engine or, with a software version, at the engines of that version.
 func FirstLoad(etas map[Load]time.Time, model, softwareVersion string) (first time.Time, loading bool) {
+	return FirstLoadIn(etas, model, softwareVersion, "")
+}
+
+// FirstLoadIn is FirstLoad at the engines of some regions.
+func FirstLoadIn(etas map[Load]time.Time, model, softwareVersion string, regions Regions) (first time.Time, loading bool) {
 	for load, eta := range etas {
-		if load.Model != model || softwareVersion != "" && load.SoftwareVersion != softwareVersion {
+		if load.Model != model || softwareVersion != "" && load.SoftwareVersion != softwareVersion || !regions.allow(load.Region) {
 			continue
 		}
 		if !loading || eta.Before(first) {
--- a/internal/stock/service.go
+++ b/internal/stock/service.go
@@ -145,6 +145,7 @@
 			cmp.Compare(a.Model, b.Model),
 			cmp.Compare(a.Adapter, b.Adapter),
 			cmp.Compare(a.SoftwareVersion, b.SoftwareVersion),
+			cmp.Compare(a.Regions, b.Regions),
 		)
 	})
 }
@@ -184,14 +185,14 @@
 	}
 }
 
-// firstCopy reports whether a usable engine of a software version holds or is loading a
-// model. If none holds it, it returns when the first load is expected to finish.
-func (s *service) firstCopy(model, softwareVersion string) (loadedAt time.Time, found bool) {
-	for _, e := range s.copiesOf(model).holders {
-		if e.softwareVersion != softwareVersion || !e.keeps(model) {
+// firstCopy reports whether a usable engine that can run the requests of a miss holds or is
+// loading its model. If none holds it, it returns when the first load is expected to finish.
+func (s *service) firstCopy(m Miss) (loadedAt time.Time, found bool) {
+	for _, e := range s.copiesOf(m.Model).holders {
+		if !m.helpedBy(e) || !e.keeps(m.Model) {
 			continue
 		}
-		if !e.loading(Artifact{Model: model}) {
+		if !e.loading(Artifact{Model: m.Model}) {
 			return time.Time{}, true
 		}
 		if !found || e.pending.expectedAt.Before(loadedAt) {
@@ -223,6 +224,7 @@
 		load := Load{
 			Model:           e.pending.order.Model,
 			SoftwareVersion: e.softwareVersion,
+			Region:          e.region,
 		}
 		if eta, ok := s.etas[load]; !ok || e.pending.expectedAt.Before(eta) {
 			s.etas[load] = e.pending.expectedAt
