Send no unanswered order again to an evacuated zone

The planner resends an order whose answer was lost, so that a load could begin in a zone after its evacuation. It waits for the end of the evacuation now. Regions of engines follow a reload of the settings, and refusals for lack of a zone have a spread Retry-After, since those clients would come back together.

Tested by TestUnansweredOrderIsNotSentAgainToAnEvacuatedZone.

--- a/internal/gate/placement.go
+++ b/internal/gate/placement.go
@@ -83,7 +83,8 @@
 		excluded = true
 	}
 	if excluded {
-		c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "no zone with an endpoint may take the request", staleRetryAfter)
+		c.refuse(now, call, fault.NotRun, fault.CodeNoEndpoint, "no zone with an endpoint may take the request",
+			c.jitter(staleRetryAfter))
 	}
 	return excluded
 }
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -24,7 +24,6 @@
 	}
 	if spec := c.engineSpec(ep); spec != nil {
 		c.leader.planner.SetEndpoint(now, ep.Endpoint, spec)
-		c.leader.planner.SetRegion(ep.ID, c.settings.Regions[ep.Zone])
 	}
 }
 
@@ -76,6 +75,7 @@
 		c.leader.planner.SetLimited(id, ep.limit.named())
 		c.leader.planner.SetEnded(id, c.hasEnded(now, ep))
 		c.leader.planner.SetEvacuated(id, c.isEvacuated(ep.Zone))
+		c.leader.planner.SetRegion(id, c.settings.Regions[ep.Zone])
 	}
 	c.updatePlannerVersions(now)
 	plan := c.leader.planner.Plan(now)
--- a/internal/stock/plan.go
+++ b/internal/stock/plan.go
@@ -57,7 +57,7 @@
 	pending := e.pending
 	adapter := pending.order.Adapter != ""
 	switch {
-	case pending.resendDue(now):
+	case pending.resendDue(now) && !e.evacuated:
 		pending.sends++
 		plan.Orders = append(plan.Orders, pending.order)
 	case !pending.answered || now.Before(pending.expectedAt):
--- a/internal/stock/region_test.go
+++ b/internal/stock/region_test.go
@@ -42,3 +42,23 @@
 		t.Errorf("regions %v", names)
 	}
 }
+
+// Guards against a load that is ordered again in a zone that was evacuated before the order was
+// answered.
+func TestUnansweredOrderIsNotSentAgainToAnEvacuatedZone(t *testing.T) {
+	p := newTestPlanner(testSpec(), nil)
+	sent := p.Plan(startTime).Orders
+	if len(sent) == 0 {
+		t.Fatal("no order is sent")
+	}
+	p.HandleOutcome(startTime, sent[0], Unanswered)
+	p.SetEvacuated(sent[0].Engine, true)
+	later := startTime.Add(2 * resendDelay)
+	if orders := p.Plan(later).Orders; len(orders) > 0 {
+		t.Errorf("sent to the evacuated zone: %+v", orders)
+	}
+	p.SetEvacuated(sent[0].Engine, false)
+	if orders := p.Plan(later).Orders; len(orders) != 1 || orders[0] != sent[0] {
+		t.Errorf("sent after the evacuation: %+v, want %+v again", orders, sent[0])
+	}
+}
