--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -150,6 +150,7 @@
 	return gate.Settings{
 		Host:                s.Host,
 		Zone:                s.Zone,
+		Regions:             s.Regions,
 		ConfigMaxAge:        max(s.RevokeBound-configMaxAgeMargin, time.Second),
 		ShareLifetime:       standingShareLifetime,
 		RegistryGracePeriod: registryGracePeriod,
@@ -159,6 +160,7 @@
 		LeaseAcquireDelay:   time.Duration(float64(maxLeaseAcquireDelay) * max(0, 1-s.Cores/undelayedLeaseCores)),
 		RetryRatio:          s.RetryRatio * retryBudgetFraction,
 		RetryBurst:          s.RetrySlack * retryBudgetFraction,
+		EvacuationBound:     s.EvacuationBound,
 		Lease: lease.Timing{
 			Duration:        leaseDuration,
 			OrderTime:       leaseOrderTime,
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -127,6 +127,8 @@
 		PassedUs:     uint64(max(now.Sub(call.request.ArrivedAt), 0).Microseconds()),
 		Rank:         uint32(call.route.Priority),
 		Zone:         c.settings.Zone,
+
+		AllowedRegions: residencyOf(call).regions,
 	}
 	c.encodeStreamQuestion(call, req)
 	for _, p := range call.request.PromptParts {
@@ -249,7 +251,8 @@
 		c.dispatch(now, call)
 		return
 	}
-	usable := ep != nil && c.takesRequests(now, ep) && !ep.stats.BackingOff(now) && call.acceptsVersion(ep.SoftwareVersion)
+	usable := ep != nil && c.mayTake(now, ep, c.placementOf(now, call)) && !ep.stats.BackingOff(now) &&
+		call.acceptsVersion(ep.SoftwareVersion)
 	if !usable || service == nil {
 		call.assignment.stage = stageLocal
 		c.dispatch(now, call)
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -15,6 +15,8 @@
 type Settings struct {
 	Host string
 	Zone string
+	// Regions holds the region of each zone.
+	Regions map[string]string
 	// ConfigMaxAge is how long requests with a key are admitted after the
 	// configuration was last confirmed, counted from when the read was sent.
 	ConfigMaxAge time.Duration
@@ -35,6 +37,9 @@
 	// number of retries that all entries together may save up and send at once.
 	RetryRatio float64
 	RetryBurst float64
+	// EvacuationBound is the time after the store's acknowledgement from which an evacuated
+	// zone must get no requests.
+	EvacuationBound time.Duration
 	// LeaseAcquireDelay is how long this entry leaves a free lease to other
 	// entries.
 	LeaseAcquireDelay time.Duration
@@ -70,6 +75,8 @@
 	registryRestoredAt time.Time
 
 	endpoints map[string]*endpoint
+	// coldEndpoints are those that have a limit since they are cold.
+	coldEndpoints map[string]*endpoint
 	// endpointList holds the same endpoints in order, plainEndpoints those of them that
 	// are no engines according to plainConfig. Both are nil if they must be determined
 	// anew.
@@ -98,6 +105,7 @@
 	calls        map[CallID]*activeCall
 	parked       map[CallID]*activeCall
 	assignments  assignmentClient
+	evacuation   evacuation
 	streams      streamTable
 	crashes      crashWatch
 	crashRecords crashRecords
@@ -142,6 +150,7 @@
 		settings:         settings,
 		random:           random,
 		endpoints:        make(map[string]*endpoint),
+		coldEndpoints:    make(map[string]*endpoint),
 		endpointChanges:  since.New[string](),
 		missingUntil:     make(map[string]time.Time),
 		leaving:          make(map[string]leavingEndpoint),
@@ -152,6 +161,7 @@
 		calls:            make(map[CallID]*activeCall),
 		parked:           make(map[CallID]*activeCall),
 		assignments:      newAssignmentClient(),
+		evacuation:       evacuation{zones: make(map[string]*evacuatedZone)},
 		streams:          newStreamTable(),
 		crashes:          newCrashWatch(),
 		departedVersions: make(map[string]map[string]time.Time),
@@ -266,6 +276,8 @@
 	c.maintainLease(now)
 	c.followCrashRelay(now)
 	c.expireMissingEndpoints(now)
+	c.expireZones(now)
+	c.endColdLimits(now)
 	c.expireQuotas(now)
 	c.updateLeader(now)
 	c.resumeAssignments(now)
@@ -309,6 +321,8 @@
 		ConfigAge:   now.Sub(c.configConfirmedAt),
 		RegistryAge: now.Sub(c.registryConfirmedAt),
 		Endpoints:   len(c.endpoints),
+		Evacuated:   len(c.evacuation.zones),
+		Cold:        len(c.coldEndpoints),
 		Waiting:     len(c.parked),
 		Running:     len(c.calls),
 		IsLeader:    c.lease.Holds(now),
--- a/internal/gate/demand.go
+++ b/internal/gate/demand.go
@@ -64,6 +64,7 @@
 	wanted := stock.Miss{
 		Artifact:        stock.Artifact{Model: call.request.Model},
 		SoftwareVersion: call.softwareVersion,
+		Regions:         stock.NewRegions(residencyOf(call).regions),
 	}
 	if c.modelLoaded(now, call) {
 		wanted.Adapter = call.request.Adapter
@@ -88,8 +89,9 @@
 // model.
 func (c *Core) modelLoaded(now time.Time, call *activeCall) bool {
 	leaderCurrent := c.leaderStateCurrent(now)
+	place := c.placementOf(now, call)
 	for _, ep := range c.endpoints {
-		if ep.Service == call.service && c.takesRequests(now, ep) && call.acceptsVersion(ep.SoftwareVersion) &&
+		if ep.Service == call.service && c.mayTake(now, ep, place) && call.acceptsVersion(ep.SoftwareVersion) &&
 			ep.holds(now, leaderCurrent, call.request.Model, "") {
 			return true
 		}
@@ -106,6 +108,6 @@
 	} else if !c.leaderStateCurrent(now) {
 		return time.Time{}, false
 	}
-	eta, loading := stock.FirstLoad(etas, call.request.Model, call.softwareVersion)
+	eta, loading := stock.FirstLoadIn(etas, call.request.Model, call.softwareVersion, stock.NewRegions(residencyOf(call).regions))
 	return latest(eta, now), loading
 }
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -94,6 +94,9 @@
 	// Ended is true if the probe proves that the run is over, whoever asks: nothing
 	// listens at the address, or another run answers there.
 	Ended bool
+	// Cold is how much longer the endpoint is cold by its answer, if ColdKnown.
+	Cold      time.Duration
+	ColdKnown bool
 }
 
 // CrashesRead reports what entries had told the store of crashes when this one started.
@@ -124,6 +127,8 @@
 	SentAt time.Time
 	// Era is the era of the store. It rises when the store comes back from a copy.
 	Era int64
+	// Zones is what the read has of evacuated zones, nil if that isn't known.
+	Zones *ZonesRead
 }
 
 // EndpointsRead reports a read of the endpoint registry. Full is true if
@@ -251,11 +256,15 @@
 	ConfigAge     time.Duration
 	RegistryAge   time.Duration
 	Endpoints     int
-	Waiting       int
-	Running       int
-	IsLeader      bool
-	Leader        string
-	Stopping      bool
+	// Evacuated is the number of evacuated zones, Cold that of endpoints that have a limit
+	// since they are cold.
+	Evacuated int
+	Cold      int
+	Waiting   int
+	Running   int
+	IsLeader  bool
+	Leader    string
+	Stopping  bool
 }
 
 func (RequestArrived) event()      {}
--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -125,6 +125,8 @@
 	if e.Report.GetAsksAll() {
 		peer.forgetSent()
 	}
+	c.applyEvacuation(now, e.Report.GetEvacuation())
+	c.spreadZones(now)
 	c.leader.replaceLoads(peer, e.Report.GetLoads())
 	for _, d := range e.Report.GetDemands() {
 		c.applyDemand(now, peer, d)
@@ -167,6 +169,7 @@
 		c.leader.planner.RecordMiss(now, demand.GetService(), stock.Miss{
 			Artifact:        artifact,
 			SoftwareVersion: demand.GetSoftwareVersion(),
+			Regions:         stock.NewRegions(demand.GetAllowedRegions()),
 		})
 		peer.misses[serviceArtifact{
 			service:  demand.GetService(),
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -62,6 +62,7 @@
 		Poison:    c.drainPoison(now),
 		Limits:    c.drainLimits(now),
 
+		Evacuation:     c.encodeEvacuation(now),
 		PermitRequests: f.drainPermitRequests(),
 	}
 	if f.missedNews && c.leaderStateCurrent(now) {
@@ -117,6 +118,7 @@
 				Adapter:         miss.Adapter,
 				Missing:         true,
 				SoftwareVersion: miss.SoftwareVersion,
+				AllowedRegions:  miss.Regions.Names(),
 			})
 		}
 	}
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -64,6 +64,8 @@
 	Public bool
 	// Resumable streams may be continued by another endpoint after their last event.
 	Resumable bool
+	// AllowedRegions are those whose endpoints may get the requests; all if empty.
+	AllowedRegions []string
 }
 
 // MayRepeat reports whether a request may run more than once.
@@ -83,6 +85,8 @@
 	// if requests are counted instead of tokens.
 	DefaultTokens float64
 	ByTokens      bool
+	// AllowedRegions are those whose endpoints may get the customer's requests; all if empty.
+	AllowedRegions []string
 }
 
 // Model describes a model that the engines of a service may hold.
@@ -114,6 +118,10 @@
 	Name       string
 	HealthPath string
 	MaxConns   int
+	// ColdPerSecond is how many requests per second a cold endpoint takes from all entries
+	// together, 0 if that isn't limited. ColdStart is how long an endpoint is cold.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 	// Engine is nil for services that don't run models.
 	Engine *EngineSpec
 }
@@ -210,6 +218,14 @@
 	Err      error
 }
 
+// ZoneChange is a record of the operator that evacuates a zone or ends its evacuation.
+type ZoneChange struct {
+	Zone      string
+	Evacuated bool
+	// Offset is that of the record in the operator's topic.
+	Offset int64
+}
+
 // OlderThan reports whether a record of an endpoint was written before another.
 func (e *Endpoint) OlderThan(other *Endpoint) bool {
 	if e.Incarnation != other.Incarnation {
