Return standing shares of entries where the customer is idle

Cause: an entry's bucket for a customer began to fill with the customer's first request there, and the leader never returned what it had left over itself.

Entries now hold a bucket for each customer whose standing share is used, so that the surplus returns to the pool, and the leader returns its own.

--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -269,6 +269,7 @@
 	c.resumeAssignments(now)
 	c.retryParked(now)
 	c.reportIfDue(now)
+	c.returnOwnSurplus(now)
 	c.updateStoreWatch(now)
 	c.joinProvedEnds(now)
 	c.settleOldAnswers(now)
--- a/internal/gate/tokens.go
+++ b/internal/gate/tokens.go
@@ -114,12 +114,22 @@
 	if c.config == nil {
 		return
 	}
+	share := c.standingShare(now)
+	for name, customer := range c.config.Customers {
+		// A standing share fills also where the customer sends nothing, so that its tokens
+		// are returned to the pool.
+		if c.quotas[name] == nil && usesStandingShare(share, customer) {
+			c.quotas[name] = &customerQuota{}
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(c.quotas)) {
 		quota := c.quotas[name]
 		if customer := c.config.Customers[name]; customer != nil {
 			quota.customer = customer
 		}
-		c.updateQuota(now, quota)
+		if quota.customer != nil {
+			c.updateQuota(now, quota)
+		}
 	}
 	if c.leader != nil {
 		c.leader.updatePools(now, c.config)
@@ -295,6 +305,19 @@
 	return max(c.lease.TermEnd().Sub(now), 0)
 }
 
+// returnOwnSurplus returns the surplus tokens of the leader's own quotas to its pools.
+func (c *Core) returnOwnSurplus(now time.Time) {
+	if !c.isLeader(now) || now.Sub(c.follower.returnedAt) < reportInterval {
+		return
+	}
+	c.follower.returnedAt = now
+	for _, surplus := range c.takeSurplus(now) {
+		if customer := c.customer(surplus.GetCustomer()); customer != nil {
+			c.leader.returnTokens(now, customer, surplus.GetAmount())
+		}
+	}
+}
+
 // takeSurplus removes the tokens that the entry will not need soon from its
 // quotas and returns them.
 func (c *Core) takeSurplus(now time.Time) []*wirepb.GateTokens {
