Grant requests all the tokens that they lack, or none

Cause: the leader answered an ask with whatever its pool held. The entry refused the requests that this didn't cover and kept the tokens, for as long as its customer went on asking. With 300 entries and a rate of 2,700 the entries held up to hundreds of seconds of the rate, each less than one request needs.

Asks now list what each waiting request lacks and how long it may wait. The leader decides on each: all that it lacks, at once or from a time on at which the pool has it, or nothing, with the time that the backlog of the customer's refused requests over all entries takes. A request waits at most half of its objective and 250 ms; 30 ms or the time of a mean request at the customer's rate while others are refused. Cheap requests come first, but for at most 0.6 of the rate while others are refused. An entry that was told when asking again is of use refuses in between by itself. Leaders and entries of older releases go on with asks and grants of amounts.

--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"slices"
 	"time"
 
 	"dogwoodfold/internal/pick"
@@ -29,6 +28,8 @@
 	// is true while they are charged.
 	cost float64
 	paid bool
+	// tokens are the tokens that the call holds or has been granted while it waits.
+	tokens heldTokens
 	// deadline is when the final answer is due.
 	deadline time.Time
 	// waitingSince is since when the client has waited for the first event or, if its
@@ -252,6 +253,6 @@
 	delete(c.parked, call.id)
 	delete(c.assignments.pending, call.id)
 	if quota := c.callQuota(call); quota != nil {
-		quota.waiting = slices.DeleteFunc(quota.waiting, func(other *activeCall) bool { return other == call })
+		quota.removeWaiting(call)
 	}
 }
--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -65,6 +65,10 @@
 	if !state.GetArrivalsUnchanged() {
 		c.applyArrivals(now, state.GetArrivals())
 	}
+	c.follower.decidesByRequest = state.GetDecidesByRequest()
+	for _, a := range state.GetTokenAnswers() {
+		c.applyTokenAnswer(now, a)
+	}
 	for _, g := range state.GetGrants() {
 		if quota := c.quotas[g.GetCustomer()]; quota != nil {
 			c.handleGrant(now, quota, g.GetAmount())
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -29,7 +29,9 @@
 	loads     map[string]pick.Load
 	allotment *rate.Allotment
 	pools     map[string]*rate.Bucket
-	planner   *stock.Planner
+	// contentions are the states of customers whose requests ask for tokens.
+	contentions map[string]*contention
+	planner     *stock.Planner
 	// holdingChanges are the engines whose holdings have changed, holdings the messages
 	// about them.
 	holdingChanges *since.Log[string]
@@ -65,6 +67,7 @@
 		members:       previous,
 		allotment:     rate.NewAllotment(standingFraction, c.settings.ShareLifetime+c.settings.Lease.Margin, shares),
 		pools:         make(map[string]*rate.Bucket),
+		contentions:   make(map[string]*contention),
 		loads:         make(map[string]pick.Load),
 		planner:       stock.NewPlanner(now, plannerSettings, first),
 		prefillShares: make(map[string]*pacer.PrefillShare),
--- a/internal/gate/member.go
+++ b/internal/gate/member.go
@@ -78,8 +78,12 @@
 	// reportTimes holds the send times of recent reports by sequence number.
 	reportTimes   map[uint64]time.Time
 	tokenRequests []*wirepb.GateTokens
-	demand        map[string]map[stock.Artifact]artifactDemand
-	misses        map[string]map[stock.Miss]bool
+	// decidesByRequest is true if the leader decides for each request whether it gets
+	// tokens, which leaders of older releases don't. tokenAsks are asked of such a leader.
+	decidesByRequest bool
+	tokenAsks        []*wirepb.GateTokenAsk
+	demand           map[string]map[stock.Artifact]artifactDemand
+	misses           map[string]map[stock.Miss]bool
 	// arrivals are the expected ends of model loads in progress, by service.
 	arrivals map[string]map[stock.Load]time.Time
 }
@@ -158,6 +162,8 @@
 	c.leaderLink.connected = true
 	c.follower.newLeader = true
 	c.follower.missedNews = false
+	c.follower.decidesByRequest = false
+	c.follower.tokenAsks = nil
 	c.follower.echoed = c.follower.sequence
 	c.logChange("connected to leader", host, "", 0)
 	c.sendReport(now)
--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -151,9 +151,16 @@
 		}
 		grants = append(grants, grant)
 	}
+	var tokens []*wirepb.GateTokenAnswer
+	for _, ask := range e.Report.GetTokenAsks() {
+		if customer := c.customer(ask.GetCustomer()); customer != nil {
+			tokens = append(tokens, c.leader.answerTokenAsk(now, customer, ask))
+		}
+	}
 	c.planIfDue(now)
 	c.sendState(now, e.Host, peer, answer{
 		grants:  grants,
+		tokens:  tokens,
 		permits: c.grantPermits(now, e.Report.GetPermitRequests()),
 	})
 }
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -63,6 +63,7 @@
 		Limits:    c.drainLimits(now),
 
 		PermitRequests: f.drainPermitRequests(),
+		TokenAsks:      f.tokenAsks,
 	}
 	if f.missedNews && c.leaderStateCurrent(now) {
 		// Before, the answer would be dropped as well.
@@ -80,6 +81,7 @@
 		f.returnedAt = now
 	}
 	f.tokenRequests = nil
+	f.tokenAsks = nil
 	f.reportedAt = now
 	c.emit(SendReport{Report: report})
 }
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -11,6 +11,7 @@
 // answer is what an entry gets only in the state that answers its report.
 type answer struct {
 	grants  []*wirepb.GateTokens
+	tokens  []*wirepb.GateTokenAnswer
 	permits []*wirepb.GatePermit
 }
 
@@ -30,6 +31,9 @@
 		Limits:      c.encodeLimits(now, peer.limitsSent),
 		Unrenewed:   c.lease.Unrenewed(now),
 		Starts:      encodeStarts(c.streams.startsFor(peer, c.streamVersionsDiffer(now))...),
+
+		TokenAnswers:     a.tokens,
+		DecidesByRequest: true,
 	}
 	state.Poison = poison.Encode(now, c.crashes.log.Since(peer.poisonSent))
 	peer.poisonSent = c.crashes.log.Revision()
--- a/internal/gate/tokens.go
+++ b/internal/gate/tokens.go
@@ -64,6 +64,7 @@
 	// request is outstanding; requestedAmount is how many.
 	requestedAt     time.Time
 	requestedAmount float64
+	asks            tokenAsks
 }
 
 func (q *customerQuota) addUsage(now time.Time, cost float64) {
@@ -173,7 +174,7 @@
 		c.refuseWithoutLeader(now, call, "no leader grants tokens")
 		return
 	}
-	if len(quota.waiting) >= maxTokenWaiters {
+	if len(quota.waiting) >= maxTokenWaiters || c.decidesByRequest(now) && quota.asks.refuses(now, call.cost-quota.bucket.Level(now)) {
 		c.refuseOverRate(now, call, quota)
 		return
 	}
@@ -194,8 +195,17 @@
 
 // refuseOverRate refuses a call that exceeds its customer's rate.
 func (c *Core) refuseOverRate(now time.Time, call *activeCall, quota *customerQuota) {
-	retryAfter := time.Duration((quota.waitingCost() + call.cost) / call.customer.Rate * float64(time.Second))
-	c.refuse(now, call, fault.NotRun, fault.CodeRate, "the customer's rate is used up", c.jitter(retryAfter+shortRetryAfter))
+	retryAfter := time.Duration((quota.waitingCost()+call.cost)/call.customer.Rate*float64(time.Second)) + shortRetryAfter
+	if c.decidesByRequest(now) && now.Before(quota.asks.refusedUntil) {
+		retryAfter = quota.asks.retryAfter
+	}
+	c.refuseForRate(now, call, retryAfter)
+}
+
+// refuseForRate refuses a call that exceeds its customer's rate. Tokens are expected for it
+// after the given time.
+func (c *Core) refuseForRate(now time.Time, call *activeCall, retryAfter time.Duration) {
+	c.refuse(now, call, fault.NotRun, fault.CodeRate, "the customer's rate is used up", c.jitter(retryAfter))
 }
 
 // requestTokens asks the leader for tokens, unless a request is outstanding.
@@ -203,6 +213,10 @@
 	if !quota.requestedAt.IsZero() {
 		return
 	}
+	if c.decidesByRequest(now) {
+		c.askForWaiting(now, quota)
+		return
+	}
 	quota.decayUsage(now)
 	amount := quota.waitingCost() - quota.bucket.Level(now) + quota.usage*prefetchHorizon.Seconds()
 	if amount <= 0 {
@@ -210,10 +224,6 @@
 	}
 	quota.requestedAt = now
 	quota.requestedAmount = amount
-	if c.isLeader(now) {
-		c.handleGrant(now, quota, c.leader.withdrawTokens(now, quota.customer, amount))
-		return
-	}
 	c.follower.tokenRequests = append(c.follower.tokenRequests, &wirepb.GateTokens{
 		Customer: quota.customer.Name,
 		Amount:   amount,
@@ -269,6 +279,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.quotas)) {
 		quota := c.quotas[name]
+		c.useGrantedTokens(now, quota)
 		if !quota.requestedAt.IsZero() && now.Sub(quota.requestedAt) > leaderReplyTimeout {
 			c.refuseUnanswered(now, quota)
 		}
@@ -280,8 +291,12 @@
 // within it.
 func (c *Core) refuseUnanswered(now time.Time, quota *customerQuota) {
 	quota.requestedAt = time.Time{}
-	waiting := quota.waiting
-	quota.waiting = nil
+	quota.asks.calls = nil
+	waiting := quota.takeUngranted()
+	for _, call := range waiting {
+		quota.releaseTokens(call)
+	}
+	quota.reclaim(now)
 	for _, call := range waiting {
 		if c.tryCharge(now, quota, call) {
 			continue
@@ -324,6 +339,7 @@
 	var out []*wirepb.GateTokens
 	for _, name := range slices.Sorted(maps.Keys(c.quotas)) {
 		quota := c.quotas[name]
+		quota.reclaim(now)
 		quota.decayUsage(now)
 		surplus := quota.bucket.Level(now) - quota.usage*retainHorizon.Seconds()
 		if len(quota.waiting) > 0 || surplus < minReturn {
--- a/internal/rate/bucket.go
+++ b/internal/rate/bucket.go
@@ -48,6 +48,19 @@
 	return taken
 }
 
+// Borrow removes n tokens, also if the bucket holds fewer. The level is then negative
+// until the bucket has filled up again.
+func (b *Bucket) Borrow(now time.Time, n float64) {
+	b.refill(now)
+	b.level -= n
+}
+
+// FillRate returns the number of tokens per second with which the bucket fills.
+func (b *Bucket) FillRate() float64 { return b.fillRate }
+
+// Capacity returns the level at which the bucket stops filling.
+func (b *Bucket) Capacity() float64 { return b.capacity }
+
 // Add adds n tokens that were taken from elsewhere, up to a level of limit.
 func (b *Bucket) Add(now time.Time, n, limit float64) {
 	b.refill(now)
