Count granted tokens and refusals by rate, log who exceeds its rate

Each entry counts the tokens that it was granted and the requests that it refused for each customer, and logs when a customer begins to be refused and when none of its requests has been refused for 2 s.

--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -30,6 +30,8 @@
 	latency    *prometheus.HistogramVec
 	storeCalls *prometheus.CounterVec
 	orders     *prometheus.CounterVec
+	granted    *prometheus.CounterVec
+	overRate   *prometheus.CounterVec
 	state      *prometheus.GaugeVec
 }
 
@@ -64,15 +66,28 @@
 			Name: "dogwoodfold_orders_total",
 			Help: "Orders to engines by kind and result.",
 		}, []string{"kind", "result"}),
+		granted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dogwoodfold_granted_tokens_total",
+			Help: "Tokens that the leader has granted to this entry, by customer.",
+		}, []string{"customer"}),
+		overRate: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dogwoodfold_rate_refusals_total",
+			Help: "Requests refused since their customer's rate is used up, by customer.",
+		}, []string{"customer"}),
 		state: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "dogwoodfold_state",
 			Help: "Ages in seconds, counts and flags of the entry's beliefs.",
 		}, []string{"name"}),
 	}
-	m.registry.MustRegister(m.requests, m.guarded, m.attempts, m.latency, m.storeCalls, m.orders, m.state)
+	m.registry.MustRegister(m.requests, m.guarded, m.attempts, m.latency, m.storeCalls, m.orders, m.granted, m.overRate, m.state)
 	return m
 }
 
+func (m *metrics) countTokens(e gate.CountTokens) {
+	m.granted.WithLabelValues(e.Customer).Add(e.Granted)
+	m.overRate.WithLabelValues(e.Customer).Add(float64(e.Refused))
+}
+
 func (m *metrics) countStoreCall(call string, err error) {
 	outcome := "ok"
 	switch {
--- a/internal/edge/perform.go
+++ b/internal/edge/perform.go
@@ -46,6 +46,8 @@
 		time.AfterFunc(e.After, func() { s.post(gate.Tick{}) })
 	case gate.LogChange:
 		s.logChange(e)
+	case gate.CountTokens:
+		s.metrics.countTokens(e)
 	default:
 		s.performOnStore(e)
 	}
--- a/internal/gate/asks.go
+++ b/internal/gate/asks.go
@@ -20,9 +20,11 @@
 
 // tokenAsks is the state of an entry's asks to a leader that decides by request.
 type tokenAsks struct {
-	// number is that of the last ask, calls are the calls in it while it is outstanding.
+	// number is that of the last ask, calls are the calls in it while it is outstanding,
+	// needs what each of them lacked.
 	number uint64
 	calls  []*activeCall
+	needs  []float64
 	// grants are tokens that may be used only later.
 	grants []laterGrant
 	// wakeAt is when the earliest Tick that was scheduled for them comes.
@@ -115,6 +117,7 @@
 	}
 	quota.asks.number++
 	quota.asks.calls = calls
+	quota.asks.needs = ask.GetNeeds()
 	quota.requestedAt = now
 	ask.Number = quota.asks.number
 	if prefetch := quota.usage * prefetchHorizon.Seconds(); prefetch >= calls[0].cost {
@@ -150,6 +153,7 @@
 		return
 	}
 	quota.bucket.Add(now, answer.GetPrefetched(), math.Inf(1))
+	c.countGranted(quota, answer.GetAmount()+answer.GetPrefetched())
 	asks := &quota.asks
 	if quota.requestedAt.IsZero() || answer.GetNumber() != asks.number || len(answer.GetDecisions()) != len(asks.calls) {
 		// The calls have been refused in the meantime. Others may use the tokens.
@@ -159,13 +163,9 @@
 		})
 		return
 	}
-	calls := asks.calls
-	asks.calls = nil
+	calls, needs := asks.calls, asks.needs
+	asks.calls, asks.needs = nil, nil
 	quota.requestedAt = time.Time{}
-	needs := make([]float64, len(calls))
-	for i, call := range calls {
-		needs[i] = call.tokens.need
-	}
 	if answer.GetLeastRefused() > 0 {
 		asks.refusedUntil = now.Add(wirepb.Microseconds(answer.GetAskAgainUs()))
 		asks.refusedNeed = answer.GetLeastRefused()
@@ -175,7 +175,7 @@
 		after := wirepb.Microseconds(decision.GetAfterUs())
 		switch {
 		case decision.GetGranted():
-			call.tokens.granted = true
+			call.tokens.granted = c.calls[call.id] == call
 			asks.grants = append(asks.grants, laterGrant{
 				at:     now.Add(after),
 				amount: needs[i],
--- a/internal/gate/effect.go
+++ b/internal/gate/effect.go
@@ -176,6 +176,15 @@
 	Age     time.Duration
 }
 
+// CountTokens counts tokens that were granted to this entry for a customer, and requests that
+// it refused since the customer's rate is used up.
+type CountTokens struct {
+	Customer string
+	Granted  float64
+	Refused  int
+}
+
+func (CountTokens) effect()         {}
 func (Send) effect()                {}
 func (Refuse) effect()              {}
 func (ForwardFailure) effect()      {}
--- a/internal/gate/tokens.go
+++ b/internal/gate/tokens.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"dogwoodfold/internal/rate"
@@ -49,6 +50,9 @@
 	// maxTokenWaiters limits the number of a customer's requests that wait for
 	// tokens.
 	maxTokenWaiters = 64
+	// excessMemory is the time without a refused request after which a customer is logged
+	// to be within its rate again.
+	excessMemory = 2 * time.Second
 )
 
 // customerQuota is an entry's token bucket for one customer.
@@ -65,6 +69,16 @@
 	requestedAt     time.Time
 	requestedAmount float64
 	asks            tokenAsks
+	excess          excess
+}
+
+// excess is the state of a customer that asks for more than its rate.
+type excess struct {
+	// since is when the first request was refused, zero if none was lately, last when the
+	// last one was. refused counts them.
+	since   time.Time
+	last    time.Time
+	refused int
 }
 
 func (q *customerQuota) addUsage(now time.Time, cost float64) {
@@ -174,7 +188,8 @@
 		c.refuseWithoutLeader(now, call, "no leader grants tokens")
 		return
 	}
-	if len(quota.waiting) >= maxTokenWaiters || c.decidesByRequest(now) && quota.asks.refuses(now, call.cost-quota.bucket.Level(now)) {
+	refused := c.decidesByRequest(now) && quota.asks.refuses(now, call.cost-quota.bucket.Level(now))
+	if refused || len(quota.waiting) >= maxTokenWaiters {
 		c.refuseOverRate(now, call, quota)
 		return
 	}
@@ -205,9 +220,38 @@
 // refuseForRate refuses a call that exceeds its customer's rate. Tokens are expected for it
 // after the given time.
 func (c *Core) refuseForRate(now time.Time, call *activeCall, retryAfter time.Duration) {
+	if quota := c.callQuota(call); quota != nil {
+		c.recordExcess(now, quota)
+	}
 	c.refuse(now, call, fault.NotRun, fault.CodeRate, "the customer's rate is used up", c.jitter(retryAfter))
 }
 
+// recordExcess counts a request that was refused since its customer's rate is used up.
+func (c *Core) recordExcess(now time.Time, quota *customerQuota) {
+	name := quota.customer.Name
+	c.emit(CountTokens{
+		Customer: name,
+		Refused:  1,
+	})
+	if quota.excess.since.IsZero() {
+		quota.excess.since = now
+		c.logChange("customer exceeds its rate", name, "", 0)
+	}
+	quota.excess.last = now
+	quota.excess.refused++
+}
+
+// endExcess notes that no request of a customer has been refused for some time.
+func (c *Core) endExcess(now time.Time, quota *customerQuota) {
+	e := quota.excess
+	if e.since.IsZero() || now.Sub(e.last) < excessMemory {
+		return
+	}
+	quota.excess = excess{}
+	detail := strconv.Itoa(e.refused) + " requests refused within " + e.last.Sub(e.since).String()
+	c.logChange("customer is within its rate again", quota.customer.Name, detail, now.Sub(e.last))
+}
+
 // requestTokens asks the leader for tokens, unless a request is outstanding.
 func (c *Core) requestTokens(now time.Time, quota *customerQuota) {
 	if !quota.requestedAt.IsZero() {
@@ -239,6 +283,7 @@
 	partial := amount < quota.requestedAmount*fullGrantRatio
 	quota.requestedAt = time.Time{}
 	quota.bucket.Add(now, amount, math.Inf(1))
+	c.countGranted(quota, amount)
 	waiting := quota.waiting
 	quota.waiting = nil
 	for i, call := range waiting {
@@ -254,6 +299,15 @@
 	}
 }
 
+func (c *Core) countGranted(quota *customerQuota, amount float64) {
+	if amount > 0 {
+		c.emit(CountTokens{
+			Customer: quota.customer.Name,
+			Granted:  amount,
+		})
+	}
+}
+
 // fullGrantRatio is the fraction of the requested amount from which a grant
 // counts as complete. It allows for rounding.
 const fullGrantRatio = 0.999
@@ -280,6 +334,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.quotas)) {
 		quota := c.quotas[name]
 		c.useGrantedTokens(now, quota)
+		c.endExcess(now, quota)
 		if !quota.requestedAt.IsZero() && now.Sub(quota.requestedAt) > leaderReplyTimeout {
 			c.refuseUnanswered(now, quota)
 		}
