--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -29,7 +29,9 @@
 	loads     map[string]pick.Load
 	allotment *rate.Allotment
 	pools     map[string]*rate.Bucket
-	planner   *stock.Planner
+	// contentions are the states of customers whose requests ask for tokens.
+	contentions map[string]*contention
+	planner     *stock.Planner
 	// holdingChanges are the engines whose holdings have changed, holdings the messages
 	// about them.
 	holdingChanges *since.Log[string]
@@ -65,6 +67,7 @@
 		members:       previous,
 		allotment:     rate.NewAllotment(standingFraction, c.settings.ShareLifetime+c.settings.Lease.Margin, shares),
 		pools:         make(map[string]*rate.Bucket),
+		contentions:   make(map[string]*contention),
 		loads:         make(map[string]pick.Load),
 		planner:       stock.NewPlanner(now, plannerSettings, first),
 		prefillShares: make(map[string]*pacer.PrefillShare),
@@ -121,12 +124,22 @@
 		// Tokens accumulated at a higher previous rate are cut to the new
 		// limit.
 		pool.Set(now, customer.Rate, math.Inf(1))
-		level := min(pool.Level(now), customer.Burst*poolBurstFraction)
+		level := min(pool.Level(now), customer.Burst*poolBurst(fraction))
 		pool.Set(now, fraction*customer.Rate, level)
-		pool.Set(now, fraction*customer.Rate, max(level, min(fraction, poolBurstFraction)*customer.Burst))
+		pool.Set(now, fraction*customer.Rate, max(level, min(fraction, poolBurst(fraction))*customer.Burst))
 	}
 }
 
+// poolBurst returns the fraction of the burst that the pool of a customer may hold, of whose
+// rate it gets the given fraction. Without standing shares the entries accumulate nothing, so
+// that the pool may hold the whole burst.
+func poolBurst(fraction float64) float64 {
+	if fraction < 1 {
+		return poolBurstFraction
+	}
+	return 1
+}
+
 // withdrawTokens takes up to amount tokens from a customer's pool and returns
 // how many it took.
 func (l *leader) withdrawTokens(now time.Time, customer *topo.Customer, amount float64) float64 {
@@ -140,7 +153,7 @@
 // returnTokens adds tokens returned by an entry to a customer's pool.
 func (l *leader) returnTokens(now time.Time, customer *topo.Customer, amount float64) {
 	if pool := l.pools[customer.Name]; pool != nil {
-		pool.Add(now, amount, customer.Burst*poolBurstFraction)
+		pool.Add(now, amount, customer.Burst*poolBurst(pool.FillRate()/customer.Rate))
 	}
 }
 
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -64,6 +64,7 @@
 
 		Evacuation:     c.encodeEvacuation(now),
 		PermitRequests: f.drainPermitRequests(),
+		TokenAsks:      f.tokenAsks,
 	}
 	if f.missedNews && c.leaderStateCurrent(now) {
 		// Before, the answer would be dropped as well.
@@ -81,6 +82,7 @@
 		f.returnedAt = now
 	}
 	f.tokenRequests = nil
+	f.tokenAsks = nil
 	f.reportedAt = now
 	c.emit(SendReport{Report: report})
 }
--- a/internal/gate/tokens.go
+++ b/internal/gate/tokens.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"dogwoodfold/internal/rate"
@@ -49,6 +50,9 @@
 	// maxTokenWaiters limits the number of a customer's requests that wait for
 	// tokens.
 	maxTokenWaiters = 64
+	// excessMemory is the time without a refused request after which a customer is logged
+	// to be within its rate again.
+	excessMemory = 2 * time.Second
 )
 
 // customerQuota is an entry's token bucket for one customer.
@@ -64,6 +68,17 @@
 	// request is outstanding; requestedAmount is how many.
 	requestedAt     time.Time
 	requestedAmount float64
+	asks            tokenAsks
+	excess          excess
+}
+
+// excess is the state of a customer that asks for more than its rate.
+type excess struct {
+	// since is when the first request was refused, zero if none was lately, last when the
+	// last one was. refused counts them.
+	since   time.Time
+	last    time.Time
+	refused int
 }
 
 func (q *customerQuota) addUsage(now time.Time, cost float64) {
@@ -114,12 +129,22 @@
 	if c.config == nil {
 		return
 	}
+	share := c.standingShare(now)
+	for name, customer := range c.config.Customers {
+		// A standing share fills also where the customer sends nothing, so that its tokens
+		// are returned to the pool.
+		if c.quotas[name] == nil && usesStandingShare(share, customer) {
+			c.quotas[name] = &customerQuota{}
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(c.quotas)) {
 		quota := c.quotas[name]
 		if customer := c.config.Customers[name]; customer != nil {
 			quota.customer = customer
 		}
-		c.updateQuota(now, quota)
+		if quota.customer != nil {
+			c.updateQuota(now, quota)
+		}
 	}
 	if c.leader != nil {
 		c.leader.updatePools(now, c.config)
@@ -163,7 +188,8 @@
 		c.refuseWithoutLeader(now, call, "no leader grants tokens")
 		return
 	}
-	if len(quota.waiting) >= maxTokenWaiters {
+	refused := c.decidesByRequest(now) && quota.asks.refuses(now, call.cost-quota.bucket.Level(now))
+	if refused || len(quota.waiting) >= maxTokenWaiters {
 		c.refuseOverRate(now, call, quota)
 		return
 	}
@@ -184,8 +210,46 @@
 
 // refuseOverRate refuses a call that exceeds its customer's rate.
 func (c *Core) refuseOverRate(now time.Time, call *activeCall, quota *customerQuota) {
-	retryAfter := time.Duration((quota.waitingCost() + call.cost) / call.customer.Rate * float64(time.Second))
-	c.refuse(now, call, fault.NotRun, fault.CodeRate, "the customer's rate is used up", c.jitter(retryAfter+shortRetryAfter))
+	retryAfter := time.Duration((quota.waitingCost()+call.cost)/call.customer.Rate*float64(time.Second)) + shortRetryAfter
+	if c.decidesByRequest(now) && now.Before(quota.asks.refusedUntil) {
+		retryAfter = quota.asks.retryAfter
+	}
+	c.refuseForRate(now, call, retryAfter)
+}
+
+// refuseForRate refuses a call that exceeds its customer's rate. Tokens are expected for it
+// after the given time.
+func (c *Core) refuseForRate(now time.Time, call *activeCall, retryAfter time.Duration) {
+	if quota := c.callQuota(call); quota != nil {
+		c.recordExcess(now, quota)
+	}
+	c.refuse(now, call, fault.NotRun, fault.CodeRate, "the customer's rate is used up", c.jitter(retryAfter))
+}
+
+// recordExcess counts a request that was refused since its customer's rate is used up.
+func (c *Core) recordExcess(now time.Time, quota *customerQuota) {
+	name := quota.customer.Name
+	c.emit(CountTokens{
+		Customer: name,
+		Refused:  1,
+	})
+	if quota.excess.since.IsZero() {
+		quota.excess.since = now
+		c.logChange("customer exceeds its rate", name, "", 0)
+	}
+	quota.excess.last = now
+	quota.excess.refused++
+}
+
+// endExcess notes that no request of a customer has been refused for some time.
+func (c *Core) endExcess(now time.Time, quota *customerQuota) {
+	e := quota.excess
+	if e.since.IsZero() || now.Sub(e.last) < excessMemory {
+		return
+	}
+	quota.excess = excess{}
+	detail := strconv.Itoa(e.refused) + " requests refused within " + e.last.Sub(e.since).String()
+	c.logChange("customer is within its rate again", quota.customer.Name, detail, now.Sub(e.last))
 }
 
 // requestTokens asks the leader for tokens, unless a request is outstanding.
@@ -193,6 +257,10 @@
 	if !quota.requestedAt.IsZero() {
 		return
 	}
+	if c.decidesByRequest(now) {
+		c.askForWaiting(now, quota)
+		return
+	}
 	quota.decayUsage(now)
 	amount := quota.waitingCost() - quota.bucket.Level(now) + quota.usage*prefetchHorizon.Seconds()
 	if amount <= 0 {
@@ -200,10 +268,6 @@
 	}
 	quota.requestedAt = now
 	quota.requestedAmount = amount
-	if c.isLeader(now) {
-		c.handleGrant(now, quota, c.leader.withdrawTokens(now, quota.customer, amount))
-		return
-	}
 	c.follower.tokenRequests = append(c.follower.tokenRequests, &wirepb.GateTokens{
 		Customer: quota.customer.Name,
 		Amount:   amount,
@@ -219,6 +283,7 @@
 	partial := amount < quota.requestedAmount*fullGrantRatio
 	quota.requestedAt = time.Time{}
 	quota.bucket.Add(now, amount, math.Inf(1))
+	c.countGranted(quota, amount)
 	waiting := quota.waiting
 	quota.waiting = nil
 	for i, call := range waiting {
@@ -234,6 +299,15 @@
 	}
 }
 
+func (c *Core) countGranted(quota *customerQuota, amount float64) {
+	if amount > 0 {
+		c.emit(CountTokens{
+			Customer: quota.customer.Name,
+			Granted:  amount,
+		})
+	}
+}
+
 // fullGrantRatio is the fraction of the requested amount from which a grant
 // counts as complete. It allows for rounding.
 const fullGrantRatio = 0.999
@@ -259,6 +333,8 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.quotas)) {
 		quota := c.quotas[name]
+		c.useGrantedTokens(now, quota)
+		c.endExcess(now, quota)
 		if !quota.requestedAt.IsZero() && now.Sub(quota.requestedAt) > leaderReplyTimeout {
 			c.refuseUnanswered(now, quota)
 		}
@@ -270,8 +346,12 @@
 // within it.
 func (c *Core) refuseUnanswered(now time.Time, quota *customerQuota) {
 	quota.requestedAt = time.Time{}
-	waiting := quota.waiting
-	quota.waiting = nil
+	quota.asks.calls = nil
+	waiting := quota.takeUngranted()
+	for _, call := range waiting {
+		quota.releaseTokens(call)
+	}
+	quota.reclaim(now)
 	for _, call := range waiting {
 		if c.tryCharge(now, quota, call) {
 			continue
@@ -295,12 +375,26 @@
 	return max(c.lease.TermEnd().Sub(now), 0)
 }
 
+// returnOwnSurplus returns the surplus tokens of the leader's own quotas to its pools.
+func (c *Core) returnOwnSurplus(now time.Time) {
+	if !c.isLeader(now) || now.Sub(c.follower.returnedAt) < reportInterval {
+		return
+	}
+	c.follower.returnedAt = now
+	for _, surplus := range c.takeSurplus(now) {
+		if customer := c.customer(surplus.GetCustomer()); customer != nil {
+			c.leader.returnTokens(now, customer, surplus.GetAmount())
+		}
+	}
+}
+
 // takeSurplus removes the tokens that the entry will not need soon from its
 // quotas and returns them.
 func (c *Core) takeSurplus(now time.Time) []*wirepb.GateTokens {
 	var out []*wirepb.GateTokens
 	for _, name := range slices.Sorted(maps.Keys(c.quotas)) {
 		quota := c.quotas[name]
+		quota.reclaim(now)
 		quota.decayUsage(now)
 		surplus := quota.bucket.Level(now) - quota.usage*retainHorizon.Seconds()
 		if len(quota.waiting) > 0 || surplus < minReturn {
