Bound the memory and the connections of a gateway

A gateway may hold 30% of limits.memoryMb for bodies, long headers and responses, as accounted by the new package budget. Memory is reserved as a body arrives and allocated in pieces; when it is used up, the largest bodies that wait longest are answered with 503 before they run, those of addresses above their share first. A quarter is left to requests up to 64 KB. Bodies up to 4 KB need no reservation. A body of which less than 1 KB arrives within the idle timeout gets 408; one whose declared length exceeds the limit gets 413 before it is read. A response that finds no memory passes through as it arrives.

Client connections are bounded by memory and by three quarters of limits.maxFds less 200; the oldest idle ones, then the oldest unfinished headers give way. Read buffers have 4 KB and grow for a longer header only. The garbage collector aims at 85% of the memory.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog/diode"
 	"github.com/spf13/cobra"
 
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/edge"
 	"dogwoodfold/internal/sighup"
 	"dogwoodfold/platform"
@@ -57,6 +58,7 @@
 // runGateway runs an entry with the settings until it is shut down.
 func runGateway(cmd *cobra.Command, settings *platform.Settings) error {
 	debug.SetGCPercent(gcPercent)
+	setMemoryLimit(settings.MemoryBytes)
 	logWriter := diode.NewWriter(cmd.OutOrStdout(), logBufferLines, 0, func(dropped int) {
 		fmt.Fprintf(os.Stderr, "{\"message\":\"log: lines dropped\",\"dropped\":%d}\n", dropped)
 	})
@@ -72,6 +74,14 @@
 	})
 }
 
+// setMemoryLimit makes the garbage collector work harder when the process comes near the
+// memory that it may use. 0 stands for no limit.
+func setMemoryLimit(bytes int64) {
+	if heap := budget.Derive(bytes, 0).Heap; heap > 0 {
+		debug.SetMemoryLimit(heap)
+	}
+}
+
 // reloadOnSignal reloads the settings from a file on each SIGHUP. If they can't be read,
 // the current settings remain in effect.
 func reloadOnSignal(ctx context.Context, server *edge.Server, path string, log zerolog.Logger) {
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -107,7 +108,7 @@
 		if len(p) == 0 {
 			return true
 		}
-		if ne, ok := err.(net.Error); err != nil && (!ok || !ne.Timeout()) {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
 	}
@@ -121,8 +122,7 @@
 	_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
 	var p [512]byte
 	_, err := conn.Read(p[:])
-	ne, ok := err.(net.Error)
-	return err != nil && (!ok || !ne.Timeout())
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // act is what a client does on one connection. It returns when it has nothing more to do
@@ -207,7 +207,7 @@
 	for !c.ended() {
 		_ = c.conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
 		_, err := c.conn.Read(p[:])
-		if ne, ok := err.(net.Error); err != nil && (!ok || !ne.Timeout()) {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -9,6 +9,8 @@
 	"strconv"
 
 	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/budget"
 )
 
 // endpointResponse is an endpoint's response.
@@ -17,16 +19,25 @@
 	// head is the status line and the headers to forward to the client, without
 	// hop-by-hop headers and the terminating empty line.
 	head []byte
-	body []byte
+	body budget.Pieces
 }
 
-// encode returns the complete response with a Content-Length header. It reuses
-// the write buffer of in.
-func (r *endpointResponse) encode(in *inboundRequest) []byte {
+// writeTo sends the complete response with a Content-Length header to the client. It
+// reuses the write buffer of in for the head and the first piece of the body.
+func (r *endpointResponse) writeTo(in *inboundRequest) error {
 	out := append(in.writeBuffer[:0], r.head...)
-	out = appendHeader(out, "Content-Length", strconv.Itoa(len(r.body)))
+	out = appendHeader(out, "Content-Length", strconv.Itoa(r.body.Size))
 	out = in.appendHeadEnd(out)
-	return append(out, r.body...)
+	rest := r.body.Pieces
+	if len(rest) > 0 {
+		out = append(out, rest[0]...)
+		rest = rest[1:]
+	}
+	err := in.write(out)
+	for i := 0; err == nil && i < len(rest); i++ {
+		err = in.write(rest[i])
+	}
+	return err
 }
 
 // forwardedResponseHead returns the status line and the end-to-end headers of h.
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -6,13 +6,17 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/topo"
+	"dogwoodfold/platform"
 )
 
 // clientLimits holds the size and time limits for client requests.
@@ -27,8 +31,15 @@
 }}
 
 const (
-	// minClientReadBuffer is the minimum read buffer size of a client connection.
-	minClientReadBuffer = 4 << 10
+	// clientReadBuffer is the read buffer size of a client connection. A longer header is
+	// read into a larger buffer, which is used for that request only.
+	clientReadBuffer = 4 << 10
+	// minWindowBytes is the least part of a body that must arrive within the idle timeout.
+	// With the default of 15 s that is 68 bytes per second, a fiftieth of what the slowest
+	// mobile links do.
+	minWindowBytes = 1 << 10
+	// overloadRetryAfter is the Retry-After of a request that the memory didn't suffice for.
+	overloadRetryAfter = time.Second
 	// lingerTimeout and maxLingerBytes bound the draining of a rejected request
 	// that was not read completely, so that the client can read the response.
 	lingerTimeout  = 500 * time.Millisecond
@@ -42,9 +53,12 @@
 type clientConn struct {
 	server *Server
 	conn   net.Conn
+	owner  netip.Addr
+	source clientSource
 	reader *bufio.Reader
-	// busy is true from the first byte of a request to the end of its response.
-	busy atomic.Bool
+	// state is one of the states below, since is when it began, by Unix nanoseconds.
+	state atomic.Int32
+	since atomic.Int64
 }
 
 // acceptClients accepts and serves client connections until ctx ends or the
@@ -65,11 +79,15 @@
 		c := &clientConn{
 			server: s,
 			conn:   conn,
+			source: clientSource{conn: conn},
+		}
+		if tcp, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+			c.owner = tcp.AddrPort().Addr()
+		}
+		c.since.Store(time.Now().UnixNano())
+		if s.registerClient(c) {
+			go c.serve(ctx)
 		}
-		s.mu.Lock()
-		s.clientConns[c] = true
-		s.mu.Unlock()
-		go c.serve(ctx)
 	}
 }
 
@@ -94,7 +112,10 @@
 	}
 	active := 0
 	for c := range s.clientConns {
-		if c.busy.Load() {
+		if c.state.Load() == connClosed {
+			continue
+		}
+		if !c.state.CompareAndSwap(connIdle, connClosed) {
 			active++
 			continue
 		}
@@ -117,7 +138,7 @@
 		c.server.mu.Unlock()
 		_ = c.conn.Close() // the client may have closed it already
 	}()
-	c.reader = bufio.NewReaderSize(c.conn, max(minClientReadBuffer, c.server.currentLimits().HeaderBytes))
+	c.reader = bufio.NewReaderSize(&c.source, clientReadBuffer)
 	for ctx.Err() == nil {
 		in, err := c.readRequest()
 		if err != nil {
@@ -130,7 +151,8 @@
 	}
 }
 
-// readRequest waits for a request and reads it completely.
+// readRequest waits for a request and reads it completely. If it fails, the memory of the
+// request has been released.
 func (c *clientConn) readRequest() (*inboundRequest, error) {
 	limits := c.server.currentLimits()
 	if err := c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
@@ -139,14 +161,35 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, errNoRequest
 	}
-	c.busy.Store(true)
-	if err := c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+	now := time.Now()
+	c.since.Store(now.UnixNano())
+	if !c.state.CompareAndSwap(connIdle, connReading) {
+		return nil, errNoRequest
+	}
+	if err := c.conn.SetReadDeadline(now.Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
+	memory := c.server.memory.Reserve(c.owner, budget.Body, now, c.source.abort)
+	in, err := c.readMessage(limits, memory)
+	if err == nil && !memory.Keep() {
+		err = budget.ErrEvicted
+	}
+	if err != nil {
+		memory.Release()
+		return nil, err
+	}
+	return in, nil
+}
+
+// readMessage reads a request of which the first byte has arrived.
+func (c *clientConn) readMessage(limits clientLimits, memory *budget.Reservation) (*inboundRequest, error) {
 	var head fasthttp.RequestHeader
-	if err := head.Read(c.reader); err != nil {
+	if err := c.readHeader(&head, limits, memory); err != nil {
 		return nil, err
 	}
+	if !c.state.CompareAndSwap(connReading, connBusy) {
+		return nil, errNoRequest
+	}
 	arrived := c.server.clock.Now()
 	framing, err := readFraming(&head)
 	if err != nil {
@@ -156,25 +199,33 @@
 	if err != nil {
 		return nil, err
 	}
+	if framing.length > limits.BodyBytes {
+		return nil, errBodyTooLarge
+	}
 	if len(head.Peek("Expect")) > 0 {
 		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, err
 		}
 	}
-	if err := c.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout(request, limits))); err != nil {
-		return nil, err
-	}
-	body, err := readBody(c.reader, framing, limits.BodyBytes)
-	if err != nil {
-		return nil, err
+	var body budget.Pieces
+	if framing.chunked || framing.length > 0 {
+		c.source.watchBody(time.Now(), bodyReadTimeout(request, limits), limits.IdleTimeout)
+		body, err = readBody(c.reader, framing, limits.BodyBytes, func(n int) error { return memory.Grow(time.Now(), n) })
+		c.source.watching = false
+		if err != nil {
+			return nil, c.source.cause(err)
+		}
 	}
-	request.Content = contentHash(&head, request, body)
+	c.shrinkReader()
+	request.Content = contentHash(&head, request, body.Pieces...)
 	return &inboundRequest{
 		readAt:       time.Now(),
 		id:           gate.CallID(c.server.nextCallID.Add(1)),
 		request:      request,
 		head:         forwardedRequestHead(&head),
 		body:         body,
+		memory:       memory,
+		owner:        c.owner,
 		lastEventID:  request.LastEventID,
 		client:       c.conn,
 		closeAfter:   head.ConnectionClose() || c.server.isStopping(),
@@ -184,6 +235,36 @@
 	}, nil
 }
 
+// readHeader reads the header of a request. One that doesn't fit the buffer of the
+// connection is read into a larger one.
+func (c *clientConn) readHeader(head *fasthttp.RequestHeader, limits clientLimits, memory *budget.Reservation) error {
+	err := head.Read(c.reader)
+	var tooSmall *fasthttp.ErrSmallBuffer
+	if limits.HeaderBytes <= clientReadBuffer || !errors.As(err, &tooSmall) {
+		return c.source.cause(err)
+	}
+	if err := memory.Grow(time.Now(), limits.HeaderBytes); err != nil {
+		return err
+	}
+	c.resizeReader(limits.HeaderBytes)
+	head.Reset()
+	return c.source.cause(head.Read(c.reader))
+}
+
+// resizeReader replaces the read buffer by one of another size.
+func (c *clientConn) resizeReader(size int) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+	c.source.prefix = append(append([]byte(nil), buffered...), c.source.prefix...)
+	c.reader = bufio.NewReaderSize(&c.source, size)
+}
+
+// shrinkReader returns to a small read buffer after a long header.
+func (c *clientConn) shrinkReader() {
+	if c.reader.Size() > clientReadBuffer {
+		c.resizeReader(clientReadBuffer)
+	}
+}
+
 // bodyReadTimeout returns the time limit for reading the body of a request.
 func bodyReadTimeout(r *gate.Request, limits clientLimits) time.Duration {
 	if r.ClientTimeout > 0 {
@@ -215,6 +296,16 @@
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
+		c.server.metrics.countTurnedAway(turnedAwayTooLarge)
+	case errors.Is(err, budget.ErrExhausted):
+		status = fasthttp.StatusServiceUnavailable
+		c.server.metrics.countTurnedAway(turnedAwayMemory)
+	case errors.Is(err, budget.ErrEvicted):
+		status = fasthttp.StatusServiceUnavailable
+		c.server.metrics.countTurnedAway(turnedAwayEvicted)
+	case errors.Is(err, errBodyTooSlow):
+		status = fasthttp.StatusRequestTimeout
+		c.server.metrics.countTurnedAway(turnedAwaySlowBody)
 	case errors.As(err, &netErr) && netErr.Timeout():
 		status = fasthttp.StatusRequestTimeout
 	case errors.As(err, &netErr):
@@ -223,6 +314,9 @@
 	c.server.requestLog.logUnreadable(status, err)
 	out := appendStatus(nil, status)
 	out = appendHeader(out, "Content-Length", "0")
+	if status == fasthttp.StatusServiceUnavailable {
+		out = appendHeader(out, platform.HeaderRetryAfter, strconv.FormatFloat(overloadRetryAfter.Seconds(), 'f', 2, 64))
+	}
 	out = appendHeader(out, "Connection", "close")
 	out = append(out, "\r\n"...)
 	if c.conn.SetDeadline(time.Now().Add(lingerTimeout)) != nil {
@@ -250,7 +344,9 @@
 		delete(s.activeRequests, in.id)
 		s.mu.Unlock()
 		s.recordRequest(in)
-		c.busy.Store(false)
+		in.memory.Release()
+		c.since.Store(time.Now().UnixNano())
+		c.state.Store(connIdle)
 	}()
 	keepOpen := c.watchClient(in)
 	<-in.finished
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/platform"
 )
@@ -37,6 +38,8 @@
 	// writeDone receives the result of writing the request.
 	writeDone chan error
 	post      func(gate.Event)
+	// memory accounts for the response if it is held until it is complete.
+	memory *budget.Reservation
 }
 
 // attempt sends a request to an endpoint and forwards the response.
@@ -63,7 +66,9 @@
 		events:    newEventParser(in.lastEventID),
 		writeDone: make(chan error, 1),
 		post:      s.post,
+		memory:    s.memory.Reserve(in.owner, budget.Response, now, nil),
 	}
+	defer x.memory.Release()
 	if !send.Route.Resumable && in.lastEventID != "" {
 		x.events.positioned = false // such a stream may also begin anew
 	}
@@ -141,12 +146,15 @@
 	if x.in.lastEventID != "" {
 		head = appendHeader(head, platform.HeaderLastEventID, x.in.lastEventID)
 	}
-	if len(x.in.body) > 0 {
-		head = appendHeader(head, "Content-Length", strconv.Itoa(len(x.in.body)))
+	body := &x.in.body
+	if body.Size > 0 {
+		head = appendHeader(head, "Content-Length", strconv.Itoa(body.Size))
 	}
 	head = append(head, "\r\n"...)
-	if len(x.in.body) <= maxInlineBody {
-		head = append(head, x.in.body...)
+	if body.Size <= maxInlineBody {
+		for _, piece := range body.Pieces {
+			head = append(head, piece...)
+		}
 		_, err := x.conn.Write(head)
 		x.in.writeBuffer = head[:0]
 		x.writeDone <- err
@@ -155,8 +163,8 @@
 	x.in.writeBuffer = nil // the goroutine below uses it
 	go func() {
 		_, err := x.conn.Write(head)
-		if err == nil {
-			_, err = x.conn.Write(x.in.body)
+		for i := 0; err == nil && i < len(body.Pieces); i++ {
+			_, err = x.conn.Write(body.Pieces[i])
 		}
 		x.writeDone <- err
 	}()
@@ -263,7 +271,7 @@
 	x.in.bufferedFailure = &endpointResponse{
 		status: status,
 		head:   forwardedResponseHead(&x.head),
-		body:   content,
+		body:   budget.Pieces{Pieces: [][]byte{content}, Size: len(content)},
 	}
 	return gate.Result{
 		Outcome:    gate.OutcomeFailed,
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/topo"
 )
@@ -19,15 +20,15 @@
 )
 
 // forwardWhole forwards a response once it is complete, so that a request whose
-// response is truncated can be retried. Responses larger than maxBufferedBody
-// are streamed.
+// response is truncated can be retried. Responses larger than maxBufferedBody, and all
+// that the memory doesn't suffice for, are streamed.
 func (x *exchange) forwardWhole(b *responseBody) (gate.Result, bool) {
 	if b.remaining > maxBufferedBody {
 		return x.streamResponse(b, nil)
 	}
-	content, err := b.readAll(maxBufferedBody)
-	if errors.Is(err, errResponseTooLarge) {
-		return x.streamResponse(b, content)
+	content, err := budget.Read(b, b.remaining, maxBufferedBody, func(n int) error { return x.memory.Grow(time.Now(), n) })
+	if errors.Is(err, budget.ErrTooLarge) || errors.Is(err, budget.ErrExhausted) {
+		return x.streamResponse(b, content.Pieces)
 	}
 	if err != nil {
 		return x.classifyError(err), false
@@ -38,19 +39,21 @@
 		body:   content,
 	}
 	x.in.status = response.status
-	if x.in.write(response.encode(x.in)) != nil {
+	x.memory.Yield(time.Now(), x.in.abortWrite)
+	if response.writeTo(x.in) != nil {
 		return x.clientLostResult(), true
 	}
+	x.in.connBroken = x.memory.Evicted() // its deadline for writes may still be changed
 	return gate.Result{
 		Outcome: gate.OutcomeComplete,
 		Status:  response.status,
 	}, true
 }
 
-// streamResponse forwards a response as it arrives, starting with prefix, which
-// was read before. Streams of events are forwarded in complete events, so that
+// streamResponse forwards a response as it arrives, starting with the pieces that were
+// read before. Streams of events are forwarded in complete events, so that
 // they can continue at another endpoint.
-func (x *exchange) streamResponse(b *responseBody, prefix []byte) (gate.Result, bool) {
+func (x *exchange) streamResponse(b *responseBody, prefix [][]byte) (gate.Result, bool) {
 	in := x.in
 	if !in.started {
 		in.startChunked(&endpointResponse{
@@ -58,7 +61,12 @@
 			head:   forwardedResponseHead(&x.head),
 		})
 	}
-	in.appendChunk(prefix)
+	for _, piece := range prefix {
+		in.appendChunk(piece)
+		if in.flush() != nil {
+			return x.clientLostResult(), false
+		}
+	}
 	buffer := make([]byte, streamBufferSize)
 	buffered := 0
 	for {
--- a/internal/edge/head.go
+++ b/internal/edge/head.go
@@ -7,7 +7,6 @@
 	"encoding/binary"
 	"errors"
 	"hash/maphash"
-	"io"
 	"net/http/httputil"
 	"net/textproto"
 	"strconv"
@@ -16,6 +15,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/pick"
 	"dogwoodfold/internal/poison"
@@ -26,7 +26,7 @@
 // status.
 var (
 	errMalformedRequest = errors.New("malformed request")
-	errBodyTooLarge     = errors.New("request body too large")
+	errBodyTooLarge     = budget.ErrTooLarge
 )
 
 // hopByHopHeaders are the headers that apply to a single connection, in canonical
@@ -105,30 +105,15 @@
 	return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
 }
 
-// readBody reads a request body with the given framing, up to limit bytes.
-func readBody(r *bufio.Reader, f framing, limit int) ([]byte, error) {
-	if f.chunked {
-		return readChunkedBody(r, limit)
+// readBody reads a request body with the given framing, up to limit bytes, and reserves
+// memory for it as it arrives.
+func readBody(r *bufio.Reader, f framing, limit int, grow func(n int) error) (budget.Pieces, error) {
+	if !f.chunked {
+		return budget.Read(r, f.length, limit, grow)
 	}
-	if f.length > limit {
-		return nil, errBodyTooLarge
-	}
-	if f.length == 0 {
-		return nil, nil
-	}
-	body := make([]byte, f.length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
-// readChunkedBody reads a chunked body and its trailer.
-func readChunkedBody(r *bufio.Reader, limit int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), int64(limit)+1))
+	body, err := budget.Read(httputil.NewChunkedReader(r), -1, limit, grow)
 	if err != nil {
-		return nil, err
-	}
-	if len(body) > limit {
-		return nil, errBodyTooLarge
+		return budget.Pieces{}, err
 	}
 	return body, readTrailer(r)
 }
@@ -244,16 +229,22 @@
 
 // contentHash returns a hash of what makes a request the same as another one: its method,
 // host, path with query, prompt and body. Its ID, key, deadline and position in a stream
-// may differ.
-func contentHash(h *fasthttp.RequestHeader, r *gate.Request, body []byte) string {
+// may differ. The body is given in pieces.
+func contentHash(h *fasthttp.RequestHeader, r *gate.Request, body ...[]byte) string {
 	hash := sha256.New()
 	var length [8]byte
-	for _, field := range [][]byte{
-		h.Method(), []byte(r.Host), h.RequestURI(), []byte(r.Model), []byte(r.Adapter), []byte(r.PromptPrefix), body,
+	for _, field := range [][][]byte{
+		{h.Method()}, {[]byte(r.Host)}, {h.RequestURI()}, {[]byte(r.Model)}, {[]byte(r.Adapter)}, {[]byte(r.PromptPrefix)}, body,
 	} {
-		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		size := 0
+		for _, piece := range field {
+			size += len(piece)
+		}
+		binary.BigEndian.PutUint64(length[:], uint64(size))
 		_, _ = hash.Write(length[:]) // never fails
-		_, _ = hash.Write(field)
+		for _, piece := range field {
+			_, _ = hash.Write(piece)
+		}
 	}
 	return string(hash.Sum(nil))
 }
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -2,10 +2,14 @@
 
 import (
 	"net"
+	"net/netip"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/pkg/fault"
 	"dogwoodfold/platform"
@@ -19,7 +23,11 @@
 	request *gate.Request
 	// head is the request line and the headers to forward to endpoints.
 	head []byte
-	body []byte
+	body budget.Pieces
+	// memory accounts for the body.
+	memory *budget.Reservation
+	// owner is the address of the client.
+	owner netip.Addr
 	// lastEventID is the client's Last-Event-Id, then the ID of the last event
 	// forwarded.
 	lastEventID string
@@ -47,6 +55,10 @@
 	started bool
 	// connBroken is true if the client connection cannot carry another request.
 	connBroken bool
+	// slowReader is true if the client was given up since it read too slowly, writeAborted
+	// if that was for the memory of its response.
+	slowReader   bool
+	writeAborted atomic.Bool
 	// writeBuffer collects bytes to write and is reused between writes.
 	writeBuffer []byte
 	// firstWriteAt is when the first part of a streamed response was sent,
@@ -171,18 +183,38 @@
 	}
 }
 
-// clientWriteTimeout bounds a write to a client that does not read.
-const clientWriteTimeout = 10 * time.Second
+const (
+	// clientWriteTimeout bounds a write to a client that does not read, in addition to the
+	// time that a client with minClientRate takes for it.
+	clientWriteTimeout = 10 * time.Second
+	// minClientRate is the number of bytes per second that a client must read. The slowest
+	// mobile links are about as fast, and buffers of the system are filled in advance.
+	minClientRate = 4 << 10
+)
 
 // write sends bytes to the client.
 func (in *inboundRequest) write(p []byte) error {
-	if err := in.client.SetWriteDeadline(time.Now().Add(clientWriteTimeout)); err != nil {
+	timeout := clientWriteTimeout + time.Duration(len(p))*time.Second/minClientRate
+	if err := in.client.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
+	if in.writeAborted.Load() {
+		return os.ErrDeadlineExceeded
+	}
 	_, err := in.client.Write(p)
+	if isTimeout(err) {
+		in.slowReader = true
+	}
 	return err
 }
 
+// abortWrite gives up a client that is slow to read, for the memory that its response
+// takes.
+func (in *inboundRequest) abortWrite() {
+	in.writeAborted.Store(true)
+	_ = in.client.SetWriteDeadline(time.Now()) // fails only if the connection is closed
+}
+
 // writeRefusal responds with an error of the entry itself. It ends a response that has
 // begun instead.
 func (in *inboundRequest) writeRefusal(err error) {
@@ -251,7 +283,7 @@
 	}
 	in.status = in.bufferedFailure.status
 	in.verdict = fault.Ran.String()
-	if in.write(in.bufferedFailure.encode(in)) != nil {
+	if in.bufferedFailure.writeTo(in) != nil {
 		in.connBroken = true
 	}
 }
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dogwoodfold/internal/admin"
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/stock"
 	"dogwoodfold/pkg/fault"
@@ -31,6 +32,8 @@
 	storeCalls *prometheus.CounterVec
 	orders     *prometheus.CounterVec
 	state      *prometheus.GaugeVec
+	memory     *prometheus.GaugeVec
+	turnedAway *prometheus.CounterVec
 }
 
 // latencyBuckets are the upper bounds of the histogram buckets, in seconds.
@@ -69,7 +72,15 @@
 			Help: "Ages in seconds, counts and flags of the entry's beliefs.",
 		}, []string{"name"}),
 	}
-	m.registry.MustRegister(m.requests, m.guarded, m.attempts, m.latency, m.storeCalls, m.orders, m.state)
+	m.memory = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "dogwoodfold_request_memory_bytes",
+		Help: "Memory reserved for clients by use, its bound and its peak.",
+	}, []string{"use"})
+	m.turnedAway = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "dogwoodfold_clients_turned_away_total",
+		Help: "Requests and connections of clients that were refused or closed, by reason.",
+	}, []string{"reason"})
+	m.registry.MustRegister(m.requests, m.guarded, m.attempts, m.latency, m.storeCalls, m.orders, m.state, m.memory, m.turnedAway)
 	return m
 }
 
@@ -120,6 +131,29 @@
 	flag("leads", s.IsLeader)
 }
 
+// setMemory sets the metrics of the memory that is reserved for clients.
+func (m *metrics) setMemory(s budget.Status, conns int) {
+	for _, use := range budget.Uses {
+		m.memory.WithLabelValues(use.Name()).Set(float64(s.UsedBy[use]))
+	}
+	m.memory.WithLabelValues("bound").Set(float64(s.Total))
+	m.memory.WithLabelValues("peak").Set(float64(s.Peak))
+	m.state.WithLabelValues("clientConnections").Set(float64(conns))
+}
+
+// Reasons for which clients are turned away.
+const (
+	turnedAwayMemory      = "memory"
+	turnedAwayEvicted     = "evicted"
+	turnedAwaySlowBody    = "slowBody"
+	turnedAwaySlowReader  = "slowReader"
+	turnedAwayTooLarge    = "tooLarge"
+	turnedAwayConnections = "connections"
+	turnedAwayIdle        = "idleClosed"
+)
+
+func (m *metrics) countTurnedAway(reason string) { m.turnedAway.WithLabelValues(reason).Inc() }
+
 const (
 	// maxRequestLinesPerSecond limits the rate of log lines about single requests.
 	maxRequestLinesPerSecond = 100
@@ -200,6 +234,9 @@
 	if in.attempts > 0 {
 		s.metrics.attempts.WithLabelValues(in.service, in.reason).Add(float64(in.attempts))
 	}
+	if in.slowReader || in.writeAborted.Load() {
+		s.metrics.countTurnedAway(turnedAwaySlowReader)
+	}
 	if !s.requestLog.allow(time.Now()) {
 		return
 	}
@@ -214,7 +251,7 @@
 		Str("namedLimit", in.namedLimit[:min(len(in.namedLimit), maxLoggedLimit)]).
 		Str("endpoint", in.endpoint).Strs("softwareVersions", in.softwareVersions).
 		Str("resumes", in.request.ResumedRequest).Str("lastEventId", in.request.LastEventID).Int("tries", in.attempts).
-		Bool("left", in.isDisconnected()).Dur("tookMs", elapsed).
+		Bool("left", in.isDisconnected()).Bool("slowReader", in.slowReader).Dur("tookMs", elapsed).
 		Dur("firstMs", in.timeToFirstWrite()).Dur("pauseMs", in.maxWriteGap).EmbedObject(decisionLogFields(in.decision)).
 		Msg("requests: ended")
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/clock"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/lease"
@@ -25,15 +26,17 @@
 
 // Server runs an entry. The caller of New must call Run.
 type Server struct {
-	settings     *platform.Settings
-	log          zerolog.Logger
-	clock        *clock.Clock
-	store        *platform.Store
-	engines      *platform.EngineClient
-	pool         *connPool
-	loop         *loop.Loop[gate.Event, gate.Effect]
-	metrics      *metrics
-	requestLog   *requestLog
+	settings   *platform.Settings
+	log        zerolog.Logger
+	clock      *clock.Clock
+	store      *platform.Store
+	engines    *platform.EngineClient
+	pool       *connPool
+	loop       *loop.Loop[gate.Event, gate.Effect]
+	metrics    *metrics
+	requestLog *requestLog
+	// memory is what client requests may hold.
+	memory       *budget.Budget
 	peerSessions *peerSessions
 	leaderLink   *leaderLink
 	// configWatch and registryWatch suspend this entry's reads of the store while
@@ -47,6 +50,9 @@
 	mu             sync.Mutex
 	activeRequests map[gate.CallID]*inboundRequest
 	clientConns    map[*clientConn]bool
+	// maxClientConns bounds clientConns, 0 if there is no bound.
+	maxClientConns int
+	closable       closableConns
 	limits         clientLimits
 	gracePeriod    time.Duration
 	settingsStatus SettingsStatus
@@ -115,6 +121,7 @@
 // New returns an entry with the given settings. incarnation distinguishes this run
 // of the process from others on the same host.
 func New(settings *platform.Settings, log zerolog.Logger, incarnation uint64) *Server {
+	limits := budget.Derive(settings.MemoryBytes, settings.MaxFiles)
 	s := &Server{
 		settings:       settings,
 		log:            log,
@@ -124,6 +131,8 @@
 		pool:           newConnPool(),
 		metrics:        newMetrics(),
 		requestLog:     newRequestLog(log),
+		memory:         budget.New(limits.Requests),
+		maxClientConns: limits.Connections,
 		activeRequests: make(map[gate.CallID]*inboundRequest),
 		clientConns:    make(map[*clientConn]bool),
 		limits:         defaultClientLimits,
@@ -343,4 +352,8 @@
 	}
 	s.ready.Store(status.Ready)
 	s.metrics.setStatus(status)
+	s.mu.Lock()
+	conns := len(s.clientConns)
+	s.mu.Unlock()
+	s.metrics.setMemory(s.memory.Status(), conns)
 }
--- a/internal/edge/started_test.go
+++ b/internal/edge/started_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"testing"
 
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/pkg/fault"
 )
@@ -21,7 +22,7 @@
 			request:         &gate.Request{ID: "r"},
 			client:          entry,
 			started:         true,
-			bufferedFailure: &endpointResponse{status: 500, body: []byte("failed")},
+			bufferedFailure: &endpointResponse{status: 500, body: budget.Pieces{Pieces: [][]byte{[]byte("failed")}, Size: len("failed")}},
 		}
 		go func() {
 			write(in)
