--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -14,6 +14,8 @@
 
 	"github.com/rs/zerolog"
 
+	"dogwoodfold/internal/admin"
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/dedup"
 	"dogwoodfold/internal/loop"
 	"dogwoodfold/internal/plat"
@@ -42,6 +44,8 @@
 	Hosts  plat.Hosts
 	TLS    *tls.Config
 	Logger zerolog.Logger
+	// Memory is the number of bytes that the process may use, 0 if there is no limit.
+	Memory int64
 }
 
 // Server runs an agent.
@@ -50,6 +54,7 @@
 	loop     *loop.Loop[Event, Effect]
 	endpoint *endpointClient
 	metrics  *metrics
+	memory   *budget.Budget
 	lastKey  atomic.Uint64
 
 	// runCtx is the context of Run. It ends the goroutines that effects start.
@@ -85,11 +90,13 @@
 		options:      options,
 		endpoint:     newEndpointClient(options.Endpoint.String()),
 		metrics:      newMetrics(),
+		memory:       budget.New(budget.Derive(options.Memory, 0).Requests),
 		pendingCalls: make(map[uint64]*pendingCall),
 		sessions:     make(map[uint64]*wire.Session),
 		finished:     make(chan struct{}),
 		done:         make(chan struct{}),
 	}
+	admin.RegisterMemory(s.metrics.registry, s.memory)
 	s.loop = loop.New(NewCore(options.Core), s.perform, time.Now)
 	return s
 }
@@ -188,6 +195,12 @@
 // serveCall serves one call from its request to its last frame.
 func (s *Server) serveCall(call *wire.Call) {
 	defer func() { _ = call.Close() }()
+	memory := s.memory.Reserve(netip.Addr{}, budget.Body, time.Now(), nil)
+	defer memory.Release()
+	size, err := call.RequestSize()
+	if err != nil || s.reserve(memory, size) != nil {
+		return
+	}
 	request, err := call.ReceiveRequest()
 	if err != nil {
 		return
@@ -212,6 +225,36 @@
 	s.mu.Unlock()
 }
 
+const (
+	// requestCopies is how often a request is held at once: encoded, decoded, and in the
+	// buffers of the connection to the endpoint.
+	requestCopies = 3
+	// reserveInterval is the time between attempts to reserve memory, reserveTimeout the
+	// longest wait for it. Meanwhile flow control holds the request back at the entry.
+	reserveInterval = 20 * time.Millisecond
+	reserveTimeout  = 30 * time.Second
+)
+
+// reserve reserves memory for a request that is about to be read. Requests come from
+// entries, which bound what uncontrolled clients send, so it waits for those that run.
+func (s *Server) reserve(memory *budget.Reservation, size int) error {
+	if size <= budget.FreeBytes {
+		return nil
+	}
+	for deadline := time.Now().Add(reserveTimeout); ; {
+		now := time.Now()
+		err := memory.Grow(now, size*requestCopies)
+		if err == nil || now.After(deadline) {
+			return err
+		}
+		select {
+		case <-s.runCtx.Done():
+			return err
+		case <-time.After(reserveInterval):
+		}
+	}
+}
+
 // awaitDecision waits for the reducer's decision and carries it out.
 func (s *Server) awaitDecision(key uint64, pending *pendingCall, callClosed <-chan struct{},
 	call *wire.Call, request *wirepb.CallRequest,
--- a/internal/cmds/agent.go
+++ b/internal/cmds/agent.go
@@ -58,7 +58,9 @@
 	// its last effect at an engine that ignores fencing numbers. It defaults to
 	// 10 seconds.
 	MaxOrderDelay time.Duration `json:"maxOrderDelay"`
-	TLS           TLSFiles      `json:"tls"`
+	// MemoryMB is the memory in MB that the process may use. It defaults to 256.
+	MemoryMB int      `json:"memoryMb"`
+	TLS      TLSFiles `json:"tls"`
 }
 
 // Kinds of endpoints.
@@ -113,6 +115,7 @@
 		Log:      plat.NewHTTPLog(s.Log),
 		Hosts:    plat.NewHTTPHosts(s.Hosts),
 		TLS:      tlsConfig,
+		Memory:   memoryBytes(s.MemoryMB),
 		Logger:   newLogger(os.Stderr, s.Host),
 	}
 	if s.Kind == endpointKindEngine {
@@ -133,6 +136,7 @@
 	if err != nil {
 		return err
 	}
+	setMemoryLimit(options.Memory)
 	server := agent.New(options)
 	adminServer := admin.New(server.Status, server.Registry())
 	return serve(cmd, server, fixedTimeout(s.StopLimit), sessionCloseDelay, func(ctx context.Context) error {
@@ -165,6 +169,7 @@
 	checkDuration("keepOutcomes", s.KeepOutcomes, fieldErrs)
 	checkDuration("claimWait", s.ClaimWait, fieldErrs)
 	checkDuration("stopLimit", s.StopLimit, fieldErrs)
+	checkMemory(s.MemoryMB, fieldErrs)
 	if s.KeepOutcomes > cmp.Or(s.ClaimWindow, dedup.DefaultClaimWindow) {
 		fieldErrs.Add("keepOutcomes", "must not be longer than claimWindow")
 	}
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -58,7 +58,9 @@
 	StopLimit time.Duration `json:"stopLimit"`
 	// WeightStore limits the load that planners put on the weight store.
 	WeightStore WeightStoreLimits `json:"weightStore"`
-	TLS         TLSFiles          `json:"tls"`
+	// MemoryMB is the memory in MB that the process may use. It defaults to 256.
+	MemoryMB int      `json:"memoryMb"`
+	TLS      TLSFiles `json:"tls"`
 }
 
 // options builds the options of the entry from its settings.
@@ -93,6 +95,7 @@
 		Log:    plat.NewHTTPLog(s.Log),
 		Hosts:  plat.NewHTTPHosts(s.Hosts),
 		TLS:    tlsConfig,
+		Memory: memoryBytes(s.MemoryMB),
 		Logger: newLogger(os.Stderr, s.Host),
 	}, nil
 }
@@ -111,6 +114,7 @@
 	if err != nil {
 		return err
 	}
+	setMemoryLimit(options.Memory)
 	server := entry.New(options)
 	adminServer := admin.New(server.Status, server.Registry())
 	return serve(cmd, server, fixedTimeout(s.StopLimit), sessionCloseDelay, func(ctx context.Context) error {
@@ -139,6 +143,7 @@
 	}
 	checkDuration("drainDelay", s.DrainDelay, fieldErrs)
 	checkDuration("stopLimit", s.StopLimit, fieldErrs)
+	checkMemory(s.MemoryMB, fieldErrs)
 	if s.WeightStore.LoadsPerSecond < 0 || s.WeightStore.Loads < 0 || s.WeightStore.AdapterLoads < 0 {
 		fieldErrs.Add("weightStore", "limits must not be negative")
 	}
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"errors"
 	"net/netip"
 	"net/url"
@@ -75,6 +76,24 @@
 	}
 }
 
+const (
+	// defaultMemoryMB is the memory of a process whose settings name none, the size that
+	// docs/CAPACITY.md gives a process for control.
+	defaultMemoryMB = 256
+	// minMemoryMB is the least memory with which a body of the greatest length is served.
+	minMemoryMB = 128
+)
+
+// checkMemory adds an error if the memory is set and too small.
+func checkMemory(mb int, fieldErrs *strict.FieldErrors) {
+	if mb != 0 && mb < minMemoryMB {
+		fieldErrs.Add("memoryMb", "must be at least %d", minMemoryMB)
+	}
+}
+
+// memoryBytes returns the memory that a process may use.
+func memoryBytes(mb int) int64 { return int64(cmp.Or(mb, defaultMemoryMB)) << 20 }
+
 // checkURL adds an error unless a setting is the URL of an HTTP server.
 func checkURL(path, value string, fieldErrs *strict.FieldErrors) {
 	u, err := url.Parse(value)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/wire"
 	"dogwoodfold/pkg/config"
 	"dogwoodfold/pkg/fault"
@@ -15,9 +16,11 @@
 // exchange is a caller's request and its response.
 type exchange struct {
 	*resolvedRequest
-	ctx      *fasthttp.RequestCtx
-	conn     net.Conn
-	started  time.Time
+	ctx     *fasthttp.RequestCtx
+	conn    net.Conn
+	started time.Time
+	// memory accounts for the body.
+	memory   *budget.Reservation
 	effects  chan Effect
 	host     string
 	attempts int
@@ -79,6 +82,7 @@
 	s.mu.Lock()
 	delete(s.exchanges, ex.call.ID)
 	s.mu.Unlock()
+	ex.memory.Release()
 	s.recordEnd(ex, err)
 }
 
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -53,8 +53,13 @@
 		writeError(ctx, fault.WithRetryAfter(err, time.Second))
 		return
 	}
-	request, err := resolveRequest(started, snapshot, id, ctx)
+	memory, err := s.readBody(ctx)
+	var request *resolvedRequest
+	if err == nil {
+		request, err = resolveRequest(started, snapshot, id, ctx)
+	}
 	if err != nil {
+		memory.Release()
 		writeError(ctx, err)
 		s.recordEnd(&exchange{
 			resolvedRequest: &resolvedRequest{call: Call{ID: id}},
@@ -67,6 +72,7 @@
 		ctx:             ctx,
 		conn:            ctx.Conn(),
 		started:         started,
+		memory:          memory,
 		effects:         make(chan Effect, 1),
 		latencyTarget:   snapshot.Config.Services[request.call.Route.Service].Target,
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -16,6 +16,8 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/admin"
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/clock"
 	"dogwoodfold/internal/link"
 	"dogwoodfold/internal/loop"
@@ -45,6 +47,8 @@
 	Hosts  plat.Hosts
 	TLS    *tls.Config
 	Logger zerolog.Logger
+	// Memory is the number of bytes that the process may use, 0 if there is no limit.
+	Memory int64
 }
 
 // Server is an entry process.
@@ -55,6 +59,7 @@
 	linkLog      zerolog.Logger
 	http         *fasthttp.Server
 	metrics      *metrics
+	memory       *budget.Budget
 	index        atomic.Pointer[config.Index]
 	configOffset atomic.Uint64
 	ready        atomic.Bool
@@ -79,6 +84,7 @@
 	server := &Server{
 		options:   options,
 		metrics:   newMetrics(),
+		memory:    budget.New(budget.Derive(options.Memory, 0).Requests),
 		exchanges: make(map[string]*exchange),
 		sessions:  make(map[string]*wire.Session),
 		finished:  make(chan struct{}),
@@ -95,6 +101,7 @@
 		OnMessage: server.receiveMessage,
 		OnError:   server.logLinkError,
 	})
+	admin.RegisterMemory(server.metrics.registry, server.memory)
 	server.http = &fasthttp.Server{
 		Handler:                      server.handleRequest,
 		Name:                         "dogwoodfold",
@@ -102,6 +109,9 @@
 		IdleTimeout:                  idleTimeout,
 		ReadBufferSize:               maxHeaderBytes,
 		MaxRequestBodySize:           maxRequestBytes,
+		StreamRequestBody:            true, // readBody reads it
+		HeaderReceived:               expectDeclaredLength,
+		ExpectHandler:                checkDeclaredLength,
 		Concurrency:                  maxConnections,
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true,
@@ -129,7 +139,7 @@
 		tasks.Go(func() { s.followStream(ctx, stream) })
 	}
 	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(listener) }()
+	go func() { served <- s.http.Serve(callerListener{listener}) }()
 	var err error
 	select {
 	case <-ctx.Done():
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -99,6 +99,26 @@
 	return n > 0 && uint64(c.reader.Buffered()) >= uint64(n)+size
 }
 
+// RequestSize waits for the request and returns its size, without reading it.
+func (c *Call) RequestSize() (int, error) {
+	for length := 1; ; length++ {
+		prefix, err := c.reader.Peek(length)
+		if err != nil {
+			return 0, err
+		}
+		size, n := binary.Uvarint(prefix)
+		switch {
+		case n > 0 && size <= maxMessageBytes:
+			return int(size), nil
+		case n != 0 || length == binary.MaxVarintLen64:
+			return 0, errMessageSize
+		}
+	}
+}
+
+// errMessageSize reports a message whose size is malformed or above maxMessageBytes.
+var errMessageSize = errors.New("wire: size of a message is out of range")
+
 // WaitClosed blocks until the peer closes its side or the stream fails. Only the
 // side that sends frames may call it, after ReceiveRequest.
 func (c *Call) WaitClosed() {
