--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -248,8 +248,11 @@
 }
 
 // Keep makes sure that the reservation isn't evicted any more, since its request begins to
-// run. It reports false if the reservation has been evicted.
+// run. It reports false if the reservation, which may be nil, has been evicted.
 func (r *Reservation) Keep() bool {
+	if r == nil {
+		return true
+	}
 	if r.held == 0 {
 		return !r.evicted.Load() // it isn't listed
 	}
@@ -262,9 +265,9 @@
 }
 
 // Yield lets the reservation of a response be evicted from now on, since its client may be
-// slow to read it. evict is called as for Reserve.
+// slow to read it. evict is called as for Reserve. The reservation may be nil.
 func (r *Reservation) Yield(now time.Time, evict func()) {
-	if r.held == 0 {
+	if r == nil || r.held == 0 {
 		return
 	}
 	b := r.budget
@@ -274,8 +277,8 @@
 	b.list(r)
 }
 
-// Evicted reports whether the reservation has been evicted.
-func (r *Reservation) Evicted() bool { return r.evicted.Load() }
+// Evicted reports whether the reservation, which may be nil, has been evicted.
+func (r *Reservation) Evicted() bool { return r != nil && r.evicted.Load() }
 
 // Release returns the memory of the reservation, which may be nil. Further calls have no
 // effect.
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -169,8 +169,13 @@
 	if err := c.conn.SetReadDeadline(now.Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
-	memory := c.server.memory.Reserve(c.owner, budget.Body, now, c.source.abort)
-	in, err := c.readMessage(limits, memory)
+	var memory *budget.Reservation // most requests need none
+	in, err := c.readMessage(limits, func(n int) error {
+		if memory == nil {
+			memory = c.server.memory.Reserve(c.owner, budget.Body, now, c.source.abort)
+		}
+		return memory.Grow(time.Now(), n)
+	})
 	if err == nil && !memory.Keep() {
 		err = budget.ErrEvicted
 	}
@@ -178,13 +183,14 @@
 		memory.Release()
 		return nil, err
 	}
+	in.memory = memory
 	return in, nil
 }
 
-// readMessage reads a request of which the first byte has arrived.
-func (c *clientConn) readMessage(limits clientLimits, memory *budget.Reservation) (*inboundRequest, error) {
+// readMessage reads a request of which the first byte has arrived. grow reserves memory.
+func (c *clientConn) readMessage(limits clientLimits, grow func(n int) error) (*inboundRequest, error) {
 	var head fasthttp.RequestHeader
-	if err := c.readHeader(&head, limits, memory); err != nil {
+	if err := c.readHeader(&head, limits, grow); err != nil {
 		return nil, err
 	}
 	if !c.state.CompareAndSwap(connReading, connBusy) {
@@ -210,7 +216,7 @@
 	var body budget.Pieces
 	if framing.chunked || framing.length > 0 {
 		c.source.watchBody(time.Now(), bodyReadTimeout(request, limits), limits.IdleTimeout)
-		body, err = readBody(c.reader, framing, limits.BodyBytes, func(n int) error { return memory.Grow(time.Now(), n) })
+		body, err = readBody(c.reader, framing, limits.BodyBytes, grow)
 		c.source.watching = false
 		if err != nil {
 			return nil, c.source.cause(err)
@@ -224,7 +230,6 @@
 		request:      request,
 		head:         forwardedRequestHead(&head),
 		body:         body,
-		memory:       memory,
 		owner:        c.owner,
 		lastEventID:  request.LastEventID,
 		client:       c.conn,
@@ -237,13 +242,13 @@
 
 // readHeader reads the header of a request. One that doesn't fit the buffer of the
 // connection is read into a larger one.
-func (c *clientConn) readHeader(head *fasthttp.RequestHeader, limits clientLimits, memory *budget.Reservation) error {
+func (c *clientConn) readHeader(head *fasthttp.RequestHeader, limits clientLimits, grow func(n int) error) error {
 	err := head.Read(c.reader)
 	var tooSmall *fasthttp.ErrSmallBuffer
 	if limits.HeaderBytes <= clientReadBuffer || !errors.As(err, &tooSmall) {
 		return c.source.cause(err)
 	}
-	if err := memory.Grow(time.Now(), limits.HeaderBytes); err != nil {
+	if err := grow(limits.HeaderBytes); err != nil {
 		return err
 	}
 	c.resizeReader(limits.HeaderBytes)
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -38,7 +38,9 @@
 	// writeDone receives the result of writing the request.
 	writeDone chan error
 	post      func(gate.Event)
-	// memory accounts for the response if it is held until it is complete.
+	// memory accounts in budget for the response if it is held until it is complete; nil
+	// for a small one.
+	budget *budget.Budget
 	memory *budget.Reservation
 }
 
@@ -66,9 +68,9 @@
 		events:    newEventParser(in.lastEventID),
 		writeDone: make(chan error, 1),
 		post:      s.post,
-		memory:    s.memory.Reserve(in.owner, budget.Response, now, nil),
+		budget:    s.memory,
 	}
-	defer x.memory.Release()
+	defer func() { x.memory.Release() }()
 	if !send.Route.Resumable && in.lastEventID != "" {
 		x.events.positioned = false // such a stream may also begin anew
 	}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -26,7 +26,7 @@
 	if b.remaining > maxBufferedBody {
 		return x.streamResponse(b, nil)
 	}
-	content, err := budget.Read(b, b.remaining, maxBufferedBody, func(n int) error { return x.memory.Grow(time.Now(), n) })
+	content, err := budget.Read(b, b.remaining, maxBufferedBody, x.grow)
 	if errors.Is(err, budget.ErrTooLarge) || errors.Is(err, budget.ErrExhausted) {
 		return x.streamResponse(b, content.Pieces)
 	}
@@ -50,6 +50,15 @@
 	}, true
 }
 
+// grow reserves memory for the response.
+func (x *exchange) grow(n int) error {
+	now := time.Now()
+	if x.memory == nil {
+		x.memory = x.budget.Reserve(x.in.owner, budget.Response, now, nil)
+	}
+	return x.memory.Grow(now, n)
+}
+
 // streamResponse forwards a response as it arrives, starting with the pieces that were
 // read before. Streams of events are forwarded in complete events, so that
 // they can continue at another endpoint.
