Tell a trailer without end from a body over the limit

A response with such a trailer was passed on as one that is too long to hold, instead of being repeated at another endpoint (TestBytesWithoutEndEndTheAttempt).

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -299,7 +299,7 @@
 		return
 	case errors.As(err, &headerTooLarge):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, errBodyTooLarge):
+	case errors.Is(err, errBodyTooLarge) || errors.Is(err, budget.ErrTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
 		c.server.metrics.countTurnedAway(turnedAwayTooLarge)
 	case errors.Is(err, budget.ErrExhausted):
--- a/internal/edge/head.go
+++ b/internal/edge/head.go
@@ -26,7 +26,7 @@
 // status.
 var (
 	errMalformedRequest = errors.New("malformed request")
-	errBodyTooLarge     = budget.ErrTooLarge
+	errBodyTooLarge     = errors.New("request body too large")
 )
 
 // hopByHopHeaders are the headers that apply to a single connection, in canonical
