Send no plain request to an evacuated zone because it names a model

A request to a service without engines may name a model too. No plain endpoint holds one, so that the zone counted as its only holder for 2.5 s.

TestPlainRequestWithAModelLeavesTheEvacuatedZone guards the case alone.

--- a/internal/gate/placement.go
+++ b/internal/gate/placement.go
@@ -42,12 +42,13 @@
 	return p
 }
 
-// nothingElseHolds reports whether a model may be used in an evacuated zone, since no endpoint
-// that may take the request otherwise holds it.
+// nothingElseHolds reports whether a model may be used in an evacuated zone, since no engine
+// that may take the request otherwise holds it. A request to a service without engines may
+// name a model too.
 func (c *Core) nothingElseHolds(
 	now time.Time, p placement, service, model string, leaderCurrent bool, acceptsVersion func(string) bool,
 ) bool {
-	if model == "" || !c.usesLoneHolders(now) {
+	if c.isPlain(service) || !c.usesLoneHolders(now) {
 		return false
 	}
 	for _, ep := range c.endpoints {
--- a/internal/gate/zones_test.go
+++ b/internal/gate/zones_test.go
@@ -412,3 +412,11 @@
 		Incarnation: 1, Holdings: h.core.endpoints[id].Holdings,
 	}})
 }
+
+// Guards against requests to plain endpoints of an evacuated zone that name a model, which no
+// plain endpoint holds.
+func TestPlainRequestWithAModelLeavesTheEvacuatedZone(t *testing.T) {
+	h := newZonedHarness(t)
+	h.apply(changedZone(h.now, 5, "a", true))
+	h.wantSends("/look/1", "big", "shop-2")
+}
