Let every pool hold the whole burst, and check the bound after calm

Cause: the pools of customers with standing shares held 0.75 of the burst, and filled by themselves only to half of it, so that a customer that had been within its rate didn't get the burst that it was owed.

The entries hold beside the pool at most what they use in a second of their standing shares (half of the rate) and prefetch for 0.3 s, so that 8 s see at most 9.8 times a rate whose burst is one second of it; the bound is 9.9 times and 10,000 tokens. A new test plays 0.1, 0.5, 0.7 and 0.95 times the rate before the overload and checks the bound.

--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -121,25 +120,13 @@
 		if usesStandingShare(largest, customer) {
 			fraction = 1 - standingFraction
 		}
-		// Tokens accumulated at a higher previous rate are cut to the new
-		// limit.
-		pool.Set(now, customer.Rate, math.Inf(1))
-		level := min(pool.Level(now), customer.Burst*poolBurst(fraction))
-		pool.Set(now, fraction*customer.Rate, level)
-		pool.Set(now, fraction*customer.Rate, max(level, min(fraction, poolBurst(fraction))*customer.Burst))
+		// The entries hold at most what they use in a second beside the pool, so that the
+		// burst is not exceeded by more than the tolerance of the upper bound. Tokens
+		// accumulated at a higher previous rate are cut to the new limit.
+		pool.Set(now, fraction*customer.Rate, customer.Burst)
 	}
 }
 
-// poolBurst returns the fraction of the burst that the pool of a customer may hold, of whose
-// rate it gets the given fraction. Without standing shares the entries accumulate nothing, so
-// that the pool may hold the whole burst.
-func poolBurst(fraction float64) float64 {
-	if fraction < 1 {
-		return poolBurstFraction
-	}
-	return 1
-}
-
 // withdrawTokens takes up to amount tokens from a customer's pool and returns
 // how many it took.
 func (l *leader) withdrawTokens(now time.Time, customer *topo.Customer, amount float64) float64 {
@@ -153,7 +140,7 @@
 // returnTokens adds tokens returned by an entry to a customer's pool.
 func (l *leader) returnTokens(now time.Time, customer *topo.Customer, amount float64) {
 	if pool := l.pools[customer.Name]; pool != nil {
-		pool.Add(now, amount, customer.Burst*poolBurst(pool.FillRate()/customer.Rate))
+		pool.Add(now, amount, customer.Burst)
 	}
 }
 
--- a/internal/gate/overload_test.go
+++ b/internal/gate/overload_test.go
@@ -63,6 +63,8 @@
 	// uneven sends four fifths of the requests to a fifth of the entries.
 	uneven bool
 	time   time.Duration
+	// calm is what the customer asks for before, as a fraction of its rate.
+	calm float64
 	// seeds is the number of plays of which the mean counts.
 	seeds uint64
 	// fault changes the fleet in each step; at is the time since the overload began.
@@ -431,7 +433,7 @@
 		}
 	}
 	for range overloadCalm / overloadStep {
-		f.step(0.3 * load.rate)
+		f.step(load.calm * load.rate)
 	}
 	began := f.now
 	f.measuring = true
@@ -558,7 +560,7 @@
 				for _, uneven := range []bool{false, true} {
 					load := overload{
 						entries: n, factor: factor, rate: rate, uneven: uneven, fault: fault,
-						time: 12 * time.Second, seeds: 1,
+						time: 12 * time.Second, calm: 0.3, seeds: 1,
 					}
 					if rate < 10_000 {
 						// A request costs more than half of what this rate brings in a second.
@@ -567,9 +569,6 @@
 						// average of 100 plays.
 						load.time = time.Minute
 						load.seeds = 5
-						if n > 100 {
-							load.seeds = 3
-						}
 					}
 					out = append(out, load)
 				}
@@ -608,3 +607,20 @@
 func TestOverloadedCustomerKeepsToItsBoundWithoutLeader(t *testing.T) {
 	checkOverloads(t, overloads([]int{4, 24}, loseLeader), 0)
 }
+
+// Pattern: the customer has asked for a part of its rate, or for most of it, so that its entries
+// hold tokens beside those in the leader's pool. The upper bound must hold from the beginning of
+// the overload.
+func TestOverloadedCustomerKeepsToItsBoundAfterCalm(t *testing.T) {
+	for _, load := range overloads([]int{4, 24}, nil) {
+		for _, calm := range []float64{0.1, 0.5, 0.7, 0.95} {
+			load.calm = calm
+			load.time = 9 * time.Second
+			load.seeds = 1
+			t.Run(fmt.Sprintf("%s/calm=%v", overloadName(load), calm), func(t *testing.T) {
+				t.Parallel()
+				checkOverload(t, load, 0)
+			})
+		}
+	}
+}
--- a/internal/gate/tokens.go
+++ b/internal/gate/tokens.go
@@ -27,9 +27,6 @@
 	// rate, in tokens per second. A smaller one accumulates the tokens for a
 	// request too slowly, so the leader grants from the whole rate instead.
 	minStandingRate = 1500
-	// poolBurstFraction is the fraction of the burst that the leader's pool may
-	// hold, including returned tokens.
-	poolBurstFraction = 0.75
 	// leaderReplyTimeout is how long requests wait for the leader to grant
 	// tokens or to assign an engine.
 	leaderReplyTimeout = 150 * time.Millisecond
