Explain where a gateway would send a request

An event of the reducer, GET /explain on the metrics listener and the command dogwoodfold explain follow the decisions of dispatch and assignEngine for a request that isn't sent. What excludes an endpoint, the terms of its cost and the admission by the leader come from functions that the decisions use, too.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"net/url"
 	"strings"
 	"time"
 
@@ -18,9 +19,9 @@
 
 const (
 	readTimeout = 10 * time.Second
-	// statusTimeout bounds how long a StatusFunc may take.
-	statusTimeout = 2 * time.Second
-	maxBodyBytes  = 4 << 10
+	// queryTimeout bounds how long a StatusFunc or QueryFunc may take.
+	queryTimeout = 2 * time.Second
+	maxBodyBytes = 4 << 10
 	// pprofPrefix is the path prefix of the profiles.
 	pprofPrefix = "/debug/pprof/"
 )
@@ -29,10 +30,25 @@
 // when ctx is done.
 type StatusFunc func(ctx context.Context) (any, error)
 
+// QueryFunc answers a query with a value to be encoded as JSON. It must return when ctx is done.
+type QueryFunc func(ctx context.Context, query url.Values) (any, error)
+
+// StatusError is an error that is answered with an HTTP status of its own.
+type StatusError struct {
+	Status int
+	Err    error
+}
+
+// Error implements the error interface.
+func (e *StatusError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the underlying error.
+func (e *StatusError) Unwrap() error { return e.Err }
+
 // Server serves GET requests for status, metrics, health and profiles. It provides
 // no way to change anything: operators do that only by publishing a configuration.
 type Server struct {
-	status  StatusFunc
+	queries map[string]QueryFunc
 	metrics fasthttp.RequestHandler
 	server  *fasthttp.Server
 	done    chan struct{}
@@ -41,7 +57,9 @@
 // New returns a server that serves the given status and metrics.
 func New(status StatusFunc, registry *prometheus.Registry) *Server {
 	s := &Server{
-		status:  status,
+		queries: map[string]QueryFunc{
+			"/status": func(ctx context.Context, _ url.Values) (any, error) { return status(ctx) },
+		},
 		metrics: fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})),
 		done:    make(chan struct{}),
 	}
@@ -58,6 +76,9 @@
 	return s
 }
 
+// Handle answers requests at a path by f, which must change nothing. It must be called before Run.
+func (s *Server) Handle(path string, f QueryFunc) { s.queries[path] = f }
+
 // Run serves requests on the listener until ctx is done.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
 	defer close(s.done)
@@ -76,9 +97,12 @@
 
 // handle serves a request by its path.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	switch path := string(ctx.Path()); path {
-	case "/status":
-		s.writeStatus(ctx)
+	path := string(ctx.Path())
+	if query := s.queries[path]; query != nil {
+		s.writeAnswer(ctx, query)
+		return
+	}
+	switch path {
 	case "/metrics":
 		s.metrics(ctx)
 	case "/healthz":
@@ -92,16 +116,25 @@
 	}
 }
 
-// writeStatus writes the status as JSON.
-func (s *Server) writeStatus(ctx *fasthttp.RequestCtx) {
-	statusCtx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+// writeAnswer writes the answer to a query as JSON.
+func (s *Server) writeAnswer(ctx *fasthttp.RequestCtx, f QueryFunc) {
+	query, err := url.ParseQuery(string(ctx.URI().QueryString()))
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	queryCtx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
-	status, err := s.status(statusCtx)
+	answer, err := f(queryCtx, query)
 	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		status := fasthttp.StatusServiceUnavailable
+		if statusErr := (*StatusError)(nil); errors.As(err, &statusErr) {
+			status = statusErr.Status
+		}
+		ctx.Error(err.Error(), status)
 		return
 	}
-	body, err := json.MarshalIndent(status, "", "  ")
+	body, err := json.MarshalIndent(answer, "", "  ")
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -29,7 +29,7 @@
 	}
 	root.AddCommand(newEntryCommand(), newAgentCommand(), newGatewayCommand())
 	root.AddCommand(newConfigCommand(), newKeyCommand(), newFakeCommand(), newLoadCommand(), newDemoCommand(),
-		newReportCommand(), newStatusCommand(), newVersionCommand())
+		newReportCommand(), newStatusCommand(), newExplainCommand(), newVersionCommand())
 	addVersionFlag(root)
 	return root
 }
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -282,7 +282,9 @@
 
 // serveMetrics serves the status and the metrics to operators.
 func (s *Server) serveMetrics(ctx context.Context, listener net.Listener) {
-	if err := admin.New(s.status, s.metrics.registry).Run(ctx, listener); err != nil && ctx.Err() == nil {
+	server := admin.New(s.status, s.metrics.registry)
+	server.Handle(PathExplain, s.explain)
+	if err := server.Run(ctx, listener); err != nil && ctx.Err() == nil {
 		s.log.Error().Err(err).Msg("metrics: listener failed")
 	}
 }
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -86,13 +86,18 @@
 		c.refuse(now, call, fault.NotRun, fault.CodeBadKey, "no customer holds this key", 0)
 		return false
 	}
-	call.cost = call.request.MaxTokens
-	if call.cost == 0 || !call.customer.ByTokens {
-		call.cost = call.customer.DefaultTokens
-	}
+	call.cost = tokenCost(call.customer, call.request)
 	return true
 }
 
+// tokenCost returns the number of a customer's tokens that a request uses.
+func tokenCost(customer *topo.Customer, request *Request) float64 {
+	if request.MaxTokens == 0 || !customer.ByTokens {
+		return customer.DefaultTokens
+	}
+	return request.MaxTokens
+}
+
 // chooseService returns one of the services of a call's route, by weight: at random, or
 // for streams that may be resumed by the request that begins the stream, so that a resumed
 // one comes to the same service.
--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"slices"
 	"time"
 
 	"dogwoodfold/internal/pacer"
@@ -65,6 +64,8 @@
 	// response.
 	estimate time.Duration
 	cost     time.Duration
+	// candidate is what the estimate is computed from.
+	candidate pick.Candidate
 }
 
 // assignEngine chooses an engine and a send time for a request, or returns a
@@ -87,21 +88,12 @@
 	if option == nil || pausing && option.endpoint.limitStart(now).After(now) {
 		return reply
 	}
-	objective := time.Duration(req.GetObjectiveUs()) * time.Microsecond
-	elapsed := time.Duration(req.GetPassedUs()) * time.Microsecond
 	wait := option.start.Sub(now)
-	limit := objective
-	if !req.GetResumes() {
-		rank := min(int(req.GetRank()), len(objectiveFractions)-1)
-		limit = time.Duration(float64(objective) * objectiveFractions[rank])
-	}
-	switch {
-	case !req.GetResumes() && objective-elapsed-option.estimate > slackThreshold && elapsed < objective/2 && wait > slackMaxBacklog:
-		reply.Verdict = wirepb.GateAssignment_LATER
+	switch reply.Verdict = admitOption(now, req, option); reply.Verdict {
+	case wirepb.GateAssignment_LATER:
 		reply.AfterUs = uint64(max(wait-slackMaxBacklog, slackMinRetry).Microseconds())
 		return reply
-	case elapsed+option.estimate > limit && wait > 0:
-		reply.Verdict = wirepb.GateAssignment_BUSY
+	case wirepb.GateAssignment_BUSY:
 		reply.AfterUs = uint64(c.busyRetryAfter(now, req, reply.GetSoftwareVersion(), option.estimate).Microseconds())
 		return reply
 	}
@@ -116,7 +108,6 @@
 		c.streams.recordRun(streamKey(req.GetStream()), ep.ID)
 	}
 	c.startTrials(now, req)
-	reply.Verdict = wirepb.GateAssignment_SEND
 	reply.Endpoint = ep.ID
 	reply.AfterUs = uint64(wait.Microseconds())
 	reply.Uncached = uint32(option.uncachedTokens)
@@ -124,6 +115,26 @@
 	return reply
 }
 
+// admitOption decides whether a request is sent to an engine, asks again later or is refused.
+func admitOption(now time.Time, req *wirepb.GateAssignmentAsk, option *engineOption) wirepb.GateAssignment_Verdict {
+	objective := time.Duration(req.GetObjectiveUs()) * time.Microsecond
+	elapsed := time.Duration(req.GetPassedUs()) * time.Microsecond
+	wait := option.start.Sub(now)
+	limit := objective
+	if !req.GetResumes() {
+		rank := min(int(req.GetRank()), len(objectiveFractions)-1)
+		limit = time.Duration(float64(objective) * objectiveFractions[rank])
+	}
+	switch {
+	case !req.GetResumes() && objective-elapsed-option.estimate > slackThreshold && elapsed < objective/2 && wait > slackMaxBacklog:
+		return wirepb.GateAssignment_LATER
+	case elapsed+option.estimate > limit && wait > 0:
+		return wirepb.GateAssignment_BUSY
+	default:
+		return wirepb.GateAssignment_SEND
+	}
+}
+
 // busyRetryAfter returns how long a request should wait before it tries busy
 // engines again: the estimated time to the first event or, if longer, the time
 // until a copy of its model that is being loaded is ready, by engines of the
@@ -145,6 +156,26 @@
 func (c *Core) bestEngine(
 	now time.Time, req *wirepb.GateAssignmentAsk, reply *wirepb.GateAssignment,
 ) (best *engineOption, pausing bool) {
+	options, pausing := c.engineOptions(now, req, reply)
+	return cheapestOption(options), pausing
+}
+
+// cheapestOption returns the option with the lowest cost, nil if there is none.
+func cheapestOption(options []*engineOption) *engineOption {
+	var best *engineOption
+	for _, option := range options {
+		if best == nil || option.cost < best.cost || option.cost == best.cost && option.endpoint.ID < best.endpoint.ID {
+			best = option
+		}
+	}
+	return best
+}
+
+// engineOptions returns the engines that bestEngine compares, with their costs. It changes no
+// state.
+func (c *Core) engineOptions(
+	now time.Time, req *wirepb.GateAssignmentAsk, reply *wirepb.GateAssignment,
+) (options []*engineOption, pausing bool) {
 	if c.config == nil {
 		return nil, false
 	}
@@ -153,20 +184,16 @@
 		return nil, false
 	}
 	parts := promptParts(req)
-	rate := c.prefillRate(req.GetService(), req.GetModel())
+	rate := c.knownPrefillRate(req.GetService(), req.GetModel())
 	ranAt := c.streams.ranAt(streamKey(req.GetStream()))
 	confined := c.confinedPart(now, req)
 	holders := make(map[string]int)
-	var options []*engineOption
-	for id, ep := range c.endpoints {
-		if ep.Service != req.GetService() || !c.takesRequests(now, ep) || !ep.holds(now, true, req.GetModel(), req.GetAdapter()) {
+	for _, ep := range c.endpoints {
+		if ep.Service != req.GetService() {
 			continue
 		}
-		if reply.GetVersionKnown() && ep.SoftwareVersion != reply.GetSoftwareVersion() {
-			continue
-		}
-		if slices.Contains(req.GetAvoid(), id) || !ep.stats.Usable(now) {
-			pausing = pausing || !ep.limit.limited()
+		if reason := c.engineExclusion(now, req, reply, ep); reason != NotExcluded {
+			pausing = pausing || reason.pauses() && !ep.limit.limited()
 			continue
 		}
 		holders[ep.SoftwareVersion]++
@@ -182,11 +209,8 @@
 		if confined != 0 {
 			option.cost = -time.Duration(confinementRank(confined, option.endpoint.ID) >> 1)
 		}
-		if best == nil || option.cost < best.cost || option.cost == best.cost && option.endpoint.ID < best.endpoint.ID {
-			best = option
-		}
 	}
-	return best, pausing
+	return options, pausing
 }
 
 // loneHolderPenalty is the cost of beginning a stream at the only engine of its software
@@ -221,6 +245,7 @@
 		start:          latest(ep.schedule.NextStart(now), ep.limitStart(now)),
 		prefill:        prefill,
 		uncachedTokens: uncached,
+		candidate:      candidate,
 	}
 	option.estimate = option.start.Sub(now) + pick.EstimateScheduled(now, candidate)
 	option.cost = option.estimate + pick.Penalty(candidate)
--- a/internal/gate/assignment.go
+++ b/internal/gate/assignment.go
@@ -114,7 +114,7 @@
 }
 
 func (c *Core) newAssignmentRequest(now time.Time, call *activeCall) *wirepb.GateAssignmentAsk {
-	tokensPerMs, samples := c.prefillRate(call.service, call.request.Model).Value()
+	tokensPerMs, samples := c.knownPrefillRate(call.service, call.request.Model).Value()
 	req := &wirepb.GateAssignmentAsk{
 		Call:         uint64(call.id),
 		Service:      call.service,
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -194,6 +194,8 @@
 		e.Reply <- c.status(now)
 	case BeliefsRequested:
 		e.Reply <- c.beliefs(now)
+	case ExplainRequested:
+		e.Reply <- c.explain(now, e.Query)
 	default:
 		c.applyFleetEvent(now, event)
 	}
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -290,3 +290,4 @@
 func (ShutdownRequested) event()   {}
 func (StatusRequested) event()     {}
 func (BeliefsRequested) event()    {}
+func (ExplainRequested) event()    {}
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -19,7 +19,7 @@
 	leaderCurrent := c.leaderStateCurrent(now)
 	for _, ep := range c.sortedEndpoints() {
 		id := ep.ID
-		if ep.Service != call.service || !c.takesRequests(now, ep) || !call.acceptsVersion(ep.SoftwareVersion) {
+		if ep.Service != call.service || !call.acceptsVersion(ep.SoftwareVersion) {
 			continue
 		}
 		if len(call.triedEndpoints) >= call.route.MaxAttempts && !call.triedEndpoints[id] {
@@ -28,7 +28,7 @@
 		if call.triedEndpoints[id] && len(call.triedEndpoints) < call.route.MaxAttempts {
 			continue
 		}
-		if service.Engine != nil && !ep.holds(now, leaderCurrent, call.request.Model, call.request.Adapter) {
+		if c.endpointExclusion(now, call.request, service, ep, leaderCurrent) != NotExcluded {
 			continue
 		}
 		if !c.mayUseLimited(now, ep) {
@@ -68,7 +68,7 @@
 	}
 	if service.Engine != nil {
 		uncached := call.request.PromptTokens - ep.stats.CachedTokens(now, call.request.PromptParts)
-		candidate.ExpectedFirstByte = c.prefillRate(call.service, call.request.Model).FirstByteTime(max(uncached, 0))
+		candidate.ExpectedFirstByte = c.knownPrefillRate(call.service, call.request.Model).FirstByteTime(max(uncached, 0))
 		candidate.DelayPerRunning = slowdownPerRunning
 	}
 	return candidate
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -299,6 +299,14 @@
 	}
 }
 
+// knownPrefillRate returns prefillRate without remembering a rate that has no observations.
+func (c *Core) knownPrefillRate(service, model string) *pick.PrefillRate {
+	if rate := c.prefillRates[service+"/"+model]; rate != nil {
+		return rate
+	}
+	return pick.NewPrefillRate()
+}
+
 // prefillRate returns the measured prefill speed of a model's endpoints.
 func (c *Core) prefillRate(service, model string) *pick.PrefillRate {
 	key := service + "/" + model
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -66,12 +66,19 @@
 // serviceTime returns the expected time to the first byte at an endpoint of normal
 // speed, including the delay by running requests and the wait for a slot.
 func serviceTime(now time.Time, c Candidate) time.Duration {
+	running, slot := loadDelays(now, c)
+	return c.ExpectedFirstByte + running + slot
+}
+
+// loadDelays returns the delay by running requests and the wait for a slot at an endpoint of
+// normal speed.
+func loadDelays(now time.Time, c Candidate) (running, slot time.Duration) {
 	load := c.Stats.Load(now)
 	// A full endpoint starts a request when a running one ends, in the order of
 	// its queue.
 	queued := max(0, load.Running+1-c.Slots)
-	slotWait := time.Duration(float64(queued) / float64(max(c.Slots, 1)) * float64(slotHoldTime(c)))
-	return c.ExpectedFirstByte + time.Duration(load.Running)*c.DelayPerRunning + slotWait
+	slot = time.Duration(float64(queued) / float64(max(c.Slots, 1)) * float64(slotHoldTime(c)))
+	return time.Duration(load.Running) * c.DelayPerRunning, slot
 }
 
 // Penalty returns what is added to the estimate of an endpoint when it is compared
@@ -115,10 +122,7 @@
 	for i, c := range candidates {
 		estimate := Estimate(now, c)
 		usable := c.Stats.Usable(now)
-		cost := estimate + time.Duration(random.Int64N(int64(jitter))) + Penalty(c)
-		if !usable {
-			cost += unhealthyCost
-		}
+		cost := Cost(now, c) + time.Duration(random.Int64N(int64(jitter)))
 		if best.Index < 0 || cost < lowestCost {
 			lowestCost = cost
 			best = Choice{
