--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -180,13 +180,26 @@
 			Leader: leaderBody,
 		})
 	}
-	rows := summaryRows(own)
 	if leader == nil {
-		return printRows(w, append(rows, optionRows(own)...))
+		return printTables(w, summaryRows(own), optionRows(own))
 	}
-	rows = append(rows, fmt.Sprintf("leader\t%s decides:\t", leader.Host))
-	rows = append(rows, summaryRows(leader)...)
-	return printRows(w, append(rows, optionRows(leader)...))
+	decides := []string{fmt.Sprintf("The leader %s decides:", leader.Host)}
+	return printTables(w, summaryRows(own), decides, summaryRows(leader), optionRows(leader))
+}
+
+// printTables prints tables with an empty line between two of them.
+func printTables(w io.Writer, tables ...[]string) error {
+	for i, rows := range tables {
+		if i > 0 {
+			if _, err := fmt.Fprintln(w); err != nil {
+				return err
+			}
+		}
+		if err := printRows(w, rows); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // summaryRows returns the rows that tell what an entry decides on a request, and on which data.
@@ -231,7 +244,7 @@
 	if x.Customer == "" || r.RatePerSecond == 0 {
 		return string(r.Outcome)
 	}
-	text := fmt.Sprintf("%s: %s costs %.0f tokens of %.0f held here", r.Outcome, x.Customer, r.Cost, r.Level)
+	text := fmt.Sprintf("%s: %s costs %.0f tokens of %.0f held by the entry", r.Outcome, x.Customer, r.Cost, r.Level)
 	if r.Pool != nil {
 		text += fmt.Sprintf(" and %.0f in the pool", *r.Pool)
 	}
--- a/internal/edge/explain.go
+++ b/internal/edge/explain.go
@@ -21,7 +21,7 @@
 // PathExplain is the path of the handler that explains where a request would be sent.
 const PathExplain = "/explain"
 
-// Parameters of PathExplain. The last three are those of a query to the leader for another
+// Parameters of PathExplain. The last four are those of a query to the leader for another
 // entry, which knows the hashes of the parts of the prompt.
 const (
 	paramService      = "service"
@@ -37,6 +37,7 @@
 	paramZone         = "zone"
 	paramForOther     = "forOther"
 	paramAvoid        = "avoid"
+	paramTokensHeld   = "tokensHeld"
 	paramPartHashes   = "partHashes"
 )
 
@@ -44,7 +45,7 @@
 var explainParams = map[string]bool{
 	paramService: true, paramHost: true, paramPath: true, paramModel: true, paramAdapter: true, paramPromptParts: true,
 	paramPromptTokens: true, paramOutputTokens: true, paramCustomer: true, paramRank: true, paramZone: true,
-	paramForOther: true, paramAvoid: true, paramPartHashes: true,
+	paramForOther: true, paramAvoid: true, paramTokensHeld: true, paramPartHashes: true,
 }
 
 // explanation is the answer of PathExplain. Times are in milliseconds; ages of unknown data
@@ -169,6 +170,9 @@
 		ForOther: values.Get(paramForOther) != "",
 		Rank:     gate.RankOfRoute,
 	}
+	if held, err := strconv.ParseFloat(values.Get(paramTokensHeld), 64); err == nil {
+		query.TokensHeld = held
+	}
 	if avoid := values.Get(paramAvoid); avoid != "" {
 		query.Avoid = strings.Split(avoid, ",")
 	}
@@ -218,6 +222,7 @@
 	out.Set(paramZone, query.Zone)
 	out.Set(paramRank, strconv.Itoa(query.Rank))
 	out.Set(paramForOther, "1")
+	out.Set(paramTokensHeld, strconv.FormatFloat(query.TokensHeld, 'f', 1, 64))
 	if len(query.Avoid) > 0 {
 		out.Set(paramAvoid, strings.Join(query.Avoid, ","))
 	}
--- a/internal/gate/explain.go
+++ b/internal/gate/explain.go
@@ -45,9 +45,10 @@
 	// Zone is that of the entry to which the request comes, empty for that of this entry.
 	Zone string
 	// ForOther is true if the request comes to another entry, which avoids the endpoints
-	// Avoid.
-	ForOther bool
-	Avoid    []string
+	// Avoid and holds TokensHeld of the customer's tokens.
+	ForOther   bool
+	Avoid      []string
+	TokensHeld float64
 }
 
 // Errors of queries that don't describe a request of this deployment.
@@ -165,7 +166,7 @@
 	if query.Zone != "" {
 		x.out.Zone = query.Zone
 	}
-	x.out.Rate = c.explainRate(now, call)
+	x.out.Rate = c.explainRate(now, call, query)
 	x.decide()
 	return x.out
 }
@@ -418,11 +419,11 @@
 	o.Terms = []CostTerm{
 		{Name: "queue", Time: t.Queue},
 		{Name: "request", Time: t.Request},
-		{Name: "running", Time: t.Running},
+		{Name: "load", Time: t.Running},
 		{Name: "slot", Time: t.Slot},
 		{Name: "slowdown", Time: t.Slowdown},
-		{Name: "zone", Time: t.Zone},
-		{Name: "cold", Time: t.Cold},
+		{Name: "crossZone", Time: t.Zone},
+		{Name: "coldStart", Time: t.Cold},
 		{Name: "unhealthy", Time: t.Unhealthy},
 	}
 }
@@ -570,6 +571,7 @@
 	q.Rank = x.call.route.Priority
 	q.Zone = x.out.Zone
 	q.ForOther = true
+	q.TokensHeld = x.out.Rate.Level - x.out.Rate.WaitingCost
 	q.Avoid = slices.Sorted(slices.Values(req.GetAvoid()))
 	x.out.LeaderQuery = q
 }
@@ -616,8 +618,8 @@
 type RateExplanation struct {
 	Outcome RateOutcome
 	Detail  string
-	// Cost is that of the request, Level what the entry's bucket holds and WaitingCost what
-	// is claimed by requests that wait, in tokens.
+	// Cost is that of the request, Level what the bucket of the entry to which it comes holds
+	// and WaitingCost what is claimed by requests that wait, in tokens.
 	Cost        float64
 	Level       float64
 	WaitingCost float64
@@ -632,7 +634,7 @@
 }
 
 // explainRate returns what the rate limit of a call's customer would decide.
-func (c *Core) explainRate(now time.Time, call *activeCall) RateExplanation {
+func (c *Core) explainRate(now time.Time, call *activeCall, query ExplainQuery) RateExplanation {
 	if call.customer == nil {
 		return RateExplanation{Outcome: RateUnasked}
 	}
@@ -647,7 +649,9 @@
 		return out
 	}
 	waiting := 0
-	if quota := c.quotas[call.customer.Name]; quota != nil {
+	if quota := c.quotas[call.customer.Name]; query.ForOther {
+		out.Level = query.TokensHeld
+	} else if quota != nil {
 		bucket := quota.bucket // Level would change the original
 		out.Level = bucket.Level(now)
 		out.WaitingCost = quota.waitingCost()
