--- a/internal/gate/explain_test.go
+++ b/internal/gate/explain_test.go
@@ -10,8 +10,10 @@
 	"testing"
 	"time"
 
+	"dogwoodfold/internal/pacer"
 	"dogwoodfold/internal/pick"
 	"dogwoodfold/internal/poison"
+	"dogwoodfold/internal/rate"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire/wirepb"
 )
@@ -241,7 +243,7 @@
 // Guards against queries that change what the entry believes: the same events must have the
 // same effects with and without explanations between them.
 func TestExplainingChangesNoState(t *testing.T) {
-	play := func(newHarness func(*testing.T) *harness, explains bool) []Effect {
+	play := func(t *testing.T, newHarness func(*testing.T) *harness, explains bool) []Effect {
 		h := newHarness(t)
 		random := rand.New(rand.NewPCG(3, 4))
 		h.loadEngines(random)
@@ -252,8 +254,12 @@
 			if explains {
 				for _, customer := range []string{"acme", "free"} {
 					query.Customer = customer
+					before := newStateCopy(h.core)
 					h.mustExplain(query)
 					h.mustExplain(ExplainQuery{Service: "shop", Customer: customer, Rank: 2, Zone: "b"})
+					if after := newStateCopy(h.core); !reflect.DeepEqual(before, after) {
+						t.Fatalf("state %+v after explanations, %+v before", after, before)
+					}
 				}
 			}
 			h.apply(ConfigRead{SentAt: h.now})
@@ -270,7 +276,7 @@
 		"leader": newLeaderHarness, "follower": newFollowerHarness, "alone": newServingHarness,
 	} {
 		t.Run(name, func(t *testing.T) {
-			with, without := play(newHarness, true), play(newHarness, false)
+			with, without := play(t, newHarness, true), play(t, newHarness, false)
 			if len(with) != len(without) {
 				t.Fatalf("%d effects with explanations, %d without", len(with), len(without))
 			}
@@ -285,6 +291,43 @@
 	}
 }
 
+// stateCopy is a copy of state that decisions use and that reads may update.
+type stateCopy struct {
+	quotas    map[string]customerQuota
+	pools     map[string]rate.Bucket
+	limits    map[string]endpointLimit
+	schedules map[string]pacer.Schedule
+	rates     map[string]pick.PrefillRate
+	calls     int
+}
+
+func newStateCopy(c *Core) stateCopy {
+	out := stateCopy{
+		quotas:    make(map[string]customerQuota),
+		pools:     make(map[string]rate.Bucket),
+		limits:    make(map[string]endpointLimit),
+		schedules: make(map[string]pacer.Schedule),
+		rates:     make(map[string]pick.PrefillRate),
+		calls:     len(c.calls) + len(c.parked) + len(c.assignments.pending),
+	}
+	for name, quota := range c.quotas {
+		out.quotas[name] = *quota
+	}
+	for id, ep := range c.endpoints {
+		out.limits[id] = ep.limit
+		out.schedules[id] = ep.schedule
+	}
+	for key, prefillRate := range c.prefillRates {
+		out.rates[key] = *prefillRate
+	}
+	if c.leader != nil {
+		for name, pool := range c.leader.pools {
+			out.pools[name] = *pool
+		}
+	}
+	return out
+}
+
 // sortReported sorts what a report or a request to the leader lists in the order of a map.
 func sortReported(e Effect) {
 	switch e := e.(type) {
