--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/url"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -25,6 +27,13 @@
 	counter := prometheus.NewCounter(prometheus.CounterOpts{Name: "sample_total"})
 	registry.MustRegister(counter)
 	s := admin.New(status, registry)
+	s.Handle("/double", func(_ context.Context, query url.Values) (any, error) {
+		n, err := strconv.Atoi(query.Get("n"))
+		if err != nil {
+			return nil, &admin.StatusError{Status: fasthttp.StatusBadRequest, Err: errors.New("n isn't a number")}
+		}
+		return map[string]int{"double": 2 * n}, nil
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	runErr := make(chan error, 1)
 	go func() { runErr <- s.Run(ctx, listener) }()
@@ -52,6 +61,24 @@
 	}
 }
 
+// Guards against errors of a query that look like an answer or like a failing process.
+func TestQueriesAreAnsweredWithTheirStatus(t *testing.T) {
+	base := startServer(t, func(context.Context) (any, error) { return nil, nil })
+	for query, want := range map[string]struct {
+		status int
+		body   string
+	}{
+		"n=21": {fasthttp.StatusOK, `"double": 42`},
+		"n=a":  {fasthttp.StatusBadRequest, "n isn't a number"},
+		"n=%z": {fasthttp.StatusBadRequest, "%z"},
+	} {
+		status, body, err := fasthttp.Get(nil, base+"/double?"+query)
+		if err != nil || status != want.status || !strings.Contains(string(body), want.body) {
+			t.Errorf("%s: status %d, body %s, error %v; want %+v", query, status, body, err, want)
+		}
+	}
+}
+
 func TestReadOnly(t *testing.T) {
 	base := startServer(t, func(context.Context) (any, error) { return nil, errors.New("event loop has ended") })
 	status, _, err := fasthttp.Post(nil, base+"/status", nil)
--- a/internal/gate/explain.go
+++ b/internal/gate/explain.go
@@ -131,7 +131,8 @@
 	EndpointBelief
 	Exclusion Exclusion
 	// Terms are the parts of Cost, of which the first ones sum up to Estimate, the expected
-	// time to the first byte. They are set for endpoints that aren't excluded.
+	// time to the first byte. They are set for endpoints that aren't excluded, and for those that
+	// this entry would choose only if all were backing off or failing.
 	Terms        []CostTerm
 	Estimate     time.Duration
 	Cost         time.Duration
