Send no prompts to engines that are behind their schedule

Cause: the leader's timeline of an engine's prompts follows predictions only, so an engine that is slower than predicted falls behind it unseen. Change: the prompts that an engine was sent and that have had no first event, beyond those that its timeline expects and 100 ms, add to its cost. They refuse nothing.

--- a/internal/gate/assign.go
+++ b/internal/gate/assign.go
@@ -63,7 +63,10 @@
 	// estimate is the expected time from now to the first event of the
 	// response.
 	estimate time.Duration
-	cost     time.Duration
+	// overdue is the time by which the engine is behind its schedule. It counts in cost, not in
+	// estimate: it is known late, and too uncertain to refuse a request.
+	overdue time.Duration
+	cost    time.Duration
 	// candidate is what the estimate is computed from.
 	candidate pick.Candidate
 }
@@ -249,10 +252,23 @@
 		candidate:      candidate,
 	}
 	option.estimate = option.start.Sub(now) + pick.EstimateScheduled(now, candidate)
-	option.cost = option.estimate + pick.Penalty(candidate)
+	option.overdue = ep.overdueWork(now, option.start.Sub(now), factor)
+	option.cost = option.estimate + pick.Penalty(candidate) + option.overdue
 	return option
 }
 
+// overdueTolerance is the work of prompts without a first event that an engine on schedule may
+// have: those that it processes, and those whose first events aren't reported yet.
+const overdueTolerance = 100 * time.Millisecond
+
+// overdueWork returns the prompts' time by which an engine is behind its schedule: the prompts
+// that it was sent and hasn't answered, beyond what the schedule expects. The schedule itself
+// follows predictions only.
+func (ep *endpoint) overdueWork(now time.Time, scheduled time.Duration, factor float64) time.Duration {
+	pending := time.Duration(float64(ep.stats.Load(now).PendingPrefill) * factor)
+	return max(pending-scheduled-overdueTolerance, 0)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/gate/assignment_test.go
+++ b/internal/gate/assignment_test.go
@@ -246,3 +246,28 @@
 		t.Errorf("prompts per engine: %v, want far fewer at the slow llm-2", prompts)
 	}
 }
+
+// Guards against a queue at one engine beside idle ones: the schedule follows predictions only, so
+// an engine that is slower than predicted falls behind it unseen. Its prompts without a first
+// event must send the next ones elsewhere.
+func TestEngineBehindItsScheduleGetsNoPrompts(t *testing.T) {
+	h := newLeaderHarness(t)
+	h.endpoints(testEndpoint("llm-2", "llm", topo.Holding{Model: "big"}))
+	h.apply(PeerConnected{Host: "front-2"})
+	assign := func() string {
+		return h.core.assignEngine(h.now, &wirepb.GateAssignmentAsk{
+			Service: "llm", Model: "big", PromptTokens: 400, ObjectiveUs: 500_000, Zone: "a",
+		}).GetEndpoint()
+	}
+	if endpoint := assign(); endpoint != "llm-1" {
+		t.Fatalf("assigned %s of two idle engines, want the first one", endpoint)
+	}
+	h.advance(time.Second)
+	h.receiveReport(&wirepb.GateReport{Sequence: 1, Loads: []*wirepb.GateLoad{
+		{Endpoint: "llm-1", Running: 20, WaitingUs: 900_000},
+	}})
+	h.apply(Tick{})
+	if endpoint := assign(); endpoint != "llm-2" {
+		t.Errorf("assigned %s, which has had no first event for 900 ms of prompts", endpoint)
+	}
+}
--- a/internal/gate/explain.go
+++ b/internal/gate/explain.go
@@ -409,7 +409,8 @@
 	terms := pick.ScheduledTermsOf(now, option.candidate, option.start.Sub(now))
 	o.setCost(terms, option.estimate, option.cost)
 	o.CachedTokens = promptTokens - option.uncachedTokens
-	if other := option.cost - terms.Cost(); other != 0 {
+	o.Terms = append(o.Terms, CostTerm{Name: "overdue", Time: option.overdue})
+	if other := option.cost - option.overdue - terms.Cost(); other != 0 {
 		// A penalty for streams that could not be resumed.
 		o.Terms = append(o.Terms, CostTerm{Name: "resumption", Time: other})
 	}
