End an attempt before its held response is sent

A client that didn't read its response kept the attempt, and with it a place at the endpoint, for as long as the write took. TestUnreadResponseKeepsNoEndpointBusy fails without this.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -430,6 +430,7 @@
 				Result: result,
 			})
 			if result.Outcome == gate.OutcomeComplete {
+				in.sendHeld() // a slow client keeps no endpoint busy
 				return
 			}
 			if result.Reason == gate.ReasonClientGone {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -19,8 +19,8 @@
 	continuedAnswerTime = time.Second
 )
 
-// forwardWhole forwards a response once it is complete, so that a request whose
-// response is truncated can be retried. Responses larger than maxBufferedBody, and all
+// forwardWhole holds a response that is complete, so that a request whose response is
+// truncated can be retried. It is sent once the endpoint is free for another request. Responses larger than maxBufferedBody, and all
 // that the memory doesn't suffice for, are streamed.
 func (x *exchange) forwardWhole(b *responseBody) (gate.Result, bool) {
 	if b.remaining > maxBufferedBody {
@@ -39,11 +39,8 @@
 		body:   content,
 	}
 	x.in.status = response.status
-	x.memory.Yield(time.Now(), x.in.abortWrite)
-	if response.writeTo(x.in) != nil {
-		return x.clientLostResult(), true
-	}
-	x.in.connBroken = x.memory.Evicted() // its deadline for writes may still be changed
+	x.in.held, x.in.heldMemory = &response, x.memory
+	x.memory = nil
 	return gate.Result{
 		Outcome: gate.OutcomeComplete,
 		Status:  response.status,
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -50,6 +50,9 @@
 
 	// bufferedFailure is an endpoint's failure response that has not been forwarded.
 	bufferedFailure *endpointResponse
+	// held is a complete response that has not been sent, heldMemory accounts for it.
+	held       *endpointResponse
+	heldMemory *budget.Reservation
 	// started is true once a part of a streamed response has been sent to the
 	// client.
 	started bool
@@ -208,6 +211,24 @@
 	return err
 }
 
+// sendHeld sends the response that is held, if any.
+func (in *inboundRequest) sendHeld() {
+	if in.held == nil {
+		return
+	}
+	defer in.heldMemory.Release()
+	in.heldMemory.Yield(time.Now(), in.abortWrite)
+	err := in.held.writeTo(in)
+	in.held = nil
+	if err != nil {
+		in.verdict = gate.OutcomeTruncated.String()
+		in.reason = gate.ReasonClientGone.String()
+	}
+	if err != nil || in.heldMemory.Evicted() { // abortWrite may still change the deadline
+		in.connBroken = true
+	}
+}
+
 // abortWrite gives up a client that is slow to read, for the memory that its response
 // takes.
 func (in *inboundRequest) abortWrite() {
--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"dogwoodfold/internal/budget"
+	"dogwoodfold/internal/gate"
+	"dogwoodfold/internal/loop"
 	"dogwoodfold/platform"
 )
 
@@ -117,6 +119,50 @@
 	}
 }
 
+// pipeListener accepts connections that buffer nothing.
+type pipeListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	conn, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (pipeListener) Close() error { return nil }
+
+// Guards against a client that doesn't read its response and so keeps an endpoint busy for
+// others.
+func TestUnreadResponseKeepsNoEndpointBusy(t *testing.T) {
+	f := newFixture(t)
+	listener := pipeListener{conns: make(chan net.Conn, 1)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.server.acceptClients(t.Context(), listener)
+	}()
+	client, entry := net.Pipe()
+	listener.conns <- entry
+	_, _ = io.WriteString(client, rawHead("GET", "/look/1")+"\r\n") // a failure shows at the endpoint
+	f.waitFor("the request has reached an endpoint", func() bool { return f.received() == 1 })
+	f.waitFor("no request runs at an endpoint", func() bool {
+		status, err := loop.Ask(t.Context(), f.server.loop, func(reply chan<- gate.Status) gate.Event {
+			return gate.StatusRequested{Reply: reply}
+		})
+		return err == nil && status.Running == 0
+	})
+	if status := f.readStatus(bufio.NewReader(client)); status != http.StatusOK {
+		t.Errorf("status %d, want 200", status)
+	}
+	_ = client.Close() // the response was read
+	close(listener.conns)
+	<-done
+}
+
 // Guards against connections above the bound, against a new client that is refused while
 // others are idle, and against closing one with a request in progress.
 func TestOldestIdleConnectionGivesWay(t *testing.T) {
