--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -20,8 +20,9 @@
 )
 
 // forwardWhole holds a response that is complete, so that a request whose response is
-// truncated can be retried. It is sent once the endpoint is free for another request. Responses larger than maxBufferedBody, and all
-// that the memory doesn't suffice for, are streamed.
+// truncated can be retried. It is sent once the endpoint is free for another request.
+// Responses larger than maxBufferedBody, and all that the memory doesn't suffice for, are
+// streamed.
 func (x *exchange) forwardWhole(b *responseBody) (gate.Result, bool) {
 	if b.remaining > maxBufferedBody {
 		return x.streamResponse(b, nil)
