Send the held response in the test of repeated responses

The test plays single attempts; since an attempt ends before its held response is sent, it sends that itself, as processRequest does. What it checks is unchanged.

--- a/internal/edge/repeated_test.go
+++ b/internal/edge/repeated_test.go
@@ -201,6 +201,7 @@
 		Route:    &topo.Route{Kind: kind},
 		Deadline: a.server.clock.Now().Add(2 * time.Second),
 	})
+	in.sendHeld() // as processRequest does after a complete attempt
 	_ = client.Close()
 	return in, result, <-got
 }
