Count the scarcer resource as a model's demand

Cause: the sum of prompts and decoding raised the demand for every model by 1.6 to 2.5 times, which has the planner ask for that many more copies. An engine processes prompts between the steps of its batch, so the longer of the two binds. Change: the larger one counts, so that models bound by their prompts have the demand that they had before this work.

--- a/internal/gate/demand.go
+++ b/internal/gate/demand.go
@@ -14,8 +14,9 @@
 }
 
 // recordDemand records a new request and its work for the planner: the time that an engine
-// takes for its prompt, and its part of the time that the engine takes to decode a full batch.
-// A model whose prompts are processed fast is often bound by the places in the batch.
+// takes for its prompt or, if longer, its part of the time that the engine takes to decode a full
+// batch. Both go on side by side, and a model whose prompts are processed fast is bound by the
+// places in the batch.
 func (c *Core) recordDemand(now time.Time, call *activeCall) {
 	service := c.config.Services[call.service]
 	if service == nil || service.Engine == nil || service.Engine.Models[call.request.Model] == nil {
@@ -25,8 +26,10 @@
 		Model:   call.request.Model,
 		Adapter: call.request.Adapter,
 	}
-	work := c.prefillRate(call.service, call.request.Model).PrefillTime(call.request.PromptTokens) +
-		c.decodeTime(call.service, call.request.Model).EngineShare(service.Engine.Slots)
+	work := max(
+		c.prefillRate(call.service, call.request.Model).PrefillTime(call.request.PromptTokens),
+		c.decodeTime(call.service, call.request.Model).EngineShare(service.Engine.Slots),
+	)
 	if c.isLeader(now) {
 		c.leader.planner.RecordDemand(now, call.service, artifact, 1, work)
 		return
