Log and count what an entry knows of configurations that it hasn't read

Now: newestVersion of each request, gate: configuration is superseded, the versions in gate: applied configuration, and metrics of the age at decisions, of superseded requests and of the time of reads. No decision changes.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -41,7 +41,7 @@
 		s.configWatch.waitEnabled(ctx)
 		sentAt := s.clock.Now()
 		batch, err := s.readConfig(next)
-		s.metrics.countStoreCall("readConfig", err)
+		s.metrics.observeStoreRead("readConfig", sentAt, s.clock.Now(), err)
 		healthy = s.logDependency("configuration", healthy, err)
 		if needsNewest(next, err) {
 			next = -1
@@ -97,7 +97,7 @@
 	defer s.post(gate.ConfigFetchEnded{})
 	sentAt := s.clock.Now()
 	batch, err := s.store.NewestConfig()
-	s.metrics.countStoreCall("fetchConfig", err)
+	s.metrics.observeStoreRead("fetchConfig", sentAt, s.clock.Now(), err)
 	if err != nil {
 		s.log.Warn().Err(err).Msg("store: reading a newer configuration failed")
 		time.Sleep(minRetryDelay) // the next message from the leader triggers a retry
@@ -129,7 +129,7 @@
 		sentAt := s.clock.Now()
 		full := next < 0
 		batch, err := s.readEndpoints(next)
-		s.metrics.countStoreCall("readEndpoints", err)
+		s.metrics.observeStoreRead("readEndpoints", sentAt, s.clock.Now(), err)
 		if !healthy && err == nil {
 			s.configWatch.hasten() // the store is back
 		}
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -30,6 +30,9 @@
 	attempts   *prometheus.CounterVec
 	latency    *prometheus.HistogramVec
 	storeCalls *prometheus.CounterVec
+	storeTime  *prometheus.HistogramVec
+	configAge  prometheus.Histogram
+	superseded prometheus.Counter
 	orders     *prometheus.CounterVec
 	granted    *prometheus.CounterVec
 	overRate   *prometheus.CounterVec
@@ -41,6 +44,9 @@
 // latencyBuckets are the upper bounds of the histogram buckets, in seconds.
 var latencyBuckets = []float64{0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1, 2, 5, 10, 30}
 
+// configAgeBuckets are those of the age of the configuration.
+var configAgeBuckets = []float64{0.5, 1, 1.5, 2, 2.5, 3, 3.5, 4, 5, 10}
+
 func newMetrics() *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
@@ -65,6 +71,20 @@
 			Name: "dogwoodfold_store_calls_total",
 			Help: "Calls to the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
+		storeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "dogwoodfold_store_call_seconds",
+			Help:    "Time of reads of the platform's store, with their wait, by call.",
+			Buckets: latencyBuckets,
+		}, []string{"call"}),
+		configAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "dogwoodfold_decision_config_age_seconds",
+			Help:    "Age of the proof that the configuration was current, of requests that were handled by it.",
+			Buckets: configAgeBuckets,
+		}),
+		superseded: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dogwoodfold_superseded_requests_total",
+			Help: "Requests that were handled although the entry knew of a newer configuration.",
+		}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dogwoodfold_orders_total",
 			Help: "Orders to engines by kind and result.",
@@ -90,8 +110,8 @@
 		Name: "dogwoodfold_clients_turned_away_total",
 		Help: "Requests and connections of clients that were refused or closed, by reason.",
 	}, []string{"reason"})
-	m.registry.MustRegister(m.requests, m.guarded, m.attempts, m.latency, m.storeCalls, m.orders, m.granted, m.overRate,
-		m.state, m.memory, m.turnedAway)
+	m.registry.MustRegister(m.requests, m.guarded, m.attempts, m.latency, m.storeCalls, m.storeTime, m.configAge,
+		m.superseded, m.orders, m.granted, m.overRate, m.state, m.memory, m.turnedAway)
 	return m
 }
 
@@ -117,6 +137,20 @@
 	m.storeCalls.WithLabelValues(call, outcome).Inc()
 }
 
+// observeStoreRead counts a read of the store that began at a time.
+func (m *metrics) observeStoreRead(call string, began, now time.Time, err error) {
+	m.countStoreCall(call, err)
+	m.storeTime.WithLabelValues(call).Observe(now.Sub(began).Seconds())
+}
+
+// recordDecision records the configuration by which a request was handled.
+func (m *metrics) recordDecision(d gate.DecisionContext) {
+	m.configAge.Observe(d.ConfigAge.Seconds())
+	if d.NewestVersion > d.ConfigVersion {
+		m.superseded.Inc()
+	}
+}
+
 func (m *metrics) countOrder(o stock.Order, r platform.OrderResult) {
 	kind := "unload"
 	if o.Load {
@@ -138,6 +172,7 @@
 		set(name, 0)
 	}
 	set("configVersion", float64(s.ConfigVersion))
+	set("newestConfigVersion", float64(s.NewestVersion))
 	set("configAgeSeconds", s.ConfigAge.Seconds())
 	set("registryAgeSeconds", s.RegistryAge.Seconds())
 	set("endpoints", float64(s.Endpoints))
@@ -249,6 +284,9 @@
 		s.metrics.guarded.WithLabelValues(in.service).Inc()
 	}
 	s.metrics.latency.WithLabelValues(in.service).Observe(elapsed.Seconds())
+	if in.reason != string(fault.CodeNotReady) && in.decision.ConfigVersion > 0 {
+		s.metrics.recordDecision(in.decision)
+	}
 	if in.attempts > 0 {
 		s.metrics.attempts.WithLabelValues(in.service, in.reason).Add(float64(in.attempts))
 	}
@@ -296,7 +334,7 @@
 	if d.Fingerprint != 0 {
 		e.Stringer("fingerprint", d.Fingerprint)
 	}
-	e.Str("customer", d.Customer).Int64("configVersion", d.ConfigVersion).Dur("configAgeMs", d.ConfigAge).
+	e.Str("customer", d.Customer).Int64("configVersion", d.ConfigVersion).Int64("newestVersion", d.NewestVersion).Dur("configAgeMs", d.ConfigAge).
 		Dur("registryAgeMs", d.RegistryAge).Str("leader", d.Leader).Bool("assigned", d.AssignedByLeader).
 		Str("versionFrom", string(d.VersionSource)).
 		Int("running", d.Running).Dur("expectedMs", d.Expected)
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -320,8 +320,12 @@
 
 func (c *Core) status(now time.Time) Status {
 	status := Status{
-		Ready:       c.ready(now),
-		ConfigAge:   now.Sub(c.configConfirmedAt),
+		Ready:     c.ready(now),
+		ConfigAge: now.Sub(c.configConfirmedAt),
+
+		ConfigVersion: c.configVersion(),
+		NewestVersion: max(c.configVersion(), c.relayedVersion),
+
 		RegistryAge: now.Sub(c.registryConfirmedAt),
 		Endpoints:   len(c.endpoints),
 		Evacuated:   len(c.evacuation.zones),
@@ -332,8 +336,13 @@
 		Leader:      c.leaderLink.leader(),
 		Stopping:    c.stopping,
 	}
-	if c.config != nil {
-		status.ConfigVersion = c.config.Version
-	}
 	return status
 }
+
+// configVersion returns the version of the entry's configuration, 0 if it has none.
+func (c *Core) configVersion() int64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
--- a/internal/gate/effect.go
+++ b/internal/gate/effect.go
@@ -24,6 +24,9 @@
 	// Service is empty until the route has been found.
 	Service       string
 	ConfigVersion int64
+	// NewestVersion is the newest version of the configuration of which the entry knows,
+	// and which it may not have read.
+	NewestVersion int64
 	ConfigAge     time.Duration
 	RegistryAge   time.Duration
 	// Leader is the host that the entry follows, or its own host if it leads.
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -253,6 +253,9 @@
 type Status struct {
 	Ready         bool
 	ConfigVersion int64
+	// NewestVersion is the newest version of the configuration of which the entry knows,
+	// and which it may not have read.
+	NewestVersion int64
 	ConfigAge     time.Duration
 	RegistryAge   time.Duration
 	Endpoints     int
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"dogwoodfold/internal/topo"
@@ -31,7 +32,7 @@
 // sent the report that the state answers. Subtracting the ages in the state
 // from it gives a lower bound for when the leader read the store.
 func (c *Core) applyRelay(now, sentAt time.Time, state *wirepb.GateState) {
-	c.relayedVersion = max(c.relayedVersion, state.GetConfigVersion())
+	c.learnVersion(now, state.GetConfigVersion())
 	configConfirmedAt := sentAt.Add(-time.Duration(state.GetConfigAgeUs()) * time.Microsecond)
 	switch {
 	case c.config == nil || state.GetConfigVersion() > c.config.Version:
@@ -69,6 +70,18 @@
 	c.updateStoreWatch(now)
 }
 
+// learnVersion records a version of the configuration that the leader has read.
+func (c *Core) learnVersion(now time.Time, version int64) {
+	if version <= c.relayedVersion {
+		return
+	}
+	c.relayedVersion = version
+	if c.config != nil && version > c.config.Version {
+		c.logChange("configuration is superseded", strconv.FormatInt(version, 10),
+			"has "+strconv.FormatInt(c.config.Version, 10), now.Sub(c.configConfirmedAt))
+	}
+}
+
 // voidConfigProof drops the proof that this entry's configuration is current if it is of a
 // later time than one at which a newer configuration was in force. The store has then come
 // back from a copy that lacks the newer one.
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -141,9 +141,8 @@
 	if c.isLeader(now) {
 		decision.Leader = c.settings.Host
 	}
-	if c.config != nil {
-		decision.ConfigVersion = c.config.Version
-	}
+	decision.ConfigVersion = c.configVersion()
+	decision.NewestVersion = max(decision.ConfigVersion, c.relayedVersion)
 	if call.customer != nil {
 		decision.Customer = call.customer.Name
 	}
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"dogwoodfold/internal/pacer"
@@ -107,8 +108,9 @@
 	wasReady := c.ready(now)
 	c.applyZonesRead(now, e)
 	if e.Config != nil && (c.config == nil || e.Config.Version > c.config.Version) {
+		c.logChange("applied configuration", strconv.FormatInt(e.Config.Version, 10),
+			"after "+strconv.FormatInt(c.configVersion(), 10), now.Sub(e.SentAt))
 		c.config = e.Config
-		c.logChange("applied configuration", "", "", now.Sub(e.SentAt))
 		c.updateColdLimits(now)
 		c.updateQuotas(now)
 		c.refuseRevokedKeys(now)
