--- a/internal/edge/linked_test.go
+++ b/internal/edge/linked_test.go
@@ -133,9 +133,9 @@
 		admitted:       make(map[string]bool),
 	}
 	settings := testSettings(t, fmt.Sprint("front-", number), netip.MustParseAddrPort(serveLoopback(t, link)))
-	startServer(t, settings, uint64(6+number))
 	entry := &fixture{
 		t:        t,
+		server:   startServer(t, settings, uint64(6+number)),
 		store:    f.store,
 		baseURL:  "http://" + settings.ListenAddr.String(),
 		readyURL: "http://" + settings.ReadyAddr.String() + platform.PathReady,
