Handle no request by a configuration past the bound for new ones

Cause: only the speed of an entry's reads kept the bound. Where a request is handled, only requests with a key compared the age of the proof with anything, and that was derived from revokeMs (3.3 s, where configMs is 3 s or 2 s); public routes, missing routes and unknown keys had no bound of their own.

Change: a request that is decided less than configMs after a proof can't break the bound, however slow the entry is: what the proof can't have seen was acknowledged after it. Past that it is refused as not run. The one exception keeps callers served through outages: if a read after the proof has failed and the entry was punctual itself (no gap of 250 ms between ticks), nobody can change the configuration, unless the leader has named a newer one. The first read after a pause doesn't wait, so that the proof, or the failure, is there in time.

TestKeysNeedFreshConfig asked that public routes are served at an old proof; it now lets the store fail meanwhile, which is what that was for, and still asks the same. The two tests of silent engines let 3 s pass without any read of the configuration; they now read it beside the registry.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -26,6 +26,9 @@
 	// fullReadDelay is the delay between a read of all endpoints and the first
 	// incremental read after it.
 	fullReadDelay = 300 * time.Millisecond
+	// lateReadDelay is the time without an answer, beyond its wait, after which the store counts
+	// as failing a read.
+	lateReadDelay = 500 * time.Millisecond
 	// hastenedReadDelay is the delay before a read that was hastened, so that requests
 	// that arrive together share one.
 	hastenedReadDelay = 15 * time.Millisecond
@@ -38,9 +41,12 @@
 	healthy := true
 	retry := backoff{}
 	for ctx.Err() == nil {
-		s.configWatch.waitEnabled(ctx)
+		wait := s.configWait()
+		if s.configWatch.waitEnabled(ctx) {
+			wait = 0 // the proof is old
+		}
 		sentAt := s.clock.Now()
-		batch, err := s.readConfig(next)
+		batch, err := s.readConfig(sentAt, next, wait)
 		s.metrics.observeStoreRead("readConfig", sentAt, s.clock.Now(), err)
 		healthy = s.logDependency("configuration", healthy, err)
 		if needsNewest(next, err) {
@@ -48,6 +54,7 @@
 			continue
 		}
 		if err != nil {
+			s.post(gate.ConfigReadFailed{SentAt: sentAt})
 			s.configWatch.pause(ctx, retry.next())
 			continue
 		}
@@ -106,14 +113,23 @@
 	s.handleConfigBatch(s.ctx, sentAt, batch)
 }
 
-func (s *Server) readConfig(next int64) (platform.ConfigBatch, error) {
+// configWait returns the long-poll timeout of reads of the configuration.
+func (s *Server) configWait() time.Duration {
+	if s.configWatch.isShared() {
+		return sharedConfigWait
+	}
+	return localConfigWait
+}
+
+// readConfig reads the configuration, and reports a read that isn't answered in time before it
+// has failed.
+func (s *Server) readConfig(sentAt time.Time, next int64, wait time.Duration) (platform.ConfigBatch, error) {
+	late := time.AfterFunc(wait+lateReadDelay, func() { s.post(gate.ConfigReadFailed{SentAt: sentAt}) })
+	defer late.Stop()
 	if next < 0 {
 		return s.store.NewestConfig()
 	}
-	if s.configWatch.isShared() {
-		return s.store.ReadConfig(next, sharedConfigWait)
-	}
-	return s.store.ReadConfig(next, localConfigWait)
+	return s.store.ReadConfig(next, wait)
 }
 
 // watchEndpoints keeps the list of endpoints current.
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -161,6 +161,7 @@
 		Zone:                s.Zone,
 		Regions:             s.Regions,
 		ConfigMaxAge:        max(s.RevokeBound-configMaxAgeMargin, time.Second),
+		ConfigBound:         s.ConfigBound,
 		ShareLifetime:       standingShareLifetime,
 		RegistryGracePeriod: registryGracePeriod,
 		ShutdownAdmission:   time.Duration(float64(s.GracePeriod) * shutdownAdmissionFraction),
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -28,6 +28,10 @@
 		c.refuse(now, call, fault.NotRun, fault.CodeNotReady, "the entry has no configuration yet", staleRetryAfter)
 		return
 	}
+	if !c.configInForce(now) {
+		c.refuse(now, call, fault.NotRun, fault.CodeNotReady, "the configuration may have changed", staleRetryAfter)
+		return
+	}
 	call.route = c.config.MatchRoute(request.Host, request.Path)
 	if call.route == nil {
 		if !c.configFresh(now) {
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -20,6 +20,8 @@
 	// ConfigMaxAge is how long requests with a key are admitted after the
 	// configuration was last confirmed, counted from when the read was sent.
 	ConfigMaxAge time.Duration
+	// ConfigBound is the time within which a new configuration must be in force.
+	ConfigBound time.Duration
 	// ShareLifetime is how long a standing share is valid after it was last
 	// confirmed.
 	ShareLifetime time.Duration
@@ -54,6 +56,9 @@
 
 	config            *topo.Config
 	configConfirmedAt time.Time
+	// configReadFailedAt is when the newest failed read of it was sent.
+	configReadFailedAt time.Time
+	ticks              tickWatch
 	// configEra is the newest era of the store in which the configuration was read,
 	// configEraSince when the first such read arrived.
 	configEra      int64
@@ -196,6 +201,7 @@
 	case ClientDisconnected:
 		c.handleClientDisconnected(now, e.Call)
 	case Tick:
+		c.ticks.record(now)
 		c.tick(now)
 	case SettingsReloaded:
 		c.settings = e.Settings
@@ -222,6 +228,8 @@
 		c.handleConfigRead(now, e)
 	case EndpointsRead:
 		c.handleEndpointsRead(now, e)
+	case ConfigReadFailed:
+		c.handleConfigReadFailed(e)
 	case ConfigFetchEnded:
 		c.storeRelay.fetchingConfig = false
 	case RegistryReadFailed:
@@ -309,7 +317,7 @@
 
 // ready reports whether the entry should receive new clients.
 func (c *Core) ready(now time.Time) bool {
-	return !c.stopping && c.config != nil && !c.registryConfirmedAt.IsZero() && c.configFresh(now)
+	return !c.stopping && c.config != nil && !c.registryConfirmedAt.IsZero() && c.configInForce(now) && c.configFresh(now)
 }
 
 // configFresh reports whether the configuration is recent enough to admit
--- a/internal/gate/core_test.go
+++ b/internal/gate/core_test.go
@@ -33,6 +33,7 @@
 		Host:                host,
 		Zone:                "a",
 		ConfigMaxAge:        3300 * time.Millisecond,
+		ConfigBound:         testConfigBound,
 		ShareLifetime:       4 * time.Second,
 		RegistryGracePeriod: 2300 * time.Millisecond,
 		WeightLoadWindow:    5 * time.Second,
@@ -262,12 +263,11 @@
 
 func TestKeysNeedFreshConfig(t *testing.T) {
 	h := newServingHarness(t)
-	h.advance(3400 * time.Millisecond)
+	h.failStore(3400 * time.Millisecond)
 	_, effects := h.arrive("/charge/1", "k2")
 	h.wantNotRun(effects, fault.CodeNotReady)
-	if _, effects = h.arrive("/open/1", ""); effects != nil {
-		h.mustSend(effects)
-	}
+	_, effects = h.arrive("/open/1", "")
+	h.mustSend(effects)
 	// A stale configuration must not reject an unknown key or route for good.
 	_, effects = h.arrive("/nowhere/1", "k2")
 	h.wantNotRun(effects, fault.CodeNotReady)
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -141,6 +141,10 @@
 	SentAt   time.Time
 }
 
+// ConfigReadFailed reports that the store has failed a read of the configuration, or has not
+// answered it in time.
+type ConfigReadFailed struct{ SentAt time.Time }
+
 // ConfigFetchEnded reports that a FetchConfig has ended, whether or not it
 // succeeded.
 type ConfigFetchEnded struct{}
@@ -282,6 +286,7 @@
 func (ClientDisconnected) event()  {}
 func (ConfigRead) event()          {}
 func (EndpointsRead) event()       {}
+func (ConfigReadFailed) event()    {}
 func (ConfigFetchEnded) event()    {}
 func (RegistryReadFailed) event()  {}
 func (LeaseRead) event()           {}
--- a/internal/gate/explain.go
+++ b/internal/gate/explain.go
@@ -326,6 +326,9 @@
 	case c.admissionClosed(now):
 		x.explainOwnChoice()
 		x.end(OutcomeRefuse, "the entry is stopping", minRetryAfter)
+	case !c.configInForce(now):
+		x.explainOwnChoice()
+		x.end(OutcomeRefuse, "no proof that the configuration is in force", staleRetryAfter)
 	case !x.call.route.Public && len(c.config.Customers) > 0 && !c.configFresh(now):
 		x.explainOwnChoice()
 		x.end(OutcomeRefuse, "no proof that the key still works", staleRetryAfter)
--- /dev/null
+++ b/internal/gate/inforce.go
@@ -0,0 +1,46 @@
+package gate
+
+import "time"
+
+// maxTickGap is the time between two ticks from which the entry counts as slow. Its reads of
+// the store may then be late, or fail, for want of processor time.
+const maxTickGap = 250 * time.Millisecond
+
+// tickWatch notices that the entry gets too little processor time.
+type tickWatch struct {
+	lastTickAt time.Time
+	// gapEndedAt is when the last gap of over maxTickGap ended.
+	gapEndedAt time.Time
+}
+
+// record records a tick.
+func (w *tickWatch) record(now time.Time) {
+	if now.Sub(w.lastTickAt) > maxTickGap {
+		w.gapEndedAt = now
+	}
+	w.lastTickAt = now
+}
+
+// slowSince reports whether a gap between ticks has ended after a time or goes on.
+func (w *tickWatch) slowSince(now, since time.Time) bool {
+	return now.Sub(w.lastTickAt) > maxTickGap || w.gapEndedAt.After(since)
+}
+
+// handleConfigReadFailed records that the store has not answered a read of the configuration.
+func (c *Core) handleConfigReadFailed(e ConfigReadFailed) {
+	c.configReadFailedAt = latest(c.configReadFailedAt, e.SentAt)
+}
+
+// configInForce reports whether requests may be handled by the entry's configuration. A newer
+// one must be in force within ConfigBound, so the proof may be no older. It may be older while
+// the store fails, in which case nobody can change the configuration.
+func (c *Core) configInForce(now time.Time) bool {
+	return now.Before(c.configConfirmedAt.Add(c.settings.ConfigBound)) || c.storeFails(now) && !c.configSuperseded()
+}
+
+// storeFails reports whether the store has failed a read of the configuration that was sent after
+// the last proof, and the entry wasn't too slow itself to see the answer.
+func (c *Core) storeFails(now time.Time) bool {
+	return !c.configConfirmedAt.IsZero() && c.configReadFailedAt.After(c.configConfirmedAt) &&
+		!c.ticks.slowSince(now, now.Add(-c.settings.ConfigBound))
+}
--- a/internal/gate/inforce_test.go
+++ b/internal/gate/inforce_test.go
@@ -38,6 +38,49 @@
 	}
 }
 
+// failStore lets time pass in which the store fails all reads of the configuration.
+func (h *harness) failStore(d time.Duration) {
+	h.apply(Tick{})
+	for until := h.now.Add(d); h.now.Before(until); {
+		h.advance(50 * time.Millisecond)
+		h.apply(Tick{})
+		h.apply(ConfigReadFailed{SentAt: h.now})
+	}
+}
+
+// While the store fails, nobody can change the configuration: the entry goes on with its own, for
+// keys as long as these may be used without a proof.
+func TestEntryServesWhileStoreFails(t *testing.T) {
+	h := newServingHarness(t)
+	h.failStore(testConfigBound + 100*time.Millisecond)
+	_, effects := h.arrive("/charge/1", "k2")
+	h.mustSend(effects)
+	h.failStore(time.Minute)
+	_, effects = h.arrive("/open/1", "")
+	h.mustSend(effects)
+	_, effects = h.arrive("/charge/1", "k2")
+	h.wantNotRun(effects, fault.CodeNotReady)
+}
+
+// Failed reads say nothing of the store if the entry was too slow to see their answers, or if another
+// entry could read it.
+func TestFailedReadsDoNotExcuseEntryThatIsSlowOrSuperseded(t *testing.T) {
+	slow := newServingHarness(t)
+	slow.failStore(testConfigBound)
+	slow.advance(2 * maxTickGap)
+	slow.apply(Tick{})
+	slow.advance(50 * time.Millisecond)
+	slow.apply(Tick{})
+	_, effects := slow.arrive("/open/1", "")
+	slow.wantNotRun(effects, fault.CodeNotReady)
+
+	superseded := newFollowerHarness(t)
+	superseded.receiveState(&wirepb.GateState{ConfigVersion: 2})
+	superseded.failStore(testConfigBound)
+	_, effects = superseded.arrive("/open/1", "")
+	superseded.wantNotRun(effects, fault.CodeNotReady)
+}
+
 func isNotReady(effects []Effect) bool {
 	refusal, refused := findEffect[Refuse](effects)
 	return refused && fault.CodeOf(refusal.Err) == fault.CodeNotReady
--- a/internal/gate/silent_test.go
+++ b/internal/gate/silent_test.go
@@ -59,6 +59,7 @@
 			id, first := h.livePrompt("")
 			h.apply(FirstByteReceived{Call: id})
 			h.advance(3 * time.Second)
+			h.apply(ConfigRead{SentAt: h.now})
 			h.apply(EndpointsRead{SentAt: h.now})
 			h.apply(AttemptEnded{
 				Call: id,
@@ -81,6 +82,7 @@
 	id, first := h.livePrompt("")
 	h.apply(FirstByteReceived{Call: id})
 	h.advance(3 * time.Second)
+	h.apply(ConfigRead{SentAt: h.now})
 	h.apply(EndpointsRead{SentAt: h.now})
 	h.apply(AttemptEnded{
 		Call: id,
