Take limits for clients from the configuration in force

Seen: two reads of the configuration are under way at once when the leader names a new version (the watch and the fetch).

The reducer alone knows which version is in force; it now hands out the limits with it.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -130,6 +130,12 @@
 	return s.limits
 }
 
+func (s *Server) setLimits(limits clientLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = limits
+}
+
 // serve reads requests one at a time and waits for the response to each.
 func (c *clientConn) serve(ctx context.Context) {
 	defer func() {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -78,9 +78,6 @@
 		return
 	}
 	if batch.Config != nil {
-		s.mu.Lock()
-		s.limits = clientLimits{batch.Config.Limits}
-		s.mu.Unlock()
 		s.log.Info().Int64("version", batch.Config.Version).Int64("offset", batch.NextOffset).Msg("store: configuration read")
 	}
 	s.post(gate.ConfigRead{
--- a/internal/edge/perform.go
+++ b/internal/edge/perform.go
@@ -64,6 +64,8 @@
 		go s.recordCrashes(e)
 	case gate.ReadRegistry:
 		s.registryWatch.hasten()
+	case gate.LimitClients:
+		s.setLimits(clientLimits{e.Limits})
 	case gate.WatchStore:
 		s.configWatch.set(e.Config, e.ForPeers)
 		s.registryWatch.set(e.Registry, e.ForPeers)
--- a/internal/gate/effect.go
+++ b/internal/gate/effect.go
@@ -97,6 +97,9 @@
 	Offset int64
 }
 
+// LimitClients puts the limits for clients of the entry's configuration into force.
+type LimitClients struct{ Limits topo.Limits }
+
 // DialLeader opens a session to the leader, or to the crash relay, and closes any other.
 // If Address is not valid, it only closes.
 type DialLeader struct {
@@ -195,6 +198,7 @@
 func (ReadRegistry) effect()        {}
 func (ReadLease) effect()           {}
 func (AppendLease) effect()         {}
+func (LimitClients) effect()        {}
 func (DialLeader) effect()          {}
 func (SendReport) effect()          {}
 func (RequestAssignment) effect()   {}
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -111,6 +111,7 @@
 		c.logChange("applied configuration", strconv.FormatInt(e.Config.Version, 10),
 			"after "+strconv.FormatInt(c.configVersion(), 10), now.Sub(e.SentAt))
 		c.config = e.Config
+		c.emit(LimitClients{Limits: e.Config.Limits})
 		c.updateColdLimits(now)
 		c.updateQuotas(now)
 		c.refuseRevokedKeys(now)
