Hand the configuration itself on to entries that can't read it

Seen: while the store refused some entries, a change was published. From the leader they learned that there is a newer version, which ended the use of its proofs, but not what it says.

An entry that hasn't been able to read for 0.4 s the version that the leader has named now asks for it in its report, and the leader's state has the operator's record. It costs nothing unless it is asked for; the proof is the leader's, as before. An entry without any configuration still reads its first one from the store, since it must read what the store knows of crashes before. Older releases ignore both fields.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -8,6 +8,7 @@
 
 	"dogwoodfold/internal/clock"
 	"dogwoodfold/internal/gate"
+	"dogwoodfold/internal/topo"
 	"dogwoodfold/internal/wire"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/platform"
@@ -232,8 +233,9 @@
 		switch body := m.GetGate().GetBody().(type) {
 		case *wirepb.GateMessage_State:
 			l.server.post(gate.StateReceived{
-				Host:  target.Host,
-				State: body.State,
+				Host:   target.Host,
+				State:  body.State,
+				Config: l.decodeConfig(target.Host, body.State.GetConfig()),
 			})
 		case *wirepb.GateMessage_Poison:
 			l.server.post(gate.PoisonReceived{
@@ -253,6 +255,20 @@
 	l.server.post(gate.LeaderDisconnected{Host: target.Host})
 }
 
+// decodeConfig decodes the configuration in a state, nil if there is none that this release can
+// decode.
+func (l *leaderLink) decodeConfig(host string, record []byte) *topo.Config {
+	if len(record) == 0 {
+		return nil
+	}
+	config, err := platform.DecodeConfig(record)
+	if err != nil {
+		l.server.log.Warn().Err(err).Str("peer", host).Msg("peers: the leader's configuration can't be decoded")
+		return nil
+	}
+	return config
+}
+
 func (l *leaderLink) setSession(session *wire.Session) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -65,7 +65,9 @@
 	configEraSince time.Time
 	// relayedVersion is the newest version of the configuration that the leader
 	// has named.
-	relayedVersion      int64
+	relayedVersion int64
+	// relayedVersionAt is when the leader first named it.
+	relayedVersionAt    time.Time
 	registryConfirmedAt time.Time
 	// previousRegistryAt is registryConfirmedAt of before the newest read.
 	previousRegistryAt time.Time
--- a/internal/gate/event.go
+++ b/internal/gate/event.go
@@ -187,10 +187,12 @@
 // LeaderDisconnected reports that the session to the leader has ended.
 type LeaderDisconnected struct{ Host string }
 
-// StateReceived reports a state message from the leader.
+// StateReceived reports a state message from the leader. Config is the configuration in it,
+// nil if it has none.
 type StateReceived struct {
-	Host  string
-	State *wirepb.GateState
+	Host   string
+	State  *wirepb.GateState
+	Config *topo.Config
 }
 
 // PoisonReceived reports what the entry that this one follows, which doesn't lead, has told
--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -54,7 +54,7 @@
 	if count := int(state.GetMembers()); count > 0 {
 		c.follower.members = count
 	}
-	c.applyRelay(now, sentAt, state)
+	c.applyRelay(now, sentAt, state, e.Config)
 	c.applyCrashRelays(state.GetCrashRelays())
 	c.applyStarts(now, state.GetStarts())
 	c.follower.poisonReported = c.mergePoison(now, state.GetPoison(), c.follower.poisonReported)
--- a/internal/gate/peer.go
+++ b/internal/gate/peer.go
@@ -164,6 +164,7 @@
 		grants:  grants,
 		tokens:  tokens,
 		permits: c.grantPermits(now, e.Report.GetPermitRequests()),
+		config:  c.configRecord(e.Report.GetAsksConfig()),
 	})
 }
 
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -16,6 +16,10 @@
 // bounds on adopting new configurations and on noticing endpoints that leave.
 const maxRelayAge = 1300 * time.Millisecond
 
+// configAskDelay is how long an entry tries to read from the store a configuration that the leader
+// has named before it asks the leader for it.
+const configAskDelay = 400 * time.Millisecond
+
 // storeRelay tracks the leader's reads of the store. The other entries rely on
 // them instead of calling the store themselves.
 type storeRelay struct {
@@ -30,10 +34,14 @@
 
 // applyRelay applies the leader's reads of the store. sentAt is when this entry
 // sent the report that the state answers. Subtracting the ages in the state
-// from it gives a lower bound for when the leader read the store.
-func (c *Core) applyRelay(now, sentAt time.Time, state *wirepb.GateState) {
+// from it gives a lower bound for when the leader read the store. config is the
+// configuration in the state, nil if it has none.
+func (c *Core) applyRelay(now, sentAt time.Time, state *wirepb.GateState, config *topo.Config) {
 	c.learnVersion(now, state.GetConfigVersion())
 	configConfirmedAt := sentAt.Add(-time.Duration(state.GetConfigAgeUs()) * time.Microsecond)
+	if c.config != nil { // else a read of the store puts the first one into force
+		c.applyConfig(now, config, configConfirmedAt)
+	}
 	switch {
 	case c.config == nil || state.GetConfigVersion() > c.config.Version:
 		c.voidConfigProof(now, now.Add(-time.Duration(state.GetConfigAgeUs())*time.Microsecond))
@@ -76,12 +84,19 @@
 		return
 	}
 	c.relayedVersion = version
+	c.relayedVersionAt = now
 	if c.config != nil && version > c.config.Version {
 		c.logChange("configuration is superseded", strconv.FormatInt(version, 10),
 			"has "+strconv.FormatInt(c.config.Version, 10), now.Sub(c.configConfirmedAt))
 	}
 }
 
+// asksConfig reports whether to ask the leader for the configuration, since a read of the store
+// hasn't brought the one that the leader has named.
+func (c *Core) asksConfig(now time.Time) bool {
+	return c.configSuperseded() && now.Sub(c.relayedVersionAt) >= configAskDelay
+}
+
 // voidConfigProof drops the proof that this entry's configuration is current if it is of a
 // later time than one at which a newer configuration was in force. The store has then come
 // back from a copy that lacks the newer one.
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -65,6 +65,7 @@
 		Evacuation:     c.encodeEvacuation(now),
 		PermitRequests: f.drainPermitRequests(),
 		TokenAsks:      f.tokenAsks,
+		AsksConfig:     c.asksConfig(now),
 	}
 	if f.missedNews && c.leaderStateCurrent(now) {
 		// Before, the answer would be dropped as well.
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -13,6 +13,7 @@
 	grants  []*wirepb.GateTokens
 	tokens  []*wirepb.GateTokenAnswer
 	permits []*wirepb.GatePermit
+	config  []byte
 }
 
 // sendState sends an entry the leader's state. What the entry has already been sent is
@@ -33,6 +34,7 @@
 		Starts:      encodeStarts(c.streams.startsFor(peer, c.streamVersionsDiffer(now))...),
 		Evacuation:  c.encodeEvacuation(now),
 
+		Config:           a.config,
 		TokenAnswers:     a.tokens,
 		DecidesByRequest: true,
 	}
@@ -71,6 +73,14 @@
 	})
 }
 
+// configRecord returns the record of the configuration in force for an entry that asks for it.
+func (c *Core) configRecord(asked bool) []byte {
+	if !asked || c.config == nil {
+		return nil
+	}
+	return c.config.Record
+}
+
 func encodeHolding(id string, holdings []topo.Holding) *wirepb.GateHolding {
 	out := &wirepb.GateHolding{Endpoint: id}
 	for _, h := range holdings {
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -107,16 +107,7 @@
 func (c *Core) handleConfigRead(now time.Time, e ConfigRead) {
 	wasReady := c.ready(now)
 	c.applyZonesRead(now, e)
-	if e.Config != nil && (c.config == nil || e.Config.Version > c.config.Version) {
-		c.logChange("applied configuration", strconv.FormatInt(e.Config.Version, 10),
-			"after "+strconv.FormatInt(c.configVersion(), 10), now.Sub(e.SentAt))
-		c.config = e.Config
-		c.emit(LimitClients{Limits: e.Config.Limits})
-		c.updateColdLimits(now)
-		c.updateQuotas(now)
-		c.refuseRevokedKeys(now)
-		c.sendStates(now)
-	}
+	c.applyConfig(now, e.Config, e.SentAt)
 	if e.Era > c.configEra {
 		c.configEra = e.Era
 		c.configEraSince = now
@@ -131,6 +122,22 @@
 	c.retryParked(now)
 }
 
+// applyConfig puts a configuration into force that was the newest one at a time. Older versions,
+// and nil, are ignored.
+func (c *Core) applyConfig(now time.Time, config *topo.Config, newestAt time.Time) {
+	if config == nil || c.config != nil && config.Version <= c.config.Version {
+		return
+	}
+	c.logChange("applied configuration", strconv.FormatInt(config.Version, 10),
+		"after "+strconv.FormatInt(c.configVersion(), 10), now.Sub(newestAt))
+	c.config = config
+	c.emit(LimitClients{Limits: config.Limits})
+	c.updateColdLimits(now)
+	c.updateQuotas(now)
+	c.refuseRevokedKeys(now)
+	c.sendStates(now)
+}
+
 // restoreGracePeriod is how long the store may lack the newest configuration after it has
 // come back from a copy, until the operator has written it again.
 const restoreGracePeriod = 2 * time.Second
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -142,6 +142,8 @@
 	Services  map[string]*Service
 	Customers map[string]*Customer
 	Limits    Limits
+	// Record is the operator's record as it was read, to hand on to other entries.
+	Record []byte
 
 	routesByHost   map[string][]*Route
 	customersByKey map[string]*Customer
