Count a new version as published when the leader got it, not when it asked

Cause: an entry drops its own proof if that is of a later time than one at which a newer version was in force; the store has then come back from a copy. For that time it took the one at which the leader had sent its read, but the read waits for a new version, which may have come any time after. The leader now tells how long it has had the version. Older releases don't; then the time of the read counts, as before (TestReadOfRestoredStoreIsNoProofAgainstTheLeader).

TestNewVersionDoesNotVoidEarlierProof failed before.

--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -54,7 +54,9 @@
 	settings Settings
 	random   *rand.Rand
 
-	config            *topo.Config
+	config *topo.Config
+	// configAppliedAt is when the configuration was put into force here.
+	configAppliedAt   time.Time
 	configConfirmedAt time.Time
 	// configReadFailedAt is when the newest failed read of it was sent.
 	configReadFailedAt time.Time
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -44,7 +44,7 @@
 	}
 	switch {
 	case c.config == nil || state.GetConfigVersion() > c.config.Version:
-		c.voidConfigProof(now, now.Add(-time.Duration(state.GetConfigAgeUs())*time.Microsecond))
+		c.voidConfigProof(now, newerConfigBy(now, state))
 		if state.GetConfigVersion() > 0 && !c.storeRelay.fetchingConfig {
 			c.storeRelay.fetchingConfig = true
 			c.emit(FetchConfig{})
@@ -97,6 +97,16 @@
 	return c.configSuperseded() && now.Sub(c.relayedVersionAt) >= configAskDelay
 }
 
+// newerConfigBy returns a time by which the configuration in a state was published. The leader's read
+// of it may have been sent before, and have waited for it. Older releases tell only when that was.
+func newerConfigBy(now time.Time, state *wirepb.GateState) time.Time {
+	age := state.GetConfigSeenUs()
+	if age == 0 {
+		age = state.GetConfigAgeUs()
+	}
+	return now.Add(-wirepb.Microseconds(age))
+}
+
 // voidConfigProof drops the proof that this entry's configuration is current if it is of a
 // later time than one at which a newer configuration was in force. The store has then come
 // back from a copy that lacks the newer one.
@@ -167,6 +177,7 @@
 func (c *Core) encodeRelay(now time.Time, peer *peer, state *wirepb.GateState) {
 	if c.config != nil {
 		state.ConfigVersion = c.config.Version
+		state.ConfigSeenUs = max(wirepb.AgeMicroseconds(now, c.configAppliedAt), 1)
 	}
 	state.ConfigAgeUs = uint64(now.Sub(c.configConfirmedAt).Microseconds())
 	state.RegistryAgeUs = uint64(c.relayedRegistryAge(now).Microseconds())
--- a/internal/gate/world.go
+++ b/internal/gate/world.go
@@ -131,6 +131,7 @@
 	c.logChange("applied configuration", strconv.FormatInt(config.Version, 10),
 		"after "+strconv.FormatInt(c.configVersion(), 10), now.Sub(newestAt))
 	c.config = config
+	c.configAppliedAt = now
 	c.emit(LimitClients{Limits: config.Limits})
 	c.updateColdLimits(now)
 	c.updateQuotas(now)
