Bound what a faulty engine may send to its agent, and in errors

A failure's whole body, 1 MB in the test, stood in the error and so in the log.

An engine's answer may now have 4 MB, is copied once, and a failure is cut to 1 KB. The log of the platform keeps its 64 MB: pages of it may be large, and it is no worker.

TestAnswersOfEngineWithoutEndStayWithinMemory and TestLongAnswerIsCutInError failed before.

--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -15,8 +15,15 @@
 // defaultTimeout bounds a request whose context has no deadline.
 const defaultTimeout = 5 * time.Second
 
-// maxResponseBytes bounds the size of a response body.
-const maxResponseBytes = 64 << 20
+const (
+	// maxResponseBytes bounds the body of a response of the platform.
+	maxResponseBytes = 64 << 20
+	// maxEngineResponseBytes bounds that of an engine, which may be faulty and is asked for several
+	// things at once.
+	maxEngineResponseBytes = 4 << 20
+	// maxStatusBody is the length to which the body of a failure is cut.
+	maxStatusBody = 1 << 10
+)
 
 // client implements the JSON over HTTP requests of the clients in this package.
 type client struct {
@@ -88,17 +95,18 @@
 	if err := c.http.DoDeadline(request, response, deadline); err != nil {
 		return result{err: err}
 	}
-	received := slices.Clone(response.Body())
+	received := response.Body()
 	if code := response.StatusCode(); code >= fasthttp.StatusMultipleChoices {
 		return result{err: &StatusError{
 			Status: code,
-			Body:   string(received),
+			Body:   string(received[:min(len(received), maxStatusBody)]),
 		}}
 	}
-	return result{body: received}
+	return result{body: slices.Clone(received)}
 }
 
-// StatusError reports a response of the platform with a status of 300 or more.
+// StatusError reports a response of the platform with a status of 300 or more. Body is its
+// beginning.
 type StatusError struct {
 	Status int
 	Body   string
@@ -157,6 +165,7 @@
 // responses carry nothing that tells them from an earlier one that the engine repeats.
 func NewHTTPEngine(base string) *HTTPEngine {
 	e := &HTTPEngine{client: newClient(base)}
+	e.http.MaxResponseBodySize = maxEngineResponseBytes
 	e.closesConns = true
 	return e
 }
