--- a/internal/gate/inforce_test.go
+++ b/internal/gate/inforce_test.go
@@ -128,3 +128,14 @@
 	_, effects := follower.arrive("/charge/1", "k2")
 	follower.mustSend(effects)
 }
+
+// The same cause as that of the incident CONFIG, for endpoints that leave (DRAIN): an entry that is slow
+// to read the registry must not send requests by a list that is older than the bound on leaving.
+func TestEndpointsAreNotUsedPastTheirBound(t *testing.T) {
+	const drainBound = 3 * time.Second
+	h := newServingHarness(t)
+	h.advance(drainBound)
+	h.apply(ConfigRead{SentAt: h.now})
+	_, effects := h.arrive("/charge/1", "k2")
+	h.wantNotRun(effects, fault.CodeNotReady)
+}
