Let an entry that was slow after its last proof go on refusing

Its trace in the code: the entry was slow for a moment, so the bound of 2 s held; 2 s after the last gap between ticks it counted as punctual again, took the failed reads for an outage, and admitted keys until 3.3 s after the proof, within revokeMs. But a change may have been published while it was slow, before the store began to fail.

Now only an entry that has been punctual since its last proof takes failed reads for an outage, and only if it knew of the first one within the bound, so that it doesn't serve again without a new proof. TestSlowEntryDoesNotServeAgainWithoutProof failed before.

--- a/internal/gate/core.go
+++ b/internal/gate/core.go
@@ -58,9 +58,9 @@
 	// configAppliedAt is when the configuration was put into force here.
 	configAppliedAt   time.Time
 	configConfirmedAt time.Time
-	// configReadFailedAt is when the newest failed read of it was sent.
-	configReadFailedAt time.Time
-	ticks              tickWatch
+	// storeFailingSince is when the first read of it failed that was sent after the last proof.
+	storeFailingSince time.Time
+	ticks             tickWatch
 	// configEra is the newest era of the store in which the configuration was read,
 	// configEraSince when the first such read arrived.
 	configEra      int64
@@ -233,7 +233,7 @@
 	case EndpointsRead:
 		c.handleEndpointsRead(now, e)
 	case ConfigReadFailed:
-		c.handleConfigReadFailed(e)
+		c.handleConfigReadFailed(now, e)
 	case ConfigFetchEnded:
 		c.storeRelay.fetchingConfig = false
 	case RegistryReadFailed:
--- a/internal/gate/inforce.go
+++ b/internal/gate/inforce.go
@@ -26,9 +26,11 @@
 	return now.Sub(w.lastTickAt) > maxTickGap || w.gapEndedAt.After(since)
 }
 
-// handleConfigReadFailed records that the store has not answered a read of the configuration.
-func (c *Core) handleConfigReadFailed(e ConfigReadFailed) {
-	c.configReadFailedAt = latest(c.configReadFailedAt, e.SentAt)
+// handleConfigReadFailed records the first failed read of the configuration after the last proof.
+func (c *Core) handleConfigReadFailed(now time.Time, e ConfigReadFailed) {
+	if e.SentAt.After(c.configConfirmedAt) && !c.storeFailingSince.After(c.configConfirmedAt) {
+		c.storeFailingSince = now
+	}
 }
 
 // configInForce reports whether requests may be handled by the entry's configuration. A newer
@@ -39,8 +41,11 @@
 }
 
 // storeFails reports whether the store has failed a read of the configuration that was sent after
-// the last proof, and the entry wasn't too slow itself to see the answer.
+// the last proof, and the entry hasn't been too slow since to see what it would have told. What it
+// says within ConfigBound of the proof doesn't change later without a new proof, but for an entry
+// that becomes slow.
 func (c *Core) storeFails(now time.Time) bool {
-	return !c.configConfirmedAt.IsZero() && c.configReadFailedAt.After(c.configConfirmedAt) &&
-		!c.ticks.slowSince(now, now.Add(-c.settings.ConfigBound))
+	proof := c.configConfirmedAt
+	known := c.storeFailingSince.After(proof) && c.storeFailingSince.Before(proof.Add(c.settings.ConfigBound))
+	return known && !c.ticks.slowSince(now, proof)
 }
--- a/internal/gate/inforce_test.go
+++ b/internal/gate/inforce_test.go
@@ -129,6 +129,20 @@
 	follower.mustSend(effects)
 }
 
+// An entry that was slow after its last proof may have missed a change before the store began to fail.
+// It must go on refusing until it has read the configuration, though it isn't slow any longer.
+func TestSlowEntryDoesNotServeAgainWithoutProof(t *testing.T) {
+	h := newServingHarness(t)
+	h.failStore(testConfigBound / 3)
+	h.advance(2 * maxTickGap)
+	h.failStore(testConfigBound)
+	for range 2 {
+		_, effects := h.arrive("/open/1", "")
+		h.wantNotRun(effects, fault.CodeNotReady)
+		h.failStore(2 * testConfigBound)
+	}
+}
+
 // The same cause as that of the incident CONFIG, for endpoints that leave (DRAIN): an entry that is slow
 // to read the registry must not send requests by a list that is older than the bound on leaving.
 func TestEndpointsAreNotUsedPastTheirBound(t *testing.T) {
