--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -54,7 +54,9 @@
 			continue
 		}
 		if err != nil {
-			s.post(gate.ConfigReadFailed{SentAt: sentAt})
+			if !errors.Is(err, platform.ErrUndecodable) {
+				s.post(gate.ConfigReadFailed{SentAt: sentAt})
+			}
 			s.configWatch.pause(ctx, retry.next())
 			continue
 		}
