--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -145,7 +145,8 @@
 		e.Stringer("fingerprint", d.Fingerprint)
 	}
 	e.Str("customer", d.Customer).Int64("configVersion", d.ConfigVersion).Int64("newestVersion", d.NewestVersion).
-		Dur("configAgeMs", d.ConfigAge).Dur("registryAgeMs", d.RegistryAge).Str("leader", d.Leader).Bool("assigned", d.AssignedByLeader).
+		Dur("configAgeMs", d.ConfigAge).Dur("registryAgeMs", d.RegistryAge).
+		Str("leader", d.Leader).Bool("assigned", d.AssignedByLeader).
 		Str("versionFrom", string(d.VersionSource)).
 		Int("running", d.Running).Dur("expectedMs", d.Expected)
 }
--- a/internal/gate/inforce.go
+++ b/internal/gate/inforce.go
@@ -40,10 +40,9 @@
 	return now.Before(c.configConfirmedAt.Add(c.settings.ConfigBound)) || c.storeFails(now) && !c.configSuperseded()
 }
 
-// storeFails reports whether the store has failed a read of the configuration that was sent after
-// the last proof, and the entry hasn't been too slow since to see what it would have told. What it
-// says within ConfigBound of the proof doesn't change later without a new proof, but for an entry
-// that becomes slow.
+// storeFails reports whether the store fails, rather than this entry: a read that was sent after the
+// last proof has failed within ConfigBound of it, and the entry hasn't been slow since. Past that bound
+// false stays false until the next proof, so that what is refused isn't served again without one.
 func (c *Core) storeFails(now time.Time) bool {
 	proof := c.configConfirmedAt
 	known := c.storeFailingSince.After(proof) && c.storeFailingSince.Before(proof.Add(c.settings.ConfigBound))
