--- a/internal/plat/endless_test.go
+++ b/internal/plat/endless_test.go
@@ -21,6 +21,7 @@
 	for name, head := range map[string]string{
 		"answer":  "HTTP/1.1 200 OK\r\n\r\n",
 		"refusal": "HTTP/1.1 500 Internal Server Error\r\n\r\n",
+		"head":    "HTTP/1.1 200 OK\r\nX-A: ",
 	} {
 		t.Run(name, func(t *testing.T) {
 			engine := plat.NewHTTPEngine("http://" + listenEndless(t, head))
