Reject answers whose status line no server may send

Cause: the parser keeps the status as a number in which 0 stands for "not set", which reads as 200. It also takes each three digits for a status, any version of the protocol, and 101, after which the bytes belong to a protocol that nobody asked for. The class: a parser that accepts more than the protocol allows, behind which nothing checks.

The status line is now checked from the bytes of the head (internal/http1), wherever the product reads answers: attempts and health checks of the gateway, calls to engines, the store, the own interface's agent, engine and log. Such an attempt may have run; a refusal with such a head proves nothing. A probe with such an answer says only that something runs at the address, so it counts against no request. What the parser refuses itself fails as before.

--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"dogwoodfold/internal/http1"
 	"dogwoodfold/internal/wire/wirepb"
 	"dogwoodfold/pkg/fault"
 )
@@ -77,7 +78,7 @@
 		return nil, errors.Join(errConnect, net.ErrClosed, conn.Close())
 	}
 	c.netConn = conn
-	return conn, nil
+	return http1.NewConn(conn), nil
 }
 
 // cancel closes the connection, which cancels the request on it.
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dogwoodfold/internal/gate"
+	"dogwoodfold/internal/http1"
 	"dogwoodfold/platform"
 )
 
@@ -35,6 +36,12 @@
 	coldKnown bool
 }
 
+// malformedAnswer is the result of a probe with a malformed answer: something runs at the address.
+var malformedAnswer = probeResult{
+	running: true,
+	anyRun:  true,
+}
+
 // probeEngine finds out whether an endpoint still runs.
 func (s *Server) probeEngine(e gate.ProbeEngine) {
 	probe := s.probeReport
@@ -58,6 +65,9 @@
 // probeReport asks an engine for its report.
 func (s *Server) probeReport(e gate.ProbeEngine) (probeResult, error) {
 	report, err := s.engines.Report(e.Run.Engine, e.Address)
+	if errors.Is(err, http1.ErrMalformed) {
+		return malformedAnswer, err
+	}
 	otherRun := errors.Is(err, platform.ErrWrongInstance) || err == nil && report.Incarnation != e.Run.Incarnation
 	return probeResult{
 		running: errors.Is(err, platform.ErrNoReport) || err == nil && !otherRun,
@@ -125,7 +135,11 @@
 		return probeResult{}, err
 	}
 	var response fasthttp.ResponseHeader
-	if err := response.Read(bufio.NewReader(conn)); err != nil {
+	err := http1.ReadHead(&response, bufio.NewReader(conn))
+	if errors.Is(err, http1.ErrMalformed) {
+		return malformedAnswer, nil
+	}
+	if err != nil {
 		return probeResult{}, err
 	}
 	id := response.Peek(platform.HeaderInstanceID)
--- a/internal/edge/reply.go
+++ b/internal/edge/reply.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dogwoodfold/internal/gate"
+	"dogwoodfold/internal/http1"
 	"dogwoodfold/platform"
 )
 
@@ -69,7 +70,7 @@
 	if _, err := x.conn.reader.Peek(1); err != nil {
 		return err
 	}
-	return x.readWithin(headTime, func() error { return x.head.Read(x.conn.reader) })
+	return x.readWithin(headTime, func() error { return http1.ReadHead(&x.head, x.conn.reader) })
 }
 
 // readBuffered reads the rest of a body that isn't forwarded as it arrives, up to
@@ -128,6 +129,7 @@
 
 // malformations are the errors of bytes that are no response to the request.
 var malformations = []error{
+	http1.ErrMalformed,
 	errMismatchedResponse,
 	errEventTooLong,
 	errNoEvent,
--- /dev/null
+++ b/internal/http1/check.go
@@ -0,0 +1,80 @@
+package http1
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// minStatus and maxStatus bound the statuses that have a class.
+	minStatus = 100
+	maxStatus = 599
+	// maxLineBytes is how much of a line is kept. No status line or header name is longer.
+	maxLineBytes = 256
+)
+
+// checker checks the head of a response as its bytes arrive.
+type checker struct {
+	// line is the beginning of a line whose end has not arrived.
+	line []byte
+	// inHeader is true after the status line.
+	inHeader  bool
+	status    int
+	malformed bool
+	ended     bool
+}
+
+// check checks the next bytes and returns how many of them belong to the head.
+func (c *checker) check(p []byte) int {
+	rest := p
+	for !c.ended {
+		line, after, found := bytes.Cut(rest, []byte("\n"))
+		if !found {
+			c.keep(line)
+			return len(p)
+		}
+		if len(c.line) > 0 {
+			c.keep(line)
+			line = c.line
+		}
+		c.checkLine(bytes.TrimSuffix(line, []byte("\r")))
+		c.line = c.line[:0]
+		rest = after
+	}
+	return len(p) - len(rest)
+}
+
+// keep adds a part of a line to those that were read before.
+func (c *checker) keep(part []byte) {
+	c.line = append(c.line, part[:min(len(part), maxLineBytes-len(c.line))]...)
+}
+
+// checkLine checks a line without its end. Empty lines before the status line are skipped.
+func (c *checker) checkLine(line []byte) {
+	switch {
+	case len(line) == 0:
+		c.ended = c.inHeader
+	case !c.inHeader:
+		c.inHeader = true
+		c.checkStatusLine(line)
+	}
+}
+
+// checkStatusLine checks the version and the status. No request asks for another protocol.
+func (c *checker) checkStatusLine(line []byte) {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.Atoi(string(code))
+	if err != nil || status < minStatus || status > maxStatus || status == fasthttp.StatusSwitchingProtocols {
+		c.malformed = true
+	}
+	if !bytes.HasPrefix(version, []byte("HTTP/1.")) {
+		c.malformed = true
+	}
+	c.status = status
+}
+
+// isInterim reports whether another head follows on the one that has ended.
+func (c *checker) isInterim() bool { return c.ended && c.status < fasthttp.StatusOK }
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/url"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"dogwoodfold/internal/http1"
 )
 
 // defaultTimeout bounds a request whose context has no deadline.
@@ -37,6 +40,7 @@
 	return client{
 		base: base,
 		http: &fasthttp.Client{
+			DialTimeout:               dial,
 			MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize:       maxResponseBytes,
 			NoDefaultUserAgentHeader:  true,
@@ -44,6 +48,15 @@
 	}
 }
 
+// dial opens a connection to a service.
+func dial(address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := fasthttp.DialTimeout(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return http1.NewConn(conn), nil
+}
+
 // do sends a request and decodes the response into out, if out is not nil. It
 // returns as soon as ctx is done, in which case the request may still take
 // effect. extraTimeout extends the default timeout.
