Reject answers in whose head the name of a header is no token

Cause: the parser keeps a name with a blank within as it is, drops a blank before the colon, so that "Content-Length : 3" and "Transfer-Encoding : chunked" frame the body, and joins a line that begins with a blank or a tab to the one before. Requests are checked for this, answers weren't.

Each header line of an answer must now begin with a token, by the function that requests are checked with (http1.IsHeaderLine, in place of a copy in edge). Lines that continue the one before are rejected with it, as in requests; a gateway may answer 502 for them.

Through the whole gateway the three lines that the test sends there are now answered by the other endpoint, or with 502. Other control bytes, bytes beyond ASCII, brackets and empty names were refused by the parser before; these cases stay in the tests.

--- a/internal/agent/malformed_head_test.go
+++ b/internal/agent/malformed_head_test.go
@@ -33,3 +33,11 @@
 		checkNoAnswer(t, name, line+"\r\n")
 	}
 }
+
+// Guards against handing on an endpoint's answer in whose head the name of a header holds a blank or
+// a control byte, which may frame the body (MIXED).
+func TestAnswerWithMalformedHeaderNameIsNone(t *testing.T) {
+	for name, head := range fakes.MalformedHeaders() {
+		checkNoAnswer(t, name, head)
+	}
+}
--- a/internal/edge/head.go
+++ b/internal/edge/head.go
@@ -17,6 +17,7 @@
 
 	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/gate"
+	"dogwoodfold/internal/http1"
 	"dogwoodfold/internal/pick"
 	"dogwoodfold/internal/poison"
 	"dogwoodfold/platform"
@@ -90,21 +91,13 @@
 func checkHeaderLines(raw []byte) error {
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
-		if len(line) == 0 {
-			continue
-		}
-		name, _, found := bytes.Cut(line, []byte(":"))
-		if !found || len(name) == 0 || bytes.IndexFunc(name, notToken) >= 0 {
+		if len(line) > 0 && !http1.IsHeaderLine(line) {
 			return errMalformedRequest
 		}
 	}
 	return nil
 }
 
-func notToken(r rune) bool {
-	return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
-}
-
 // readBody reads a request body with the given framing, up to limit bytes, and reserves
 // memory for it as it arrives.
 func readBody(r *bufio.Reader, f framing, limit int, grow func(n int) error) (budget.Pieces, error) {
--- a/internal/edge/malformed_head_test.go
+++ b/internal/edge/malformed_head_test.go
@@ -145,3 +145,23 @@
 		body: "aborted",
 	})
 }
+
+// Guards against handing on an answer in whose head the name of a header holds a blank or a control
+// byte: the parser keeps the blank, or drops it and takes the rest for a header that frames the body
+// (MIXED).
+func TestAnswerWithMalformedHeaderNameIsNone(t *testing.T) {
+	engines := &Server{engines: platform.NewEngineClient()}
+	for name, head := range fakes.MalformedHeaders() {
+		checkNoAnswer(t, name, malformedResponse{
+			head: head,
+			body: "id: 1\ndata: first\n\n",
+		})
+		checkProbesProveNothing(t, engines, head)
+	}
+	for _, line := range []string{"X A: b\r\n", "Content-Length : 3\r\n", "Transfer-Encoding : chunked\r\n"} {
+		checkNotForwarded(t, malformedResponse{
+			head: "HTTP/1.1 200 OK\r\n" + line,
+			body: "2\r\nab\r\n0\r\n\r\n",
+		})
+	}
+}
--- a/internal/fakes/heads.go
+++ b/internal/fakes/heads.go
@@ -15,3 +15,38 @@
 	"version 0.9":      "HTTP/0.9 200 OK",
 	"version 2.0":      "HTTP/2.0 200 OK",
 }
+
+// malformedNames are header names that are no tokens, by what is wrong with them.
+var malformedNames = map[string]string{
+	"blank within":         "X A",
+	"blank at the end":     "X-A ",
+	"blank at the start":   " X-A",
+	"tab within":           "X\tA",
+	"tab at the end":       "X-A\t",
+	"tab at the start":     "\tX-A",
+	"length with a blank":  "Content-Length ",
+	"chunks with a blank":  "Transfer-Encoding ",
+	"zero byte":            "X-\x00A",
+	"control byte":         "X-\x01A",
+	"control byte at end":  "X-A\x1f",
+	"vertical tab":         "Content-Length\v",
+	"carriage return":      "X\rA",
+	"line feed":            "X\nA",
+	"deleted":              "X-A\x7f",
+	"no ASCII":             "X-Ä",
+	"bracket":              "X-(A)",
+	"nothing":              "",
+	"nothing but a blank":  " ",
+	"status line repeated": "HTTP/1.1 200 OK\r\nX-A",
+}
+
+// MalformedHeaders returns beginnings of heads in which the name of a header is no token, by what
+// is wrong with it. The header is the first one or follows on another.
+func MalformedHeaders() map[string]string {
+	heads := make(map[string]string)
+	for what, name := range malformedNames {
+		heads[what+", first"] = "HTTP/1.1 200 OK\r\n" + name + ": 3\r\n"
+		heads[what] = "HTTP/1.1 200 OK\r\nX-B: c\r\n" + name + ": 3\r\n"
+	}
+	return heads
+}
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strconv"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 )
@@ -59,9 +60,22 @@
 	case !c.inHeader:
 		c.inHeader = true
 		c.checkStatusLine(line)
+	case !IsHeaderLine(line):
+		c.malformed = true
 	}
 }
 
+// IsHeaderLine reports whether a line, without its end, is a header whose name is a token. One that
+// continues the line before isn't.
+func IsHeaderLine(line []byte) bool {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	return found && len(name) > 0 && bytes.IndexFunc(name, isNotToken) < 0
+}
+
+func isNotToken(r rune) bool {
+	return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
+}
+
 // checkStatusLine checks the version and the status. No request asks for another protocol.
 func (c *checker) checkStatusLine(line []byte) {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -57,6 +57,9 @@
 	for name, line := range fakes.MalformedStatusLines {
 		malformed[name] = line + "\r\nContent-Length: 2\r\n\r\n"
 	}
+	for name, head := range fakes.MalformedHeaders() {
+		malformed[name] = head + "\r\n"
+	}
 }
 
 // Guards against reading a head that the protocol doesn't allow as a sound one.
--- a/internal/plat/malformed_head_test.go
+++ b/internal/plat/malformed_head_test.go
@@ -40,3 +40,11 @@
 		checkNoAnswer(t, name, line+"\r\n")
 	}
 }
+
+// Guards against taking an answer in whose head the name of a header holds a blank or a control byte
+// for an answer to a call.
+func TestAnswerWithMalformedHeaderNameIsNone(t *testing.T) {
+	for name, head := range fakes.MalformedHeaders() {
+		checkNoAnswer(t, name, head)
+	}
+}
