Forward answers that have no body by their status

An endpoint that answers 204 or 304, a request by HEAD, or 101 as a worker in trouble may, ended its agent by a panic, and with it all other calls there. Found by the tests of malformed status lines.

Cause: the client of fasthttp leaves the stream of a body that can't be there nil, and the agent read from it, for the answer and for a refusal. The load generator did the same. Such a body is now an empty one, and a Content-Length beside it is no sign that it was cut.

Evidence: TestAnswerWithoutBodyIsForwarded, TestAnswerToHeadIsForwarded (agent) and TestAnswerWithoutBodyIsCounted (load) ended by a nil pointer before, and pass now.

--- a/internal/agent/response.go
+++ b/internal/agent/response.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
 
 	"github.com/valyala/fasthttp"
 
@@ -38,7 +39,7 @@
 	if len(response.Header.Peek(headerEndpointNotRun)) == 0 {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(response.BodyStream(), maxResponseHead))
+	body, err := io.ReadAll(io.LimitReader(bodyOf(response), maxResponseHead))
 	if err != nil {
 		return fault.Wrap(err, fault.NotRun, fault.CodeEndpoint)
 	}
@@ -49,6 +50,18 @@
 	return fault.New(fault.NotRun, fault.CodeBusy, "the endpoint refused the request: "+refusal.Error.Code)
 }
 
+// bodyOf returns the body of a response, which is empty if its status or the method of the request
+// leaves it none.
+func bodyOf(response *fasthttp.Response) io.Reader {
+	if hasNoBody(response) {
+		return http.NoBody
+	}
+	return response.BodyStream()
+}
+
+// hasNoBody reports whether a response can't have a body, whatever its head says of a length.
+func hasNoBody(response *fasthttp.Response) bool { return response.BodyStream() == nil }
+
 // forwardResponse forwards a response and checks that it is complete. Of a stream it
 // forwards sound events only.
 func forwardResponse(response *fasthttp.Response, stream bool, send frameSink) error {
@@ -65,7 +78,7 @@
 		return fault.Wrap(err, fault.Ran, fault.CodeLink)
 	}
 	tail := newResponseTail(stream)
-	total, err := copyBody(response.BodyStream(), tail, send)
+	total, err := copyBody(bodyOf(response), tail, send)
 	if err != nil {
 		return err
 	}
@@ -92,7 +105,7 @@
 		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's stream ended early")
 	}
 	length := response.Header.ContentLength()
-	if length >= 0 && uint64(length) != total {
+	if length >= 0 && uint64(length) != total && !hasNoBody(response) {
 		return fault.New(fault.MayHaveRun, fault.CodeCut, "the endpoint's answer was cut")
 	}
 	return nil
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -169,7 +169,9 @@
 		status:  resp.StatusCode(),
 		verdict: string(resp.Header.Peek("Dogwoodfold-Verdict")),
 	}
-	res.read(resp.BodyStream(), due)
+	if body := resp.BodyStream(); body != nil { // else the status leaves it none
+		res.read(body, due)
+	}
 	if err := resp.CloseBodyStream(); err != nil {
 		res.truncated = true
 	}
