Reject answers whose head tells two ends of the body

Cause: the parser ignores Transfer-Encoding in an answer of HTTP/1.0, where the protocol demands that its framing counts as faulty, and lets Transfer-Encoding win over Content-Length, which may be a split response and should be handled as an error. Requests with both are refused already.

Two lengths, lists, signed and empty lengths, and codings other than chunked in HTTP/1.1 were refused by the parser before; these cases stay in the tests.

--- a/internal/agent/malformed_head_test.go
+++ b/internal/agent/malformed_head_test.go
@@ -41,3 +41,10 @@
 		checkNoAnswer(t, name, head)
 	}
 }
+
+// Guards against handing on an endpoint's answer whose head tells two ends of its body (MIXED).
+func TestAnswerWithAmbiguousFramingIsNone(t *testing.T) {
+	for name, head := range fakes.AmbiguousFramings {
+		checkNoAnswer(t, name, head)
+	}
+}
--- a/internal/edge/malformed_head_test.go
+++ b/internal/edge/malformed_head_test.go
@@ -165,3 +165,21 @@
 		})
 	}
 }
+
+// Guards against handing on an answer with a body that wasn't the endpoint's, since its head tells two
+// ends of it (MIXED).
+func TestAnswerWithAmbiguousFramingIsNone(t *testing.T) {
+	engines := &Server{engines: platform.NewEngineClient()}
+	for name, head := range fakes.AmbiguousFramings {
+		m := malformedResponse{
+			head: head,
+			body: "13\r\nid: 1\ndata: first\n\n\r\n0\r\n\r\n",
+		}
+		checkNoAnswer(t, name, m)
+		checkProbesProveNothing(t, engines, head)
+	}
+	checkNotForwarded(t, malformedResponse{
+		head: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		body: "2\r\nab\r\n0\r\n\r\n",
+	})
+}
--- a/internal/fakes/heads.go
+++ b/internal/fakes/heads.go
@@ -50,3 +50,19 @@
 	}
 	return heads
 }
+
+// AmbiguousFramings are beginnings of heads after which two readers may find different ends of the
+// body, by why.
+var AmbiguousFramings = map[string]string{
+	"length and chunks":         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+	"chunks and length":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+	"chunks in version 1.0":     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	"coded in version 1.0":      "HTTP/1.0 200 OK\r\ntransfer-encoding: gzip\r\n",
+	"length, chunks in 1.0":     "HTTP/1.0 200 OK\r\nCONTENT-LENGTH: 3\r\nTRANSFER-ENCODING: chunked\r\n",
+	"two lengths":               "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n",
+	"list of lengths":           "HTTP/1.1 200 OK\r\nContent-Length: 3, 3\r\n",
+	"signed length":             "HTTP/1.1 200 OK\r\nContent-Length: +3\r\n",
+	"empty length":              "HTTP/1.1 200 OK\r\nContent-Length:\r\n",
+	"chunks twice":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+	"coding that isn't chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+}
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -21,10 +21,14 @@
 	// line is the beginning of a line whose end has not arrived.
 	line []byte
 	// inHeader is true after the status line.
-	inHeader  bool
-	status    int
-	malformed bool
-	ended     bool
+	inHeader bool
+	status   int
+	// hasLength and isCoded tell which headers frame the body, beforeChunks that the version of the
+	// protocol doesn't know the second of them.
+	hasLength, isCoded bool
+	beforeChunks       bool
+	malformed          bool
+	ended              bool
 }
 
 // check checks the next bytes and returns how many of them belong to the head.
@@ -55,13 +59,35 @@
 // checkLine checks a line without its end. Empty lines before the status line are skipped.
 func (c *checker) checkLine(line []byte) {
 	switch {
+	case len(line) == 0 && c.inHeader:
+		c.end()
 	case len(line) == 0:
-		c.ended = c.inHeader
 	case !c.inHeader:
 		c.inHeader = true
 		c.checkStatusLine(line)
 	case !IsHeaderLine(line):
 		c.malformed = true
+	default:
+		c.recordFraming(line)
+	}
+}
+
+// recordFraming records a header that frames the body.
+func (c *checker) recordFraming(line []byte) {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch {
+	case strings.EqualFold(string(name), fasthttp.HeaderContentLength):
+		c.hasLength = true
+	case strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding):
+		c.isCoded = true
+	}
+}
+
+// end ends the head. Its framing is ambiguous if it has both headers, or one of a later version.
+func (c *checker) end() {
+	c.ended = true
+	if c.isCoded && (c.hasLength || c.beforeChunks) {
+		c.malformed = true
 	}
 }
 
@@ -88,6 +114,7 @@
 		c.malformed = true
 	}
 	c.status = status
+	c.beforeChunks = string(version) == "HTTP/1.0"
 }
 
 // isInterim reports whether another head follows on the one that has ended.
