Take no answer for whole whose connection was reset during the upload

A worker answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports a reset of a connection once, to whichever call comes first. An upload of more than 8 KB is written while the answer is read; if the write got the error, the read after it ended as if the worker had closed the connection, and only that end marks the end of such a body. Class: an end of a connection that proves less than it seems to, since the proof is in another call.

At the end of such a body the write of the request is now ended too, and its error decides: none, a deadline or EPIPE, which reports a reset after an orderly end, leave the answer whole; any other one makes it cut off. The wait takes no time: either the connection is dead or the write has a deadline that has passed, and the rest of an upload isn't sent after a whole answer, as before.

TestEarlyAnswerThatIsEndedInOrderIsWhole passes before and after: early answers that end in order stay whole, whether the worker reads on, stops reading, or resets the connection later.

Looked for elsewhere: the agent's and the platform's client reads no answer after a write that failed; TestResetWhileCallIsWrittenDoesNotCompleteAnswer holds that, and passed before. Links between processes mark their ends themselves.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -76,20 +76,26 @@
 	received int
 	// chunkedReader decodes a chunked body; it is nil for other bodies.
 	chunkedReader io.Reader
-	// readTrailer reads what follows the last chunk.
-	readTrailer func() error
-	atEnd       bool
+	conn          bodyConn
+	atEnd         bool
 	// closeDelimited is true if the body ends when the connection is closed.
 	closeDelimited bool
 }
 
-// newResponseBody returns a reader of the body that follows the head h in r. A chunked
-// body ends with what readTrailer reads.
-func newResponseBody(r *bufio.Reader, h *fasthttp.ResponseHeader, readTrailer func() error) *responseBody {
+// bodyConn is the connection that a response arrives on.
+type bodyConn interface {
+	// readTrailer reads what follows the last chunk of a body.
+	readTrailer() error
+	// checkClosed returns an error unless a connection that has ended was closed in order.
+	checkClosed() error
+}
+
+// newResponseBody returns a reader of the body that follows the head h in r, which reads from conn.
+func newResponseBody(r *bufio.Reader, h *fasthttp.ResponseHeader, conn bodyConn) *responseBody {
 	b := &responseBody{
-		reader:      r,
-		remaining:   -1,
-		readTrailer: readTrailer,
+		reader:    r,
+		remaining: -1,
+		conn:      conn,
 	}
 	length := h.ContentLength()
 	switch {
@@ -141,9 +147,7 @@
 	case b.chunkedReader != nil:
 		return b.readChunked(p)
 	case b.closeDelimited:
-		n, err := b.reader.Read(p)
-		b.atEnd = err == io.EOF
-		return n, err
+		return b.readToClose(p)
 	}
 	n, err := b.reader.Read(p[:min(len(p), b.remaining)])
 	b.remaining -= n
@@ -157,12 +161,25 @@
 	return n, err
 }
 
+// readToClose reads a part of a body that ends with its connection.
+func (b *responseBody) readToClose(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if err := b.conn.checkClosed(); err != nil {
+		return n, err
+	}
+	b.atEnd = true
+	return n, io.EOF
+}
+
 func (b *responseBody) readChunked(p []byte) (int, error) {
 	n, err := b.chunkedReader.Read(p)
 	if err != io.EOF {
 		return n, err
 	}
-	if err := b.readTrailer(); err != nil {
+	if err := b.conn.readTrailer(); err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"errors"
+	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -35,9 +38,10 @@
 	unlimited bool
 	// continued is true once the reducer was told that the answer continues.
 	continued bool
-	// writeDone receives the result of writing the request.
-	writeDone chan error
-	post      func(gate.Event)
+	// written is closed when the request is written or can't be; writeErr is the reason then.
+	written  chan struct{}
+	writeErr error
+	post     func(gate.Event)
 	// memory accounts in budget for the response if it is held until it is complete; nil
 	// for a small one.
 	budget *budget.Budget
@@ -62,13 +66,13 @@
 		return notRunResult(gate.ReasonDial)
 	}
 	x := &exchange{
-		in:        in,
-		send:      send,
-		conn:      conn,
-		events:    newEventParser(in.lastEventID),
-		writeDone: make(chan error, 1),
-		post:      s.post,
-		budget:    s.memory,
+		in:      in,
+		send:    send,
+		conn:    conn,
+		events:  newEventParser(in.lastEventID),
+		written: make(chan struct{}),
+		post:    s.post,
+		budget:  s.memory,
 	}
 	defer func() { x.memory.Release() }()
 	if !send.Route.Resumable && in.lastEventID != "" {
@@ -127,9 +131,9 @@
 		return result, false
 	}
 	select {
-	case err := <-x.writeDone:
+	case <-x.written:
 		x.conn.idleTimeout = keepAliveTimeout(string(x.head.Peek("Keep-Alive")))
-		return result, err == nil
+		return result, x.writeErr == nil
 	default:
 		return result, false // the endpoint would read a next request as the rest of this one
 	}
@@ -157,21 +161,40 @@
 		for _, piece := range body.Pieces {
 			head = append(head, piece...)
 		}
-		_, err := x.conn.Write(head)
+		_, x.writeErr = x.conn.Write(head)
 		x.in.writeBuffer = head[:0]
-		x.writeDone <- err
+		close(x.written)
 		return
 	}
 	x.in.writeBuffer = nil // the goroutine below uses it
 	go func() {
-		_, err := x.conn.Write(head)
-		for i := 0; err == nil && i < len(body.Pieces); i++ {
-			_, err = x.conn.Write(body.Pieces[i])
+		defer close(x.written)
+		_, x.writeErr = x.conn.Write(head)
+		for i := 0; x.writeErr == nil && i < len(body.Pieces); i++ {
+			_, x.writeErr = x.conn.Write(body.Pieces[i])
 		}
-		x.writeDone <- err
 	}()
 }
 
+// checkClosed returns an error if the endpoint has reset the connection, at whose end a read has
+// found no error. The system reports a reset once: if it ends the write of the request, the reads
+// after it end as if the endpoint had closed the connection in order.
+func (x *exchange) checkClosed() error {
+	err := x.stopWriting()
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil // EPIPE reports a reset that came after an orderly end
+	}
+	return err
+}
+
+// stopWriting ends the write of the request, if it still goes on, and returns its error.
+func (x *exchange) stopWriting() error {
+	x.in.detachUpstream()                   // else another deadline may replace this one
+	_ = x.conn.SetWriteDeadline(time.Now()) // fails only if the connection is closed
+	<-x.written
+	return x.writeErr
+}
+
 // handleResponse forwards a response, or withholds it if it is a refusal, a failure
 // or malformed. It reports whether the response was read completely.
 func (x *exchange) handleResponse(b *responseBody) (gate.Result, bool) {
--- a/internal/edge/repeated_test.go
+++ b/internal/edge/repeated_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/topo"
 	"dogwoodfold/platform"
@@ -181,6 +182,11 @@
 
 // try sends a request once. It returns the request, the result, and what the client got.
 func (a *attempts) try(id string, kind topo.Kind, continued bool) (*inboundRequest, gate.Result, string) {
+	return a.tryBody(id, kind, continued, budget.Pieces{})
+}
+
+// tryBody is try for a request with a body.
+func (a *attempts) tryBody(id string, kind topo.Kind, continued bool, body budget.Pieces) (*inboundRequest, gate.Result, string) {
 	client, far := net.Pipe()
 	got := make(chan string, 1)
 	go func() {
@@ -191,6 +197,7 @@
 	in := &inboundRequest{
 		request:      &gate.Request{ID: id},
 		head:         []byte("POST /a/1 HTTP/1.1\r\nHost: shop.example\r\n" + platform.HeaderRequestID + ": " + id + "\r\n"),
+		body:         body,
 		client:       client,
 		disconnected: make(chan struct{}),
 		started:      continued,
--- a/internal/edge/reply.go
+++ b/internal/edge/reply.go
@@ -47,7 +47,7 @@
 		if x.head.StatusCode() < fasthttp.StatusOK {
 			continue
 		}
-		b := newResponseBody(x.conn.reader, &x.head, x.readTrailer)
+		b := newResponseBody(x.conn.reader, &x.head, x)
 		x.in.origin = originOf(&x.head, x.in.request.ID)
 		if x.isOwnResponse() {
 			return b, nil
