--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -241,6 +241,10 @@
 		ep.env.history.checkEndless(sendEndless(w, requestID))
 		return
 	}
+	if rand.IntN(malformedOdds) == 0 {
+		sendMalformed(w, requestID)
+		return
+	}
 	w.Header().Set(platform.HeaderServerStamp, "stamp-"+requestID)
 	if ep.service == "shop" || ep.service == kioskService {
 		time.Sleep(time.Duration(20+rand.IntN(100)) * time.Millisecond)
