Send no body after answers that have none

A client that got a worker's 204 to a request on a stream route, or asked for a head only, found bytes of a body before the next answer on its connection: "0", the last chunk of an empty body, or the text of a refusal. Requests for a head waited for the body until their deadline, and failed.

Cause: whether a body follows was decided by the framing headers, and for the status alone when an answer is read; not by the method of the request, and not when an answer is written.

hasBody now decides that in one place, for reading and for writing. A head that was asked for alone names the length that the endpoint names. 204 names none, 304 that of the endpoint.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -20,13 +20,20 @@
 	// hop-by-hop headers and the terminating empty line.
 	head []byte
 	body budget.Pieces
+	// length is the Content-Length to send, noLength for none.
+	length int
 }
 
-// writeTo sends the complete response with a Content-Length header to the client. It
-// reuses the write buffer of in for the head and the first piece of the body.
+// noLength is the length of a response that names none.
+const noLength = -1
+
+// writeTo sends the complete response to the client. It reuses the write buffer of in for the
+// head and the first piece of the body.
 func (r *endpointResponse) writeTo(in *inboundRequest) error {
 	out := append(in.writeBuffer[:0], r.head...)
-	out = appendHeader(out, "Content-Length", strconv.Itoa(r.body.Size))
+	if r.length != noLength {
+		out = appendHeader(out, "Content-Length", strconv.Itoa(r.length))
+	}
 	out = in.appendHeadEnd(out)
 	rest := r.body.Pieces
 	if len(rest) > 0 {
@@ -90,8 +97,15 @@
 	checkClosed() error
 }
 
-// newResponseBody returns a reader of the body that follows the head h in r, which reads from conn.
-func newResponseBody(r *bufio.Reader, h *fasthttp.ResponseHeader, conn bodyConn) *responseBody {
+// hasBody reports whether a body follows on a head with the given status. headOnly is true if the
+// request has asked for the head only.
+func hasBody(status int, headOnly bool) bool {
+	return !headOnly && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
+// newResponseBody returns a reader of the body that follows the head h in r, which reads from conn. It
+// is empty if the request has asked for the head only.
+func newResponseBody(r *bufio.Reader, h *fasthttp.ResponseHeader, headOnly bool, conn bodyConn) *responseBody {
 	b := &responseBody{
 		reader:    r,
 		remaining: -1,
@@ -99,7 +113,7 @@
 	}
 	length := h.ContentLength()
 	switch {
-	case h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified:
+	case !hasBody(h.StatusCode(), headOnly):
 		b.remaining = 0
 	case length >= 0:
 		b.remaining = length
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -236,6 +236,7 @@
 		request:      request,
 		head:         forwardedRequestHead(&head),
 		body:         body,
+		headOnly:     head.IsHead(),
 		owner:        c.owner,
 		lastEventID:  request.LastEventID,
 		client:       c.conn,
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -230,7 +230,7 @@
 	if !x.isEventStream() {
 		x.postFirstByte() // else its first event counts
 	}
-	if x.isEventStream() || x.in.started {
+	if x.in.started || x.isEventStream() && hasBody(status, x.in.headOnly) {
 		return x.streamResponse(b, nil)
 	}
 	return x.forwardWhole(b)
@@ -293,11 +293,10 @@
 	if err != nil {
 		return x.classifyError(err), false
 	}
-	x.in.bufferedFailure = &endpointResponse{
-		status: status,
-		head:   forwardedResponseHead(&x.head),
-		body:   budget.Pieces{Pieces: [][]byte{content}, Size: len(content)},
-	}
+	x.in.bufferedFailure = x.wholeResponse(budget.Pieces{
+		Pieces: [][]byte{content},
+		Size:   len(content),
+	})
 	return gate.Result{
 		Outcome:    gate.OutcomeFailed,
 		Reason:     gate.ReasonStatus,
--- a/internal/edge/first_event_test.go
+++ b/internal/edge/first_event_test.go
@@ -26,7 +26,7 @@
 	if err := x.head.Read(reader); err != nil {
 		t.Fatal(err)
 	}
-	result, _ := x.handleResponse(newResponseBody(reader, &x.head, x))
+	result, _ := x.handleResponse(newResponseBody(reader, &x.head, false, x))
 	if result.Outcome == gate.OutcomeComplete || result.Outcome == gate.OutcomeTruncated {
 		t.Fatalf("outcome %v, want one of which the client has nothing", result.Outcome)
 	}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"dogwoodfold/internal/budget"
 	"dogwoodfold/internal/gate"
 	"dogwoodfold/internal/topo"
@@ -34,20 +36,35 @@
 	if err != nil {
 		return x.classifyError(err), false
 	}
-	response := endpointResponse{
-		status: x.head.StatusCode(),
-		head:   forwardedResponseHead(&x.head),
-		body:   content,
-	}
+	response := x.wholeResponse(content)
 	x.in.status = response.status
-	x.in.held, x.in.heldMemory = &response, x.memory
+	x.in.held, x.in.heldMemory = response, x.memory
 	x.memory = nil
 	return gate.Result{
-		Outcome: gate.OutcomeComplete,
-		Status:  response.status,
+		Outcome:       gate.OutcomeComplete,
+		Status:        response.status,
+		WithoutEvents: x.isEventStream(),
 	}, true
 }
 
+// wholeResponse returns the response with its body. One that has no body names the length that the
+// endpoint does, if its status allows one.
+func (x *exchange) wholeResponse(body budget.Pieces) *endpointResponse {
+	r := &endpointResponse{
+		status: x.head.StatusCode(),
+		head:   forwardedResponseHead(&x.head),
+		body:   body,
+		length: body.Size,
+	}
+	if !hasBody(r.status, x.in.headOnly) {
+		r.length = max(x.head.ContentLength(), noLength)
+	}
+	if r.status == fasthttp.StatusNoContent {
+		r.length = noLength
+	}
+	return r
+}
+
 // grow reserves memory for the response.
 func (x *exchange) grow(n int) error {
 	now := time.Now()
--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -24,6 +24,8 @@
 	// head is the request line and the headers to forward to endpoints.
 	head []byte
 	body budget.Pieces
+	// headOnly is true if the client has asked for the head of the answer only.
+	headOnly bool
 	// memory accounts for the body.
 	memory *budget.Reservation
 	// owner is the address of the client.
@@ -257,7 +259,9 @@
 		out = appendHeader(out, platform.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
 	out = in.appendHeadEnd(out)
-	out = append(out, body...)
+	if hasBody(in.status, in.headOnly) {
+		out = append(out, body...)
+	}
 	if in.write(out) != nil {
 		in.connBroken = true
 	}
--- a/internal/edge/reply.go
+++ b/internal/edge/reply.go
@@ -47,7 +47,7 @@
 		if x.head.StatusCode() < fasthttp.StatusOK {
 			continue
 		}
-		b := newResponseBody(x.conn.reader, &x.head, x)
+		b := newResponseBody(x.conn.reader, &x.head, x.in.headOnly, x)
 		x.in.origin = originOf(&x.head, x.in.request.ID)
 		if x.isOwnResponse() {
 			return b, nil
