--- a/internal/agent/malformed_head_test.go
+++ b/internal/agent/malformed_head_test.go
@@ -27,24 +27,10 @@
 }
 
 // Guards against handing on an endpoint's answer whose status is none, such as 000, which the parser
-// takes for 200 (MIXED), or taking it for a proof that the call hasn't run.
-func TestAnswerWithImpossibleStatusIsNone(t *testing.T) {
-	for name, line := range fakes.MalformedStatusLines {
-		checkNoAnswer(t, name, line+"\r\n")
-	}
-}
-
-// Guards against handing on an endpoint's answer in whose head the name of a header holds a blank or
-// a control byte, which may frame the body (MIXED).
-func TestAnswerWithMalformedHeaderNameIsNone(t *testing.T) {
-	for name, head := range fakes.MalformedHeaders() {
-		checkNoAnswer(t, name, head)
-	}
-}
-
-// Guards against handing on an endpoint's answer whose head tells two ends of its body (MIXED).
-func TestAnswerWithAmbiguousFramingIsNone(t *testing.T) {
-	for name, head := range fakes.AmbiguousFramings {
+// takes for 200, in whose head the name of a header holds a blank or a control byte, or whose head
+// tells two ends of its body (MIXED), or taking it for a proof that the call hasn't run.
+func TestMalformedAnswerIsNone(t *testing.T) {
+	for name, head := range fakes.MalformedHeads() {
 		checkNoAnswer(t, name, head)
 	}
 }
--- a/internal/fakes/heads.go
+++ b/internal/fakes/heads.go
@@ -1,5 +1,18 @@
 package fakes
 
+import "maps"
+
+// MalformedHeads returns the beginnings of heads that no server may send, by what is wrong with them:
+// all of MalformedStatusLines, MalformedHeaders and AmbiguousFramings.
+func MalformedHeads() map[string]string {
+	heads := MalformedHeaders()
+	maps.Copy(heads, AmbiguousFramings)
+	for what, line := range MalformedStatusLines {
+		heads[what] = line + "\r\n"
+	}
+	return heads
+}
+
 // MalformedStatusLines are status lines that no server may send, by what is wrong with them.
 var MalformedStatusLines = map[string]string{
 	"status 000":       "HTTP/1.1 000 OK",
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -36,38 +36,24 @@
 func (c conn) Read(p []byte) (int, error)  { return c.Reader.Read(p) }
 func (c conn) Write(p []byte) (int, error) { return len(p), nil }
 
-// malformed are heads that must be rejected, sound ones that must be read as they are.
-var (
-	malformed = map[string]string{}
-	sound     = map[string]string{
-		"answer":               soundHead,
-		"version 1.0":          "HTTP/1.0 200 OK\r\n\r\n",
-		"no reason":            "HTTP/1.1 404\r\n\r\n",
-		"no headers":           "HTTP/1.1 599 X\r\n\r\n",
-		"empty lines before":   "\r\n\r\n" + soundHead,
-		"line feeds alone":     "HTTP/1.1 200 OK\nA: b\r\n\r\n",
-		"colon in a value":     "HTTP/1.1 200 OK\r\nA: b:c d\r\n\r\n",
-		"empty value":          "HTTP/1.1 200 OK\r\nA:\r\n\r\n",
-		"each byte of a token": "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0AZaz: b\r\n\r\n",
-		"long lines":           "HTTP/1.1 200 " + strings.Repeat("x", 900) + "\r\nA: " + strings.Repeat("y: ", 300) + "\r\n\r\n",
-	}
-)
-
-func init() {
-	for name, line := range fakes.MalformedStatusLines {
-		malformed[name] = line + "\r\nContent-Length: 2\r\n\r\n"
-	}
-	for name, head := range fakes.MalformedHeaders() {
-		malformed[name] = head + "\r\n"
-	}
-	for name, head := range fakes.AmbiguousFramings {
-		malformed[name] = head + "\r\n"
-	}
+// soundHeads are heads that must be read as they are.
+var soundHeads = map[string]string{
+	"answer":               soundHead,
+	"version 1.0":          "HTTP/1.0 200 OK\r\n\r\n",
+	"no reason":            "HTTP/1.1 404\r\n\r\n",
+	"no headers":           "HTTP/1.1 599 X\r\n\r\n",
+	"empty lines before":   "\r\n\r\n" + soundHead,
+	"line feeds alone":     "HTTP/1.1 200 OK\nA: b\r\n\r\n",
+	"colon in a value":     "HTTP/1.1 200 OK\r\nA: b:c d\r\n\r\n",
+	"empty value":          "HTTP/1.1 200 OK\r\nA:\r\n\r\n",
+	"each byte of a token": "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0AZaz: b\r\n\r\n",
+	"long lines":           "HTTP/1.1 200 " + strings.Repeat("x", 900) + "\r\nA: " + strings.Repeat("y: ", 300) + "\r\n\r\n",
 }
 
 // Guards against reading a head that the protocol doesn't allow as a sound one.
 func TestMalformedHeadIsRejected(t *testing.T) {
-	for name, head := range malformed {
+	for name, head := range fakes.MalformedHeads() {
+		head += "\r\n"
 		for way, reader := range readers {
 			if err := http1.ReadHead(new(fasthttp.ResponseHeader), bufio.NewReader(reader(head+"ok"))); err == nil {
 				t.Errorf("%s, %s: was read", name, way)
@@ -86,7 +72,7 @@
 
 // A sound head is read to its end and not beyond, and a connection passes on what it gets.
 func TestSoundHeadIsRead(t *testing.T) {
-	for name, head := range sound {
+	for name, head := range soundHeads {
 		for way, reader := range readers {
 			r := bufio.NewReader(reader(head + "ok"))
 			if err := http1.ReadHead(new(fasthttp.ResponseHeader), r); err != nil {
@@ -135,11 +121,11 @@
 // Guards against a head that the parser ends elsewhere than the check, so that the lines between go
 // unchecked, and against a check that fails on any input.
 func FuzzReadHead(f *testing.F) {
-	for _, head := range sound {
+	for _, head := range soundHeads {
 		f.Add(head)
 	}
-	for _, head := range malformed {
-		f.Add(head)
+	for _, head := range fakes.MalformedHeads() {
+		f.Add(head + "\r\n")
 	}
 	f.Fuzz(func(t *testing.T, text string) {
 		r := bufio.NewReader(strings.NewReader(text))
--- a/internal/soak/malformed_test.go
+++ b/internal/soak/malformed_test.go
@@ -15,20 +15,7 @@
 const malformedOdds = 150
 
 // malformedHeads are beginnings of such heads.
-var malformedHeads = slices.Concat(
-	slices.Collect(maps.Values(fakes.MalformedHeaders())),
-	slices.Collect(maps.Values(fakes.AmbiguousFramings)),
-	endedLines(fakes.MalformedStatusLines),
-)
-
-// endedLines returns lines with their ends.
-func endedLines(lines map[string]string) []string {
-	var ended []string
-	for _, line := range lines {
-		ended = append(ended, line+"\r\n")
-	}
-	return ended
-}
+var malformedHeads = slices.Collect(maps.Values(fakes.MalformedHeads()))
 
 // sendMalformed answers a request with a malformed head and a body that is not its answer. A client
 // that gets it finds it mixed up.
