Reject chunked answers of any version but HTTP/1.1

The parser ignores it in each version that isn't 1.1, so that an answer of HTTP/1.2 was handed on with its chunk sizes in the body.

--- a/internal/fakes/heads.go
+++ b/internal/fakes/heads.go
@@ -70,6 +70,7 @@
 	"length and chunks":         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n",
 	"chunks and length":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n",
 	"chunks in version 1.0":     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	"chunks in version 1.2":     "HTTP/1.2 200 OK\r\nTransfer-Encoding: chunked\r\n",
 	"coded in version 1.0":      "HTTP/1.0 200 OK\r\ntransfer-encoding: gzip\r\n",
 	"length, chunks in 1.0":     "HTTP/1.0 200 OK\r\nCONTENT-LENGTH: 3\r\nTRANSFER-ENCODING: chunked\r\n",
 	"two lengths":               "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n",
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -23,12 +23,13 @@
 	// inHeader is true after the status line.
 	inHeader bool
 	status   int
-	// hasLength and isCoded tell which headers frame the body, beforeChunks that the version of the
-	// protocol doesn't know the second of them.
-	hasLength, isCoded bool
-	beforeChunks       bool
-	malformed          bool
-	ended              bool
+	// hasLength and hasCoding are true if there is a Content-Length and a Transfer-Encoding, of which
+	// the parser ignores the second if ignoresCoding.
+	hasLength     bool
+	hasCoding     bool
+	ignoresCoding bool
+	malformed     bool
+	ended         bool
 }
 
 // check checks the next bytes and returns how many of them belong to the head.
@@ -79,14 +80,14 @@
 	case strings.EqualFold(string(name), fasthttp.HeaderContentLength):
 		c.hasLength = true
 	case strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding):
-		c.isCoded = true
+		c.hasCoding = true
 	}
 }
 
-// end ends the head. Its framing is ambiguous if it has both headers, or one of a later version.
+// end ends the head. Its framing is ambiguous if it has both headers, or one that the parser ignores.
 func (c *checker) end() {
 	c.ended = true
-	if c.isCoded && (c.hasLength || c.beforeChunks) {
+	if c.hasCoding && (c.hasLength || c.ignoresCoding) {
 		c.malformed = true
 	}
 }
@@ -114,7 +115,7 @@
 		c.malformed = true
 	}
 	c.status = status
-	c.beforeChunks = string(version) == "HTTP/1.0"
+	c.ignoresCoding = string(version) != "HTTP/1.1"
 }
 
 // isInterim reports whether another head follows on the one that has ended.
