--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -176,9 +176,9 @@
 	}()
 }
 
-// checkClosed returns an error if the endpoint has reset the connection, at whose end a read has
-// found no error. The system reports a reset once: if it ends the write of the request, the reads
-// after it end as if the endpoint had closed the connection in order.
+// checkClosed returns an error if the endpoint has reset the connection, though a read has found
+// nothing but its end. The system reports a reset once: if it ends the write of the request, the
+// reads after it end as if the endpoint had closed the connection in order.
 func (x *exchange) checkClosed() error {
 	err := x.stopWriting()
 	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -23,9 +23,10 @@
 	// inHeader is true after the status line.
 	inHeader bool
 	status   int
-	// hasLength and hasCoding are true if there is a Content-Length and a Transfer-Encoding, of which
-	// the parser ignores the second if ignoresCoding.
-	hasLength     bool
+	// hasLength is true if there is a Content-Length.
+	hasLength bool
+	// hasCoding is true if there is a Transfer-Encoding, ignoresCoding if the version is one in
+	// which the parser ignores it.
 	hasCoding     bool
 	ignoresCoding bool
 	malformed     bool
@@ -63,6 +64,7 @@
 	case len(line) == 0 && c.inHeader:
 		c.end()
 	case len(line) == 0:
+		// a head may follow
 	case !c.inHeader:
 		c.inHeader = true
 		c.checkStatusLine(line)
